--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds from the stated target."""
--- /dev/null
+++ b/redwingplank/api/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface."""
--- /dev/null
+++ b/redwingplank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each program."""
--- /dev/null
+++ b/redwingplank/core/__init__.py
@@ -0,0 +1,34 @@
+"""Types and services that every other package builds on."""
+
+from redwingplank.core.clock import Clock, FakeClock, MonotonicClock
+from redwingplank.core.errors import InvalidValueError, RedwingError
+from redwingplank.core.findings import Finding, FindingsError, Place, raise_findings
+from redwingplank.core.logs import (
+    Logger,
+    format_event,
+    log_event,
+    make_logger,
+    start_logging,
+)
+from redwingplank.core.resources import NO_RESOURCES, Resources, make_resources, sum_resources
+
+__all__ = [
+    "NO_RESOURCES",
+    "Clock",
+    "FakeClock",
+    "Finding",
+    "FindingsError",
+    "InvalidValueError",
+    "Logger",
+    "MonotonicClock",
+    "Place",
+    "RedwingError",
+    "Resources",
+    "format_event",
+    "log_event",
+    "make_logger",
+    "make_resources",
+    "raise_findings",
+    "start_logging",
+    "sum_resources",
+]
--- /dev/null
+++ b/redwingplank/core/logs.py
@@ -0,0 +1,94 @@
+"""Logging: one line of key=value pairs for each event."""
+
+import sys
+from typing import Any, TextIO
+
+import logbook
+from logbook import Logger
+
+__all__ = ["Logger", "format_event", "log_event", "make_logger", "start_logging"]
+
+_PLAIN_PUNCTUATION = frozenset("-_.:/,+@%#")
+
+
+def make_logger(name: str) -> Logger:
+    """Return a logger whose name becomes the ``logger=`` pair of each line."""
+    return Logger(name)
+
+
+def format_event(event: str, fields: dict[str, Any]) -> str:
+    """Return one line of ``key=value`` pairs, quoting values where needed.
+
+    Parameters
+    ----------
+    event : str
+        What happened, such as ``"task_placed"``; becomes the first pair.
+    fields : dict
+        The other pairs, in order. Floats are printed with six significant digits.
+
+    Examples
+    --------
+    >>> format_event("task_placed", {"vm": "vm-1", "reason": "best fit"})
+    'event=task_placed vm=vm-1 reason="best fit"'
+    """
+    pairs = [f"event={_format_value(event)}"]
+    pairs.extend(f"{key}={_format_value(value)}" for key, value in fields.items())
+    return " ".join(pairs)
+
+
+def log_event(logger: Logger, event: str, *, level: int = logbook.INFO, **fields: Any) -> None:
+    """Write one event; costs almost nothing when `level` is not enabled.
+
+    Parameters
+    ----------
+    logger : Logger
+        From `make_logger`.
+    event : str
+        What happened.
+    level : int
+        A logbook level.
+    **fields
+        The event's pairs, with units in their names (``wait_ms=12``).
+    """
+    if level < logger.level:
+        return
+    logger.log(level, format_event(event, fields))
+
+
+def start_logging(level_name: str = "INFO", stream: TextIO | None = None) -> logbook.StreamHandler:
+    """Send every record at or above a level to a stream, one line each.
+
+    Parameters
+    ----------
+    level_name : str
+        ``DEBUG``, ``INFO``, ``NOTICE``, ``WARNING`` or ``ERROR``.
+    stream : file, optional
+        Standard error by default.
+
+    Returns
+    -------
+    logbook.StreamHandler
+        The installed handler; `pop_application` removes it.
+    """
+    handler = logbook.StreamHandler(
+        stream or sys.stderr, level=logbook.lookup_level(level_name.upper())
+    )
+    handler.format_string = (
+        "time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} "
+        "logger={record.channel} {record.message}"
+    )
+    handler.push_application()
+    return handler
+
+
+def _format_value(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    if value is None:
+        return "none"
+    text = str(value)
+    if text and all(char.isalnum() or char in _PLAIN_PUNCTUATION for char in text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
+    return f'"{escaped}"'
--- /dev/null
+++ b/redwingplank/membership/__init__.py
@@ -0,0 +1,1 @@
+"""VMs, upstreams and peers: heartbeats, leaving, suspicion and summaries."""
--- /dev/null
+++ b/redwingplank/platform/http/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that speak HTTP to the platform."""
--- /dev/null
+++ b/redwingplank/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Request decisions: admission, choice of upstream, retries, slot credits, outlier detection."""
--- /dev/null
+++ b/redwingplank/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of redwingplank.routing."""
--- /dev/null
+++ b/redwingplank/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's processes."""
--- /dev/null
+++ b/redwingplank/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Input and output around the decision packages, for each role."""
--- /dev/null
+++ b/redwingplank/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Task decisions: queues, fair share, placement, gangs, leases and recovery."""
--- /dev/null
+++ b/redwingplank/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, in process and over HTTP."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for those who work on the project."""
