--- a/redwingplank/core/__init__.py
+++ b/redwingplank/core/__init__.py
@@ -1,6 +1,6 @@
 """Types and services that every other package builds on."""
 
-from redwingplank.core.clock import Clock, FakeClock, MonotonicClock
+from redwingplank.core.clock import Clock, FakeClock, MonotonicClock, UnixClock
 from redwingplank.core.errors import InvalidValueError, RedwingError
 from redwingplank.core.findings import Finding, FindingsError, Place, raise_findings
 from redwingplank.core.logs import (
@@ -24,6 +24,7 @@
     "Place",
     "RedwingError",
     "Resources",
+    "UnixClock",
     "format_event",
     "log_event",
     "make_logger",
--- a/redwingplank/core/clock.py
+++ b/redwingplank/core/clock.py
@@ -6,7 +6,7 @@
 import time
 from abc import ABC, abstractmethod
 
-__all__ = ["Clock", "FakeClock", "MonotonicClock"]
+__all__ = ["Clock", "FakeClock", "MonotonicClock", "UnixClock"]
 
 
 class Clock(ABC):
@@ -30,6 +30,13 @@
         return time.monotonic()
 
 
+class UnixClock(Clock):
+    """The wall clock, in seconds since 1970; may be set back by the operating system."""
+
+    def now_s(self) -> float:
+        return time.time()
+
+
 class FakeClock(Clock):
     """A clock that moves only when told to.
 
--- a/redwingplank/platform/workers.py
+++ b/redwingplank/platform/workers.py
@@ -169,9 +169,9 @@
     lease_s : float
         Renews the lease of every task that runs there to this many seconds from receipt; a
         task whose lease lapses is stopped by the worker. 0 renews nothing.
-    start_before_s : float
-        Starts that the worker receives later than this many seconds after `sent_s` of the
-        owner's own clock are void; bounded by the owner's lease.
+    start_before_unix_s : float
+        Starts are void once the worker's wall clock is past this; 0 for no bound. It is the end of
+        the owner's lease, for workers that know no epochs.
     starts, actions : tuple
         Commands, done in the order actions, then starts.
     acknowledged_sequence : int
@@ -183,7 +183,7 @@
     starts: tuple[StartTask, ...] = ()
     actions: tuple[TaskAction, ...] = ()
     acknowledged_sequence: int = 0
-    start_before_s: float = 0.0
+    start_before_unix_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/redwingplank/rpc/__init__.py
+++ b/redwingplank/rpc/__init__.py
@@ -1,1 +1,24 @@
-"""Messages between the system's processes."""
+"""Messages between the system's processes, over Cap'n Proto RPC."""
+
+from redwingplank.rpc.errors import (
+    CallFailedError,
+    CallOutcomeUnknownError,
+    PeerUnreachableError,
+    RpcError,
+)
+from redwingplank.rpc.peers import PeerConnections, split_address
+from redwingplank.rpc.schema import MESSAGE_VERSION, load_schema
+from redwingplank.rpc.server import NodeServer, serve_node
+
+__all__ = [
+    "MESSAGE_VERSION",
+    "CallFailedError",
+    "CallOutcomeUnknownError",
+    "NodeServer",
+    "PeerConnections",
+    "PeerUnreachableError",
+    "RpcError",
+    "load_schema",
+    "serve_node",
+    "split_address",
+]
--- /dev/null
+++ b/redwingplank/rpc/peers.py
@@ -0,0 +1,140 @@
+"""Connections to the other processes of the system, opened on demand and kept."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import capnp
+
+from redwingplank.rpc.errors import (
+    CallFailedError,
+    CallOutcomeUnknownError,
+    PeerUnreachableError,
+)
+from redwingplank.rpc.schema import MESSAGE_VERSION, load_schema
+
+__all__ = ["PeerConnections", "split_address"]
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``"IP:PORT"``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+@dataclass(slots=True)
+class _Connection:
+    stream: Any
+    client: Any
+    node: Any
+    capabilities_by_service: dict[str, Any] = field(default_factory=dict)
+
+
+class PeerConnections:
+    """Calls services of other processes by address.
+
+    Notes
+    -----
+    Must be used inside ``capnp.kj_loop()``. One connection is kept for each address; it is
+    dropped after a call that failed below the service or ran out of time.
+    """
+
+    def __init__(self) -> None:
+        self._connections_by_address: dict[str, _Connection] = {}
+        self._locks_by_address: dict[str, asyncio.Lock] = {}
+
+    async def call(
+        self,
+        address: str,
+        service: str,
+        interface: Any,
+        method: Callable[[Any], Awaitable[Any]],
+        timeout_s: float,
+    ) -> Any:
+        """Call one method of a peer's service.
+
+        Parameters
+        ----------
+        address : str
+            ``"IP:PORT"`` of the peer.
+        service : str
+            The service's name, as the peer's `serve_node` offers it.
+        interface : capnp interface
+            What the capability is cast to.
+        method : callable
+            Takes the capability and returns the call's promise.
+        timeout_s : float
+            Seconds for connection and call together.
+
+        Returns
+        -------
+        capnp response
+
+        Raises
+        ------
+        PeerUnreachableError
+            The call never left.
+        CallOutcomeUnknownError
+            The connection broke or the time was over after the call had left.
+        CallFailedError
+            The peer answered with an error.
+        """
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        capability = await self._open(address, service, interface, timeout_s)
+        remaining_s = max(0.001, deadline_s - asyncio.get_running_loop().time())
+        try:
+            return await asyncio.wait_for(method(capability), remaining_s)
+        except TimeoutError as error:
+            self.drop(address)
+            raise CallOutcomeUnknownError(f"{service} at {address} did not answer") from error
+        except capnp.KjException as error:
+            if "remote exception" in str(error):
+                raise CallFailedError(_last_line(error)) from error
+            self.drop(address)
+            raise CallOutcomeUnknownError(f"lost the connection to {address}") from error
+
+    def drop(self, address: str) -> None:
+        """Close the connection to a peer, if there is one."""
+        connection = self._connections_by_address.pop(address, None)
+        if connection is not None:
+            connection.client.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address in list(self._connections_by_address):
+            self.drop(address)
+
+    async def _open(self, address: str, service: str, interface: Any, timeout_s: float) -> Any:
+        lock = self._locks_by_address.setdefault(address, asyncio.Lock())
+        try:
+            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)), lock:
+                connection = self._connections_by_address.get(address)
+                if connection is None:
+                    connection = await _connect(address)
+                    self._connections_by_address[address] = connection
+                capability = connection.capabilities_by_service.get(service)
+                if capability is None:
+                    answer = await connection.node.open(MESSAGE_VERSION, service)
+                    capability = answer.capability.as_interface(interface)
+                    connection.capabilities_by_service[service] = capability
+                return capability
+        except (OSError, TimeoutError, capnp.KjException) as error:
+            self.drop(address)
+            raise PeerUnreachableError(f"cannot reach {service} at {address}: {error}") from error
+
+
+async def _connect(address: str) -> _Connection:
+    host, port = split_address(address)
+    stream = await capnp.AsyncIoStream.create_connection(host, port)
+    client = capnp.TwoPartyClient(stream)
+    node = client.bootstrap().cast_as(load_schema("node").Node)
+    return _Connection(stream, client, node)
+
+
+def _last_line(error: Exception) -> str:
+    lines = [line.strip() for line in str(error).splitlines() if line.strip()]
+    described = [line for line in lines if "Error: " in line]
+    return described[-1] if described else lines[0] if lines else "the peer gave no reason"
--- /dev/null
+++ b/redwingplank/rpc/server.py
@@ -0,0 +1,84 @@
+"""Offers services of this process to the others."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+import capnp
+
+from redwingplank.rpc.errors import RpcError
+from redwingplank.rpc.peers import split_address
+from redwingplank.rpc.schema import MESSAGE_VERSION, load_schema
+
+__all__ = ["NodeServer", "serve_node"]
+
+
+_NodeServer: Any = load_schema("node").Node.Server
+
+
+class _Node(_NodeServer):
+    def __init__(self, services_by_name: Mapping[str, Any]) -> None:
+        self._services_by_name = services_by_name
+
+    async def open(self, version: int, service: str, _context: Any, **_: Any) -> tuple[int, Any]:
+        if version != MESSAGE_VERSION:
+            raise RpcError(f"message version {version} is not spoken here, use {MESSAGE_VERSION}")
+        found = self._services_by_name.get(service)
+        if found is None:
+            raise RpcError(f"service {service!r} is not offered here")
+        return MESSAGE_VERSION, found
+
+
+class NodeServer:
+    """A listening socket and its open connections."""
+
+    def __init__(self, services_by_name: Mapping[str, Any]) -> None:
+        self._services_by_name = services_by_name
+        self._connections: set[asyncio.Task] = set()
+        self._server: Any = None
+
+    async def start(self, address: str) -> None:
+        """Listen at ``"IP:PORT"``."""
+        host, port = split_address(address)
+        self._server = await capnp.AsyncIoStream.create_server(self._serve, host, port)
+
+    async def stop(self) -> None:
+        """Stop listening and close the open connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.cancel()
+        await asyncio.gather(*self._connections, return_exceptions=True)
+
+    async def _serve(self, stream: Any) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        try:
+            server = capnp.TwoPartyServer(stream, bootstrap=_Node(self._services_by_name))
+            await server.on_disconnect()
+        except (capnp.KjException, asyncio.CancelledError):
+            pass
+        finally:
+            stream.close()
+            self._connections.discard(task)
+
+
+async def serve_node(address: str, services_by_name: Mapping[str, Any]) -> NodeServer:
+    """Start to offer services at an address.
+
+    Parameters
+    ----------
+    address : str
+        ``"IP:PORT"`` to listen at.
+    services_by_name : mapping of str to capnp server
+        What `PeerConnections.call` finds by name; may gain names later.
+
+    Returns
+    -------
+    NodeServer
+        To be stopped at the end.
+    """
+    server = NodeServer(services_by_name)
+    await server.start(address)
+    return server
--- /dev/null
+++ b/redwingplank/standin/workers.py
@@ -0,0 +1,353 @@
+"""A stand-in of workers: runs tasks as timers, under leases and epochs."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from redwingplank.core import Clock, Resources, make_resources, sum_resources
+from redwingplank.platform import (
+    RunningTask,
+    StaleEpochError,
+    StartTask,
+    TaskAction,
+    TaskActionKind,
+    TaskEnd,
+    TaskEndReason,
+    TaskUsage,
+    UnavailableError,
+    WorkerClient,
+    WorkerInventory,
+    WorkerReport,
+    WorkerRequest,
+)
+from redwingplank.standin.faults import Faults
+from redwingplank.standin.history import History, HistoryEvent, HistoryEventKind
+
+__all__ = ["MemoryWorkerClient", "StandinWorker", "TaskProgram", "WorkerSwitches"]
+
+USAGE_LAG_S = 2.0
+
+
+class TaskProgram(msgspec.Struct, frozen=True):
+    """What a stand-in task does; the JSON payload of a job.
+
+    Parameters
+    ----------
+    run_s : float
+        Seconds at speed 1 that the task really runs; 0 or less runs until stopped.
+    is_failing : bool
+        Ends as failed on every worker.
+    used_millicores, used_memory_mib : int or None
+        Real usage, None for what was reserved.
+    """
+
+    run_s: float = 1.0
+    is_failing: bool = False
+    used_millicores: int | None = None
+    used_memory_mib: int | None = None
+
+
+@dataclass(slots=True)
+class WorkerSwitches:
+    """Faults of one worker.
+
+    Parameters
+    ----------
+    is_failing : bool
+        Fails every task at once.
+    is_paused : bool
+        Answers nothing and ends nothing; leases still run out.
+    is_dead : bool
+        Answers nothing and runs nothing.
+    knows_epochs : bool
+        Whether a lower epoch is refused.
+    has_inventory : bool
+        Whether an adoption returns what runs.
+    is_leaving : bool
+        The worker's own word that it takes no more starts.
+    """
+
+    is_failing: bool = False
+    is_paused: bool = False
+    is_dead: bool = False
+    knows_epochs: bool = True
+    has_inventory: bool = True
+    is_leaving: bool = False
+
+
+@dataclass(slots=True)
+class _Attempt:
+    start: StartTask
+    program: TaskProgram
+    started_at_s: float
+    ends_at_s: float
+    lease_ends_at_s: float
+    speed: float
+    limit: Resources | None = None
+
+
+@dataclass(slots=True)
+class StandinWorker:
+    """One worker.
+
+    Parameters
+    ----------
+    name : str
+        The VM's name.
+    capacity : Resources
+        What it has.
+    clock : Clock
+        Its time.
+    history : History
+        Where it records what really ran.
+    speed : float
+        A task takes its run time divided by this.
+    """
+
+    name: str
+    capacity: Resources
+    clock: Clock
+    history: History
+    speed: float = 1.0
+    switches: WorkerSwitches = field(default_factory=WorkerSwitches)
+    epoch: int = 0
+    incarnation: int = 1
+    sequence: int = 0
+    attempts_by_task: dict[str, _Attempt] = field(default_factory=dict)
+    unacknowledged: list[TaskEnd] = field(default_factory=list)
+    highest_attempt_by_task: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._record(HistoryEventKind.WORKER_STARTED, "", 0, self.capacity)
+
+    def adopt(self, epoch: int, lease_s: float) -> WorkerInventory:
+        """Put an epoch in force and return the inventory."""
+        self._check_reachable(epoch)
+        self.epoch = max(self.epoch, epoch)
+        self._renew(lease_s)
+        now_s = self.clock.now_s()
+        running = tuple(
+            RunningTask(
+                task_id, attempt.start.attempt, attempt.start.reserved, now_s - attempt.started_at_s
+            )
+            for task_id, attempt in self.attempts_by_task.items()
+        )
+        shows = self.switches.has_inventory
+        return WorkerInventory(
+            worker=self.name,
+            epoch=epoch,
+            capacity=self.capacity,
+            running=running if shows else (),
+            ended=tuple(self.unacknowledged) if shows else (),
+            incarnation=self.incarnation,
+            is_leaving=self.switches.is_leaving,
+        )
+
+    def exchange(self, request: WorkerRequest) -> WorkerReport:
+        """Do the request's actions, then its starts, and return a report."""
+        self._check_reachable(request.epoch)
+        self.epoch = max(self.epoch, request.epoch)
+        self._renew(request.lease_s)
+        self._acknowledge(request.acknowledged_sequence)
+        for action in request.actions:
+            self._act(action)
+        if not 0 < request.start_before_unix_s < self.clock.now_s():
+            for start in request.starts:
+                self._start(start, request.lease_s)
+        self.advance()
+        return WorkerReport(
+            worker=self.name,
+            epoch=request.epoch,
+            ended=tuple(self.unacknowledged),
+            usage=tuple(self._usage()),
+            running_count=len(self.attempts_by_task),
+            incarnation=self.incarnation,
+            is_leaving=self.switches.is_leaving,
+        )
+
+    def advance(self) -> None:
+        """End the attempts whose time or lease is over."""
+        now_s = self.clock.now_s()
+        for task_id, attempt in list(self.attempts_by_task.items()):
+            if attempt.lease_ends_at_s <= now_s and attempt.lease_ends_at_s <= attempt.ends_at_s:
+                self._end(task_id, TaskEndReason.LEASE_LAPSED, at_s=attempt.lease_ends_at_s)
+            elif attempt.ends_at_s <= now_s and not self.switches.is_paused:
+                fails = attempt.program.is_failing or self.switches.is_failing
+                reason = TaskEndReason.FAILED if fails else TaskEndReason.COMPLETED
+                self._end(task_id, reason, at_s=attempt.ends_at_s)
+
+    def restart(self) -> None:
+        """Lose everything, as a replaced process does."""
+        self.advance()
+        for task_id in list(self.attempts_by_task):
+            self._end(task_id, TaskEndReason.STOPPED)
+        self.unacknowledged.clear()
+        self.highest_attempt_by_task.clear()
+        self.epoch = 0
+        self.sequence = 0
+        self.incarnation += 1
+
+    def _check_reachable(self, epoch: int) -> None:
+        self.advance()
+        if self.switches.is_dead or self.switches.is_paused:
+            raise UnavailableError(f"worker {self.name} does not answer; try again later")
+        if self.switches.knows_epochs and epoch < self.epoch:
+            raise StaleEpochError(
+                f"worker {self.name} has seen epoch {self.epoch}, not {epoch}: stop acting as owner"
+            )
+
+    def _renew(self, lease_s: float) -> None:
+        if lease_s <= 0:
+            return
+        ends_at_s = self.clock.now_s() + lease_s
+        for attempt in self.attempts_by_task.values():
+            attempt.lease_ends_at_s = max(attempt.lease_ends_at_s, ends_at_s)
+
+    def _acknowledge(self, sequence: int) -> None:
+        self.unacknowledged = [end for end in self.unacknowledged if end.sequence > sequence]
+
+    def _act(self, action: TaskAction) -> None:
+        attempt = self.attempts_by_task.get(action.task_id)
+        if attempt is None or attempt.start.attempt != action.attempt:
+            return
+        if action.kind is TaskActionKind.STOP:
+            self._end(action.task_id, TaskEndReason.STOPPED)
+        elif action.kind is TaskActionKind.CHECKPOINT:
+            self._end(action.task_id, TaskEndReason.CHECKPOINTED)
+        else:
+            attempt.limit = action.limit
+
+    def _start(self, start: StartTask, lease_s: float) -> None:
+        if start.attempt <= self.highest_attempt_by_task.get(start.task_id, 0):
+            return
+        self.highest_attempt_by_task[start.task_id] = start.attempt
+        used = sum_resources(attempt.start.reserved for attempt in self.attempts_by_task.values())
+        fits = (used + start.reserved).fits_in(self.capacity)
+        if not fits or self.switches.is_leaving or start.task_id in self.attempts_by_task:
+            self._report_end(start, TaskEndReason.REFUSED, "no room", 0.0)
+            return
+        now_s = self.clock.now_s()
+        program = _read_program(start.payload)
+        run_s = program.run_s / self.speed if program.run_s > 0 else float("inf")
+        if self.switches.is_failing:
+            run_s = 0.0
+        self.attempts_by_task[start.task_id] = _Attempt(
+            start, program, now_s, now_s + run_s, now_s + lease_s, self.speed
+        )
+        self._record(
+            HistoryEventKind.TASK_STARTED, start.task_id, start.attempt, start.reserved, now_s
+        )
+
+    def _end(self, task_id: str, reason: TaskEndReason, at_s: float | None = None) -> None:
+        attempt = self.attempts_by_task.pop(task_id)
+        ended_at_s = self.clock.now_s() if at_s is None else at_s
+        start = attempt.start
+        self._record(
+            HistoryEventKind.TASK_ENDED,
+            task_id,
+            start.attempt,
+            start.reserved,
+            ended_at_s,
+            str(reason),
+        )
+        detail = ""
+        if reason is TaskEndReason.CHECKPOINTED:
+            detail = f"checkpoint:{task_id}:{start.attempt}"
+        elif reason is TaskEndReason.FAILED:
+            detail = "the program failed"
+        self._report_end(start, reason, detail, ended_at_s - attempt.started_at_s)
+
+    def _report_end(
+        self, start: StartTask, reason: TaskEndReason, detail: str, run_time_s: float
+    ) -> None:
+        self.sequence += 1
+        result = b""
+        if reason is TaskEndReason.COMPLETED:
+            result = f"{start.task_id} on {self.name}".encode()
+        self.unacknowledged.append(
+            TaskEnd(start.task_id, start.attempt, reason, self.sequence, result, detail, run_time_s)
+        )
+
+    def _usage(self) -> list[TaskUsage]:
+        return [
+            TaskUsage(task_id, attempt.start.attempt, _used(attempt), USAGE_LAG_S)
+            for task_id, attempt in self.attempts_by_task.items()
+            if self.clock.now_s() - attempt.started_at_s >= USAGE_LAG_S
+        ]
+
+    def _record(
+        self,
+        kind: HistoryEventKind,
+        subject: str,
+        attempt: int,
+        amount: Resources,
+        time_s: float | None = None,
+        detail: str = "",
+    ) -> None:
+        at_s = self.clock.now_s() if time_s is None else time_s
+        self.history.add(
+            HistoryEvent(at_s, kind, self.name, subject, attempt, amount, detail=detail)
+        )
+
+
+class MemoryWorkerClient(WorkerClient):
+    """Reaches stand-in workers in the same process.
+
+    Parameters
+    ----------
+    workers_by_address : mapping of str to StandinWorker
+        All workers.
+    faults : Faults, optional
+        Switches of this client's calls.
+    """
+
+    def __init__(
+        self, workers_by_address: Mapping[str, StandinWorker], faults: Faults | None = None
+    ) -> None:
+        self.workers_by_address = workers_by_address
+        self.faults = faults or Faults()
+
+    async def adopt(self, address: str, epoch: int, lease_s: float) -> WorkerInventory:
+        await self.faults.before_effect()
+        inventory = self._find(address).adopt(epoch, lease_s)
+        await self.faults.after_effect()
+        return inventory
+
+    async def exchange(self, address: str, request: WorkerRequest) -> WorkerReport:
+        await self.faults.before_effect()
+        report = self._find(address).exchange(request)
+        await self.faults.after_effect()
+        return report
+
+    def _find(self, address: str) -> StandinWorker:
+        worker = self.workers_by_address.get(address)
+        if worker is None:
+            raise UnavailableError(f"no worker listens at {address}")
+        return worker
+
+
+def _read_program(payload: bytes) -> TaskProgram:
+    if not payload:
+        return TaskProgram()
+    try:
+        return msgspec.json.decode(payload, type=TaskProgram)
+    except msgspec.MsgspecError:
+        return TaskProgram()
+
+
+def _used(attempt: _Attempt) -> Resources:
+    program = attempt.program
+    reserved = attempt.start.reserved
+    used = make_resources(
+        reserved.millicores if program.used_millicores is None else program.used_millicores,
+        reserved.memory_mib if program.used_memory_mib is None else program.used_memory_mib,
+        reserved.accelerators_by_kind,
+    )
+    if attempt.limit is None:
+        return used
+    return make_resources(
+        min(used.millicores, attempt.limit.millicores),
+        used.memory_mib,
+        used.accelerators_by_kind,
+    )
