--- a/redwingplank/rpc/__init__.py
+++ b/redwingplank/rpc/__init__.py
@@ -3,6 +3,7 @@
 from redwingplank.rpc.errors import (
     CallFailedError,
     CallOutcomeUnknownError,
+    NotOwnerError,
     PeerUnreachableError,
     RpcError,
 )
@@ -15,6 +16,7 @@
     "CallFailedError",
     "CallOutcomeUnknownError",
     "NodeServer",
+    "NotOwnerError",
     "PeerConnections",
     "PeerUnreachableError",
     "RpcError",
--- /dev/null
+++ b/redwingplank/runtime/journal_writer.py
@@ -0,0 +1,206 @@
+"""Writes a shard's journal: group commit, snapshots and the settling of lost answers."""
+
+import asyncio
+from collections.abc import Callable
+
+from redwingplank.core import Clock, RedwingError, log_event, make_logger
+from redwingplank.platform import (
+    Compare,
+    Delete,
+    KeyValue,
+    KeyValueStore,
+    OutcomeUnknownError,
+    Put,
+    UnavailableError,
+)
+from redwingplank.runtime.counters import ProcessCounters
+from redwingplank.scheduling.journal import Flush, JournalBuffer, SnapshotPlan, head_key
+from redwingplank.scheduling.ownership import ShardKeys, ShardTerm
+
+__all__ = ["FencedError", "JournalWriter"]
+
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 2.0
+SNAPSHOT_PART_PAUSE_S = 0.2
+
+
+class FencedError(RedwingError):
+    """Another owner has a higher epoch: stop the term, nothing more can be written."""
+
+
+class JournalWriter:
+    """Writes what a `JournalBuffer` holds, one transaction at a time.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        With bounded call times.
+    keys : ShardKeys
+        The shard's keys.
+    term : ShardTerm
+        Every transaction compares its epoch key.
+    buffer : JournalBuffer
+        What to write.
+    clock, unix_clock : Clock
+        Monotonic time and wall clock.
+    counters : ProcessCounters
+        Counts flushes and bytes.
+    on_committed : callable
+        Called with each flush once it is durable.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        keys: ShardKeys,
+        term: ShardTerm,
+        buffer: JournalBuffer,
+        clock: Clock,
+        unix_clock: Clock,
+        counters: ProcessCounters,
+        on_committed: Callable[[Flush], None],
+    ) -> None:
+        self.buffer = buffer
+        self._store = store
+        self._keys = keys
+        self._fence = Compare(keys.epoch, term.epoch_revision)
+        self._clock = clock
+        self._unix_clock = unix_clock
+        self._counters = counters
+        self._on_committed = on_committed
+        self._wake = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._logger = make_logger("journal")
+
+    def wake(self) -> None:
+        """Something was added to the buffer."""
+        self._idle.clear()
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Write until cancelled.
+
+        Raises
+        ------
+        FencedError
+            The term is over.
+        """
+        while True:
+            self._wake.clear()
+            due_s = self.buffer.next_flush_at_s()
+            if due_s is None:
+                await self._rest()
+                continue
+            await asyncio.sleep(max(0.0, due_s - self._clock.now_s()))
+            await self._flush()
+
+    async def drain(self) -> None:
+        """Return once everything that was added is durable."""
+        while self.buffer.has_waiting:
+            self.wake()
+            await self._idle.wait()
+
+    async def _rest(self) -> None:
+        self._idle.set()
+        if self.buffer.is_snapshot_due():
+            await self._write_snapshot()
+        else:
+            await self._wake.wait()
+
+    async def _flush(self) -> None:
+        flush = self.buffer.cut_flush(self._clock.now_s(), self._unix_clock.now_s())
+        await self._write_once(Put(flush.key, flush.value))
+        self.buffer.committed(flush)
+        self._counters.add("journal.flushes")
+        self._counters.add("journal.bytes", len(flush.value))
+        self._on_committed(flush)
+        if self.buffer.is_snapshot_due():
+            await self._write_snapshot()
+
+    async def _write_snapshot(self) -> None:
+        plan = self.buffer.begin_snapshot(self._unix_clock.now_s())
+        part_count = 0
+        for part in self.buffer.snapshot_parts(plan):
+            part_count += 1
+            await self._write_once(part)
+            self._counters.add("journal.bytes", len(part.value))
+            await self._flush_beside_snapshot()
+        await self._finish_snapshot(plan, part_count)
+
+    async def _flush_beside_snapshot(self) -> None:
+        """Leave room in the call budget, and let waiting records go first."""
+        await asyncio.sleep(SNAPSHOT_PART_PAUSE_S)
+        if self.buffer.next_flush_at_s() is None:
+            return
+        flush = self.buffer.cut_flush(self._clock.now_s(), self._unix_clock.now_s())
+        await self._write_once(Put(flush.key, flush.value))
+        self.buffer.committed(flush)
+        self._counters.add("journal.flushes")
+        self._counters.add("journal.bytes", len(flush.value))
+        self._on_committed(flush)
+
+    async def _finish_snapshot(self, plan: SnapshotPlan, part_count: int) -> None:
+        key = head_key(self._keys.journal)
+        compare = Compare(key, self.buffer.head_revision)
+        operations = self.buffer.finish_operations(plan, part_count)
+        revision = await self._write(key, compare, operations)
+        self.buffer.snapshot_finished(plan, revision)
+        self._counters.add("journal.snapshots")
+        log_event(
+            self._logger,
+            "journal_truncated",
+            prefix=self._keys.journal,
+            segment=plan.segment,
+            parts=part_count,
+        )
+
+    async def _write_once(self, put: Put) -> None:
+        await self._write(put.key, Compare(put.key, 0), (put,))
+
+    async def _write(
+        self, key: str, compare: Compare, operations: tuple[Put | Delete, ...]
+    ) -> int:
+        """Do a transaction exactly once and return the key's modification revision.
+
+        Notes
+        -----
+        `compare` stops holding once the transaction has had its effect, so that a repeat, or a
+        copy that arrives late, changes nothing.
+        """
+        wanted = next(put.value for put in operations if isinstance(put, Put) and put.key == key)
+        failures = 0
+        is_unknown = False
+        while True:
+            try:
+                if is_unknown:
+                    entry = await self._read_back(key)
+                    if entry is not None and entry.value == wanted:
+                        return entry.mod_revision
+                    is_unknown = False
+                result = await self._store.transact((self._fence, compare), operations)
+                if result.succeeded:
+                    return result.revision
+                is_unknown = True
+                await self._check_fence(key, wanted)
+            except (UnavailableError, OutcomeUnknownError) as error:
+                is_unknown = is_unknown or isinstance(error, OutcomeUnknownError)
+                failures += 1
+                await asyncio.sleep(_backoff_s(failures))
+
+    async def _read_back(self, key: str) -> KeyValue | None:
+        result = await self._store.range(key, is_prefix=False)
+        return result.entries[0] if result.entries else None
+
+    async def _check_fence(self, key: str, wanted: bytes) -> None:
+        """Return if a refused transaction had its effect before, or raise why it has none."""
+        entry = await self._read_back(key)
+        if entry is not None and entry.value == wanted:
+            return
+        fence = await self._read_back(self._keys.epoch)
+        if fence is None or fence.mod_revision != self._fence.mod_revision:
+            raise FencedError("another owner has a higher epoch: the term is over")
+        raise FencedError(f"{key} changed under this epoch: end the term and replay the journal")
+
+
+def _backoff_s(failures: int) -> float:
+    return min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(failures - 1, 10))
--- /dev/null
+++ b/redwingplank/runtime/term_runner.py
@@ -0,0 +1,331 @@
+"""One term of ownership of a shard: replay, adoption, and the tick loop."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from redwingplank.config import Declarations
+from redwingplank.core import Clock, Resources, log_event, make_logger
+from redwingplank.platform import (
+    KeyValueStore,
+    ListedVm,
+    PlatformError,
+    WorkerClient,
+    WorkerInventory,
+)
+from redwingplank.runtime.callers import CallerTable
+from redwingplank.runtime.counters import ProcessCounters
+from redwingplank.runtime.journal_writer import FencedError, JournalWriter
+from redwingplank.runtime.scheduler_core import SchedulerCore, SchedulerFactory
+from redwingplank.runtime.settings import SchedulerProcessSettings
+from redwingplank.runtime.worker_exchanges import WorkerExchanges
+from redwingplank.scheduling.journal import Flush, JournalBuffer
+from redwingplank.scheduling.messages import (
+    CancelAnswer,
+    DeclarationsChanged,
+    InboxMessage,
+    JournalCommitted,
+    Outbox,
+    OwnershipChanged,
+    OwnershipMode,
+    RecoveredJob,
+    RecoveredState,
+    SubmitAnswer,
+    VmsListed,
+)
+from redwingplank.scheduling.ownership import ShardKeys, ShardOwnership, ShardTerm
+from redwingplank.scheduling.recovery import (
+    ReplayedJournal,
+    adopt_from_s,
+    inventory_from_journal,
+    make_recovered_state,
+    replay_journal,
+)
+
+__all__ = ["TermContext", "TermRunner"]
+
+REPLAY_RETRY_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class TermContext:
+    """What every term of a shard uses.
+
+    Parameters
+    ----------
+    shard : str
+        The shard.
+    settings : SchedulerProcessSettings
+        Of the process.
+    store, workers : KeyValueStore, WorkerClient
+        The platform.
+    clock, unix_clock : Clock
+        Monotonic time and wall clock.
+    counters : ProcessCounters
+        Of the process.
+    make_core : callable
+        Builds the decision core.
+    """
+
+    shard: str
+    settings: SchedulerProcessSettings
+    store: KeyValueStore
+    workers: WorkerClient
+    clock: Clock
+    unix_clock: Clock
+    counters: ProcessCounters
+    make_core: SchedulerFactory
+
+
+class TermRunner:
+    """Runs the decision core from a won election until the term is over.
+
+    Parameters
+    ----------
+    context : TermContext
+        What every term uses.
+    ownership : ShardOwnership
+        The lease; read at every tick and before every request leaves.
+    term : ShardTerm
+        The term.
+    declarations : Declarations
+        In force at the start.
+    """
+
+    def __init__(
+        self,
+        context: TermContext,
+        ownership: ShardOwnership,
+        term: ShardTerm,
+        declarations: Declarations,
+    ) -> None:
+        self.callers = CallerTable()
+        self.core: SchedulerCore | None = None
+        self.writer: JournalWriter | None = None
+        self.exchanges: WorkerExchanges | None = None
+        self._context = context
+        self._settings = context.settings
+        self._ownership = ownership
+        self._term = term
+        self._keys = ShardKeys(context.shard)
+        self._declarations = declarations
+        self._inbox: deque[InboxMessage] = deque()
+        self._wake = asyncio.Event()
+        self._workers: dict[str, ListedVm] = {}
+        self._announced: tuple[OwnershipMode, float] | None = None
+        self._won_at_s = context.clock.now_s()
+        self._adopt_at_s = adopt_from_s(self._won_at_s, context.settings.recovery())
+        self._is_over = False
+        self._logger = make_logger("shard")
+        self._decision_logger = make_logger("decision")
+
+    # Input
+
+    def deliver(self, message: InboxMessage) -> None:
+        """Put a message into the inbox of the next tick."""
+        self._inbox.append(message)
+        self._wake.set()
+
+    def list_workers(self, workers: tuple[ListedVm, ...]) -> None:
+        """Take in the shard's workers, as just listed."""
+        self._workers = {vm.name: vm for vm in workers}
+        self.deliver(VmsListed(workers))
+
+    def change_declarations(self, declarations: Declarations) -> None:
+        """Take in a newer revision."""
+        if declarations.revision <= self._declarations.revision:
+            return
+        self._declarations = declarations
+        self.deliver(DeclarationsChanged(declarations))
+
+    def wake(self) -> None:
+        """Tick soon."""
+        self._wake.set()
+
+    def end(self) -> None:
+        """End the term at the next tick."""
+        self._is_over = True
+        self._wake.set()
+
+    # The term
+
+    async def run(self) -> None:
+        """Run until the lease is lost or `end` is called."""
+        replayed = await self._replay()
+        if replayed is None:
+            self.callers.close("the shard was lost during recovery")
+            return
+        self._start(replayed)
+        assert self.writer is not None and self.exchanges is not None
+        writer = asyncio.create_task(self._write(self.writer))
+        adopter = asyncio.create_task(self._adopt_workers(self.exchanges))
+        try:
+            await self._tick_until_over()
+        finally:
+            for task in (writer, adopter):
+                task.cancel()
+            await asyncio.gather(writer, adopter, return_exceptions=True)
+            await self.exchanges.stop()
+            self.callers.close("the shard changed hands: ask its new owner for the outcome")
+
+    async def drain(self) -> None:
+        """Return once no caller waits and everything is durable."""
+        while self.callers.open_count or (self.writer and self.writer.buffer.has_waiting):
+            self._wake.set()
+            await asyncio.sleep(self._settings.tick_every_s)
+
+    async def _replay(self) -> ReplayedJournal | None:
+        while self._mode() is not OwnershipMode.LOST and not self._is_over:
+            try:
+                result = await self._context.store.range(self._keys.journal)
+            except PlatformError as error:
+                log_event(self._logger, "replay_delayed", shard=self._context.shard, reason=error)
+                await asyncio.sleep(REPLAY_RETRY_S)
+            else:
+                return replay_journal(result.entries, self._keys.journal)
+        return None
+
+    def _start(self, replayed: ReplayedJournal) -> None:
+        context, now_s = self._context, self._context.clock.now_s()
+        recovery = self._settings.recovery()
+        recovered = make_recovered_state(
+            replayed.image, self._term.epoch, self._won_at_s, recovery
+        )
+        self.core = context.make_core(recovered, self._declarations, now_s)
+        buffer = JournalBuffer(
+            self._keys.journal,
+            self._term.nonce,
+            replayed.image,
+            replayed.position,
+            self._settings.journal,
+        )
+        self.writer = JournalWriter(
+            context.store,
+            self._keys,
+            self._term,
+            buffer,
+            context.clock,
+            context.unix_clock,
+            context.counters,
+            self._committed,
+        )
+        self.exchanges = self._make_exchanges(recovered)
+        log_event(
+            self._logger,
+            "shard_recovered",
+            shard=context.shard,
+            epoch=self._term.epoch,
+            jobs=len(recovered.jobs),
+            sequence=recovered.last_sequence,
+        )
+
+    def _make_exchanges(self, recovered: RecoveredState) -> WorkerExchanges:
+        context = self._context
+
+        def complete(inventory: WorkerInventory) -> WorkerInventory:
+            if self._settings.workers_have_inventory:
+                return inventory
+            return inventory_from_journal(inventory, recovered.jobs, self._reserved)
+
+        return WorkerExchanges(
+            context.workers,
+            self._ownership,
+            self._term.epoch,
+            context.clock,
+            context.unix_clock,
+            context.counters,
+            self.deliver,
+            self._superseded,
+            self._settings.worker_timeout_s,
+            self._settings.task_lease_s,
+            complete,
+        )
+
+    def _reserved(self, job: RecoveredJob) -> Resources:
+        if job.spec.resources is not None:
+            return job.spec.resources
+        service = self._declarations.find_service(job.spec.organisation, job.spec.service)
+        return service.resources if service else Resources()
+
+    # Loops
+
+    async def _write(self, writer: JournalWriter) -> None:
+        try:
+            await writer.run()
+        except FencedError as error:
+            log_event(self._logger, "journal_fenced", shard=self._context.shard, reason=error)
+            self._superseded()
+
+    async def _adopt_workers(self, exchanges: WorkerExchanges) -> None:
+        await asyncio.sleep(max(0.0, self._adopt_at_s - self._context.clock.now_s()))
+        while True:
+            exchanges.adopt_missing(self._workers)
+            await asyncio.sleep(self._settings.adopt_retry_s)
+
+    async def _tick_until_over(self) -> None:
+        while not self._is_over:
+            self._wake.clear()
+            mode = self._mode()
+            self._tick(mode)
+            if mode is OwnershipMode.LOST:
+                return
+            await asyncio.sleep(self._settings.tick_every_s)
+            if not self._inbox:
+                await self._wait(self._settings.idle_tick_s - self._settings.tick_every_s)
+
+    async def _wait(self, longest_s: float) -> None:
+        try:
+            await asyncio.wait_for(self._wake.wait(), longest_s)
+        except TimeoutError:
+            return
+
+    def _tick(self, mode: OwnershipMode) -> None:
+        assert self.core is not None
+        self._announce(mode)
+        inbox = tuple(self._inbox)
+        self._inbox.clear()
+        outbox = self.core.tick(self._context.clock.now_s(), inbox)
+        self._context.counters.add("shard.ticks")
+        self._dispatch(outbox, mode)
+        self.callers.ticked()
+
+    def _announce(self, mode: OwnershipMode) -> None:
+        announced = (mode, self._ownership.valid_until_s)
+        if announced == self._announced:
+            return
+        if self._announced is None or self._announced[0] is not mode:
+            log_event(
+                self._logger,
+                "ownership_changed",
+                shard=self._context.shard,
+                epoch=self._term.epoch,
+                mode=mode,
+            )
+        self._announced = announced
+        message = OwnershipChanged(mode, self._term.epoch, self._ownership.valid_until_s)
+        self._inbox.appendleft(message)
+
+    def _dispatch(self, outbox: Outbox, mode: OwnershipMode) -> None:
+        assert self.writer is not None and self.exchanges is not None
+        if mode is not OwnershipMode.LOST:
+            if outbox.records:
+                self.writer.buffer.add_records(outbox.records)
+                self.writer.wake()
+            self.exchanges.send(outbox.requests_by_worker)
+        for message in outbox.messages:
+            if isinstance(message, SubmitAnswer | CancelAnswer):
+                self.callers.answer(message)
+        for decision in outbox.decisions:
+            self._decision_logger.info(decision)
+
+    def _committed(self, flush: Flush) -> None:
+        if flush.last_sequence:
+            self.deliver(JournalCommitted(flush.last_sequence))
+
+    def _superseded(self) -> None:
+        self._ownership.superseded()
+        self._wake.set()
+
+    def _mode(self) -> OwnershipMode:
+        return self._ownership.mode(self._context.clock.now_s())
--- /dev/null
+++ b/redwingplank/runtime/vm_poller.py
@@ -0,0 +1,63 @@
+"""Reads the platform's list of VMs for all shards of the process."""
+
+import asyncio
+from collections.abc import Callable
+
+from redwingplank.core import log_event, make_logger
+from redwingplank.platform import ListedVm, PlatformError, VmList, VmRole
+from redwingplank.runtime.counters import ProcessCounters
+
+__all__ = ["VmPoller"]
+
+
+class VmPoller:
+    """Polls the list of one failure domain.
+
+    Parameters
+    ----------
+    vm_list : VmList
+        The platform's list.
+    failure_domain : str
+        Whose VMs are read.
+    every_s, timeout_s : float
+        Interval of the reads and bound of one.
+    counters : ProcessCounters
+        Counts reads.
+    on_listed : callable
+        Called with all workers of the domain after each read that succeeded.
+    """
+
+    def __init__(
+        self,
+        vm_list: VmList,
+        failure_domain: str,
+        every_s: float,
+        timeout_s: float,
+        counters: ProcessCounters,
+        on_listed: Callable[[tuple[ListedVm, ...]], None],
+    ) -> None:
+        self.workers: tuple[ListedVm, ...] | None = None
+        self._vm_list = vm_list
+        self._failure_domain = failure_domain
+        self._every_s = every_s
+        self._timeout_s = timeout_s
+        self._counters = counters
+        self._on_listed = on_listed
+        self._logger = make_logger("vms")
+
+    async def run(self) -> None:
+        """Read until cancelled; after a failure the last list stays in use."""
+        while True:
+            await self._read()
+            await asyncio.sleep(self._every_s)
+
+    async def _read(self) -> None:
+        self._counters.add("vm_list.reads")
+        try:
+            call = self._vm_list.read(self._failure_domain)
+            listing = await asyncio.wait_for(call, self._timeout_s)
+        except (PlatformError, TimeoutError) as error:
+            log_event(self._logger, "list_read_failed", reason=error)
+            return
+        self.workers = tuple(vm for vm in listing.vms if vm.role is VmRole.WORKER)
+        self._on_listed(self.workers)
--- /dev/null
+++ b/redwingplank/scheduling/recovery.py
@@ -0,0 +1,240 @@
+"""Replay of a shard's journal into what a new owner starts from."""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, replace
+
+from redwingplank.core import RedwingError, Resources
+from redwingplank.platform import KeyValue, RunningTask, WorkerInventory
+from redwingplank.scheduling.journal import JournalPosition
+from redwingplank.scheduling.journal_codec import (
+    SnapshotHead,
+    decode_body,
+    decode_head,
+    decode_part,
+)
+from redwingplank.scheduling.journal_image import JobImage, JournalImage
+from redwingplank.scheduling.messages import (
+    RecoveredJob,
+    RecoveredState,
+    RecoveredTask,
+)
+
+__all__ = [
+    "JournalCorruptError",
+    "RecoverySettings",
+    "ReplayedJournal",
+    "adopt_from_s",
+    "fence_at_s",
+    "inventory_from_journal",
+    "make_recovered_state",
+    "replay_journal",
+]
+
+
+class JournalCorruptError(RedwingError):
+    """The journal has a gap: keep its keys, and restore them from the platform's backup."""
+
+FIRST_HEAD = SnapshotHead(segment=0, part_count=0, last_sequence=0)
+
+
+@dataclass(frozen=True, slots=True)
+class RecoverySettings:
+    """What a new owner may count on.
+
+    Parameters
+    ----------
+    lease_ttl_s : float
+        Length of the shard's lease.
+    task_lease_s : float
+        Length of a task's lease at a worker.
+    degraded_bound_s : float
+        How long an owner without the store goes on renewing.
+    clock_margin_s : float
+        Largest difference between two wall clocks, and delay between check and use.
+    clock_rate_error : float
+        Largest relative difference between the rates of two clocks.
+    workers_know_epochs : bool
+        Whether workers refuse a lower epoch than they saw.
+    workers_have_inventory : bool
+        Whether an adoption returns what runs.
+    """
+
+    lease_ttl_s: float = 3.0
+    task_lease_s: float = 15.0
+    degraded_bound_s: float = 900.0
+    clock_margin_s: float = 0.1
+    clock_rate_error: float = 0.01
+    workers_know_epochs: bool = True
+    workers_have_inventory: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayedJournal:
+    """What the journal says and where it goes on."""
+
+    image: JournalImage
+    position: JournalPosition
+
+
+def replay_journal(entries: Iterable[KeyValue], prefix: str) -> ReplayedJournal:
+    """Rebuild a journal from all keys with its prefix.
+
+    Parameters
+    ----------
+    entries : iterable of KeyValue
+        As one read of the prefix returned them.
+    prefix : str
+        The shard's journal prefix.
+
+    Raises
+    ------
+    JournalCorruptError
+        A part of the valid snapshot or a flush is missing.
+
+    Notes
+    -----
+    Parts of a snapshot that never became valid, and segments that a valid one covers, are
+    ignored: a writer died between two steps.
+    """
+    entries_by_name = {entry.key.removeprefix(prefix): entry for entry in entries}
+    values_by_name = {name: entry.value for name, entry in entries_by_name.items()}
+    head = decode_head(values_by_name["head"]) if "head" in values_by_name else FIRST_HEAD
+    image = JournalImage()
+    for value in _base_values(values_by_name, head):
+        image.apply_part(decode_part(value))
+    image.last_sequence = head.last_sequence
+    last_segment, last_number = head.segment, 0
+    log_values = _log_values(values_by_name, head.segment)
+    for segment, number, value in log_values:
+        _check_number(segment, number, last_segment, last_number)
+        _apply_flush(image, value)
+        last_segment, last_number = segment, number
+    position = JournalPosition(
+        segment=last_segment + 1,
+        first_segment=head.segment,
+        head_revision=entries_by_name["head"].mod_revision if "head" in entries_by_name else 0,
+        log_bytes=sum(len(value) for _, _, value in log_values),
+        log_flushes=len(log_values),
+    )
+    return ReplayedJournal(image, position)
+
+
+def make_recovered_state(
+    image: JournalImage, epoch: int, won_at_s: float, settings: RecoverySettings
+) -> RecoveredState:
+    """Return what the decision core of a new owner starts from."""
+    return RecoveredState(
+        epoch=epoch,
+        last_sequence=image.last_sequence,
+        jobs=tuple(_recover_job(job) for job in image.jobs_by_id.values()),
+        fence_at_s=fence_at_s(won_at_s, settings),
+    )
+
+
+def fence_at_s(won_at_s: float, settings: RecoverySettings) -> float:
+    """Return when every task of earlier epochs has stopped on workers that were never adopted.
+
+    Notes
+    -----
+    An earlier owner's lease had ended when the election was won. Cut off from the store it may
+    have gone on renewing for the degraded bound, and its last renewal lasts one task lease.
+    """
+    renewed_s = settings.degraded_bound_s + settings.task_lease_s
+    return won_at_s + renewed_s * (1.0 + settings.clock_rate_error) + settings.clock_margin_s
+
+
+def adopt_from_s(won_at_s: float, settings: RecoverySettings) -> float:
+    """Return when workers may be adopted.
+
+    Notes
+    -----
+    Workers that know epochs refuse an earlier owner from the adoption on. The others honour only
+    the end of its lease, which a hand-over may leave in the future.
+    """
+    if settings.workers_know_epochs:
+        return won_at_s
+    wait_s = settings.lease_ttl_s * (1.0 + settings.clock_rate_error)
+    return won_at_s + wait_s + settings.clock_margin_s
+
+
+def inventory_from_journal(
+    inventory: WorkerInventory,
+    jobs: Sequence[RecoveredJob],
+    reserved_of: Callable[[RecoveredJob], Resources],
+) -> WorkerInventory:
+    """Fill in what runs from the journal, for workers that give no inventory.
+
+    Parameters
+    ----------
+    inventory : WorkerInventory
+        As the worker gave it, with its capacity.
+    jobs : sequence of RecoveredJob
+        Whose starts the journal carries for every task.
+    reserved_of : callable
+        Returns what a job's tasks reserve.
+    """
+    running = []
+    for job in jobs:
+        for task in job.open_tasks:
+            attempts = [attempt for attempt, worker in task.intended if worker == inventory.worker]
+            if attempts:
+                running.append(RunningTask(task.task_id, max(attempts), reserved_of(job), 0.0))
+    return replace(inventory, running=tuple(running))
+
+
+def _base_values(values_by_name: dict[str, bytes], head: SnapshotHead) -> list[bytes]:
+    names = [f"base/{head.segment:010d}/{part:06d}" for part in range(1, head.part_count + 1)]
+    missing = [name for name in names if name not in values_by_name]
+    if missing:
+        raise JournalCorruptError(f"the snapshot lacks {missing[0]}: restore it from a backup")
+    return [values_by_name[name] for name in names]
+
+
+def _log_values(
+    values_by_name: dict[str, bytes], first_segment: int
+) -> list[tuple[int, int, bytes]]:
+    found = []
+    for name, value in values_by_name.items():
+        if not name.startswith("log/"):
+            continue
+        _, segment, number = name.split("/")
+        if int(segment) >= first_segment:
+            found.append((int(segment), int(number), value))
+    return sorted(found)
+
+
+def _check_number(segment: int, number: int, last_segment: int, last_number: int) -> None:
+    expected = last_number + 1 if segment == last_segment else 1
+    if number != expected:
+        raise JournalCorruptError(
+            f"flush {segment}/{number} does not follow {last_segment}/{last_number}:"
+            " restore the missing keys from a backup"
+        )
+
+
+def _apply_flush(image: JournalImage, value: bytes) -> None:
+    body = decode_body(value)
+    if body.records and body.first_sequence != image.last_sequence + 1:
+        raise JournalCorruptError(
+            f"record {body.first_sequence} does not follow {image.last_sequence}:"
+            " restore the missing keys from a backup"
+        )
+    image.apply_body(body)
+
+
+def _recover_job(job: JobImage) -> RecoveredJob:
+    spec = job.spec
+    task_ids = (f"{spec.job_id}/{index}" for index in range(spec.task_count))
+    open_tasks = tuple(
+        RecoveredTask(task_id, tuple(job.intents_by_task.get(task_id, ())))
+        for task_id in task_ids
+        if task_id not in job.finished_by_task
+    )
+    return RecoveredJob(
+        spec=spec,
+        state=job.state,
+        is_cancelled=job.is_cancelled,
+        open_tasks=() if job.is_finished else open_tasks,
+        finished=tuple(job.finished_by_task.values()),
+        detail=job.detail,
+    )
