Add HTTP adapters to the platform, HTTP stand-ins, settings, callers' API frame

Cause: the programs need the platform over HTTP and settings with all faults reported at once. Change: etcd v3 JSON gateway client and stand-in, workers and list of VMs over HTTP, settings from flags and variables through cyclopts, API resources for jobs and requests, shared start and stop. Measured: pytest redwingplank/platform redwingplank/core passes; the API is not wired yet and has no test in this commit. Conclusion: the adapters tell 'no effect' from 'unknown' as the in-memory stand-ins do.

--- /dev/null
+++ b/redwingplank/api/problems.py
@@ -0,0 +1,107 @@
+"""Errors as callers get them: problem details that say whether the work was run.
+
+References
+----------
+RFC 9457, Problem Details for HTTP APIs: https://www.rfc-editor.org/rfc/rfc9457
+"""
+
+import math
+from http import HTTPStatus
+from typing import Any
+
+import falcon
+import falcon.asgi
+import msgspec
+
+__all__ = ["PROBLEM_MEDIA_TYPE", "ProblemDetails", "add_problem_handlers", "send_problem"]
+
+PROBLEM_MEDIA_TYPE = "application/problem+json"
+
+
+class ProblemDetails(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of an error.
+
+    Parameters
+    ----------
+    status : int
+        The HTTP status.
+    title : str
+        The kind of problem, the same each time.
+    detail : str
+        What happened this time and what to do.
+    ran : str
+        ``"no"``, ``"yes"`` or ``"unknown"``: whether the work was run.
+    type : str
+        A URI of the kind.
+    """
+
+    status: int
+    title: str
+    detail: str
+    ran: str
+    type: str = "about:blank"
+
+
+def send_problem(
+    resp: falcon.asgi.Response, problem: ProblemDetails, retry_after_s: float = 0.0
+) -> None:
+    """Make a response carry a problem.
+
+    Parameters
+    ----------
+    resp : falcon.asgi.Response
+        The response.
+    problem : ProblemDetails
+        Its body.
+    retry_after_s : float
+        Seconds for ``Retry-After``, rounded up; 0 leaves the header out.
+    """
+    resp.status = problem.status
+    resp.content_type = PROBLEM_MEDIA_TYPE
+    resp.data = msgspec.json.encode(problem)
+    if retry_after_s > 0:
+        resp.set_header("Retry-After", str(math.ceil(retry_after_s)))
+
+
+def add_problem_handlers(app: falcon.asgi.App) -> None:
+    """Make every error of the framework a problem; none of them ran anything."""
+    app.set_error_serializer(_serialize)
+    app.add_error_handler(Exception, _answer_unexpected)
+    app.add_error_handler(falcon.HTTPError, _answer_http_error)
+
+
+async def _answer_http_error(
+    req: falcon.asgi.Request,
+    resp: falcon.asgi.Response,
+    error: falcon.HTTPError,
+    params: dict[str, Any],
+) -> None:
+    resp.set_headers(error.headers or {})
+    detail = error.description or error.title or "the request is not valid"
+    send_problem(resp, ProblemDetails(error.status_code, error.title or "error", detail, "no"))
+
+
+async def _answer_unexpected(
+    req: falcon.asgi.Request,
+    resp: falcon.asgi.Response,
+    error: Exception,
+    params: dict[str, Any],
+) -> None:
+    if isinstance(error, falcon.HTTPError):
+        await _answer_http_error(req, resp, error, params)
+        return
+    req.context.logger_error = error
+    problem = ProblemDetails(
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        "internal error",
+        f"{type(error).__name__}: report it with the time of the request",
+        "unknown",
+    )
+    send_problem(resp, problem)
+
+
+def _serialize(
+    req: falcon.asgi.Request, resp: falcon.asgi.Response, error: falcon.HTTPError
+) -> None:
+    detail = error.description or error.title or "the request is not valid"
+    send_problem(resp, ProblemDetails(error.status_code, error.title or "error", detail, "no"))
--- /dev/null
+++ b/redwingplank/cli/program.py
@@ -0,0 +1,157 @@
+"""Start-up and stop that all long-running programs share."""
+
+import asyncio
+import os
+import signal
+import sys
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from typing import Any, TypeVar
+
+import capnp
+import cyclopts
+import logbook
+
+from redwingplank import __version__
+from redwingplank.core import FindingsError, log_event, make_logger, start_logging
+from redwingplank.core.settings import load_settings, make_settings_app
+
+__all__ = [
+    "EXIT_BAD_SETTINGS",
+    "EXIT_CUT_OFF",
+    "EXIT_OK",
+    "Program",
+    "read_settings",
+    "run_program",
+]
+
+EXIT_OK = 0
+EXIT_CUT_OFF = 1
+EXIT_BAD_SETTINGS = 2
+
+SettingsT = TypeVar("SettingsT")
+
+_logger = make_logger("program")
+
+
+class Program(ABC):
+    """A program that starts, serves until told to stop, and drains."""
+
+    @abstractmethod
+    async def start(self) -> None:
+        """Start everything; returns once the program serves."""
+
+    @abstractmethod
+    async def drain(self) -> None:
+        """Stop intake, finish what is in flight, hand over; returns once nothing is left."""
+
+    @abstractmethod
+    def describe_in_flight(self) -> str:
+        """Return what an immediate end would cut, for the log."""
+
+    async def wait(self) -> None:
+        """Return when the program ends by itself; by default never."""
+        await asyncio.Event().wait()
+
+
+def read_settings(
+    program: str,
+    settings_class: type[SettingsT],
+    description: str,
+    arguments: Sequence[str] | None = None,
+) -> SettingsT:
+    """Read a program's settings from flags and environment variables.
+
+    Prints every fault and exits with 2 if there are any; exits with 0 after ``--help``,
+    ``--version`` and a successful ``--check-settings``.
+
+    Parameters
+    ----------
+    program : str
+        Its name.
+    settings_class : type
+        A frozen data class of settings.
+    description : str
+        For ``--help``.
+    arguments : sequence of str, optional
+        The command line, by default the process's own.
+    """
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    app = make_settings_app(program, __version__, settings_class, description)
+    try:
+        command, bound, unknown, _ = app.parse_known_args(
+            given, print_error=False, exit_on_error=False
+        )
+        if command is not app.default_command:
+            command(*bound.args, **bound.kwargs)
+            sys.exit(EXIT_OK)
+        texts = command(**bound.kwargs)
+        is_check = texts.pop("check_settings", False)
+        settings = load_settings(settings_class, texts, given, unknown)
+    except cyclopts.CycloptsError as error:
+        print(f"{program}: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    except FindingsError as error:
+        for finding in error.findings:
+            print(f"{program}: {finding}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if is_check:
+        print(f"{program}: all settings are valid")
+        sys.exit(EXIT_OK)
+    return settings
+
+
+def run_program(program: Program, log_level: str) -> int:
+    """Run a program until a signal ends it, and return the exit code.
+
+    Parameters
+    ----------
+    program : Program
+        What to run.
+    log_level : str
+        Level of the log on standard error.
+
+    Notes
+    -----
+    The first SIGTERM or SIGINT drains; a second one ends at once and logs what was cut.
+    """
+    start_logging(log_level)
+    return asyncio.run(capnp.run(_run(program)))
+
+
+async def _run(program: Program) -> int:
+    stopping = asyncio.Event()
+    cutting = asyncio.Event()
+
+    def on_signal() -> None:
+        (cutting if stopping.is_set() else stopping).set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    log_event(_logger, "starting", pid=os.getpid(), version=__version__)
+    await program.start()
+    log_event(_logger, "serving", pid=os.getpid())
+    await _first_of(stopping.wait(), program.wait())
+    log_event(_logger, "draining", in_flight=program.describe_in_flight())
+    is_drained = await _first_of(program.drain(), cutting.wait())
+    if is_drained:
+        log_event(_logger, "stopped", in_flight=program.describe_in_flight())
+        return EXIT_OK
+    cut = program.describe_in_flight()
+    log_event(_logger, "cut_off", level=logbook.WARNING, in_flight=cut)
+    return EXIT_CUT_OFF
+
+
+async def _first_of(first: Any, second: Any) -> bool:
+    """Wait for either; return whether `first` has ended, and pass on its error."""
+    tasks = [asyncio.ensure_future(first), asyncio.ensure_future(second)]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    is_first = tasks[0].done()
+    for task in tasks:
+        if task.done():
+            task.result()
+        else:
+            task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return is_first
--- a/redwingplank/platform/http/__init__.py
+++ b/redwingplank/platform/http/__init__.py
@@ -1,1 +1,22 @@
 """Adapters that speak HTTP to the platform."""
+
+from redwingplank.platform.http.calls import open_session
+from redwingplank.platform.http.clients import (
+    Adoption,
+    HttpUpstreamClient,
+    HttpVmList,
+    HttpWorkerClient,
+)
+from redwingplank.platform.http.kv import HttpKeyValueStore
+from redwingplank.platform.http.server import HttpServer, serve_http
+
+__all__ = [
+    "Adoption",
+    "HttpKeyValueStore",
+    "HttpServer",
+    "HttpUpstreamClient",
+    "HttpVmList",
+    "HttpWorkerClient",
+    "open_session",
+    "serve_http",
+]
--- /dev/null
+++ b/redwingplank/platform/http/clients.py
@@ -0,0 +1,194 @@
+"""Workers, upstreams and the list of VMs over HTTP with JSON."""
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+
+from redwingplank.platform import (
+    OutcomeUnknownError,
+    PlatformError,
+    StaleEpochError,
+    UnavailableError,
+    UpstreamAnswer,
+    UpstreamClient,
+    UpstreamRequest,
+    VmList,
+    VmListing,
+    WorkerClient,
+    WorkerInventory,
+    WorkerReport,
+    WorkerRequest,
+)
+from redwingplank.platform.http.calls import (
+    CONNECT_TIMEOUT_S,
+    post_bytes,
+    raise_for_status,
+    translate_errors,
+)
+
+__all__ = [
+    "Adoption",
+    "HttpUpstreamClient",
+    "HttpVmList",
+    "HttpWorkerClient",
+]
+
+STALE_EPOCH_MARK = "stale epoch"
+REQUEST_ID_HEADER = "X-Request-Id"
+LEAVING_HEADER = "x-upstream-leaving"
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class Adoption(msgspec.Struct, frozen=True):
+    """The body of an adoption call: the new epoch and the task leases' seconds."""
+
+    epoch: int
+    lease_s: float
+
+
+class HttpVmList(VmList):
+    """Reads ``GET /vms``.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        From `open_session`.
+    base_url : str
+        The platform's address.
+    timeout_s : float
+        Seconds for a call.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, base_url: str, timeout_s: float = 1.0
+    ) -> None:
+        self._session = session
+        self._url = f"{base_url.rstrip('/')}/vms"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+
+    async def read(self, failure_domain: str = "") -> VmListing:
+        params = {"failure_domain": failure_domain} if failure_domain else {}
+        async with (
+            translate_errors(self._url),
+            self._session.get(self._url, params=params, timeout=self._timeout) as response,
+        ):
+            body = await response.read()
+        raise_for_status(response.status, body, self._url)
+        return msgspec.json.decode(body, type=VmListing)
+
+
+class HttpWorkerClient(WorkerClient):
+    """Calls ``POST /adopt`` and ``POST /exchange`` of workers.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        From `open_session`.
+    timeout_s : float
+        Seconds for a call.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, timeout_s: float = 1.0) -> None:
+        self._session = session
+        self._timeout_s = timeout_s
+
+    async def adopt(self, address: str, epoch: int, lease_s: float) -> WorkerInventory:
+        answer = await self._post(address, "adopt", msgspec.json.encode(Adoption(epoch, lease_s)))
+        return msgspec.json.decode(answer, type=WorkerInventory)
+
+    async def exchange(self, address: str, request: WorkerRequest) -> WorkerReport:
+        answer = await self._post(address, "exchange", msgspec.json.encode(request))
+        return msgspec.json.decode(answer, type=WorkerReport)
+
+    async def _post(self, address: str, path: str, body: bytes) -> bytes:
+        url = f"http://{address}/{path}"
+        try:
+            return await post_bytes(self._session, url, body, self._timeout_s)
+        except (UnavailableError, OutcomeUnknownError):
+            raise
+        except PlatformError as error:
+            if STALE_EPOCH_MARK in str(error):
+                raise StaleEpochError(str(error)) from error
+            raise
+
+
+class HttpUpstreamClient(UpstreamClient):
+    """Posts requests to upstreams and streams their answers.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        From `open_session`; its connections for each host are the entry's bound.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    @asynccontextmanager
+    async def send(
+        self, address: str, request: UpstreamRequest, timeout_s: float
+    ) -> AsyncIterator[UpstreamAnswer]:
+        url = f"http://{address}/{request.service}"
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        headers = _forwarded_headers(request)
+        async with translate_errors(url):
+            response = await self._session.post(
+                url, data=request.body, headers=headers, timeout=timeout
+            )
+        try:
+            yield _read_head(response, url)
+        finally:
+            if not response.content.at_eof():
+                response.close()
+            response.release()
+
+
+def _forwarded_headers(request: UpstreamRequest) -> dict[str, str]:
+    headers = {
+        name: value
+        for name, value in request.headers.items()
+        if name.lower() not in HOP_BY_HOP_HEADERS
+    }
+    headers[REQUEST_ID_HEADER] = request.request_id
+    headers["X-Organisation"] = request.organisation
+    return headers
+
+
+def _read_head(response: aiohttp.ClientResponse, url: str) -> UpstreamAnswer:
+    headers: Mapping[str, str] = {
+        name.lower(): value
+        for name, value in response.headers.items()
+        if name.lower() not in HOP_BY_HOP_HEADERS or name.lower() == "content-length"
+    }
+    length = headers.get("content-length")
+    return UpstreamAnswer(
+        status=HTTPStatus(response.status).value,
+        request_id=headers.get(REQUEST_ID_HEADER.lower(), ""),
+        headers=headers,
+        content_length=int(length) if length is not None else None,
+        is_leaving=headers.get(LEAVING_HEADER) == "1",
+        body=_stream_body(response, url),
+    )
+
+
+async def _stream_body(response: aiohttp.ClientResponse, url: str) -> AsyncIterator[bytes]:
+    async with translate_errors(url):
+        async for chunk in response.content.iter_any():
+            yield chunk
--- /dev/null
+++ b/redwingplank/platform/http/kv.py
@@ -0,0 +1,188 @@
+"""The key-value service over the JSON gateway of etcd version 3.
+
+References
+----------
+gRPC gateway: https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/
+"""
+
+import json
+import math
+from base64 import b64decode, b64encode
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+
+from redwingplank.platform import (
+    Compare,
+    Delete,
+    KeyValue,
+    KeyValueStore,
+    Put,
+    RangeResult,
+    TransactionResult,
+    WatchBatch,
+    WatchEvent,
+)
+from redwingplank.platform.http.calls import post_bytes, raise_for_status, translate_errors
+
+__all__ = [
+    "HttpKeyValueStore",
+    "decode_entry",
+    "encode_entry",
+    "encode_text",
+    "prefix_end",
+]
+
+MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
+
+
+def prefix_end(prefix: str) -> str:
+    """Return the first key after all keys with `prefix`, as etcd's ``range_end``."""
+    raw = bytearray(prefix.encode())
+    while raw and raw[-1] == 0xFF:
+        raw.pop()
+    if not raw:
+        return "\0"
+    raw[-1] += 1
+    return raw.decode("latin-1")
+
+
+def encode_text(text: str) -> str:
+    """Return base64 of a key."""
+    return b64encode(text.encode()).decode()
+
+
+def encode_entry(entry: KeyValue) -> dict[str, Any]:
+    """Return an entry as the gateway writes it."""
+    return {
+        "key": encode_text(entry.key),
+        "value": b64encode(entry.value).decode(),
+        "create_revision": str(entry.create_revision),
+        "mod_revision": str(entry.mod_revision),
+        "lease": str(entry.lease_id),
+    }
+
+
+def decode_entry(values: dict[str, Any]) -> KeyValue:
+    """Return the entry that the gateway wrote."""
+    return KeyValue(
+        key=b64decode(values["key"]).decode(),
+        value=b64decode(values.get("value", "")),
+        create_revision=int(values.get("create_revision", 0)),
+        mod_revision=int(values.get("mod_revision", 0)),
+        lease_id=int(values.get("lease", 0)),
+    )
+
+
+class HttpKeyValueStore(KeyValueStore):
+    """Client of the gateway.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        From `open_session`.
+    base_url : str
+        Such as ``"http://127.0.0.1:2379"``.
+    timeout_s : float
+        Seconds for each call but watches.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, base_url: str, timeout_s: float = 1.0
+    ) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+
+    async def range(self, prefix: str, *, is_prefix: bool = True) -> RangeResult:
+        answer = await self._call("/v3/kv/range", _key_range(prefix, is_prefix))
+        entries = tuple(decode_entry(values) for values in answer.get("kvs", ()))
+        return RangeResult(entries, _revision(answer))
+
+    async def transact(
+        self, compares: tuple[Compare, ...], operations: tuple[Put | Delete, ...]
+    ) -> TransactionResult:
+        request = {
+            "compare": [_encode_compare(compare) for compare in compares],
+            "success": [_encode_operation(operation) for operation in operations],
+        }
+        answer = await self._call("/v3/kv/txn", request)
+        return TransactionResult(bool(answer.get("succeeded", False)), _revision(answer))
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        answer = await self._call("/v3/lease/grant", {"TTL": str(math.ceil(ttl_s)), "ID": "0"})
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease_id: int) -> float:
+        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
+        return float(answer.get("result", {}).get("TTL", 0))
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        await self._call("/v3/lease/revoke", {"ID": str(lease_id)})
+
+    async def watch(self, prefix: str, after_revision: int) -> AsyncIterator[WatchBatch]:
+        url = f"{self._base_url}/v3/watch"
+        create = {**_key_range(prefix, True), "start_revision": str(after_revision + 1)}
+        body = json.dumps({"create_request": create}).encode()
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
+        async with (
+            translate_errors(url),
+            self._session.post(
+                url, data=body, timeout=timeout, read_bufsize=MAX_WATCH_LINE_BYTES
+            ) as response,
+        ):
+            raise_for_status(response.status, b"", url)
+            async for line in response.content:
+                if line.strip():
+                    yield _decode_watch(json.loads(line))
+
+    async def _call(self, path: str, request: dict[str, Any]) -> dict[str, Any]:
+        url = f"{self._base_url}{path}"
+        body = json.dumps(request).encode()
+        return json.loads(await post_bytes(self._session, url, body, self._timeout_s))
+
+
+def _key_range(key: str, is_prefix: bool) -> dict[str, str]:
+    if not is_prefix:
+        return {"key": encode_text(key)}
+    end = b64encode(prefix_end(key).encode("latin-1")).decode()
+    return {"key": encode_text(key), "range_end": end}
+
+
+def _encode_compare(compare: Compare) -> dict[str, str]:
+    return {
+        "key": encode_text(compare.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(compare.mod_revision),
+    }
+
+
+def _encode_operation(operation: Put | Delete) -> dict[str, Any]:
+    if isinstance(operation, Delete):
+        return {"request_delete_range": _key_range(operation.key, operation.is_prefix)}
+    return {
+        "request_put": {
+            "key": encode_text(operation.key),
+            "value": b64encode(operation.value).decode(),
+            "lease": str(operation.lease_id),
+        }
+    }
+
+
+def _decode_watch(answer: dict[str, Any]) -> WatchBatch:
+    result = answer.get("result", {})
+    events = tuple(_decode_event(values) for values in result.get("events", ()))
+    return WatchBatch(events, _revision(result))
+
+
+def _decode_event(values: dict[str, Any]) -> WatchEvent:
+    entry = decode_entry(values["kv"])
+    if values.get("type", "PUT") == "DELETE":
+        return WatchEvent(entry.key, None)
+    return WatchEvent(entry.key, entry)
+
+
+def _revision(answer: dict[str, Any]) -> int:
+    return int(answer.get("header", {}).get("revision", 0))
--- /dev/null
+++ b/redwingplank/platform/http/server.py
@@ -0,0 +1,101 @@
+"""Serves an ASGI application at given addresses, without taking over the process's signals."""
+
+import asyncio
+import socket
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from typing import Any
+
+import uvicorn
+
+__all__ = ["HttpServer", "serve_http"]
+
+LISTEN_BACKLOG = 1024
+KEEP_ALIVE_S = 75
+
+
+class _Server(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.ready = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        self.ready.set()
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to the program."""
+        yield
+
+
+class HttpServer:
+    """A running server.
+
+    Parameters
+    ----------
+    application : ASGI application
+        What is served.
+    addresses : sequence of str
+        ``"IP:PORT"`` of each listening socket.
+    graceful_s : float
+        Seconds that requests in flight get at the stop.
+    """
+
+    def __init__(
+        self, application: Any, addresses: Sequence[str], graceful_s: float = 30.0
+    ) -> None:
+        config = uvicorn.Config(
+            application,
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=int(graceful_s),
+            server_header=False,
+        )
+        self._server = _Server(config)
+        self._sockets = [_listen(address) for address in addresses]
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to serve; returns once connections are accepted."""
+        self._task = asyncio.create_task(self._server.serve(sockets=self._sockets))
+        ready = asyncio.create_task(self._server.ready.wait())
+        await asyncio.wait([ready, self._task], return_when=asyncio.FIRST_COMPLETED)
+        ready.cancel()
+        if self._task.done():
+            self._task.result()
+
+    async def stop(self) -> None:
+        """Stop listening, let requests in flight finish, and close every connection."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+        for listening in self._sockets:
+            listening.close()
+
+    def abort(self) -> None:
+        """Make a stop that is under way end at once."""
+        self._server.force_exit = True
+
+
+async def serve_http(
+    application: Any, addresses: Sequence[str], graceful_s: float = 30.0
+) -> HttpServer:
+    """Start a server and return it; the parameters are those of `HttpServer`."""
+    server = HttpServer(application, addresses, graceful_s)
+    await server.start()
+    return server
+
+
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((host, int(port)))
+    listening.listen(LISTEN_BACKLOG)
+    listening.setblocking(False)
+    return listening
--- /dev/null
+++ b/redwingplank/runtime/jobs.py
@@ -0,0 +1,223 @@
+"""Takes callers' jobs to the shard that owns them."""
+
+import uuid
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from redwingplank.core import RedwingError, Resources, log_event, make_logger
+from redwingplank.rpc import CallOutcomeUnknownError, RpcError
+from redwingplank.rpc.scheduler_calls import SchedulerCalls
+from redwingplank.runtime.shards import ShardDirectory
+from redwingplank.scheduling.messages import JobSpec, JobStatus, SubmitAnswer, SubmitOutcome
+
+__all__ = [
+    "JobGateway",
+    "JobRefusedError",
+    "JobRequest",
+    "JobUnknownError",
+    "JobUnsettledError",
+    "order_shards",
+    "shard_of_job",
+]
+
+SHARD_SEPARATOR = "."
+CALL_TIMEOUT_S = 3.0
+RETRY_AFTER_S = 2.0
+
+_logger = make_logger("jobs")
+
+
+class JobRefusedError(RedwingError):
+    """The call had no effect; `retry_after_s` is 0 when a repeat cannot succeed."""
+
+    def __init__(self, message: str, retry_after_s: float = 0.0) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
+class JobUnknownError(RedwingError):
+    """No job of this name belongs to the organisation. Check the name."""
+
+
+class JobUnsettledError(RedwingError):
+    """The call may have had its effect: read the job's state before repeating it."""
+
+    def __init__(self, message: str, job_id: str) -> None:
+        super().__init__(message)
+        self.job_id = job_id
+
+
+@dataclass(frozen=True, slots=True)
+class JobRequest:
+    """A submission as a caller makes it; see `JobSpec` for the fields."""
+
+    organisation: str
+    service: str
+    task_count: int = 1
+    resources: Resources | None = None
+    run_time_s: float | None = None
+    payload: bytes = b""
+    idempotency_key: str | None = None
+
+
+def shard_of_job(job_id: str) -> str:
+    """Return the shard that a job's id names, empty if it names none.
+
+    Examples
+    --------
+    >>> shard_of_job("ankara-1.0f3c")
+    'ankara-1'
+    """
+    return job_id.rpartition(SHARD_SEPARATOR)[0]
+
+
+def order_shards(key: str, shards: Sequence[str]) -> list[str]:
+    """Return shards in the order of their rendezvous weight for a key."""
+    return sorted(shards, key=lambda shard: xxhash.xxh64_intdigest(f"{shard}\0{key}"))
+
+
+class JobGateway:
+    """Finds the owner of a job's shard and calls it.
+
+    Parameters
+    ----------
+    calls : SchedulerCalls
+        Calls to schedulers.
+    directory : ShardDirectory
+        Knows which shards there are and who owns them.
+    """
+
+    def __init__(self, calls: SchedulerCalls, directory: ShardDirectory) -> None:
+        self._calls = calls
+        self._directory = directory
+
+    async def submit(self, request: JobRequest) -> str:
+        """Submit a job and return its id once it is durable.
+
+        Raises
+        ------
+        JobRefusedError
+            It was certainly not accepted.
+        JobUnsettledError
+            It may have been accepted.
+        """
+        if request.idempotency_key is not None:
+            return await self._submit_with_key(request, request.idempotency_key)
+        key = uuid.uuid4().hex
+        shards = self._directory.shards_by_preference()
+        for shard in shards:
+            answer = await self._try_submit(request, f"{shard}{SHARD_SEPARATOR}{key}")
+            if answer is not None and answer.outcome is not SubmitOutcome.NOT_NOW:
+                return _job_id_or_raise(answer)
+        raise JobRefusedError("no shard takes jobs now; try again later", RETRY_AFTER_S)
+
+    async def status(
+        self, organisation: str, job_id: str, version: int, wait_s: float
+    ) -> tuple[JobStatus, int]:
+        """Return a job's state and its version, once it is newer than `version`.
+
+        Raises
+        ------
+        JobUnknownError
+            The organisation has no such job.
+        JobRefusedError
+            The shard's owner cannot be reached.
+        """
+        shard = shard_of_job(job_id)
+        address = self._find_owner(shard, job_id)
+        try:
+            status, found_version = await self._calls.status(
+                address, shard, job_id, version, wait_s, wait_s + CALL_TIMEOUT_S
+            )
+        except RpcError as error:
+            self._directory.forget(shard)
+            message = f"the owner of shard {shard} does not answer: {error}"
+            raise JobRefusedError(message, RETRY_AFTER_S) from error
+        if status is None or status.organisation != organisation:
+            raise JobUnknownError(f"organisation {organisation} has no job {job_id}")
+        return status, found_version
+
+    async def cancel(self, organisation: str, job_id: str) -> None:
+        """Cancel a job; returns once the cancellation is durable.
+
+        Raises
+        ------
+        JobUnknownError
+            The organisation has no such job.
+        JobRefusedError
+            It was certainly not cancelled.
+        JobUnsettledError
+            It may have been cancelled.
+        """
+        await self.status(organisation, job_id, 0, 0.0)
+        shard = shard_of_job(job_id)
+        address = self._find_owner(shard, job_id)
+        try:
+            answer = await self._calls.cancel(address, shard, job_id, CALL_TIMEOUT_S)
+        except CallOutcomeUnknownError as error:
+            raise JobUnsettledError(str(error), job_id) from error
+        except RpcError as error:
+            self._directory.forget(shard)
+            raise JobRefusedError(str(error), RETRY_AFTER_S) from error
+        if not answer.is_known:
+            raise JobUnknownError(f"organisation {organisation} has no job {job_id}")
+
+    async def _submit_with_key(self, request: JobRequest, key: str) -> str:
+        named = f"{request.organisation}\0{request.service}\0{key}"
+        shard = order_shards(named, self._directory.all_shards())[0]
+        job_id = f"{shard}{SHARD_SEPARATOR}k{xxhash.xxh3_128_hexdigest(named)}"
+        answer = await self._try_submit(request, job_id)
+        if answer is None or answer.outcome is SubmitOutcome.NOT_NOW:
+            message = f"shard {shard}, which keeps this key, takes no jobs now; try again later"
+            raise JobRefusedError(message, RETRY_AFTER_S)
+        return _job_id_or_raise(answer)
+
+    async def _try_submit(self, request: JobRequest, job_id: str) -> SubmitAnswer | None:
+        shard = shard_of_job(job_id)
+        address = self._directory.find_owner(shard)
+        if address is None:
+            return None
+        try:
+            answer = await self._calls.submit(
+                address, shard, _make_spec(request, job_id), CALL_TIMEOUT_S
+            )
+        except CallOutcomeUnknownError as error:
+            self._directory.forget(shard)
+            message = f"shard {shard} gave no answer; read the job's state before repeating"
+            raise JobUnsettledError(message, job_id) from error
+        except RpcError as error:
+            log_event(_logger, "submit_failed", shard=shard, address=address, error=str(error))
+            self._directory.forget(shard)
+            return None
+        log_event(
+            _logger, "job_routed", job=job_id, shard=shard, address=address, outcome=answer.outcome
+        )
+        return answer
+
+    def _find_owner(self, shard: str, job_id: str) -> str:
+        if shard not in self._directory.all_shards():
+            raise JobUnknownError(f"there is no job {job_id}")
+        address = self._directory.find_owner(shard)
+        if address is None:
+            raise JobRefusedError(f"shard {shard} has no known owner now", RETRY_AFTER_S)
+        return address
+
+
+def _make_spec(request: JobRequest, job_id: str) -> JobSpec:
+    return JobSpec(
+        job_id=job_id,
+        organisation=request.organisation,
+        service=request.service,
+        task_count=request.task_count,
+        resources=request.resources,
+        run_time_s=request.run_time_s,
+        payload=request.payload,
+    )
+
+
+def _job_id_or_raise(answer: SubmitAnswer) -> str:
+    if answer.outcome in (SubmitOutcome.ACCEPTED, SubmitOutcome.DUPLICATE):
+        return answer.job_id
+    raise JobRefusedError(answer.detail, answer.retry_after_s)
--- /dev/null
+++ b/redwingplank/runtime/shards.py
@@ -0,0 +1,140 @@
+"""Which shards there are and which scheduler owns each."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from redwingplank.core import log_event, make_logger
+from redwingplank.rpc import RpcError
+from redwingplank.rpc.scheduler_calls import SchedulerCalls
+
+__all__ = ["ShardDirectory", "domain_of_shard", "shard_names"]
+
+REFRESH_EVERY_S = 1.0
+CALL_TIMEOUT_S = 1.0
+
+_logger = make_logger("shards")
+
+
+def shard_names(failure_domains: Sequence[str], shards_per_domain: int) -> tuple[str, ...]:
+    """Return the names of all shards, in order.
+
+    Examples
+    --------
+    >>> shard_names(["ankara-1"], 1)
+    ('ankara-1',)
+    >>> shard_names(["ankara-1"], 2)
+    ('ankara-1#0', 'ankara-1#1')
+    """
+    if shards_per_domain == 1:
+        return tuple(failure_domains)
+    return tuple(
+        f"{domain}#{index}" for domain in failure_domains for index in range(shards_per_domain)
+    )
+
+
+def domain_of_shard(shard: str) -> str:
+    """Return the failure domain of a shard."""
+    return shard.partition("#")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class _Owner:
+    address: str
+    epoch: int
+
+
+class ShardDirectory:
+    """Asks the schedulers of each failure domain who owns its shards.
+
+    Parameters
+    ----------
+    calls : SchedulerCalls
+        Calls to schedulers.
+    shards : sequence of str
+        All shards of the cell.
+    schedulers_by_name : mapping of str to str
+        Addresses of candidates, named ``"FAILURE_DOMAIN/NAME"``.
+    own_domain : str
+        Whose shards go first.
+    """
+
+    def __init__(
+        self,
+        calls: SchedulerCalls,
+        shards: Sequence[str],
+        schedulers_by_name: Mapping[str, str],
+        own_domain: str,
+    ) -> None:
+        self._calls = calls
+        self._shards = tuple(shards)
+        self._schedulers_by_name = dict(schedulers_by_name)
+        self._own_domain = own_domain
+        self._owners_by_shard: dict[str, _Owner] = {}
+        self._next_candidate_by_domain: dict[str, int] = {}
+        self._submissions = 0
+
+    def all_shards(self) -> tuple[str, ...]:
+        """Return every shard of the cell, owned or not."""
+        return self._shards
+
+    def find_owner(self, shard: str) -> str | None:
+        """Return the address of a shard's owner as last heard, None if there is none."""
+        owner = self._owners_by_shard.get(shard)
+        return owner.address if owner else None
+
+    def forget(self, shard: str) -> None:
+        """Stop using an owner that failed; the next refresh finds the new one."""
+        self._owners_by_shard.pop(shard, None)
+
+    def shards_by_preference(self) -> list[str]:
+        """Return shards with a known owner: those of the own domain in turn, then the others."""
+        known = [shard for shard in self._shards if shard in self._owners_by_shard]
+        own = [shard for shard in known if domain_of_shard(shard) == self._own_domain]
+        others = [shard for shard in known if domain_of_shard(shard) != self._own_domain]
+        self._submissions += 1
+        return _rotate(own, self._submissions) + _rotate(others, self._submissions)
+
+    async def refresh(self) -> None:
+        """Ask one candidate of each failure domain."""
+        domains = sorted({domain_of_shard(shard) for shard in self._shards})
+        await asyncio.gather(*(self._refresh_domain(domain) for domain in domains))
+
+    async def refresh_forever(self) -> None:
+        """Refresh again and again until cancelled."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(REFRESH_EVERY_S)
+
+    async def _refresh_domain(self, domain: str) -> None:
+        addresses = [
+            address
+            for name, address in sorted(self._schedulers_by_name.items())
+            if name.partition("/")[0] == domain
+        ]
+        if not addresses:
+            return
+        first = self._next_candidate_by_domain.get(domain, 0)
+        address = addresses[first % len(addresses)]
+        try:
+            owners = await self._calls.owners(address, CALL_TIMEOUT_S)
+        except RpcError:
+            self._next_candidate_by_domain[domain] = first + 1
+            return
+        for shard, (owner_address, epoch) in owners.items():
+            self._learn(shard, owner_address, epoch)
+
+    def _learn(self, shard: str, address: str, epoch: int) -> None:
+        known = self._owners_by_shard.get(shard)
+        if known is not None and known.epoch > epoch:
+            return
+        if known is None or known.address != address:
+            log_event(_logger, "shard_owner", shard=shard, address=address, epoch=epoch)
+        self._owners_by_shard[shard] = _Owner(address, epoch)
+
+
+def _rotate(items: list[str], by: int) -> list[str]:
+    if not items:
+        return items
+    start = by % len(items)
+    return items[start:] + items[:start]
