--- /dev/null
+++ b/redwingplank/config/places.py
@@ -0,0 +1,158 @@
+"""Reads YAML into plain values and remembers the line and column of each of them."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from ruamel.yaml import YAML
+from ruamel.yaml.constructor import SafeConstructor
+from ruamel.yaml.error import MarkedYAMLError, YAMLError
+from ruamel.yaml.nodes import MappingNode, Node, ScalarNode, SequenceNode
+
+from redwingplank.core import Finding, Place
+
+__all__ = ["Path", "PlacedValue", "PlacesBelow", "find_place", "read_yaml"]
+
+Path = tuple[str | int, ...]
+STRING_TAG = "tag:yaml.org,2002:str"
+
+
+@dataclass(slots=True)
+class PlacedValue:
+    """A value with the places of its parts.
+
+    Parameters
+    ----------
+    value : object
+        Dictionaries, lists and scalars; None for an empty file.
+    places_by_path : mapping of tuple to Place
+        Where each part stands; of the entry of a mapping, the place of its key.
+    findings : list of Finding
+        Faults of the YAML itself.
+    """
+
+    value: Any = None
+    places_by_path: dict[Path, Place] = field(default_factory=dict)
+    findings: list[Finding] = field(default_factory=list)
+
+
+def read_yaml(source: str, text: str) -> PlacedValue:
+    """Parse one YAML document.
+
+    Parameters
+    ----------
+    source : str
+        The file's name, for places.
+    text : str
+        Its content.
+
+    Returns
+    -------
+    PlacedValue
+        With a finding in place of the value when the text is no YAML.
+    """
+    yaml = YAML(typ="safe", pure=True)
+    result = PlacedValue()
+    try:
+        node = yaml.compose(text)
+    except MarkedYAMLError as error:
+        result.findings.append(_syntax_finding(source, error))
+        return result
+    except YAMLError as error:
+        place = Place(source, 1, 1)
+        result.findings.append(Finding(place, f"is no YAML: {error}", "correct the syntax"))
+        return result
+    if node is not None:
+        reader = _Reader(source, result, yaml.constructor)
+        result.value = reader.read(node, ())
+    return result
+
+
+def _syntax_finding(source: str, error: MarkedYAMLError) -> Finding:
+    mark = error.problem_mark or error.context_mark
+    line, column = (mark.line + 1, mark.column + 1) if mark else (1, 1)
+    problem = " ".join(str(part) for part in (error.context, error.problem) if part)
+    return Finding(Place(source, line, column), f"is no YAML: {problem}", "correct the syntax")
+
+
+class _Reader:
+    def __init__(self, source: str, result: PlacedValue, constructor: SafeConstructor) -> None:
+        self._source = source
+        self._result = result
+        self._constructor = constructor
+
+    def read(self, node: Node, path: Path) -> Any:
+        if path not in self._result.places_by_path:
+            self._result.places_by_path[path] = self._place(node, path)
+        if isinstance(node, MappingNode):
+            return self._read_mapping(node, path)
+        if isinstance(node, SequenceNode):
+            return [self.read(item, (*path, index)) for index, item in enumerate(node.value)]
+        assert isinstance(node, ScalarNode)
+        return self._read_scalar(node)
+
+    def _read_mapping(self, node: MappingNode, path: Path) -> dict[str, Any]:
+        value: dict[str, Any] = {}
+        for key_node, value_node in node.value:
+            key = str(key_node.value)
+            entry_path = (*path, key)
+            place = self._place(key_node, entry_path)
+            if key in value:
+                first = self._result.places_by_path[entry_path]
+                problem = f"is declared twice, first in line {first.line}"
+                self._result.findings.append(Finding(place, problem, "remove one of the two"))
+                continue
+            self._result.places_by_path[entry_path] = place
+            value[key] = self.read(value_node, entry_path)
+        return value
+
+    def _read_scalar(self, node: ScalarNode) -> Any:
+        if node.tag == STRING_TAG:
+            return node.value
+        return self._constructor.construct_object(node)
+
+    def _place(self, node: Node, path: Path) -> Place:
+        mark = node.start_mark
+        return Place(self._source, mark.line + 1, mark.column + 1, _format_path(path))
+
+
+def _format_path(path: Path) -> str:
+    return ".".join(str(part) for part in path)
+
+
+def find_place(places_by_path: Mapping[Path, Place], path: Path) -> Place:
+    """Return the place of a part, or of the nearest part around it."""
+    for length in range(len(path), -1, -1):
+        place = places_by_path.get(path[:length])
+        if place is not None:
+            return Place(place.source, place.line, place.column, _format_path(path))
+    return Place("unknown", field=_format_path(path))
+
+
+class PlacesBelow(Mapping[Path, Place]):
+    """A view of the places of one part of a value, by path within that part.
+
+    Parameters
+    ----------
+    places_by_path : mapping of tuple to Place
+        The places of the whole value.
+    prefix : tuple
+        The path of the part.
+    """
+
+    def __init__(self, places_by_path: Mapping[Path, Place], prefix: Path) -> None:
+        self._places_by_path = places_by_path
+        self._prefix = prefix
+
+    def __getitem__(self, path: Path) -> Place:
+        return self._places_by_path[self._prefix + path]
+
+    def __iter__(self) -> Iterator[Path]:
+        length = len(self._prefix)
+        return (path[length:] for path in self._places_by_path if path[:length] == self._prefix)
+
+    def __len__(self) -> int:
+        return sum(1 for _ in self)
+
+    def __bool__(self) -> bool:
+        return True
