Add the benchmark runner with its table of bounds

Cause: figures are to be held against the stated target in one way, singly and together. Conclusion: benchmark classes of other packages are found as they land; their bounds go into benchmarks/bounds.py.

--- /dev/null
+++ b/benchmarks/_peak_memory.py
@@ -0,0 +1,24 @@
+"""Runs one ``peakmem_`` method in a process of its own and prints the peak in MiB."""
+
+import importlib
+import sys
+
+from benchmarks.discovery import BenchmarkClass
+from benchmarks.measure import read_peak_memory_mib
+
+
+def main() -> None:
+    """Run the method that the arguments name: module, class, method and parameter set."""
+    module_name, type_name, method_name, index = sys.argv[1:]
+    benchmark_type = getattr(importlib.import_module(module_name), type_name)
+    benchmark = BenchmarkClass(type_name, benchmark_type)
+    values = list(benchmark.parameter_sets())[int(index)]
+    instance = benchmark_type()
+    if hasattr(instance, "setup"):
+        instance.setup(*values)
+    getattr(instance, method_name)(*values)
+    print(read_peak_memory_mib())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/bounds.py
@@ -0,0 +1,85 @@
+"""The bounds of all benchmarks, each with the statement of the target that it comes from."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from benchmarks.measure import Metric
+
+__all__ = ["BOUNDS", "Bound", "CheckedMetric", "check_metrics"]
+
+
+@dataclass(frozen=True)
+class Bound:
+    """A limit of one metric.
+
+    Parameters
+    ----------
+    benchmark : str
+        ``"MODULE.CLASS"``.
+    metric : str
+        Name of the metric.
+    limit : float
+        In the unit of the metric.
+    source : str
+        The statement that it comes from, in plain words.
+    is_minimum : bool
+        Whether the figure has to be at least, and not at most, the limit.
+    parameters : mapping of str to value
+        The bound holds for metrics with these parameter values; empty for all.
+    """
+
+    benchmark: str
+    metric: str
+    limit: float
+    source: str
+    is_minimum: bool = False
+    parameters: Mapping[str, Any] = field(default_factory=dict)
+
+    def applies_to(self, benchmark: str, metric: Metric) -> bool:
+        """Return whether the bound is one of this metric of this benchmark."""
+        return (
+            benchmark == self.benchmark
+            and metric.name == self.metric
+            and all(metric.parameters.get(name) == value for name, value in self.parameters.items())
+        )
+
+    def is_kept(self, value: float) -> bool:
+        """Return whether a figure is within the bound."""
+        return value >= self.limit if self.is_minimum else value <= self.limit
+
+    def margin(self, value: float) -> float:
+        """Return how far a figure is from the limit, as a part of the limit; negative past it."""
+        if self.limit == 0:
+            return 0.0 if self.is_kept(value) else -1.0
+        distance = value - self.limit if self.is_minimum else self.limit - value
+        return distance / abs(self.limit)
+
+
+@dataclass(frozen=True)
+class CheckedMetric:
+    """A metric with the bounds that apply to it."""
+
+    metric: Metric
+    bounds: tuple[Bound, ...]
+
+    @property
+    def is_ok(self) -> bool:
+        """Whether the figure keeps all of its bounds."""
+        return all(bound.is_kept(self.metric.value) for bound in self.bounds)
+
+
+def check_metrics(
+    benchmark: str, metrics: Iterable[Metric], bounds: Iterable[Bound]
+) -> list[CheckedMetric]:
+    """Return each metric with the bounds that apply to it."""
+    table = tuple(bounds)
+    return [
+        CheckedMetric(
+            metric, tuple(bound for bound in table if bound.applies_to(benchmark, metric))
+        )
+        for metric in metrics
+    ]
+
+
+BOUNDS: tuple[Bound, ...] = ()
--- /dev/null
+++ b/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmark runner and of what the benchmarks share."""
