Add the checker of the promises over the stand-ins' history

Cause: every failure test has to end with the same verdict on what really ran and what callers heard.

--- /dev/null
+++ b/redwingplank/standin/checks.py
@@ -0,0 +1,302 @@
+"""Checks the system's promises against what really happened at the stand-ins.
+
+Every check returns findings; `check_history` collects those of all checks. A finding's place is
+the line of the history, from 1, and the VM, task or request that it concerns.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from redwingplank.core import Finding, Place, Resources
+from redwingplank.standin.callers import CallerRecords, Ran, RequestRecord
+from redwingplank.standin.history import HistoryEvent, HistoryEventKind
+from redwingplank.standin.intervals import Interval, find_intervals, usage_steps
+
+__all__ = ["LEAVING_GRACE_S", "CheckedRun", "check_history", "make_checked_run"]
+
+LEAVING_GRACE_S = 2.0
+COMPLETED = "completed"
+SUCCEEDED = "succeeded"
+
+_LOOK_AT_LOG = "compare with the decision log lines of the same subject"
+
+
+@dataclass(frozen=True)
+class CheckedRun:
+    """One run, ready for the checks.
+
+    Parameters
+    ----------
+    events : sequence of HistoryEvent
+        What happened.
+    records : CallerRecords
+        What callers were told.
+    slots_by_upstream : mapping of str to int
+        Concurrent requests that each upstream takes; upstreams that are not named are not checked.
+    leaving_grace_s : float
+        Seconds after which a leaving VM must receive nothing new.
+    is_cut_allowed : bool
+        Whether answers may break off, as they may when a process is killed.
+    tasks, requests : tuple of Interval
+        When and where each ran.
+    """
+
+    events: Sequence[HistoryEvent]
+    records: CallerRecords
+    slots_by_upstream: Mapping[str, int]
+    leaving_grace_s: float
+    is_cut_allowed: bool
+    tasks: tuple[Interval, ...] = field(repr=False)
+    requests: tuple[Interval, ...] = field(repr=False)
+
+
+def make_checked_run(
+    events: Iterable[HistoryEvent],
+    records: CallerRecords | None = None,
+    *,
+    slots_by_upstream: Mapping[str, int] | None = None,
+    leaving_grace_s: float = LEAVING_GRACE_S,
+    is_cut_allowed: bool = False,
+) -> CheckedRun:
+    """Prepare a run for the checks; see `CheckedRun` for the parameters."""
+    listed = tuple(events)
+    return CheckedRun(
+        events=listed,
+        records=records or CallerRecords(),
+        slots_by_upstream=slots_by_upstream or {},
+        leaving_grace_s=leaving_grace_s,
+        is_cut_allowed=is_cut_allowed,
+        tasks=find_intervals(listed, HistoryEventKind.TASK_STARTED),
+        requests=find_intervals(listed, HistoryEventKind.REQUEST_STARTED),
+    )
+
+
+def check_history(run: CheckedRun) -> tuple[Finding, ...]:
+    """Return the findings of all checks, sorted by place; none for a run that kept them all."""
+    return tuple(sorted(finding for check in _CHECKS for finding in check(run)))
+
+
+def check_capacity(run: CheckedRun) -> Iterator[Finding]:
+    """No VM has more work than capacity, in any dimension, at any time."""
+    capacity_by_vm: dict[str, Resources] = {
+        event.vm: event.amount
+        for event in run.events
+        if event.kind is HistoryEventKind.WORKER_STARTED
+    }
+    for vm, intervals in _group_by_vm(run.tasks).items():
+        capacity = capacity_by_vm.get(vm)
+        if capacity is None:
+            yield _finding(intervals[0].line, vm, "ran tasks and never told its capacity")
+            continue
+        for usage in usage_steps(intervals):
+            exceeded = usage.amount.exceeded_dimensions(capacity)
+            if exceeded:
+                problem = f"overfull at {usage.time_s:.3f} s in {', '.join(exceeded)}"
+                yield _finding(usage.line, vm, problem)
+
+
+def check_slots(run: CheckedRun) -> Iterator[Finding]:
+    """No upstream has more requests than slots at any time."""
+    for vm, intervals in _group_by_vm(run.requests).items():
+        slots = run.slots_by_upstream.get(vm)
+        if slots is None:
+            continue
+        for usage in usage_steps(intervals):
+            if usage.count > slots:
+                problem = f"{usage.count} requests at {usage.time_s:.3f} s in {slots} slots"
+                yield _finding(usage.line, vm, problem)
+
+
+def check_one_place(run: CheckedRun) -> Iterator[Finding]:
+    """No task runs in two places, or twice in one place, at one time."""
+    for task_id, intervals in _group_by_subject(run.tasks).items():
+        latest: Interval | None = None
+        for interval in sorted(intervals, key=lambda each: each.started.time_s):
+            if latest is not None and latest.overlaps(interval):
+                first, second = latest.started, interval.started
+                problem = (
+                    f"attempt {second.attempt} on {second.vm} ran beside "
+                    f"attempt {first.attempt} on {first.vm}"
+                )
+                yield _finding(interval.line, task_id, problem)
+            if latest is None or interval.ended_at_s > latest.ended_at_s:
+                latest = interval
+
+
+def check_at_most_once(run: CheckedRun) -> Iterator[Finding]:
+    """Non-idempotent requests, by key and by id, and tasks ran at most once."""
+    once_keys = {
+        (record.organisation, record.key)
+        for record in run.records.requests
+        if not record.is_idempotent and record.key
+    }
+    once_ids = {
+        record.request_id
+        for record in run.records.requests
+        if not record.is_idempotent and record.request_id
+    }
+    runs: dict[str, list[Interval]] = defaultdict(list)
+    for interval in run.requests:
+        started = interval.started
+        if (started.organisation, started.key) in once_keys:
+            runs[f"{started.organisation}/{started.key}"].append(interval)
+        elif started.subject in once_ids:
+            runs[started.subject].append(interval)
+    once_jobs = {record.job_id for record in run.records.jobs if not record.is_idempotent}
+    for interval in run.tasks:
+        if _job_of(interval.started.subject) in once_jobs:
+            runs[interval.started.subject].append(interval)
+    for subject, intervals in runs.items():
+        for interval in intervals[1:]:
+            yield _finding(interval.line, subject, "is not idempotent and ran again")
+
+
+def check_not_run(run: CheckedRun) -> Iterator[Finding]:
+    """What the system called not run did not run, and what it called run did."""
+    requests_by_id = _group_by_subject(run.requests)
+    runs_by_key: dict[tuple[str, str], list[Interval]] = defaultdict(list)
+    for interval in run.requests:
+        if interval.started.key:
+            runs_by_key[interval.started.organisation, interval.started.key].append(interval)
+    ran_keys = _keys_that_ran(run.records.requests)
+    for record in run.records.requests:
+        runs = list(requests_by_id.get(record.request_id, ()))
+        key = (record.organisation, record.key)
+        if record.key and key not in ran_keys:
+            runs += runs_by_key.get(key, ())
+        if record.ran is Ran.NO and runs:
+            yield _finding(runs[0].line, record.request_id or record.key, "was called not run")
+    yield from _check_jobs_not_run(run)
+
+
+def check_answers(run: CheckedRun) -> Iterator[Finding]:
+    """Each answer is whole and that of the caller's own request."""
+    ended_by_id: dict[str, list[HistoryEvent]] = defaultdict(list)
+    for event in run.events:
+        if event.kind is HistoryEventKind.REQUEST_ENDED and event.digest:
+            ended_by_id[event.subject].append(event)
+    for record in run.records.requests:
+        subject = record.request_id or record.key
+        if record.is_cut and not run.is_cut_allowed:
+            yield _finding(0, subject, "was cut off")
+        if record.ran is not Ran.YES:
+            continue
+        answers = ended_by_id.get(record.answered_request_id, [])
+        if not answers:
+            yield _finding(0, subject, "was answered, but no upstream ran it")
+        elif not any(answer.digest == record.digest for answer in answers):
+            yield _finding(0, subject, "has an answer that no upstream gave: it is not whole")
+        elif not any(_is_own_answer(record, answer) for answer in answers):
+            problem = f"got the answer of request {record.answered_request_id}"
+            yield _finding(0, subject, problem)
+
+
+def check_jobs_kept(run: CheckedRun) -> Iterator[Finding]:
+    """Every accepted job has ended or is still known, and a success was one in every task."""
+    completed = {
+        event.subject
+        for event in run.events
+        if event.kind is HistoryEventKind.TASK_ENDED and event.detail == COMPLETED
+    }
+    for record in run.records.jobs:
+        if record.is_accepted and not record.last_state:
+            yield _finding(0, record.job_id, "was accepted and is no longer known")
+        if record.last_state != SUCCEEDED:
+            continue
+        for index in range(record.task_count):
+            if f"{record.job_id}/{index}" not in completed:
+                yield _finding(0, record.job_id, f"succeeded, but task {index} never completed")
+
+
+def check_cancelled(run: CheckedRun) -> Iterator[Finding]:
+    """No task starts after the cancellation of its job was acknowledged."""
+    cancelled_at_s = {
+        record.job_id: record.cancelled_at_s
+        for record in run.records.jobs
+        if record.cancelled_at_s is not None
+    }
+    for interval in run.tasks:
+        started = interval.started
+        at_s = cancelled_at_s.get(_job_of(started.subject))
+        if at_s is not None and started.time_s > at_s:
+            problem = f"started {started.time_s - at_s:.3f} s after its cancellation"
+            yield _finding(interval.line, started.subject, problem)
+
+
+def check_leaving(run: CheckedRun) -> Iterator[Finding]:
+    """A leaving VM receives nothing new once its grace is over."""
+    left_at_s: dict[str, float] = {}
+    for event in run.events:
+        if event.kind is HistoryEventKind.VM_LEAVING:
+            left_at_s.setdefault(event.vm, event.time_s)
+    for interval in (*run.tasks, *run.requests):
+        started = interval.started
+        at_s = left_at_s.get(started.vm)
+        if at_s is not None and started.time_s > at_s + run.leaving_grace_s:
+            problem = (
+                f"{started.subject} came {started.time_s - at_s:.3f} s after it began to leave"
+            )
+            yield _finding(interval.line, started.vm, problem)
+
+
+_CHECKS: tuple[Callable[[CheckedRun], Iterator[Finding]], ...] = (
+    check_capacity,
+    check_slots,
+    check_one_place,
+    check_at_most_once,
+    check_not_run,
+    check_answers,
+    check_jobs_kept,
+    check_cancelled,
+    check_leaving,
+)
+
+
+def _check_jobs_not_run(run: CheckedRun) -> Iterator[Finding]:
+    first_by_job: dict[str, Interval] = {}
+    for interval in run.tasks:
+        first_by_job.setdefault(_job_of(interval.started.subject), interval)
+    accepted = {record.job_id for record in run.records.jobs if record.is_accepted}
+    for record in run.records.jobs:
+        if record.ran is Ran.NO and record.job_id not in accepted:
+            first = first_by_job.get(record.job_id)
+            if first is not None:
+                yield _finding(first.line, record.job_id, "was called not run")
+
+
+def _is_own_answer(record: RequestRecord, answer: HistoryEvent) -> bool:
+    if record.organisation != answer.organisation:
+        return False
+    is_same_request = record.request_id == answer.subject
+    return is_same_request or (bool(record.key) and record.key == answer.key)
+
+
+def _keys_that_ran(records: Iterable[RequestRecord]) -> set[tuple[str, str]]:
+    return {
+        (record.organisation, record.key)
+        for record in records
+        if record.key and record.ran is not Ran.NO
+    }
+
+
+def _group_by_vm(intervals: Iterable[Interval]) -> dict[str, list[Interval]]:
+    by_vm: dict[str, list[Interval]] = defaultdict(list)
+    for interval in intervals:
+        by_vm[interval.started.vm].append(interval)
+    return by_vm
+
+
+def _group_by_subject(intervals: Iterable[Interval]) -> dict[str, list[Interval]]:
+    by_subject: dict[str, list[Interval]] = defaultdict(list)
+    for interval in intervals:
+        by_subject[interval.started.subject].append(interval)
+    return by_subject
+
+
+def _job_of(task_id: str) -> str:
+    return task_id.rpartition("/")[0]
+
+
+def _finding(line: int, subject: str, problem: str) -> Finding:
+    return Finding(Place("history", line, 1 if line else 0, subject), problem, _LOOK_AT_LOG)
--- a/redwingplank/standin/history.py
+++ b/redwingplank/standin/history.py
@@ -16,6 +16,7 @@
     TASK_ENDED = "task_ended"
     REQUEST_STARTED = "request_started"
     REQUEST_ENDED = "request_ended"
+    VM_LEAVING = "vm_leaving"
 
 
 @dataclass(frozen=True, slots=True)
