--- a/redwingplank/cli/program.py
+++ b/redwingplank/cli/program.py
@@ -79,9 +79,7 @@
     given = list(sys.argv[1:] if arguments is None else arguments)
     app = make_settings_app(program, __version__, settings_class, description)
     try:
-        command, bound, unknown, _ = app.parse_known_args(
-            given, print_error=False, exit_on_error=False
-        )
+        command, bound, unknown, _ = app.parse_known_args(given)
         if command is not app.default_command:
             command(*bound.args, **bound.kwargs)
             sys.exit(EXIT_OK)
--- a/redwingplank/platform/http/kv.py
+++ b/redwingplank/platform/http/kv.py
@@ -129,7 +129,11 @@
         async with (
             translate_errors(url),
             self._session.post(
-                url, data=body, timeout=timeout, read_bufsize=MAX_WATCH_LINE_BYTES
+                url,
+                data=body,
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+                read_bufsize=MAX_WATCH_LINE_BYTES,
             ) as response,
         ):
             raise_for_status(response.status, b"", url)
--- a/redwingplank/platform/tests/test_http.py
+++ b/redwingplank/platform/tests/test_http.py
@@ -97,7 +97,7 @@
                 first = await store.transact((), (Put("w/1", b"1"),))
                 await store.transact((), (Put("w/2", b"2"),))
                 watch = store.watch("w/", first.revision)
-                seen = []
+                seen: list[tuple[str, bool]] = []
                 async for batch in watch:
                     seen.extend((event.key, event.entry is None) for event in batch.events)
                     if len(seen) == 1:
--- a/redwingplank/runtime/jobs.py
+++ b/redwingplank/runtime/jobs.py
@@ -75,7 +75,7 @@
 
 def order_shards(key: str, shards: Sequence[str]) -> list[str]:
     """Return shards in the order of their rendezvous weight for a key."""
-    return sorted(shards, key=lambda shard: xxhash.xxh64_intdigest(f"{shard}\0{key}"))
+    return sorted(shards, key=lambda shard: xxhash.xxh64_intdigest(f"{shard}\0{key}".encode()))
 
 
 class JobGateway:
@@ -167,7 +167,7 @@
     async def _submit_with_key(self, request: JobRequest, key: str) -> str:
         named = f"{request.organisation}\0{request.service}\0{key}"
         shard = order_shards(named, self._directory.all_shards())[0]
-        job_id = f"{shard}{SHARD_SEPARATOR}k{xxhash.xxh3_128_hexdigest(named)}"
+        job_id = f"{shard}{SHARD_SEPARATOR}k{xxhash.xxh3_128_hexdigest(named.encode())}"
         answer = await self._try_submit(request, job_id)
         if answer is None or answer.outcome is SubmitOutcome.NOT_NOW:
             message = f"shard {shard}, which keeps this key, takes no jobs now; try again later"
