--- /dev/null
+++ b/redwingplank/standin/cell.py
@@ -0,0 +1,138 @@
+"""All stand-ins of one cell: store, list of VMs, workers and upstreams."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import numpy as np
+
+from redwingplank.core import Clock, Resources, make_resources
+from redwingplank.platform import ListedVm, VmRole
+from redwingplank.standin.faults import Faults
+from redwingplank.standin.history import History
+from redwingplank.standin.store import MemoryStore
+from redwingplank.standin.vms import LaggingVmList
+from redwingplank.standin.workers import StandinWorker
+
+__all__ = ["CellShape", "StandinCell", "make_standin_cell"]
+
+MIB_PER_GIB = 1024
+SLOWEST_SPEED = 0.5
+FASTEST_SPEED = 2.0
+WORKER_CAPACITY = Resources(64_000, 128 * MIB_PER_GIB)
+
+
+@dataclass(frozen=True, slots=True)
+class CellShape:
+    """How large a stand-in cell is.
+
+    Parameters
+    ----------
+    failure_domains : tuple of str
+        Names.
+    host : str
+        IP number of every VM.
+    first_port : int
+        Port of the first VM; the others follow.
+    workers_per_domain, upstreams_per_domain : int
+        Workers, and upstreams of each service, in each failure domain.
+    vms_per_rack : int
+        VMs in a rack.
+    services : tuple of str
+        What upstreams serve.
+    capacity : Resources
+        Of each worker.
+    accelerators : int
+        Accelerators of kind ``gpu`` of every second worker.
+    list_lag_s : float
+        Lag of the list of VMs, in seconds.
+    seed : int
+        Of the VMs' speeds.
+    """
+
+    failure_domains: tuple[str, ...]
+    host: str = "127.0.0.1"
+    first_port: int = 7301
+    workers_per_domain: int = 4
+    upstreams_per_domain: int = 3
+    vms_per_rack: int = 8
+    services: tuple[str, ...] = ("notahane", "quoter")
+    capacity: Resources = WORKER_CAPACITY
+    accelerators: int = 2
+    list_lag_s: float = 1.0
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class StandinCell:
+    """The stand-ins and their common history."""
+
+    store: MemoryStore
+    vm_list: LaggingVmList
+    history: History
+    workers_by_address: dict[str, StandinWorker]
+    upstream_rows: tuple[ListedVm, ...]
+    speeds_by_vm: dict[str, float]
+    store_faults: Faults = field(default_factory=Faults)
+    list_faults: Faults = field(default_factory=Faults)
+
+    @property
+    def workers_by_name(self) -> dict[str, StandinWorker]:
+        """Workers by the names of their VMs."""
+        return {worker.name: worker for worker in self.workers_by_address.values()}
+
+
+def make_standin_cell(shape: CellShape, clock: Clock) -> StandinCell:
+    """Build the stand-ins of a cell.
+
+    Parameters
+    ----------
+    shape : CellShape
+        Its size.
+    clock : Clock
+        Time of all stand-ins.
+    """
+    generator = np.random.default_rng(shape.seed)
+    rows = list(_make_rows(shape))
+    speeds = {row.name: float(generator.uniform(SLOWEST_SPEED, FASTEST_SPEED)) for row in rows}
+    vm_list = LaggingVmList(clock, shape.list_lag_s)
+    vm_list.put(*rows)
+    history = History()
+    workers = {
+        row.address: StandinWorker(row.name, row.capacity, clock, history, speeds[row.name])
+        for row in rows
+        if row.role is VmRole.WORKER
+    }
+    upstream_rows = tuple(row for row in rows if row.role is VmRole.UPSTREAM)
+    return StandinCell(MemoryStore(clock), vm_list, history, workers, upstream_rows, speeds)
+
+
+def _make_rows(shape: CellShape) -> Iterator[ListedVm]:
+    port = shape.first_port
+    for domain in shape.failure_domains:
+        for index in range(shape.workers_per_domain):
+            yield _make_worker_row(shape, domain, index, port)
+            port += 1
+        for service in shape.services:
+            for index in range(shape.upstreams_per_domain):
+                yield ListedVm(
+                    name=f"{domain}-{service}-{index}",
+                    role=VmRole.UPSTREAM,
+                    failure_domain=domain,
+                    rack=f"{domain}-{service}-r{index // shape.vms_per_rack}",
+                    address=f"{shape.host}:{port}",
+                    service=service,
+                )
+                port += 1
+
+
+def _make_worker_row(shape: CellShape, domain: str, index: int, port: int) -> ListedVm:
+    accelerators = {"gpu": shape.accelerators if index % 2 else 0}
+    capacity = make_resources(shape.capacity.millicores, shape.capacity.memory_mib, accelerators)
+    return ListedVm(
+        name=f"{domain}-worker-{index}",
+        role=VmRole.WORKER,
+        failure_domain=domain,
+        rack=f"{domain}-r{index // shape.vms_per_rack}",
+        address=f"{shape.host}:{port}",
+        capacity=capacity,
+    )
