--- /dev/null
+++ b/redwingplank/rpc/scheduler_calls.py
@@ -0,0 +1,103 @@
+"""Calls to a candidate or owner of shards."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from redwingplank.rpc.errors import CallOutcomeUnknownError, NotOwnerError
+from redwingplank.rpc.peers import PeerConnections
+from redwingplank.rpc.scheduler_messages import (
+    read_job_status,
+    read_submit_answer,
+    write_spec,
+)
+from redwingplank.rpc.schema import load_schema
+from redwingplank.scheduling.messages import CancelAnswer, JobSpec, JobStatus, SubmitAnswer
+
+__all__ = ["SCHEDULER_SERVICE", "SchedulerCalls"]
+
+SCHEDULER_SERVICE = "scheduler"
+
+_interface: Any = load_schema("scheduler").Scheduler
+
+
+class SchedulerCalls:
+    """Typed client of every scheduler process.
+
+    Parameters
+    ----------
+    peers : PeerConnections
+        Open connections.
+
+    Notes
+    -----
+    Every method raises `PeerUnreachableError`, `CallOutcomeUnknownError` or `CallFailedError` as
+    `PeerConnections.call` does, and `NotOwnerError` where a shard is asked of a process that does
+    not own it.
+    """
+
+    def __init__(self, peers: PeerConnections) -> None:
+        self._peers = peers
+
+    async def submit(
+        self, address: str, shard: str, spec: JobSpec, timeout_s: float
+    ) -> SubmitAnswer:
+        """Submit a job; ACCEPTED is durable."""
+        message = write_spec(spec)
+        answer = await self._ask(address, timeout_s, lambda peer: peer.submit(shard, message))
+        return read_submit_answer(answer.submit)
+
+    async def cancel(self, address: str, shard: str, job_id: str, timeout_s: float) -> CancelAnswer:
+        """Cancel a job; the answer is durable."""
+        answer = await self._ask(address, timeout_s, lambda peer: peer.cancel(shard, job_id))
+        return CancelAnswer(0, job_id, answer.isKnown)
+
+    async def status(
+        self,
+        address: str,
+        shard: str,
+        job_id: str,
+        known_version: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> tuple[JobStatus | None, int]:
+        """Return a job and its version, after at most `wait_s` if `known_version` is the newest.
+
+        Returns
+        -------
+        tuple of (JobStatus or None, int)
+            None for a job that the shard does not know.
+        """
+
+        def ask(peer: Any) -> Any:
+            return peer.status(shard, job_id, known_version, wait_s)
+
+        found = (await self._ask(address, timeout_s, ask)).status
+        return (read_job_status(found.status) if found.isKnown else None), found.version
+
+    async def explain(self, address: str, shard: str, id: str, timeout_s: float) -> tuple[str, ...]:
+        """Return why a job or task waits or where it ran, one line each."""
+        answer = await self._ask(address, timeout_s, lambda peer: peer.explain(shard, id))
+        return tuple(answer.lines)
+
+    async def drain(self, address: str, vm: str, is_draining: bool, timeout_s: float) -> None:
+        """Empty a worker's VM, or end that; any shard's owner in the VM's domain may be asked."""
+        await self._ask(address, timeout_s, lambda peer: peer.drain(vm, is_draining))
+
+    async def owners(self, address: str, timeout_s: float) -> Mapping[str, tuple[str, int]]:
+        """Return address and epoch of the owner of each shard that the process knows one of."""
+        response = await self._peers.call(
+            address, SCHEDULER_SERVICE, _interface, lambda peer: peer.owners(), timeout_s
+        )
+        return {owner.shard: (owner.address, owner.epoch) for owner in response.owners}
+
+    async def _ask(
+        self, address: str, timeout_s: float, method: Callable[[Any], Awaitable[Any]]
+    ) -> Any:
+        response = await self._peers.call(address, SCHEDULER_SERVICE, _interface, method, timeout_s)
+        answer = response.answer
+        if answer.which() == "notOwner":
+            owner = answer.notOwner
+            raise NotOwnerError(owner.shard, owner.address, owner.epoch)
+        if answer.which() == "outcomeUnknown":
+            raise CallOutcomeUnknownError(answer.outcomeUnknown)
+        return answer
--- a/redwingplank/runtime/counters.py
+++ b/redwingplank/runtime/counters.py
@@ -1,17 +1,12 @@
 """Counters of one process, for statsd and for benchmarks."""
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
 
-__all__ = ["ProcessCounters", "StatsdClient"]
+__all__ = ["ProcessCounters"]
 
-
-class StatsdClient(Protocol):
-    """The part of ``statsd.StatsClient`` that is used."""
-
-    def incr(self, stat: str, count: int = 1) -> None:
-        """Add to a counter."""
+STORE_PREFIX = "store."
 
 
 @dataclass(slots=True)
@@ -25,7 +20,6 @@
     """
 
     counts_by_name: Counter[str] = field(default_factory=Counter)
-    _sent_by_name: Counter[str] = field(default_factory=Counter)
 
     def add(self, name: str, count: int = 1) -> None:
         """Add to a counter."""
@@ -34,12 +28,8 @@
     def store_calls(self) -> int:
         """Return all calls to the key-value store so far."""
         counts = self.counts_by_name.items()
-        return sum(count for name, count in counts if name.startswith("store."))
-
-    def send(self, client: StatsdClient) -> None:
-        """Send what was counted since the last call."""
-        for name, count in self.counts_by_name.items():
-            increase = count - self._sent_by_name[name]
-            if increase:
-                client.incr(name, increase)
-                self._sent_by_name[name] = count
+        return sum(count for name, count in counts if name.startswith(STORE_PREFIX))
+
+    def read(self) -> Mapping[str, float]:
+        """Return all totals, a source for `MetricsReporter`."""
+        return dict(self.counts_by_name)
--- a/redwingplank/runtime/journal_writer.py
+++ b/redwingplank/runtime/journal_writer.py
@@ -157,9 +157,7 @@
     async def _write_once(self, put: Put) -> None:
         await self._write(put.key, Compare(put.key, 0), (put,))
 
-    async def _write(
-        self, key: str, compare: Compare, operations: tuple[Put | Delete, ...]
-    ) -> int:
+    async def _write(self, key: str, compare: Compare, operations: tuple[Put | Delete, ...]) -> int:
         """Do a transaction exactly once and return the key's modification revision.
 
         Notes
--- a/redwingplank/runtime/lease_loop.py
+++ b/redwingplank/runtime/lease_loop.py
@@ -16,8 +16,8 @@
     WatchEvent,
 )
 from redwingplank.scheduling.ownership import (
-    OwnershipActionKind,
     OwnerRecord,
+    OwnershipActionKind,
     OwnerView,
     ShardKeys,
     ShardOwnership,
--- /dev/null
+++ b/redwingplank/runtime/scheduler.py
@@ -0,0 +1,180 @@
+"""The scheduler process: a candidate for every shard of its failure domain."""
+
+import asyncio
+import uuid
+from collections.abc import Callable, Mapping
+
+import numpy as np
+import xxhash
+
+from redwingplank.config import NO_DECLARATIONS, Declarations
+from redwingplank.core import Clock, log_event, make_logger
+from redwingplank.platform import KeyValueStore, ListedVm, VmList, WorkerClient
+from redwingplank.runtime.bounded_store import BoundedStore
+from redwingplank.runtime.counters import ProcessCounters
+from redwingplank.runtime.scheduler_core import SchedulerCore, SchedulerFactory
+from redwingplank.runtime.scheduler_service import SchedulerService
+from redwingplank.runtime.settings import SchedulerProcessSettings
+from redwingplank.runtime.shard_runner import ShardRunner
+from redwingplank.runtime.shards import shard_names
+from redwingplank.runtime.term_runner import TermContext
+from redwingplank.runtime.vm_poller import VmPoller
+from redwingplank.scheduling.messages import RecoveredState
+from redwingplank.scheduling.ownership import ShardOwnership
+from redwingplank.scheduling.sharding import shard_of_worker
+
+__all__ = ["CoreFactory", "SchedulerProcess", "make_scheduler_process"]
+
+CoreFactory = Callable[
+    [SchedulerProcessSettings, str, RecoveredState, Declarations, float], SchedulerCore
+]
+"""Builds the decision core of a shard: settings, shard, recovered state, declarations, now."""
+
+
+def make_unique_nonce() -> str:
+    """Return a random string that no other process has."""
+    return uuid.uuid4().hex
+
+
+class SchedulerProcess:
+    """All shards of one process.
+
+    Parameters
+    ----------
+    settings : SchedulerProcessSettings
+        Of the process.
+    runners_by_shard : mapping of str to ShardRunner
+        Its shards.
+    poller : VmPoller
+        Reads the platform's list.
+    counters : ProcessCounters
+        Of the process.
+    """
+
+    def __init__(
+        self,
+        settings: SchedulerProcessSettings,
+        runners_by_shard: Mapping[str, ShardRunner],
+        poller: VmPoller,
+        counters: ProcessCounters,
+    ) -> None:
+        self.settings = settings
+        self.runners_by_shard = runners_by_shard
+        self.counters = counters
+        self._poller = poller
+        self._tasks: list[asyncio.Task] = []
+        self._logger = make_logger("scheduler")
+
+    def service(self) -> SchedulerService:
+        """Return what answers calls, for `serve_node`."""
+        return SchedulerService(self.runners_by_shard)
+
+    def change_declarations(self, declarations: Declarations) -> None:
+        """Take in a newer revision of the declarations; an older one is ignored."""
+        for runner in self.runners_by_shard.values():
+            runner.change_declarations(declarations)
+
+    def start(self) -> None:
+        """Become a candidate for every shard."""
+        runs = [self._poller.run(), *(runner.run() for runner in self.runners_by_shard.values())]
+        self._tasks = [asyncio.create_task(run) for run in runs]
+
+    async def wait(self) -> None:
+        """Return, or raise, when a task of the process ends by itself."""
+        done, _ = await asyncio.wait(self._tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+
+    async def stop(self, successor: str = "") -> None:
+        """Stop intake, make everything durable, hand every shard over and end.
+
+        Parameters
+        ----------
+        successor : str
+            Address of the candidate that takes over, empty for any.
+        """
+        within_s = self.settings.stop_within_s
+        stops = [runner.stop(successor, within_s) for runner in self.runners_by_shard.values()]
+        await asyncio.gather(*stops)
+        await self.abort()
+        log_event(self._logger, "stopped", successor=successor)
+
+    async def abort(self) -> None:
+        """End at once, as a crash would."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def make_scheduler_process(
+    settings: SchedulerProcessSettings,
+    store: KeyValueStore,
+    vm_list: VmList,
+    workers: WorkerClient,
+    clock: Clock,
+    unix_clock: Clock,
+    make_core: CoreFactory,
+    declarations: Declarations = NO_DECLARATIONS,
+    make_nonce: Callable[[], str] = make_unique_nonce,
+) -> SchedulerProcess:
+    """Build the scheduler process; nothing runs before its `start`.
+
+    Parameters
+    ----------
+    settings : SchedulerProcessSettings
+        Of the process.
+    store, vm_list, workers : KeyValueStore, VmList, WorkerClient
+        The platform.
+    clock, unix_clock : Clock
+        Monotonic time and wall clock.
+    make_core : callable
+        Builds the decision core of a shard.
+    declarations : Declarations
+        In force at the start; newer ones come by `SchedulerProcess.change_declarations`.
+    make_nonce : callable
+        Returns a string that no other term of any process ever uses.
+    """
+    counters = ProcessCounters()
+    bounded_store = BoundedStore(store, counters, settings.store_timeout_s)
+    address_seed = xxhash.xxh64_intdigest(settings.address.encode())
+    generator = np.random.default_rng((settings.seed, address_seed))
+    shards = shard_names((settings.failure_domain,), settings.shard_count)
+    runners_by_shard: dict[str, ShardRunner] = {}
+    for shard in shards:
+        context = TermContext(
+            shard,
+            settings,
+            bounded_store,
+            workers,
+            clock,
+            unix_clock,
+            counters,
+            _bind_core(settings, shard, make_core),
+        )
+        ownership = ShardOwnership(settings.lease, settings.address, generator, clock.now_s())
+        runners_by_shard[shard] = ShardRunner(context, ownership, make_nonce, declarations)
+
+    def on_listed(listed: tuple[ListedVm, ...]) -> None:
+        for shard, runner in runners_by_shard.items():
+            runner.list_workers(
+                tuple(vm for vm in listed if shard_of_worker(vm.name, shards) == shard)
+            )
+
+    poller = VmPoller(
+        vm_list,
+        settings.failure_domain,
+        settings.list_poll_every_s,
+        settings.store_timeout_s,
+        counters,
+        on_listed,
+    )
+    return SchedulerProcess(settings, runners_by_shard, poller, counters)
+
+
+def _bind_core(
+    settings: SchedulerProcessSettings, shard: str, make_core: CoreFactory
+) -> SchedulerFactory:
+    def build(recovered: RecoveredState, declarations: Declarations, now_s: float) -> SchedulerCore:
+        return make_core(settings, shard, recovered, declarations, now_s)
+
+    return build
--- a/redwingplank/runtime/term_runner.py
+++ b/redwingplank/runtime/term_runner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from redwingplank.config import Declarations
@@ -189,9 +188,7 @@
     def _start(self, replayed: ReplayedJournal) -> None:
         context, now_s = self._context, self._context.clock.now_s()
         recovery = self._settings.recovery()
-        recovered = make_recovered_state(
-            replayed.image, self._term.epoch, self._won_at_s, recovery
-        )
+        recovered = make_recovered_state(replayed.image, self._term.epoch, self._won_at_s, recovery)
         self.core = context.make_core(recovered, self._declarations, now_s)
         buffer = JournalBuffer(
             self._keys.journal,
--- /dev/null
+++ b/redwingplank/runtime/tests/cells.py
@@ -0,0 +1,98 @@
+"""Small cells of scheduler processes and stand-ins, in virtual time."""
+
+import asyncio
+from dataclasses import dataclass, field, replace
+
+from redwingplank.core import Clock, make_resources
+from redwingplank.platform import ListedVm, VmRole
+from redwingplank.runtime.scheduler import SchedulerProcess, make_scheduler_process
+from redwingplank.runtime.settings import SchedulerProcessSettings
+from redwingplank.runtime.tests.small_core import make_small_core
+from redwingplank.scheduling.messages import JobSpec
+from redwingplank.standin.faults import Faults
+from redwingplank.standin.history import History
+from redwingplank.standin.store import MemoryStore, MemoryStoreClient
+from redwingplank.standin.virtual_time import VirtualClock
+from redwingplank.standin.vms import LaggingVmList, MemoryVmList
+from redwingplank.standin.workers import MemoryWorkerClient, StandinWorker
+
+DOMAIN = "ankara-1"
+CAPACITY = make_resources(64_000, 128 * 1024)
+
+
+@dataclass
+class Candidate:
+    """One scheduler process and the switches of its calls."""
+
+    process: SchedulerProcess
+    clock: Clock
+    store_faults: Faults = field(default_factory=Faults)
+    worker_faults: Faults = field(default_factory=Faults)
+
+    @property
+    def runner(self):
+        return self.process.runners_by_shard[DOMAIN]
+
+    @property
+    def is_ready(self):
+        """Whether it owns the shard and has replayed the journal."""
+        term_runner = self.runner.term_runner
+        return term_runner is not None and term_runner.core is not None
+
+    @property
+    def mode(self):
+        return self.runner.ownership.mode(self.clock.now_s())
+
+
+class Cell:
+    """Stand-ins of one failure domain."""
+
+    def __init__(self, worker_count=3, make_core=make_small_core, clock=None, **settings):
+        self.clock = clock or VirtualClock()
+        self.store = MemoryStore(self.clock)
+        self.history = History()
+        self.vm_list = LaggingVmList(self.clock)
+        self.workers = {}
+        self.make_core = make_core
+        self.settings = SchedulerProcessSettings("", DOMAIN, **settings)
+        for index in range(worker_count):
+            self.add_worker(f"w{index}")
+
+    def add_worker(self, name):
+        address = f"{name}:1"
+        self.workers[address] = StandinWorker(name, CAPACITY, self.clock, self.history)
+        row = ListedVm(name, VmRole.WORKER, DOMAIN, "r1", address, capacity=CAPACITY)
+        self.vm_list.put(row)
+
+    def add_candidate(self, name, wrap_store=lambda store: store, wrap_workers=lambda w: w):
+        store_faults, worker_faults = Faults(), Faults()
+        nonces = iter(f"{name}-{number}" for number in range(10_000))
+        process = make_scheduler_process(
+            replace(self.settings, address=f"{name}:1"),
+            wrap_store(MemoryStoreClient(self.store, store_faults)),
+            MemoryVmList(self.vm_list),
+            wrap_workers(MemoryWorkerClient(self.workers, worker_faults)),
+            self.clock,
+            self.clock,
+            self.make_core,
+            make_nonce=lambda: next(nonces),
+        )
+        process.start()
+        return Candidate(process, self.clock, store_faults, worker_faults)
+
+    def started_tasks(self):
+        return [event.subject for event in self.history.events if event.kind == "task_started"]
+
+
+async def until(condition, within_s=60.0, step_s=0.01, clock=None):
+    """Let virtual time pass until a condition holds."""
+    clock = clock or VirtualClock()
+    deadline_s = clock.now_s() + within_s
+    while not condition():
+        assert clock.now_s() < deadline_s, "the condition never held"
+        await asyncio.sleep(step_s)
+
+
+def make_spec(name="job", task_count=1, run_s=1.0):
+    payload = b'{"run_s": %f}' % run_s
+    return JobSpec(f"{DOMAIN}.{name}", "bureau", "extract", task_count, payload=payload)
--- a/redwingplank/scheduling/journal.py
+++ b/redwingplank/scheduling/journal.py
@@ -306,7 +306,9 @@
         self._number = 1
         self.log_bytes = self.log_flushes = 0
         map_keys = tuple(
-            (stream, key) for stream, values in self.image.values_by_stream.items() for key in values
+            (stream, key)
+            for stream, values in self.image.values_by_stream.items()
+            for key in values
         )
         return SnapshotPlan(
             self._segment, self.image.last_sequence, tuple(self.image.jobs_by_id), map_keys
@@ -320,9 +322,7 @@
         Between two parts newer records may become durable. They may show in later parts and
         stand in the log as well, which `JournalImage` allows.
         """
-        number = 0
-        for part in self._parts(plan):
-            number += 1
+        for number, part in enumerate(self._parts(plan), start=1):
             yield Put(base_key(self.prefix, plan.segment, number), encode(part))
 
     def finish_operations(self, plan: SnapshotPlan, part_count: int) -> tuple[Put | Delete, ...]:
--- a/redwingplank/scheduling/journal_codec.py
+++ b/redwingplank/scheduling/journal_codec.py
@@ -45,29 +45,25 @@
     payload: bytes
 
 
-class _Stored(msgspec.Struct, frozen=True, array_like=True):
-    pass
-
-
-class StoredAccepted(_Stored, tag=1):
+class StoredAccepted(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """A `JobAccepted`."""
 
     spec: StoredSpec
 
 
-class StoredCancelled(_Stored, tag=2):
+class StoredCancelled(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """A `JobCancelled`."""
 
     job_id: str
 
 
-class StoredIntents(_Stored, tag=3):
+class StoredIntents(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """A `StartIntended`."""
 
     attempts: tuple[tuple[str, int, str], ...]
 
 
-class StoredTaskFinished(_Stored, tag=4):
+class StoredTaskFinished(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """A `TaskFinished`."""
 
     task_id: str
@@ -76,7 +72,7 @@
     detail: str
 
 
-class StoredJobFinished(_Stored, tag=5):
+class StoredJobFinished(msgspec.Struct, frozen=True, array_like=True, tag=5):
     """A `JobFinished`."""
 
     job_id: str
--- a/redwingplank/scheduling/recovery.py
+++ b/redwingplank/scheduling/recovery.py
@@ -34,6 +34,7 @@
 class JournalCorruptError(RedwingError):
     """The journal has a gap: keep its keys, and restore them from the platform's backup."""
 
+
 FIRST_HEAD = SnapshotHead(segment=0, part_count=0, last_sequence=0)
 
 
