--- a/redwingplank/runtime/term_runner.py
+++ b/redwingplank/runtime/term_runner.py
@@ -130,6 +130,8 @@
         """Take in the shard's workers, as just listed."""
         self._workers = {vm.name: vm for vm in workers}
         self.deliver(VmsListed(workers))
+        if self.exchanges is not None and self._context.clock.now_s() >= self._adopt_at_s:
+            self.exchanges.adopt_missing(self._workers)
 
     def change_declarations(self, declarations: Declarations) -> None:
         """Take in a newer revision."""
--- a/redwingplank/runtime/tests/test_scheduler.py
+++ b/redwingplank/runtime/tests/test_scheduler.py
@@ -33,7 +33,7 @@
 
         async def scenario():
             clock = MonotonicClock()
-            cell = Cell(clock=clock, tick_every_s=0.01)
+            cell = Cell(clock=clock, tick_every_s=0.01, task_lease_s=0.4)
             owner = cell.add_candidate("a")
             server = await serve_node(address, {SCHEDULER_SERVICE: owner.process.service()})
             peers = PeerConnections()
