Let waits pass a least time, so that rounding cannot make the lease loop spin

Cause: a wait shorter than the clock's resolution returned at once, again and again, and stopped virtual time. Change: waits are 1 ms or more.

--- a/redwingplank/runtime/callers.py
+++ b/redwingplank/runtime/callers.py
@@ -9,6 +9,8 @@
 
 __all__ = ["CallerTable"]
 
+MIN_WAIT_S = 0.001
+
 Answer = TypeVar("Answer", SubmitAnswer, CancelAnswer)
 
 
@@ -50,7 +52,7 @@
                 return
             change = asyncio.get_running_loop().create_future()
             self._changes.add(change)
-            await asyncio.wait([change], timeout=remaining_s)
+            await asyncio.wait([change], timeout=max(remaining_s, MIN_WAIT_S))
             self._changes.discard(change)
 
     def ticked(self) -> None:
--- a/redwingplank/runtime/lease_loop.py
+++ b/redwingplank/runtime/lease_loop.py
@@ -31,6 +31,7 @@
 __all__ = ["ShardLeaseLoop"]
 
 RELEASE_ATTEMPTS = 3
+MIN_WAIT_S = 0.001
 
 
 class ShardLeaseLoop:
@@ -130,7 +131,7 @@
 
     async def _wait(self, longest_s: float) -> None:
         try:
-            await asyncio.wait_for(self._wake.wait(), longest_s)
+            await asyncio.wait_for(self._wake.wait(), max(longest_s, MIN_WAIT_S))
         except TimeoutError:
             return
 
--- a/redwingplank/scheduling/tests/test_journal.py
+++ b/redwingplank/scheduling/tests/test_journal.py
@@ -21,6 +21,7 @@
     JobFinished,
     JobSpec,
     JobState,
+    JournalEntry,
     JournalRecord,
     StartIntended,
     TaskFinished,
@@ -39,7 +40,7 @@
 
 def job_records(sequence, name, size=10):
     spec = JobSpec(name, "bureau", "extract", 2, payload=b"p" * size)
-    entries = [
+    entries: list[JournalEntry] = [
         JobAccepted(spec),
         StartIntended(((f"{name}/0", 1, "w1"), (f"{name}/1", 1, "w2"))),
         TaskFinished(f"{name}/0", TaskState.SUCCEEDED, b"r" * size),
@@ -114,7 +115,7 @@
 
     def test_keeps_within_its_flushes_per_second(self):
         buffer = make_buffer(max_flushes_per_s=10.0)
-        cut_at_s = []
+        cut_at_s: list[float] = []
         for sequence in range(1, 20):
             buffer.add_records([JournalRecord(sequence, JobCancelled("j"))])
             now_s = max(buffer.next_flush_at_s(), cut_at_s[-1] if cut_at_s else 50.0)
