Decide placements, ends and recovery of a shard in a core without I/O

Cause: the shard's owner needs a decision core behind the message contract. Outbox gains inventories_wanted (default empty): workers to adopt again.

--- /dev/null
+++ b/redwingplank/scheduling/lifecycle.py
@@ -0,0 +1,219 @@
+"""Transitions of tasks and jobs: queued, placed, released and finished."""
+
+from functools import partial
+
+from redwingplank.config import WorkloadKind
+from redwingplank.platform import TaskAction, TaskActionKind
+from redwingplank.scheduling.entities import Job, Phase, StopReason, Task, Worker
+from redwingplank.scheduling.messages import (
+    JobFinished,
+    JobState,
+    StartIntended,
+    TaskFinished,
+    TaskState,
+)
+from redwingplank.scheduling.state import ShardState
+from redwingplank.scheduling.vm_table import Amounts
+
+__all__ = ["TaskLifecycle"]
+
+
+class TaskLifecycle:
+    """Changes the phase of tasks and keeps every table in step with it.
+
+    Parameters
+    ----------
+    state : ShardState
+        The shard's tables.
+    """
+
+    def __init__(self, state: ShardState) -> None:
+        self._state = state
+
+    def queue(self, task: Task, now_s: float) -> None:
+        """Let a task wait for a place."""
+        state = self._state
+        job = task.job
+        task.stop_reason = None
+        task.queued_at_s = now_s
+        usage = state.shares.find(job.spec.organisation)
+        state.queue.push(task, usage, self.declared(job))
+        if len(job.queued) == 1 and job.queue_class > 0:
+            wait_s = job.service.start_within_s * state.settings.ageing_factor
+            state.queue.promote_at(job, now_s + wait_s)
+
+    def queue_after(self, task: Task, delay_s: float, now_s: float) -> None:
+        """Let a task wait for a place once `delay_s` has passed."""
+        task.phase = Phase.BACKOFF
+        task.not_before_s = now_s + delay_s
+        self._state.due.call_at(task.not_before_s, partial(self._end_backoff, task))
+
+    def declared(self, job: Job) -> Amounts:
+        """Return the declared need of each task of a job."""
+        need = job.spec.resources or job.service.resources
+        return self._state.table.amounts(need)
+
+    def place(self, task: Task, worker: Worker, amounts: Amounts, now_s: float) -> None:
+        """Reserve `amounts` on a worker and start the task there."""
+        self._state.queue.take(task)
+        task.attempt = self._state.next_attempt(task)
+        task.stop_reason = None
+        task.placed_at_s = now_s
+        task.waited_s = now_s - task.queued_at_s
+        self.reserve(task, worker, amounts)
+        self._mark_started(task.job)
+        if task.job.service.is_idempotent or task.job.is_volatile:
+            self.send_start(task)
+        else:
+            task.phase = Phase.INTENDED
+            self._state.intended.append(task)
+
+    def reserve(self, task: Task, worker: Worker, amounts: Amounts) -> None:
+        """Give a task a reservation on a worker."""
+        state = self._state
+        job = task.job
+        task.worker = worker
+        task.amounts = amounts
+        task.reserved = state.resources(amounts)
+        state.table.reserve(worker.row, amounts)
+        worker.tasks_by_id[task.task_id] = task
+        rack = int(state.table.rack[worker.row])
+        job.used_by_rack[rack] = job.used_by_rack.get(rack, 0) + 1
+        usage = state.shares.find(job.spec.organisation)
+        state.shares.charge(usage, amounts, 1)
+        state.queue.reorder(usage)
+        state.running_count += 1
+
+    def release(self, task: Task) -> None:
+        """Give a task's reservation back; only with proof that it has stopped."""
+        state = self._state
+        worker, amounts = task.worker, task.amounts
+        assert worker is not None
+        assert amounts is not None
+        if task.phase is Phase.RUNNING:
+            worker.confirmed_count -= 1
+        state.table.release(worker.row, amounts)
+        state.freed_rows[worker.row] = None
+        del worker.tasks_by_id[task.task_id]
+        task.job.used_by_rack[int(state.table.rack[worker.row])] -= 1
+        usage = state.shares.find(task.job.spec.organisation)
+        state.shares.charge(usage, amounts, -1)
+        if usage.has_quota:
+            state.freed_organisations[usage.name] = None
+        state.queue.reorder(usage)
+        state.running_count -= 1
+        task.worker = task.amounts = None
+        task.phase = Phase.HELD
+
+    def send_start(self, task: Task) -> None:
+        """Put a start into its worker's next request."""
+        assert task.worker is not None
+        task.phase = Phase.TO_SEND
+        task.worker.to_send.append(task)
+        self._state.touch(task.worker)
+
+    def write_intents(self, now_s: float) -> None:
+        """Record this tick's intents to start non-idempotent tasks, in one record."""
+        state = self._state
+        intended = [task for task in state.intended if task.phase is Phase.INTENDED]
+        state.intended.clear()
+        if not intended:
+            return
+        attempts = tuple(
+            (task.task_id, task.attempt, task.worker.name) for task in intended if task.worker
+        )
+        state.journal.append(StartIntended(attempts))
+        numbered = [(task, task.attempt) for task in intended]
+        state.journal.when_durable(partial(self._send_intended, numbered), now_s)
+
+    def stop(self, task: Task, reason: StopReason, kind: TaskActionKind, now_s: float) -> None:
+        """Ask the worker to stop a task; one that was not sent yet ends at once."""
+        worker = task.worker
+        assert worker is not None
+        if task.phase in (Phase.INTENDED, Phase.TO_SEND):
+            task.stop_reason = reason
+            self.end_unstarted(task, now_s)
+            return
+        task.stop_reason = reason
+        task.stop_sent_at_s = now_s
+        worker.actions.append(TaskAction(task.task_id, task.attempt, kind))
+        self._state.touch(worker)
+
+    def end_unstarted(self, task: Task, now_s: float) -> None:
+        """End an attempt that certainly never started; it does not count as one."""
+        reason = task.stop_reason
+        self.release(task)
+        if task.job.is_cancelled or reason is StopReason.CANCELLED:
+            self.finish(task, TaskState.CANCELLED, now_s, reason="cancelled before it started")
+        elif reason in (StopReason.COUNT_LOWERED, StopReason.MOVED):
+            self.finish(task, TaskState.CANCELLED, now_s, reason=str(reason))
+        elif reason is not StopReason.GANG_ROLLED_BACK:
+            self.queue(task, now_s)
+
+    def finish(
+        self, task: Task, state: TaskState, now_s: float, reason: str = "", result: bytes = b""
+    ) -> None:
+        """Take a task to a final state and its job too when it was the last one."""
+        job = task.job
+        task.phase = Phase.DONE
+        task.final_state = state
+        task.reason = reason
+        task.result = result
+        job.open_count -= 1
+        job.succeeded_count += state is TaskState.SUCCEEDED
+        job.failed_count += state is TaskState.FAILED
+        job.unknown_count += state is TaskState.UNKNOWN
+        is_recorded = not job.is_volatile and job.service.kind is not WorkloadKind.SERVICE
+        if is_recorded and state is not TaskState.CANCELLED:
+            record = TaskFinished(task.task_id, state, result, reason)
+            task.final_sequence = self._state.journal.append(record)
+            self._state.journal.when_durable(partial(_grow_version, job), now_s)
+        job.version += 1
+        if job.open_count == 0 and job.service.kind is not WorkloadKind.SERVICE:
+            self.finish_job(job, now_s)
+
+    def finish_job(self, job: Job, now_s: float) -> None:
+        """Take a job without open tasks to its final state."""
+        job.state, job.detail = _final_job_state(job)
+        if not job.is_volatile:
+            record = JobFinished(job.job_id, job.state, job.detail)
+            job.final_sequence = self._state.journal.append(record)
+            self._state.journal.when_durable(partial(_grow_version, job), now_s)
+        self._state.decide("job_finished", job=job.job_id, state=job.state, reason=job.detail)
+        self.forget_later(job, now_s)
+
+    def forget_later(self, job: Job, now_s: float) -> None:
+        """Forget a finished job after the retention."""
+        due_s = now_s + self._state.settings.job_retention_s
+        self._state.due.call_at(due_s, partial(self._forget, job.job_id))
+
+    def _forget(self, job_id: str, now_s: float) -> None:
+        self._state.jobs_by_id.pop(job_id, None)
+
+    def _mark_started(self, job: Job) -> None:
+        if job.state is JobState.ACCEPTED:
+            job.state = JobState.RUNNING
+        job.version += 1
+
+    def _end_backoff(self, task: Task, now_s: float) -> None:
+        if task.phase is Phase.BACKOFF and now_s >= task.not_before_s:
+            self.queue(task, now_s)
+
+    def _send_intended(self, numbered: list[tuple[Task, int]], now_s: float) -> None:
+        for task, attempt in numbered:
+            if task.phase is Phase.INTENDED and task.attempt == attempt:
+                self.send_start(task)
+
+
+def _grow_version(job: Job, now_s: float) -> None:
+    job.version += 1
+
+
+def _final_job_state(job: Job) -> tuple[JobState, str]:
+    if job.unknown_count:
+        return JobState.UNKNOWN, f"{job.unknown_count} tasks may or may not have run"
+    if job.is_cancelled:
+        return JobState.CANCELLED, "cancelled"
+    if job.failed_count:
+        return JobState.FAILED, f"{job.failed_count} of {len(job.tasks)} tasks failed"
+    return JobState.SUCCEEDED, ""
--- a/redwingplank/scheduling/messages.py
+++ b/redwingplank/scheduling/messages.py
@@ -370,12 +370,16 @@
         Answers to callers and wishes.
     decisions : tuple of str
         Decision log lines of ``key=value`` pairs, already formatted.
+    inventories_wanted : tuple of str
+        Workers to adopt again under the same epoch, because the number of attempts that they run
+        is not the owner's; answered by `WorkerAdopted`.
     """
 
     records: tuple[JournalRecord, ...]
     requests_by_worker: dict[str, WorkerRequest]
     messages: tuple[OutboxMessage, ...]
     decisions: tuple[str, ...]
+    inventories_wanted: tuple[str, ...] = ()
 
 
 # Views for callers
--- /dev/null
+++ b/redwingplank/scheduling/parking.py
@@ -0,0 +1,77 @@
+"""Lanes that found no room or no quota, kept aside until that changes."""
+
+import numpy as np
+
+from redwingplank.scheduling.messages import GrantWanted
+from redwingplank.scheduling.queue import Lane
+from redwingplank.scheduling.state import ShardState
+from redwingplank.scheduling.vm_table import Amounts
+
+__all__ = ["Parking"]
+
+
+class Parking:
+    """Parks lanes by their need and brings them back when a place of that size appears.
+
+    Parameters
+    ----------
+    state : ShardState
+        The shard's tables.
+    """
+
+    def __init__(self, state: ShardState) -> None:
+        self._state = state
+        self._lanes_by_need: dict[tuple[int, ...], list[Lane]] = {}
+        self._lanes_by_organisation: dict[str, list[Lane]] = {}
+
+    def is_full(self, need: Amounts) -> bool:
+        """Return whether lanes of the same need are parked already."""
+        return tuple(need.tolist()) in self._lanes_by_need
+
+    def park_for_room(self, lane: Lane, need: Amounts, now_s: float) -> None:
+        """Park a lane until a row has room for its need."""
+        self._state.queue.park(lane, now_s)
+        self._lanes_by_need.setdefault(tuple(need.tolist()), []).append(lane)
+
+    def park_for_quota(self, lane: Lane, need: Amounts, now_s: float) -> None:
+        """Park a lane until its organisation holds less or may hold more."""
+        state = self._state
+        state.queue.park(lane, now_s)
+        self._lanes_by_organisation.setdefault(lane.usage.name, []).append(lane)
+        if now_s >= lane.usage.wanted_at_s + state.settings.grant_repeat_s:
+            lane.usage.wanted_at_s = now_s
+            wanted = state.resources(need)
+            state.messages.append(GrantWanted(lane.usage.name, wanted))
+
+    def release_organisation(self, organisation: str) -> None:
+        """Bring back the lanes that wait for an organisation's quota."""
+        for lane in self._lanes_by_organisation.pop(organisation, ()):
+            self._state.queue.unpark(lane)
+
+    def release_fitting(self) -> None:
+        """Bring back the lanes whose need or quota fits after what was released."""
+        state = self._state
+        for organisation in state.freed_organisations:
+            self.release_organisation(organisation)
+        state.freed_organisations.clear()
+        rows = [row for row in state.freed_rows if row < state.table.row_count]
+        state.freed_rows.clear()
+        if not rows or not self._lanes_by_need:
+            return
+        needs = list(self._lanes_by_need)
+        for need in self._fitting(needs, rows):
+            for lane in self._lanes_by_need.pop(need):
+                state.queue.unpark(lane)
+
+    def _fitting(self, needs: list[tuple[int, ...]], rows: list[int]) -> list[tuple[int, ...]]:
+        table = self._state.table
+        width = len(table.dimensions)
+        matrix = np.zeros((len(needs), width), np.int64)
+        for number, need in enumerate(needs):
+            matrix[number, : len(need)] = need
+        free = table.free[:, rows]
+        is_fitting = np.ones((len(needs), len(rows)), np.bool_)
+        for dimension in range(width):
+            is_fitting &= matrix[:, dimension, None] <= free[dimension]
+        is_fitting &= table.is_open[rows]
+        return [needs[number] for number in np.flatnonzero(is_fitting.any(axis=1))]
--- /dev/null
+++ b/redwingplank/scheduling/placer.py
@@ -0,0 +1,136 @@
+"""Chooses a VM for a task from scores that are kept up to date row by row."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+import numpy as np
+from numpy.typing import NDArray
+
+from redwingplank.config import PlacementPolicyName
+from redwingplank.scheduling.policies import PlacementPolicy, make_policy
+from redwingplank.scheduling.vm_table import Amounts, VmTable
+
+__all__ = ["NO_ROW", "Placer"]
+
+NO_ROW = -1
+_MAX_CACHES = 256
+_SPREAD_WEIGHT = 10.0
+
+
+@dataclass(slots=True)
+class _Scores:
+    amounts: tuple[int, ...]
+    scores: NDArray[np.float64]
+    seen_change: int
+
+
+class Placer:
+    """Finds the best VM for an amount of resources.
+
+    Parameters
+    ----------
+    table : VmTable
+        The VMs.
+    rng : numpy.random.Generator
+        For the policies that are random.
+
+    Notes
+    -----
+    The scores of all rows are worked out once for each pair of amounts and policy. After that
+    only rows that changed are scored again, so that one choice costs a minimum over the rows.
+    """
+
+    def __init__(self, table: VmTable, rng: np.random.Generator) -> None:
+        self._table = table
+        self._policies_by_name: dict[PlacementPolicyName, PlacementPolicy] = {
+            name: make_policy(name, rng) for name in PlacementPolicyName
+        }
+        self._caches_by_key: dict[tuple[PlacementPolicyName, tuple[int, ...]], _Scores] = {}
+
+    def choose(
+        self,
+        amounts: Amounts,
+        policy: PlacementPolicyName,
+        avoided_rows: Collection[int] = (),
+        used_by_rack: NDArray[np.int64] | None = None,
+    ) -> int:
+        """Return the best row with room, or `NO_ROW`.
+
+        Parameters
+        ----------
+        amounts : ndarray of int64
+            What the task needs.
+        policy : PlacementPolicyName
+            Which policy scores the rows.
+        avoided_rows : collection of int
+            Rows that are taken only when no other has room.
+        used_by_rack : ndarray of int64, optional
+            Tasks of the job in each rack, to spread over.
+        """
+        scores = self._current_scores(amounts, policy)
+        if used_by_rack is not None:
+            scores = scores + _SPREAD_WEIGHT * used_by_rack[self._table.rack]
+        if avoided_rows:
+            others = scores.copy()
+            others[list(avoided_rows)] = np.inf
+            row = int(others.argmin())
+            if others[row] < np.inf:
+                return row
+        row = int(scores.argmin())
+        return row if scores[row] < np.inf else NO_ROW
+
+    def candidate_count(self, amounts: Amounts, policy: PlacementPolicyName) -> int:
+        """Return how many rows have room."""
+        return int(np.count_nonzero(self._current_scores(amounts, policy) < np.inf))
+
+    def _current_scores(self, amounts: Amounts, policy: PlacementPolicyName) -> NDArray[np.float64]:
+        table = self._table
+        key = (policy, tuple(amounts.tolist()))
+        cache = self._caches_by_key.get(key)
+        if cache is None or self._is_stale(cache):
+            cache = _Scores(key[1], self._score_all(amounts, policy), table.change_count)
+            if len(self._caches_by_key) >= _MAX_CACHES:
+                self._caches_by_key.pop(next(iter(self._caches_by_key)))
+            self._caches_by_key[key] = cache
+            return cache.scores
+        if cache.seen_change < table.change_count:
+            changed = table.changed_rows[cache.seen_change - table.first_change :]
+            for row in set(changed):
+                cache.scores[row] = self._score_one(cache.amounts, policy, row)
+            cache.seen_change = table.change_count
+        return cache.scores
+
+    def _is_stale(self, cache: _Scores) -> bool:
+        table = self._table
+        behind = table.change_count - cache.seen_change
+        too_far = cache.seen_change < table.first_change or behind > 4 + table.row_count // 8
+        return too_far or len(cache.scores) != len(table.is_open)
+
+    def _score_all(self, amounts: Amounts, policy: PlacementPolicyName) -> NDArray[np.float64]:
+        table = self._table
+        is_feasible = table.is_open & ~table.is_held & table.fitting_rows(amounts)
+        left = [
+            (table.free[dimension] - amount) * table.inverse[dimension]
+            for dimension, amount in enumerate(amounts)
+        ]
+        left.extend(
+            table.free[dimension] * table.inverse[dimension]
+            for dimension in range(len(amounts), len(table.dimensions))
+        )
+        rows = np.arange(len(table.is_open))
+        scores = self._policies_by_name[policy].score(left, table.speed, rows)
+        return np.where(is_feasible, scores, np.inf)
+
+    def _score_one(self, amounts: tuple[int, ...], policy: PlacementPolicyName, row: int) -> float:
+        table = self._table
+        if not table.is_open[row] or table.is_held[row]:
+            return np.inf
+        free = table.free[:, row].tolist()
+        inverse = table.inverse[:, row].tolist()
+        left = []
+        for dimension, amount in enumerate(free):
+            amount -= amounts[dimension] if dimension < len(amounts) else 0
+            if amount < 0:
+                return np.inf
+            left.append(amount * inverse[dimension])
+        return float(self._policies_by_name[policy].score(left, float(table.speed[row]), row))
--- /dev/null
+++ b/redwingplank/scheduling/shares.py
@@ -0,0 +1,108 @@
+"""Usage, quota grants and fair shares of organisations."""
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from redwingplank.core import Resources
+from redwingplank.scheduling.vm_table import Amounts, VmTable
+
+__all__ = ["OrganisationUsage", "ShareTable"]
+
+
+@dataclass(slots=True, eq=False)
+class OrganisationUsage:
+    """What an organisation holds in the shard.
+
+    Parameters
+    ----------
+    name : str
+        The organisation.
+    weight : int
+        Its declared share.
+    has_quota : bool
+        Whether its starts are bounded by a grant.
+    grant : ndarray or None
+        What it may reserve here; None with a quota means that none arrived yet.
+    """
+
+    name: str
+    weight: int = 100
+    has_quota: bool = False
+    grant: Amounts | None = None
+    used: list[int] | None = None
+    share: float = 0.0
+    wanted_at_s: float = float("-inf")
+
+
+class ShareTable:
+    """Weighted dominant shares and grants of all organisations.
+
+    Parameters
+    ----------
+    table : VmTable
+        Gives the dimensions and the whole of the shard.
+    """
+
+    def __init__(self, table: VmTable) -> None:
+        self._table = table
+        self._usage_by_name: dict[str, OrganisationUsage] = {}
+        self._inverse_total: list[float] = [1.0, 1.0]
+
+    def find(self, name: str) -> OrganisationUsage:
+        """Return an organisation's row, which is made when it is first asked for."""
+        usage = self._usage_by_name.get(name)
+        if usage is None:
+            usage = self._usage_by_name[name] = OrganisationUsage(name, used=[])
+        return usage
+
+    def set_totals(self) -> None:
+        """Work out the shard's whole again after VMs came or went."""
+        totals = self._table.capacity.sum(axis=1)
+        self._inverse_total = (1.0 / np.maximum(totals, 1)).tolist()
+
+    def declare(self, name: str, weight: int, quota: Resources | None) -> None:
+        """Take an organisation's declared share and quota."""
+        usage = self.find(name)
+        usage.weight = max(1, weight)
+        usage.has_quota = quota is not None
+        self._update(usage)
+
+    def set_grant(self, name: str, grant: Resources | None) -> None:
+        """Take an organisation's grant; None removes every bound."""
+        usage = self.find(name)
+        usage.has_quota = grant is not None
+        usage.grant = None if grant is None else self._table.amounts(grant)
+
+    def may_start(self, usage: OrganisationUsage, amounts: Amounts, count: int = 1) -> bool:
+        """Return whether `count` times `amounts` more stay within the grant."""
+        if not usage.has_quota:
+            return True
+        if usage.grant is None:
+            return False
+        grant = usage.grant.tolist()
+        used = usage.used or []
+        for dimension, amount in enumerate(amounts.tolist()):
+            held = used[dimension] if dimension < len(used) else 0
+            bound = grant[dimension] if dimension < len(grant) else 0
+            if amount and held + amount * count > bound:
+                return False
+        return True
+
+    def charge(self, usage: OrganisationUsage, amounts: Amounts, sign: int) -> None:
+        """Add a reservation to an organisation's usage, or take it off with sign -1."""
+        used = usage.used
+        assert used is not None
+        while len(used) < len(amounts):
+            used.append(0)
+        for dimension, amount in enumerate(amounts.tolist()):
+            used[dimension] += sign * amount
+        self._update(usage)
+
+    def _update(self, usage: OrganisationUsage) -> None:
+        inverse = self._inverse_total
+        fractions = [
+            amount * inverse[dimension] if dimension < len(inverse) else 0.0
+            for dimension, amount in enumerate(usage.used or [])
+        ]
+        usage.share = max(fractions, default=0.0) / usage.weight
--- /dev/null
+++ b/redwingplank/scheduling/state.py
@@ -0,0 +1,128 @@
+"""The tables of a shard, which every system reads and changes."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+
+from redwingplank.config import Declarations
+from redwingplank.core import Resources, format_event
+from redwingplank.scheduling.due_calls import DueCalls
+from redwingplank.scheduling.entities import Job, Task, Worker, split_task_id
+from redwingplank.scheduling.journal_buffer import JournalBuffer
+from redwingplank.scheduling.messages import OutboxMessage, OwnershipMode
+from redwingplank.scheduling.placer import Placer
+from redwingplank.scheduling.queue import WaitingQueue
+from redwingplank.scheduling.settings import SchedulerSettings
+from redwingplank.scheduling.shares import ShareTable
+from redwingplank.scheduling.vm_table import Amounts, VmTable
+
+__all__ = ["ShardState", "make_shard_state"]
+
+ATTEMPTS_PER_EPOCH = 1_000_000
+_MAX_CACHED_RESOURCES = 4096
+
+
+@dataclass(slots=True, eq=False)
+class ShardState:
+    """All tables of a shard and what the running tick has decided so far."""
+
+    settings: SchedulerSettings
+    declarations: Declarations
+    table: VmTable
+    shares: ShareTable
+    queue: WaitingQueue
+    placer: Placer
+    journal: JournalBuffer
+    due: DueCalls
+    epoch: int
+    mode: OwnershipMode = OwnershipMode.DEGRADED
+    valid_until_s: float = float("-inf")
+    starts_from_s: float = float("-inf")
+    jobs_by_id: dict[str, Job] = field(default_factory=dict)
+    workers_by_name: dict[str, Worker] = field(default_factory=dict)
+    workers_by_row: dict[int, Worker] = field(default_factory=dict)
+    capacity_by_vm: dict[str, Resources] = field(default_factory=dict)
+    vm_count_by_capacity: Counter[Resources] = field(default_factory=Counter)
+    draining: set[str] = field(default_factory=set)
+    touched: dict[str, Worker] = field(default_factory=dict)
+    freed_rows: dict[int, None] = field(default_factory=dict)
+    freed_organisations: dict[str, None] = field(default_factory=dict)
+    intended: list[Task] = field(default_factory=list)
+    messages: list[OutboxMessage] = field(default_factory=list)
+    decisions: list[str] = field(default_factory=list)
+    closing_changed: list[Worker] = field(default_factory=list)
+    inventories_wanted: list[str] = field(default_factory=list)
+    running_count: int = 0
+    starts_per_s: float = 0.0
+    job_number: int = 0
+    _resources_by_amounts: dict[tuple[int, ...], Resources] = field(default_factory=dict)
+
+    def set_capacity(self, vm: str, capacity: Resources | None) -> None:
+        """Note what a VM has, None once it is gone."""
+        old = self.capacity_by_vm.pop(vm, None)
+        if old is not None:
+            self.vm_count_by_capacity[old] -= 1
+            if not self.vm_count_by_capacity[old]:
+                del self.vm_count_by_capacity[old]
+        if capacity is not None:
+            self.capacity_by_vm[vm] = capacity
+            self.vm_count_by_capacity[capacity] += 1
+
+    def find_task(self, task_id: str) -> Task | None:
+        """Return a task, or None when its job is not known."""
+        job_id, index = split_task_id(task_id)
+        job = self.jobs_by_id.get(job_id)
+        return job.tasks_by_index.get(index) if job else None
+
+    def next_attempt(self, task: Task) -> int:
+        """Return an attempt number that no owner of this shard has used for the task."""
+        first = max(0, self.epoch - 1) * ATTEMPTS_PER_EPOCH
+        return max(task.attempt, first) + 1
+
+    def may_start(self, now_s: float, is_volatile: bool) -> bool:
+        """Return whether a start may leave now."""
+        if now_s >= self.valid_until_s - self.settings.clock_margin_s:
+            return False
+        if now_s < self.starts_from_s:
+            return False
+        if self.mode is OwnershipMode.OWNING:
+            return True
+        return is_volatile and self.mode is OwnershipMode.DEGRADED
+
+    def resources(self, amounts: Amounts) -> Resources:
+        """Return `amounts` as resources."""
+        key = tuple(amounts.tolist())
+        found = self._resources_by_amounts.get(key)
+        if found is None:
+            if len(self._resources_by_amounts) >= _MAX_CACHED_RESOURCES:
+                self._resources_by_amounts.clear()
+            found = self._resources_by_amounts[key] = self.table.resources(key)
+        return found
+
+    def decide(self, event: str, **fields: Any) -> None:
+        """Add a decision log line."""
+        self.decisions.append(format_event(event, fields))
+
+    def touch(self, worker: Worker) -> None:
+        """Have the worker's next request built in this tick."""
+        self.touched[worker.name] = worker
+
+
+def make_shard_state(
+    settings: SchedulerSettings, declarations: Declarations, epoch: int, last_sequence: int
+) -> ShardState:
+    """Return empty tables for an owner of that epoch."""
+    table = VmTable()
+    return ShardState(
+        settings=settings,
+        declarations=declarations,
+        table=table,
+        shares=ShareTable(table),
+        queue=WaitingQueue(),
+        placer=Placer(table, np.random.default_rng(settings.seed)),
+        journal=JournalBuffer(last_sequence),
+        due=DueCalls(),
+        epoch=epoch,
+    )
