Test recovery and lost exchanges; let mismatches without inventory lapse

Cause: with workers that give no inventory, starts in doubt waited for an inventory for ever. Change: such a worker is probed without renewals until its leases lapse. The stand-in worker ends a paused attempt at the end of its lease even if the program would have ended earlier: before, it ran on for ever while paused.

--- a/redwingplank/scheduling/exchanges.py
+++ b/redwingplank/scheduling/exchanges.py
@@ -118,7 +118,7 @@
         was_reachable = worker.is_reachable
         worker.is_reachable = True
         self._settle(worker, report.running_count, now_s)
-        if not was_reachable:
+        if worker.is_reachable != was_reachable:
             self.update_open(worker)
             self._state.decide("worker_answers", worker=worker.name)
         if worker.to_send or worker.actions or not was_reachable:
@@ -146,7 +146,14 @@
             for task, _ in candidates:
                 task.phase = Phase.DOUBTFUL
             worker.doubtful = candidates
+            self._resolve_mismatch(worker, now_s)
+
+    def _resolve_mismatch(self, worker: Worker, now_s: float) -> None:
+        if self._state.settings.workers_have_inventory:
             self.want_inventory(worker, now_s)
+        elif worker.doubtful:
+            worker.is_reachable = False
+            self._lose_later(worker)
 
     def confirm(self, task: Task) -> None:
         """Note that an attempt runs."""
--- a/redwingplank/scheduling/tests/shard.py
+++ b/redwingplank/scheduling/tests/shard.py
@@ -17,6 +17,7 @@
 )
 from redwingplank.scheduling import Scheduler, SchedulerSettings, make_scheduler
 from redwingplank.scheduling.messages import (
+    CancelJob,
     InboxMessage,
     JobSpec,
     JournalCommitted,
@@ -32,6 +33,7 @@
     WorkerReported,
     WorkerUnreachable,
 )
+from redwingplank.scheduling.tests.recovered import recover
 from redwingplank.standin.history import History, HistoryEventKind
 from redwingplank.standin.workers import StandinWorker, TaskProgram
 
@@ -84,6 +86,21 @@
         """Return a new decision core over the same recovered state."""
         return make_scheduler(self.settings, self.recovered, self.declarations, self.clock.now_s())
 
+    def take_over(self, fence_after_s: float = 10.0) -> "Shard":
+        """Return a new owner over the same workers and the committed records."""
+        epoch = self.recovered.epoch + 1
+        fence_at_s = self.clock.now_s() + fence_after_s
+        return Shard(
+            self.declarations,
+            self.settings,
+            recover(self.records, epoch, fence_at_s),
+            self.clock,
+            self.history,
+            self.workers_by_name,
+            self.vms_by_name,
+            self.records,
+        )
+
     def own(self, mode: OwnershipMode = OwnershipMode.OWNING, for_s: float = 1e9) -> None:
         """Change what the lease allows."""
         valid_until_s = self.clock.now_s() + for_s
@@ -127,6 +144,10 @@
         organisation = fields.pop("organisation", "bureau")
         self.inbox.append(SubmitJob(call_id, JobSpec(job_id, organisation, service, **fields)))
 
+    def cancel(self, job_id: str = "job") -> None:
+        """Cancel a job."""
+        self.inbox.append(CancelJob(999, job_id))
+
     def tick(self, by_s: float = 0.05) -> Outbox:
         """Advance, run one tick and carry out its outbox."""
         now_s = self.clock.advance(by_s)
--- /dev/null
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -0,0 +1,312 @@
+"""Lost exchanges, failing workers and recovery: one place at a time, and at most once."""
+
+import pytest
+
+from redwingplank.scheduling import SchedulerSettings
+from redwingplank.scheduling.messages import (
+    JournalCommitted,
+    StartIntended,
+    WorkerUnreachable,
+)
+from redwingplank.scheduling.tests.shard import Shard, make_declarations, make_service, payload
+
+ONCE = make_declarations(make_service(is_idempotent=False))
+
+
+def fail_once(kind: str):
+    """Return a fault that hits the first exchange with starts."""
+    hit = []
+
+    def fault(worker, request):
+        if request.starts and not hit:
+            hit.append(worker)
+            return kind
+        return ""
+
+    return fault
+
+
+class TestLostExchange:
+    @pytest.mark.parametrize("kind", ["lost_request", "refused_connection", "lost_answer"])
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    def test_task_runs_exactly_once(self, kind, is_idempotent):
+        shard = Shard(make_declarations(make_service(is_idempotent=is_idempotent)))
+        shard.fault = fail_once(kind)
+        shard.add_workers(2)
+        shard.submit(task_count=4, payload=payload(run_s=3.0))
+        shard.run(15.0)
+        assert shard.state_of() == "succeeded"
+        assert set(shard.starts_by_task().values()) == {1}
+
+    def test_doubled_answer_changes_nothing(self):
+        shard = Shard()
+        shard.fault = lambda worker, request: "doubled_answer"
+        shard.add_workers(2)
+        shard.submit(task_count=30, payload=payload(run_s=0.7))
+        shard.run(15.0)
+        assert shard.state_of() == "succeeded"
+        assert set(shard.starts_by_task().values()) == {1}
+
+    def test_commands_of_a_lost_exchange_are_sent_again(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.submit(payload=payload(run_s=100.0))
+        shard.run(1.0)
+        shard.fault = lambda worker, request: "lost_request" if request.actions else ""
+        shard.cancel()
+        shard.run(1.0)
+        shard.fault = lambda worker, request: ""
+        shard.run(4.0)
+        assert shard.state_of() == "cancelled"
+        assert shard.running_on() == {}
+
+
+class TestSilentWorker:
+    def test_tasks_move_only_after_their_lease_lapsed(self):
+        shard = Shard()
+        shard.add_workers(2)
+        shard.submit(payload=payload(run_s=100.0))
+        shard.run(1.0)
+        (first,) = shard.running_on()["job/0"]
+        shard.workers_by_name[first].switches.is_paused = True
+        for _ in range(400):
+            shard.tick()
+            assert len(shard.running_on().get("job/0", ())) <= 1
+        assert shard.running_on()["job/0"] != [first]
+
+    def test_probes_of_a_silent_worker_renew_nothing(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.submit(payload=payload(run_s=100.0))
+        shard.run(1.0)
+        shard.fault = lambda worker, request: "lost_answer"
+        leases = []
+        for _ in range(60):
+            outbox = shard.tick(0.1)
+            leases.extend(request.lease_s for request in outbox.requests_by_worker.values())
+        assert leases[0] > 0
+        assert set(leases[1:]) == {0.0}
+
+    def test_returning_in_time_keeps_its_tasks(self):
+        shard = Shard()
+        shard.add_workers(2)
+        shard.submit(payload=payload(run_s=20.0))
+        shard.run(1.0)
+        (name,) = shard.running_on()["job/0"]
+        shard.workers_by_name[name].switches.is_paused = True
+        shard.run(3.0)
+        shard.workers_by_name[name].switches.is_paused = False
+        shard.run(30.0)
+        assert shard.state_of() == "succeeded"
+        assert shard.starts_by_task() == {"job/0": 1}
+
+    def test_restart_loses_everything_there(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.submit(payload=payload(run_s=5.0))
+        shard.run(1.0)
+        shard.workers_by_name["w0"].restart()
+        shard.run(15.0)
+        assert shard.state_of() == "succeeded"
+        assert shard.starts_by_task() == {"job/0": 2}
+
+    def test_vm_gone_from_the_list_beyond_the_lag(self):
+        shard = Shard()
+        shard.add_workers(2)
+        shard.submit(payload=payload(run_s=100.0))
+        shard.run(1.0)
+        (name,) = shard.running_on()["job/0"]
+        shard.workers_by_name[name].switches.is_dead = True
+        shard.workers_by_name[name].restart()
+        shard.list_vms(gone=(name,))
+        shard.run(5.5)
+        assert shard.running_on()["job/0"] != [name]
+        assert name not in shard.scheduler.explain("job", shard.clock.now_s())[-1]
+
+
+class TestNonIdempotent:
+    def test_intent_is_durable_before_the_start(self):
+        shard = Shard(ONCE, is_committing=False)
+        shard.add_workers(2)
+        shard.submit(task_count=3)
+        shard.tick()
+        shard.inbox.append(JournalCommitted(1))
+        shard.run(1.0)
+        assert len(shard.entries(StartIntended)) == 1
+        assert len(shard.entries(StartIntended)[0].attempts) == 3
+        assert shard.starts_by_task() == {}
+        shard.inbox.append(JournalCommitted(2))
+        shard.tick()
+        assert set(shard.starts_by_task().values()) == {1}
+
+    @pytest.mark.parametrize("failure", ["is_paused", "is_dead"])
+    def test_lost_attempt_ends_as_unknown(self, failure):
+        shard = Shard(ONCE)
+        shard.add_workers(2)
+        shard.submit(payload=payload(run_s=100.0))
+        shard.run(1.0)
+        (name,) = shard.running_on()["job/0"]
+        setattr(shard.workers_by_name[name].switches, failure, True)
+        shard.run(15.0)
+        assert shard.state_of() == "unknown"
+        assert shard.task_states() == ["unknown"]
+        assert shard.starts_by_task() == {"job/0": 1}
+
+    def test_restart_between_send_and_answer(self):
+        shard = Shard(ONCE)
+        shard.fault = fail_once("lost_answer")
+        shard.add_workers(1)
+        shard.submit(payload=payload(run_s=100.0))
+        shard.run(0.3)
+        assert shard.starts_by_task() == {"job/0": 1}
+        shard.workers_by_name["w0"].restart()
+        shard.run(15.0)
+        assert shard.state_of() == "unknown"
+        assert shard.starts_by_task() == {"job/0": 1}
+
+    def test_refused_attempt_is_tried_again_with_a_new_intent(self):
+        shard = Shard(ONCE)
+        shard.add_workers(1)
+        switches = shard.workers_by_name["w0"].switches
+
+        def leave_at_start(worker, request):
+            switches.is_leaving = bool(request.starts) and request.starts[0].attempt == 1
+            return ""
+
+        shard.fault = leave_at_start
+        shard.submit()
+        shard.run(5.0)
+        assert shard.state_of() == "succeeded"
+        assert len(shard.entries(StartIntended)) == 2
+
+    def test_failed_attempt_is_final(self):
+        shard = Shard(ONCE)
+        shard.add_workers(2)
+        shard.submit(payload=payload(run_s=0.1, is_failing=True))
+        shard.run(10.0)
+        assert shard.state_of() == "failed"
+        assert shard.starts_by_task() == {"job/0": 1}
+
+
+class TestRecovery:
+    def run_then_take_over(self, declarations, silent: str = "", **fields) -> Shard:
+        first = Shard(declarations)
+        first.add_workers(3)
+        first.submit(task_count=6, payload=payload(run_s=4.0), **fields)
+        first.run(1.0)
+        second = first.take_over()
+        second.list_vms()
+        for name in second.workers_by_name:
+            if name != silent:
+                second.adopt(name)
+        return second
+
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    def test_running_tasks_are_found_and_not_started_again(self, is_idempotent):
+        shard = self.run_then_take_over(
+            make_declarations(make_service(is_idempotent=is_idempotent))
+        )
+        shard.run(10.0)
+        assert shard.state_of() == "succeeded"
+        assert set(shard.starts_by_task().values()) == {1}
+
+    def test_nothing_recovered_is_placed_while_a_worker_is_missing(self):
+        shard = self.run_then_take_over(make_declarations(), silent="w0")
+        shard.workers_by_name["w0"].switches.is_paused = True
+        for _ in range(400):
+            shard.tick()
+            assert all(len(places) <= 1 for places in shard.running_on().values())
+        assert shard.state_of() == "succeeded"
+
+    def test_unsettled_intents_end_as_unknown(self):
+        shard = self.run_then_take_over(ONCE, silent="w0")
+        shard.workers_by_name["w0"].switches.is_dead = True
+        lost = {task for task, places in shard.running_on().items() if places == ["w0"]}
+        assert lost
+        shard.run(30.0)
+        assert shard.state_of() == "unknown"
+        status = shard.scheduler.job_status("job", shard.clock.now_s())
+        unknown = {task.task_id for task in status.tasks if task.state == "unknown"}
+        assert unknown == lost
+        assert set(shard.starts_by_task().values()) == {1}
+
+    def test_intent_that_was_never_sent(self):
+        first = Shard(ONCE)
+        first.add_workers(1)
+        first.submit()
+        first.fault = lambda worker, request: "lost_request" if request.starts else ""
+        first.run(0.5)
+        assert first.starts_by_task() == {}
+        second = first.take_over()
+        second.list_vms()
+        second.adopt("w0")
+        second.run(5.0)
+        assert second.state_of() == "unknown"
+
+    def test_cancelled_job_is_stopped_by_the_new_owner(self):
+        first = Shard()
+        first.add_workers(2)
+        first.submit(task_count=4, payload=payload(run_s=100.0))
+        first.run(1.0)
+        first.fault = lambda worker, request: "lost_request"
+        first.cancel()
+        first.run(0.2)
+        second = first.take_over()
+        second.list_vms()
+        second.adopt("w0")
+        second.adopt("w1")
+        second.run(5.0)
+        assert second.state_of() == "cancelled"
+        assert second.running_on() == {}
+
+    def test_attempts_grow_across_owners(self):
+        first = Shard()
+        first.add_workers(1)
+        first.submit(payload=payload(run_s=0.1, is_failing=True))
+        first.run(0.4)
+        second = first.take_over()
+        second.list_vms()
+        second.adopt("w0")
+        second.run(30.0)
+        assert second.state_of() == "failed"
+
+    def test_workers_without_inventory_wait_for_the_fence(self):
+        settings = SchedulerSettings("s", workers_have_inventory=False)
+        first = Shard(settings=settings)
+        first.add_workers(2)
+        for worker in first.workers_by_name.values():
+            worker.switches.has_inventory = False
+        first.submit(task_count=2, payload=payload(run_s=3.0))
+        first.run(1.0)
+        second = first.take_over(fence_after_s=12.0)
+        second.list_vms()
+        second.adopt("w0")
+        second.adopt("w1")
+        for _ in range(500):
+            second.tick()
+            assert all(len(places) <= 1 for places in second.running_on().values())
+        assert second.state_of() == "succeeded"
+
+    def test_unknown_tasks_of_an_inventory_are_stopped(self):
+        first = Shard()
+        first.add_workers(1)
+        first.submit(payload=payload(run_s=100.0))
+        first.run(1.0)
+        first.records.clear()
+        second = first.take_over()
+        second.list_vms()
+        second.adopt("w0")
+        second.run(2.0)
+        assert second.running_on() == {}
+        assert second.scheduler.summary(0.0).free == second.scheduler.summary(0.0).capacity
+
+
+class TestDuplicatedNews:
+    def test_failure_without_an_exchange_is_ignored(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.submit(payload=payload(run_s=5.0))
+        shard.run(1.0)
+        shard.inbox.append(WorkerUnreachable("w0", True))
+        shard.run(8.0)
+        assert shard.starts_by_task() == {"job/0": 1}
--- a/redwingplank/standin/workers.py
+++ b/redwingplank/standin/workers.py
@@ -170,7 +170,10 @@
         """End the attempts whose time or lease is over."""
         now_s = self.clock.now_s()
         for task_id, attempt in list(self.attempts_by_task.items()):
-            if attempt.lease_ends_at_s <= now_s and attempt.lease_ends_at_s <= attempt.ends_at_s:
+            ends_itself = (
+                attempt.ends_at_s < attempt.lease_ends_at_s and not self.switches.is_paused
+            )
+            if attempt.lease_ends_at_s <= now_s and not ends_itself:
                 self._end(task_id, TaskEndReason.LEASE_LAPSED, at_s=attempt.lease_ends_at_s)
             elif attempt.ends_at_s <= now_s and not self.switches.is_paused:
                 fails = attempt.program.is_failing or self.switches.is_failing
