--- /dev/null
+++ b/redwingplank/config/stored.py
@@ -0,0 +1,255 @@
+"""How declarations lie in the key-value store: keys, values and their encoding.
+
+Notes
+-----
+``config/live/head`` holds the revision in force; ``config/live/KIND/NAME`` one document each;
+``config/history/REVISION`` what a revision replaced. Every change is one transaction that
+compares the head's store revision and writes the head, the changed documents and one history
+record.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import msgspec
+import xxhash
+
+from redwingplank.config.documents import Document, DocumentKind
+from redwingplank.config.model import Declarations
+from redwingplank.config.resolve import resolve_declarations
+from redwingplank.config.schema import SCHEMA_VERSION
+from redwingplank.core import RedwingError
+from redwingplank.platform import KeyValue
+
+__all__ = [
+    "HEAD_KEY",
+    "HISTORY_PREFIX",
+    "LIVE_PREFIX",
+    "NO_LIVE_SET",
+    "Head",
+    "HistoryRecord",
+    "LiveSet",
+    "StoredDocument",
+    "StoredFormatError",
+    "decode_declarations",
+    "decode_history",
+    "decode_live_set",
+    "digest_revisions",
+    "encode",
+    "encode_declarations",
+    "history_key",
+    "live_key",
+    "resolve_live_set",
+    "to_document",
+]
+
+LIVE_PREFIX = "config/live/"
+HEAD_KEY = "config/live/head"
+HISTORY_PREFIX = "config/history/"
+REVISION_DIGITS = 12
+
+Content = dict[str, Any]
+Stored = TypeVar("Stored", bound=msgspec.Struct)
+
+
+class StoredFormatError(RedwingError):
+    """A value in the store is not in the format of this version."""
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The revision in force.
+
+    Parameters
+    ----------
+    revision : int
+        From 1; grows by one with each accepted change.
+    nonce : str
+        Of the apply that made it.
+    digest : int
+        Of all documents and their revisions, see `digest_revisions`.
+    author : str
+        Who applied it.
+    applied_at_unix_s : float
+        When, by the author's clock.
+    schema_version : int
+        Of the documents.
+    """
+
+    revision: int = 0
+    nonce: str = ""
+    digest: int = 0
+    author: str = ""
+    applied_at_unix_s: float = 0.0
+    schema_version: int = SCHEMA_VERSION
+
+
+class StoredDocument(msgspec.Struct, frozen=True):
+    """A document with the revision and the author of its last change."""
+
+    revision: int
+    author: str
+    content: Content
+
+
+class HistoryRecord(msgspec.Struct, frozen=True):
+    """What one revision replaced.
+
+    Parameters
+    ----------
+    revision, nonce, author, applied_at_unix_s
+        As in the head.
+    note : str
+        Why, such as ``"rollback to 12"``.
+    before : dict of str to dict or None
+        Earlier content of each changed document; None where there was none.
+    """
+
+    revision: int
+    nonce: str
+    author: str
+    applied_at_unix_s: float
+    note: str
+    before: dict[str, Content | None]
+
+
+@dataclass(frozen=True, slots=True)
+class LiveSet:
+    """All documents in force.
+
+    Parameters
+    ----------
+    head : Head
+        The revision in force; revision 0 where nothing has been applied.
+    stored_by_key : mapping of str to StoredDocument
+        By document key.
+    head_mod_revision : int
+        The head's revision in the store, for the comparison; 0 where it is absent.
+    store_revision : int
+        The store's revision at the read, to watch from.
+    """
+
+    head: Head = field(default_factory=Head)
+    stored_by_key: Mapping[str, StoredDocument] = field(default_factory=dict)
+    head_mod_revision: int = 0
+    store_revision: int = 0
+
+    @property
+    def contents_by_key(self) -> dict[str, Content]:
+        """The documents' contents."""
+        return {key: stored.content for key, stored in self.stored_by_key.items()}
+
+
+NO_LIVE_SET = LiveSet()
+
+
+def live_key(document_key: str) -> str:
+    """Return the store's key of a document."""
+    return LIVE_PREFIX + document_key
+
+
+def history_key(revision: int) -> str:
+    """Return the store's key of a history record; keys sort by revision."""
+    return f"{HISTORY_PREFIX}{revision:0{REVISION_DIGITS}d}"
+
+
+def encode(value: msgspec.Struct) -> bytes:
+    """Return the stored form of a head, a document or a history record."""
+    return msgspec.json.encode(value, order="sorted")
+
+
+def decode_live_set(entries: Iterable[KeyValue], store_revision: int = 0) -> LiveSet:
+    """Read all entries below `LIVE_PREFIX`.
+
+    Raises
+    ------
+    StoredFormatError
+        If a value is not in the format of this version.
+    """
+    head, head_mod_revision = Head(), 0
+    stored_by_key: dict[str, StoredDocument] = {}
+    for entry in entries:
+        if entry.key == HEAD_KEY:
+            head, head_mod_revision = decode_head(entry.value), entry.mod_revision
+        else:
+            key = entry.key.removeprefix(LIVE_PREFIX)
+            stored_by_key[key] = decode_document(entry.key, entry.value)
+    return LiveSet(head, stored_by_key, head_mod_revision, store_revision)
+
+
+def decode_head(value: bytes) -> Head:
+    """Decode the head and check its schema version."""
+    head = _decode(HEAD_KEY, value, Head)
+    if head.schema_version != SCHEMA_VERSION:
+        raise StoredFormatError(
+            f"{HEAD_KEY} has schema version {head.schema_version}, this program reads "
+            f"{SCHEMA_VERSION}: replace the program"
+        )
+    return head
+
+
+def decode_document(key: str, value: bytes) -> StoredDocument:
+    """Decode one document."""
+    return _decode(key, value, StoredDocument)
+
+
+def decode_history(entries: Iterable[KeyValue]) -> tuple[HistoryRecord, ...]:
+    """Decode history records in the order of their revisions."""
+    return tuple(_decode(entry.key, entry.value, HistoryRecord) for entry in entries)
+
+
+def digest_revisions(revisions_by_key: Mapping[str, int]) -> int:
+    """Return a digest of which document has which revision; equal sets have equal digests."""
+    lines = "\n".join(f"{key} {revision}" for key, revision in sorted(revisions_by_key.items()))
+    return xxhash.xxh64_intdigest(lines.encode())
+
+
+def to_document(key: str, content: Mapping[str, Any]) -> Document:
+    """Return a document from its key and content."""
+    kind, _, name = key.partition("/")
+    return Document(DocumentKind(kind), name, content)
+
+
+def resolve_live_set(live: LiveSet) -> Declarations:
+    """Return the effective declarations of the documents in force."""
+    documents = {
+        key: to_document(key, stored.content) for key, stored in live.stored_by_key.items()
+    }
+    return resolve_declarations(documents, live.head.revision)
+
+
+def encode_declarations(documents: Mapping[str, Document], revision: int = 1) -> dict[str, bytes]:
+    """Return the keys and values of a store in which `documents` are in force.
+
+    Parameters
+    ----------
+    documents : mapping of str to Document
+        From `parse_documents`.
+    revision : int
+        The revision that they get.
+
+    Returns
+    -------
+    dict of str to bytes
+        For tests and for filling an empty store; operators use ``apply``.
+    """
+    values = {
+        live_key(key): encode(StoredDocument(revision, "", dict(document.content)))
+        for key, document in documents.items()
+    }
+    digest = digest_revisions(dict.fromkeys(documents, revision))
+    values[HEAD_KEY] = encode(Head(revision=revision, digest=digest))
+    return values
+
+
+def decode_declarations(values: Mapping[str, bytes]) -> Declarations:
+    """Return the effective declarations of a store's keys and values."""
+    entries = [KeyValue(key, value, 0, 0) for key, value in values.items()]
+    return resolve_live_set(decode_live_set(entries))
+
+
+def _decode(key: str, value: bytes, kind: type[Stored]) -> Stored:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoredFormatError(f"{key} is not readable: {error}; roll back or apply it") from error
