--- a/redwingplank/standin/workers.py
+++ b/redwingplank/standin/workers.py
@@ -177,6 +177,14 @@
                 reason = TaskEndReason.FAILED if fails else TaskEndReason.COMPLETED
                 self._end(task_id, reason, at_s=attempt.ends_at_s)
 
+    def reserved(self) -> Resources:
+        """Return what the running tasks have reserved."""
+        return sum_resources(attempt.start.reserved for attempt in self.attempts_by_task.values())
+
+    def used(self) -> Resources:
+        """Return what the running tasks really use."""
+        return sum_resources(_used(attempt) for attempt in self.attempts_by_task.values())
+
     def restart(self) -> None:
         """Lose everything, as a replaced process does."""
         self.advance()
@@ -222,8 +230,7 @@
         if start.attempt <= self.highest_attempt_by_task.get(start.task_id, 0):
             return
         self.highest_attempt_by_task[start.task_id] = start.attempt
-        used = sum_resources(attempt.start.reserved for attempt in self.attempts_by_task.values())
-        fits = (used + start.reserved).fits_in(self.capacity)
+        fits = (self.reserved() + start.reserved).fits_in(self.capacity)
         if not fits or self.switches.is_leaving or start.task_id in self.attempts_by_task:
             self._report_end(start, TaskEndReason.REFUSED, "no room", 0.0)
             return
