Add a cell of separate processes on loopback for failure tests

Cause: whole-path tests and operators need the real programs as separate processes. Change: tools/local_cell.py plans addresses, starts, signals and ends the processes. Test: black, ruff; it has not been run yet, the programs have not landed. Conclusion: to be run as soon as they do.

--- /dev/null
+++ b/tools/local_cell.py
@@ -0,0 +1,281 @@
+"""A cell of separate processes on loopback addresses, for tests and for trying out.
+
+``python -m tools.local_cell`` starts three failure domains with seven entries and three
+schedulers beside the platform's stand-in, and serves until it is interrupted.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+__all__ = [
+    "CellLayout",
+    "LocalCell",
+    "NodeAddresses",
+    "WaitTimeoutError",
+    "wait_until",
+]
+
+ROOT = Path(__file__).resolve().parent.parent
+MODULES_BY_ROLE = {
+    "standin": "redwingplank.cli.standin",
+    "scheduler": "redwingplank.cli.scheduler",
+    "entry": "redwingplank.cli.entry",
+    "ctl": "redwingplank.cli.ctl",
+}
+STANDIN_HOST = "127.0.1.1"
+HTTP_PORT_OFFSET = 200
+RPC_PORT_OFFSET = 201
+READY_DEADLINE_S = 60.0
+STOP_DEADLINE_S = 60.0
+POLL_S = 0.05
+CALL_TIMEOUT_S = 5.0
+
+
+class WaitTimeoutError(AssertionError):
+    """Something that was waited for did not come."""
+
+
+def wait_until(what: str, condition: Callable[[], bool], deadline_s: float = 60.0) -> None:
+    """Return once `condition` holds.
+
+    Parameters
+    ----------
+    what : str
+        What is waited for, for the error.
+    condition : callable
+        Polled.
+    deadline_s : float
+        Seconds after which the wait fails; far beyond what a slow machine needs.
+    """
+    ends_at_s = time.monotonic() + deadline_s
+    while not condition():
+        if time.monotonic() > ends_at_s:
+            raise WaitTimeoutError(f"{what}: not within {deadline_s:g} s")
+        time.sleep(POLL_S)
+
+
+@dataclass(frozen=True)
+class CellLayout:
+    """How many processes of each kind, and the first port.
+
+    Parameters
+    ----------
+    entries_by_domain, schedulers_by_domain : mapping of str to int
+        Processes in each failure domain.
+    first_port : int
+        The stand-in's port; all others follow from it.
+    workers_per_domain, upstreams_per_domain : int
+        Of the stand-in.
+    """
+
+    entries_by_domain: Mapping[str, int]
+    schedulers_by_domain: Mapping[str, int]
+    first_port: int = 17600
+    workers_per_domain: int = 3
+    upstreams_per_domain: int = 2
+
+
+@dataclass(frozen=True)
+class NodeAddresses:
+    """One process of the system."""
+
+    name: str
+    role: str
+    failure_domain: str
+    rpc_address: str
+    http_address: str = ""
+
+
+@dataclass
+class LocalCell:
+    """The processes of one cell; every one that it started is ended by `stop`.
+
+    Parameters
+    ----------
+    layout : CellLayout
+        What to start.
+    extra_flags_by_role : mapping of str to sequence of str
+        Further flags of each role.
+    """
+
+    layout: CellLayout
+    extra_flags_by_role: Mapping[str, Sequence[str]] = field(default_factory=dict)
+    processes_by_name: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.log_folder = Path(tempfile.mkdtemp(prefix="redwing-cell-"))
+        self.nodes = _plan_nodes(self.layout)
+        self.nodes_by_name = {node.name: node for node in self.nodes}
+        self.standin_url = f"http://{STANDIN_HOST}:{self.layout.first_port}"
+
+    @property
+    def entries(self) -> list[NodeAddresses]:
+        """The entries, in the order of their names."""
+        return [node for node in self.nodes if node.role == "entry"]
+
+    def start(self, declarations: Sequence[Path]) -> None:
+        """Start everything, apply the declarations and wait until all entries are ready."""
+        self.start_standin()
+        self.apply(declarations)
+        for node in self.nodes:
+            self.start_node(node.name)
+        for node in self.entries:
+            self.wait_ready(node.name)
+
+    def start_standin(self) -> None:
+        """Start the platform's stand-in and wait until it answers."""
+        flags = [f"--host={STANDIN_HOST}", f"--port={self.layout.first_port}"]
+        flags += [f"--first-vm-port={self.layout.first_port + 1}"]
+        flags += [f"--failure-domains={','.join(self.layout.entries_by_domain)}"]
+        flags += [f"--workers-per-domain={self.layout.workers_per_domain}"]
+        flags += [f"--upstreams-per-domain={self.layout.upstreams_per_domain}"]
+        self._spawn("standin", "standin", flags)
+        wait_until("the stand-in answers", lambda: self.get_admin("/calls") is not None)
+
+    def apply(self, declarations: Sequence[Path]) -> None:
+        """Put declarations in force with ``redwingctl apply``."""
+        command = [sys.executable, "-m", MODULES_BY_ROLE["ctl"], "apply"]
+        command += [str(path) for path in declarations]
+        command += [f"--store-url={self.standin_url}"]
+        subprocess.run(command, cwd=ROOT, check=True, capture_output=True, timeout=READY_DEADLINE_S)
+
+    def start_node(self, name: str) -> None:
+        """Start an entry or a scheduler by its name."""
+        node = self.nodes_by_name[name]
+        flags = [f"--name={node.name}", f"--failure-domain={node.failure_domain}"]
+        flags += [f"--failure-domains={','.join(self.layout.entries_by_domain)}"]
+        flags += [f"--rpc-address={node.rpc_address}"]
+        flags += [f"--store-url={self.standin_url}", f"--vms-url={self.standin_url}"]
+        flags += [f"--entries={self._peers('entry')}"]
+        flags += [f"--schedulers={self._peers('scheduler')}"]
+        if node.role == "entry":
+            flags += [f"--http-address={node.http_address}"]
+        self._spawn(name, node.role, flags)
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until an entry says that it wants work."""
+        url = f"http://{self.nodes_by_name[name].http_address}/readyz"
+        wait_until(
+            f"{name} is ready", lambda: get_json(url) is not None, deadline_s=READY_DEADLINE_S
+        )
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to one of the processes."""
+        self.processes_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self.processes_by_name.pop(name)
+        process.kill()
+        process.wait(STOP_DEADLINE_S)
+
+    def stop_gracefully(self, name: str) -> int:
+        """Send SIGTERM and return the exit code."""
+        process = self.processes_by_name.pop(name)
+        process.terminate()
+        return process.wait(STOP_DEADLINE_S)
+
+    def stop(self) -> None:
+        """End every process that is left, the stand-in last."""
+        for name in sorted(self.processes_by_name, key=lambda each: each == "standin"):
+            process = self.processes_by_name.pop(name)
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait(STOP_DEADLINE_S)
+
+    def get_admin(self, path: str) -> Any:
+        """Return a JSON answer of the stand-in, None without one."""
+        return get_json(f"{self.standin_url}{path}")
+
+    def post_admin(self, path: str, values: Mapping[str, Any]) -> Any:
+        """Switch something at the stand-in."""
+        return post_json(f"{self.standin_url}{path}", values)
+
+    def read_log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.log_folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
+
+    def _peers(self, role: str) -> str:
+        nodes = [node for node in self.nodes if node.role == role]
+        return ",".join(f"{node.failure_domain}/{node.name}={node.rpc_address}" for node in nodes)
+
+    def _spawn(self, name: str, role: str, flags: Sequence[str]) -> None:
+        command = [sys.executable, "-m", MODULES_BY_ROLE[role], *flags]
+        command += self.extra_flags_by_role.get(role, ())
+        with open(self.log_folder / f"{name}.log", "ab") as log:
+            self.processes_by_name[name] = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+
+def get_json(url: str) -> Any:
+    """Return the JSON body of a good answer, None for any other."""
+    try:
+        with urllib.request.urlopen(url, timeout=CALL_TIMEOUT_S) as answer:
+            return json.load(answer)
+    except (urllib.error.URLError, OSError, ValueError):
+        return None
+
+
+def post_json(url: str, values: Mapping[str, Any]) -> Any:
+    """Post a JSON body and return that of the answer."""
+    request = urllib.request.Request(
+        url, json.dumps(values).encode(), {"Content-Type": "application/json"}, method="POST"
+    )
+    with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S) as answer:
+        return json.load(answer)
+
+
+def _plan_nodes(layout: CellLayout) -> list[NodeAddresses]:
+    nodes = []
+    http_port = layout.first_port + HTTP_PORT_OFFSET
+    rpc_port = layout.first_port + RPC_PORT_OFFSET
+    for domain_index, domain in enumerate(layout.entries_by_domain, start=2):
+        for index in range(layout.entries_by_domain[domain]):
+            host = f"127.0.{domain_index}.{10 + index}"
+            name = f"entry-{domain}-{index + 1}"
+            rpc_address, http_address = f"{host}:{rpc_port}", f"{host}:{http_port}"
+            nodes.append(NodeAddresses(name, "entry", domain, rpc_address, http_address))
+        for index in range(layout.schedulers_by_domain[domain]):
+            host = f"127.0.{domain_index}.{40 + index}"
+            name = f"scheduler-{domain}-{index + 1}"
+            nodes.append(NodeAddresses(name, "scheduler", domain, f"{host}:{rpc_port}"))
+    return nodes
+
+
+def main() -> int:
+    """Start the documented cell and serve until it is interrupted."""
+    domains = ("north", "middle", "south")
+    layout = CellLayout(
+        entries_by_domain=dict(zip(domains, (3, 2, 2), strict=True)),
+        schedulers_by_domain=dict.fromkeys(domains, 1),
+    )
+    cell = LocalCell(layout)
+    try:
+        cell.start([ROOT / "examples" / "bureau", ROOT / "examples" / "cooperative"])
+        print(f"platform stand-in at {cell.standin_url}, logs in {cell.log_folder}")
+        for node in cell.entries:
+            print(f"{node.name} at http://{node.http_address}")
+        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+    finally:
+        cell.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
