Route callers' requests to upstreams with true answers

Cause: requests need an upstream, bounded waiting and an answer that says whether they ran. Conclusion: a request goes through; each upstream fault is answered with the true 'ran'.

--- /dev/null
+++ b/redwingplank/routing/choice.py
@@ -0,0 +1,225 @@
+"""Policies that choose an upstream among those with a free slot.
+
+References
+----------
+M. Mitzenmacher, "The power of two choices in randomized load balancing", IEEE Transactions on
+Parallel and Distributed Systems 12(10), 2001.
+W. Lin and P. R. Kumar, "Optimal control of a queueing system with two heterogeneous servers",
+IEEE Transactions on Automatic Control 29(8), 1984.
+"""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+import numpy as np
+
+from redwingplank.core import InvalidValueError
+from redwingplank.routing.upstreams import UpstreamPool, UpstreamRow
+
+__all__ = [
+    "Candidates",
+    "ChoicePolicy",
+    "ExpectedFinishPolicy",
+    "LeastInFlightPolicy",
+    "RandomPolicy",
+    "RoundRobinPolicy",
+    "make_choice_policy",
+]
+
+FASTEST_CONSIDERED = 4
+RANDOM_BATCH = 1024
+BULK_DEADLINE_FRACTION = 0.5
+
+
+@dataclass(slots=True)
+class Candidates:
+    """What a policy chooses from.
+
+    Parameters
+    ----------
+    now_s : float
+        The present time.
+    pool : UpstreamPool
+        Upstreams of the service, fastest first.
+    slow_start_s : float
+        As in the settings.
+    prefers_slow : bool
+        Whether the request leaves the fast upstreams to others.
+    remaining_s : float
+        Seconds to the request's deadline.
+    work_s, mix_work_s : float
+        Expected service time at slowness 1, of the request and of the average request.
+    ahead : int
+        Requests that wait and are served before this one.
+    excluded : frozenset of str
+        Upstreams that must not be chosen.
+    """
+
+    now_s: float
+    pool: UpstreamPool
+    slow_start_s: float
+    prefers_slow: bool
+    remaining_s: float
+    work_s: float
+    mix_work_s: float
+    ahead: int
+    excluded: frozenset[str]
+
+    def is_free(self, row: UpstreamRow) -> bool:
+        """Return whether a row can take the request now."""
+        return row.has_free_slot(self.now_s, self.slow_start_s) and row.name not in self.excluded
+
+    def free(self) -> list[UpstreamRow]:
+        """Return all rows that can take the request now."""
+        return [row for row in self.pool.rows if self.is_free(row)]
+
+
+class ChoicePolicy(ABC):
+    """Chooses an upstream."""
+
+    @abstractmethod
+    def choose(self, candidates: Candidates) -> UpstreamRow | None:
+        """Return an upstream with a free slot, or None when the request should wait."""
+
+
+class ExpectedFinishPolicy(ChoicePolicy):
+    """Two random choices among the fastest free upstreams, the earlier expected finish wins.
+
+    Parameters
+    ----------
+    generator : numpy.random.Generator
+        The source of randomness.
+
+    Notes
+    -----
+    A request waits although a slow upstream is free when a slot of a faster one is expected to
+    finish it earlier. A slot that would answer after the deadline is left to others that wait.
+    Bulk requests take the slowest upstream that leaves half of their time.
+    """
+
+    def __init__(self, generator: np.random.Generator) -> None:
+        self._generator = generator
+        self._numbers: list[float] = []
+
+    def choose(self, candidates: Candidates) -> UpstreamRow | None:
+        if candidates.prefers_slow:
+            return self._choose_slowest(candidates)
+        found, release_speed = _fastest_free(candidates)
+        if not found:
+            return None
+        chosen = self._choose_of_two(found)
+        if candidates.ahead and chosen.slowness * candidates.work_s > candidates.remaining_s:
+            return None
+        if release_speed and self._is_wait_shorter(candidates, chosen, release_speed):
+            return None
+        return chosen
+
+    def _choose_slowest(self, candidates: Candidates) -> UpstreamRow | None:
+        budget_s = candidates.remaining_s * BULK_DEADLINE_FRACTION
+        fallback = None
+        for row in reversed(candidates.pool.rows):
+            if candidates.is_free(row):
+                if row.slowness * candidates.work_s <= budget_s:
+                    return row
+                fallback = row
+        return fallback
+
+    def _choose_of_two(self, found: list[UpstreamRow]) -> UpstreamRow:
+        if len(found) == 1:
+            return found[0]
+        first = found[int(self._random() * len(found))]
+        second = found[int(self._random() * len(found))]
+        return first if _relative_finish(first) <= _relative_finish(second) else second
+
+    def _is_wait_shorter(
+        self, candidates: Candidates, chosen: UpstreamRow, release_speed: float
+    ) -> bool:
+        fastest = candidates.pool.rows[0]
+        wait_s = (candidates.ahead + 1) * candidates.mix_work_s / release_speed
+        return wait_s < (chosen.slowness - fastest.slowness) * candidates.work_s
+
+    def _random(self) -> float:
+        if not self._numbers:
+            self._numbers = self._generator.random(RANDOM_BATCH).tolist()
+        return self._numbers.pop()
+
+
+class RoundRobinPolicy(ChoicePolicy):
+    """The next free upstream in turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(self, candidates: Candidates) -> UpstreamRow | None:
+        free = sorted(candidates.free(), key=lambda row: row.name)
+        if not free:
+            return None
+        self._turn += 1
+        return free[self._turn % len(free)]
+
+
+class RandomPolicy(ChoicePolicy):
+    """Any free upstream."""
+
+    def __init__(self, generator: np.random.Generator) -> None:
+        self._generator = generator
+
+    def choose(self, candidates: Candidates) -> UpstreamRow | None:
+        free = candidates.free()
+        return free[int(self._generator.integers(len(free)))] if free else None
+
+
+class LeastInFlightPolicy(ChoicePolicy):
+    """The free upstream with the fewest requests of this entry."""
+
+    def choose(self, candidates: Candidates) -> UpstreamRow | None:
+        return min(
+            candidates.free(), key=lambda row: (row.in_flight - row.credits, row.name), default=None
+        )
+
+
+def make_choice_policy(name: str, generator: np.random.Generator) -> ChoicePolicy:
+    """Return the policy with a name.
+
+    Parameters
+    ----------
+    name : str
+        ``expected_finish``, ``round_robin``, ``random`` or ``least_in_flight``.
+    generator : numpy.random.Generator
+        For the policies that choose at random.
+
+    Raises
+    ------
+    InvalidValueError
+        If no policy has the name.
+    """
+    if name == "expected_finish":
+        return ExpectedFinishPolicy(generator)
+    if name == "round_robin":
+        return RoundRobinPolicy()
+    if name == "random":
+        return RandomPolicy(generator)
+    if name == "least_in_flight":
+        return LeastInFlightPolicy()
+    raise InvalidValueError(
+        f"policy {name!r} does not exist: use expected_finish, round_robin, random or "
+        "least_in_flight"
+    )
+
+
+def _fastest_free(candidates: Candidates) -> tuple[list[UpstreamRow], float]:
+    """Return the fastest free rows and the speed of the busy rows before them."""
+    found: list[UpstreamRow] = []
+    release_speed = 0.0
+    for row in candidates.pool.rows:
+        if candidates.is_free(row):
+            found.append(row)
+            if len(found) == FASTEST_CONSIDERED:
+                break
+        elif not found and row.in_flight and row.name not in candidates.excluded:
+            release_speed += row.in_flight / row.slowness
+    return found, release_speed
+
+
+def _relative_finish(row: UpstreamRow) -> float:
+    return row.slowness * (1.0 + row.in_flight / (row.credits + 1))
--- /dev/null
+++ b/redwingplank/routing/outliers.py
@@ -0,0 +1,47 @@
+"""Ejection of upstreams that keep failing, with a floor."""
+
+from redwingplank.routing.settings import RouterSettings
+from redwingplank.routing.upstreams import UpstreamPool, UpstreamRow
+
+__all__ = ["OutlierDetector"]
+
+
+class OutlierDetector:
+    """Ejects an upstream after failures in a row, for longer each time.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Thresholds, times and the floor.
+    """
+
+    def __init__(self, settings: RouterSettings) -> None:
+        self._settings = settings
+
+    def succeeded(self, now_s: float, row: UpstreamRow) -> None:
+        """Take an answer of an upstream."""
+        row.failures = 0
+        if row.is_ejected and now_s >= row.blocked_until_s:
+            row.is_ejected = False
+        if row.ejections and now_s - row.returned_at_s > self._settings.max_eject_s:
+            row.ejections = 0
+
+    def failed(self, now_s: float, row: UpstreamRow, pool: UpstreamPool) -> bool:
+        """Take a failure and return whether the upstream was ejected for it."""
+        row.failures += 1
+        if row.failures < self._settings.eject_failures:
+            return False
+        if not self._may_eject(now_s, row, pool):
+            return False
+        duration_s = self._settings.eject_s * 2.0**row.ejections
+        row.block(now_s + min(duration_s, self._settings.max_eject_s))
+        row.is_ejected = True
+        row.ejections += 1
+        row.failures = 0
+        return True
+
+    def _may_eject(self, now_s: float, row: UpstreamRow, pool: UpstreamPool) -> bool:
+        present = [other for other in pool.rows if not other.is_leaving]
+        ejected = sum(1 for other in present if other.is_ejected and now_s < other.blocked_until_s)
+        allowed = int(len(present) * self._settings.max_ejected_fraction)
+        return ejected + 1 <= allowed
--- /dev/null
+++ b/redwingplank/routing/selection.py
@@ -0,0 +1,129 @@
+"""Selects an upstream for a request and predicts waiting times."""
+
+import numpy as np
+
+from redwingplank.config import DeadlineClass, Service
+from redwingplank.routing.choice import Candidates, make_choice_policy
+from redwingplank.routing.messages import RouteRequest
+from redwingplank.routing.service_times import ServiceTimes, SpeedModel
+from redwingplank.routing.settings import RouterSettings
+from redwingplank.routing.upstreams import UpstreamPool, UpstreamRow, UpstreamTable
+
+__all__ = ["UpstreamSelector"]
+
+CREDITS_EXPECTED_WITHIN_S = 0.1
+
+
+class UpstreamSelector:
+    """Chooses among the upstreams of the own failure domain, then among the others.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Of the entry.
+    table : UpstreamTable
+        The upstreams.
+    generator : numpy.random.Generator
+        The source of randomness.
+    """
+
+    def __init__(
+        self, settings: RouterSettings, table: UpstreamTable, generator: np.random.Generator
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._policy = make_choice_policy(settings.policy, generator)
+        self.speeds = SpeedModel(settings.default_service_time_s)
+
+    def times(self, organisation: str, service: Service) -> ServiceTimes:
+        """Return what is known of a declared service."""
+        return self.speeds.times(organisation, service.name, service.upstream_service)
+
+    def select(
+        self, now_s: float, request: RouteRequest, service: Service, ahead: int
+    ) -> UpstreamRow | None:
+        """Return an upstream that takes the request now, or None.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time.
+        request : RouteRequest
+            The request.
+        service : Service
+            Its declaration.
+        ahead : int
+            Requests that wait and are served before this one.
+        """
+        own = self._table.own_pool(service.upstream_service)
+        if own is not None:
+            row = self._select_in(now_s, request, service, own, ahead)
+            if row is not None:
+                return row
+        other = self._table.other_pool(service.upstream_service)
+        if other is None or self.can_meet(now_s, request, service, ahead):
+            return None
+        return self._select_in(now_s, request, service, other, 0)
+
+    def predicted_wait_s(self, now_s: float, service: Service, ahead: int) -> float:
+        """Return the expected wait for a slot of the own failure domain, in seconds.
+
+        Notes
+        -----
+        It is 0 before the first answer: an assumed service time sheds nothing.
+        """
+        pool = self._table.own_pool(service.upstream_service)
+        speed = pool.speed(now_s, self._settings.slow_start_s) if pool else 0.0
+        if not speed:
+            return CREDITS_EXPECTED_WITHIN_S
+        if not self.speeds.is_measured(service.upstream_service):
+            return 0.0
+        return (ahead + 1) * self.speeds.mix_work_s(service.upstream_service) / speed
+
+    def expected_service_s(self, organisation: str, service: Service) -> float:
+        """Return the expected service time at the fastest upstream, 0 before the first answer."""
+        pool = self._table.own_pool(service.upstream_service)
+        slowness = pool.rows[0].slowness if pool and pool.rows else 1.0
+        times = self.times(organisation, service)
+        return times.work_s * slowness if times.samples else 0.0
+
+    def can_meet(self, now_s: float, request: RouteRequest, service: Service, ahead: int) -> bool:
+        """Return whether the own failure domain is expected to answer before the deadline."""
+        wait_s = self.predicted_wait_s(now_s, service, ahead)
+        needed_s = wait_s + self.expected_service_s(request.organisation, service)
+        return now_s + needed_s <= request.deadline_s
+
+    def usable_after_s(self, now_s: float, upstream_service: str) -> float:
+        """Return in how many seconds the own failure domain has an upstream that takes requests."""
+        pool = self._table.own_pool(upstream_service)
+        return pool.usable_after_s(now_s) if pool else float("inf")
+
+    def has_free(self, now_s: float, upstream_service: str) -> bool:
+        """Return whether an upstream of the own failure domain has a free slot."""
+        pool = self._table.own_pool(upstream_service)
+        return pool is not None and pool.has_free(now_s, self._settings.slow_start_s)
+
+    def _select_in(
+        self,
+        now_s: float,
+        request: RouteRequest,
+        service: Service,
+        pool: UpstreamPool,
+        ahead: int,
+    ) -> UpstreamRow | None:
+        if pool.needs_sort(now_s):
+            self.speeds.normalise(service.upstream_service, pool)
+            pool.sort(now_s)
+        is_last_resort = len(request.excluded) >= len(pool.rows)
+        candidates = Candidates(
+            now_s=now_s,
+            pool=pool,
+            slow_start_s=self._settings.slow_start_s,
+            prefers_slow=service.deadline_class is DeadlineClass.BULK,
+            remaining_s=request.deadline_s - now_s,
+            work_s=self.times(request.organisation, service).work_s,
+            mix_work_s=self.speeds.mix_work_s(service.upstream_service),
+            ahead=ahead,
+            excluded=frozenset() if is_last_resort else request.excluded,
+        )
+        return self._policy.choose(candidates)
--- /dev/null
+++ b/redwingplank/routing/service_times.py
@@ -0,0 +1,126 @@
+"""Learnt service times: work of each declared service and slowness of each upstream."""
+
+from sortedcontainers import SortedList
+
+from redwingplank.routing.upstreams import UpstreamPool, UpstreamRow
+
+__all__ = ["ServiceTimes", "SpeedModel"]
+
+WINDOW = 512
+MIN_SAMPLES = 20
+LEARNING_WEIGHT = 0.1
+MIN_SLOWNESS = 0.02
+MAX_SLOWNESS = 50.0
+SCALE_TOLERANCE = 0.05
+MIN_SERVICE_TIME_S = 1e-6
+
+
+class ServiceTimes:
+    """The latest service times of one declared service, sorted.
+
+    Parameters
+    ----------
+    default_s : float
+        Assumed work until something was measured.
+    upstream_service : str
+        What serves it.
+
+    Notes
+    -----
+    Adding costs the logarithm of the window; a percentile is one look-up.
+    """
+
+    def __init__(self, default_s: float, upstream_service: str = "") -> None:
+        self.work_s = default_s
+        self.upstream_service = upstream_service
+        self.samples = 0
+        self._sorted = SortedList()
+        self._in_order: list[float] = []
+        self._next = 0
+
+    def add(self, service_time_s: float) -> None:
+        """Take one service time, in place of the oldest when the window is full."""
+        self._sorted.add(service_time_s)
+        if len(self._in_order) < WINDOW:
+            self._in_order.append(service_time_s)
+            return
+        self._sorted.remove(self._in_order[self._next])
+        self._in_order[self._next] = service_time_s
+        self._next = (self._next + 1) % WINDOW
+
+    def percentile_s(self, fraction: float) -> float:
+        """Return a percentile in seconds, infinite while too few times are known."""
+        if len(self._in_order) < MIN_SAMPLES:
+            return float("inf")
+        return self._sorted[min(len(self._sorted) - 1, int(fraction * len(self._sorted)))]
+
+
+class SpeedModel:
+    """Splits a service time into the work of the service and the slowness of the upstream.
+
+    Parameters
+    ----------
+    default_s : float
+        Assumed work until something was measured.
+
+    Notes
+    -----
+    Upstreams are compared by slowness, so that one that was given long requests does not look
+    slow. Only the product of work and slowness is observed; `normalise` keeps the mean slowness
+    of a pool at 1.
+    """
+
+    def __init__(self, default_s: float) -> None:
+        self._default_s = default_s
+        self._times_by_service: dict[tuple[str, str], ServiceTimes] = {}
+        self._mix_by_upstream_service: dict[str, ServiceTimes] = {}
+
+    def times(self, organisation: str, service: str, upstream_service: str) -> ServiceTimes:
+        """Return what is known of a declared service."""
+        key = (organisation, service)
+        found = self._times_by_service.get(key)
+        if found is None:
+            found = ServiceTimes(self._default_s, upstream_service)
+            self._times_by_service[key] = found
+        return found
+
+    def mix_work_s(self, upstream_service: str) -> float:
+        """Return the mean work of all requests to an upstream service."""
+        found = self._mix_by_upstream_service.get(upstream_service)
+        return found.work_s if found else self._default_s
+
+    def is_measured(self, upstream_service: str) -> bool:
+        """Return whether any answer of an upstream service was measured."""
+        return upstream_service in self._mix_by_upstream_service
+
+    def learn(self, row: UpstreamRow, times: ServiceTimes, service_time_s: float) -> None:
+        """Take the service time of one answer."""
+        observed_s = max(service_time_s, MIN_SERVICE_TIME_S)
+        times.add(observed_s)
+        _learn_work(times, observed_s / row.slowness)
+        mix = self._mix_by_upstream_service.setdefault(row.service, ServiceTimes(self._default_s))
+        _learn_work(mix, observed_s / row.slowness)
+        row.samples += 1
+        weight = max(LEARNING_WEIGHT, 1.0 / (row.samples + 1))
+        slowness = row.slowness + weight * (observed_s / times.work_s - row.slowness)
+        row.slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+
+    def normalise(self, upstream_service: str, pool: UpstreamPool) -> None:
+        """Scale the slowness of a pool to a mean of 1 and the work of its services with it."""
+        scale = sum(row.slowness for row in pool.rows) / max(1, len(pool.rows))
+        if not pool.rows or abs(scale - 1.0) <= SCALE_TOLERANCE:
+            return
+        for row in pool.rows:
+            row.slowness /= scale
+        mix = self._mix_by_upstream_service.get(upstream_service)
+        if mix is not None:
+            mix.work_s *= scale
+        for times in self._times_by_service.values():
+            if times.upstream_service == upstream_service:
+                times.work_s *= scale
+
+
+def _learn_work(times: ServiceTimes, work_s: float) -> None:
+    times.samples += 1
+    weight = max(LEARNING_WEIGHT, 1.0 / times.samples)
+    times.work_s += weight * (work_s - times.work_s)
--- /dev/null
+++ b/redwingplank/runtime/orders.py
@@ -0,0 +1,159 @@
+"""The homes of orders as an entry sees them, and the home itself."""
+
+import asyncio
+from abc import ABC, abstractmethod
+
+from redwingplank.core import Clock, RedwingError
+from redwingplank.platform import PlatformError
+from redwingplank.routing.orders import (
+    ClaimAnswer,
+    ClaimOutcome,
+    OrderBook,
+    OrderClaim,
+    OrderRecord,
+    OrderReport,
+)
+from redwingplank.runtime.order_log import OrderExistsError, OrderLog
+
+__all__ = ["HomeUnreachableError", "OrderHome", "OrderHomes"]
+
+MAX_WAIT_S = 30.0
+EXPIRE_BATCH = 64
+
+
+class HomeUnreachableError(RedwingError):
+    """The order's home gave no answer: nothing may be sent; try again later."""
+
+
+class OrderHomes(ABC):
+    """Asks the home of each order.
+
+    Notes
+    -----
+    Every method raises `HomeUnreachableError` when the home gave no answer. `claim` may be
+    repeated with the same claim id.
+    """
+
+    @abstractmethod
+    async def look(self, claim: OrderClaim) -> ClaimAnswer:
+        """Return what is known of an order without claiming it, waiting for one that runs."""
+
+    @abstractmethod
+    async def claim(self, claim: OrderClaim) -> ClaimAnswer:
+        """Claim an order; its record is durable before FIRST is returned."""
+
+    @abstractmethod
+    async def report(self, report: OrderReport) -> None:
+        """Say how the run of an order ended."""
+
+
+class OrderHome(OrderHomes):
+    """The home of the orders of one shard, in the process that owns it.
+
+    Parameters
+    ----------
+    book : OrderBook
+        Decides.
+    log : OrderLog
+        Makes records durable.
+    clock : Clock
+        Seconds since 1970, because records outlive the process.
+    """
+
+    def __init__(self, book: OrderBook, log: OrderLog, clock: Clock) -> None:
+        self._book = book
+        self._log = log
+        self._clock = clock
+        self._changed_by_digest: dict[str, asyncio.Event] = {}
+        self._is_ready = False
+
+    async def start(self) -> None:
+        """Read the log; claims are refused before.
+
+        Raises
+        ------
+        PlatformError
+            The log could not be read; call again later.
+        """
+        for record in await self._log.replay():
+            self._book.replay(record)
+        self._is_ready = True
+
+    def stop(self) -> None:
+        """Refuse every further claim, because the shard has another owner."""
+        self._is_ready = False
+
+    async def look(self, claim: OrderClaim) -> ClaimAnswer:
+        self._check_ready()
+        return await self._wait_for_end(claim)
+
+    async def claim(self, claim: OrderClaim) -> ClaimAnswer:
+        self._check_ready()
+        while True:
+            found = self._book.claim(self._clock.now_s(), claim)
+            if isinstance(found, OrderRecord):
+                return await self._record(claim, found)
+            if found.outcome is not ClaimOutcome.IN_PROGRESS:
+                return found
+            waited = await self._wait_for_end(claim)
+            if waited.outcome is not ClaimOutcome.ABSENT:
+                return waited
+
+    async def report(self, report: OrderReport) -> None:
+        self._check_ready()
+        ended = self._book.report(self._clock.now_s(), report)
+        self._wake(report.key.digest())
+        try:
+            if isinstance(ended, OrderRecord):
+                await self._log.replace(ended)
+            elif ended is not None:
+                await self._log.delete((ended,))
+        except PlatformError as error:
+            raise HomeUnreachableError(f"the end of the order was not recorded: {error}") from error
+
+    async def expire(self) -> int:
+        """Delete records whose retention is over and return how many; call it now and then."""
+        expired = self._book.expire(self._clock.now_s())
+        for start in range(0, len(expired), EXPIRE_BATCH):
+            await self._log.delete(expired[start : start + EXPIRE_BATCH])
+        return len(expired)
+
+    async def _record(self, claim: OrderClaim, record: OrderRecord) -> ClaimAnswer:
+        try:
+            await self._log.create(record)
+        except OrderExistsError as error:
+            self._book.replay(error.record)
+            return await self._wait_for_end(claim)
+        except PlatformError as error:
+            self._book.not_recorded(record)
+            raise HomeUnreachableError(f"the order could not be recorded: {error}") from error
+        except asyncio.CancelledError:
+            self._book.recorded(record)
+            raise
+        finally:
+            self._wake(record.digest)
+        return self._book.recorded(record)
+
+    async def _wait_for_end(self, claim: OrderClaim) -> ClaimAnswer:
+        digest = claim.key.digest()
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + min(MAX_WAIT_S, claim.timeout_s)
+        while True:
+            found = self._book.look(self._clock.now_s(), claim)
+            remaining_s = ends_at_s - loop.time()
+            if found.outcome is not ClaimOutcome.IN_PROGRESS or remaining_s <= 0:
+                return found
+            changed = self._changed_by_digest.setdefault(digest, asyncio.Event())
+            try:
+                await asyncio.wait_for(changed.wait(), remaining_s)
+            except TimeoutError:
+                return self._book.look(self._clock.now_s(), claim)
+
+    def _wake(self, digest: str) -> None:
+        changed = self._changed_by_digest.pop(digest, None)
+        if changed is not None:
+            changed.set()
+
+    def _check_ready(self) -> None:
+        if not self._is_ready:
+            raise HomeUnreachableError("this process is not the order's home now; ask again")
--- /dev/null
+++ b/redwingplank/runtime/requests.py
@@ -0,0 +1,270 @@
+"""Callers' requests: from the door of an entry to an upstream and back."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field, replace
+
+from redwingplank.config import Service, WorkloadKind
+from redwingplank.core import Clock, Logger, make_logger
+from redwingplank.platform import (
+    OutcomeUnknownError,
+    UnavailableError,
+    UpstreamClient,
+    UpstreamRequest,
+)
+from redwingplank.routing import (
+    CallerAnswer,
+    CallerRequest,
+    HandOn,
+    Problem,
+    Ran,
+    Router,
+    RouteRequest,
+    Shed,
+    ShedReason,
+)
+from redwingplank.runtime.orders import OrderHomes
+from redwingplank.runtime.requests_answers import (
+    answer_of,
+    not_answered,
+    problem_answer,
+    shed_answer,
+)
+from redwingplank.runtime.requests_attempt import AttemptLimits
+from redwingplank.runtime.requests_body import AnswerCutError, SlowCallerError
+from redwingplank.runtime.requests_entries import EntryClient, NoEntryClient
+from redwingplank.runtime.requests_orders import HandOnFunction, OrderRunner
+from redwingplank.runtime.requests_routes import RouteSource
+from redwingplank.runtime.requests_run import NotAnswered, RequestRun, RequestRunner
+
+__all__ = [
+    "AnswerCutError",
+    "CallerAnswer",
+    "CallerRequest",
+    "Problem",
+    "ProxySettings",
+    "Ran",
+    "RequestProxy",
+    "SlowCallerError",
+    "make_request_proxy",
+]
+
+STOPPING_RETRY_AFTER_S = 0.1
+MAX_HOPS = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ProxySettings:
+    """Settings of the proxy.
+
+    Parameters
+    ----------
+    entry : str
+        Name of this process; part of the ids that upstreams see.
+    incarnation : str
+        Differs after each start of the process.
+    limits : AttemptLimits
+        Bounds of each attempt.
+    """
+
+    entry: str = "entry-1"
+    incarnation: str = "0"
+    limits: AttemptLimits = field(default_factory=AttemptLimits)
+
+
+class RequestProxy:
+    """Handles callers' requests.
+
+    Parameters
+    ----------
+    router : Router
+        Decides; the caller of `make_request_proxy` keeps its inputs up to date and calls
+        `wake_waiting` after it did.
+    client : UpstreamClient
+        Sends requests to upstreams.
+    orders : OrderHomes
+        Homes of orders that run at most once.
+    clock : Clock
+        The present time.
+    entries : EntryClient
+        Hands requests on to other entries.
+    settings : ProxySettings
+        Bounds and names.
+    logger : Logger
+        Gets one line for each decision.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        client: UpstreamClient,
+        orders: OrderHomes,
+        clock: Clock,
+        entries: EntryClient,
+        settings: ProxySettings,
+        logger: Logger,
+    ) -> None:
+        self._router = router
+        self._clock = clock
+        self._entries = entries
+        self._settings = settings
+        self._routes = RouteSource(router, clock, logger)
+        self._runner = RequestRunner(
+            router, self._routes, client, clock, settings.limits, self._check_drained
+        )
+        self._orders = OrderRunner(orders, self._runner, clock, settings.entry, self._check_drained)
+        self._numbers = itertools.count(1)
+        self._open_calls = 0
+        self._is_stopping = False
+        self._drained = asyncio.Event()
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether no new requests are taken; callers' connections should be closed."""
+        return self._is_stopping
+
+    async def handle(self, call: CallerRequest, body: bytes) -> CallerAnswer:
+        """Return the answer to a caller's request.
+
+        Parameters
+        ----------
+        call : CallerRequest
+            The request.
+        body : bytes
+            The caller's body.
+
+        Returns
+        -------
+        CallerAnswer
+            Failures that are expected are answers too. A body that is a stream must be read to
+            its end or closed with ``aclose``.
+        """
+        if self._is_stopping:
+            detail = "this entry is stopping; open a new connection"
+            return problem_answer(503, Ran.NO, "stopping", detail, STOPPING_RETRY_AFTER_S)
+        service = self._router.declarations.find_service(call.organisation, call.service)
+        if service is None or service.kind is not WorkloadKind.REQUEST:
+            shed = Shed(call.request_id, ShedReason.UNKNOWN_SERVICE, 0.0)
+            return shed_answer(shed)
+        self._open_calls += 1
+        try:
+            return await self._serve(call, body, service)
+        finally:
+            self._open_calls -= 1
+            self._check_drained()
+
+    def wake_waiting(self) -> None:
+        """Decide on waiting requests again, after the router was given new inputs."""
+        self._routes.release()
+
+    def begin_stop(self) -> None:
+        """Take no new requests; those that were taken go on to their end."""
+        self._is_stopping = True
+        self._check_drained()
+
+    async def drained(self) -> None:
+        """Return once `begin_stop` was called and nothing is in flight any more."""
+        await self._drained.wait()
+
+    async def _serve(self, call: CallerRequest, body: bytes, service: Service) -> CallerAnswer:
+        run = self._make_run(call, body, service)
+        if call.idempotency_key is not None:
+            return await self._orders.run(run, call.idempotency_key, self._hand_on(call, body))
+        decision = await self._runner.obtain(run)
+        if isinstance(decision, Shed):
+            return shed_answer(decision)
+        if isinstance(decision, HandOn):
+            return await self._hand_on(call, body)(run, decision)
+        end = await self._runner.run(run, decision)
+        return not_answered(end) if isinstance(end, NotAnswered) else answer_of(end)
+
+    def _make_run(self, call: CallerRequest, body: bytes, service: Service) -> RequestRun:
+        timeout_s = service.request_timeout_s
+        if call.deadline_ms is not None:
+            timeout_s = min(timeout_s, call.deadline_ms / 1000)
+        unique_id = (
+            f"{call.request_id}~{self._settings.entry}.{self._settings.incarnation}."
+            f"{next(self._numbers)}"
+        )
+        headers = dict(call.headers)
+        if call.idempotency_key is not None:
+            headers["idempotency-key"] = call.idempotency_key
+        return RequestRun(
+            RouteRequest(
+                request_id=unique_id,
+                organisation=call.organisation,
+                service=call.service,
+                deadline_s=self._clock.now_s() + timeout_s,
+                hops=call.hops,
+            ),
+            UpstreamRequest(unique_id, call.organisation, service.upstream_service, body, headers),
+            max_attempts=service.max_attempts,
+            is_repeatable=service.is_idempotent and call.idempotency_key is None,
+        )
+
+    def _hand_on(self, call: CallerRequest, body: bytes) -> HandOnFunction:
+        async def hand_on(run: RequestRun, decision: HandOn) -> CallerAnswer:
+            remaining_s = max(0.001, run.route_request.deadline_s - self._clock.now_s())
+            handed = replace(call, hops=call.hops + 1, deadline_ms=max(1, int(remaining_s * 1000)))
+            try:
+                return await self._entries.hand_on(decision.entry, handed, body, remaining_s)
+            except UnavailableError:
+                return await self._serve_here(call, body, remaining_s)
+            except OutcomeUnknownError as error:
+                return problem_answer(502, Ran.UNKNOWN, "entry_lost", str(error))
+
+        return hand_on
+
+    async def _serve_here(
+        self, call: CallerRequest, body: bytes, remaining_s: float
+    ) -> CallerAnswer:
+        local = replace(call, hops=MAX_HOPS, deadline_ms=max(1, int(remaining_s * 1000)))
+        service = self._router.declarations.find_service(call.organisation, call.service)
+        if service is None:
+            return shed_answer(Shed(call.request_id, ShedReason.UNKNOWN_SERVICE, 0.0))
+        return await self._serve(local, body, service)
+
+    def _check_drained(self) -> None:
+        is_idle = not (self._open_calls or self._runner.open_attempts or self._orders.running)
+        if self._is_stopping and is_idle:
+            self._drained.set()
+
+
+def make_request_proxy(
+    router: Router,
+    upstream_client: UpstreamClient,
+    orders: OrderHomes,
+    clock: Clock,
+    *,
+    entries: EntryClient | None = None,
+    settings: ProxySettings | None = None,
+    logger: Logger | None = None,
+) -> RequestProxy:
+    """Return a proxy around a router.
+
+    Parameters
+    ----------
+    router : Router
+        Decides.
+    upstream_client : UpstreamClient
+        Sends requests to upstreams.
+    orders : OrderHomes
+        Homes of orders that run at most once.
+    clock : Clock
+        The same clock that the router's other inputs are timed by.
+    entries : EntryClient, optional
+        Hands requests on; without it every request is served here.
+    settings : ProxySettings, optional
+        Bounds and names.
+    logger : Logger, optional
+        Gets one line for each decision.
+    """
+    return RequestProxy(
+        router,
+        upstream_client,
+        orders,
+        clock,
+        entries or NoEntryClient(),
+        settings or ProxySettings(),
+        logger or make_logger("requests"),
+    )
--- /dev/null
+++ b/redwingplank/runtime/requests_answers.py
@@ -0,0 +1,88 @@
+"""Turns the end of a request into the caller's answer."""
+
+from redwingplank.routing import CallerAnswer, FailureKind, Problem, Ran, Shed, ShedReason
+from redwingplank.routing.orders import ClaimAnswer, ClaimOutcome, StoredAnswer
+from redwingplank.runtime.requests_attempt import Answered
+from redwingplank.runtime.requests_run import NotAnswered
+
+__all__ = [
+    "answer_of",
+    "claim_problem",
+    "not_answered",
+    "problem_answer",
+    "shed_answer",
+    "stored_answer",
+]
+
+REPEAT_HEADER = "idempotent-replayed"
+UNKNOWN_RETRY_AFTER_S = 1.0
+
+_SHED_DETAILS = {
+    ShedReason.UNKNOWN_SERVICE: "the organisation has no such request service",
+    ShedReason.NO_UPSTREAM: "no upstream of the service takes requests now",
+    ShedReason.DEADLINE: "the answer would come after the deadline",
+    ShedReason.QUEUE_FULL: "too many requests wait",
+    ShedReason.DISPLACED: "more urgent requests took the place in the queue",
+    ShedReason.RETRY_BUDGET: "too many requests are being sent again",
+    ShedReason.STOPPING: "this entry is stopping; open a new connection",
+}
+
+_CLAIM_PROBLEMS = {
+    ClaimOutcome.IN_PROGRESS: (409, Ran.UNKNOWN, "order_in_progress", "the order still runs"),
+    ClaimOutcome.UNKNOWN: (502, Ran.UNKNOWN, "order_unknown", "the first run's end is not known"),
+    ClaimOutcome.NOT_KEPT: (
+        410,
+        Ran.YES,
+        "answer_not_kept",
+        "the order ran, but its answer is too long or too old to be kept",
+    ),
+    ClaimOutcome.CONFLICT: (
+        422,
+        Ran.NO,
+        "key_reused",
+        "the Idempotency-Key was used with another body; use a new key",
+    ),
+}
+
+
+def answer_of(answered: Answered) -> CallerAnswer:
+    """Return an upstream's answer as the caller's."""
+    return CallerAnswer(answered.status, Ran.YES, answered.headers, answered.body)
+
+
+def stored_answer(stored: StoredAnswer) -> CallerAnswer:
+    """Return the answer of an order's first run to a repeat."""
+    headers = {**dict(stored.headers), REPEAT_HEADER: "true"}
+    return CallerAnswer(stored.status, Ran.YES, headers, stored.body)
+
+
+def shed_answer(shed: Shed, ran: Ran = Ran.NO) -> CallerAnswer:
+    """Return the answer to a request that was shed, after attempts that may have run."""
+    if shed.reason is ShedReason.UNKNOWN_SERVICE:
+        return problem_answer(404, ran, shed.reason.value, _SHED_DETAILS[shed.reason])
+    return problem_answer(
+        503, ran, shed.reason.value, _SHED_DETAILS[shed.reason], shed.retry_after_s
+    )
+
+
+def not_answered(end: NotAnswered) -> CallerAnswer:
+    """Return the answer to a request that no upstream answered."""
+    if isinstance(end.cause, Shed):
+        return shed_answer(end.cause, end.ran)
+    is_late = end.cause.kind is FailureKind.TIMEOUT
+    status = 504 if is_late else 503 if end.ran is Ran.NO else 502
+    code = f"upstream_{end.cause.kind.value}"
+    return problem_answer(status, end.ran, code, end.cause.detail, UNKNOWN_RETRY_AFTER_S)
+
+
+def claim_problem(claimed: ClaimAnswer) -> CallerAnswer:
+    """Return the answer to an order that may not be sent and has no stored answer."""
+    status, ran, code, detail = _CLAIM_PROBLEMS[claimed.outcome]
+    return problem_answer(status, ran, code, detail)
+
+
+def problem_answer(
+    status: int, ran: Ran, code: str, detail: str, retry_after_s: float | None = None
+) -> CallerAnswer:
+    """Return an answer of the entry's own."""
+    return CallerAnswer(status, ran, problem=Problem(code, detail), retry_after_s=retry_after_s)
--- /dev/null
+++ b/redwingplank/runtime/requests_orders.py
@@ -0,0 +1,184 @@
+"""Requests with an ``Idempotency-Key``: run at most once, under their home's word."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import xxhash
+
+from redwingplank.core import Clock
+from redwingplank.routing import CallerAnswer, HandOn, Ran, Route, Shed
+from redwingplank.routing.orders import (
+    ClaimAnswer,
+    ClaimOutcome,
+    OrderClaim,
+    OrderEnd,
+    OrderKey,
+    OrderReport,
+    StoredAnswer,
+)
+from redwingplank.runtime.orders import HomeUnreachableError, OrderHomes
+from redwingplank.runtime.requests_answers import (
+    answer_of,
+    claim_problem,
+    not_answered,
+    problem_answer,
+    shed_answer,
+    stored_answer,
+)
+from redwingplank.runtime.requests_attempt import Answered
+from redwingplank.runtime.requests_run import NotAnswered, RequestRun, RequestRunner
+
+__all__ = ["HandOnFunction", "OrderRunner"]
+
+HandOnFunction = Callable[[RequestRun, HandOn], Awaitable[CallerAnswer]]
+
+CLAIM_ATTEMPTS = 3
+REPORT_ATTEMPTS = 5
+REPEAT_DELAY_S = 0.05
+HOME_RETRY_AFTER_S = 1.0
+MIN_REMAINING_S = 0.001
+
+
+class OrderRunner:
+    """Asks the home before an order is sent and reports how it ended.
+
+    Parameters
+    ----------
+    homes : OrderHomes
+        The homes.
+    runner : RequestRunner
+        Sends requests.
+    clock : Clock
+        The present time.
+    entry : str
+        Name of this process.
+    on_end : callable
+        Called after each order's end was reported.
+
+    Notes
+    -----
+    An order that was sent goes on when its caller leaves, so that its answer is kept for a repeat.
+    """
+
+    def __init__(
+        self,
+        homes: OrderHomes,
+        runner: RequestRunner,
+        clock: Clock,
+        entry: str,
+        on_end: Callable[[], None],
+    ) -> None:
+        self._homes = homes
+        self._runner = runner
+        self._clock = clock
+        self._entry = entry
+        self._on_end = on_end
+        self._tasks: set[asyncio.Task[CallerAnswer]] = set()
+        self._reports: set[asyncio.Task[None]] = set()
+
+    @property
+    def running(self) -> int:
+        """Number of orders whose end was not reported yet."""
+        return len(self._tasks) + len(self._reports)
+
+    async def run(self, run: RequestRun, key: str, hand_on: HandOnFunction) -> CallerAnswer:
+        """Return the answer of the order's first run, which may be this one."""
+        claim = self._make_claim(run, key)
+        try:
+            known = await self._homes.look(claim)
+        except HomeUnreachableError as error:
+            return _home_problem(error)
+        if known.outcome is not ClaimOutcome.ABSENT:
+            return _known_answer(known)
+        decision = await self._runner.obtain(run)
+        if isinstance(decision, Shed):
+            return shed_answer(decision)
+        if isinstance(decision, HandOn):
+            return await hand_on(run, decision)
+        task = asyncio.create_task(self._claim_and_run(run, claim, decision))
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return await asyncio.shield(task)
+
+    def _make_claim(self, run: RequestRun, key: str) -> OrderClaim:
+        request = run.upstream_request
+        return OrderClaim(
+            key=OrderKey(request.organisation, run.route_request.service, key),
+            claim_id=request.request_id,
+            entry=self._entry,
+            body_digest=xxhash.xxh3_128_hexdigest(request.body),
+            timeout_s=max(MIN_REMAINING_S, run.route_request.deadline_s - self._clock.now_s()),
+        )
+
+    async def _claim_and_run(
+        self, run: RequestRun, claim: OrderClaim, route: Route
+    ) -> CallerAnswer:
+        try:
+            claimed = await self._claim(run, claim)
+        except HomeUnreachableError as error:
+            self._runner.give_back(route)
+            self._report(OrderReport(claim.key, claim.claim_id, OrderEnd.NOT_RUN))
+            return _home_problem(error)
+        if claimed.outcome is not ClaimOutcome.FIRST:
+            self._runner.give_back(route)
+            return _known_answer(claimed)
+        end = await self._runner.run(run, route)
+        self._report(_make_report(claim, end))
+        return not_answered(end) if isinstance(end, NotAnswered) else answer_of(end)
+
+    async def _claim(self, run: RequestRun, claim: OrderClaim) -> ClaimAnswer:
+        for attempt in range(1, CLAIM_ATTEMPTS + 1):
+            try:
+                claimed = await self._homes.claim(claim)
+            except HomeUnreachableError:
+                if attempt == CLAIM_ATTEMPTS:
+                    raise
+                await asyncio.sleep(REPEAT_DELAY_S)
+                continue
+            break
+        if self._clock.now_s() >= run.route_request.deadline_s:
+            raise HomeUnreachableError("the home answered after the deadline; send it again")
+        return claimed
+
+    def _report(self, report: OrderReport) -> None:
+        task = asyncio.create_task(self._send_report(report))
+        self._reports.add(task)
+        task.add_done_callback(self._reported)
+
+    async def _send_report(self, report: OrderReport) -> None:
+        for attempt in range(1, REPORT_ATTEMPTS + 1):
+            try:
+                await self._homes.report(report)
+            except HomeUnreachableError:
+                await asyncio.sleep(REPEAT_DELAY_S * attempt)
+                continue
+            return
+
+    def _ended(self, task: asyncio.Task[CallerAnswer]) -> None:
+        self._tasks.discard(task)
+        self._on_end()
+
+    def _reported(self, task: asyncio.Task[None]) -> None:
+        self._reports.discard(task)
+        self._on_end()
+
+
+def _make_report(claim: OrderClaim, end: Answered | NotAnswered) -> OrderReport:
+    if isinstance(end, NotAnswered):
+        kind = OrderEnd.NOT_RUN if end.ran is Ran.NO else OrderEnd.UNKNOWN
+        return OrderReport(claim.key, claim.claim_id, kind)
+    if not isinstance(end.body, bytes):
+        return OrderReport(claim.key, claim.claim_id, OrderEnd.NOT_KEPT)
+    stored = StoredAnswer(end.status, tuple(end.headers.items()), end.body)
+    return OrderReport(claim.key, claim.claim_id, OrderEnd.ANSWERED, stored)
+
+
+def _known_answer(known: ClaimAnswer) -> CallerAnswer:
+    if known.outcome is ClaimOutcome.REPEAT and known.answer is not None:
+        return stored_answer(known.answer)
+    return claim_problem(known)
+
+
+def _home_problem(error: HomeUnreachableError) -> CallerAnswer:
+    detail = f"this request was not sent, because the home of its key gave no answer: {error}"
+    return problem_answer(503, Ran.NO, "home_unreachable", detail, HOME_RETRY_AFTER_S)
--- /dev/null
+++ b/redwingplank/runtime/requests_routes.py
@@ -0,0 +1,121 @@
+"""Gets a route for each request, now or when the router releases it."""
+
+import asyncio
+from typing import Any
+
+from redwingplank.core import Clock, Logger, log_event
+from redwingplank.routing import (
+    FailureKind,
+    HandOn,
+    Route,
+    Router,
+    RouteRequest,
+    Shed,
+    Wait,
+)
+
+__all__ = ["RouteSource", "decision_fields"]
+
+RELEASE_INTERVAL_S = 0.01
+
+
+class RouteSource:
+    """Asks the router and wakes the requests that waited in it.
+
+    Parameters
+    ----------
+    router : Router
+        Decides.
+    clock : Clock
+        The present time.
+    logger : Logger
+        Gets one line for each decision.
+    """
+
+    def __init__(self, router: Router, clock: Clock, logger: Logger) -> None:
+        self._router = router
+        self._clock = clock
+        self._logger = logger
+        self._futures_by_id: dict[str, asyncio.Future[Route | Shed]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def obtain(self, request: RouteRequest) -> Route | Shed | HandOn:
+        """Return the router's decision, waiting for it if the request has to wait."""
+        decision = self._router.decide(self._clock.now_s(), request)
+        self._log(request, decision)
+        if not isinstance(decision, Wait):
+            return decision
+        future: asyncio.Future[Route | Shed] = asyncio.get_running_loop().create_future()
+        self._futures_by_id[request.request_id] = future
+        self._schedule()
+        try:
+            released = await future
+        except asyncio.CancelledError:
+            self._give_up(request.request_id, future)
+            raise
+        self._log(request, released)
+        return released
+
+    def release(self) -> None:
+        """Wake the requests whose decision can be made now; call it after every change."""
+        for decision in self._router.release(self._clock.now_s()):
+            future = self._futures_by_id.pop(decision.request_id, None)
+            if future is not None and not future.done():
+                future.set_result(decision)
+            elif isinstance(decision, Route):
+                self._router.failed(self._clock.now_s(), decision, FailureKind.CALLER_LEFT)
+
+    def _give_up(self, request_id: str, future: asyncio.Future[Route | Shed]) -> None:
+        self._futures_by_id.pop(request_id, None)
+        self._router.cancel(request_id)
+        if future.done() and not future.cancelled():
+            decision = future.result()
+            if isinstance(decision, Route):
+                self._router.failed(self._clock.now_s(), decision, FailureKind.CALLER_LEFT)
+                self.release()
+
+    def _schedule(self) -> None:
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(RELEASE_INTERVAL_S, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.release()
+        if self._futures_by_id:
+            self._schedule()
+
+    def _log(self, request: RouteRequest, decision: Route | Shed | HandOn | Wait) -> None:
+        log_event(self._logger, "request_decided", **decision_fields(request, decision))
+
+
+def decision_fields(
+    request: RouteRequest, decision: Route | Shed | HandOn | Wait
+) -> dict[str, Any]:
+    """Return the pairs of the log line of a decision."""
+    return {
+        "request_id": request.request_id,
+        "organisation": request.organisation,
+        "service": request.service,
+        "attempt": request.attempt,
+        **_outcome_fields(decision),
+    }
+
+
+def _outcome_fields(decision: Route | Shed | HandOn | Wait) -> dict[str, Any]:
+    if isinstance(decision, Route):
+        return {
+            "decision": "hedge" if decision.is_hedge else "route",
+            "upstream": decision.upstream,
+            "expected_ms": decision.expected_s * 1000,
+            "waited_ms": decision.waited_s * 1000,
+        }
+    if isinstance(decision, Shed):
+        return {
+            "decision": "shed",
+            "reason": decision.reason.value,
+            "retry_after_ms": decision.retry_after_s * 1000,
+        }
+    if isinstance(decision, HandOn):
+        return {"decision": "hand_on", "entry": decision.entry}
+    return {"decision": "wait", "predicted_wait_ms": decision.predicted_wait_s * 1000}
