Add membership and the spread of revisions as state machines, with nodes in memory

Cause: every node has to know its peers and upstreams soon and truly, and the revision in force, while the store and the list are slow or away. Conclusion: shells over RPC can be built on these.

--- /dev/null
+++ b/redwingplank/membership/node.py
@@ -0,0 +1,355 @@
+"""One node's membership: what it sends, and what it makes of what it hears."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+import numpy as np
+
+from redwingplank.config.spread import choose_node
+from redwingplank.membership.detector import DetectorTiming, FailureDetector, NodeStatus
+from redwingplank.membership.domains import DomainTable
+from redwingplank.membership.messages import (
+    DomainSummary,
+    Heartbeat,
+    Peer,
+    PeerEvidence,
+    VmWord,
+)
+from redwingplank.membership.reach import Reach
+from redwingplank.membership.upstreams import VmTable
+from redwingplank.platform import ListedVm, VmListing, VmRole
+
+__all__ = [
+    "MembershipAction",
+    "MembershipState",
+    "MembershipTiming",
+    "NodeIdentity",
+    "ReadList",
+    "SendHeartbeat",
+    "SendSummary",
+]
+
+STORE = "store"
+VM_LIST = "vm-list"
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipTiming:
+    """Times of membership.
+
+    Parameters
+    ----------
+    heartbeat_s : float
+        Between two heartbeats of a pair of nodes in one failure domain.
+    probe_s : float
+        Between two heartbeats to a node that is dead or was never heard.
+    summary_s : float
+        Between two summaries to each other failure domain.
+    list_s : float
+        Between two reads of the platform's list.
+    detector : DetectorTiming
+        Of the failure detector.
+    """
+
+    heartbeat_s: float = 1.0
+    probe_s: float = 4.0
+    summary_s: float = 2.0
+    list_s: float = 10.0
+    detector: DetectorTiming = field(default_factory=DetectorTiming)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeIdentity:
+    """Who a node is, from its settings."""
+
+    name: str
+    failure_domain: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendHeartbeat:
+    """Send a heartbeat; the answer goes to `MembershipState.on_answer`."""
+
+    address: str
+    heartbeat: Heartbeat
+
+
+@dataclass(frozen=True, slots=True)
+class SendSummary:
+    """Send a summary to a failure domain; the answer goes to `MembershipState.on_summary`."""
+
+    failure_domain: str
+    address: str
+    summary: DomainSummary
+
+
+@dataclass(frozen=True, slots=True)
+class ReadList:
+    """Read the platform's list of one failure domain."""
+
+    failure_domain: str
+
+
+MembershipAction = SendHeartbeat | SendSummary | ReadList
+
+
+class MembershipState:
+    """The state of one node; `tick` returns what to do, the other methods take results.
+
+    Parameters
+    ----------
+    identity : NodeIdentity
+        This node.
+    incarnation : int
+        Higher than that of an earlier process of the same name.
+    now_s : float
+        Present time.
+    addresses_by_name : mapping of str to str
+        All known nodes from the settings, as ``"FAILURE_DOMAIN/NAME"``.
+    generator : numpy.random.Generator
+        For jitter and the choice of addresses.
+    timing : MembershipTiming
+        Times.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        incarnation: int,
+        now_s: float,
+        addresses_by_name: Mapping[str, str],
+        generator: np.random.Generator,
+        timing: MembershipTiming | None = None,
+    ) -> None:
+        self.identity = identity
+        self.incarnation = incarnation
+        self.is_leaving = False
+        self.timing = timing or MembershipTiming()
+        self.detector = FailureDetector(self.timing.detector)
+        self.vms = VmTable()
+        self.reach = Reach(now_s)
+        self._generator = generator
+        self._sequence = 0
+        self._revision = 0
+        self._seeded_names: set[str] = set()
+        self.domains = DomainTable(now_s, self._take_seeds(addresses_by_name))
+        self._round_at_s = now_s + generator.uniform(0.0, self.timing.heartbeat_s)
+        self._probe_at_s = now_s
+        self._summary_at_s = now_s + generator.uniform(0.0, self.timing.summary_s)
+        self._list_at_s = now_s
+        self._is_urgent = True
+
+    def tick(self, now_s: float, revision: int) -> list[MembershipAction]:
+        """Let time pass and return what to send and read.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+        revision : int
+            Of the declarations in force at this node.
+        """
+        self._revision = revision
+        if any(node.status is NodeStatus.SUSPECT for node in self.detector.tick(now_s)):
+            self._is_urgent = True
+        actions: list[MembershipAction] = []
+        self._tick_heartbeats(now_s, actions)
+        self._tick_summaries(now_s, actions)
+        if now_s >= self._list_at_s:
+            self._list_at_s = now_s + self.timing.list_s * self._generator.uniform(0.75, 1.25)
+            actions.append(ReadList(self.identity.failure_domain))
+        return actions
+
+    def on_heartbeat(self, now_s: float, heartbeat: Heartbeat) -> Heartbeat:
+        """Take a heartbeat and return the answer."""
+        is_news = self._hear(now_s, heartbeat)
+        vouched = self.detector.vouch(now_s, heartbeat.suspected)
+        answer = self._make_heartbeat(now_s, vouched)
+        if is_news:
+            return answer
+        return self._with_known_incarnation(answer, heartbeat)
+
+    def on_answer(self, now_s: float, heartbeat: Heartbeat) -> None:
+        """Take the answer to a heartbeat."""
+        self._hear(now_s, heartbeat)
+
+    def on_summary(self, now_s: float, summary: DomainSummary) -> DomainSummary:
+        """Take a summary, or the answer to one, and return this failure domain's own."""
+        if summary.failure_domain != self.identity.failure_domain:
+            self.domains.take_summary(now_s, summary)
+        return self._make_summary()
+
+    def on_summary_failed(self, failure_domain: str) -> None:
+        """Take the failure of a summary."""
+        self.domains.forget_address(failure_domain)
+
+    def on_list(self, now_s: float, listing: VmListing) -> None:
+        """Take the platform's list of this failure domain."""
+        self.reach.note(VM_LIST, now_s, is_reached=True)
+        self.vms.take_list(now_s, listing.vms)
+        listed = {vm.name: vm for vm in self.vms.listed(VmRole.ENTRY)}
+        for vm in listed.values():
+            is_other = vm.name != self.identity.name and vm.name not in self._seeded_names
+            if is_other and not self.vms.has_word(vm.name):
+                self.detector.add(vm.name, vm.address)
+        for name in list(self.detector.nodes_by_name):
+            if name not in listed and name not in self._seeded_names:
+                self.detector.remove(name)
+
+    def on_list_failed(self, now_s: float) -> None:
+        """Take the failure to read the platform's list; what was read last stays in use."""
+        self.reach.note(VM_LIST, now_s, is_reached=False)
+
+    def note_store(self, now_s: float, is_reached: bool) -> None:
+        """Take whether a call reached the platform's store."""
+        self.reach.note(STORE, now_s, is_reached=is_reached)
+
+    def mark(self, now_s: float, word: VmWord) -> None:
+        """Take a stronger signal than the list about a VM, and tell the others at once."""
+        if self.vms.take_word(now_s, word):
+            self._is_urgent = True
+
+    def leave(self) -> None:
+        """Tell the others at the next tick that this node stops."""
+        self.is_leaving = True
+        self._is_urgent = True
+
+    def live_upstreams(self) -> tuple[ListedVm, ...]:
+        """Return the upstreams of this failure domain that may be given new work."""
+        return self.vms.live(VmRole.UPSTREAM)
+
+    def live_peers(self) -> tuple[Peer, ...]:
+        """Return the other live nodes of this failure domain; leaving ones are not among them."""
+        return tuple(
+            Peer(node.name, self.identity.failure_domain, node.address, False, node.revision)
+            for node in self.detector
+            if node.is_alive and not node.is_leaving
+        )
+
+    def cut_off_from(self, now_s: float) -> tuple[str, ...]:
+        """Return what this node is cut off from.
+
+        Returns
+        -------
+        tuple of str
+            Names of failure domains, ``"store"`` and ``"vm-list"``.
+        """
+        return self.domains.cut_off(now_s) + self.reach.cut_off(now_s)
+
+    def is_speaker(self) -> bool:
+        """Return whether this node exchanges summaries for its failure domain."""
+        names = tuple(peer.name for peer in self.live_peers())
+        if self.is_leaving and names:
+            return False
+        return choose_node((self.identity.name, *names)) == self.identity.name
+
+    def _take_seeds(self, addresses_by_name: Mapping[str, str]) -> dict[str, tuple[str, ...]]:
+        addresses_by_domain: dict[str, tuple[str, ...]] = {}
+        for full_name, address in addresses_by_name.items():
+            failure_domain, _, name = full_name.partition("/")
+            if failure_domain != self.identity.failure_domain:
+                known = addresses_by_domain.get(failure_domain, ())
+                addresses_by_domain[failure_domain] = (*known, address)
+            elif name != self.identity.name:
+                self._seeded_names.add(name)
+                self.detector.add(name, address)
+        return addresses_by_domain
+
+    def _hear(self, now_s: float, heartbeat: Heartbeat) -> bool:
+        if heartbeat.failure_domain != self.identity.failure_domain:
+            return True
+        is_news = self.detector.hear(now_s, heartbeat)
+        for evidence in heartbeat.suspected + heartbeat.vouched:
+            if evidence.name == self.identity.name:
+                self._refute(evidence)
+        for evidence in heartbeat.vouched:
+            self.detector.take_evidence(now_s, evidence)
+        for word in heartbeat.words:
+            self.vms.take_word(now_s, word)
+        for view in heartbeat.domains:
+            self.domains.take_view(now_s, view)
+        if heartbeat.is_speaker:
+            self.reach.note_told(STORE, now_s, is_reached=not heartbeat.is_store_cut_off)
+        return is_news
+
+    def _refute(self, evidence: PeerEvidence) -> None:
+        if evidence.incarnation >= self.incarnation:
+            self.incarnation = evidence.incarnation + 1
+            self._sequence = 0
+            self._is_urgent = True
+
+    def _with_known_incarnation(self, answer: Heartbeat, heartbeat: Heartbeat) -> Heartbeat:
+        node = self.detector.nodes_by_name[heartbeat.name]
+        if node.status is not NodeStatus.DEAD and node.incarnation <= heartbeat.incarnation:
+            return answer
+        evidence = PeerEvidence(node.name, node.incarnation)
+        return replace(answer, suspected=(*answer.suspected, evidence))
+
+    def _tick_heartbeats(self, now_s: float, actions: list[MembershipAction]) -> None:
+        is_round = now_s >= self._round_at_s
+        is_probe = now_s >= self._probe_at_s
+        if not is_round and not self._is_urgent:
+            return
+        if is_round:
+            self._round_at_s = max(self._round_at_s + self.timing.heartbeat_s, now_s)
+        if is_probe:
+            self._probe_at_s = now_s + self.timing.probe_s * self._generator.uniform(0.75, 1.25)
+        is_urgent, self._is_urgent = self._is_urgent, False
+        due = [
+            node for node in self.detector if self._is_due(now_s, node.name, is_urgent, is_probe)
+        ]
+        actions.extend(SendHeartbeat(node.address, self._make_heartbeat(now_s)) for node in due)
+
+    def _is_due(self, now_s: float, name: str, is_urgent: bool, is_probe: bool) -> bool:
+        node = self.detector.nodes_by_name[name]
+        if not node.is_alive:
+            return is_probe
+        if is_urgent or self.identity.name < name:
+            return True
+        return now_s - node.heard_at_s > 1.25 * self.timing.heartbeat_s
+
+    def _tick_summaries(self, now_s: float, actions: list[MembershipAction]) -> None:
+        if now_s < self._summary_at_s:
+            return
+        self._summary_at_s = max(self._summary_at_s + self.timing.summary_s, now_s)
+        if not self.is_speaker():
+            return
+        summary = self._make_summary()
+        for name in self.domains:
+            addresses = self.domains.addresses_of(name)
+            if addresses:
+                address = addresses[int(self._generator.integers(len(addresses)))]
+                actions.append(SendSummary(name, address, summary))
+
+    def _make_heartbeat(self, now_s: float, vouched: tuple[PeerEvidence, ...] = ()) -> Heartbeat:
+        self._sequence += 1
+        is_speaker = self.is_speaker()
+        return Heartbeat(
+            name=self.identity.name,
+            failure_domain=self.identity.failure_domain,
+            address=self.identity.address,
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            is_leaving=self.is_leaving,
+            revision=self._revision,
+            suspected=self.detector.suspected(now_s),
+            vouched=vouched,
+            words=self.vms.recent_words(now_s),
+            domains=self.domains.views(now_s) if is_speaker else (),
+            is_speaker=is_speaker,
+            is_store_cut_off=STORE in self.reach.cut_off(now_s),
+        )
+
+    def _make_summary(self) -> DomainSummary:
+        peers = self.live_peers()
+        leaving = sum(1 for node in self.detector if node.is_alive and node.is_leaving)
+        speaker = choose_node((self.identity.name, *(peer.name for peer in peers)))
+        addresses_by_name = {peer.name: peer.address for peer in peers}
+        return DomainSummary(
+            self.identity.failure_domain,
+            addresses_by_name.get(speaker, self.identity.address),
+            len(peers) + (0 if self.is_leaving else 1),
+            leaving + (1 if self.is_leaving else 0),
+            max([self._revision, *(peer.revision for peer in peers)]),
+        )
