--- a/redwingplank/config/places.py
+++ b/redwingplank/config/places.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from math import isfinite
 from typing import Any
 
 from ruamel.yaml import YAML
@@ -15,6 +16,7 @@
 
 Path = tuple[str | int, ...]
 STRING_TAG = "tag:yaml.org,2002:str"
+MAX_DEPTH = 32
 
 
 @dataclass(slots=True)
@@ -62,12 +64,20 @@
         place = Place(source, 1, 1)
         result.findings.append(Finding(place, f"is no YAML: {error}", "correct the syntax"))
         return result
+    except RecursionError:
+        place = Place(source, 1, 1)
+        result.findings.append(_too_deep_finding(place))
+        return result
     if node is not None:
         reader = _Reader(source, result, yaml.constructor)
         result.value = reader.read(node, ())
     return result
 
 
+def _too_deep_finding(place: Place) -> Finding:
+    return Finding(place, f"is nested more than {MAX_DEPTH} deep", "remove the nesting")
+
+
 def _syntax_finding(source: str, error: MarkedYAMLError) -> Finding:
     mark = error.problem_mark or error.context_mark
     line, column = (mark.line + 1, mark.column + 1) if mark else (1, 1)
@@ -84,12 +94,15 @@
     def read(self, node: Node, path: Path) -> Any:
         if path not in self._result.places_by_path:
             self._result.places_by_path[path] = self._place(node, path)
+        if len(path) > MAX_DEPTH:
+            self._result.findings.append(_too_deep_finding(self._place(node, path[:MAX_DEPTH])))
+            return None
         if isinstance(node, MappingNode):
             return self._read_mapping(node, path)
         if isinstance(node, SequenceNode):
             return [self.read(item, (*path, index)) for index, item in enumerate(node.value)]
         assert isinstance(node, ScalarNode)
-        return self._read_scalar(node)
+        return self._read_scalar(node, path)
 
     def _read_mapping(self, node: MappingNode, path: Path) -> dict[str, Any]:
         value: dict[str, Any] = {}
@@ -106,10 +119,19 @@
             value[key] = self.read(value_node, entry_path)
         return value
 
-    def _read_scalar(self, node: ScalarNode) -> Any:
+    def _read_scalar(self, node: ScalarNode, path: Path) -> Any:
         if node.tag == STRING_TAG:
             return node.value
-        return self._constructor.construct_object(node)
+        try:
+            value = self._constructor.construct_object(node)
+            if isinstance(value, float) and not isfinite(value):
+                raise ValueError("not a finite number")
+            return value
+        except (YAMLError, ValueError, KeyError):
+            problem = f"is no value of the YAML type {node.tag.rpartition(':')[2]!r}"
+            remedy = "write it as a number, or in quotes as text"
+            self._result.findings.append(Finding(self._place(node, path), problem, remedy))
+            return None
 
     def _place(self, node: Node, path: Path) -> Place:
         mark = node.start_mark
--- /dev/null
+++ b/redwingplank/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that concern several packages."""
