--- a/redwingplank/config/places.py
+++ b/redwingplank/config/places.py
@@ -128,7 +128,7 @@
                 raise ValueError("not a finite number")
             return value
         except (YAMLError, ValueError, KeyError):
-            problem = f"is no value of the YAML type {node.tag.rpartition(':')[2]!r}"
+            problem = f"is no value of the YAML type {str(node.tag).rpartition(':')[2]!r}"
             remedy = "write it as a number, or in quotes as text"
             self._result.findings.append(Finding(self._place(node, path), problem, remedy))
             return None
