Add gangs, services, learning, overshoot and quarantine; storms of random faults

Cause: the thin core had one kind of work and no health of workers. Change: gangs roll back as a whole; standing services are kept at their count and moved from leaving VMs; sizes, run times and speeds are learnt; overshoot is answered in steps; workers that fail everything are quarantined.

--- a/redwingplank/scheduling/adoption.py
+++ b/redwingplank/scheduling/adoption.py
@@ -12,11 +12,13 @@
     WorkerInventory,
 )
 from redwingplank.scheduling.attempt_ends import AttemptEnds
-from redwingplank.scheduling.entities import Phase, StopReason, Task, Worker
+from redwingplank.scheduling.entities import Phase, StopReason, Task, Worker, split_task_id
 from redwingplank.scheduling.exchanges import Exchanges
 from redwingplank.scheduling.lifecycle import TaskLifecycle
 from redwingplank.scheduling.messages import DrainVm, TaskState, VmsListed, WorkerAdopted
+from redwingplank.scheduling.openness import update_open
 from redwingplank.scheduling.rejoin import Rejoin
+from redwingplank.scheduling.services import StandingServices
 from redwingplank.scheduling.state import ShardState
 
 __all__ = ["Adoption"]
@@ -37,6 +39,8 @@
         Knows which workers answer.
     rejoin : Rejoin
         Recovered tasks that wait for proof of stop.
+    services : StandingServices
+        Standing services, whose tasks move away from a VM that leaves.
     """
 
     def __init__(
@@ -46,12 +50,14 @@
         ends: AttemptEnds,
         exchanges: Exchanges,
         rejoin: Rejoin,
+        services: StandingServices,
     ) -> None:
         self._state = state
         self._lifecycle = lifecycle
         self._ends = ends
         self._exchanges = exchanges
         self._rejoin = rejoin
+        self._services = services
 
     def adopt(self, message: WorkerAdopted, now_s: float) -> None:
         """Take a worker's inventory."""
@@ -71,7 +77,7 @@
         self._mark_adopted(worker, vm, inventory, now_s)
         self._join(worker, inventory, now_s)
         self._rejoin.worker_adopted(worker.name)
-        self._exchanges.update_open(worker)
+        update_open(self._state, worker)
         self._state.touch(worker)
 
     def _add(self, vm: ListedVm, inventory: WorkerInventory) -> Worker:
@@ -135,9 +141,11 @@
 
     def _join_running(self, worker: Worker, running: RunningTask, now_s: float) -> None:
         task = self._state.find_task(running.task_id)
+        if task is None:
+            task = self._services.find_or_add(*split_task_id(running.task_id))
         if task is not None and task.worker is worker and task.attempt == running.attempt:
             if task.phase in (Phase.SENT, Phase.DOUBTFUL):
-                self._exchanges.confirm(task)
+                self._exchanges.confirm(task, now_s)
             return
         if task is not None and task.worker is None and self._rejoin.is_waiting(task):
             self._attach(task, worker, running, now_s)
@@ -155,7 +163,7 @@
         task.placed_at_s = now_s - running.started_ago_s
         amounts = self._state.table.amounts(running.reserved)
         self._lifecycle.reserve(task, worker, amounts)
-        self._exchanges.confirm(task)
+        self._exchanges.confirm(task, now_s)
         self._state.decide("task_found", task=task.task_id, worker=worker.name)
         if task.job.is_cancelled:
             self._lifecycle.stop(task, StopReason.CANCELLED, TaskActionKind.STOP, now_s)
@@ -242,10 +250,10 @@
             worker.is_draining = message.is_draining
             self._state.closing_changed.append(worker)
 
-    def update_closing(self) -> list[Worker]:
-        """Close and open the rows of workers that changed, and return those workers."""
+    def update_closing(self, now_s: float) -> None:
+        """Close and open the rows of workers that changed; services move away from closed ones."""
         changed, self._state.closing_changed = self._state.closing_changed, []
         for worker in changed:
-            self._exchanges.update_open(worker)
+            update_open(self._state, worker)
+            self._services.move_from(worker, now_s)
             self._state.decide("worker_closing", worker=worker.name, closing=worker.is_closing)
-        return changed
--- a/redwingplank/scheduling/attempt_ends.py
+++ b/redwingplank/scheduling/attempt_ends.py
@@ -6,13 +6,18 @@
 from redwingplank.config import WorkloadKind
 from redwingplank.platform import TaskEnd, TaskEndReason, TaskUsage
 from redwingplank.scheduling.entities import Phase, StopReason, Task, Worker
+from redwingplank.scheduling.gangs import requeue_if_stopped
+from redwingplank.scheduling.health import WorkerHealth
+from redwingplank.scheduling.learning import Learning
 from redwingplank.scheduling.lifecycle import TaskLifecycle
 from redwingplank.scheduling.messages import TaskState
+from redwingplank.scheduling.overshoot import OvershootControl
 from redwingplank.scheduling.state import ShardState
 
 __all__ = ["AttemptEnds"]
 
 _RETIRING = frozenset({StopReason.CANCELLED, StopReason.COUNT_LOWERED, StopReason.MOVED})
+_STEADY_RUN_TIME_S = 60.0
 
 
 class AttemptEnds:
@@ -24,11 +29,16 @@
         The shard's tables.
     lifecycle : TaskLifecycle
         Changes tasks.
+    learning : Learning
+        Learns from ends and usage.
     """
 
-    def __init__(self, state: ShardState, lifecycle: TaskLifecycle) -> None:
+    def __init__(self, state: ShardState, lifecycle: TaskLifecycle, learning: Learning) -> None:
         self._state = state
         self._lifecycle = lifecycle
+        self._learning = learning
+        self._health = WorkerHealth(state)
+        self._overshoot = OvershootControl(state, lifecycle)
 
     def take_all(self, worker: Worker, ended: Iterable[TaskEnd], now_s: float) -> None:
         """Handle the ends that were not handled before, and acknowledge them when durable."""
@@ -43,7 +53,19 @@
             self._state.journal.when_durable(acknowledge, now_s)
 
     def take_usage(self, worker: Worker, usage: Iterable[TaskUsage], now_s: float) -> None:
-        """Note what running attempts used."""
+        """Note what running attempts used, and answer those that use too much."""
+        tasks_by_id = worker.tasks_by_id
+        over = []
+        for entry in usage:
+            task = tasks_by_id.get(entry.task_id)
+            if task is None or task.attempt != entry.attempt:
+                continue
+            used, reserved = entry.used, task.reserved
+            self._learning.note_usage(task, used.millicores, used.memory_mib)
+            if used.millicores > reserved.millicores or used.memory_mib > reserved.memory_mib:
+                over.append(entry)
+        if over:
+            self._overshoot.take(worker, over, now_s)
 
     def _take(self, worker: Worker, end: TaskEnd, now_s: float) -> None:
         task = self._state.find_task(end.task_id)
@@ -63,32 +85,67 @@
         )
         stop_reason = task.stop_reason
         self._lifecycle.release(task)
+        if end.reason is not TaskEndReason.REFUSED:
+            is_completed = end.reason is TaskEndReason.COMPLETED
+            self._learning.note_end(task, worker, end, is_completed)
+        self._follow(task, worker, end, stop_reason, now_s)
+
+    def _follow(
+        self,
+        task: Task,
+        worker: Worker,
+        end: TaskEnd,
+        stop_reason: StopReason | None,
+        now_s: float,
+    ) -> None:
         if end.reason is TaskEndReason.COMPLETED:
-            self._lifecycle.finish(task, TaskState.SUCCEEDED, now_s, result=end.result)
+            self._take_completion(task, worker, end, now_s)
         elif end.reason is TaskEndReason.REFUSED:
-            self._take_refusal(task, worker, stop_reason, now_s)
-        elif task.job.is_cancelled or stop_reason in _RETIRING:
-            self._lifecycle.finish(task, TaskState.CANCELLED, now_s, reason=str(stop_reason))
+            self._take_refusal(task, stop_reason, now_s)
+        elif self._retire(task, stop_reason, now_s):
+            return
         elif end.reason is TaskEndReason.FAILED:
+            self._health.note_failure(worker, task, now_s)
             self._take_failure(task, worker, end.detail, now_s)
         elif end.reason is TaskEndReason.LEASE_LAPSED:
             self._repeat_lost(task, "the lease lapsed", now_s)
         else:
             self._take_stop(task, worker, stop_reason, end, now_s)
 
-    def _take_refusal(
-        self, task: Task, worker: Worker, stop_reason: StopReason | None, now_s: float
-    ) -> None:
+    def _retire(self, task: Task, stop_reason: StopReason | None, now_s: float) -> bool:
+        """End a task that shall not start again; return whether it was one."""
+        if task.job.is_cancelled or stop_reason in _RETIRING or task.replacement is not None:
+            reason = str(stop_reason or StopReason.MOVED)
+            self._lifecycle.finish(task, TaskState.CANCELLED, now_s, reason=reason)
+            return True
+        if stop_reason is StopReason.GANG_FAILED or task.job.is_gang_failed:
+            reason = str(StopReason.GANG_FAILED)
+            self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=reason)
+            return True
+        return False
+
+    def _take_completion(self, task: Task, worker: Worker, end: TaskEnd, now_s: float) -> None:
+        self._health.note_success(worker, task.job)
+        is_service = task.job.service.kind is WorkloadKind.SERVICE
+        if not is_service:
+            self._lifecycle.finish(task, TaskState.SUCCEEDED, now_s, result=end.result)
+        elif not self._retire(task, task.stop_reason, now_s):
+            is_steady = end.run_time_s >= _STEADY_RUN_TIME_S
+            task.restarts = 1 if is_steady else task.restarts + 1
+            self._lifecycle.queue_after(task, self._backoff_s(task.restarts), now_s)
+
+    def _take_refusal(self, task: Task, stop_reason: StopReason | None, now_s: float) -> None:
         task.stop_reason = None
-        if task.job.is_cancelled or stop_reason in _RETIRING:
-            self._lifecycle.finish(task, TaskState.CANCELLED, now_s, reason=str(stop_reason))
+        if self._retire(task, stop_reason, now_s):
             return
-        self._lifecycle.queue_after(task, self._state.settings.retry_backoff_s, now_s)
+        task.reason = "refused by a worker"
+        self._lifecycle.repeat(task, self._state.settings.retry_backoff_s, now_s)
 
     def _take_failure(self, task: Task, worker: Worker, detail: str, now_s: float) -> None:
         task.failure_workers = (*task.failure_workers, worker.name)
         service = task.job.service
         attempts = len(task.failure_workers)
+        task.stop_reason = None
         if not service.is_idempotent:
             self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=detail)
         elif attempts >= service.max_attempts and service.kind is not WorkloadKind.SERVICE:
@@ -96,7 +153,7 @@
             self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=reason)
         else:
             task.reason = f"attempt {task.attempt} failed on {worker.name}: {detail}"
-            self._lifecycle.queue_after(task, self._backoff_s(attempts), now_s)
+            self._lifecycle.repeat(task, self._backoff_s(attempts), now_s)
 
     def _backoff_s(self, attempts: int) -> float:
         settings = self._state.settings
@@ -119,10 +176,13 @@
             self._take_failure(task, worker, "used more than the VM could give", now_s)
         elif stop_reason is None:
             self._repeat_lost(task, "stopped by the worker", now_s)
+        elif stop_reason is StopReason.GANG_ROLLED_BACK:
+            task.stop_reason = None
+            requeue_if_stopped(self._lifecycle, task.job, now_s)
         else:
             task.preemptions += stop_reason is StopReason.PREEMPTED
             task.reason = str(stop_reason)
-            self._lifecycle.queue(task, now_s)
+            self._lifecycle.repeat(task, 0.0, now_s)
 
     def lose(self, task: Task, now_s: float, reason: str) -> None:
         """Take an attempt as stopped, on proof, without knowing how it ended."""
@@ -132,24 +192,25 @@
             return
         stop_reason = task.stop_reason
         self._lifecycle.release(task)
-        if not task.job.service.is_idempotent:
-            self._repeat_lost(task, reason, now_s)
-        elif task.job.is_cancelled or stop_reason in _RETIRING:
-            self._lifecycle.finish(task, TaskState.CANCELLED, now_s, reason=str(stop_reason))
-        else:
+        if not task.job.service.is_idempotent or not self._retire(task, stop_reason, now_s):
             self._repeat_lost(task, reason, now_s)
 
     def _repeat_lost(self, task: Task, reason: str, now_s: float) -> None:
-        task.losses += 1
+        is_service = task.job.service.kind is WorkloadKind.SERVICE
+        was_rolled_back = task.stop_reason is StopReason.GANG_ROLLED_BACK
+        task.losses += not is_service
         task.reason = reason
+        task.stop_reason = None
         if not task.job.service.is_idempotent:
             detail = f"may have run: {reason}"
             self._lifecycle.finish(task, TaskState.UNKNOWN, now_s, reason=detail)
         elif task.losses > self._state.settings.max_losses:
             detail = f"lost {task.losses} times: {reason}"
             self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=detail)
+        elif was_rolled_back:
+            requeue_if_stopped(self._lifecycle, task.job, now_s)
         else:
-            self._lifecycle.queue(task, now_s)
+            self._lifecycle.repeat(task, 0.0, now_s)
 
 
 def _acknowledge(worker: Worker, incarnation: int, sequence: int, now_s: float) -> None:
--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -61,6 +61,7 @@
     PREEMPTED = "preempted"
     OVERSHOOT = "overshoot"
     GANG_ROLLED_BACK = "gang rolled back"
+    GANG_FAILED = "another task of the gang failed"
     COUNT_LOWERED = "count lowered"
     MOVED = "moved from a leaving VM"
 
@@ -105,6 +106,10 @@
     peak_memory_mib: int = 0
     overshoot_step: int = 0
     overshoot_at_s: float = 0.0
+    restarts: int = 0
+    is_restart_possible: bool = False
+    replaces: "Task | None" = None
+    replacement: "Task | None" = None
 
     @property
     def state(self) -> TaskState:
@@ -158,8 +163,9 @@
     failure_workers: set[str] = field(default_factory=set)
     used_by_rack: dict[int, int] = field(default_factory=dict)
     history: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_HISTORY))
-    gang_backoff_count: int = 0
-    restart_count: int = 0
+    not_before_s: float = 0.0
+    is_gang_failed: bool = False
+    held_rows: tuple[int, ...] = ()
 
     @property
     def job_id(self) -> str:
--- a/redwingplank/scheduling/exchanges.py
+++ b/redwingplank/scheduling/exchanges.py
@@ -4,9 +4,10 @@
 
 from redwingplank.platform import StartTask, TaskAction, TaskActionKind, WorkerReport, WorkerRequest
 from redwingplank.scheduling.attempt_ends import AttemptEnds
-from redwingplank.scheduling.entities import Phase, Task, Worker
+from redwingplank.scheduling.entities import Phase, StopReason, Task, Worker
 from redwingplank.scheduling.lifecycle import TaskLifecycle
 from redwingplank.scheduling.messages import WorkerReported, WorkerUnreachable
+from redwingplank.scheduling.openness import update_open
 from redwingplank.scheduling.state import ShardState
 
 __all__ = ["Exchanges"]
@@ -119,7 +120,7 @@
         worker.is_reachable = True
         self._settle(worker, report.running_count, now_s)
         if worker.is_reachable != was_reachable:
-            self.update_open(worker)
+            update_open(self._state, worker)
             self._state.decide("worker_answers", worker=worker.name)
         if worker.to_send or worker.actions or not was_reachable:
             self._state.touch(worker)
@@ -138,7 +139,7 @@
         expected = worker.confirmed_count + len(worker.strays_by_id)
         if running_count == expected + len(candidates):
             for task, _ in candidates:
-                self.confirm(task)
+                self.confirm(task, now_s)
         elif running_count == expected:
             for task, _ in candidates:
                 self.send_again(task, now_s)
@@ -155,15 +156,24 @@
             worker.is_reachable = False
             self._lose_later(worker)
 
-    def confirm(self, task: Task) -> None:
+    def confirm(self, task: Task, now_s: float) -> None:
         """Note that an attempt runs."""
         assert task.worker is not None
         task.phase = Phase.RUNNING
         task.worker.confirmed_count += 1
         task.job.version += 1
+        if task.replaces is not None:
+            self._stop_replaced(task.replaces, now_s)
+
+    def _stop_replaced(self, task: Task, now_s: float) -> None:
+        if task.worker is not None and task.stop_reason is None:
+            self._lifecycle.stop(task, StopReason.MOVED, TaskActionKind.STOP, now_s)
 
     def send_again(self, task: Task, now_s: float) -> None:
-        if task.stop_reason is not None:
+        """Start an attempt again that does not run on its worker, if it never did."""
+        if task.is_restart_possible and not task.job.service.is_idempotent:
+            self._ends.lose(task, now_s, "the worker restarted")
+        elif task.stop_reason is not None:
             self._lifecycle.end_unstarted(task, now_s)
         else:
             self._lifecycle.send_start(task)
@@ -199,7 +209,7 @@
             for task, _ in valid:
                 self._lifecycle.end_unstarted(task, now_s)
         if was_reachable:
-            self.update_open(worker)
+            update_open(self._state, worker)
             self._lose_later(worker)
             self._state.decide("worker_silent", worker=worker.name, lapse_s=self.lapse_s(worker))
         self._renew_later(worker, now_s + self._state.settings.probe_every_s)
@@ -262,13 +272,16 @@
         worker.strays_by_id = {}
 
     def take_restart(self, worker: Worker, incarnation: int, now_s: float) -> None:
-        in_flight = {id(task) for task, _ in worker.in_flight}
+        """Lose what ran under the old incarnation.
+
+        Starts in doubt may have reached either incarnation, so they stay in doubt.
+        """
         for task in list(worker.tasks_by_id.values()):
-            is_kept = id(task) in in_flight or task.phase in (Phase.INTENDED, Phase.TO_SEND)
-            if not is_kept and task.worker is worker:
+            if task.phase in (Phase.SENT, Phase.DOUBTFUL):
+                task.is_restart_possible = True
+            elif task.phase is Phase.RUNNING and task.worker is worker:
                 self._ends.lose(task, now_s, "the worker restarted")
         self._drop_strays(worker)
-        worker.doubtful = []
         worker.incarnation = incarnation
         worker.processed_end = worker.acknowledged_end = 0
         self._state.decide("worker_restarted", worker=worker.name, incarnation=incarnation)
@@ -290,19 +303,6 @@
         else:
             self._state.touch(worker)
 
-    def update_open(self, worker: Worker) -> None:
-        """Open the worker's row to new tasks, or close it."""
-        is_open = (
-            worker.is_adopted
-            and worker.is_reachable
-            and not worker.is_closing
-            and not worker.is_quarantined
-            and not (worker.is_probing and worker.tasks_by_id)
-        )
-        self._state.table.set_open(worker.row, is_open)
-        if is_open:
-            self._state.freed_rows[worker.row] = None
-
     def stop_stray(self, worker: Worker, task_id: str, attempt: int) -> None:
         """Stop an attempt that the owner does not know."""
         worker.actions.append(TaskAction(task_id, attempt, TaskActionKind.STOP))
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -5,6 +5,12 @@
 from redwingplank.config import WorkloadKind
 from redwingplank.platform import TaskAction, TaskActionKind
 from redwingplank.scheduling.entities import Job, Phase, StopReason, Task, Worker
+from redwingplank.scheduling.gangs import (
+    fail_gang,
+    is_gang,
+    repeat_member,
+    requeue_if_stopped,
+)
 from redwingplank.scheduling.messages import (
     JobFinished,
     JobState,
@@ -42,6 +48,22 @@
             wait_s = job.service.start_within_s * state.settings.ageing_factor
             state.queue.promote_at(job, now_s + wait_s)
 
+    def repeat(self, task: Task, delay_s: float, now_s: float) -> None:
+        """Let a task that holds no reservation start again; a gang starts again as a whole."""
+        if is_gang(task.job):
+            repeat_member(self, task, delay_s, now_s)
+        elif delay_s > 0:
+            self.queue_after(task, delay_s, now_s)
+        else:
+            self.queue(task, now_s)
+
+    def take_back_waiting(self, job: Job) -> None:
+        """Take the waiting tasks of a job out of the queue without ending them."""
+        self._state.queue.drop(job)
+        for task in job.tasks:
+            if task.phase in (Phase.QUEUED, Phase.BACKOFF):
+                task.phase = Phase.HELD
+
     def queue_after(self, task: Task, delay_s: float, now_s: float) -> None:
         """Let a task wait for a place once `delay_s` has passed."""
         task.phase = Phase.BACKOFF
@@ -58,6 +80,8 @@
         self._state.queue.take(task)
         task.attempt = self._state.next_attempt(task)
         task.stop_reason = None
+        task.is_restart_possible = False
+        task.overshoot_step = 0
         task.placed_at_s = now_s
         task.waited_s = now_s - task.queued_at_s
         self.reserve(task, worker, amounts)
@@ -105,6 +129,16 @@
         task.worker = task.amounts = None
         task.phase = Phase.HELD
 
+    def grow(self, task: Task, extra: Amounts) -> None:
+        """Add to a task's reservation."""
+        state = self._state
+        assert task.worker is not None
+        assert task.amounts is not None
+        state.table.reserve(task.worker.row, extra)
+        task.amounts = task.amounts + extra
+        task.reserved = state.resources(task.amounts)
+        state.shares.charge(state.shares.find(task.job.spec.organisation), extra, 1)
+
     def send_start(self, task: Task) -> None:
         """Put a start into its worker's next request."""
         assert task.worker is not None
@@ -145,10 +179,15 @@
         self.release(task)
         if task.job.is_cancelled or reason is StopReason.CANCELLED:
             self.finish(task, TaskState.CANCELLED, now_s, reason="cancelled before it started")
-        elif reason in (StopReason.COUNT_LOWERED, StopReason.MOVED):
+        elif reason in (StopReason.COUNT_LOWERED, StopReason.MOVED) or task.replacement:
             self.finish(task, TaskState.CANCELLED, now_s, reason=str(reason))
-        elif reason is not StopReason.GANG_ROLLED_BACK:
-            self.queue(task, now_s)
+        elif reason is StopReason.GANG_FAILED:
+            self.finish(task, TaskState.FAILED, now_s, reason=str(reason))
+        elif reason is StopReason.GANG_ROLLED_BACK:
+            task.stop_reason = None
+            requeue_if_stopped(self, task.job, now_s)
+        else:
+            self.repeat(task, 0.0, now_s)
 
     def finish(
         self, task: Task, state: TaskState, now_s: float, reason: str = "", result: bytes = b""
@@ -169,8 +208,27 @@
             task.final_sequence = self._state.journal.append(record)
             self._state.journal.when_durable(partial(_grow_version, job), now_s)
         job.version += 1
-        if job.open_count == 0 and job.service.kind is not WorkloadKind.SERVICE:
+        if job.service.kind is WorkloadKind.SERVICE:
+            self._remove_service_task(task)
+        elif job.open_count == 0:
             self.finish_job(job, now_s)
+        elif is_gang(job):
+            self._follow_gang_end(task, now_s)
+
+    def _follow_gang_end(self, task: Task, now_s: float) -> None:
+        job = task.job
+        if task.final_state in (TaskState.FAILED, TaskState.UNKNOWN):
+            fail_gang(self, job, f"task {task.task_id} of the gang ended as {task.state}", now_s)
+        else:
+            requeue_if_stopped(self, job, now_s)
+
+    def _remove_service_task(self, task: Task) -> None:
+        job = task.job
+        job.tasks.remove(task)
+        job.tasks_by_index.pop(task.index, None)
+        self._state.service_attempts_by_id[task.task_id] = task.attempt
+        if task.replaces is not None:
+            task.replaces.replacement = None
 
     def finish_job(self, job: Job, now_s: float) -> None:
         """Take a job without open tasks to its final state."""
--- /dev/null
+++ b/redwingplank/scheduling/openness.py
@@ -0,0 +1,29 @@
+"""Whether a worker takes new tasks."""
+
+from redwingplank.scheduling.entities import Worker
+from redwingplank.scheduling.state import ShardState
+
+__all__ = ["update_open"]
+
+
+def update_open(state: ShardState, worker: Worker) -> None:
+    """Open the worker's row to new tasks, or close it.
+
+    Parameters
+    ----------
+    state : ShardState
+        The shard's tables.
+    worker : Worker
+        A worker of which something changed. One that is on probation after a quarantine takes
+        one task at a time.
+    """
+    is_open = (
+        worker.is_adopted
+        and worker.is_reachable
+        and not worker.is_closing
+        and not worker.is_quarantined
+        and not (worker.is_probing and worker.tasks_by_id)
+    )
+    state.table.set_open(worker.row, is_open)
+    if is_open:
+        state.freed_rows[worker.row] = None
--- a/redwingplank/scheduling/parking.py
+++ b/redwingplank/scheduling/parking.py
@@ -9,6 +9,9 @@
 
 __all__ = ["Parking"]
 
+NeedKey = tuple[bool, tuple[int, ...]]
+"""Whether lanes hold gangs, and what each of their tasks needs."""
+
 
 class Parking:
     """Parks lanes by their need and brings them back when a place of that size appears.
@@ -21,26 +24,27 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
-        self._lanes_by_need: dict[tuple[int, ...], list[Lane]] = {}
+        self._lanes_by_need: dict[NeedKey, list[Lane]] = {}
         self._lanes_by_organisation: dict[str, list[Lane]] = {}
 
     def is_full(self, need: Amounts) -> bool:
-        """Return whether lanes of the same need are parked already."""
-        return tuple(need.tolist()) in self._lanes_by_need
+        """Return whether lanes of the same need are parked already, gangs apart."""
+        return (False, tuple(need.tolist())) in self._lanes_by_need
 
     def park_for_room(self, lane: Lane, need: Amounts, now_s: float) -> None:
         """Park a lane until a row has room for its need."""
         self._state.queue.park(lane, now_s)
-        self._lanes_by_need.setdefault(tuple(need.tolist()), []).append(lane)
+        key = (lane.gang_size > 0, tuple(need.tolist()))
+        self._lanes_by_need.setdefault(key, []).append(lane)
 
-    def park_for_quota(self, lane: Lane, need: Amounts, now_s: float) -> None:
+    def park_for_quota(self, lane: Lane, need: Amounts, count: int, now_s: float) -> None:
         """Park a lane until its organisation holds less or may hold more."""
         state = self._state
         state.queue.park(lane, now_s)
         self._lanes_by_organisation.setdefault(lane.usage.name, []).append(lane)
         if now_s >= lane.usage.wanted_at_s + state.settings.grant_repeat_s:
             lane.usage.wanted_at_s = now_s
-            wanted = state.resources(need)
+            wanted = state.resources(need) * count
             state.messages.append(GrantWanted(lane.usage.name, wanted))
 
     def release_organisation(self, organisation: str) -> None:
@@ -63,11 +67,11 @@
             for lane in self._lanes_by_need.pop(need):
                 state.queue.unpark(lane)
 
-    def _fitting(self, needs: list[tuple[int, ...]], rows: list[int]) -> list[tuple[int, ...]]:
+    def _fitting(self, needs: list[NeedKey], rows: list[int]) -> list[NeedKey]:
         table = self._state.table
         width = len(table.dimensions)
         matrix = np.zeros((len(needs), width), np.int64)
-        for number, need in enumerate(needs):
+        for number, (_, need) in enumerate(needs):
             matrix[number, : len(need)] = need
         free = table.free[:, rows]
         is_fitting = np.ones((len(needs), len(rows)), np.bool_)
--- a/redwingplank/scheduling/queue.py
+++ b/redwingplank/scheduling/queue.py
@@ -5,14 +5,14 @@
 from heapq import heapify, heappop, heappush
 from itertools import count
 
-from redwingplank.config import DeadlineClass
+from redwingplank.config import DeadlineClass, WorkloadKind
 from redwingplank.scheduling.entities import Job, Phase, Task
 from redwingplank.scheduling.shares import OrganisationUsage
 from redwingplank.scheduling.vm_table import Amounts
 
 __all__ = ["Lane", "WaitingQueue"]
 
-LaneKey = tuple[str, int, str, tuple[int, ...]]
+LaneKey = tuple[str, int, str, tuple[int, ...], int]
 
 _MIN_PURGE_AT = 1024
 _MIN_COMPACT_AT = 1024
@@ -32,6 +32,10 @@
         Deadline class after ageing.
     declared : ndarray
         Declared need of each task.
+    service : str
+        The service that they are work of.
+    gang_size : int
+        Tasks of each job if they are gangs, 0 otherwise.
     """
 
     number: int
@@ -39,6 +43,7 @@
     queue_class: int
     declared: Amounts
     service: str
+    gang_size: int = 0
     jobs: list[tuple[float, int, int, Job]] = field(default_factory=list)
     is_parked: bool = False
     blocked_since_s: float = -1.0
@@ -192,11 +197,15 @@
         return iter(self._lanes_by_key.values())
 
     def _file(self, job: Job, usage: OrganisationUsage, declared: Amounts) -> None:
-        key = (usage.name, job.queue_class, job.spec.service, tuple(declared.tolist()))
+        gang_size = job.spec.task_count if job.service.kind is WorkloadKind.GANG else 0
+        need = tuple(declared.tolist())
+        key = (usage.name, job.queue_class, job.spec.service, need, gang_size)
         lane = self._lanes_by_key.get(key)
         if lane is None:
             self._purge()
-            lane = Lane(next(self._lane_number), usage, job.queue_class, declared, key[2])
+            lane = Lane(
+                next(self._lane_number), usage, job.queue_class, declared, key[2], gang_size
+            )
             self._lanes_by_key[key] = lane
         job.lane = lane
         heappush(lane.jobs, (job.deadline_s, job.number, next(self._ticket), job))
--- a/redwingplank/scheduling/rejoin.py
+++ b/redwingplank/scheduling/rejoin.py
@@ -56,7 +56,6 @@
         self.is_complete = False
         for job in recovered.jobs:
             self._restore(job, now_s)
-        state.due.call_at(recovered.fence_at_s, self._pass_fence)
 
     def is_waiting(self, task: Task) -> bool:
         """Return whether a task waits for proof that it has stopped."""
@@ -92,18 +91,22 @@
             self._adopted.add(name)
             self._unadopted.discard(name)
 
-    def complete_if_proven(self, now_s: float) -> None:
-        """Settle all recovered tasks that were not found, once there is proof."""
+    def complete_if_proven(self, now_s: float) -> bool:
+        """Settle all recovered tasks that were not found, once there is proof.
+
+        Returns
+        -------
+        bool
+            Whether recovery was completed by this call.
+        """
         if self.is_complete:
-            return
+            return False
         settings = self._state.settings
         can_tell = settings.workers_have_inventory and settings.workers_know_epochs
         is_joined = can_tell and self._is_listed and not self._unadopted
         if is_joined or now_s >= self._fence_at_s:
             self._complete(now_s)
-
-    def _pass_fence(self, now_s: float) -> None:
-        self.complete_if_proven(now_s)
+        return self.is_complete
 
     def _complete(self, now_s: float) -> None:
         self.is_complete = True
--- a/redwingplank/scheduling/scheduler.py
+++ b/redwingplank/scheduling/scheduler.py
@@ -8,6 +8,7 @@
 from redwingplank.scheduling.attempt_ends import AttemptEnds
 from redwingplank.scheduling.exchanges import Exchanges
 from redwingplank.scheduling.intake import Intake
+from redwingplank.scheduling.learning import Learning
 from redwingplank.scheduling.lifecycle import TaskLifecycle
 from redwingplank.scheduling.messages import (
     CancelJob,
@@ -28,6 +29,7 @@
     WorkerUnreachable,
 )
 from redwingplank.scheduling.rejoin import Rejoin
+from redwingplank.scheduling.services import StandingServices
 from redwingplank.scheduling.settings import SchedulerSettings
 from redwingplank.scheduling.starter import Starter
 from redwingplank.scheduling.state import ShardState, make_shard_state
@@ -55,17 +57,21 @@
     def __init__(self, state: ShardState, recovered: RecoveredState, now_s: float) -> None:
         self._state = state
         self._lifecycle = TaskLifecycle(state)
-        self._ends = AttemptEnds(state, self._lifecycle)
+        self._learning = Learning(state)
+        self._ends = AttemptEnds(state, self._lifecycle, self._learning)
         self._exchanges = Exchanges(state, self._lifecycle, self._ends)
         self._rejoin = Rejoin(state, self._lifecycle, recovered, now_s)
-        self._adoption = Adoption(state, self._lifecycle, self._ends, self._exchanges, self._rejoin)
+        self._services = StandingServices(state, self._lifecycle, self._rejoin)
+        self._adoption = Adoption(
+            state, self._lifecycle, self._ends, self._exchanges, self._rejoin, self._services
+        )
         self._intake = Intake(state, self._lifecycle)
-        self._starter = Starter(state, self._lifecycle)
+        self._starter = Starter(state, self._lifecycle, self._learning)
         self._views = Views(state)
         self._handlers_by_type = self._make_handlers()
         if not (state.settings.workers_know_epochs and state.settings.workers_have_inventory):
             state.starts_from_s = recovered.fence_at_s
-        self._declare(state.declarations)
+        self._declare(state.declarations, now_s)
 
     def _make_handlers(self) -> dict[type, Callable[[Any, float], None]]:
         return {
@@ -102,8 +108,9 @@
         if state.mode is OwnershipMode.LOST:
             return _EMPTY_OUTBOX
         state.due.run_due(now_s)
-        self._rejoin.complete_if_proven(now_s)
-        self._adoption.update_closing()
+        if self._rejoin.complete_if_proven(now_s):
+            self._services.adjust_all(now_s)
+        self._adoption.update_closing(now_s)
         state.queue.promote_due(now_s)
         self._starter.run(now_s)
         self._lifecycle.write_intents(now_s)
@@ -165,14 +172,15 @@
 
     def _take_declarations(self, message: DeclarationsChanged, now_s: float) -> None:
         if message.declarations.revision > self._state.declarations.revision:
-            self._declare(message.declarations)
+            self._declare(message.declarations, now_s)
 
-    def _declare(self, declarations: Declarations) -> None:
+    def _declare(self, declarations: Declarations, now_s: float) -> None:
         state = self._state
         state.declarations = declarations
         for organisation in declarations.organisations_by_name.values():
             state.shares.declare(organisation.name, organisation.share, organisation.quota)
             self._starter.parking.release_organisation(organisation.name)
+        self._services.declare(declarations, now_s)
 
 
 def make_scheduler(
--- /dev/null
+++ b/redwingplank/scheduling/services.py
@@ -0,0 +1,156 @@
+"""Standing services: tasks that are kept at their declared count."""
+
+from functools import partial
+
+from redwingplank.config import Declarations, Service, WorkloadKind
+from redwingplank.platform import TaskActionKind
+from redwingplank.scheduling.entities import Job, Phase, StopReason, Task, Worker, make_task_id
+from redwingplank.scheduling.intake import make_job
+from redwingplank.scheduling.lifecycle import TaskLifecycle
+from redwingplank.scheduling.messages import JobSpec, JobState, TaskState
+from redwingplank.scheduling.rejoin import Rejoin
+from redwingplank.scheduling.settings import SchedulerSettings
+from redwingplank.scheduling.state import ShardState
+
+__all__ = ["StandingServices", "make_service_job_id"]
+
+
+class StandingServices:
+    """Starts, moves and stops the tasks of standing services.
+
+    Parameters
+    ----------
+    state : ShardState
+        The shard's tables.
+    lifecycle : TaskLifecycle
+        Changes tasks.
+    rejoin : Rejoin
+        Holds tasks that an earlier owner may have started.
+    """
+
+    def __init__(self, state: ShardState, lifecycle: TaskLifecycle, rejoin: Rejoin) -> None:
+        self._state = state
+        self._lifecycle = lifecycle
+        self._rejoin = rejoin
+        self._jobs_by_id: dict[str, Job] = {}
+        self._count_by_id: dict[str, int] = {}
+
+    def declare(self, declarations: Declarations, now_s: float) -> None:
+        """Bring every service to the count of this shard's part."""
+        self._count_by_id = {}
+        for organisation in declarations.organisations_by_name.values():
+            for service in organisation.services_by_name.values():
+                if service.kind is WorkloadKind.SERVICE:
+                    self._declare_one(organisation.name, service, now_s)
+        for job in list(self._jobs_by_id.values()):
+            self.adjust(job, now_s)
+
+    def _declare_one(self, organisation: str, service: Service, now_s: float) -> None:
+        job_id = make_service_job_id(organisation, service.name)
+        job = self._jobs_by_id.get(job_id)
+        if job is None:
+            self._state.job_number += 1
+            spec = JobSpec(job_id, organisation, service.name, task_count=0)
+            job = make_job(spec, service, self._state.job_number, now_s)
+            job.is_durable = True
+            job.state = JobState.RUNNING
+            self._jobs_by_id[job_id] = self._state.jobs_by_id[job_id] = job
+        job.service = service
+        self._count_by_id[job_id] = _part(service.count, self._state.settings)
+
+    def _part_of(self, job: Job) -> int:
+        return self._count_by_id.get(job.job_id, 0)
+
+    def adjust(self, job: Job, now_s: float) -> None:
+        """Start or stop tasks of one service until their number is right."""
+        active = [task for task in job.tasks if _is_active(task)]
+        missing = self._part_of(job) - len(active)
+        for _ in range(missing):
+            self._add(job, now_s)
+        if missing < 0:
+            active.sort(key=lambda task: (task.phase is Phase.RUNNING, -task.index))
+            for task in active[:-missing]:
+                self._retire(task, StopReason.COUNT_LOWERED, now_s)
+        if not job.tasks and job.job_id not in self._count_by_id:
+            self._jobs_by_id.pop(job.job_id, None)
+            self._state.jobs_by_id.pop(job.job_id, None)
+
+    def adjust_all(self, now_s: float) -> None:
+        """Check every service, once recovery is complete."""
+        for job in list(self._jobs_by_id.values()):
+            self.adjust(job, now_s)
+
+    def find_or_add(self, job_id: str, index: int) -> Task | None:
+        """Return a task that an inventory shows, which is added if the service is declared."""
+        job = self._jobs_by_id.get(job_id)
+        if job is None or index < 0:
+            return None
+        task = job.tasks_by_index.get(index)
+        if task is None and not self._rejoin.is_complete:
+            task = self._make(job, index, 0.0)
+            self._rejoin.hold(task)
+        return task
+
+    def _add(self, job: Job, now_s: float) -> Task:
+        index = 0
+        while index in job.tasks_by_index:
+            index += 1
+        task = self._make(job, index, now_s)
+        if self._rejoin.is_complete:
+            self._lifecycle.queue(task, now_s)
+        else:
+            self._rejoin.hold(task)
+        return task
+
+    def _make(self, job: Job, index: int, now_s: float) -> Task:
+        task = Task(job, index, make_task_id(job.job_id, index), queued_at_s=now_s)
+        task.attempt = self._state.service_attempts_by_id.get(task.task_id, 0)
+        job.tasks.append(task)
+        job.tasks_by_index[index] = task
+        job.open_count += 1
+        return task
+
+    def _retire(self, task: Task, reason: StopReason, now_s: float) -> None:
+        if task.worker is not None:
+            self._lifecycle.stop(task, reason, TaskActionKind.STOP, now_s)
+            return
+        if task.phase is Phase.QUEUED:
+            self._state.queue.take(task)
+        self._rejoin.forget(task)
+        self._lifecycle.finish(task, TaskState.CANCELLED, now_s, reason=str(reason))
+
+    def move_from(self, worker: Worker, now_s: float) -> None:
+        """Replace the service tasks of a worker that goes away."""
+        if not worker.is_closing:
+            return
+        for task in list(worker.tasks_by_id.values()):
+            is_service = task.job.service.kind is WorkloadKind.SERVICE
+            if is_service and task.replacement is None and task.stop_reason is None:
+                self._move(task, now_s)
+
+    def _move(self, task: Task, now_s: float) -> None:
+        replacement = self._add(task.job, now_s)
+        task.replacement = replacement
+        replacement.replaces = task
+        self._state.decide("service_moved", task=task.task_id, to=replacement.task_id)
+        due_s = now_s + self._state.settings.service_move_wait_s
+        self._state.due.call_at(due_s, partial(self._stop_moved, task))
+
+    def _stop_moved(self, task: Task, now_s: float) -> None:
+        if task.worker is not None and task.stop_reason is None:
+            self._lifecycle.stop(task, StopReason.MOVED, TaskActionKind.STOP, now_s)
+
+
+def make_service_job_id(organisation: str, service: str) -> str:
+    """Return the id of the job that stands for a service."""
+    return f"service:{organisation}:{service}"
+
+
+def _part(count: int, settings: SchedulerSettings) -> int:
+    share, rest = divmod(count, settings.shard_count)
+    return share + (settings.shard_index < rest)
+
+
+def _is_active(task: Task) -> bool:
+    is_retiring = task.stop_reason in (StopReason.COUNT_LOWERED, StopReason.MOVED)
+    return task.phase is not Phase.DONE and task.replacement is None and not is_retiring
--- a/redwingplank/scheduling/starter.py
+++ b/redwingplank/scheduling/starter.py
@@ -4,7 +4,9 @@
 from numpy.typing import NDArray
 
 from redwingplank.config import Spread
-from redwingplank.scheduling.entities import Job, Task
+from redwingplank.scheduling.entities import Job, Phase, Task
+from redwingplank.scheduling.gangs import count_places, is_gang
+from redwingplank.scheduling.learning import Learning
 from redwingplank.scheduling.lifecycle import TaskLifecycle
 from redwingplank.scheduling.parking import Parking
 from redwingplank.scheduling.placer import NO_ROW
@@ -24,11 +26,14 @@
         The shard's tables.
     lifecycle : TaskLifecycle
         Changes tasks.
+    learning : Learning
+        Knows what tasks really need.
     """
 
-    def __init__(self, state: ShardState, lifecycle: TaskLifecycle) -> None:
+    def __init__(self, state: ShardState, lifecycle: TaskLifecycle, learning: Learning) -> None:
         self._state = state
         self._lifecycle = lifecycle
+        self._learning = learning
         self._parking = Parking(state)
 
     @property
@@ -59,8 +64,10 @@
     def _place_next(self, lane: Lane, job: Job, now_s: float) -> tuple[int, int]:
         state = self._state
         need = self._need(lane, job)
+        if is_gang(job):
+            return self._place_gang(lane, job, need, now_s)
         if not state.shares.may_start(lane.usage, need):
-            self._parking.park_for_quota(lane, need, now_s)
+            self._parking.park_for_quota(lane, need, 1, now_s)
             return 0, 0
         if self._parking.is_full(need):
             self._parking.park_for_room(lane, need, now_s)
@@ -75,8 +82,25 @@
         self._place(task, row, need, now_s)
         return 1, 0
 
+    def _place_gang(self, lane: Lane, job: Job, need: Amounts, now_s: float) -> tuple[int, int]:
+        state = self._state
+        members = [task for task in job.queued if task.phase is Phase.QUEUED]
+        count = len(members)
+        if not state.shares.may_start(lane.usage, need, count):
+            self._parking.park_for_quota(lane, need, count, now_s)
+            return 0, 0
+        if count_places(state.table, need, job.held_rows) < count:
+            self._parking.park_for_room(lane, need, now_s)
+            return 0, 1
+        lane.blocked_since_s = -1.0
+        job.queued.clear()
+        for task in members:
+            self._place(task, self._choose(task, need), need, now_s)
+        return count, 0
+
     def _need(self, lane: Lane, job: Job) -> Amounts:
-        return lane.declared
+        spec = job.spec
+        return self._learning.need(spec.organisation, spec.service, lane.declared)
 
     def _choose(self, task: Task, need: Amounts) -> int:
         state = self._state
--- a/redwingplank/scheduling/state.py
+++ b/redwingplank/scheduling/state.py
@@ -46,6 +46,7 @@
     capacity_by_vm: dict[str, Resources] = field(default_factory=dict)
     vm_count_by_capacity: Counter[Resources] = field(default_factory=Counter)
     draining: set[str] = field(default_factory=set)
+    service_attempts_by_id: dict[str, int] = field(default_factory=dict)
     touched: dict[str, Worker] = field(default_factory=dict)
     freed_rows: dict[int, None] = field(default_factory=dict)
     freed_organisations: dict[str, None] = field(default_factory=dict)
--- a/redwingplank/scheduling/tests/recovered.py
+++ b/redwingplank/scheduling/tests/recovered.py
@@ -18,7 +18,9 @@
 
 def recover(records: Iterable[JournalRecord], epoch: int, fence_at_s: float) -> RecoveredState:
     """Return what a new owner of that epoch reads from the records."""
-    specs, final, cancelled, finished, intended = {}, {}, set(), {}, {}
+    specs, final, cancelled = {}, {}, set()
+    finished: dict[str, dict[str, TaskFinished]] = {}
+    intended: dict[str, list[tuple[int, str]]] = {}
     last = 0
     for record in records:
         last, entry = record.sequence, record.entry
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -15,7 +15,7 @@
 
 def fail_once(kind: str):
     """Return a fault that hits the first exchange with starts."""
-    hit = []
+    hit: list[str] = []
 
     def fault(worker, request):
         if request.starts and not hit:
@@ -80,7 +80,7 @@
         shard.submit(payload=payload(run_s=100.0))
         shard.run(1.0)
         shard.fault = lambda worker, request: "lost_answer"
-        leases = []
+        leases: list[float] = []
         for _ in range(60):
             outbox = shard.tick(0.1)
             leases.extend(request.lease_s for request in outbox.requests_by_worker.values())
@@ -188,6 +188,23 @@
         assert shard.starts_by_task() == {"job/0": 1}
 
 
+class TestRestartBeforeAStart:
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    def test_start_reached_the_new_incarnation(self, is_idempotent):
+        shard = Shard(make_declarations(make_service(is_idempotent=is_idempotent)))
+        shard.add_workers(2)
+        shard.run(0.5)
+        for worker in shard.workers_by_name.values():
+            worker.restart()
+        shard.fault = fail_once("lost_answer")
+        shard.submit(payload=payload(run_s=3.0))
+        for _ in range(200):
+            shard.tick()
+            assert all(len(places) == 1 for places in shard.running_on().values())
+        assert shard.state_of() == "succeeded"
+        assert shard.starts_by_task() == {"job/0": 1}
+
+
 class TestRecovery:
     def run_then_take_over(self, declarations, silent: str = "", **fields) -> Shard:
         first = Shard(declarations)
@@ -226,6 +243,7 @@
         shard.run(30.0)
         assert shard.state_of() == "unknown"
         status = shard.scheduler.job_status("job", shard.clock.now_s())
+        assert status is not None
         unknown = {task.task_id for task in status.tasks if task.state == "unknown"}
         assert unknown == lost
         assert set(shard.starts_by_task().values()) == {1}
--- /dev/null
+++ b/redwingplank/scheduling/tests/test_random_faults.py
@@ -0,0 +1,121 @@
+"""Random faults in random order: capacity, one place at a time, nothing lost."""
+
+import numpy as np
+import pytest
+from hypothesis import HealthCheck, given, seed, settings
+from hypothesis import strategies as st
+
+from redwingplank.config import PlacementPolicyName, WorkloadKind
+from redwingplank.core import sum_resources
+from redwingplank.scheduling import SchedulerSettings
+from redwingplank.scheduling.messages import SubmitOutcome
+from redwingplank.scheduling.tests.shard import Shard, make_declarations, make_service, payload
+
+FAULTS = ["", "", "", "", "", "lost_request", "refused_connection", "lost_answer"]
+DECLARATIONS = make_declarations(
+    make_service("work"),
+    make_service("once", is_idempotent=False),
+    make_service("gang", kind=WorkloadKind.GANG),
+    make_service("wait", policy=PlacementPolicyName.WAITING),
+)
+FINAL = {"succeeded", "failed", "cancelled", "unknown"}
+
+
+def check_places(shard: Shard) -> None:
+    """Check that no VM is overfull and no task is in two places."""
+    for places in shard.running_on().values():
+        assert len(places) == 1
+    for worker in shard.workers_by_name.values():
+        reserved = [attempt.start.reserved for attempt in worker.attempts_by_task.values()]
+        assert sum_resources(reserved).fits_in(worker.capacity)
+
+
+class Storm:
+    """Drives a shard with seeded faults and submissions."""
+
+    def __init__(self, number: int) -> None:
+        self.rng = np.random.default_rng(number)
+        self.shard = Shard(DECLARATIONS, SchedulerSettings("s", seed=number, max_losses=10**6))
+        self.shard.fault = self.fault
+        self.shard.add_workers(4)
+        self.is_calm = False
+        self.jobs: list[str] = []
+
+    def fault(self, worker, request) -> str:
+        return "" if self.is_calm else str(self.rng.choice(FAULTS))
+
+    def step(self) -> None:
+        shard, rng = self.shard, self.rng
+        worker = shard.workers_by_name[f"w{rng.integers(4)}"]
+        draw = rng.random()
+        if draw < 0.15:
+            self.submit()
+        elif draw < 0.17:
+            worker.restart()
+        elif draw < 0.20:
+            worker.switches.is_paused = not worker.switches.is_paused
+        elif draw < 0.23 and self.jobs:
+            shard.cancel(str(rng.choice(self.jobs)))
+        elif draw < 0.24:
+            self.take_over()
+        shard.tick(float(rng.choice([0.02, 0.1, 0.5])))
+        check_places(shard)
+
+    def submit(self) -> None:
+        job_id = f"job-{len(self.jobs)}"
+        self.jobs.append(job_id)
+        service = str(self.rng.choice(["work", "once", "gang", "wait"]))
+        body = payload(run_s=float(self.rng.random() * 8))
+        self.shard.submit(job_id, service, task_count=int(self.rng.integers(1, 6)), payload=body)
+
+    def take_over(self) -> None:
+        old = self.shard
+        accepted = [a.job_id for a in old.answers() if a.outcome is SubmitOutcome.ACCEPTED]
+        self.jobs = sorted(set(accepted))
+        self.shard = old.take_over(fence_after_s=old.settings.task_lease_s + 0.5)
+        self.shard.messages = old.messages
+        self.shard.fault = self.fault
+        self.shard.list_vms()
+        self.adopt_missing()
+
+    def adopt_missing(self) -> None:
+        for name, worker in self.shard.workers_by_name.items():
+            if not worker.switches.is_paused:
+                self.shard.adopt(name)
+
+    def calm(self) -> None:
+        self.is_calm = True
+        for worker in self.shard.workers_by_name.values():
+            worker.switches.is_paused = False
+        self.adopt_missing()
+        for _ in range(1200):
+            self.shard.tick(0.1)
+            check_places(self.shard)
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize("number", range(300))
+    def test_storm_then_calm(self, number):
+        self.check(number, 300)
+
+    @seed(69)
+    @settings(max_examples=8, deadline=None, suppress_health_check=list(HealthCheck))
+    @given(st.integers(0, 10**6), st.integers(20, 200))
+    def test_generated_storms(self, number, steps):
+        self.check(number, steps)
+
+    def check(self, number: int, steps: int) -> None:
+        storm = Storm(number)
+        for _ in range(steps):
+            storm.step()
+        storm.calm()
+        shard = storm.shard
+        states = {job_id: shard.state_of(job_id) for job_id in storm.jobs}
+        assert {job for job, state in states.items() if state not in FINAL} == set()
+        for task_id, starts in shard.starts_by_task().items():
+            job = shard.scheduler.job_status(task_id.rpartition("/")[0], 0.0)
+            if job is not None and job.service == "once":
+                assert starts <= 1, task_id
+        summary = shard.scheduler.summary(0.0)
+        assert summary.free == summary.capacity
+        assert summary.waiting_by_class == (0, 0, 0)
