--- a/redwingplank/runtime/tests/test_requests_orders.py
+++ b/redwingplank/runtime/tests/test_requests_orders.py
@@ -13,6 +13,7 @@
     OrderClaim,
     OrderEnd,
     OrderKey,
+    OrderRecord,
     OrderReport,
 )
 from redwingplank.runtime.order_log import KeyValueOrderLog, OrderExistsError
@@ -28,6 +29,12 @@
     return OrderClaim(key, claim_id, "entry-1", "digest", timeout_s)
 
 
+def record(claim_id, key) -> OrderRecord:
+    made = OrderBook().claim(0.0, claim(claim_id, OrderKey("bureau", "order", key)))
+    assert isinstance(made, OrderRecord)
+    return made
+
+
 class _NoHome(OrderHomes):
     async def look(self, claim):
         raise HomeUnreachableError("cut off")
@@ -310,13 +317,10 @@
             cell = Cell()
             log = KeyValueOrderLog(MemoryStoreClient(cell.store), "a", 1000.0)
             other = KeyValueOrderLog(MemoryStoreClient(cell.store), "a", 1000.0)
-            records = [
-                OrderBook().claim(0.0, claim(f"c{number}", OrderKey("b", "o", str(number))))
-                for number in range(3)
-            ]
-            await other.create(OrderBook().claim(0.0, claim("x", OrderKey("b", "o", "1"))))
+            records = [record(f"c{number}", str(number)) for number in range(3)]
+            await other.create(record("x", "1"))
             results = await asyncio.gather(
-                *(log.create(record) for record in records), return_exceptions=True
+                *(log.create(each) for each in records), return_exceptions=True
             )
             assert [type(result) for result in results] == [
                 type(None),
