Run a whole cell in one process: entry, scheduler, stand-in and dev programs with a sample

Cause: the whole path was wanted first, thin. Change: programs with checked settings, a sample of each workload through an entry, checked against the stand-ins' history; request ids compared by the caller's part.

--- a/redwingplank/api/core.py
+++ b/redwingplank/api/core.py
@@ -1,7 +1,6 @@
 """The callers' HTTP application of an entry."""
 
 import json
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -11,12 +10,30 @@
 from redwingplank.api.jobs import JobResource, JobsResource
 from redwingplank.api.problems import add_problem_handlers
 from redwingplank.api.requests import RequestsResource
+from redwingplank.runtime.entry import EntryRuntime
 from redwingplank.runtime.jobs import JobGateway
 from redwingplank.runtime.requests import RequestProxy
 
 __all__ = ["make_entry_app", "read_openapi"]
 
 
+class _CloseWhenLeaving:
+    """Tells callers to close their connections while the entry is about to stop."""
+
+    def __init__(self, entry: EntryRuntime) -> None:
+        self._entry = entry
+
+    async def process_response(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        resource: object,
+        req_succeeded: bool,
+    ) -> None:
+        if self._entry.is_leaving:
+            resp.set_header("Connection", "close")
+
+
 class _OpenApiResource:
     async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         resp.media = read_openapi()
@@ -30,7 +47,7 @@
 def make_entry_app(
     proxy: RequestProxy,
     gateway: JobGateway,
-    find_obstacles: Callable[[], tuple[str, ...]],
+    entry: EntryRuntime,
 ) -> falcon.asgi.App:
     """Return the application.
 
@@ -40,16 +57,16 @@
         Serves requests.
     gateway : JobGateway
         Takes jobs.
-    find_obstacles : callable
-        Returns why the entry wants no new work.
+    entry : EntryRuntime
+        Knows whether new work is wanted.
     """
-    app = falcon.asgi.App()
+    app = falcon.asgi.App(middleware=[_CloseWhenLeaving(entry)])
     add_problem_handlers(app)
     organisation = "/v1/organisations/{organisation}"
     app.add_route(f"{organisation}/services/{{service}}/requests", RequestsResource(proxy))
     app.add_route(f"{organisation}/jobs", JobsResource(gateway))
     app.add_route(f"{organisation}/jobs/{{job_id}}", JobResource(gateway))
     app.add_route("/healthz", HealthResource())
-    app.add_route("/readyz", ReadinessResource(find_obstacles))
+    app.add_route("/readyz", ReadinessResource(entry.find_obstacles))
     app.add_route("/openapi.json", _OpenApiResource())
     return app
--- a/redwingplank/api/requests.py
+++ b/redwingplank/api/requests.py
@@ -1,6 +1,6 @@
 """Requests of callers over HTTP, passed on to upstreams."""
 
-from http import HTTPStatus
+import uuid
 
 import falcon
 import falcon.asgi
@@ -18,7 +18,6 @@
 
 RAN_HEADER = "X-Redwing-Ran"
 REQUEST_ID_HEADER = "X-Request-Id"
-MAX_REQUEST_ID_CHARACTERS = 128
 
 
 class RequestsResource:
@@ -34,7 +33,7 @@
         organisation: str,
         service: str,
     ) -> None:
-        call = _read_call(req, organisation, service, self._proxy.new_request_id())
+        call = _read_call(req, organisation, service, uuid.uuid4().hex)
         body = await read_body(req)
         answer = await self._proxy.handle(call, body)
         _send_answer(resp, call, answer)
@@ -61,11 +60,11 @@
 def _send_answer(resp: falcon.asgi.Response, call: CallerRequest, answer: CallerAnswer) -> None:
     if answer.problem is not None:
         details = ProblemDetails(
-            answer.status, answer.problem.title, answer.problem.detail, str(answer.ran)
+            answer.status, answer.problem.code, answer.problem.detail, str(answer.ran)
         )
-        send_problem(resp, details, answer.retry_after_s)
+        send_problem(resp, details, answer.retry_after_s or 0.0)
     else:
-        resp.status = HTTPStatus(answer.status)
+        resp.status = answer.status
         for name, value in answer.headers.items():
             resp.set_header(name, value)
         if isinstance(answer.body, bytes):
--- /dev/null
+++ b/redwingplank/cli/dev.py
@@ -0,0 +1,256 @@
+"""`redwing-dev`: all roles and the platform's stand-ins in one process on loopback."""
+
+import asyncio
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+
+from redwingplank.cli.entry import EntryProgram
+from redwingplank.cli.program import Program, read_settings, run_program
+from redwingplank.cli.sample import (
+    SampleRow,
+    check_sample,
+    count_running,
+    format_rows,
+    send_sample,
+)
+from redwingplank.cli.scheduler import SchedulerProgram
+from redwingplank.cli.settings import (
+    DevSettings,
+    EntrySettings,
+    SchedulerProgramSettings,
+    StandinSettings,
+)
+from redwingplank.cli.standin import StandinProgram
+from redwingplank.config import (
+    Declarations,
+    WorkloadKind,
+    parse_declarations,
+    read_declaration_files,
+)
+from redwingplank.core import FindingsError
+from redwingplank.core.settings import load_settings
+
+__all__ = ["DevProgram", "main"]
+
+HOST = "127.0.0.1"
+ENTRY_HTTP_OFFSET = 1
+ENTRY_RPC_OFFSET = 30
+SCHEDULER_RPC_OFFSET = 50
+STANDIN_OFFSET = 70
+FIRST_VM_OFFSET = 71
+READY_WITHIN_S = 20.0
+SERVICES_WITHIN_S = 10.0
+POLL_S = 0.05
+
+
+class DevProgram(Program):
+    """A whole cell in one process.
+
+    Parameters
+    ----------
+    settings : DevSettings
+        From flags and environment variables.
+    declarations : Declarations
+        What is declared.
+    """
+
+    def __init__(self, settings: DevSettings, declarations: Declarations) -> None:
+        self._settings = settings
+        self._declarations = replace(declarations, revision=1)
+        self.exit_code = 0
+        self.standin = StandinProgram(_make_standin_settings(settings))
+        self.entries = [EntryProgram(item) for item in _make_entry_settings(settings)]
+        self.schedulers = [SchedulerProgram(item) for item in _make_scheduler_settings(settings)]
+
+    @property
+    def base_url(self) -> str:
+        """URL of the first entry."""
+        return f"http://{HOST}:{self._settings.port + ENTRY_HTTP_OFFSET}"
+
+    async def start(self) -> None:
+        await self.standin.start()
+        for scheduler in self.schedulers:
+            await scheduler.start()
+            scheduler.change_declarations(self._declarations)
+        for entry in self.entries:
+            await entry.start()
+            entry.change_declarations(self._declarations)
+        await self._wait_until_owned()
+
+    async def wait(self) -> None:
+        started_s = time.monotonic()
+        rows, records = await send_sample(self.base_url, self.standin.cell)
+        rows.extend(await self._service_rows(started_s))
+        print(format_rows(rows))
+        findings = check_sample(self.standin.cell, records)
+        for finding in findings:
+            print(finding)
+        if findings or any(row.problem for row in rows):
+            self.exit_code = 1
+        if self._settings.once:
+            return
+        print(f"serving at {self.base_url}; Ctrl-C ends", flush=True)
+        programs = [*self.entries, *self.schedulers]
+        waits = [asyncio.ensure_future(program.wait()) for program in programs]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+    async def drain(self) -> None:
+        await asyncio.gather(*(entry.drain() for entry in self.entries))
+        await asyncio.gather(*(scheduler.drain() for scheduler in self.schedulers))
+        await self.standin.drain()
+
+    def describe_in_flight(self) -> str:
+        return "; ".join(entry.describe_in_flight() for entry in self.entries)
+
+    async def _wait_until_owned(self) -> None:
+        deadline_s = time.monotonic() + READY_WITHIN_S
+        while time.monotonic() < deadline_s:
+            directories = [entry.runtime.parts.directory for entry in self.entries]
+            await asyncio.gather(*(directory.refresh() for directory in directories))
+            if all(
+                directory.find_owner(shard) is not None
+                for directory in directories
+                for shard in directory.all_shards()
+            ):
+                return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f"not every shard has an owner after {READY_WITHIN_S:g} s")
+
+    async def _service_rows(self, started_s: float) -> list[SampleRow]:
+        wanted = {
+            f"service:{organisation.name}:{service.name}": service.count
+            for organisation in self._declarations.organisations_by_name.values()
+            for service in organisation.services_by_name.values()
+            if service.kind is WorkloadKind.SERVICE and organisation.quota is None
+        }
+        rows = []
+        for job_id, count in wanted.items():
+            running = await self._wait_for_service(job_id, count)
+            _, organisation, service = job_id.split(":")
+            found = sum(running.values())
+            rows.append(
+                SampleRow(
+                    "standing service",
+                    organisation,
+                    service,
+                    f"{found} of {count} run",
+                    ", ".join(sorted(running)[:2]),
+                    (time.monotonic() - started_s) * 1000,
+                    "" if found == count else "not at its count",
+                )
+            )
+        return rows
+
+    async def _wait_for_service(self, job_id: str, count: int) -> Mapping[str, int]:
+        deadline_s = time.monotonic() + SERVICES_WITHIN_S
+
+        def is_counted(task_id: str) -> bool:
+            return task_id.rpartition("/")[0] == job_id
+
+        while True:
+            running = count_running(self.standin.cell, is_counted)
+            if sum(running.values()) == count or time.monotonic() > deadline_s:
+                return running
+            await asyncio.sleep(POLL_S)
+
+
+def _names(settings: DevSettings, kind: str, count: int) -> list[tuple[str, str]]:
+    return [
+        (domain, f"{domain}-{kind}-{index}")
+        for domain in settings.failure_domains
+        for index in range(count)
+    ]
+
+
+def _addresses(names: Sequence[tuple[str, str]], first_port: int) -> str:
+    return ",".join(
+        f"{domain}/{name}={HOST}:{first_port + index}" for index, (domain, name) in enumerate(names)
+    )
+
+
+def _make_standin_settings(settings: DevSettings) -> StandinSettings:
+    texts = {
+        "port": str(settings.port + STANDIN_OFFSET),
+        "first_vm_port": str(settings.port + FIRST_VM_OFFSET),
+        "failure_domains": ",".join(settings.failure_domains),
+        "list_lag_s": "0",
+    }
+    return load_settings(StandinSettings, texts, ())
+
+
+def _node_texts(settings: DevSettings) -> dict[str, str]:
+    entries = _names(settings, "entry", settings.entries_per_domain)
+    schedulers = _names(settings, "scheduler", settings.schedulers_per_domain)
+    platform_url = f"http://{HOST}:{settings.port + STANDIN_OFFSET}"
+    return {
+        "failure_domains": ",".join(settings.failure_domains),
+        "store_url": platform_url,
+        "vms_url": platform_url,
+        "entries": _addresses(entries, settings.port + ENTRY_RPC_OFFSET),
+        "schedulers": _addresses(schedulers, settings.port + SCHEDULER_RPC_OFFSET),
+        "log_level": settings.log_level,
+    }
+
+
+def _make_entry_settings(settings: DevSettings) -> list[EntrySettings]:
+    names = _names(settings, "entry", settings.entries_per_domain)
+    return [
+        load_settings(
+            EntrySettings,
+            {
+                **_node_texts(settings),
+                "name": name,
+                "failure_domain": domain,
+                "http_address": f"{HOST}:{settings.port + ENTRY_HTTP_OFFSET + index}",
+                "rpc_address": f"{HOST}:{settings.port + ENTRY_RPC_OFFSET + index}",
+                "drain_notice_s": "0",
+            },
+            (),
+        )
+        for index, (domain, name) in enumerate(names)
+    ]
+
+
+def _make_scheduler_settings(settings: DevSettings) -> list[SchedulerProgramSettings]:
+    names = _names(settings, "scheduler", settings.schedulers_per_domain)
+    return [
+        load_settings(
+            SchedulerProgramSettings,
+            {
+                **_node_texts(settings),
+                "name": name,
+                "failure_domain": domain,
+                "rpc_address": f"{HOST}:{settings.port + SCHEDULER_RPC_OFFSET + index}",
+            },
+            (),
+        )
+        for index, (domain, name) in enumerate(names)
+    ]
+
+
+def main() -> None:
+    """Run the program."""
+    settings = read_settings("redwing-dev", DevSettings, __doc__ or "")
+    try:
+        declarations = parse_declarations(read_declaration_files(settings.declarations))
+    except FindingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(2)
+    programs: list[DevProgram] = []
+
+    def make_program() -> Program:
+        programs.append(DevProgram(settings, declarations))
+        return programs[0]
+
+    code = run_program(make_program, settings.log_level)
+    sys.exit(code or programs[0].exit_code)
+
+
+if __name__ == "__main__":
+    main()
--- a/redwingplank/cli/program.py
+++ b/redwingplank/cli/program.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 
 import capnp
@@ -99,13 +99,13 @@
     return settings
 
 
-def run_program(program: Program, log_level: str) -> int:
+def run_program(make_program: Callable[[], Program], log_level: str) -> int:
     """Run a program until a signal ends it, and return the exit code.
 
     Parameters
     ----------
-    program : Program
-        What to run.
+    make_program : callable
+        Builds the program; called inside the event loop.
     log_level : str
         Level of the log on standard error.
 
@@ -114,10 +114,10 @@
     The first SIGTERM or SIGINT drains; a second one ends at once and logs what was cut.
     """
     start_logging(log_level)
-    return asyncio.run(capnp.run(_run(program)))
+    return asyncio.run(capnp.run(_run(make_program)))
 
 
-async def _run(program: Program) -> int:
+async def _run(make_program: Callable[[], Program]) -> int:
     stopping = asyncio.Event()
     cutting = asyncio.Event()
 
@@ -127,6 +127,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    program = make_program()
     log_event(_logger, "starting", pid=os.getpid(), version=__version__)
     await program.start()
     log_event(_logger, "serving", pid=os.getpid())
--- /dev/null
+++ b/redwingplank/cli/scheduler.py
@@ -0,0 +1,145 @@
+"""`redwing-scheduler`: a candidate for the ownership of its failure domain's shards."""
+
+import sys
+
+from redwingplank.cli.program import Program, read_settings, run_program
+from redwingplank.cli.settings import SchedulerProgramSettings
+from redwingplank.config import Declarations
+from redwingplank.core import MonotonicClock, UnixClock
+from redwingplank.platform.http import (
+    HttpKeyValueStore,
+    HttpVmList,
+    HttpWorkerClient,
+    open_session,
+)
+from redwingplank.rpc import NodeServer, serve_node
+from redwingplank.rpc.scheduler_calls import SCHEDULER_SERVICE
+from redwingplank.runtime.scheduler import make_scheduler_process
+from redwingplank.runtime.scheduler_core import SchedulerCore
+from redwingplank.runtime.settings import SchedulerProcessSettings
+from redwingplank.runtime.shards import shard_names
+from redwingplank.scheduling import SchedulerSettings, make_scheduler
+from redwingplank.scheduling.messages import RecoveredState
+from redwingplank.scheduling.ownership import LeaseSettings
+
+__all__ = ["SchedulerProgram", "main"]
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class SchedulerProgram(Program):
+    """The scheduler with its connections to the platform.
+
+    Parameters
+    ----------
+    settings : SchedulerProgramSettings
+        From flags and environment variables.
+    """
+
+    def __init__(self, settings: SchedulerProgramSettings) -> None:
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._unix_clock = UnixClock()
+        self._session = open_session()
+        self._server: NodeServer | None = None
+        self.process = make_scheduler_process(
+            make_process_settings(settings),
+            HttpKeyValueStore(self._session, settings.store_url, settings.store_timeout_s),
+            HttpVmList(self._session, settings.vms_url, settings.store_timeout_s),
+            HttpWorkerClient(self._session),
+            self._clock,
+            self._unix_clock,
+            self._make_core,
+        )
+
+    async def start(self) -> None:
+        services = {SCHEDULER_SERVICE: self.process.service()}
+        self._server = await serve_node(self._settings.rpc_address, services)
+        self.process.start()
+
+    async def wait(self) -> None:
+        await self.process.wait()
+
+    async def drain(self) -> None:
+        own = self._settings.rpc_address
+        successor = next((item for item in self._candidates() if item != own), "")
+        await self.process.stop(successor)
+        if self._server is not None:
+            await self._server.stop()
+        await self._session.close()
+
+    def describe_in_flight(self) -> str:
+        shards = [
+            shard
+            for shard, runner in self.process.runners_by_shard.items()
+            if runner.term_runner is not None
+        ]
+        return f"shards {','.join(shards) or 'none'}"
+
+    def change_declarations(self, declarations: Declarations) -> None:
+        """Take in a newer revision of the declarations."""
+        self.process.change_declarations(declarations)
+
+    def _candidates(self) -> list[str]:
+        domain = self._settings.failure_domain
+        return [
+            address
+            for name, address in sorted(self._settings.schedulers.items())
+            if name.partition("/")[0] == domain
+        ]
+
+    def _make_core(
+        self,
+        process_settings: SchedulerProcessSettings,
+        shard: str,
+        recovered: RecoveredState,
+        declarations: Declarations,
+        now_s: float,
+    ) -> SchedulerCore:
+        all_shards = shard_names(self._settings.failure_domains, self._settings.shards_per_domain)
+        core_settings = SchedulerSettings(
+            shard=shard,
+            shard_index=all_shards.index(shard),
+            shard_count=len(all_shards),
+            seed=process_settings.seed,
+            task_lease_s=process_settings.task_lease_s,
+            renew_every_s=process_settings.renew_every_s,
+            clock_margin_s=process_settings.clock_margin_s,
+            unix_offset_s=self._unix_clock.now_s() - now_s,
+            workers_know_epochs=process_settings.workers_know_epochs,
+            workers_have_inventory=process_settings.workers_have_inventory,
+        )
+        return make_scheduler(core_settings, recovered, declarations, now_s)
+
+
+def make_process_settings(settings: SchedulerProgramSettings) -> SchedulerProcessSettings:
+    """Return the settings of the process from those of the program."""
+    own_domain = settings.failure_domain
+    peers = tuple(
+        address
+        for name, address in sorted(settings.schedulers.items())
+        if name.partition("/")[0] == own_domain and address != settings.rpc_address
+    )
+    return SchedulerProcessSettings(
+        address=settings.rpc_address,
+        failure_domain=own_domain,
+        shard_count=settings.shards_per_domain,
+        seed=settings.seed,
+        peer_addresses=peers,
+        lease=LeaseSettings(ttl_s=settings.owner_ttl_s),
+        task_lease_s=settings.task_lease_s,
+        renew_every_s=settings.task_lease_s / 3,
+        clock_margin_s=settings.clock_margin_s,
+        store_timeout_s=settings.store_timeout_s,
+        tick_every_s=settings.tick_ms / MILLISECONDS_PER_SECOND,
+    )
+
+
+def main() -> None:
+    """Run the program."""
+    settings = read_settings("redwing-scheduler", SchedulerProgramSettings, __doc__ or "")
+    sys.exit(run_program(lambda: SchedulerProgram(settings), settings.log_level))
+
+
+if __name__ == "__main__":
+    main()
--- a/redwingplank/cli/settings.py
+++ b/redwingplank/cli/settings.py
@@ -10,11 +10,18 @@
     parse_integer,
     parse_name,
     parse_seconds,
+    parse_switch,
     parse_url,
     setting,
 )
 
-__all__ = ["EntrySettings", "NodeSettings", "SchedulerProgramSettings", "StandinSettings"]
+__all__ = [
+    "DevSettings",
+    "EntrySettings",
+    "NodeSettings",
+    "SchedulerProgramSettings",
+    "StandinSettings",
+]
 
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
 MAX_SHARDS_PER_DOMAIN = 64
@@ -149,3 +156,31 @@
     )
     seed: int = setting(parse_integer(0, 2**31 - 1), "Seed of speeds.", default="1")
     log_level: str = setting(parse_choice(*LOG_LEVELS), "Least level logged.", default="WARNING")
+
+
+@dataclass(frozen=True, kw_only=True)
+class DevSettings:
+    """Settings of `redwing-dev`."""
+
+    once: bool = setting(
+        parse_switch,
+        "End after the sample; the exit code says whether every answer was right.",
+        default="False",
+        is_switch=True,
+    )
+    declarations: tuple[str, ...] = setting(
+        lambda text: tuple(filter(None, text.split(","))),
+        "Files or folders of declarations, separated by commas.",
+        default="examples/bureau,examples/cooperative",
+    )
+    failure_domains: tuple[str, ...] = setting(
+        _parse_names, "Failure domains, separated by commas.", default="ankara-1,ankara-2,ankara-3"
+    )
+    entries_per_domain: int = setting(
+        parse_integer(1, 9), "Entries in each failure domain.", default="1"
+    )
+    schedulers_per_domain: int = setting(
+        parse_integer(1, 9), "Schedulers in each failure domain.", default="1"
+    )
+    port: int = setting(parse_integer(1024, 60000), "First of about 100 ports.", default="7200")
+    log_level: str = setting(parse_choice(*LOG_LEVELS), "Least level logged.", default="WARNING")
--- a/redwingplank/core/settings.py
+++ b/redwingplank/core/settings.py
@@ -23,6 +23,7 @@
     "parse_integer",
     "parse_name",
     "parse_seconds",
+    "parse_switch",
     "parse_url",
     "setting",
 ]
@@ -39,6 +40,7 @@
     *,
     default: str | None = None,
     unit: str = "",
+    is_switch: bool = False,
 ) -> Any:
     """Declare one setting as a field of a frozen data class.
 
@@ -52,8 +54,16 @@
         The text used when the setting is not given; without one it is required.
     unit : str
         For ``--help``, such as ``"seconds"``.
+    is_switch : bool
+        The flag takes no value; `parse` gets ``"True"`` or ``"False"``.
     """
-    metadata = {"parse": parse, "description": description, "default": default, "unit": unit}
+    metadata = {
+        "parse": parse,
+        "description": description,
+        "default": default,
+        "unit": unit,
+        "is_switch": is_switch,
+    }
     return dataclasses.field(metadata=metadata)
 
 
@@ -133,7 +143,8 @@
     ]
     values = {}
     for field in dataclasses.fields(settings_class):  # type: ignore[arg-type]
-        text = texts_by_name.get(field.name)
+        given = texts_by_name.get(field.name)
+        text = None if given is None else str(given)
         place = _place_of(field.name, arguments)
         if text is None:
             text = field.metadata["default"]
@@ -216,6 +227,11 @@
     return parse
 
 
+def parse_switch(text: str) -> bool:
+    """Return whether a switch is on."""
+    return text == "True"
+
+
 def parse_choice(*choices: str) -> Callable[[str], str]:
     """Return a parser of one of some words."""
 
@@ -233,8 +249,9 @@
     default = metadata["default"]
     shown = "required" if default is None else f"default: {default or 'empty'}"
     text = f"{metadata['description']}{unit} [{shown}]"
+    kind: Any = bool if metadata["is_switch"] else str
     annotation = Annotated[
-        str | None,
+        kind | None,
         cyclopts.Parameter(
             env_var=environment_name(field.name), help=text, show_default=False, negative=""
         ),
--- a/redwingplank/platform/upstreams.py
+++ b/redwingplank/platform/upstreams.py
@@ -5,7 +5,10 @@
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 
-__all__ = ["UpstreamAnswer", "UpstreamClient", "UpstreamRequest"]
+__all__ = ["REQUEST_ID_SEPARATOR", "UpstreamAnswer", "UpstreamClient", "UpstreamRequest"]
+
+REQUEST_ID_SEPARATOR = "~"
+"""Stands between the caller's request id and what makes it unique for the upstream."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/redwingplank/runtime/requests.py
+++ b/redwingplank/runtime/requests.py
@@ -12,6 +12,7 @@
     UpstreamClient,
     UpstreamRequest,
 )
+from redwingplank.platform.upstreams import REQUEST_ID_SEPARATOR
 from redwingplank.routing import (
     CallerAnswer,
     CallerRequest,
@@ -183,7 +184,7 @@
         if call.deadline_ms is not None:
             timeout_s = min(timeout_s, call.deadline_ms / 1000)
         unique_id = (
-            f"{call.request_id}~{self._settings.entry}.{self._settings.incarnation}."
+            f"{call.request_id}{REQUEST_ID_SEPARATOR}{self._settings.entry}.{self._settings.incarnation}."
             f"{next(self._numbers)}"
         )
         headers = dict(call.headers)
--- a/redwingplank/standin/cell.py
+++ b/redwingplank/standin/cell.py
@@ -10,6 +10,7 @@
 from redwingplank.standin.faults import Faults
 from redwingplank.standin.history import History
 from redwingplank.standin.store import MemoryStore
+from redwingplank.standin.upstreams import UpstreamBehaviour
 from redwingplank.standin.vms import LaggingVmList
 from redwingplank.standin.workers import StandinWorker
 
@@ -18,6 +19,8 @@
 MIB_PER_GIB = 1024
 SLOWEST_SPEED = 0.5
 FASTEST_SPEED = 2.0
+SERVICE_TIMES_S = {"notahane": 0.08, "quoter": 0.02}
+DEFAULT_SERVICE_TIME_S = 0.05
 WORKER_CAPACITY = Resources(64_000, 128 * MIB_PER_GIB)
 
 
@@ -70,8 +73,7 @@
     vm_list: LaggingVmList
     history: History
     workers_by_address: dict[str, StandinWorker]
-    upstream_rows: tuple[ListedVm, ...]
-    speeds_by_vm: dict[str, float]
+    upstreams_by_address: dict[str, UpstreamBehaviour]
     store_faults: Faults = field(default_factory=Faults)
     list_faults: Faults = field(default_factory=Faults)
 
@@ -80,6 +82,11 @@
         """Workers by the names of their VMs."""
         return {worker.name: worker for worker in self.workers_by_address.values()}
 
+    @property
+    def upstreams_by_name(self) -> dict[str, UpstreamBehaviour]:
+        """Upstreams by the names of their VMs."""
+        return {upstream.name: upstream for upstream in self.upstreams_by_address.values()}
+
 
 def make_standin_cell(shape: CellShape, clock: Clock) -> StandinCell:
     """Build the stand-ins of a cell.
@@ -102,8 +109,19 @@
         for row in rows
         if row.role is VmRole.WORKER
     }
-    upstream_rows = tuple(row for row in rows if row.role is VmRole.UPSTREAM)
-    return StandinCell(MemoryStore(clock), vm_list, history, workers, upstream_rows, speeds)
+    upstreams = {
+        row.address: UpstreamBehaviour(
+            row.name,
+            clock,
+            history,
+            row.slots,
+            service_time_s=SERVICE_TIMES_S.get(row.service, DEFAULT_SERVICE_TIME_S)
+            / speeds[row.name],
+        )
+        for row in rows
+        if row.role is VmRole.UPSTREAM
+    }
+    return StandinCell(MemoryStore(clock), vm_list, history, workers, upstreams)
 
 
 def _make_rows(shape: CellShape) -> Iterator[ListedVm]:
--- a/redwingplank/standin/checks.py
+++ b/redwingplank/standin/checks.py
@@ -6,9 +6,10 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from redwingplank.core import Finding, Place, Resources
+from redwingplank.platform.upstreams import REQUEST_ID_SEPARATOR
 from redwingplank.standin.callers import CallerRecords, Ran, RequestRecord
 from redwingplank.standin.history import HistoryEvent, HistoryEventKind
 from redwingplank.standin.intervals import Interval, find_intervals, usage_steps
@@ -16,6 +17,7 @@
 __all__ = ["LEAVING_GRACE_S", "CheckedRun", "check_history", "make_checked_run"]
 
 LEAVING_GRACE_S = 2.0
+REQUEST_KINDS = frozenset({HistoryEventKind.REQUEST_STARTED, HistoryEventKind.REQUEST_ENDED})
 COMPLETED = "completed"
 SUCCEEDED = "succeeded"
 
@@ -60,7 +62,7 @@
     is_cut_allowed: bool = False,
 ) -> CheckedRun:
     """Prepare a run for the checks; see `CheckedRun` for the parameters."""
-    listed = tuple(events)
+    listed = tuple(_with_caller_id(event) for event in events)
     return CheckedRun(
         events=listed,
         records=records or CallerRecords(),
@@ -294,6 +296,13 @@
     return by_subject
 
 
+def _with_caller_id(event: HistoryEvent) -> HistoryEvent:
+    """Name the caller's request instead of the id that the entry gave to the upstream."""
+    if event.kind not in REQUEST_KINDS or REQUEST_ID_SEPARATOR not in event.subject:
+        return event
+    return replace(event, subject=event.subject.partition(REQUEST_ID_SEPARATOR)[0])
+
+
 def _job_of(task_id: str) -> str:
     return task_id.rpartition("/")[0]
 
--- a/redwingplank/standin/http_admin.py
+++ b/redwingplank/standin/http_admin.py
@@ -10,11 +10,16 @@
 
 from redwingplank.standin.faults import Faults
 from redwingplank.standin.history import History, event_to_dict
+from redwingplank.standin.upstreams import UpstreamBehaviour
 from redwingplank.standin.vms import MemoryVmList
 from redwingplank.standin.workers import StandinWorker
 
 __all__ = ["add_admin_routes", "add_vm_list_routes"]
 
+UPSTREAM_SWITCHES = frozenset(
+    {"service_time_s", "answer_bytes", "is_leaving", "is_run_to_end", "standing_fault", "faults"}
+)
+
 
 def add_vm_list_routes(app: falcon.asgi.App, vm_list: MemoryVmList) -> None:
     """Add ``GET /vms``."""
@@ -26,6 +31,7 @@
     history: History,
     faults_by_target: Mapping[str, Faults],
     workers_by_name: Mapping[str, StandinWorker],
+    upstreams_by_name: Mapping[str, UpstreamBehaviour],
     store_calls: Mapping[str, int],
 ) -> None:
     """Add the calls for tests.
@@ -40,6 +46,8 @@
         Switched by ``POST /faults/{target}`` with a JSON object of switches.
     workers_by_name : mapping of str to StandinWorker
         Switched by ``POST /workers/{name}``.
+    upstreams_by_name : mapping of str to UpstreamBehaviour
+        Switched by ``POST /upstreams/{name}``.
     store_calls : mapping of str to int
         Answered by ``GET /calls``.
     """
@@ -48,7 +56,8 @@
     app.add_route("/faults/{target}", _Switches(faults_by_target))
     switches = {name: worker.switches for name, worker in workers_by_name.items()}
     app.add_route("/workers/{target}", _Switches(switches))
-    app.add_route("/workers/{name}/restart", _Restart(workers_by_name))
+    app.add_route("/upstreams/{target}", _Switches(upstreams_by_name, UPSTREAM_SWITCHES))
+    app.add_route("/workers/{target}/restart", _Restart(workers_by_name))
 
 
 class _Vms:
@@ -81,8 +90,11 @@
 
 
 class _Switches:
-    def __init__(self, switches_by_target: Mapping[str, Any]) -> None:
+    def __init__(
+        self, switches_by_target: Mapping[str, Any], allowed: frozenset[str] | None = None
+    ) -> None:
         self._switches_by_target = switches_by_target
+        self._allowed = allowed
 
     async def on_post(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response, target: str
@@ -90,14 +102,14 @@
         switches = self._switches_by_target.get(target)
         if switches is None:
             raise falcon.HTTPNotFound(description=f"there is no {target!r} here")
-        names = {field.name for field in dataclasses.fields(switches)}
+        names = self._allowed or {field.name for field in dataclasses.fields(switches)}
         values = await req.get_media()
         unknown = sorted(set(values) - names)
         if unknown:
             raise falcon.HTTPBadRequest(description=f"{unknown} are no switches, use {names}")
         for name, value in values.items():
             setattr(switches, name, value)
-        resp.media = dataclasses.asdict(switches)
+        resp.media = {name: getattr(switches, name) for name in sorted(names)}
 
 
 class _Restart:
@@ -105,10 +117,10 @@
         self._workers_by_name = workers_by_name
 
     async def on_post(
-        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, name: str
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, target: str
     ) -> None:
-        worker = self._workers_by_name.get(name)
+        worker = self._workers_by_name.get(target)
         if worker is None:
-            raise falcon.HTTPNotFound(description=f"there is no worker {name!r}")
+            raise falcon.HTTPNotFound(description=f"there is no worker {target!r}")
         worker.restart()
         resp.media = {"incarnation": worker.incarnation}
--- a/redwingplank/standin/store.py
+++ b/redwingplank/standin/store.py
@@ -55,6 +55,12 @@
         self._next_lease_id = 1
         self._history: list[tuple[int, WatchEvent]] = []
         self._changed = asyncio.Event()
+        self.is_closed = False
+
+    def close(self) -> None:
+        """End all watches."""
+        self.is_closed = True
+        self._changed.set()
 
     def read(self, prefix: str, is_prefix: bool) -> RangeResult:
         """Return the entry with a key, or all entries whose key begins with it."""
@@ -222,7 +228,7 @@
     async def watch(self, prefix: str, after_revision: int) -> AsyncIterator[WatchBatch]:
         await self._begin("watch")
         revision = after_revision
-        while True:
+        while not self.store.is_closed:
             changed = asyncio.ensure_future(self.store.wait_for_change())
             try:
                 events = self.store.events_after(revision, prefix)
