Queue a recovered gang only after a rollback or the proof of stop

Cause: when some tasks of a recovered gang ended, the others were queued although a silent worker could still run them (storm seeds 52, 69, 113, 133, 229, 286: two places at once). Change: a gang is queued again only while it is rolling back and none of its tasks is recovering.

--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -108,6 +108,7 @@
     overshoot_at_s: float = 0.0
     restarts: int = 0
     is_restart_possible: bool = False
+    is_recovering: bool = False
     replaces: "Task | None" = None
     replacement: "Task | None" = None
 
@@ -165,6 +166,7 @@
     history: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_HISTORY))
     not_before_s: float = 0.0
     is_gang_failed: bool = False
+    is_rolling_back: bool = False
     held_rows: tuple[int, ...] = ()
 
     @property
--- a/redwingplank/scheduling/gangs.py
+++ b/redwingplank/scheduling/gangs.py
@@ -62,6 +62,7 @@
     if not job.service.is_idempotent:
         _queue_all(lifecycle, [task], now_s, job.not_before_s)
         return
+    job.is_rolling_back = True
     lifecycle.take_back_waiting(job)
     for member in job.tasks:
         if member.worker is not None and member.stop_reason is None:
@@ -71,10 +72,11 @@
 
 def requeue_if_stopped(lifecycle: "TaskLifecycle", job: Job, now_s: float) -> None:
     """Let a gang that was rolled back wait again once none of its tasks holds a place."""
-    if job.is_cancelled or job.is_gang_failed:
+    if not job.is_rolling_back or job.is_cancelled or job.is_gang_failed:
         return
     members = [task for task in job.tasks if task.phase is not Phase.DONE]
-    if all(task.phase is Phase.HELD for task in members):
+    if all(task.phase is Phase.HELD and not task.is_recovering for task in members):
+        job.is_rolling_back = False
         _queue_all(lifecycle, members, now_s, job.not_before_s)
 
 
--- a/redwingplank/scheduling/rejoin.py
+++ b/redwingplank/scheduling/rejoin.py
@@ -59,7 +59,7 @@
 
     def is_waiting(self, task: Task) -> bool:
         """Return whether a task waits for proof that it has stopped."""
-        return task.task_id in self._waiting_by_id
+        return task.is_recovering
 
     def is_last_intent(self, task: Task, attempt: int) -> bool:
         """Return whether `attempt` is the last one that was about to start."""
@@ -72,12 +72,17 @@
 
     def forget(self, task: Task) -> None:
         """Note that a task was found."""
+        task.is_recovering = False
         self._waiting_by_id.pop(task.task_id, None)
 
     def hold(self, task: Task) -> None:
         """Let a task of an earlier epoch wait, such as one of a standing service."""
         if not self.is_complete:
-            self._waiting_by_id[task.task_id] = _Waiting(task)
+            self._add(_Waiting(task))
+
+    def _add(self, entry: _Waiting) -> None:
+        entry.task.is_recovering = True
+        self._waiting_by_id[entry.task.task_id] = entry
 
     def workers_listed(self, names: Collection[str]) -> None:
         """Take the names of the shard's workers."""
@@ -112,6 +117,8 @@
         self.is_complete = True
         waiting, self._waiting_by_id = self._waiting_by_id, {}
         self._state.decide("recovery_complete", not_found=len(waiting))
+        for entry in waiting.values():
+            entry.task.is_recovering = False
         for entry in waiting.values():
             if entry.task.phase is Phase.HELD:
                 self._settle(entry, now_s)
@@ -126,7 +133,7 @@
         elif task.job.is_cancelled:
             self._lifecycle.finish(task, TaskState.CANCELLED, now_s, reason="cancelled")
         else:
-            self._lifecycle.queue(task, now_s)
+            self._lifecycle.repeat(task, 0.0, now_s)
 
     def _restore(self, recovered: RecoveredJob, now_s: float) -> None:
         state = self._state
@@ -174,7 +181,7 @@
     def _wait(self, open_task: RecoveredTask) -> None:
         task = self._state.find_task(open_task.task_id)
         if task is not None and task.phase is Phase.HELD:
-            self._waiting_by_id[task.task_id] = _Waiting(task, open_task.intended)
+            self._add(_Waiting(task, open_task.intended))
 
 
 def _make_undeclared(recovered: RecoveredJob) -> Service:
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from redwingplank.config import WorkloadKind
+from redwingplank.core import make_resources
 from redwingplank.scheduling import SchedulerSettings
 from redwingplank.scheduling.messages import (
     JournalCommitted,
@@ -277,6 +279,25 @@
         assert second.state_of() == "cancelled"
         assert second.running_on() == {}
 
+    def test_gang_is_not_placed_before_every_worker_is_adopted(self):
+        gang = make_service(kind=WorkloadKind.GANG, resources=make_resources(3000, 1024))
+        first = Shard(make_declarations(gang))
+        first.add_workers(3)
+        first.submit(task_count=4, payload=payload(run_s=1.0))
+        first.run(0.5)
+        silent = {places[0] for places in first.running_on().values()}.pop()
+        first.workers_by_name[silent].switches.is_paused = True
+        first.clock.advance(1.0)
+        second = first.take_over()
+        second.list_vms()
+        for name in second.workers_by_name:
+            if name != silent:
+                second.adopt(name)
+        for _ in range(300):
+            second.tick()
+            assert all(len(places) == 1 for places in second.running_on().values())
+        assert second.state_of() == "succeeded"
+
     def test_attempts_grow_across_owners(self):
         first = Shard()
         first.add_workers(1)
