--- a/redwingplank/config/spread.py
+++ b/redwingplank/config/spread.py
@@ -35,8 +35,10 @@
         Between two reads of the head by the watcher, which detect a silent watch.
     slow_poll_s : float
         Between two reads of the head by any other node.
+    settle_s : float
+        How long a started node waits to hear its peers before it takes the role of the watcher.
     peer_first_s : float
-        How long a started node waits for its peers before it reads the store.
+        How long a started node that is not the watcher leaves the store to the watcher.
     retry_s, max_retry_s : float
         First and longest wait after a failed call.
     keep_watch_s : float
@@ -45,7 +47,8 @@
 
     watcher_poll_s: float = 4.0
     slow_poll_s: float = 60.0
-    peer_first_s: float = 2.0
+    settle_s: float = 1.0
+    peer_first_s: float = 4.0
     retry_s: float = 0.25
     max_retry_s: float = 8.0
     keep_watch_s: float = 10.0
@@ -169,9 +172,9 @@
 
     def step(self, now_s: float, view: PeerView) -> list[SpreadAction]:
         """Return what to do now."""
-        self._is_watcher = self.is_watcher(view)
         if self._started_at_s is None:
             self._start(now_s)
+        self._take_role(now_s, view)
         actions: list[SpreadAction] = []
         self._step_watch(now_s, actions)
         self._step_read(now_s, actions)
@@ -239,7 +242,10 @@
     def on_delta(self, now_s: float, delta: Delta) -> MergeOutcome:
         """Take what a peer answered to a pull."""
         self._is_pulling = False
+        is_first = self.revision == 0
         outcome = self.replica.merge_delta(delta)
+        if is_first and outcome is MergeOutcome.ADOPTED and not self._is_watcher:
+            self._read_at_s = now_s + self._timing.slow_poll_s * self._generator.uniform(0.25, 1.0)
         if outcome is MergeOutcome.INCOMPLETE:
             self._pull_failures += 1
             self._pull_at_s = now_s + self._backoff_s(self._pull_failures)
@@ -259,11 +265,16 @@
 
     def _start(self, now_s: float) -> None:
         self._started_at_s = now_s
-        wait_s = self._timing.peer_first_s
-        if self._is_watcher:
-            self._read_at_s = now_s + self._generator.uniform(0.0, 0.5 * wait_s)
-        else:
-            self._read_at_s = now_s + wait_s * self._generator.uniform(1.0, 2.0)
+        self._read_at_s = now_s + self._timing.peer_first_s * self._generator.uniform(1.0, 2.0)
+
+    def _take_role(self, now_s: float, view: PeerView) -> None:
+        assert self._started_at_s is not None
+        is_settled = now_s - self._started_at_s >= self._timing.settle_s
+        is_watcher = is_settled and self.is_watcher(view)
+        if is_watcher and not self._is_watcher:
+            soon_s = now_s + self._timing.settle_s * self._generator.uniform()
+            self._read_at_s = min(self._read_at_s, soon_s)
+        self._is_watcher = is_watcher
 
     def _step_watch(self, now_s: float, actions: list[SpreadAction]) -> None:
         if self._is_watcher:
@@ -271,8 +282,6 @@
             if not self._is_watching and self._store_revision and not self._must_read_all:
                 self._is_watching = True
                 actions.append(OpenWatch(self._store_revision))
-            elif not self._is_watching and not self._is_reading and not self._failures:
-                self._read_at_s = min(self._read_at_s, now_s + self._timing.peer_first_s)
         elif self._is_watching and now_s >= self._watch_until_s:
             self._is_watching = False
             self._store_revision = 0
