Let the checker find the answer of an order by its key

Cause: a repeat of an order carries an id of its own, and the first caller may never have learnt the id of the run. Change: answers are also found by organisation and key. Test: pytest redwingplank/standin.

--- a/redwingplank/standin/checks.py
+++ b/redwingplank/standin/checks.py
@@ -172,17 +172,21 @@
 
 def check_answers(run: CheckedRun) -> Iterator[Finding]:
     """Each answer is whole and that of the caller's own request."""
-    ended_by_id: dict[str, list[HistoryEvent]] = defaultdict(list)
+    answers_by_id: dict[str, list[HistoryEvent]] = defaultdict(list)
+    answers_by_key: dict[tuple[str, str], list[HistoryEvent]] = defaultdict(list)
     for event in run.events:
         if event.kind is HistoryEventKind.REQUEST_ENDED and event.digest:
-            ended_by_id[event.subject].append(event)
+            answers_by_id[event.subject].append(event)
+            if event.key:
+                answers_by_key[event.organisation, event.key].append(event)
     for record in run.records.requests:
         subject = record.request_id or record.key
         if record.is_cut and not run.is_cut_allowed:
             yield _finding(0, subject, "was cut off")
         if record.ran is not Ran.YES:
             continue
-        answers = ended_by_id.get(record.answered_request_id, [])
+        answers = answers_by_id.get(record.answered_request_id, [])
+        answers = answers or answers_by_key.get((record.organisation, record.key), [])
         if not answers:
             yield _finding(0, subject, "was answered, but no upstream ran it")
         elif not any(answer.digest == record.digest for answer in answers):
--- a/redwingplank/standin/tests/test_checks.py
+++ b/redwingplank/standin/tests/test_checks.py
@@ -192,6 +192,11 @@
         repeat = RequestRecord("r2", "bureau", "k", Ran.YES, repeat.digest, "r1")
         assert problems(request(1, 2, key="k"), repeat) == []
 
+    def test_allows_an_answer_by_key_whose_first_caller_never_learnt_the_id(self):
+        repeat = RequestRecord("r2", "bureau", "k", Ran.YES, "d-r1", "r2")
+        assert problems(request(1, 2, key="k"), repeat) == []
+        assert "no upstream ran it" in problems(request(1, 2, key="other"), repeat)[0]
+
 
 class TestJobs:
     def test_finds_an_accepted_job_that_is_lost(self):
