Name the shard in a standing service's job id; learn of ends every 1.5 s

Cause: services of several shards shared task ids, so one task id ran in two places; an end was learnt of only at the next renewal, a third of the task lease later. Change: job id SHARD.service:ORGANISATION:SERVICE; the interval of exchanges is a setting of its own.

--- a/redwingplank/cli/dev.py
+++ b/redwingplank/cli/dev.py
@@ -31,6 +31,7 @@
 )
 from redwingplank.core import FindingsError
 from redwingplank.core.settings import load_settings
+from redwingplank.scheduling.services import make_service_job_id
 
 __all__ = ["DevProgram", "main"]
 
@@ -124,15 +125,14 @@
 
     async def _service_rows(self, started_s: float) -> list[SampleRow]:
         wanted = {
-            f"service:{organisation.name}:{service.name}": service.count
+            (organisation.name, service.name): service.count
             for organisation in self._declarations.organisations_by_name.values()
             for service in organisation.services_by_name.values()
             if service.kind is WorkloadKind.SERVICE and organisation.quota is None
         }
         rows = []
-        for job_id, count in wanted.items():
-            running = await self._wait_for_service(job_id, count)
-            _, organisation, service = job_id.split(":")
+        for (organisation, service), count in wanted.items():
+            running = await self._wait_for_service(organisation, service, count)
             found = sum(running.values())
             rows.append(
                 SampleRow(
@@ -147,11 +147,17 @@
             )
         return rows
 
-    async def _wait_for_service(self, job_id: str, count: int) -> Mapping[str, int]:
+    async def _wait_for_service(
+        self, organisation: str, service: str, count: int
+    ) -> Mapping[str, int]:
         deadline_s = time.monotonic() + SERVICES_WITHIN_S
+        job_ids = {
+            make_service_job_id(shard, organisation, service)
+            for shard in self.entries[0].runtime.parts.directory.all_shards()
+        }
 
         def is_counted(task_id: str) -> bool:
-            return task_id.rpartition("/")[0] == job_id
+            return task_id.rpartition("/")[0] in job_ids
 
         while True:
             running = count_running(self.standin.cell, is_counted)
--- a/redwingplank/cli/sample.py
+++ b/redwingplank/cli/sample.py
@@ -147,6 +147,7 @@
             "tasks": item.task_count,
             "payload": {"run_s": item.run_s},
         }
+        started_s = time.monotonic()
         async with self._session.post(url, json=body) as response:
             accepted = await response.json(content_type=None)
         if response.status != 202:
@@ -158,7 +159,9 @@
                 accepted["job_id"], item.organisation, item.task_count, last_state=job["state"]
             )
         )
-        return _job_row(item, job)
+        starts = self._find_starts(accepted["job_id"])
+        waiting_ms = (max(starts.values(), default=started_s) - started_s) * 1000
+        return _job_row(item, job, sorted(starts), waiting_ms)
 
     async def _wait_for_end(self, url: str) -> dict[str, Any]:
         deadline_s = time.monotonic() + JOB_WAIT_S
@@ -179,6 +182,15 @@
                 return event.vm
         return ""
 
+    def _find_starts(self, job_id: str) -> dict[str, float]:
+        """Return the VMs that ran tasks of a job, with the last start on each."""
+        return {
+            event.vm: event.time_s
+            for event in self._cell.history.events
+            if event.kind is HistoryEventKind.TASK_STARTED
+            and event.subject.rpartition("/")[0] == job_id
+        }
+
     def _organisation_url(self, organisation: str) -> str:
         return f"{self._base_url}/v1/organisations/{organisation}"
 
@@ -248,7 +260,9 @@
     return tabulate(table, headers, maxcolwidths=[None, None, None, 40, 34, None, 40])
 
 
-def _job_row(item: SampleJob, job: dict[str, Any]) -> SampleRow:
+def _job_row(
+    item: SampleJob, job: dict[str, Any], vms: Sequence[str], waiting_ms: float
+) -> SampleRow:
     tasks = job["tasks"]
     results = {task["result"] for task in tasks}
     succeeded = sum(1 for task in tasks if task["state"] == "succeeded")
@@ -257,10 +271,8 @@
         problem = f"job is {job['state']}: {job.get('reason', '')}"
     elif len(results) != item.task_count:
         problem = "two tasks gave the same result"
-    waited_ms = max((task["waited_s"] for task in tasks), default=0.0) * 1000
-    vms = sorted({task["vm"] for task in tasks if task["vm"]})
     shown = ", ".join(vms[:2]) + (f" and {len(vms) - 2} more" if len(vms) > 2 else "")
     answer = f"{succeeded} of {item.task_count} tasks succeeded"
     return SampleRow(
-        item.workload, item.organisation, item.service, answer, shown, waited_ms, problem
+        item.workload, item.organisation, item.service, answer, shown, waiting_ms, problem
     )
--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -128,7 +128,7 @@
         peer_addresses=peers,
         lease=LeaseSettings(ttl_s=settings.owner_ttl_s),
         task_lease_s=settings.task_lease_s,
-        renew_every_s=settings.task_lease_s / 3,
+        renew_every_s=settings.renew_every_s,
         clock_margin_s=settings.clock_margin_s,
         store_timeout_s=settings.store_timeout_s,
         tick_every_s=settings.tick_ms / MILLISECONDS_PER_SECOND,
--- a/redwingplank/cli/settings.py
+++ b/redwingplank/cli/settings.py
@@ -110,7 +110,13 @@
         parse_seconds(1.0, 30.0), "Lease of a shard's owner.", unit="seconds", default="3"
     )
     task_lease_s: float = setting(
-        parse_seconds(1.0, 600.0), "Lease of a running task.", unit="seconds", default="30"
+        parse_seconds(1.0, 600.0), "Lease of a running task.", unit="seconds", default="15"
+    )
+    renew_every_s: float = setting(
+        parse_seconds(0.1, 200.0),
+        "Time between two exchanges with a worker without commands; ends are learnt by them.",
+        unit="seconds",
+        default="1.5",
     )
     clock_margin_s: float = setting(
         parse_seconds(0.0, 10.0), "Safety margin between clocks.", unit="seconds", default="0.5"
--- a/redwingplank/scheduling/services.py
+++ b/redwingplank/scheduling/services.py
@@ -46,7 +46,7 @@
             self.adjust(job, now_s)
 
     def _declare_one(self, organisation: str, service: Service, now_s: float) -> None:
-        job_id = make_service_job_id(organisation, service.name)
+        job_id = make_service_job_id(self._state.settings.shard, organisation, service.name)
         job = self._jobs_by_id.get(job_id)
         if job is None:
             self._state.job_number += 1
@@ -141,9 +141,9 @@
             self._lifecycle.stop(task, StopReason.MOVED, TaskActionKind.STOP, now_s)
 
 
-def make_service_job_id(organisation: str, service: str) -> str:
-    """Return the id of the job that stands for a service."""
-    return f"service:{organisation}:{service}"
+def make_service_job_id(shard: str, organisation: str, service: str) -> str:
+    """Return the id of the job that stands for a shard's part of a service."""
+    return f"{shard}.service:{organisation}:{service}"
 
 
 def _part(count: int, settings: SchedulerSettings) -> int:
--- a/redwingplank/standin/workers.py
+++ b/redwingplank/standin/workers.py
@@ -27,6 +27,8 @@
 __all__ = ["MemoryWorkerClient", "StandinWorker", "TaskProgram", "WorkerSwitches"]
 
 USAGE_LAG_S = 2.0
+SERVICE_MARK = ".service:"
+"""Stands in the ids of standing services' tasks, which run until they are stopped."""
 
 
 class TaskProgram(msgspec.Struct, frozen=True):
@@ -239,7 +241,8 @@
             return
         now_s = self.clock.now_s()
         program = _read_program(start.payload)
-        run_s = program.run_s / self.speed if program.run_s > 0 else float("inf")
+        is_endless = program.run_s <= 0 or SERVICE_MARK in start.task_id
+        run_s = float("inf") if is_endless else program.run_s / self.speed
         if self.switches.is_failing:
             run_s = 0.0
         self.attempts_by_task[start.task_id] = _Attempt(
