Add failure scenarios with the real programs as separate processes

Cause: the promises are to be shown on the whole path, with kill -9, SIGSTOP, a store that is away, a failure domain that is cut off and a rolling replacement. Change: callers that record what they are told, a relay that can be cut, six scenarios that end with the checker. Not run yet: the programs have just landed.

--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that run the real programs as separate processes."""
--- /dev/null
+++ b/features/steps/failures.py
@@ -0,0 +1,216 @@
+"""Steps of the failure scenarios."""
+
+import signal
+import time
+import uuid
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.callers import CallerPool, JobWanted, RequestWanted
+from redwingplank.standin.callers import Ran
+from redwingplank.standin.checks import check_history, make_checked_run
+from redwingplank.standin.history import HistoryEventKind, event_from_dict
+from tools.local_cell import ROOT, CellLayout, LocalCell, wait_until
+
+DOMAINS = ("north", "middle", "south")
+EXAMPLES: tuple[Path, ...] = (ROOT / "examples" / "bureau", ROOT / "examples" / "cooperative")
+ORGANISATION, JOB_SERVICE = "state-orchestra", "part-extraction"
+QUICK = RequestWanted("tokachi", "quick-quote", b"a table")
+LOAD_PAUSE_S = 0.02
+FIRST_REQUESTS = 20
+
+
+@given("a cell of 3 failure domains")
+def start_cell(context: Context) -> None:
+    layout = CellLayout(
+        entries_by_domain=dict(zip(DOMAINS, (3, 2, 2), strict=True)),
+        schedulers_by_domain=dict.fromkeys(DOMAINS, 2),
+    )
+    context.cell = LocalCell(layout)
+    context.cell.start(EXAMPLES)
+    context.callers = CallerPool([node.http_address for node in context.cell.entries])
+    wait_until("every shard has an owner", lambda: len(context.cell.read_owners()) == len(DOMAINS))
+
+
+@given("requests flow from {count:d} callers")
+def start_load(context: Context, count: int) -> None:
+    context.callers.start_load(QUICK, LOAD_PAUSE_S, count)
+    wait_until("the load is answered", lambda: count_answered(context) >= FIRST_REQUESTS)
+
+
+@given("{count:d} jobs of {tasks:d} tasks that run {run_s:g} s are submitted")
+@when("{count:d} jobs of {tasks:d} tasks that run {run_s:g} s are submitted")
+def submit_jobs(context: Context, count: int, tasks: int, run_s: float) -> None:
+    for _ in range(count):
+        wanted = JobWanted(ORGANISATION, JOB_SERVICE, tasks, run_s, uuid.uuid4().hex)
+        context.callers.run(context.callers.submit(wanted))
+
+
+@when("the owner of every shard is killed with SIGKILL")
+def kill_owners(context: Context) -> None:
+    context.old_owners = context.cell.read_owners()
+    for name in context.old_owners.values():
+        context.cell.kill(name)
+
+
+@when("the owner of every shard is stopped with SIGSTOP")
+def pause_owners(context: Context) -> None:
+    context.old_owners = context.cell.read_owners()
+    for name in context.old_owners.values():
+        context.cell.signal(name, signal.SIGSTOP)
+
+
+@when("every stopped process goes on")
+def resume_owners(context: Context) -> None:
+    for name in context.old_owners.values():
+        context.cell.signal(name, signal.SIGCONT)
+
+
+@then("every shard has another owner")
+def check_other_owners(context: Context) -> None:
+    def is_changed() -> bool:
+        owners = context.cell.read_owners()
+        return len(owners) == len(DOMAINS) and all(
+            owners[shard] != name for shard, name in context.old_owners.items()
+        )
+
+    wait_until("every shard has another owner", is_changed)
+
+
+@then("every job ends as succeeded")
+def check_jobs(context: Context) -> None:
+    context.callers.run(context.callers.wait_jobs_ended())
+    states = {job.job_id: job.last_state for job in context.callers.records().jobs}
+    assert set(states.values()) == {"succeeded"}, states
+
+
+@given("upstreams take {service_time_s:g} s for a request")
+def slow_upstreams(context: Context, service_time_s: float) -> None:
+    for name in context.cell.upstream_names():
+        context.cell.post_admin(f"/upstreams/{name}", {"service_time_s": service_time_s})
+
+
+@given("{count:d} orders are sent to one entry")
+def send_orders(context: Context, count: int) -> None:
+    context.struck = context.cell.entries[0]
+    context.orders = [
+        RequestWanted("tokachi", "order", f"shellac {index}".encode(), uuid.uuid4().hex)
+        for index in range(count)
+    ]
+    context.first_sends = [
+        context.callers.begin(context.callers.send(order, context.struck.http_address))
+        for order in context.orders
+    ]
+
+
+@when("that entry is killed once an upstream runs an order")
+def kill_entry(context: Context) -> None:
+    wait_until("an upstream runs an order", lambda: bool(started_requests(context)))
+    context.cell.kill(context.struck.name)
+    for send in context.first_sends:
+        send.result()
+
+
+@when("the orders are repeated through the other entries")
+def repeat_orders(context: Context) -> None:
+    others = context.cell.entries[1:]
+    sends = [
+        context.callers.begin(context.callers.send(order, others[index % len(others)].http_address))
+        for index, order in enumerate(context.orders)
+    ]
+    context.repeats = [send.result() for send in sends]
+
+
+@then("every order has one answer or is unknown")
+def check_orders(context: Context) -> None:
+    assert all(record.ran in (Ran.YES, Ran.UNKNOWN) for record in context.repeats), context.repeats
+    assert any(record.ran is Ran.YES for record in context.repeats), context.repeats
+
+
+@when("the store is away for {away_s:g} s")
+def take_store_away(context: Context, away_s: float) -> None:
+    context.answered_before = count_answered(context)
+    context.cell.post_admin("/faults/store", {"is_down": True})
+    time.sleep(away_s)
+    context.answered_after = count_answered(context)
+    context.cell.post_admin("/faults/store", {"is_down": False})
+
+
+@when("one failure domain is cut off from the store for {away_s:g} s")
+def cut_domain_off(context: Context, away_s: float) -> None:
+    context.answered_before = count_answered(context)
+    context.cell.cut_store(DOMAINS[0], is_cut=True)
+    time.sleep(away_s)
+    context.answered_after = count_answered(context)
+    context.cell.cut_store(DOMAINS[0], is_cut=False)
+
+
+@then("requests were answered while it was away")
+def check_answered(context: Context) -> None:
+    assert context.answered_after > context.answered_before
+
+
+@when("every entry is stopped with SIGTERM and started again, one after the other")
+def replace_entries(context: Context) -> None:
+    context.exit_codes = {}
+    for node in context.cell.entries:
+        context.exit_codes[node.name] = context.cell.stop_gracefully(node.name)
+        context.cell.start_node(node.name)
+        context.cell.wait_ready(node.name)
+
+
+@then("each of them exited with 0")
+def check_exit_codes(context: Context) -> None:
+    assert set(context.exit_codes.values()) == {0}, context.exit_codes
+
+
+@then("every request of the load was answered")
+def check_load(context: Context) -> None:
+    context.callers.stop_load()
+    records = context.callers.records().requests
+    assert not [record for record in records if record.is_cut]
+    refused = [record for record in records if record.ran is not Ran.YES]
+    assert not refused, refused[:5]
+
+
+@then("every promise was kept")
+def check_promises(context: Context) -> None:
+    check(context, is_cut_allowed=False)
+
+
+@then("every promise was kept even if answers were cut")
+def check_promises_with_cuts(context: Context) -> None:
+    check(context, is_cut_allowed=True)
+
+
+def check(context: Context, is_cut_allowed: bool) -> None:
+    """Fail with the findings of all checks, if there are any."""
+    context.callers.stop_load()
+    run = make_checked_run(
+        read_history(context),
+        context.callers.records(),
+        slots_by_upstream=dict.fromkeys(context.cell.upstream_names(), context.cell.upstream_slots),
+        is_cut_allowed=is_cut_allowed,
+    )
+    findings = check_history(run)
+    assert run.tasks or run.requests, "nothing ran"
+    assert not findings, "\n".join(map(str, findings))
+
+
+def read_history(context: Context) -> list:
+    """Return what happened at the stand-ins so far."""
+    return [event_from_dict(event) for event in context.cell.get_admin("/history")]
+
+
+def started_requests(context: Context) -> list:
+    """Return the requests that upstreams have started."""
+    return [
+        event for event in read_history(context) if event.kind is HistoryEventKind.REQUEST_STARTED
+    ]
+
+
+def count_answered(context: Context) -> int:
+    """Return how many requests of callers have a whole answer."""
+    return sum(record.ran is Ran.YES for record in context.callers.records().requests)
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the scenarios share."""
--- a/tools/local_cell.py
+++ b/tools/local_cell.py
@@ -4,6 +4,7 @@
 schedulers beside the platform's stand-in, and serves until it is interrupted.
 """
 
+import base64
 import json
 import os
 import signal
@@ -18,6 +19,9 @@
 from pathlib import Path
 from typing import Any
 
+from redwingplank.scheduling.ownership import ShardKeys, decode_owner
+from tools.relay import Relay
+
 __all__ = [
     "CellLayout",
     "LocalCell",
@@ -33,6 +37,7 @@
     "entry": "redwingplank.cli.entry",
     "ctl": "redwingplank.cli.ctl",
 }
+UPSTREAM_SLOTS = 8
 STANDIN_HOST = "127.0.1.1"
 HTTP_PORT_OFFSET = 200
 RPC_PORT_OFFSET = 201
@@ -112,11 +117,13 @@
     layout: CellLayout
     extra_flags_by_role: Mapping[str, Sequence[str]] = field(default_factory=dict)
     processes_by_name: dict[str, subprocess.Popen] = field(default_factory=dict)
+    relays_by_domain: dict[str, Relay] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.log_folder = Path(tempfile.mkdtemp(prefix="redwing-cell-"))
         self.nodes = _plan_nodes(self.layout)
         self.nodes_by_name = {node.name: node for node in self.nodes}
+        self.upstream_slots = UPSTREAM_SLOTS
         self.standin_url = f"http://{STANDIN_HOST}:{self.layout.first_port}"
 
     @property
@@ -141,6 +148,10 @@
         flags += [f"--workers-per-domain={self.layout.workers_per_domain}"]
         flags += [f"--upstreams-per-domain={self.layout.upstreams_per_domain}"]
         self._spawn("standin", "standin", flags)
+        target = (STANDIN_HOST, self.layout.first_port)
+        for index, domain in enumerate(self.layout.entries_by_domain, start=2):
+            relay = Relay((f"127.0.{index}.1", self.layout.first_port), target)
+            self.relays_by_domain[domain] = relay
         wait_until("the stand-in answers", lambda: self.get_admin("/calls") is not None)
 
     def apply(self, declarations: Sequence[Path]) -> None:
@@ -156,7 +167,8 @@
         flags = [f"--name={node.name}", f"--failure-domain={node.failure_domain}"]
         flags += [f"--failure-domains={','.join(self.layout.entries_by_domain)}"]
         flags += [f"--rpc-address={node.rpc_address}"]
-        flags += [f"--store-url={self.standin_url}", f"--vms-url={self.standin_url}"]
+        platform_url = f"http://{self.relays_by_domain[node.failure_domain].address}"
+        flags += [f"--store-url={platform_url}", f"--vms-url={platform_url}"]
         flags += [f"--entries={self._peers('entry')}"]
         flags += [f"--schedulers={self._peers('scheduler')}"]
         if node.role == "entry":
@@ -193,6 +205,9 @@
             process.send_signal(signal.SIGCONT)
             process.kill()
             process.wait(STOP_DEADLINE_S)
+        for relay in self.relays_by_domain.values():
+            relay.close()
+        self.relays_by_domain.clear()
 
     def get_admin(self, path: str) -> Any:
         """Return a JSON answer of the stand-in, None without one."""
@@ -202,6 +217,27 @@
         """Switch something at the stand-in."""
         return post_json(f"{self.standin_url}{path}", values)
 
+    def read_owners(self) -> dict[str, str]:
+        """Return the name of the scheduler that owns each shard, of shards that have an owner."""
+        names_by_address = {node.rpc_address: node.name for node in self.nodes}
+        owners = {}
+        for shard in self.layout.schedulers_by_domain:
+            key = base64.b64encode(ShardKeys(shard).owner.encode()).decode()
+            found = self.post_admin("/v3/kv/range", {"key": key}).get("kvs", ())
+            if found:
+                record = decode_owner(base64.b64decode(found[0]["value"]))
+                owners[shard] = names_by_address[record.address]
+        return owners
+
+    def upstream_names(self) -> list[str]:
+        """Return the names of the stand-in's upstreams."""
+        vms = self.get_admin("/vms")["vms"]
+        return [vm["name"] for vm in vms if vm["role"] == "upstream"]
+
+    def cut_store(self, failure_domain: str, *, is_cut: bool) -> None:
+        """Cut a failure domain off from the platform's store and list, or end that."""
+        self.relays_by_domain[failure_domain].set_cut(is_cut)
+
     def read_log(self, name: str) -> str:
         """Return what a process has logged."""
         return (self.log_folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
