--- a/redwingplank/standin/workers.py
+++ b/redwingplank/standin/workers.py
@@ -27,6 +27,8 @@
 __all__ = ["MemoryWorkerClient", "StandinWorker", "TaskProgram", "WorkerSwitches"]
 
 USAGE_LAG_S = 2.0
+SERVICE_MARK = ".service:"
+"""Stands in the ids of standing services' tasks, which run until they are stopped."""
 
 
 class TaskProgram(msgspec.Struct, frozen=True):
@@ -170,13 +172,24 @@
         """End the attempts whose time or lease is over."""
         now_s = self.clock.now_s()
         for task_id, attempt in list(self.attempts_by_task.items()):
-            if attempt.lease_ends_at_s <= now_s and attempt.lease_ends_at_s <= attempt.ends_at_s:
+            ends_itself = (
+                attempt.ends_at_s < attempt.lease_ends_at_s and not self.switches.is_paused
+            )
+            if attempt.lease_ends_at_s <= now_s and not ends_itself:
                 self._end(task_id, TaskEndReason.LEASE_LAPSED, at_s=attempt.lease_ends_at_s)
             elif attempt.ends_at_s <= now_s and not self.switches.is_paused:
                 fails = attempt.program.is_failing or self.switches.is_failing
                 reason = TaskEndReason.FAILED if fails else TaskEndReason.COMPLETED
                 self._end(task_id, reason, at_s=attempt.ends_at_s)
 
+    def reserved(self) -> Resources:
+        """Return what the running tasks have reserved."""
+        return sum_resources(attempt.start.reserved for attempt in self.attempts_by_task.values())
+
+    def used(self) -> Resources:
+        """Return what the running tasks really use."""
+        return sum_resources(_used(attempt) for attempt in self.attempts_by_task.values())
+
     def restart(self) -> None:
         """Lose everything, as a replaced process does."""
         self.advance()
@@ -222,14 +235,14 @@
         if start.attempt <= self.highest_attempt_by_task.get(start.task_id, 0):
             return
         self.highest_attempt_by_task[start.task_id] = start.attempt
-        used = sum_resources(attempt.start.reserved for attempt in self.attempts_by_task.values())
-        fits = (used + start.reserved).fits_in(self.capacity)
+        fits = (self.reserved() + start.reserved).fits_in(self.capacity)
         if not fits or self.switches.is_leaving or start.task_id in self.attempts_by_task:
             self._report_end(start, TaskEndReason.REFUSED, "no room", 0.0)
             return
         now_s = self.clock.now_s()
         program = _read_program(start.payload)
-        run_s = program.run_s / self.speed if program.run_s > 0 else float("inf")
+        is_endless = program.run_s <= 0 or SERVICE_MARK in start.task_id
+        run_s = float("inf") if is_endless else program.run_s / self.speed
         if self.switches.is_failing:
             run_s = 0.0
         self.attempts_by_task[start.task_id] = _Attempt(
