Move quota grants between shards, and adopt workers again when the core asks

Cause: work of an organisation with a quota waited for a grant that nothing gave; an adoption whose answer was lost could renew tasks beyond the fence; a bound on starts went to workers that know epochs, where a wrong wall clock would void them. Change: escrowed grants by compare-and-swap, adoption leases end before the fence, the bound only where workers know no epochs, and a short degraded time where adoption proves nothing.

--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -105,7 +105,6 @@
             task_lease_s=process_settings.task_lease_s,
             renew_every_s=process_settings.renew_every_s,
             clock_margin_s=process_settings.clock_margin_s,
-            unix_offset_s=self._unix_clock.now_s() - now_s,
             workers_know_epochs=process_settings.workers_know_epochs,
             workers_have_inventory=process_settings.workers_have_inventory,
         )
--- a/redwingplank/rpc/scheduler_calls.py
+++ b/redwingplank/rpc/scheduler_calls.py
@@ -8,10 +8,12 @@
 from redwingplank.rpc.scheduler_messages import (
     read_job_status,
     read_submit_answer,
+    read_summary,
     write_spec,
 )
 from redwingplank.rpc.schema import load_schema
 from redwingplank.scheduling.messages import CancelAnswer, JobSpec, JobStatus, SubmitAnswer
+from redwingplank.scheduling.summary import ShardSummary
 
 __all__ = ["SCHEDULER_SERVICE", "SchedulerCalls"]
 
@@ -79,6 +81,11 @@
         answer = await self._ask(address, timeout_s, lambda peer: peer.explain(shard, id))
         return tuple(answer.lines)
 
+    async def summary(self, address: str, shard: str, timeout_s: float) -> ShardSummary:
+        """Return a shard's summary."""
+        answer = await self._ask(address, timeout_s, lambda peer: peer.summary(shard))
+        return read_summary(answer.summary)
+
     async def drain(self, address: str, vm: str, is_draining: bool, timeout_s: float) -> None:
         """Empty a worker's VM, or end that; any shard's owner in the VM's domain may be asked."""
         await self._ask(address, timeout_s, lambda peer: peer.drain(vm, is_draining))
--- a/redwingplank/rpc/scheduler_messages.py
+++ b/redwingplank/rpc/scheduler_messages.py
@@ -13,16 +13,19 @@
     TaskState,
     TaskStatus,
 )
+from redwingplank.scheduling.summary import ShardSummary
 
 __all__ = [
     "read_job_status",
     "read_resources",
     "read_spec",
     "read_submit_answer",
+    "read_summary",
     "write_job_status",
     "write_resources",
     "write_spec",
     "write_submit_answer",
+    "write_summary",
 ]
 
 NO_RUN_TIME_S = -1.0
@@ -118,6 +121,36 @@
     )
 
 
+def write_summary(summary: ShardSummary) -> Any:
+    """Return the message of a shard's summary."""
+    return _schema.ShardSummary.new_message(
+        shard=summary.shard,
+        free=write_resources(summary.free),
+        capacity=write_resources(summary.capacity),
+        waitingByClass=list(summary.waiting_by_class),
+        predictedWaitSByClass=list(summary.predicted_wait_s_by_class),
+        runningCount=summary.running_count,
+        workerCount=summary.worker_count,
+        openWorkerCount=summary.open_worker_count,
+        quarantinedCount=summary.quarantined_count,
+    )
+
+
+def read_summary(message: Any) -> ShardSummary:
+    """Return the summary in a message."""
+    return ShardSummary(
+        shard=message.shard,
+        free=read_resources(message.free),
+        capacity=read_resources(message.capacity),
+        waiting_by_class=tuple(message.waitingByClass),
+        predicted_wait_s_by_class=tuple(message.predictedWaitSByClass),
+        running_count=message.runningCount,
+        worker_count=message.workerCount,
+        open_worker_count=message.openWorkerCount,
+        quarantined_count=message.quarantinedCount,
+    )
+
+
 def _fill_task(message: Any, task: TaskStatus) -> None:
     message.taskId = task.task_id
     message.state = str(task.state)
--- /dev/null
+++ b/redwingplank/runtime/grants.py
@@ -0,0 +1,211 @@
+"""Moves an owner's quota grants at the key-value store."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from contextlib import aclosing
+from typing import Any, cast
+
+from redwingplank.config import Declarations
+from redwingplank.core import Clock, Resources, log_event, make_logger
+from redwingplank.platform import (
+    Compare,
+    KeyValueStore,
+    OutcomeUnknownError,
+    PlatformError,
+    Put,
+    UnavailableError,
+    WatchEvent,
+)
+from redwingplank.scheduling.grants import QUOTA_PREFIX, GrantBook, GrantMove, quota_key
+from redwingplank.scheduling.messages import GrantChanged, GrantWanted
+from redwingplank.scheduling.ownership import ShardKeys, ShardTerm
+
+__all__ = ["GrantLoop"]
+
+READ_EVERY_S = 30.0
+REVIEW_EVERY_S = 1.0
+RETRY_S = 1.0
+MOVE_INTERVAL_S = 0.25
+
+
+class GrantLoop:
+    """Keeps the grants of one term of ownership.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        With bounded call times.
+    shard : str
+        The shard.
+    term : ShardTerm
+        Every write compares its epoch key.
+    clock, unix_clock : Clock
+        Monotonic time and wall clock.
+    reserved_by : callable
+        Returns what an organisation's tasks reserve in this shard now.
+    deliver : callable
+        Takes `GrantChanged` for the decision core.
+
+    Notes
+    -----
+    One watch covers all organisations. A read of them all follows at a long interval, because a
+    watch may be silent.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        shard: str,
+        term: ShardTerm,
+        clock: Clock,
+        unix_clock: Clock,
+        reserved_by: Callable[[str], Resources],
+        deliver: Callable[[GrantChanged], None],
+    ) -> None:
+        self.book = GrantBook(shard)
+        self._store = store
+        self._fence = Compare(ShardKeys(shard).epoch, term.epoch_revision)
+        self._clock = clock
+        self._unix_clock = unix_clock
+        self._reserved_by = reserved_by
+        self._deliver = deliver
+        self._delivered_by_organisation: dict[str, Resources | None] = {}
+        self._due: dict[str, None] = {}
+        self._wake = asyncio.Event()
+        self._logger = make_logger("grants")
+
+    def declare(self, declarations: Declarations) -> None:
+        """Take the quotas of a revision."""
+        organisations = declarations.organisations_by_name.values()
+        self.book.declare({each.name: each.quota for each in organisations})
+        self._review(each.name for each in organisations)
+
+    def want(self, message: GrantWanted) -> None:
+        """Take the core's wish for more."""
+        self.book.want(message.organisation, message.wanted, self._clock.now_s())
+        self._review([message.organisation])
+
+    async def run(self) -> None:
+        """Read, watch and move grants until cancelled."""
+        watch = asyncio.create_task(self._watch())
+        try:
+            while True:
+                await self._wait()
+                self._review(filter(self.book.is_over_quota, self.book.organisations()))
+                while self._due:
+                    organisation = next(iter(self._due))
+                    del self._due[organisation]
+                    await self._move(organisation)
+        finally:
+            watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
+
+    def _review(self, organisations: Iterable[str]) -> None:
+        self._due.update(dict.fromkeys(organisations))
+        if self._due:
+            self._wake.set()
+
+    async def _wait(self) -> None:
+        try:
+            await asyncio.wait_for(self._wake.wait(), REVIEW_EVERY_S)
+        except TimeoutError:
+            return
+        finally:
+            self._wake.clear()
+
+    # Moves
+
+    async def _move(self, organisation: str) -> None:
+        self._tell(organisation)
+        used = self._reserved_by(organisation)
+        now_s, now_unix_s = self._clock.now_s(), self._unix_clock.now_s()
+        move = self.book.plan(organisation, used, now_s, now_unix_s)
+        if move is None:
+            return
+        self.book.begin(move)
+        self._tell(organisation)
+        await self._write(move)
+        self._tell(organisation)
+        await asyncio.sleep(MOVE_INTERVAL_S)
+
+    async def _write(self, move: GrantMove) -> None:
+        key = quota_key(move.organisation)
+        compares = (self._fence, Compare(key, move.compare_revision))
+        try:
+            result = await self._store.transact(compares, (Put(key, move.value),))
+        except UnavailableError:
+            self.book.not_sent(move)
+            await self._retry_later(move.organisation)
+            return
+        except OutcomeUnknownError:
+            self.book.doubted(move)
+            await self._read_back(move)
+            return
+        if result.succeeded:
+            self.book.settled(move, result.revision)
+            log_event(self._logger, "grant_moved", key=key, shard=self.book.shard)
+            return
+        await self._read_back(move)
+
+    async def _read_back(self, move: GrantMove) -> None:
+        """Read the record; while its revision is the compared one the move stays in doubt."""
+        try:
+            await self._read(move.organisation)
+        except PlatformError as error:
+            log_event(self._logger, "grant_in_doubt", organisation=move.organisation, reason=error)
+        await self._retry_later(move.organisation)
+
+    async def _retry_later(self, organisation: str) -> None:
+        await asyncio.sleep(MOVE_INTERVAL_S)
+        self._due[organisation] = None
+
+    async def _read(self, organisation: str) -> None:
+        result = await self._store.range(quota_key(organisation), is_prefix=False)
+        for entry in result.entries:
+            self.book.read(organisation, entry.value, entry.mod_revision)
+
+    def _tell(self, organisation: str) -> None:
+        """Tell the core what may be reserved, if that changed."""
+        usable = self.book.usable(organisation)
+        delivered = self._delivered_by_organisation
+        if organisation in delivered and delivered[organisation] == usable:
+            return
+        if organisation not in delivered and usable is None:
+            return
+        delivered[organisation] = usable
+        self._deliver(GrantChanged(organisation, usable))
+
+    # Records of all organisations
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                revision = await self._read_all()
+                async with asyncio.timeout(READ_EVERY_S):
+                    await self._take_changes(revision)
+            except TimeoutError:
+                continue
+            except PlatformError as error:
+                log_event(self._logger, "grants_not_read", reason=error)
+                await asyncio.sleep(RETRY_S)
+
+    async def _read_all(self) -> int:
+        result = await self._store.range(QUOTA_PREFIX)
+        for entry in result.entries:
+            organisation = entry.key.removeprefix(QUOTA_PREFIX)
+            self.book.read(organisation, entry.value, entry.mod_revision)
+        self._review(self.book.organisations())
+        return result.revision
+
+    async def _take_changes(self, revision: int) -> None:
+        batches = cast(Any, self._store.watch(QUOTA_PREFIX, revision))
+        async with aclosing(batches):
+            async for batch in batches:
+                self._take_events(batch.events)
+
+    def _take_events(self, events: tuple[WatchEvent, ...]) -> None:
+        for event in events:
+            organisation = event.key.removeprefix(QUOTA_PREFIX)
+            if event.entry is not None:
+                self.book.read(organisation, event.entry.value, event.entry.mod_revision)
+                self._review([organisation])
--- a/redwingplank/runtime/scheduler.py
+++ b/redwingplank/runtime/scheduler.py
@@ -139,6 +139,7 @@
     address_seed = xxhash.xxh64_intdigest(settings.address.encode())
     generator = np.random.default_rng((settings.seed, address_seed))
     shards = shard_names((settings.failure_domain,), settings.shard_count)
+    lease = settings.lease_in_force()
     runners_by_shard: dict[str, ShardRunner] = {}
     for shard in shards:
         context = TermContext(
@@ -151,7 +152,7 @@
             counters,
             _bind_core(settings, shard, make_core),
         )
-        ownership = ShardOwnership(settings.lease, settings.address, generator, clock.now_s())
+        ownership = ShardOwnership(lease, settings.address, generator, clock.now_s())
         runners_by_shard[shard] = ShardRunner(context, ownership, make_nonce, declarations)
 
     def on_listed(listed: tuple[ListedVm, ...]) -> None:
--- a/redwingplank/runtime/scheduler_service.py
+++ b/redwingplank/runtime/scheduler_service.py
@@ -7,8 +7,8 @@
 from redwingplank.rpc.scheduler_messages import (
     read_spec,
     write_job_status,
-    write_resources,
     write_submit_answer,
+    write_summary,
 )
 from redwingplank.runtime.shard_runner import ShardRunner
 from redwingplank.scheduling.sharding import shard_of_worker
@@ -70,7 +70,7 @@
 
     async def summary(self, shard: str, _context: Any, **_: Any) -> Any:
         async def ask(runner: ShardRunner) -> dict[str, Any]:
-            return {"summary": _write_summary(runner.summary())}
+            return {"summary": write_summary(runner.summary())}
 
         return await self._answer(shard, ask)
 
@@ -106,17 +106,3 @@
         except RpcError as error:
             raise RpcError(f"{shard}: {error}") from error
         return _schema.Answer.new_message(**fields)
-
-
-def _write_summary(summary: Any) -> Any:
-    return _schema.ShardSummary.new_message(
-        shard=summary.shard,
-        free=write_resources(summary.free),
-        capacity=write_resources(summary.capacity),
-        waitingByClass=list(summary.waiting_by_class),
-        predictedWaitSByClass=list(summary.predicted_wait_s_by_class),
-        runningCount=summary.running_count,
-        workerCount=summary.worker_count,
-        openWorkerCount=summary.open_worker_count,
-        quarantinedCount=summary.quarantined_count,
-    )
--- a/redwingplank/runtime/settings.py
+++ b/redwingplank/runtime/settings.py
@@ -1,6 +1,6 @@
 """Settings of the scheduler process."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from redwingplank.scheduling.journal import JournalSettings
 from redwingplank.scheduling.ownership import LeaseSettings
@@ -45,6 +45,9 @@
         Interval of attempts to adopt a worker that does not answer.
     stop_within_s : float
         Bound of a graceful stop.
+    unjoined_degraded_bound_s : float
+        Takes the place of the lease's degraded bound where workers know no epochs or give no
+        inventory: a new owner then starts nothing before it is over.
     """
 
     address: str
@@ -66,15 +69,27 @@
     list_poll_every_s: float = 2.0
     adopt_retry_s: float = 1.0
     stop_within_s: float = 5.0
+    unjoined_degraded_bound_s: float = 30.0
+
+    @property
+    def workers_are_joined(self) -> bool:
+        """Whether an adoption proves what runs and what does not."""
+        return self.workers_know_epochs and self.workers_have_inventory
+
+    def lease_in_force(self) -> LeaseSettings:
+        """Return the lease's times, as far as the workers allow them."""
+        if self.workers_are_joined:
+            return self.lease
+        bound_s = min(self.lease.degraded_bound_s, self.unjoined_degraded_bound_s)
+        return replace(self.lease, degraded_bound_s=bound_s)
 
     def recovery(self) -> RecoverySettings:
         """Return what a new owner may count on."""
         return RecoverySettings(
             lease_ttl_s=self.lease.ttl_s,
             task_lease_s=self.task_lease_s,
-            degraded_bound_s=self.lease.degraded_bound_s,
+            degraded_bound_s=self.lease_in_force().degraded_bound_s,
             clock_margin_s=self.clock_margin_s,
             clock_rate_error=self.lease.clock_rate_error,
             workers_know_epochs=self.workers_know_epochs,
-            workers_have_inventory=self.workers_have_inventory,
         )
--- a/redwingplank/runtime/shard_runner.py
+++ b/redwingplank/runtime/shard_runner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 from redwingplank.config import Declarations
 from redwingplank.core import log_event, make_logger
@@ -21,6 +20,7 @@
     SubmitJob,
 )
 from redwingplank.scheduling.ownership import OwnerRecord, ShardOwnership
+from redwingplank.scheduling.summary import ShardSummary
 
 __all__ = ["ShardRunner"]
 
@@ -170,7 +170,7 @@
         assert core is not None
         return core.explain(id, self._context.clock.now_s())
 
-    def summary(self) -> Any:
+    def summary(self) -> ShardSummary:
         """Return the shard's summary."""
         core = self._running().core
         assert core is not None
--- a/redwingplank/runtime/term_runner.py
+++ b/redwingplank/runtime/term_runner.py
@@ -5,39 +5,36 @@
 from dataclasses import dataclass
 
 from redwingplank.config import Declarations
-from redwingplank.core import Clock, Resources, log_event, make_logger
+from redwingplank.core import Clock, log_event, make_logger
 from redwingplank.platform import (
     KeyValueStore,
     ListedVm,
     PlatformError,
     WorkerClient,
-    WorkerInventory,
 )
 from redwingplank.runtime.callers import CallerTable
 from redwingplank.runtime.counters import ProcessCounters
+from redwingplank.runtime.grants import GrantLoop
 from redwingplank.runtime.journal_writer import FencedError, JournalWriter
 from redwingplank.runtime.scheduler_core import SchedulerCore, SchedulerFactory
 from redwingplank.runtime.settings import SchedulerProcessSettings
 from redwingplank.runtime.worker_exchanges import WorkerExchanges
 from redwingplank.scheduling.journal import Flush, JournalBuffer
 from redwingplank.scheduling.messages import (
-    CancelAnswer,
     DeclarationsChanged,
+    GrantWanted,
     InboxMessage,
     JournalCommitted,
     Outbox,
     OwnershipChanged,
     OwnershipMode,
-    RecoveredJob,
     RecoveredState,
-    SubmitAnswer,
     VmsListed,
 )
 from redwingplank.scheduling.ownership import ShardKeys, ShardOwnership, ShardTerm
 from redwingplank.scheduling.recovery import (
     ReplayedJournal,
     adopt_from_s,
-    inventory_from_journal,
     make_recovered_state,
     replay_journal,
 )
@@ -103,6 +100,7 @@
         self.core: SchedulerCore | None = None
         self.writer: JournalWriter | None = None
         self.exchanges: WorkerExchanges | None = None
+        self.grants: GrantLoop | None = None
         self._context = context
         self._settings = context.settings
         self._ownership = ownership
@@ -139,6 +137,8 @@
             return
         self._declarations = declarations
         self.deliver(DeclarationsChanged(declarations))
+        if self.grants is not None:
+            self.grants.declare(declarations)
 
     def wake(self) -> None:
         """Tick soon."""
@@ -158,15 +158,18 @@
             self.callers.close("the shard was lost during recovery")
             return
         self._start(replayed)
-        assert self.writer is not None and self.exchanges is not None
-        writer = asyncio.create_task(self._write(self.writer))
-        adopter = asyncio.create_task(self._adopt_workers(self.exchanges))
+        assert self.writer is not None and self.exchanges is not None and self.grants is not None
+        loops = [
+            asyncio.create_task(self._write(self.writer)),
+            asyncio.create_task(self._adopt_workers(self.exchanges)),
+            asyncio.create_task(self.grants.run()),
+        ]
         try:
             await self._tick_until_over()
         finally:
-            for task in (writer, adopter):
-                task.cancel()
-            await asyncio.gather(writer, adopter, return_exceptions=True)
+            for loop in loops:
+                loop.cancel()
+            await asyncio.gather(*loops, return_exceptions=True)
             await self.exchanges.stop()
             self.callers.close("the shard changed hands: ask its new owner for the outcome")
 
@@ -210,6 +213,16 @@
             self._committed,
         )
         self.exchanges = self._make_exchanges(recovered)
+        self.grants = GrantLoop(
+            context.store,
+            context.shard,
+            self._term,
+            context.clock,
+            context.unix_clock,
+            self.core.reserved_by,
+            self.deliver,
+        )
+        self.grants.declare(self._declarations)
         log_event(
             self._logger,
             "shard_recovered",
@@ -221,32 +234,19 @@
 
     def _make_exchanges(self, recovered: RecoveredState) -> WorkerExchanges:
         context = self._context
-
-        def complete(inventory: WorkerInventory) -> WorkerInventory:
-            if self._settings.workers_have_inventory:
-                return inventory
-            return inventory_from_journal(inventory, recovered.jobs, self._reserved)
-
         return WorkerExchanges(
             context.workers,
             self._ownership,
-            self._term.epoch,
+            self._settings,
+            recovered.epoch,
+            recovered.fence_at_s,
             context.clock,
             context.unix_clock,
             context.counters,
             self.deliver,
             self._superseded,
-            self._settings.worker_timeout_s,
-            self._settings.task_lease_s,
-            complete,
         )
 
-    def _reserved(self, job: RecoveredJob) -> Resources:
-        if job.spec.resources is not None:
-            return job.spec.resources
-        service = self._declarations.find_service(job.spec.organisation, job.spec.service)
-        return service.resources if service else Resources()
-
     # Loops
 
     async def _write(self, writer: JournalWriter) -> None:
@@ -306,14 +306,17 @@
         self._inbox.appendleft(message)
 
     def _dispatch(self, outbox: Outbox, mode: OwnershipMode) -> None:
-        assert self.writer is not None and self.exchanges is not None
+        assert self.writer is not None and self.exchanges is not None and self.grants is not None
         if mode is not OwnershipMode.LOST:
             if outbox.records:
                 self.writer.buffer.add_records(outbox.records)
                 self.writer.wake()
             self.exchanges.send(outbox.requests_by_worker)
+            self.exchanges.adopt_again(outbox.inventories_wanted)
         for message in outbox.messages:
-            if isinstance(message, SubmitAnswer | CancelAnswer):
+            if isinstance(message, GrantWanted):
+                self.grants.want(message)
+            else:
                 self.callers.answer(message)
         for decision in outbox.decisions:
             self._decision_logger.info(decision)
--- a/redwingplank/runtime/tests/small_core.py
+++ b/redwingplank/runtime/tests/small_core.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from redwingplank.core import make_resources
+from redwingplank.core import NO_RESOURCES, make_resources
 from redwingplank.platform import StartTask, TaskEndReason, WorkerRequest
 from redwingplank.scheduling.messages import (
     CancelAnswer,
@@ -84,6 +84,9 @@
     def explain(self, id, now_s):
         return (f"id={id}",)
 
+    def reserved_by(self, organisation):
+        return NO_RESOURCES
+
     def _take(self, message):
         match message:
             case OwnershipChanged():
--- a/redwingplank/runtime/worker_exchanges.py
+++ b/redwingplank/runtime/worker_exchanges.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from redwingplank.core import Clock, log_event, make_logger
@@ -12,10 +12,10 @@
     StaleEpochError,
     UnavailableError,
     WorkerClient,
-    WorkerInventory,
     WorkerRequest,
 )
 from redwingplank.runtime.counters import ProcessCounters
+from redwingplank.runtime.settings import SchedulerProcessSettings
 from redwingplank.scheduling.messages import (
     InboxMessage,
     OwnershipMode,
@@ -44,8 +44,12 @@
         Reaches workers by address.
     ownership : ShardOwnership
         Checked once more just before a request is sent.
+    settings : SchedulerProcessSettings
+        Of the process.
     epoch : int
         The term's epoch.
+    fence_at_s : float
+        When tasks on workers that were never adopted count as stopped.
     clock, unix_clock : Clock
         Monotonic time and wall clock.
     counters : ProcessCounters
@@ -54,39 +58,31 @@
         Takes messages for the decision core.
     on_stale : callable
         Called when a worker has seen a higher epoch.
-    timeout_s : float
-        Bound of one call.
-    task_lease_s : float
-        Handed over with an adoption.
-    complete_inventory : callable
-        Fills in an inventory from the journal where workers give none.
     """
 
     def __init__(
         self,
         client: WorkerClient,
         ownership: ShardOwnership,
+        settings: SchedulerProcessSettings,
         epoch: int,
+        fence_at_s: float,
         clock: Clock,
         unix_clock: Clock,
         counters: ProcessCounters,
         deliver: Callable[[InboxMessage], None],
         on_stale: Callable[[], None],
-        timeout_s: float,
-        task_lease_s: float,
-        complete_inventory: Callable[[WorkerInventory], WorkerInventory],
     ) -> None:
         self._client = client
         self._ownership = ownership
+        self._settings = settings
         self._epoch = epoch
+        self._fence_at_s = fence_at_s
         self._clock = clock
         self._unix_clock = unix_clock
         self._counters = counters
         self._deliver = deliver
         self._on_stale = on_stale
-        self._timeout_s = timeout_s
-        self._task_lease_s = task_lease_s
-        self._complete_inventory = complete_inventory
         self._links_by_worker: dict[str, _Link] = {}
         self._adoptions_by_worker: dict[str, asyncio.Task] = {}
         self._logger = make_logger("workers")
@@ -97,8 +93,15 @@
             link = self._links_by_worker.get(name)
             if link is not None:
                 link.vm = vm
-            elif name not in self._adoptions_by_worker:
-                self._adoptions_by_worker[name] = asyncio.create_task(self._adopt(vm))
+            else:
+                self._begin_adoption(vm, self._adoption_lease_s())
+
+    def adopt_again(self, workers: Iterable[str]) -> None:
+        """Ask workers for their inventories; this renews nothing."""
+        for name in workers:
+            link = self._links_by_worker.get(name)
+            if link is not None:
+                self._begin_adoption(link.vm, 0.0)
 
     def send(self, requests_by_worker: Mapping[str, WorkerRequest]) -> None:
         """Queue one request for each worker."""
@@ -119,18 +122,37 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _adopt(self, vm: ListedVm) -> None:
+    def _begin_adoption(self, vm: ListedVm, lease_s: float) -> None:
+        if vm.name not in self._adoptions_by_worker:
+            self._adoptions_by_worker[vm.name] = asyncio.create_task(self._adopt(vm, lease_s))
+
+    def _adoption_lease_s(self) -> float:
+        """Return the lease that an adoption may give to tasks of earlier epochs.
+
+        Notes
+        -----
+        Its answer may be lost. The tasks then count as stopped at the fence, so that no lease may
+        reach beyond it. Where workers give no inventory or know no epochs, the fence is the only
+        proof, and nothing is renewed before it.
+        """
+        if not self._settings.workers_are_joined:
+            return 0.0
+        left_s = self._fence_at_s - self._clock.now_s() - self._settings.worker_timeout_s
+        usable_s = left_s * (1.0 - self._settings.lease.clock_rate_error)
+        return min(self._settings.task_lease_s, max(0.0, usable_s))
+
+    async def _adopt(self, vm: ListedVm, lease_s: float) -> None:
         self._counters.add("worker.adoptions")
         try:
-            call = self._client.adopt(vm.address, self._epoch, self._task_lease_s)
-            inventory = await asyncio.wait_for(call, self._timeout_s)
+            call = self._client.adopt(vm.address, self._epoch, lease_s)
+            inventory = await asyncio.wait_for(call, self._settings.worker_timeout_s)
         except StaleEpochError as error:
             self._refused(vm.name, error)
         except (PlatformError, TimeoutError) as error:
             log_event(self._logger, "adoption_failed", worker=vm.name, reason=error)
         else:
-            self._links_by_worker[vm.name] = _Link(vm)
-            self._deliver(WorkerAdopted(vm, self._complete_inventory(inventory)))
+            self._links_by_worker.setdefault(vm.name, _Link(vm))
+            self._deliver(WorkerAdopted(vm, inventory))
         finally:
             self._adoptions_by_worker.pop(vm.name, None)
 
@@ -149,7 +171,7 @@
         self._counters.add("worker.exchanges")
         try:
             call = self._client.exchange(link.vm.address, request)
-            report = await asyncio.wait_for(call, self._timeout_s)
+            report = await asyncio.wait_for(call, self._settings.worker_timeout_s)
         except StaleEpochError as error:
             self._refused(worker, error)
             self._failed(worker, link, is_effect_possible=False)
@@ -165,7 +187,7 @@
 
         Notes
         -----
-        The bound on starts goes with the request, for workers that know no epochs.
+        Workers that know no epochs get the end of the owner's lease with every start.
         """
         now_s = self._clock.now_s()
         mode = self._ownership.mode(now_s)
@@ -175,6 +197,8 @@
             return request
         if mode is not OwnershipMode.OWNING:
             return None
+        if self._settings.workers_know_epochs:
+            return request
         remaining_s = self._ownership.valid_until_s - now_s
         return replace(request, start_before_unix_s=self._unix_clock.now_s() + remaining_s)
 
--- a/redwingplank/scheduling/recovery.py
+++ b/redwingplank/scheduling/recovery.py
@@ -1,10 +1,10 @@
 """Replay of a shard's journal into what a new owner starts from."""
 
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Iterable
+from dataclasses import dataclass
 
-from redwingplank.core import RedwingError, Resources
-from redwingplank.platform import KeyValue, RunningTask, WorkerInventory
+from redwingplank.core import RedwingError
+from redwingplank.platform import KeyValue
 from redwingplank.scheduling.journal import JournalPosition
 from redwingplank.scheduling.journal_codec import (
     SnapshotHead,
@@ -25,7 +25,6 @@
     "ReplayedJournal",
     "adopt_from_s",
     "fence_at_s",
-    "inventory_from_journal",
     "make_recovered_state",
     "replay_journal",
 ]
@@ -56,8 +55,6 @@
         Largest relative difference between the rates of two clocks.
     workers_know_epochs : bool
         Whether workers refuse a lower epoch than they saw.
-    workers_have_inventory : bool
-        Whether an adoption returns what runs.
     """
 
     lease_ttl_s: float = 3.0
@@ -66,7 +63,6 @@
     clock_margin_s: float = 0.1
     clock_rate_error: float = 0.01
     workers_know_epochs: bool = True
-    workers_have_inventory: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,31 +154,6 @@
     return won_at_s + wait_s + settings.clock_margin_s
 
 
-def inventory_from_journal(
-    inventory: WorkerInventory,
-    jobs: Sequence[RecoveredJob],
-    reserved_of: Callable[[RecoveredJob], Resources],
-) -> WorkerInventory:
-    """Fill in what runs from the journal, for workers that give no inventory.
-
-    Parameters
-    ----------
-    inventory : WorkerInventory
-        As the worker gave it, with its capacity.
-    jobs : sequence of RecoveredJob
-        Whose starts the journal carries for every task.
-    reserved_of : callable
-        Returns what a job's tasks reserve.
-    """
-    running = []
-    for job in jobs:
-        for task in job.open_tasks:
-            attempts = [attempt for attempt, worker in task.intended if worker == inventory.worker]
-            if attempts:
-                running.append(RunningTask(task.task_id, max(attempts), reserved_of(job), 0.0))
-    return replace(inventory, running=tuple(running))
-
-
 def _base_values(values_by_name: dict[str, bytes], head: SnapshotHead) -> list[bytes]:
     names = [f"base/{head.segment:010d}/{part:06d}" for part in range(1, head.part_count + 1)]
     missing = [name for name in names if name not in values_by_name]
--- a/redwingplank/scheduling/scheduler.py
+++ b/redwingplank/scheduling/scheduler.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from redwingplank.config import Declarations
+from redwingplank.core import Resources
 from redwingplank.scheduling.adoption import Adoption
 from redwingplank.scheduling.attempt_ends import AttemptEnds
 from redwingplank.scheduling.exchanges import Exchanges
@@ -148,6 +149,11 @@
         """Return the shard's summary, of fixed size."""
         return self._views.summary(now_s)
 
+    def reserved_by(self, organisation: str) -> Resources:
+        """Return what an organisation's tasks reserve in this shard."""
+        used = self._state.shares.find(organisation).used
+        return self._state.table.resources(used or ())
+
     def _take_commit(self, message: JournalCommitted, now_s: float) -> None:
         self._state.journal.commit(message.sequence, now_s)
 
