--- a/redwingplank/runtime/bounded_store.py
+++ b/redwingplank/runtime/bounded_store.py
@@ -65,7 +65,8 @@
     async def _bounded(self, method: str, call: Awaitable[Result]) -> Result:
         self._counters.add(f"store.{method}")
         try:
-            return await asyncio.wait_for(call, self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                return await call
         except TimeoutError as error:
             raise OutcomeUnknownError(
                 f"the store did not answer {method} in {self._timeout_s} s; read back before"
--- a/redwingplank/runtime/grants.py
+++ b/redwingplank/runtime/grants.py
@@ -91,15 +91,19 @@
         try:
             while True:
                 await self._wait()
-                self._review(filter(self.book.is_over_quota, self.book.organisations()))
-                while self._due:
-                    organisation = next(iter(self._due))
-                    del self._due[organisation]
-                    await self._move(organisation)
+                over_quota = filter(self.book.is_over_quota, self.book.organisations())
+                self._due.update(dict.fromkeys(over_quota))
+                await self._move_due()
         finally:
             watch.cancel()
             await asyncio.gather(watch, return_exceptions=True)
 
+    async def _move_due(self) -> None:
+        while self._due:
+            organisation = next(iter(self._due))
+            del self._due[organisation]
+            await self._move(organisation)
+
     def _review(self, organisations: Iterable[str]) -> None:
         self._due.update(dict.fromkeys(organisations))
         if self._due:
@@ -107,7 +111,8 @@
 
     async def _wait(self) -> None:
         try:
-            await asyncio.wait_for(self._wake.wait(), REVIEW_EVERY_S)
+            async with asyncio.timeout(REVIEW_EVERY_S):
+                await self._wake.wait()
         except TimeoutError:
             return
         finally:
@@ -166,7 +171,7 @@
 
     def _tell(self, organisation: str) -> None:
         """Tell the core what may be reserved, if that changed."""
-        usable = self.book.usable(organisation)
+        usable = self.book.usable(organisation, self._unix_clock.now_s())
         delivered = self._delivered_by_organisation
         if organisation in delivered and delivered[organisation] == usable:
             return
--- a/redwingplank/runtime/lease_loop.py
+++ b/redwingplank/runtime/lease_loop.py
@@ -131,7 +131,8 @@
 
     async def _wait(self, longest_s: float) -> None:
         try:
-            await asyncio.wait_for(self._wake.wait(), max(longest_s, MIN_WAIT_S))
+            async with asyncio.timeout(max(longest_s, MIN_WAIT_S)):
+                await self._wake.wait()
         except TimeoutError:
             return
 
--- a/redwingplank/runtime/shard_runner.py
+++ b/redwingplank/runtime/shard_runner.py
@@ -119,7 +119,8 @@
         self.ownership.begin_stop()
         runner.wake()
         try:
-            await asyncio.wait_for(runner.drain(), within_s)
+            async with asyncio.timeout(within_s):
+                await runner.drain()
         except TimeoutError:
             log_event(self._logger, "stop_cut_short", shard=self.shard)
         runner.end()
--- a/redwingplank/runtime/term_runner.py
+++ b/redwingplank/runtime/term_runner.py
@@ -275,7 +275,8 @@
 
     async def _wait(self, longest_s: float) -> None:
         try:
-            await asyncio.wait_for(self._wake.wait(), longest_s)
+            async with asyncio.timeout(longest_s):
+                await self._wake.wait()
         except TimeoutError:
             return
 
--- a/redwingplank/runtime/vm_poller.py
+++ b/redwingplank/runtime/vm_poller.py
@@ -54,8 +54,8 @@
     async def _read(self) -> None:
         self._counters.add("vm_list.reads")
         try:
-            call = self._vm_list.read(self._failure_domain)
-            listing = await asyncio.wait_for(call, self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                listing = await self._vm_list.read(self._failure_domain)
         except (PlatformError, TimeoutError) as error:
             log_event(self._logger, "list_read_failed", reason=error)
             return
--- a/redwingplank/runtime/worker_exchanges.py
+++ b/redwingplank/runtime/worker_exchanges.py
@@ -144,8 +144,8 @@
     async def _adopt(self, vm: ListedVm, lease_s: float) -> None:
         self._counters.add("worker.adoptions")
         try:
-            call = self._client.adopt(vm.address, self._epoch, lease_s)
-            inventory = await asyncio.wait_for(call, self._settings.worker_timeout_s)
+            async with asyncio.timeout(self._settings.worker_timeout_s):
+                inventory = await self._client.adopt(vm.address, self._epoch, lease_s)
         except StaleEpochError as error:
             self._refused(vm.name, error)
         except (PlatformError, TimeoutError) as error:
@@ -170,8 +170,8 @@
             return
         self._counters.add("worker.exchanges")
         try:
-            call = self._client.exchange(link.vm.address, request)
-            report = await asyncio.wait_for(call, self._settings.worker_timeout_s)
+            async with asyncio.timeout(self._settings.worker_timeout_s):
+                report = await self._client.exchange(link.vm.address, request)
         except StaleEpochError as error:
             self._refused(worker, error)
             self._failed(worker, link, is_effect_possible=False)
--- a/redwingplank/scheduling/grants.py
+++ b/redwingplank/scheduling/grants.py
@@ -152,21 +152,23 @@
             account.doubt = None
             account.is_copy_underway = False
 
-    def usable(self, organisation: str) -> Resources | None:
-        """Return what the shard may reserve, None without a quota.
+    def usable(self, organisation: str, now_unix_s: float) -> Resources | None:
+        """Return the bound on new starts, None without a quota.
 
         Notes
         -----
-        A smaller grant whose write is in doubt counts as written: it may take effect later.
+        A smaller grant whose write is in doubt counts as written: it may take effect later. The
+        bound is less than the grant while the shard has to give some of it up: running work may
+        then hold more, and what ends is not replaced.
         """
         account = self._account(organisation)
         if account.quota is None:
             return None
-        grant = account.record.grants_by_shard.get(self.shard, NO_RESOURCES)
+        view = _View(self.shard, account.record, account.quota, now_unix_s)
         if account.doubt is None:
-            return grant
+            return view.bound()
         doubted = account.doubt.record.grants_by_shard.get(self.shard, NO_RESOURCES)
-        return _each(min, grant, doubted)
+        return _each(min, view.bound(), doubted)
 
     def is_over_quota(self, organisation: str) -> bool:
         """Return whether more is granted than a lowered quota allows."""
@@ -229,6 +231,70 @@
         return self._accounts_by_organisation.setdefault(organisation, _Account())
 
 
+class _View:
+    """One organisation's record as one shard sees it.
+
+    Parameters
+    ----------
+    shard : str
+        The shard.
+    record : GrantRecord
+        What all shards hold and wait for.
+    quota : Resources
+        In force now.
+    now_unix_s : float
+        Wall clock, by which wants become void.
+    """
+
+    def __init__(
+        self, shard: str, record: GrantRecord, quota: Resources, now_unix_s: float
+    ) -> None:
+        self.shard = shard
+        self.quota = quota
+        self.total = record.total()
+        self.grants_by_shard = record.grants_by_shard
+        self.own = record.grants_by_shard.get(shard, NO_RESOURCES)
+        self.own_want = record.wants_by_shard.get(shard)
+        self.other_wants = {
+            name: want
+            for name, want in record.wants_by_shard.items()
+            if name != shard and want.until_unix_s > now_unix_s
+        }
+        self._sharer_count = len({shard, *record.grants_by_shard, *self.other_wants})
+
+    def free(self) -> Resources:
+        """Return what no shard holds."""
+        return _minus(self.quota, self.total)
+
+    def short(self) -> Resources:
+        """Return what other shards wait for beyond what is free."""
+        asked = sum_resources(want.amount for want in self.other_wants.values())
+        return _minus(asked, self.free())
+
+    def fair(self) -> Resources:
+        """Return an equal part for every shard that holds or waits for something."""
+        return _scaled(self.quota, 1, self._sharer_count)
+
+    def bound(self) -> Resources:
+        """Return how much of the own grant new starts may use."""
+        bound = self.own
+        if self.other_wants:
+            bound = _each(min, bound, _each(max, self.fair(), _minus(self.own, self.short())))
+        if not self.total.fits_in(self.quota):
+            bound = _each(min, bound, _scaled_each(self.own, self.quota, self.total))
+        return bound
+
+    def reserved_for_older(self, now_unix_s: float) -> Resources:
+        """Return what is free for shards that have waited longer, up to their equal parts."""
+        since_s = self.own_want.since_unix_s if self.own_want else now_unix_s
+        reserved = NO_RESOURCES
+        for name, want in self.other_wants.items():
+            if (want.since_unix_s, name) < (since_s, self.shard):
+                room = _minus(self.fair(), self.grants_by_shard.get(name, NO_RESOURCES))
+                reserved = reserved + _each(min, want.amount, room)
+        return reserved
+
+
 class _Plan:
     """Works out one change of the shard's own grant."""
 
@@ -241,76 +307,72 @@
         now_s: float,
         now_unix_s: float,
     ) -> None:
-        self._shard = shard
         self._record = account.record
+        self._view = _View(shard, account.record, quota, now_unix_s)
         self._used = used
         self._wanted = account.wanted
         self._is_waiting = now_s < account.wanted_at_s + WANT_LASTS_S
         self._now_unix_s = now_unix_s
-        self._own = account.record.grants_by_shard.get(shard, NO_RESOURCES)
-        self._free = _minus(quota, account.record.total())
-        self._excess = _minus(account.record.total(), quota)
-        self._own_want = account.record.wants_by_shard.get(shard)
-        self._other_wants = {
-            name: want
-            for name, want in account.record.wants_by_shard.items()
-            if name != shard and want.until_unix_s > now_unix_s
-        }
 
     def shrunk(self) -> GrantRecord | None:
         """Give back what is idle, if the quota was lowered or another shard waits."""
-        asked = sum_resources(want.amount for want in self._other_wants.values())
-        short = _minus(asked, self._free)
-        must_keep_wanted = self._is_waiting and not self._older_wants()
-        kept = self._used + self._wanted if must_keep_wanted else self._used
-        asked_idle = _each(min, _minus(self._own, kept), short)
-        excess_idle = _each(min, _minus(self._own, self._used), self._excess)
-        idle = _each(max, asked_idle, excess_idle)
+        view = self._view
+        kept = self._used
+        if self._is_waiting:
+            kept = _each(max, kept, _each(min, self._used + self._wanted, view.fair()))
+        asked = _each(min, _minus(view.own, kept), view.short())
+        excess = _minus(view.own, _each(max, self._used, view.bound()))
+        if view.total.fits_in(view.quota):
+            excess = NO_RESOURCES
+        idle = _each(max, asked, excess)
         if idle == NO_RESOURCES:
             return None
-        return self._with(_minus(self._own, idle), self._own_want if self._is_waiting else None)
+        return self._with(_minus(view.own, idle), view.own_want if self._is_waiting else None)
 
     def grown(self) -> GrantRecord | None:
-        """Take what work waits for, as far as it is free and nobody waits longer for it."""
+        """Take what work waits for, as far as it is free and nobody waits longer for it.
+
+        Notes
+        -----
+        While others wait too, nobody grows beyond an equal part: what is left goes to those that
+        have less. A gang that needs more than that waits until the others have what they want.
+        """
         if not self._is_waiting:
             return None
-        lacking = _minus(self._used + self._wanted, self._own)
-        older = sum_resources(want.amount for want in self._older_wants().values())
-        growth = lacking if self._other_wants else lacking * GROWTH_FACTOR
-        gained = _each(min, growth, _minus(self._free, older))
-        return self._with(self._own + gained, self._want_for(_minus(lacking, gained)))
+        view = self._view
+        lacking = _minus(self._used + self._wanted, view.own)
+        growth = lacking * GROWTH_FACTOR
+        if view.other_wants:
+            growth = _each(min, lacking, _minus(view.fair(), view.own))
+        room = _minus(view.free(), view.reserved_for_older(self._now_unix_s))
+        gained = _each(min, growth, room)
+        return self._with(view.own + gained, self._want_for(lacking, gained))
 
     def without_own_want(self) -> GrantRecord | None:
         """Take back a want that nothing waits for any more."""
-        if self._is_waiting or self._own_want is None:
+        if self._is_waiting or self._view.own_want is None:
             return None
-        return self._with(self._own, None)
+        return self._with(self._view.own, None)
 
-    def _older_wants(self) -> dict[str, GrantWant]:
-        since_s = self._own_want.since_unix_s if self._own_want else self._now_unix_s
-        own_rank = (since_s, self._shard)
-        return {
-            name: want
-            for name, want in self._other_wants.items()
-            if (want.since_unix_s, name) < own_rank
-        }
-
-    def _want_for(self, lacking: Resources) -> GrantWant | None:
-        if lacking == NO_RESOURCES:
+    def _want_for(self, lacking: Resources, gained: Resources) -> GrantWant | None:
+        """Return the want that stays; who gained something goes behind the others."""
+        still_lacking = _minus(lacking, gained)
+        if still_lacking == NO_RESOURCES:
             return None
-        old = self._own_want
-        if old is not None:
+        old = self._view.own_want
+        if old is not None and gained == NO_RESOURCES:
             is_fresh = old.until_unix_s > self._now_unix_s + MARK_LASTS_S / 2
-            if is_fresh and lacking.fits_in(old.amount):
+            if is_fresh and still_lacking.fits_in(old.amount):
                 return old
-        since_s = old.since_unix_s if old is not None else self._now_unix_s
-        return GrantWant(lacking, since_s, self._now_unix_s + MARK_LASTS_S)
+        is_new = old is None or gained != NO_RESOURCES
+        since_s = self._now_unix_s if old is None or is_new else old.since_unix_s
+        return GrantWant(still_lacking, since_s, self._now_unix_s + MARK_LASTS_S)
 
     def _with(self, grant: Resources, want: GrantWant | None) -> GrantRecord:
-        wants = dict(self._other_wants)
+        wants = dict(self._view.other_wants)
         if want is not None:
-            wants[self._shard] = want
-        return _with_grant(self._record, self._shard, grant, wants)
+            wants[self._view.shard] = want
+        return _with_grant(self._record, self._view.shard, grant, wants)
 
 
 def _with_grant(
@@ -338,3 +400,14 @@
             for kind in left_by_kind.keys() | right_by_kind.keys()
         },
     )
+
+
+def _scaled(amount: Resources, numerator: int, denominator: int) -> Resources:
+    """Return a fraction of an amount, rounded down."""
+    return _each(lambda value, _: value * numerator // denominator, amount, NO_RESOURCES)
+
+
+def _scaled_each(amount: Resources, numerator: Resources, denominator: Resources) -> Resources:
+    """Return `amount` times a fraction of its own in each dimension, rounded down."""
+    scaled = _each(lambda first, second: first * second, amount, numerator)
+    return _each(lambda first, second: first // second if second else 0, scaled, denominator)
