Make room for waiting work and tell bad workers from bad jobs

Cause: big tasks and gangs starved behind small ones, urgent work could not displace bulk work, and a worker that fails at once drew a whole job before evidence from elsewhere arrived. Change: preemption of less urgent classes with checkpoint, bounded for each task and tick; reservations with backfill; failures weigh by what the same job does elsewhere; a worker with a streak of failures is left alone for a moment. The stand-in runs standing services' tasks until they are stopped.

--- a/redwingplank/scheduling/attempt_ends.py
+++ b/redwingplank/scheduling/attempt_ends.py
@@ -125,7 +125,7 @@
         return False
 
     def _take_completion(self, task: Task, worker: Worker, end: TaskEnd, now_s: float) -> None:
-        self._health.note_success(worker, task.job)
+        self._health.note_success(worker, task.job, now_s)
         is_service = task.job.service.kind is WorkloadKind.SERVICE
         if not is_service:
             self._lifecycle.finish(task, TaskState.SUCCEEDED, now_s, result=end.result)
--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -109,6 +109,7 @@
     restarts: int = 0
     is_restart_possible: bool = False
     is_recovering: bool = False
+    is_preemptible: bool = False
     replaces: "Task | None" = None
     replacement: "Task | None" = None
 
@@ -221,8 +222,11 @@
     due_at_s: float = 0.0
     processed_end: int = 0
     acknowledged_end: int = 0
-    suspicion_by_job: dict[str, int] = field(default_factory=dict)
+    suspicion_by_job: dict[str, float] = field(default_factory=dict)
     failed_tasks: list[Task] = field(default_factory=list)
+    failure_streak: int = 0
+    cool_count: int = 0
+    is_cooling: bool = False
     quarantine_count: int = 0
     quarantined_until_s: float = 0.0
     is_quarantined: bool = False
--- a/redwingplank/scheduling/health.py
+++ b/redwingplank/scheduling/health.py
@@ -10,6 +10,11 @@
 
 _MAX_FAILED_TASKS = 1000
 _BAD_JOB_WORKERS = 2
+_CONFIRMED_WEIGHT = 1.0
+_UNCONFIRMED_WEIGHT = 0.2
+_MAX_FAILURE_STREAK = 4
+_COOL_S = 1.0
+_MAX_COOL_S = 16.0
 
 
 class WorkerHealth:
@@ -22,19 +27,23 @@
 
     Notes
     -----
-    A failure speaks against the worker only as long as the job has failed on no other worker,
-    or once another task of the same job has succeeded elsewhere. A success clears a worker.
+    A failure speaks strongly against the worker once the same job has succeeded elsewhere, and
+    weakly as long as the job has neither succeeded nor failed elsewhere. A success clears a
+    worker. One that fails several attempts in a row is left alone for a moment, so that it does
+    not draw a whole job while the evidence from elsewhere is still to come.
     """
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
 
-    def note_success(self, worker: Worker, job: Job) -> None:
-        """Clear a worker, and suspect again those where the same job has failed."""
+    def note_success(self, worker: Worker, job: Job, now_s: float) -> None:
+        """Clear a worker, and suspect those where the same job has failed."""
         if worker.suspicion_by_job:
             worker.suspicion_by_job.clear()
         if worker.failed_tasks:
             worker.failed_tasks.clear()
+            worker.failure_streak = worker.cool_count = 0
+            self._warm(worker, now_s)
         if worker.is_probing:
             worker.is_probing = False
             worker.quarantine_count = 0
@@ -42,6 +51,18 @@
             self._state.decide("worker_returned", worker=worker.name)
         if job.failure_workers:
             job.failure_workers.discard(worker.name)
+            self._confirm(job, now_s)
+
+    def _confirm(self, job: Job, now_s: float) -> None:
+        """Hold a job's failures against their workers, because it succeeds on others."""
+        for name in sorted(job.failure_workers):
+            worker = self._state.workers_by_name.get(name)
+            if worker is None or worker.is_quarantined:
+                continue
+            weight = worker.suspicion_by_job.get(job.job_id, 0.0)
+            if weight < _CONFIRMED_WEIGHT:
+                worker.suspicion_by_job[job.job_id] = _CONFIRMED_WEIGHT
+                self._judge(worker, now_s)
 
     def note_failure(self, worker: Worker, task: Task, now_s: float) -> None:
         """Weigh a failed attempt."""
@@ -54,9 +75,37 @@
             worker.failed_tasks.append(task)
         if job.succeeded_count == 0 and len(job.failure_workers) >= _BAD_JOB_WORKERS:
             self._clear_of(job)
+            if worker.is_probing:
+                update_open(self._state, worker)
+            return
+        if job.succeeded_count:
+            weight = worker.suspicion_by_job.get(job.job_id, 0.0) + _CONFIRMED_WEIGHT
+        else:
+            weight = _UNCONFIRMED_WEIGHT
+        worker.suspicion_by_job[job.job_id] = weight
+        worker.failure_streak += 1
+        self._judge(worker, now_s)
+        if worker.failure_streak >= _MAX_FAILURE_STREAK and not worker.is_quarantined:
+            self._cool(worker, now_s)
+
+    def _cool(self, worker: Worker, now_s: float) -> None:
+        """Start nothing on a worker for a moment, until there is evidence from elsewhere."""
+        if worker.is_cooling:
             return
-        count = worker.suspicion_by_job.get(job.job_id, 0)
-        worker.suspicion_by_job[job.job_id] = count + 1 if job.succeeded_count else 1
+        worker.is_cooling = True
+        worker.cool_count += 1
+        length_s = min(_MAX_COOL_S, _COOL_S * 2.0 ** min(worker.cool_count - 1, 16))
+        update_open(self._state, worker)
+        self._state.decide("worker_cools", worker=worker.name, for_s=length_s)
+        self._state.due.call_at(now_s + length_s, partial(self._warm, worker))
+
+    def _warm(self, worker: Worker, now_s: float) -> None:
+        if worker.is_cooling:
+            worker.is_cooling = False
+            worker.failure_streak = 0
+            update_open(self._state, worker)
+
+    def _judge(self, worker: Worker, now_s: float) -> None:
         score = sum(worker.suspicion_by_job.values())
         if worker.is_probing or score >= self._state.settings.quarantine_score:
             self._quarantine(worker, now_s)
@@ -66,6 +115,7 @@
             worker = self._state.workers_by_name.get(name)
             if worker is not None:
                 worker.suspicion_by_job.pop(job.job_id, None)
+                self._warm(worker, 0.0)
 
     def _quarantine(self, worker: Worker, now_s: float) -> None:
         settings = self._state.settings
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -18,6 +18,7 @@
     TaskFinished,
     TaskState,
 )
+from redwingplank.scheduling.openness import update_open
 from redwingplank.scheduling.state import ShardState
 from redwingplank.scheduling.vm_table import Amounts
 
@@ -103,11 +104,27 @@
         worker.tasks_by_id[task.task_id] = task
         rack = int(state.table.rack[worker.row])
         job.used_by_rack[rack] = job.used_by_rack.get(rack, 0) + 1
+        self._count(task, worker, amounts, 1)
+        if worker.is_probing:
+            update_open(state, worker)
         usage = state.shares.find(job.spec.organisation)
         state.shares.charge(usage, amounts, 1)
         state.queue.reorder(usage)
         state.running_count += 1
 
+    def _count(self, task: Task, worker: Worker, amounts: Amounts, sign: int) -> None:
+        """Count a reservation under what it may be moved for."""
+        service = task.job.service
+        table = self._state.table
+        if sign > 0:
+            is_left = task.preemptions < self._state.settings.max_preemptions_per_task
+            may_stop = service.is_preemptible and service.is_idempotent
+            task.is_preemptible = is_left and may_stop
+        if service.kind is WorkloadKind.SERVICE:
+            table.add_standing(worker.row, amounts, sign)
+        if task.is_preemptible:
+            table.add_preemptible(worker.row, int(service.deadline_class), amounts, sign)
+
     def release(self, task: Task) -> None:
         """Give a task's reservation back; only with proof that it has stopped."""
         state = self._state
@@ -117,6 +134,7 @@
         if task.phase is Phase.RUNNING:
             worker.confirmed_count -= 1
         state.table.release(worker.row, amounts)
+        self._count(task, worker, amounts, -1)
         state.freed_rows[worker.row] = None
         del worker.tasks_by_id[task.task_id]
         task.job.used_by_rack[int(state.table.rack[worker.row])] -= 1
@@ -126,6 +144,8 @@
             state.freed_organisations[usage.name] = None
         state.queue.reorder(usage)
         state.running_count -= 1
+        if worker.is_probing:
+            update_open(state, worker)
         task.worker = task.amounts = None
         task.phase = Phase.HELD
 
@@ -135,7 +155,9 @@
         assert task.worker is not None
         assert task.amounts is not None
         state.table.reserve(task.worker.row, extra)
+        self._count(task, task.worker, task.amounts, -1)
         task.amounts = task.amounts + extra
+        self._count(task, task.worker, task.amounts, 1)
         task.reserved = state.resources(task.amounts)
         state.shares.charge(state.shares.find(task.job.spec.organisation), extra, 1)
 
--- a/redwingplank/scheduling/parking.py
+++ b/redwingplank/scheduling/parking.py
@@ -1,5 +1,7 @@
 """Lanes that found no room or no quota, kept aside until that changes."""
 
+from functools import partial
+
 import numpy as np
 
 from redwingplank.scheduling.messages import GrantWanted
@@ -10,7 +12,7 @@
 __all__ = ["Parking"]
 
 NeedKey = tuple[bool, tuple[int, ...]]
-"""Whether lanes hold gangs, and what each of their tasks needs."""
+"""Whether lanes need more than one place with room, and what each of their tasks needs."""
 
 
 class Parking:
@@ -28,25 +30,51 @@
         self._lanes_by_organisation: dict[str, list[Lane]] = {}
 
     def is_full(self, need: Amounts) -> bool:
-        """Return whether lanes of the same need are parked already, gangs apart."""
+        """Return whether lanes of the same need found no place already."""
         return (False, tuple(need.tolist())) in self._lanes_by_need
 
-    def park_for_room(self, lane: Lane, need: Amounts, now_s: float) -> None:
+    def park_for_room(self, lane: Lane, need: Amounts) -> None:
         """Park a lane until a row has room for its need."""
-        self._state.queue.park(lane, now_s)
-        key = (lane.gang_size > 0, tuple(need.tolist()))
+        self._state.queue.park(lane)
+        head = lane.head()
+        is_choosy = head is not None and bool(head.queued[0].failure_workers)
+        key = (lane.gang_size > 0 or is_choosy, tuple(need.tolist()))
+        lane.parked_need = key
         self._lanes_by_need.setdefault(key, []).append(lane)
 
     def park_for_quota(self, lane: Lane, need: Amounts, count: int, now_s: float) -> None:
         """Park a lane until its organisation holds less or may hold more."""
         state = self._state
-        state.queue.park(lane, now_s)
+        state.queue.park(lane)
         self._lanes_by_organisation.setdefault(lane.usage.name, []).append(lane)
         if now_s >= lane.usage.wanted_at_s + state.settings.grant_repeat_s:
             lane.usage.wanted_at_s = now_s
             wanted = state.resources(need) * count
             state.messages.append(GrantWanted(lane.usage.name, wanted))
 
+    def retry_at(self, lane: Lane, due_s: float) -> None:
+        """Bring a parked lane back at `due_s` if it is still parked."""
+        if not lane.retry_at_s or due_s < lane.retry_at_s:
+            lane.retry_at_s = due_s
+            self._state.due.call_at(due_s, partial(self._retry, lane))
+
+    def _retry(self, lane: Lane, now_s: float) -> None:
+        if now_s < lane.retry_at_s or not lane.retry_at_s:
+            return
+        lane.retry_at_s = 0.0
+        if lane.is_parked and lane.parked_need is not None:
+            self._remove(lane)
+            self._state.queue.unpark(lane)
+
+    def _remove(self, lane: Lane) -> None:
+        key = lane.parked_need
+        lane.parked_need = None
+        lanes = self._lanes_by_need.get(key, []) if key is not None else []
+        if lane in lanes:
+            lanes.remove(lane)
+        if key is not None and not lanes:
+            self._lanes_by_need.pop(key, None)
+
     def release_organisation(self, organisation: str) -> None:
         """Bring back the lanes that wait for an organisation's quota."""
         for lane in self._lanes_by_organisation.pop(organisation, ()):
@@ -65,6 +93,7 @@
         needs = list(self._lanes_by_need)
         for need in self._fitting(needs, rows):
             for lane in self._lanes_by_need.pop(need):
+                lane.parked_need = None
                 state.queue.unpark(lane)
 
     def _fitting(self, needs: list[NeedKey], rows: list[int]) -> list[NeedKey]:
--- a/redwingplank/scheduling/placer.py
+++ b/redwingplank/scheduling/placer.py
@@ -63,22 +63,23 @@
         policy : PlacementPolicyName
             Which policy scores the rows.
         avoided_rows : collection of int
-            Rows that are taken only when no other has room.
+            Rows that are taken only when no other is open.
         used_by_rack : ndarray of int64, optional
             Tasks of the job in each rack, to spread over.
         """
         scores = self._current_scores(amounts, policy)
         if used_by_rack is not None:
             scores = scores + _SPREAD_WEIGHT * used_by_rack[self._table.rack]
-        if avoided_rows:
-            others = scores.copy()
-            others[list(avoided_rows)] = np.inf
-            row = int(others.argmin())
-            if others[row] < np.inf:
-                return row
+        if avoided_rows and self._is_other_open(avoided_rows):
+            scores = scores.copy()
+            scores[list(avoided_rows)] = np.inf
         row = int(scores.argmin())
         return row if scores[row] < np.inf else NO_ROW
 
+    def _is_other_open(self, rows: Collection[int]) -> bool:
+        is_open = self._table.is_open
+        return int(np.count_nonzero(is_open)) > sum(bool(is_open[row]) for row in set(rows))
+
     def candidate_count(self, amounts: Amounts, policy: PlacementPolicyName) -> int:
         """Return how many rows have room."""
         return int(np.count_nonzero(self._current_scores(amounts, policy) < np.inf))
--- a/redwingplank/scheduling/queue.py
+++ b/redwingplank/scheduling/queue.py
@@ -47,6 +47,8 @@
     jobs: list[tuple[float, int, int, Job]] = field(default_factory=list)
     is_parked: bool = False
     blocked_since_s: float = -1.0
+    parked_need: tuple[bool, tuple[int, ...]] | None = None
+    retry_at_s: float = 0.0
 
     def head(self) -> Job | None:
         """Return the job with the earliest start deadline that still waits here."""
@@ -181,11 +183,9 @@
         ready[:] = {entry for entry in ready if entry[2] == queues[entry[1]].version}
         heapify(ready)
 
-    def park(self, lane: Lane, now_s: float) -> None:
+    def park(self, lane: Lane) -> None:
         """Take a lane out of the order until `unpark`."""
         lane.is_parked = True
-        if lane.blocked_since_s < 0:
-            lane.blocked_since_s = now_s
 
     def unpark(self, lane: Lane) -> None:
         """Put a parked lane back."""
--- a/redwingplank/scheduling/starter.py
+++ b/redwingplank/scheduling/starter.py
@@ -11,6 +11,7 @@
 from redwingplank.scheduling.parking import Parking
 from redwingplank.scheduling.placer import NO_ROW
 from redwingplank.scheduling.queue import Lane
+from redwingplank.scheduling.room import RoomMaker
 from redwingplank.scheduling.state import ShardState
 from redwingplank.scheduling.vm_table import Amounts
 
@@ -35,6 +36,7 @@
         self._lifecycle = lifecycle
         self._learning = learning
         self._parking = Parking(state)
+        self._room = RoomMaker(state, lifecycle, learning)
 
     @property
     def parking(self) -> Parking:
@@ -47,6 +49,7 @@
         self._parking.release_fitting()
         if not state.may_start(now_s, is_volatile=True):
             return
+        self._room.begin_tick()
         misses = starts = 0
         while starts < state.settings.max_starts_per_tick:
             lane = state.queue.top()
@@ -69,19 +72,23 @@
         if not state.shares.may_start(lane.usage, need):
             self._parking.park_for_quota(lane, need, 1, now_s)
             return 0, 0
-        if self._parking.is_full(need):
-            self._parking.park_for_room(lane, need, now_s)
-            return 0, 0
-        task = job.queued[0]
-        row = self._choose(task, need)
+        is_searched = bool(job.queued[0].failure_workers) or not self._parking.is_full(need)
+        row = self._choose(job, need, now_s)
         if row == NO_ROW:
-            self._parking.park_for_room(lane, need, now_s)
-            return 0, 1
+            self._wait_for_room(lane, job, need, 1, now_s)
+            return 0, int(is_searched)
+        self._room.release(job)
         lane.blocked_since_s = -1.0
-        job.queued.popleft()
-        self._place(task, row, need, now_s)
+        self._place(job.queued.popleft(), row, need, now_s)
         return 1, 0
 
+    def _wait_for_room(self, lane: Lane, job: Job, need: Amounts, count: int, now_s: float) -> None:
+        if lane.blocked_since_s < 0:
+            lane.blocked_since_s = now_s
+        self._room.make_room(lane, job, need, count, now_s)
+        self._parking.park_for_room(lane, need)
+        self._parking.retry_at(lane, self._room.next_try_s(lane, job, now_s))
+
     def _place_gang(self, lane: Lane, job: Job, need: Amounts, now_s: float) -> tuple[int, int]:
         state = self._state
         members = [task for task in job.queued if task.phase is Phase.QUEUED]
@@ -90,22 +97,30 @@
             self._parking.park_for_quota(lane, need, count, now_s)
             return 0, 0
         if count_places(state.table, need, job.held_rows) < count:
-            self._parking.park_for_room(lane, need, now_s)
+            self._wait_for_room(lane, job, need, count, now_s)
             return 0, 1
+        self._room.release(job)
         lane.blocked_since_s = -1.0
         job.queued.clear()
         for task in members:
-            self._place(task, self._choose(task, need), need, now_s)
+            self._place(task, self._choose_open(task, need), need, now_s)
         return count, 0
 
     def _need(self, lane: Lane, job: Job) -> Amounts:
         spec = job.spec
         return self._learning.need(spec.organisation, spec.service, lane.declared)
 
-    def _choose(self, task: Task, need: Amounts) -> int:
-        state = self._state
+    def _choose(self, job: Job, need: Amounts, now_s: float) -> int:
+        row = self._room.find_held(job, need) if job.held_rows else NO_ROW
+        if row == NO_ROW and not self._parking.is_full(need):
+            row = self._choose_open(job.queued[0], need)
+        if row == NO_ROW:
+            row = self._room.find_backfill(job, need, now_s)
+        return row
+
+    def _choose_open(self, task: Task, need: Amounts) -> int:
         job = task.job
-        return state.placer.choose(
+        return self._state.placer.choose(
             need, job.service.policy, self._failed_rows(task), self._rack_counts(job)
         )
 
--- a/redwingplank/scheduling/vm_table.py
+++ b/redwingplank/scheduling/vm_table.py
@@ -5,6 +5,7 @@
 import numpy as np
 from numpy.typing import NDArray
 
+from redwingplank.config import DeadlineClass
 from redwingplank.core import Resources, make_resources
 
 __all__ = ["Amounts", "VmTable"]
@@ -27,6 +28,10 @@
         What is not reserved, and the whole.
     is_open, is_held : ndarray of bool
         Rows that take new tasks, and rows that are kept for a reservation.
+    standing : ndarray of int64, shape (dimensions, rows)
+        What tasks of standing services reserve.
+    preemptible : ndarray of int64, shape (classes, dimensions, rows)
+        What preemptible tasks of that deadline class, or of a less urgent one, reserve.
     speed : ndarray of float
         Learnt speed relative to the shard's average.
     rack : ndarray of int64
@@ -40,6 +45,8 @@
         self.inverse = np.zeros((2, _FIRST_ROWS))
         self.is_open = np.zeros(_FIRST_ROWS, np.bool_)
         self.is_held = np.zeros(_FIRST_ROWS, np.bool_)
+        self.standing = np.zeros((2, _FIRST_ROWS), np.int64)
+        self.preemptible = np.zeros((len(DeadlineClass), 2, _FIRST_ROWS), np.int64)
         self.speed = np.ones(_FIRST_ROWS)
         self.rack = np.zeros(_FIRST_ROWS, np.int64)
         self.row_count = 0
@@ -75,6 +82,8 @@
         """Forget a VM; its row may be used again."""
         self.capacity[:, row] = 0
         self.free[:, row] = 0
+        self.standing[:, row] = 0
+        self.preemptible[:, :, row] = 0
         self.is_open[row] = self.is_held[row] = False
         self._free_rows.append(row)
         self.mark_changed(row)
@@ -97,6 +106,14 @@
         self.free[: len(amounts), row] += amounts
         self.mark_changed(row)
 
+    def add_standing(self, row: int, amounts: Amounts, sign: int) -> None:
+        """Count a service task's reservation, or stop counting it with sign -1."""
+        self.standing[: len(amounts), row] += sign * amounts
+
+    def add_preemptible(self, row: int, queue_class: int, amounts: Amounts, sign: int) -> None:
+        """Count a preemptible task's reservation, or stop counting it with sign -1."""
+        self.preemptible[: queue_class + 1, : len(amounts), row] += sign * amounts
+
     def set_open(self, row: int, is_open: bool) -> None:
         """Open a row to new tasks, or close it."""
         if self.is_open[row] != is_open:
@@ -157,6 +174,8 @@
         self.free = np.vstack([self.free, np.zeros((1, width), np.int64)])
         self.capacity = np.vstack([self.capacity, np.zeros((1, width), np.int64)])
         self.inverse = np.vstack([self.inverse, np.ones((1, width))])
+        self.standing = np.vstack([self.standing, np.zeros((1, width), np.int64)])
+        self.preemptible = np.pad(self.preemptible, ((0, 0), (0, 1), (0, 0)))
 
     def _next_row(self) -> int:
         if self.row_count == len(self.is_open):
@@ -171,5 +190,7 @@
         self.inverse = np.pad(self.inverse, ((0, 0), (0, extra)))
         self.is_open = np.pad(self.is_open, (0, extra))
         self.is_held = np.pad(self.is_held, (0, extra))
+        self.standing = np.pad(self.standing, ((0, 0), (0, extra)))
+        self.preemptible = np.pad(self.preemptible, ((0, 0), (0, 0), (0, extra)))
         self.speed = np.pad(self.speed, (0, extra), constant_values=1.0)
         self.rack = np.pad(self.rack, (0, extra))
--- a/redwingplank/standin/workers.py
+++ b/redwingplank/standin/workers.py
@@ -27,6 +27,8 @@
 __all__ = ["MemoryWorkerClient", "StandinWorker", "TaskProgram", "WorkerSwitches"]
 
 USAGE_LAG_S = 2.0
+STANDING_PREFIX = "service:"
+"""Start of the ids of standing services' tasks, which run until they are stopped."""
 
 
 class TaskProgram(msgspec.Struct, frozen=True):
@@ -238,7 +240,7 @@
             self._report_end(start, TaskEndReason.REFUSED, "no room", 0.0)
             return
         now_s = self.clock.now_s()
-        program = _read_program(start.payload)
+        program = _read_program(start)
         run_s = program.run_s / self.speed if program.run_s > 0 else float("inf")
         if self.switches.is_failing:
             run_s = 0.0
@@ -337,11 +339,12 @@
         return worker
 
 
-def _read_program(payload: bytes) -> TaskProgram:
-    if not payload:
-        return TaskProgram()
+def _read_program(start: StartTask) -> TaskProgram:
+    if not start.payload:
+        is_standing = start.task_id.startswith(STANDING_PREFIX)
+        return TaskProgram(run_s=0.0) if is_standing else TaskProgram()
     try:
-        return msgspec.json.decode(payload, type=TaskProgram)
+        return msgspec.json.decode(start.payload, type=TaskProgram)
     except msgspec.MsgspecError:
         return TaskProgram()
 
