Make the credit simulation denser and add the cases that it seldom meets

Change: partitions, ordered phases and fewer deaths; direct tests for frozen grants, pauses, authority.

--- a/redwingplank/routing/tests/credits_world.py
+++ b/redwingplank/routing/tests/credits_world.py
@@ -50,6 +50,7 @@
     waiting: int = 0
     in_use: dict[str, int] = field(default_factory=dict)
     is_store_reachable: bool = True
+    group: int = 0
 
     def __post_init__(self):
         self.holder = CreditHolder(SETTINGS, self.name, self.incarnation)
@@ -100,16 +101,18 @@
             (self.take_over, 2),
             (self.record_members, 3),
             (self.switch_store, 1),
-            (self.kill, 0.3),
-            (self.start, 0.5),
+            (self.kill, 0.15),
+            (self.start, 2),
             (self.believe_another, 1),
+            (self.partition, 0.4),
+            (self.settle, 1.5),
         ]
         weights = np.array([weight for _, weight in actions], dtype=float)
         chosen = int(self.random.choice(len(actions), p=weights / weights.sum()))
         actions[chosen][0]()
 
     def advance(self) -> None:
-        self.now_s += float(self.random.choice([0.01, 0.05, 0.3, 2.5], p=[0.4, 0.4, 0.17, 0.03]))
+        self.now_s += float(self.random.choice([0.01, 0.05, 0.3, 2.5], p=[0.4, 0.38, 0.2, 0.02]))
 
     def work(self) -> None:
         process = self.any_process()
@@ -122,13 +125,27 @@
         }
         process.holder.give_back(self.now_s, process.in_use)
 
+    def partition(self) -> None:
+        """Cut the entries into two groups, of which one has the store, or join them again."""
+        is_cut = self.random.random() < 0.6
+        for process in self.processes.values():
+            process.group = int(self.random.integers(0, 2)) if is_cut else 0
+            process.is_store_reachable = process.group == 0
+        if is_cut and self.random.random() < 0.5:
+            self.network.clear()
+
+    def post(self, sender: Process, to: str, message: CreditReport | CreditGrant) -> None:
+        receiver = self.processes.get(to)
+        if receiver is not None and receiver.group == sender.group:
+            self.network.append((to, message))
+
     def send_report(self, process: Process | None = None) -> None:
         process = process or self.any_process()
         if process is None or not process.believed_grantor:
             return
         use = {"s": ServiceUse(sum(process.in_use.values()), process.waiting)}
         report = process.holder.report(self.now_s, use, {})
-        self.network.append((process.believed_grantor, report))
+        self.post(process, process.believed_grantor, report)
 
     def deliver(self, index: int | None = None) -> None:
         if not self.network:
@@ -143,7 +160,7 @@
         elif process.grantor.report(self.now_s, message):
             grant = process.grantor.grant(self.now_s, message.entry)
             if grant is not None:
-                self.network.append((message.entry, grant))
+                self.post(process, message.entry, grant)
 
     def lose(self) -> None:
         if self.network:
@@ -153,8 +170,8 @@
         if self.network:
             self.network.append(self.network[int(self.random.integers(len(self.network)))])
 
-    def keep_authority(self) -> None:
-        process = self.any_process()
+    def keep_authority(self, process: Process | None = None) -> None:
+        process = process or self.any_process()
         if process is None or not process.grantor.epoch:
             return
         if not process.is_store_reachable:
@@ -184,8 +201,8 @@
         )
         process.believed_grantor = process.name
 
-    def record_members(self) -> None:
-        process = self.any_process()
+    def record_members(self, process: Process | None = None) -> None:
+        process = process or self.any_process()
         if process is None or not process.grantor.epoch or not process.is_store_reachable:
             return
         members = process.grantor.unrecorded_members()
@@ -225,14 +242,18 @@
         for name in [name for name in self.listed if name not in self.processes]:
             self.listed.remove(name)
         for process in self.processes.values():
-            process.is_store_reachable = True
+            process.is_store_reachable, process.group = True, 0
             process.waiting, process.in_use = 5, {}
+        self.settle(rounds)
+
+    def settle(self, rounds: int = 8) -> None:
+        """Let those that reach each other exchange in order."""
         for _ in range(rounds):
             self.now_s += 0.05
             for process in list(self.processes.values()):
                 self.take_over(process)
                 self.send_report(process)
-                self.keep_authority()
-                self.record_members()
-            while self.network:
+                self.keep_authority(process)
+                self.record_members(process)
+            for _ in range(len(self.network) * 2):
                 self.deliver(0)
--- a/redwingplank/routing/tests/test_credits.py
+++ b/redwingplank/routing/tests/test_credits.py
@@ -39,6 +39,10 @@
     def held(self, name):
         return sum(self.holders[name].held(self.now_s).values())
 
+    def settle_only(self, name, rounds=3):
+        for _ in range(rounds):
+            self.exchange(name)
+
     def settle(self, rounds=3):
         for _ in range(rounds):
             for name in self.holders:
@@ -166,6 +170,75 @@
         report = pair.holders["a"].report(0.0, {}, {})
         assert not old.report(0.0, report)
 
+    def test_a_frozen_entry_is_not_lapsed_by_a_grant_that_it_never_got(self):
+        pair = Pair()
+        pair.settle()
+        pair.grantor.freeze()
+        pair.settle()
+        pair.grantor.renew(100.0)
+        lost = pair.holders["b"].report(0.0, {}, {})
+        assert pair.grantor.report(0.0, lost)
+        pair.grantor.grant(0.0, "b")
+        pair.now_s = 50.0
+        pair.waiting["a"] = 400
+        pair.settle_only("a")
+        assert pair.held("a") + pair.held("b") <= SLOTS * len(UPSTREAMS)
+
+    def test_a_grantor_without_authority_takes_nothing_back(self):
+        pair = Pair()
+        pair.settle()
+        pair.now_s = 11.0
+        kept = sum(pair.holders["b"].held(0.0).values())
+        pair.waiting["a"] = 400
+        pair.settle_only("a")
+        assert kept > 0
+        assert pair.held("a") <= SLOTS * len(UPSTREAMS) - kept
+
+    def test_a_member_too_new_for_the_list_keeps_its_credits(self):
+        pair = Pair()
+        pair.settle()
+        pair.grantor.set_listed_entries(0.0, ["a"])
+        pair.waiting["a"] = 400
+        pair.settle_only("a")
+        assert pair.held("a") + pair.held("b") <= SLOTS * len(UPSTREAMS)
+        pair.grantor.set_listed_entries(121.0, ["a"])
+        assert sum(pair.grantor.granted_by_upstream().values()) == pair.held("a")
+
+
+class TestPausedEntry:
+    def test_what_lapsed_in_a_pause_is_not_kept_by_a_late_grant(self):
+        pair = Pair()
+        pair.settle()
+        holder = pair.holders["b"]
+        report = holder.report(9.9, {}, {})
+        pair.grantor.renew(100.0)
+        pair.waiting["a"] = 400
+        pair.now_s = 10.6
+        pair.settle_only("a")
+        assert pair.grantor.report(10.6, report)
+        grant = pair.grantor.grant(10.6, "b")
+        assert grant is not None
+        holder.receive(10.6, grant, report.held_by_upstream)
+        assert pair.held("a") + pair.held("b") <= SLOTS * len(UPSTREAMS)
+
+    def test_a_grant_that_arrives_after_its_lease_is_not_taken(self):
+        pair = Pair()
+        pair.settle()
+        report = pair.holders["b"].report(0.0, {}, {})
+        assert pair.grantor.report(0.0, report)
+        grant = pair.grantor.grant(0.0, "b")
+        assert grant is not None
+        assert not pair.holders["b"].receive(10.0, grant, {})
+        assert not pair.holders["b"].held(10.0)
+
+    def test_a_grant_of_an_earlier_epoch_is_not_taken(self):
+        pair = Pair()
+        pair.settle()
+        old = pair.grantor.grant(0.0, "a")
+        assert old is not None
+        pair.holders["a"].epoch = 2
+        assert not pair.holders["a"].receive(0.0, old, {})
+
 
 class TestEveryInterleaving:
     @pytest.mark.parametrize("seed", range(40))
