--- a/redwingplank/routing/choice.py
+++ b/redwingplank/routing/choice.py
@@ -14,7 +14,8 @@
 import numpy as np
 
 from redwingplank.core import InvalidValueError
-from redwingplank.routing.upstreams import UpstreamPool, UpstreamRow
+from redwingplank.routing.pools import UpstreamPool
+from redwingplank.routing.upstream_rows import UpstreamRow
 
 __all__ = [
     "Candidates",
@@ -29,6 +30,7 @@
 FASTEST_CONSIDERED = 4
 RANDOM_BATCH = 1024
 BULK_DEADLINE_FRACTION = 0.5
+MIN_GAIN = 0.25
 
 
 @dataclass(slots=True)
@@ -37,12 +39,8 @@
 
     Parameters
     ----------
-    now_s : float
-        The present time.
     pool : UpstreamPool
-        Upstreams of the service, fastest first.
-    slow_start_s : float
-        As in the settings.
+        Upstreams of the service.
     prefers_slow : bool
         Whether the request leaves the fast upstreams to others.
     remaining_s : float
@@ -55,9 +53,7 @@
         Upstreams that must not be chosen.
     """
 
-    now_s: float
     pool: UpstreamPool
-    slow_start_s: float
     prefers_slow: bool
     remaining_s: float
     work_s: float
@@ -65,13 +61,9 @@
     ahead: int
     excluded: frozenset[str]
 
-    def is_free(self, row: UpstreamRow) -> bool:
-        """Return whether a row can take the request now."""
-        return row.has_free_slot(self.now_s, self.slow_start_s) and row.name not in self.excluded
-
     def free(self) -> list[UpstreamRow]:
-        """Return all rows that can take the request now."""
-        return [row for row in self.pool.rows if self.is_free(row)]
+        """Return all rows that can take the request now, fastest first."""
+        return self.pool.free_rows(self.excluded)
 
 
 class ChoicePolicy(ABC):
@@ -104,25 +96,18 @@
     def choose(self, candidates: Candidates) -> UpstreamRow | None:
         if candidates.prefers_slow:
             return self._choose_slowest(candidates)
-        found, release_speed = _fastest_free(candidates)
+        found = candidates.pool.fastest_free(FASTEST_CONSIDERED, candidates.excluded)
         if not found:
             return None
         chosen = self._choose_of_two(found)
         if candidates.ahead and chosen.slowness * candidates.work_s > candidates.remaining_s:
             return None
-        if release_speed and self._is_wait_shorter(candidates, chosen, release_speed):
-            return None
-        return chosen
+        return None if _is_wait_shorter(candidates, chosen) else chosen
 
     def _choose_slowest(self, candidates: Candidates) -> UpstreamRow | None:
         budget_s = candidates.remaining_s * BULK_DEADLINE_FRACTION
-        fallback = None
-        for row in reversed(candidates.pool.rows):
-            if candidates.is_free(row):
-                if row.slowness * candidates.work_s <= budget_s:
-                    return row
-                fallback = row
-        return fallback
+        max_slowness = budget_s / candidates.work_s
+        return candidates.pool.slowest_free(max_slowness, candidates.excluded)
 
     def _choose_of_two(self, found: list[UpstreamRow]) -> UpstreamRow:
         if len(found) == 1:
@@ -131,13 +116,6 @@
         second = found[int(self._random() * len(found))]
         return first if _relative_finish(first) <= _relative_finish(second) else second
 
-    def _is_wait_shorter(
-        self, candidates: Candidates, chosen: UpstreamRow, release_speed: float
-    ) -> bool:
-        fastest = candidates.pool.rows[0]
-        wait_s = (candidates.ahead + 1) * candidates.mix_work_s / release_speed
-        return wait_s < (chosen.slowness - fastest.slowness) * candidates.work_s
-
     def _random(self) -> float:
         if not self._numbers:
             self._numbers = self._generator.random(RANDOM_BATCH).tolist()
@@ -207,18 +185,14 @@
     )
 
 
-def _fastest_free(candidates: Candidates) -> tuple[list[UpstreamRow], float]:
-    """Return the fastest free rows and the speed of the busy rows before them."""
-    found: list[UpstreamRow] = []
-    release_speed = 0.0
-    for row in candidates.pool.rows:
-        if candidates.is_free(row):
-            found.append(row)
-            if len(found) == FASTEST_CONSIDERED:
-                break
-        elif not found and row.in_flight and row.name not in candidates.excluded:
-            release_speed += row.in_flight / row.slowness
-    return found, release_speed
+def _is_wait_shorter(candidates: Candidates, chosen: UpstreamRow) -> bool:
+    """Return whether a slot of a faster upstream is expected to finish the request earlier."""
+    speed = candidates.pool.speed_before(chosen)
+    fastest = candidates.pool.rows[0]
+    gain_s = (chosen.slowness - fastest.slowness - MIN_GAIN) * candidates.work_s
+    if not speed or gain_s <= 0:
+        return False
+    return (candidates.ahead + 1) * candidates.mix_work_s / speed < gain_s
 
 
 def _relative_finish(row: UpstreamRow) -> float:
--- a/redwingplank/routing/outliers.py
+++ b/redwingplank/routing/outliers.py
@@ -1,7 +1,8 @@
 """Ejection of upstreams that keep failing, with a floor."""
 
+from redwingplank.routing.pools import UpstreamPool
 from redwingplank.routing.settings import RouterSettings
-from redwingplank.routing.upstreams import UpstreamPool, UpstreamRow
+from redwingplank.routing.upstream_rows import UpstreamRow
 
 __all__ = ["OutlierDetector"]
 
@@ -35,6 +36,7 @@
             return False
         duration_s = self._settings.eject_s * 2.0**row.ejections
         row.block(now_s + min(duration_s, self._settings.max_eject_s))
+        pool.refresh(now_s)
         row.is_ejected = True
         row.ejections += 1
         row.failures = 0
--- a/redwingplank/routing/router.py
+++ b/redwingplank/routing/router.py
@@ -24,7 +24,8 @@
 from redwingplank.routing.retries import RetryBudget
 from redwingplank.routing.selection import UpstreamSelector
 from redwingplank.routing.settings import RouterSettings
-from redwingplank.routing.upstreams import UpstreamRow, UpstreamTable
+from redwingplank.routing.upstream_rows import UpstreamRow
+from redwingplank.routing.upstreams import UpstreamTable
 from redwingplank.routing.waiting import WaitingRequests
 
 __all__ = ["Router", "make_router"]
@@ -104,7 +105,7 @@
 
     def set_credits(self, now_s: float, credits_by_upstream: Mapping[str, int]) -> None:
         """Take the slot credits that this entry holds now."""
-        self._table.set_credits(dict(credits_by_upstream))
+        self._table.set_credits(now_s, dict(credits_by_upstream))
 
     def set_peers(self, now_s: float, peers: Iterable[PeerLoad]) -> None:
         """Take what other entries said of their load."""
@@ -114,7 +115,7 @@
         """Send nothing new to an upstream that said that it leaves."""
         row = self._table.rows_by_name.get(upstream)
         if row is not None:
-            row.block(now_s + self._settings.leaving_s)
+            self._table.block(now_s, row, self._settings.leaving_s)
 
     def decide(self, now_s: float, request: RouteRequest) -> Decision:
         """Return where a request goes.
@@ -183,7 +184,7 @@
             return False
         row = running.row
         if kind is FailureKind.NOT_CONNECTED:
-            row.block(now_s + self._settings.unavailable_s)
+            self._table.block(now_s, row, self._settings.unavailable_s)
         if kind not in EJECTING_KINDS:
             return False
         return self._outliers.failed(now_s, row, self._table.pool_of(row))
@@ -210,7 +211,7 @@
         demand = {}
         for upstream_service, pool in self._table.own_pools_by_service.items():
             in_flight = sum(row.in_flight for row in pool.rows)
-            usable = sum(row.limit(now_s, self._settings.slow_start_s) for row in pool.rows)
+            usable = sum(row.usable for row in pool.rows)
             waiting = self._waiting.size_of(upstream_service)
             demand[upstream_service] = ServiceDemand(in_flight, max(0, usable - in_flight), waiting)
         return demand
@@ -236,7 +237,7 @@
             is_hedge=request.is_hedge,
             waited_s=waited_s,
         )
-        row.in_flight += 1
+        self._table.take_slot(row)
         self._running_by_route[route] = _Running(row, request.organisation, service)
         return route
 
@@ -258,7 +259,7 @@
     def _free(self, route: Route) -> _Running | None:
         running = self._running_by_route.pop(route, None)
         if running is not None:
-            running.row.in_flight -= 1
+            self._table.free_slot(running.row)
         return running
 
 
--- a/redwingplank/routing/selection.py
+++ b/redwingplank/routing/selection.py
@@ -5,9 +5,11 @@
 from redwingplank.config import DeadlineClass, Service
 from redwingplank.routing.choice import Candidates, make_choice_policy
 from redwingplank.routing.messages import RouteRequest
+from redwingplank.routing.pools import UpstreamPool
 from redwingplank.routing.service_times import ServiceTimes, SpeedModel
 from redwingplank.routing.settings import RouterSettings
-from redwingplank.routing.upstreams import UpstreamPool, UpstreamRow, UpstreamTable
+from redwingplank.routing.upstream_rows import UpstreamRow
+from redwingplank.routing.upstreams import UpstreamTable
 
 __all__ = ["UpstreamSelector"]
 
@@ -73,7 +75,7 @@
         It is 0 before the first answer: an assumed service time sheds nothing.
         """
         pool = self._table.own_pool(service.upstream_service)
-        speed = pool.speed(now_s, self._settings.slow_start_s) if pool else 0.0
+        speed = pool.speed if pool else 0.0
         if not speed:
             return CREDITS_EXPECTED_WITHIN_S
         if not self.speeds.is_measured(service.upstream_service):
@@ -101,7 +103,15 @@
     def has_free(self, now_s: float, upstream_service: str) -> bool:
         """Return whether an upstream of the own failure domain has a free slot."""
         pool = self._table.own_pool(upstream_service)
-        return pool is not None and pool.has_free(now_s, self._settings.slow_start_s)
+        if pool is None:
+            return False
+        self._refresh(now_s, upstream_service, pool)
+        return pool.has_free()
+
+    def _refresh(self, now_s: float, upstream_service: str, pool: UpstreamPool) -> None:
+        if pool.is_due(now_s):
+            self.speeds.normalise(upstream_service, pool)
+            pool.refresh(now_s)
 
     def _select_in(
         self,
@@ -111,14 +121,10 @@
         pool: UpstreamPool,
         ahead: int,
     ) -> UpstreamRow | None:
-        if pool.needs_sort(now_s):
-            self.speeds.normalise(service.upstream_service, pool)
-            pool.sort(now_s)
+        self._refresh(now_s, service.upstream_service, pool)
         is_last_resort = len(request.excluded) >= len(pool.rows)
         candidates = Candidates(
-            now_s=now_s,
             pool=pool,
-            slow_start_s=self._settings.slow_start_s,
             prefers_slow=service.deadline_class is DeadlineClass.BULK,
             remaining_s=request.deadline_s - now_s,
             work_s=self.times(request.organisation, service).work_s,
--- a/redwingplank/routing/service_times.py
+++ b/redwingplank/routing/service_times.py
@@ -2,7 +2,8 @@
 
 from sortedcontainers import SortedList
 
-from redwingplank.routing.upstreams import UpstreamPool, UpstreamRow
+from redwingplank.routing.pools import UpstreamPool
+from redwingplank.routing.upstream_rows import UpstreamRow
 
 __all__ = ["ServiceTimes", "SpeedModel"]
 
--- a/redwingplank/routing/waiting.py
+++ b/redwingplank/routing/waiting.py
@@ -7,7 +7,7 @@
 from redwingplank.routing.messages import RouteRequest, Shed, ShedReason, Wait
 from redwingplank.routing.selection import UpstreamSelector
 from redwingplank.routing.settings import RouterSettings
-from redwingplank.routing.upstreams import UpstreamRow
+from redwingplank.routing.upstream_rows import UpstreamRow
 
 __all__ = ["WaitingRequests"]
 
--- a/redwingplank/runtime/requests_body.py
+++ b/redwingplank/runtime/requests_body.py
@@ -99,6 +99,10 @@
         self._chunks.clear()
         self._held_bytes = 0
 
+    async def close(self) -> None:
+        """Do as `aclose`; servers call it by this name."""
+        await self.aclose()
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
