Give each part of a tracked figure the unit of its name

Cause: a method that tracks several figures has one unit attribute. Change: the unit is read from the part's name. Test: pytest benchmarks/tests/test_runner.py.

--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -29,6 +29,15 @@
 HISTOGRAM_DIGITS = 3
 NS_PER_S = 1e9
 KIB_PER_MIB = 1024
+_UNITS_BY_ENDING = {
+    "per_s": "1/s",
+    "percent": "%",
+    "mib": "MiB",
+    "bytes": "B",
+    "ms": "ms",
+    "us": "us",
+    "s": "s",
+}
 
 
 @dataclass(frozen=True)
@@ -125,11 +134,20 @@
     if not isinstance(value, dict):
         return [Metric(method.__name__, parameters, float(value), unit)]
     return [
-        Metric(f"{method.__name__}.{part}", parameters, float(figure), unit)
+        Metric(f"{method.__name__}.{part}", parameters, float(figure), _unit_of(part, unit))
         for part, figure in value.items()
     ]
 
 
+def _unit_of(part: str, default: str) -> str:
+    """Return the unit that a part's name ends with, or names, such as ``us_per_start``."""
+    for ending, unit in _UNITS_BY_ENDING.items():
+        if part.endswith(f"_{ending}") or part == ending:
+            return unit
+    first = part.split("_")[0]
+    return _UNITS_BY_ENDING.get(first, default) if "_per_" in part else default
+
+
 def _measure_time(
     instance: Any, method: Callable, parameters: dict[str, Any], values: tuple
 ) -> list[Metric]:
--- a/benchmarks/tests/test_runner.py
+++ b/benchmarks/tests/test_runner.py
@@ -30,6 +30,13 @@
     track_size.unit = "items"
 
 
+class Parts:
+    """A benchmark whose figures have units of their own."""
+
+    def track_cost(self) -> dict[str, float]:
+        return {"us_per_start": 1.0, "tick_p99_ms": 2.0, "starts_per_s": 3.0, "share": 4.0}
+
+
 class Broken:
     """A benchmark class that raises."""
 
@@ -106,6 +113,18 @@
         assert {"time_sum.median", "time_sum.p99", "time_sum.calibrated"} <= names
 
 
+    def test_parts_of_a_figure_have_the_unit_of_their_name(self, capsys):
+        parts = BenchmarkClass("test.Parts", Parts)
+        value = json.loads(run(capsys, "--json", benchmarks=[parts])[1].out)
+        units = {metric["name"]: metric["unit"] for metric in value["metrics"]}
+        assert units == {
+            "track_cost.us_per_start": "us",
+            "track_cost.tick_p99_ms": "ms",
+            "track_cost.starts_per_s": "1/s",
+            "track_cost.share": "1",
+        }
+
+
 class TestList:
     def test_prints_names_and_runs_nothing(self, capsys):
         broken = BenchmarkClass("test.Broken", Broken)
