--- a/redwingplank/standin/checks.py
+++ b/redwingplank/standin/checks.py
@@ -6,9 +6,10 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from redwingplank.core import Finding, Place, Resources
+from redwingplank.platform.upstreams import REQUEST_ID_SEPARATOR
 from redwingplank.standin.callers import CallerRecords, Ran, RequestRecord
 from redwingplank.standin.history import HistoryEvent, HistoryEventKind
 from redwingplank.standin.intervals import Interval, find_intervals, usage_steps
@@ -16,6 +17,7 @@
 __all__ = ["LEAVING_GRACE_S", "CheckedRun", "check_history", "make_checked_run"]
 
 LEAVING_GRACE_S = 2.0
+REQUEST_KINDS = frozenset({HistoryEventKind.REQUEST_STARTED, HistoryEventKind.REQUEST_ENDED})
 COMPLETED = "completed"
 SUCCEEDED = "succeeded"
 
@@ -60,7 +62,7 @@
     is_cut_allowed: bool = False,
 ) -> CheckedRun:
     """Prepare a run for the checks; see `CheckedRun` for the parameters."""
-    listed = tuple(events)
+    listed = tuple(_with_caller_id(event) for event in events)
     return CheckedRun(
         events=listed,
         records=records or CallerRecords(),
@@ -172,17 +174,21 @@
 
 def check_answers(run: CheckedRun) -> Iterator[Finding]:
     """Each answer is whole and that of the caller's own request."""
-    ended_by_id: dict[str, list[HistoryEvent]] = defaultdict(list)
+    answers_by_id: dict[str, list[HistoryEvent]] = defaultdict(list)
+    answers_by_key: dict[tuple[str, str], list[HistoryEvent]] = defaultdict(list)
     for event in run.events:
         if event.kind is HistoryEventKind.REQUEST_ENDED and event.digest:
-            ended_by_id[event.subject].append(event)
+            answers_by_id[event.subject].append(event)
+            if event.key:
+                answers_by_key[event.organisation, event.key].append(event)
     for record in run.records.requests:
         subject = record.request_id or record.key
         if record.is_cut and not run.is_cut_allowed:
             yield _finding(0, subject, "was cut off")
         if record.ran is not Ran.YES:
             continue
-        answers = ended_by_id.get(record.answered_request_id, [])
+        answers = answers_by_id.get(record.answered_request_id, [])
+        answers = answers or answers_by_key.get((record.organisation, record.key), [])
         if not answers:
             yield _finding(0, subject, "was answered, but no upstream ran it")
         elif not any(answer.digest == record.digest for answer in answers):
@@ -294,6 +300,13 @@
     return by_subject
 
 
+def _with_caller_id(event: HistoryEvent) -> HistoryEvent:
+    """Name the caller's request instead of the id that the entry gave to the upstream."""
+    if event.kind not in REQUEST_KINDS or REQUEST_ID_SEPARATOR not in event.subject:
+        return event
+    return replace(event, subject=event.subject.partition(REQUEST_ID_SEPARATOR)[0])
+
+
 def _job_of(task_id: str) -> str:
     return task_id.rpartition("/")[0]
 
