--- /dev/null
+++ b/benchmarks/scheduling.py
@@ -0,0 +1,307 @@
+"""Cost of the decision core: steady starts, slopes, memory, cancellations."""
+
+import gc
+import time
+from heapq import heappop, heappush
+from statistics import fmean
+
+import numpy as np
+
+from redwingplank.config import (
+    Declarations,
+    Organisation,
+    PlacementPolicyName,
+    Service,
+    WorkloadKind,
+)
+from redwingplank.core import Resources, make_resources
+from redwingplank.platform import (
+    ListedVm,
+    StartTask,
+    TaskEnd,
+    TaskEndReason,
+    TaskUsage,
+    VmRole,
+    WorkerInventory,
+    WorkerReport,
+    WorkerRequest,
+)
+from redwingplank.scheduling import Scheduler, SchedulerSettings, make_scheduler
+from redwingplank.scheduling.messages import (
+    CancelJob,
+    InboxMessage,
+    JobSpec,
+    JournalCommitted,
+    Outbox,
+    OwnershipChanged,
+    OwnershipMode,
+    RecoveredState,
+    SubmitJob,
+    VmsListed,
+    WorkerAdopted,
+    WorkerReported,
+)
+
+CAPACITY = make_resources(64_000, 131_072)
+TASK = make_resources(1000, 1500)
+BIG_TASK = make_resources(64_000, 1500)
+TICK_S = 0.02
+TASKS_PER_JOB = 20
+WARM_UP_S = 4.0
+MEASURED_S = 8.0
+USAGE_LAG_S = 2.0
+US_PER_S = 1e6
+MS_PER_S = 1e3
+
+
+class _FakeWorker:
+    """Runs each task for a fixed time and answers exchanges."""
+
+    def __init__(self, name: str, run_s: float) -> None:
+        self.name = name
+        self.run_s = run_s
+        self.sequence = 0
+        self.started_by_task: dict[str, tuple[float, StartTask]] = {}
+        self.due: list[tuple[float, str, int]] = []
+        self.unacknowledged: list[TaskEnd] = []
+
+    def exchange(self, request: WorkerRequest, now_s: float) -> WorkerReport:
+        """Start what the request asks for and report what has ended."""
+        acknowledged = request.acknowledged_sequence
+        self.unacknowledged = [end for end in self.unacknowledged if end.sequence > acknowledged]
+        for action in request.actions:
+            if action.task_id in self.started_by_task:
+                self._end(action.task_id, action.attempt, TaskEndReason.STOPPED)
+        for start in request.starts:
+            self.started_by_task[start.task_id] = (now_s, start)
+            heappush(self.due, (now_s + self.run_s, start.task_id, start.attempt))
+        while self.due and self.due[0][0] <= now_s:
+            _, task_id, attempt = heappop(self.due)
+            if task_id in self.started_by_task:
+                self._end(task_id, attempt, TaskEndReason.COMPLETED)
+        usage = tuple(
+            TaskUsage(task_id, start.attempt, start.reserved, USAGE_LAG_S)
+            for task_id, (started_at_s, start) in self.started_by_task.items()
+            if started_at_s <= now_s - USAGE_LAG_S
+        )
+        running = len(self.started_by_task)
+        return WorkerReport(self.name, 1, tuple(self.unacknowledged), usage, running)
+
+    def _end(self, task_id: str, attempt: int, reason: TaskEndReason) -> None:
+        del self.started_by_task[task_id]
+        self.sequence += 1
+        end = TaskEnd(task_id, attempt, reason, self.sequence, run_time_s=self.run_s)
+        self.unacknowledged.append(end)
+
+
+class _Cell:
+    """One owner with fake workers; a record is durable and an answer there one tick later."""
+
+    def __init__(self, workers: int, run_s: float, organisations: int = 15) -> None:
+        self.now_s = 0.0
+        self.workers_by_name = {f"w{n}": _FakeWorker(f"w{n}", run_s) for n in range(workers)}
+        self.organisations = [f"o{number}" for number in range(organisations)]
+        self.scheduler: Scheduler = make_scheduler(
+            SchedulerSettings("s"),
+            RecoveredState(1, 0, (), 0.0),
+            _declare(self.organisations),
+            0.0,
+        )
+        self.inbox: list[InboxMessage] = self._first_messages()
+        self.durations_s: list[float] = []
+        self.starts = 0
+        self.job_count = 0
+
+    def _first_messages(self) -> list[InboxMessage]:
+        vms = [
+            ListedVm(name, VmRole.WORKER, "d", f"r{number // 8}", name, capacity=CAPACITY)
+            for number, name in enumerate(self.workers_by_name)
+        ]
+        adopted = [WorkerAdopted(vm, WorkerInventory(vm.name, 1, CAPACITY)) for vm in vms]
+        owning = OwnershipChanged(OwnershipMode.OWNING, 1, 1e12)
+        return [owning, VmsListed(tuple(vms)), *adopted]
+
+    def submit(self, tasks: int = TASKS_PER_JOB, resources: Resources | None = None) -> str:
+        """Submit a job of the next organisation."""
+        self.job_count += 1
+        organisation = self.organisations[self.job_count % len(self.organisations)]
+        spec = JobSpec(f"job-{self.job_count}", organisation, "work", tasks, resources)
+        self.inbox.append(SubmitJob(self.job_count, spec))
+        return spec.job_id
+
+    def tick(self) -> Outbox:
+        """Run one tick, timed, and answer its outbox."""
+        inbox, self.inbox = self.inbox, []
+        begin_s = time.process_time()
+        outbox = self.scheduler.tick(self.now_s, inbox)
+        self.durations_s.append(time.process_time() - begin_s)
+        for name, request in outbox.requests_by_worker.items():
+            self.starts += len(request.starts)
+            report = self.workers_by_name[name].exchange(request, self.now_s)
+            self.inbox.append(WorkerReported(report))
+        if outbox.records:
+            self.inbox.append(JournalCommitted(outbox.records[-1].sequence))
+        self.now_s += TICK_S
+        return outbox
+
+    def run_at(self, starts_per_s: float, for_s: float) -> None:
+        """Submit work at a steady rate for a while."""
+        end_s = self.now_s + for_s
+        owed = 0.0
+        while self.now_s < end_s:
+            owed += starts_per_s * TICK_S
+            while owed >= TASKS_PER_JOB:
+                owed -= TASKS_PER_JOB
+                self.submit()
+            self.tick()
+
+    def measure_at(self, starts_per_s: float) -> dict[str, float]:
+        """Return the cost of decisions at a steady rate, after a warm-up."""
+        self.run_at(starts_per_s, WARM_UP_S)
+        gc.collect()
+        gc.freeze()
+        self.durations_s.clear()
+        self.starts = 0
+        self.run_at(starts_per_s, MEASURED_S)
+        gc.unfreeze()
+        used_s = sum(self.durations_s)
+        return {
+            "starts_per_s": self.starts / MEASURED_S,
+            "us_per_start": used_s / self.starts * US_PER_S,
+            "core_percent": used_s / MEASURED_S * 100,
+            "tick_p99_ms": float(np.percentile(self.durations_s, 99)) * MS_PER_S,
+            "tick_max_ms": max(self.durations_s) * MS_PER_S,
+        }
+
+
+def _declare(organisations: list[str]) -> Declarations:
+    services = {"work": Service("work", "t", WorkloadKind.BATCH, resources=TASK, run_time_s=4.0)}
+    return Declarations(
+        1, {name: Organisation(name, 100, None, services) for name in organisations}
+    )
+
+
+class SteadyStarts:
+    """One owner of 460 workers at its part of the target and at the peak of the whole cell."""
+
+    param_names = ["starts_per_s", "run_s"]
+    params = [[247, 3700], [4.0]]
+    timeout = 300
+
+    def track_cost(self, starts_per_s: int, run_s: float) -> dict[str, float]:
+        """Cost of decisions, renewals and reports."""
+        return _Cell(460, run_s).measure_at(starts_per_s)
+
+
+class SlopeOverWorkers:
+    """The same rate over more and more workers."""
+
+    param_names = ["workers"]
+    params = [[24, 460, 6900]]
+    timeout = 300
+
+    def track_cost(self, workers: int) -> dict[str, float]:
+        """Cost at 247 starts a second."""
+        return _Cell(workers, 4.0).measure_at(247)
+
+
+class SlopeOverQueue:
+    """A steady rate beside more and more tasks that find no room."""
+
+    param_names = ["queued_tasks"]
+    params = [[1_000, 10_000, 100_000]]
+    timeout = 300
+
+    def track_cost(self, queued_tasks: int) -> dict[str, float]:
+        """Cost at 247 starts a second with tasks waiting that need a whole VM."""
+        cell = _Cell(460, 4.0)
+        cell.run_at(247, 1.0)
+        for _ in range(queued_tasks // 100):
+            cell.submit(100, BIG_TASK)
+        return cell.measure_at(247)
+
+
+class FullShard:
+    """More work than places: each end lets one waiting task start."""
+
+    param_names = ["organisations"]
+    params = [[15, 150]]
+    timeout = 300
+
+    def track_cost(self, organisations: int) -> dict[str, float]:
+        """Cost with 24 workers full and 20,000 tasks waiting."""
+        cell = _Cell(24, 4.0, organisations)
+        for _ in range(1000):
+            cell.submit()
+        return cell.measure_at(0)
+
+
+class RunningTasks:
+    """Memory and idle cost of one owner that holds the whole target."""
+
+    timeout = 300
+
+    def _fill(self) -> _Cell:
+        cell = _Cell(1000, 1e9, organisations=150)
+        for _ in range(2800):
+            cell.submit()
+        while cell.starts < 56_000:
+            cell.tick()
+        return cell
+
+    def peakmem_running(self) -> None:
+        """Peak memory with 56,000 running tasks of 150 organisations."""
+        self._fill()
+
+    def track_idle_core_percent(self) -> float:
+        """Cost of renewals and reports with usage of all tasks, part of a core."""
+        cell = self._fill()
+        cell.run_at(0, 4.0)
+        cell.durations_s.clear()
+        cell.run_at(0, 6.0)
+        return sum(cell.durations_s) / 6.0 * 100
+
+
+class CancellationWave:
+    """Many cancellations in one tick."""
+
+    param_names = ["jobs"]
+    params = [[1_000, 10_000]]
+    timeout = 300
+
+    def track_us_per_cancellation(self, jobs: int) -> float:
+        """Cost of the tick that takes the wave, for each cancellation."""
+        costs_s = []
+        for _ in range(3):
+            cell = _Cell(24, 1e9)
+            names = [cell.submit(1) for _ in range(jobs)]
+            cell.run_at(0, 0.5)
+            cell.inbox.extend(CancelJob(number, name) for number, name in enumerate(names))
+            cell.tick()
+            costs_s.append(cell.durations_s[-1])
+        return fmean(costs_s) / jobs * US_PER_S
+
+
+class PlacementChoice:
+    """One choice of a VM by each policy."""
+
+    param_names = ["policy", "workers"]
+    params = [[str(name) for name in PlacementPolicyName], [24, 460, 6900]]
+
+    def setup(self, policy: str, workers: int) -> None:
+        """Make a table of VMs and fill the cache of scores."""
+        from redwingplank.scheduling.placer import Placer
+        from redwingplank.scheduling.vm_table import VmTable
+
+        self.table = VmTable()
+        for number in range(workers):
+            row = self.table.add(CAPACITY, f"r{number // 8}")
+            self.table.set_open(row, True)
+        self.placer = Placer(self.table, np.random.default_rng(0))
+        self.amounts = self.table.amounts(TASK)
+
+    def time_choose_and_reserve(self, policy: str, workers: int) -> None:
+        """Choose, reserve and release."""
+        row = self.placer.choose(self.amounts, PlacementPolicyName(policy))
+        self.table.reserve(row, self.amounts)
+        self.table.release(row, self.amounts)
