Order an organisation once a tick after ends; log candidates and reason of each placement

Cause: each end pushed its organisation into the order again, and each queued task built its need. Change: organisations that changed are ordered once, before placements; a job keeps its need; hot decision lines are formatted directly and name the candidate count and the reason. Run: pytest redwingplank/core redwingplank/scheduling: 130 passed.

--- a/redwingplank/core/__init__.py
+++ b/redwingplank/core/__init__.py
@@ -6,6 +6,7 @@
 from redwingplank.core.logs import (
     Logger,
     format_event,
+    format_value,
     log_event,
     make_logger,
     start_logging,
@@ -26,6 +27,7 @@
     "Resources",
     "UnixClock",
     "format_event",
+    "format_value",
     "log_event",
     "make_logger",
     "make_resources",
--- a/redwingplank/core/logs.py
+++ b/redwingplank/core/logs.py
@@ -7,7 +7,7 @@
 import logbook
 from logbook import Logger
 
-__all__ = ["Logger", "format_event", "log_event", "make_logger", "start_logging"]
+__all__ = ["Logger", "format_event", "format_value", "log_event", "make_logger", "start_logging"]
 
 _is_plain = re.compile(r"[\w\-.:/,+@%#]+").fullmatch
 
@@ -32,9 +32,9 @@
     >>> format_event("task_placed", {"vm": "vm-1", "reason": "best fit"})
     'event=task_placed vm=vm-1 reason="best fit"'
     """
-    pairs = [f"event={_format_value(event)}"]
+    pairs = [f"event={format_value(event)}"]
     for key, value in fields.items():
-        pairs.append(f"{key}={_format_value(value)}")
+        pairs.append(f"{key}={format_value(value)}")
     return " ".join(pairs)
 
 
@@ -83,7 +83,8 @@
     return handler
 
 
-def _format_value(value: Any) -> str:
+def format_value(value: Any) -> str:
+    """Return a value as it stands in a line of pairs, quoted where needed."""
     if type(value) is int:
         return str(value)
     if isinstance(value, float):
--- a/redwingplank/scheduling/adoption.py
+++ b/redwingplank/scheduling/adoption.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from redwingplank.core import format_value
 from redwingplank.platform import (
     ListedVm,
     RunningTask,
@@ -82,7 +83,8 @@
 
     def _add(self, vm: ListedVm, inventory: WorkerInventory) -> Worker:
         row = self._state.table.add(inventory.capacity, vm.rack)
-        worker = Worker(vm.name, row, vm.rack, inventory.incarnation)
+        worker = Worker(vm.name, row, vm.rack, incarnation=inventory.incarnation)
+        worker.log_name = format_value(vm.name)
         worker.is_draining = vm.name in self._state.draining
         self._state.workers_by_name[vm.name] = worker
         self._state.workers_by_row[row] = worker
--- a/redwingplank/scheduling/attempt_ends.py
+++ b/redwingplank/scheduling/attempt_ends.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 from redwingplank.config import WorkloadKind
+from redwingplank.core import format_value
 from redwingplank.platform import TaskEnd, TaskEndReason, TaskUsage
 from redwingplank.scheduling.entities import Phase, StopReason, Task, Worker
 from redwingplank.scheduling.gangs import requeue_if_stopped
@@ -68,20 +69,15 @@
             self._overshoot.take(worker, over, now_s)
 
     def _take(self, worker: Worker, end: TaskEnd, now_s: float) -> None:
-        task = self._state.find_task(end.task_id)
-        stray = worker.strays_by_id.pop(end.task_id, None)
-        if stray is not None:
-            self._state.table.release(worker.row, stray)
-            self._state.freed_rows[worker.row] = None
-        if task is None or task.worker is not worker or task.attempt != end.attempt:
+        if worker.strays_by_id:
+            self._take_stray_end(worker, end.task_id)
+        task = worker.tasks_by_id.get(end.task_id)
+        if task is None or task.attempt != end.attempt:
             return
-        self._state.decide(
-            "attempt_ended",
-            task=end.task_id,
-            attempt=end.attempt,
-            vm=worker.name,
-            reason=end.reason,
-            detail=end.detail,
+        detail = f" detail={format_value(end.detail)}" if end.detail else ""
+        self._state.decisions.append(
+            f"event=attempt_ended task={task.log_id} attempt={end.attempt} vm={worker.log_name} "
+            f"reason={end.reason.value}{detail}"
         )
         stop_reason = task.stop_reason
         self._lifecycle.release(task)
@@ -90,6 +86,12 @@
             self._learning.note_end(task, worker, end, is_completed)
         self._follow(task, worker, end, stop_reason, now_s)
 
+    def _take_stray_end(self, worker: Worker, task_id: str) -> None:
+        amounts = worker.strays_by_id.pop(task_id, None)
+        if amounts is not None:
+            self._state.table.release(worker.row, amounts)
+            self._state.freed_rows[worker.row] = None
+
     def _follow(
         self,
         task: Task,
--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from redwingplank.config import Service
-from redwingplank.core import NO_RESOURCES, Resources
+from redwingplank.core import NO_RESOURCES, Resources, format_value
 from redwingplank.platform import TaskAction
 from redwingplank.scheduling.messages import JobSpec, JobState, TaskState
 from redwingplank.scheduling.vm_table import Amounts
@@ -113,6 +113,14 @@
     replaces: "Task | None" = None
     replacement: "Task | None" = None
 
+    @property
+    def log_id(self) -> str:
+        """The task's id, quoted for a log line where needed."""
+        job = self.job
+        if job.log_id is job.spec.job_id:
+            return self.task_id
+        return format_value(self.task_id)
+
     @property
     def state(self) -> TaskState:
         """The state as callers see it once it is durable."""
@@ -158,6 +166,8 @@
     deadline_s: float = 0.0
     queue_class: int = 0
     lane: "Lane | None" = None
+    declared: Amounts | None = None
+    log_id: str = ""
     is_durable: bool = False
     is_volatile: bool = False
     is_cancelled: bool = False
@@ -196,6 +206,7 @@
     name: str
     row: int
     rack: str = ""
+    log_name: str = ""
     incarnation: int = 0
     is_adopted: bool = False
     is_reachable: bool = False
--- a/redwingplank/scheduling/intake.py
+++ b/redwingplank/scheduling/intake.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 from redwingplank.config import Service, WorkloadKind
+from redwingplank.core import format_value
 from redwingplank.platform import TaskActionKind
 from redwingplank.scheduling.entities import Job, Phase, StopReason, Task, make_task_id
 from redwingplank.scheduling.feasibility import Feasibility
@@ -153,6 +154,8 @@
 def make_job(spec: JobSpec, service: Service, number: int, now_s: float) -> Job:
     """Return a job with its tasks, none of which waits yet."""
     job = Job(spec, service, number, now_s)
+    quoted = format_value(spec.job_id)
+    job.log_id = spec.job_id if quoted == spec.job_id else quoted
     job.queue_class = int(service.deadline_class)
     job.deadline_s = now_s + service.start_within_s
     for index in range(spec.task_count):
--- a/redwingplank/scheduling/learning.py
+++ b/redwingplank/scheduling/learning.py
@@ -12,6 +12,7 @@
 
 _MAX_SAMPLES = 64
 _MIN_SAMPLES = 8
+_SUMMARISE_EVERY = 16
 _SIZE_PERCENTILE = 0.95
 _RUN_TIME_PERCENTILE = 0.9
 _SPEED_WEIGHT = 0.1
@@ -102,7 +103,7 @@
             speed = float(self._state.table.speed[worker.row])
             stats.run_times_s.append(end.run_time_s * speed)
         stats.sample_count += 1
-        if stats.sample_count % _MIN_SAMPLES == 0:
+        if stats.sample_count % _SUMMARISE_EVERY == 0:
             _summarise(stats)
 
     def _note_speed(self, stats: TemplateStats, worker: Worker, run_time_s: float) -> None:
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -73,8 +73,10 @@
 
     def declared(self, job: Job) -> Amounts:
         """Return the declared need of each task of a job."""
-        need = job.spec.resources or job.service.resources
-        return self._state.table.amounts(need)
+        if job.declared is None:
+            need = job.spec.resources or job.service.resources
+            job.declared = self._state.table.amounts(need)
+        return job.declared
 
     def place(self, task: Task, worker: Worker, amounts: Amounts, now_s: float) -> None:
         """Reserve `amounts` on a worker and start the task there."""
@@ -140,9 +142,7 @@
         task.job.used_by_rack[int(state.table.rack[worker.row])] -= 1
         usage = state.shares.find(task.job.spec.organisation)
         state.shares.charge(usage, amounts, -1)
-        if usage.has_quota:
-            state.freed_organisations[usage.name] = None
-        state.queue.reorder(usage)
+        state.freed_organisations[usage.name] = usage
         state.running_count -= 1
         if worker.is_probing:
             update_open(state, worker)
--- a/redwingplank/scheduling/parking.py
+++ b/redwingplank/scheduling/parking.py
@@ -83,7 +83,8 @@
     def release_fitting(self) -> None:
         """Bring back the lanes whose need or quota fits after what was released."""
         state = self._state
-        for organisation in state.freed_organisations:
+        for organisation, usage in state.freed_organisations.items():
+            state.queue.reorder(usage)
             self.release_organisation(organisation)
         state.freed_organisations.clear()
         rows = [row for row in state.freed_rows if row < state.table.row_count]
--- a/redwingplank/scheduling/placer.py
+++ b/redwingplank/scheduling/placer.py
@@ -10,11 +10,34 @@
 from redwingplank.scheduling.policies import PlacementPolicy, make_policy
 from redwingplank.scheduling.vm_table import Amounts, VmTable
 
-__all__ = ["NO_ROW", "Placer"]
+__all__ = ["NO_CHOICE", "NO_ROW", "Choice", "Placer"]
 
 NO_ROW = -1
 _MAX_CACHES = 256
 _SPREAD_WEIGHT = 10.0
+_INFINITY = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a task goes.
+
+    Parameters
+    ----------
+    row : int
+        Row of the VM, or `NO_ROW`.
+    candidates : int
+        How many VMs had room.
+    reason : str
+        Why it is this one.
+    """
+
+    row: int
+    candidates: int
+    reason: str
+
+
+NO_CHOICE = Choice(NO_ROW, 0, "no_room")
 
 
 @dataclass(slots=True)
@@ -22,6 +45,7 @@
     amounts: tuple[int, ...]
     scores: NDArray[np.float64]
     seen_change: int
+    feasible_count: int
 
 
 class Placer:
@@ -53,8 +77,8 @@
         policy: PlacementPolicyName,
         avoided_rows: Collection[int] = (),
         used_by_rack: NDArray[np.int64] | None = None,
-    ) -> int:
-        """Return the best row with room, or `NO_ROW`.
+    ) -> Choice:
+        """Return the best row with room, or `NO_CHOICE`.
 
         Parameters
         ----------
@@ -67,39 +91,50 @@
         used_by_rack : ndarray of int64, optional
             Tasks of the job in each rack, to spread over.
         """
-        scores = self._current_scores(amounts, policy)
+        cache = self._current_scores(amounts, policy)
+        if not cache.feasible_count:
+            return NO_CHOICE
+        scores = cache.scores
         if used_by_rack is not None:
             scores = scores + _SPREAD_WEIGHT * used_by_rack[self._table.rack]
         if avoided_rows and self._is_other_open(avoided_rows):
             scores = scores.copy()
             scores[list(avoided_rows)] = np.inf
         row = int(scores.argmin())
-        return row if scores[row] < np.inf else NO_ROW
+        if scores[row] == np.inf:
+            return NO_CHOICE
+        return Choice(row, cache.feasible_count, policy.value)
 
     def _is_other_open(self, rows: Collection[int]) -> bool:
         is_open = self._table.is_open
         return int(np.count_nonzero(is_open)) > sum(bool(is_open[row]) for row in set(rows))
 
-    def candidate_count(self, amounts: Amounts, policy: PlacementPolicyName) -> int:
-        """Return how many rows have room."""
-        return int(np.count_nonzero(self._current_scores(amounts, policy) < np.inf))
-
-    def _current_scores(self, amounts: Amounts, policy: PlacementPolicyName) -> NDArray[np.float64]:
+    def _current_scores(self, amounts: Amounts, policy: PlacementPolicyName) -> _Scores:
         table = self._table
         key = (policy, tuple(amounts.tolist()))
         cache = self._caches_by_key.get(key)
         if cache is None or self._is_stale(cache):
-            cache = _Scores(key[1], self._score_all(amounts, policy), table.change_count)
-            if len(self._caches_by_key) >= _MAX_CACHES:
+            cache = self._caches_by_key[key] = self._make_scores(amounts, policy)
+            if len(self._caches_by_key) > _MAX_CACHES:
                 self._caches_by_key.pop(next(iter(self._caches_by_key)))
-            self._caches_by_key[key] = cache
-            return cache.scores
-        if cache.seen_change < table.change_count:
+        elif cache.seen_change < table.change_count:
             changed = table.changed_rows[cache.seen_change - table.first_change :]
             for row in set(changed):
-                cache.scores[row] = self._score_one(cache.amounts, policy, row)
+                self._update_row(cache, policy, row)
             cache.seen_change = table.change_count
-        return cache.scores
+        return cache
+
+    def _make_scores(self, amounts: Amounts, policy: PlacementPolicyName) -> _Scores:
+        scores = self._score_all(amounts, policy)
+        feasible_count = int(np.count_nonzero(scores < np.inf))
+        need = tuple(amounts.tolist())
+        return _Scores(need, scores, self._table.change_count, feasible_count)
+
+    def _update_row(self, cache: _Scores, policy: PlacementPolicyName, row: int) -> None:
+        score = self._score_one(cache.amounts, policy, row)
+        was_feasible = cache.scores.item(row) < _INFINITY
+        cache.feasible_count += (score < _INFINITY) - was_feasible
+        cache.scores[row] = score
 
     def _is_stale(self, cache: _Scores) -> bool:
         table = self._table
@@ -125,13 +160,14 @@
     def _score_one(self, amounts: tuple[int, ...], policy: PlacementPolicyName, row: int) -> float:
         table = self._table
         if not table.is_open[row] or table.is_held[row]:
-            return np.inf
+            return _INFINITY
         free = table.free[:, row].tolist()
         inverse = table.inverse[:, row].tolist()
         left = []
         for dimension, amount in enumerate(free):
-            amount -= amounts[dimension] if dimension < len(amounts) else 0
+            if dimension < len(amounts):
+                amount -= amounts[dimension]
             if amount < 0:
-                return np.inf
+                return _INFINITY
             left.append(amount * inverse[dimension])
-        return float(self._policies_by_name[policy].score(left, float(table.speed[row]), row))
+        return float(self._policies_by_name[policy].score(left, table.speed.item(row), row))
--- a/redwingplank/scheduling/shares.py
+++ b/redwingplank/scheduling/shares.py
@@ -1,6 +1,6 @@
 """Usage, quota grants and fair shares of organisations."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import numpy as np
 
@@ -30,7 +30,7 @@
     weight: int = 100
     has_quota: bool = False
     grant: Amounts | None = None
-    used: list[int] | None = None
+    used: list[int] = field(default_factory=list)
     share: float = 0.0
     wanted_at_s: float = float("-inf")
 
@@ -53,7 +53,7 @@
         """Return an organisation's row, which is made when it is first asked for."""
         usage = self._usage_by_name.get(name)
         if usage is None:
-            usage = self._usage_by_name[name] = OrganisationUsage(name, used=[])
+            usage = self._usage_by_name[name] = OrganisationUsage(name)
         return usage
 
     def set_totals(self) -> None:
@@ -81,7 +81,7 @@
         if usage.grant is None:
             return False
         grant = usage.grant.tolist()
-        used = usage.used or []
+        used = usage.used
         for dimension, amount in enumerate(amounts.tolist()):
             held = used[dimension] if dimension < len(used) else 0
             bound = grant[dimension] if dimension < len(grant) else 0
@@ -92,17 +92,16 @@
     def charge(self, usage: OrganisationUsage, amounts: Amounts, sign: int) -> None:
         """Add a reservation to an organisation's usage, or take it off with sign -1."""
         used = usage.used
-        assert used is not None
         while len(used) < len(amounts):
             used.append(0)
         for dimension, amount in enumerate(amounts.tolist()):
-            used[dimension] += sign * amount
+            if amount:
+                used[dimension] += sign * amount
         self._update(usage)
 
     def _update(self, usage: OrganisationUsage) -> None:
-        inverse = self._inverse_total
-        fractions = [
-            amount * inverse[dimension] if dimension < len(inverse) else 0.0
-            for dimension, amount in enumerate(usage.used or [])
-        ]
-        usage.share = max(fractions, default=0.0) / usage.weight
+        dominant = 0.0
+        for amount, inverse in zip(usage.used, self._inverse_total, strict=False):
+            if amount * inverse > dominant:
+                dominant = amount * inverse
+        usage.share = dominant / usage.weight
--- a/redwingplank/scheduling/starter.py
+++ b/redwingplank/scheduling/starter.py
@@ -9,7 +9,7 @@
 from redwingplank.scheduling.learning import Learning
 from redwingplank.scheduling.lifecycle import TaskLifecycle
 from redwingplank.scheduling.parking import Parking
-from redwingplank.scheduling.placer import NO_ROW
+from redwingplank.scheduling.placer import NO_CHOICE, NO_ROW, Choice
 from redwingplank.scheduling.queue import Lane
 from redwingplank.scheduling.room import RoomMaker
 from redwingplank.scheduling.state import ShardState
@@ -73,13 +73,13 @@
             self._parking.park_for_quota(lane, need, 1, now_s)
             return 0, 0
         is_searched = bool(job.queued[0].failure_workers) or not self._parking.is_full(need)
-        row = self._choose(job, need, now_s)
-        if row == NO_ROW:
+        choice = self._choose(job, need, now_s)
+        if choice.row == NO_ROW:
             self._wait_for_room(lane, job, need, 1, now_s)
             return 0, int(is_searched)
         self._room.release(job)
         lane.blocked_since_s = -1.0
-        self._place(job.queued.popleft(), row, need, now_s)
+        self._place(job.queued.popleft(), choice, need, now_s)
         return 1, 0
 
     def _wait_for_room(self, lane: Lane, job: Job, need: Amounts, count: int, now_s: float) -> None:
@@ -110,15 +110,19 @@
         spec = job.spec
         return self._learning.need(spec.organisation, spec.service, lane.declared)
 
-    def _choose(self, job: Job, need: Amounts, now_s: float) -> int:
-        row = self._room.find_held(job, need) if job.held_rows else NO_ROW
-        if row == NO_ROW and not self._parking.is_full(need):
-            row = self._choose_open(job.queued[0], need)
-        if row == NO_ROW:
-            row = self._room.find_backfill(job, need, now_s)
-        return row
-
-    def _choose_open(self, task: Task, need: Amounts) -> int:
+    def _choose(self, job: Job, need: Amounts, now_s: float) -> Choice:
+        if job.held_rows:
+            row = self._room.find_held(job, need)
+            if row != NO_ROW:
+                return Choice(row, len(job.held_rows), "reserved_vm")
+        if job.queued[0].failure_workers or not self._parking.is_full(need):
+            choice = self._choose_open(job.queued[0], need)
+            if choice.row != NO_ROW:
+                return choice
+        row = self._room.find_backfill(job, need, now_s)
+        return NO_CHOICE if row == NO_ROW else Choice(row, 1, "backfill")
+
+    def _choose_open(self, task: Task, need: Amounts) -> Choice:
         job = task.job
         return self._state.placer.choose(
             need, job.service.policy, self._failed_rows(task), self._rack_counts(job)
@@ -138,15 +142,12 @@
             counts[rack] = count
         return counts
 
-    def _place(self, task: Task, row: int, need: Amounts, now_s: float) -> None:
+    def _place(self, task: Task, choice: Choice, need: Amounts, now_s: float) -> None:
         state = self._state
-        worker = state.workers_by_row[row]
+        worker = state.workers_by_row[choice.row]
         self._lifecycle.place(task, worker, need, now_s)
-        state.decide(
-            "task_placed",
-            task=task.task_id,
-            attempt=task.attempt,
-            vm=worker.name,
-            policy=task.job.service.policy,
-            waited_ms=int(task.waited_s * 1000),
+        state.decisions.append(
+            f"event=task_placed task={task.log_id} attempt={task.attempt} vm={worker.log_name} "
+            f"policy={task.job.service.policy.value} waited_ms={int(task.waited_s * 1000)} "
+            f"candidates={choice.candidates} reason={choice.reason}"
         )
--- a/redwingplank/scheduling/state.py
+++ b/redwingplank/scheduling/state.py
@@ -15,7 +15,7 @@
 from redwingplank.scheduling.placer import Placer
 from redwingplank.scheduling.queue import WaitingQueue
 from redwingplank.scheduling.settings import SchedulerSettings
-from redwingplank.scheduling.shares import ShareTable
+from redwingplank.scheduling.shares import OrganisationUsage, ShareTable
 from redwingplank.scheduling.vm_table import Amounts, VmTable
 
 __all__ = ["ShardState", "make_shard_state"]
@@ -49,7 +49,7 @@
     service_attempts_by_id: dict[str, int] = field(default_factory=dict)
     touched: dict[str, Worker] = field(default_factory=dict)
     freed_rows: dict[int, None] = field(default_factory=dict)
-    freed_organisations: dict[str, None] = field(default_factory=dict)
+    freed_organisations: dict[str, OrganisationUsage] = field(default_factory=dict)
     intended: list[Task] = field(default_factory=list)
     messages: list[OutboxMessage] = field(default_factory=list)
     decisions: list[str] = field(default_factory=list)
