--- a/benchmarks/scheduling.py
+++ b/benchmarks/scheduling.py
@@ -3,6 +3,7 @@
 import gc
 import itertools
 import time
+from collections.abc import Iterator
 from heapq import heappop, heappush
 from statistics import fmean
 
@@ -45,6 +46,7 @@
 
 CAPACITY = make_resources(64_000, 131_072)
 TASK = make_resources(1000, 1500)
+WIDE_TASK = make_resources(40_000, 1500)
 BIG_TASK = make_resources(64_000, 1500)
 TICK_S = 0.02
 TASKS_PER_JOB = 20
@@ -60,7 +62,7 @@
 
     def __init__(self, name: str, mean_run_s: float, rng: np.random.Generator) -> None:
         self.name = name
-        self.run_times_s = itertools.cycle(rng.uniform(0.5, 1.5, 64) * mean_run_s)
+        self.run_times_s: Iterator[float] = itertools.cycle(rng.uniform(0.5, 1.5, 64) * mean_run_s)
         self.sequence = 0
         self.started_by_task: dict[str, tuple[float, StartTask]] = {}
         self.due: list[tuple[float, str, int]] = []
@@ -125,6 +127,17 @@
         owning = OwnershipChanged(OwnershipMode.OWNING, 1, 1e12)
         return [owning, VmsListed(tuple(vms)), *adopted]
 
+    def occupy(self, resources: Resources) -> None:
+        """Start one task on each worker that never ends."""
+        run_times_by_name = {n: w.run_times_s for n, w in self.workers_by_name.items()}
+        for worker in self.workers_by_name.values():
+            worker.run_times_s = itertools.repeat(1e9)
+        self.submit(len(self.workers_by_name), resources)
+        while self.starts < len(self.workers_by_name):
+            self.tick()
+        for name, run_times_s in run_times_by_name.items():
+            self.workers_by_name[name].run_times_s = run_times_s
+
     def submit(self, tasks: int = TASKS_PER_JOB, resources: Resources | None = None) -> str:
         """Submit a job of the next organisation."""
         self.job_count += 1
@@ -220,7 +233,7 @@
     def track_cost(self, queued_tasks: int) -> dict[str, float]:
         """Cost at 247 starts a second with tasks waiting that need a whole VM."""
         cell = _Cell(460, 4.0)
-        cell.run_at(247, 1.0)
+        cell.occupy(WIDE_TASK)
         for _ in range(queued_tasks // 100):
             cell.submit(100, BIG_TASK)
         return cell.measure_at(247)
@@ -307,6 +320,6 @@
 
     def time_choose_and_reserve(self, policy: str, workers: int) -> None:
         """Choose, reserve and release."""
-        row = self.placer.choose(self.amounts, PlacementPolicyName(policy))
+        row = self.placer.choose(self.amounts, PlacementPolicyName(policy)).row
         self.table.reserve(row, self.amounts)
         self.table.release(row, self.amounts)
