--- a/benchmarks/scheduling.py
+++ b/benchmarks/scheduling.py
@@ -1,7 +1,9 @@
 """Cost of the decision core: steady starts, slopes, memory, cancellations."""
 
 import gc
+import itertools
 import time
+from collections.abc import Iterator
 from heapq import heappop, heappush
 from statistics import fmean
 
@@ -44,6 +46,7 @@
 
 CAPACITY = make_resources(64_000, 131_072)
 TASK = make_resources(1000, 1500)
+WIDE_TASK = make_resources(40_000, 1500)
 BIG_TASK = make_resources(64_000, 1500)
 TICK_S = 0.02
 TASKS_PER_JOB = 20
@@ -55,11 +58,11 @@
 
 
 class _FakeWorker:
-    """Runs each task for a fixed time and answers exchanges."""
+    """Runs each task for half to one and a half times the mean and answers exchanges."""
 
-    def __init__(self, name: str, run_s: float) -> None:
+    def __init__(self, name: str, mean_run_s: float, rng: np.random.Generator) -> None:
         self.name = name
-        self.run_s = run_s
+        self.run_times_s: Iterator[float] = itertools.cycle(rng.uniform(0.5, 1.5, 64) * mean_run_s)
         self.sequence = 0
         self.started_by_task: dict[str, tuple[float, StartTask]] = {}
         self.due: list[tuple[float, str, int]] = []
@@ -71,14 +74,14 @@
         self.unacknowledged = [end for end in self.unacknowledged if end.sequence > acknowledged]
         for action in request.actions:
             if action.task_id in self.started_by_task:
-                self._end(action.task_id, action.attempt, TaskEndReason.STOPPED)
+                self._end(action.task_id, action.attempt, TaskEndReason.STOPPED, now_s)
         for start in request.starts:
             self.started_by_task[start.task_id] = (now_s, start)
-            heappush(self.due, (now_s + self.run_s, start.task_id, start.attempt))
+            heappush(self.due, (now_s + next(self.run_times_s), start.task_id, start.attempt))
         while self.due and self.due[0][0] <= now_s:
             _, task_id, attempt = heappop(self.due)
             if task_id in self.started_by_task:
-                self._end(task_id, attempt, TaskEndReason.COMPLETED)
+                self._end(task_id, attempt, TaskEndReason.COMPLETED, now_s)
         usage = tuple(
             TaskUsage(task_id, start.attempt, start.reserved, USAGE_LAG_S)
             for task_id, (started_at_s, start) in self.started_by_task.items()
@@ -87,10 +90,11 @@
         running = len(self.started_by_task)
         return WorkerReport(self.name, 1, tuple(self.unacknowledged), usage, running)
 
-    def _end(self, task_id: str, attempt: int, reason: TaskEndReason) -> None:
-        del self.started_by_task[task_id]
+    def _end(self, task_id: str, attempt: int, reason: TaskEndReason, now_s: float) -> None:
+        started_at_s, _ = self.started_by_task.pop(task_id)
         self.sequence += 1
-        end = TaskEnd(task_id, attempt, reason, self.sequence, run_time_s=self.run_s)
+        run_s = max(0.01, now_s - started_at_s)
+        end = TaskEnd(task_id, attempt, reason, self.sequence, run_time_s=run_s)
         self.unacknowledged.append(end)
 
 
@@ -99,7 +103,9 @@
 
     def __init__(self, workers: int, run_s: float, organisations: int = 15) -> None:
         self.now_s = 0.0
-        self.workers_by_name = {f"w{n}": _FakeWorker(f"w{n}", run_s) for n in range(workers)}
+        rng = np.random.default_rng(0)
+        names = [f"w{number}" for number in range(workers)]
+        self.workers_by_name = {name: _FakeWorker(name, run_s, rng) for name in names}
         self.organisations = [f"o{number}" for number in range(organisations)]
         self.scheduler: Scheduler = make_scheduler(
             SchedulerSettings("s"),
@@ -121,6 +127,17 @@
         owning = OwnershipChanged(OwnershipMode.OWNING, 1, 1e12)
         return [owning, VmsListed(tuple(vms)), *adopted]
 
+    def occupy(self, resources: Resources) -> None:
+        """Start one task on each worker that never ends."""
+        run_times_by_name = {n: w.run_times_s for n, w in self.workers_by_name.items()}
+        for worker in self.workers_by_name.values():
+            worker.run_times_s = itertools.repeat(1e9)
+        self.submit(len(self.workers_by_name), resources)
+        while self.starts < len(self.workers_by_name):
+            self.tick()
+        for name, run_times_s in run_times_by_name.items():
+            self.workers_by_name[name].run_times_s = run_times_s
+
     def submit(self, tasks: int = TASKS_PER_JOB, resources: Resources | None = None) -> str:
         """Submit a job of the next organisation."""
         self.job_count += 1
@@ -170,6 +187,7 @@
             "us_per_start": used_s / self.starts * US_PER_S,
             "core_percent": used_s / MEASURED_S * 100,
             "tick_p99_ms": float(np.percentile(self.durations_s, 99)) * MS_PER_S,
+            "tick_p50_ms": float(np.percentile(self.durations_s, 50)) * MS_PER_S,
             "tick_max_ms": max(self.durations_s) * MS_PER_S,
         }
 
@@ -215,7 +233,7 @@
     def track_cost(self, queued_tasks: int) -> dict[str, float]:
         """Cost at 247 starts a second with tasks waiting that need a whole VM."""
         cell = _Cell(460, 4.0)
-        cell.run_at(247, 1.0)
+        cell.occupy(WIDE_TASK)
         for _ in range(queued_tasks // 100):
             cell.submit(100, BIG_TASK)
         return cell.measure_at(247)
@@ -302,6 +320,6 @@
 
     def time_choose_and_reserve(self, policy: str, workers: int) -> None:
         """Choose, reserve and release."""
-        row = self.placer.choose(self.amounts, PlacementPolicyName(policy))
+        row = self.placer.choose(self.amounts, PlacementPolicyName(policy)).row
         self.table.reserve(row, self.amounts)
         self.table.release(row, self.amounts)
