--- a/redwingplank/membership/node.py
+++ b/redwingplank/membership/node.py
@@ -5,7 +5,7 @@
 
 import numpy as np
 
-from redwingplank.config.spread import choose_node
+from redwingplank.config.spread import PeerRevision, choose_node
 from redwingplank.membership.detector import DetectorTiming, FailureDetector, NodeStatus
 from redwingplank.membership.domains import DomainTable
 from redwingplank.membership.messages import (
@@ -237,6 +237,19 @@
         """
         return self.domains.cut_off(now_s) + self.reach.cut_off(now_s)
 
+    def other_domains(self, now_s: float) -> tuple[PeerRevision, ...]:
+        """Return the speakers of the other failure domains with the newest revision there."""
+        return tuple(
+            PeerRevision(view.failure_domain, view.address, view.revision)
+            for view in self.domains.views(now_s)
+            if view.address
+        )
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether there is something that the others should hear at once."""
+        return self._is_urgent
+
     def is_speaker(self) -> bool:
         """Return whether this node exchanges summaries for its failure domain."""
         names = tuple(peer.name for peer in self.live_peers())
--- /dev/null
+++ b/redwingplank/rpc/membership.capnp
@@ -0,0 +1,84 @@
+@0xb6f0d2c9a1e34751;
+# Membership and the spread of revisions between the nodes of a cell. Ages are in milliseconds,
+# because the clocks of two nodes are not compared.
+
+struct Evidence {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
+struct VmWord {
+  enum Kind {
+    leaving @0;
+    dead @1;
+  }
+  vm @0 :Text;
+  kind @1 :Kind;
+}
+
+struct DomainView {
+  failureDomain @0 :Text;
+  address @1 :Text;
+  revision @2 :UInt64;
+  ageMs @3 :UInt32;
+}
+
+struct Heartbeat {
+  name @0 :Text;
+  failureDomain @1 :Text;
+  address @2 :Text;
+  incarnation @3 :UInt64;
+  sequence @4 :UInt64;
+  revision @5 :UInt64;
+  suspected @6 :List(Evidence);
+  vouched @7 :List(Evidence);
+  words @8 :List(VmWord);
+  domains @9 :List(DomainView);
+  isLeaving @10 :Bool;
+  isSpeaker @11 :Bool;
+  isStoreCutOff @12 :Bool;
+}
+
+struct DomainSummary {
+  failureDomain @0 :Text;
+  address @1 :Text;
+  liveCount @2 :UInt32;
+  leavingCount @3 :UInt32;
+  revision @4 :UInt64;
+}
+
+struct Document {
+  key @0 :Text;
+  value @1 :Data;
+}
+
+struct Delta {
+  # What changed after a revision; a whole set if that is 0.
+  afterRevision @0 :UInt64;
+  head @1 :Data;
+  documents @2 :List(Document);
+  removedKeys @3 :List(Text);
+}
+
+struct NodeStatus {
+  name @0 :Text;
+  failureDomain @1 :Text;
+  revision @2 :UInt64;
+  isLeaving @3 :Bool;
+  isWatcher @4 :Bool;
+  livePeers @5 :List(Text);
+  liveUpstreams @6 :List(Text);
+  cutOffFrom @7 :List(Text);
+}
+
+interface Membership {
+  heartbeat @0 (heartbeat :Heartbeat) -> (answer :Heartbeat);
+  summary @1 (summary :DomainSummary) -> (answer :DomainSummary);
+  announce @2 (address :Text, revision :UInt64) -> ();
+  # Says that the node at the address has a revision.
+  pull @3 (afterRevision :UInt64) -> (delta :Delta);
+  status @4 () -> (status :NodeStatus);
+  mark @5 (word :VmWord) -> ();
+  # Says that a VM leaves or is dead.
+}
--- /dev/null
+++ b/redwingplank/rpc/membership_calls.py
@@ -0,0 +1,155 @@
+"""Typed calls of the membership service, and its server."""
+
+from abc import ABC, abstractmethod
+from typing import Any
+
+from redwingplank.config.replica import Delta
+from redwingplank.membership import DomainSummary, Heartbeat, VmWord
+from redwingplank.rpc.membership_codec import (
+    NodeReport,
+    decode_delta,
+    decode_heartbeat,
+    decode_report,
+    decode_summary,
+    decode_word,
+    encode_delta,
+    encode_heartbeat,
+    encode_report,
+    encode_summary,
+    encode_word,
+)
+from redwingplank.rpc.peers import PeerConnections
+from redwingplank.rpc.schema import load_schema
+
+__all__ = [
+    "MEMBERSHIP_SERVICE",
+    "MembershipCalls",
+    "MembershipHandler",
+    "make_membership_server",
+]
+
+MEMBERSHIP_SERVICE = "membership"
+
+_Server: Any = load_schema("membership").Membership.Server
+
+
+class MembershipCalls:
+    """Calls the membership service of other nodes.
+
+    Parameters
+    ----------
+    peers : PeerConnections
+        Kept connections.
+
+    Notes
+    -----
+    Every call raises `redwingplank.rpc.RpcError` when it fails.
+    """
+
+    def __init__(self, peers: PeerConnections) -> None:
+        self._peers = peers
+
+    async def heartbeat(self, address: str, heartbeat: Heartbeat, timeout_s: float) -> Heartbeat:
+        """Send a heartbeat and return the answer."""
+        message = encode_heartbeat(heartbeat)
+        response = await self._call(
+            address, lambda service: service.heartbeat(heartbeat=message), timeout_s
+        )
+        return decode_heartbeat(response.answer)
+
+    async def summary(
+        self, address: str, summary: DomainSummary, timeout_s: float
+    ) -> DomainSummary:
+        """Send this failure domain's summary and return the other one's."""
+        message = encode_summary(summary)
+        response = await self._call(
+            address, lambda service: service.summary(summary=message), timeout_s
+        )
+        return decode_summary(response.answer)
+
+    async def announce(
+        self, address: str, own_address: str, revision: int, timeout_s: float
+    ) -> None:
+        """Tell a node that the one at `own_address` has a revision."""
+        await self._call(
+            address, lambda service: service.announce(own_address, revision), timeout_s
+        )
+
+    async def pull(self, address: str, after_revision: int, timeout_s: float) -> Delta:
+        """Return what changed after a revision."""
+        response = await self._call(
+            address, lambda service: service.pull(after_revision), timeout_s
+        )
+        return decode_delta(response.delta)
+
+    async def status(self, address: str, timeout_s: float) -> NodeReport:
+        """Return what a node says of itself."""
+        response = await self._call(address, lambda service: service.status(), timeout_s)
+        return decode_report(response.status)
+
+    async def mark(self, address: str, word: VmWord, timeout_s: float) -> None:
+        """Tell a node, and through it its failure domain, that a VM leaves or is dead."""
+        message = encode_word(word)
+        await self._call(address, lambda service: service.mark(word=message), timeout_s)
+
+    async def _call(self, address: str, method: Any, timeout_s: float) -> Any:
+        interface = load_schema("membership").Membership
+        return await self._peers.call(address, MEMBERSHIP_SERVICE, interface, method, timeout_s)
+
+
+class MembershipHandler(ABC):
+    """Answers the calls of the membership service."""
+
+    @abstractmethod
+    def on_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Take a heartbeat and return the answer."""
+
+    @abstractmethod
+    def on_summary(self, summary: DomainSummary) -> DomainSummary:
+        """Take a summary and return this failure domain's own."""
+
+    @abstractmethod
+    def on_announced(self, address: str, revision: int) -> None:
+        """Take a node's word that it has a revision."""
+
+    @abstractmethod
+    def make_delta(self, after_revision: int) -> Delta:
+        """Return what changed after a revision."""
+
+    @abstractmethod
+    def report(self) -> NodeReport:
+        """Return what this node says of itself."""
+
+    @abstractmethod
+    def on_word(self, word: VmWord) -> None:
+        """Take the word that a VM leaves or is dead."""
+
+
+def make_membership_server(handler: MembershipHandler) -> Any:
+    """Return the capnp server to be offered under `MEMBERSHIP_SERVICE`."""
+    return _MembershipServer(handler)
+
+
+class _MembershipServer(_Server):
+    def __init__(self, handler: MembershipHandler) -> None:
+        self._handler = handler
+
+    async def heartbeat(self, heartbeat: Any, _context: Any, **_: Any) -> Any:
+        answer = self._handler.on_heartbeat(decode_heartbeat(heartbeat))
+        return encode_heartbeat(answer)
+
+    async def summary(self, summary: Any, _context: Any, **_: Any) -> Any:
+        answer = self._handler.on_summary(decode_summary(summary))
+        return encode_summary(answer)
+
+    async def announce(self, address: str, revision: int, _context: Any, **_: Any) -> None:
+        self._handler.on_announced(address, revision)
+
+    async def pull(self, afterRevision: int, _context: Any, **_: Any) -> Any:  # noqa: N803
+        return encode_delta(self._handler.make_delta(afterRevision))
+
+    async def status(self, _context: Any, **_: Any) -> Any:
+        return encode_report(self._handler.report())
+
+    async def mark(self, word: Any, _context: Any, **_: Any) -> None:
+        self._handler.on_word(decode_word(word))
--- a/redwingplank/standin/nodes.py
+++ b/redwingplank/standin/nodes.py
@@ -174,11 +174,7 @@
         peers = tuple(
             PeerRevision(peer.name, peer.address, peer.revision) for peer in membership.live_peers()
         )
-        others = tuple(
-            PeerRevision(view.failure_domain, view.address, view.revision)
-            for view in membership.domains.views(self.clock.now_s())
-            if view.address
-        )
+        others = membership.other_domains(self.clock.now_s())
         return PeerView(peers, others)
 
     def _do_membership(self, node: MemoryNode, action: MembershipAction) -> None:
