Follow declarations and membership in entries and schedulers; apply them in redwing-dev

Cause: the thin path handed declarations over in memory and polled the whole list of VMs. Change: NodeConnections gives each process its budgeted store, membership and follower. Conclusion: declarations reach every process through the store and its peers.

--- a/redwingplank/api/tests/test_api.py
+++ b/redwingplank/api/tests/test_api.py
@@ -81,7 +81,6 @@
         router = make_router(RouterSettings(failure_domain="d1"), 0.0)
         router.set_declarations(DECLARATIONS)
         row = ListedVm("u1", VmRole.UPSTREAM, "d1", "r1", "127.0.0.1:2", service="notahane")
-        router.set_upstreams(0.0, (row,))
         home = OrderHome(
             OrderBook(), KeyValueOrderLog(MemoryStoreClient(MemoryStore(clock)), "d1"), clock
         )
@@ -91,6 +90,7 @@
         asyncio.run(directory.refresh())
         gateway = JobGateway(self.calls, directory)
         self.entry = EntryRuntime(EntryParts(router, proxy, gateway, directory), clock)
+        self.entry.change_upstreams((row,))
         self.client = falcon.testing.TestClient(make_entry_app(proxy, gateway, self.entry))
 
     def post(self, path, body=b"", **headers):
--- a/redwingplank/cli/dev.py
+++ b/redwingplank/cli/dev.py
@@ -3,8 +3,8 @@
 import asyncio
 import sys
 import time
+import uuid
 from collections.abc import Mapping, Sequence
-from dataclasses import replace
 
 from redwingplank.cli.entry import EntryProgram
 from redwingplank.cli.program import Program, read_settings, run_program
@@ -24,14 +24,15 @@
 )
 from redwingplank.cli.standin import StandinProgram
 from redwingplank.config import (
-    Declarations,
     WorkloadKind,
     parse_declarations,
     read_declaration_files,
 )
-from redwingplank.core import FindingsError
+from redwingplank.core import FindingsError, RedwingError
 from redwingplank.core.settings import load_settings
+from redwingplank.runtime.apply import ApplyOutcome, apply_declarations
 from redwingplank.scheduling.services import make_service_job_id
+from redwingplank.standin.store import MemoryStoreClient
 
 __all__ = ["DevProgram", "main"]
 
@@ -53,13 +54,14 @@
     ----------
     settings : DevSettings
         From flags and environment variables.
-    declarations : Declarations
-        What is declared.
+    files : mapping of str to str
+        Declaration files, by name.
     """
 
-    def __init__(self, settings: DevSettings, declarations: Declarations) -> None:
+    def __init__(self, settings: DevSettings, files: Mapping[str, str]) -> None:
         self._settings = settings
-        self._declarations = replace(declarations, revision=1)
+        self._files = files
+        self._declarations = parse_declarations(files)
         self.exit_code = 0
         self.standin = StandinProgram(_make_standin_settings(settings))
         self.entries = [EntryProgram(item) for item in _make_entry_settings(settings)]
@@ -72,13 +74,10 @@
 
     async def start(self) -> None:
         await self.standin.start()
-        for scheduler in self.schedulers:
-            await scheduler.start()
-            scheduler.change_declarations(self._declarations)
-        for entry in self.entries:
-            await entry.start()
-            entry.change_declarations(self._declarations)
-        await self._wait_until_owned()
+        await self._apply()
+        for program in (*self.schedulers, *self.entries):
+            await program.start()
+        await self._wait_until_ready()
 
     async def wait(self) -> None:
         started_s = time.monotonic()
@@ -109,19 +108,27 @@
     def describe_in_flight(self) -> str:
         return "; ".join(entry.describe_in_flight() for entry in self.entries)
 
-    async def _wait_until_owned(self) -> None:
+    async def _apply(self) -> None:
+        store = MemoryStoreClient(self.standin.cell.store)
+        result = await apply_declarations(store, self._files, time.time(), uuid.uuid4().hex)
+        if result.outcome is not ApplyOutcome.APPLIED:
+            raise RedwingError(f"the declarations were not applied: {result.outcome}")
+
+    async def _wait_until_ready(self) -> None:
         deadline_s = time.monotonic() + READY_WITHIN_S
         while time.monotonic() < deadline_s:
             directories = [entry.runtime.parts.directory for entry in self.entries]
             await asyncio.gather(*(directory.refresh() for directory in directories))
-            if all(
+            obstacles = [item for entry in self.entries for item in entry.runtime.find_obstacles()]
+            is_owned = all(
                 directory.find_owner(shard) is not None
                 for directory in directories
                 for shard in directory.all_shards()
-            ):
+            )
+            if is_owned and not obstacles:
                 return
             await asyncio.sleep(POLL_S)
-        raise TimeoutError(f"not every shard has an owner after {READY_WITHIN_S:g} s")
+        raise TimeoutError(f"after {READY_WITHIN_S:g} s not every shard has an owner: {obstacles}")
 
     async def _service_rows(self, started_s: float) -> list[SampleRow]:
         wanted = {
@@ -244,14 +251,15 @@
     """Run the program."""
     settings = read_settings("redwing-dev", DevSettings, __doc__ or "")
     try:
-        declarations = parse_declarations(read_declaration_files(settings.declarations))
+        files = read_declaration_files(settings.declarations)
+        parse_declarations(files)
     except FindingsError as error:
         print(error, file=sys.stderr)
         sys.exit(2)
     programs: list[DevProgram] = []
 
     def make_program() -> Program:
-        programs.append(DevProgram(settings, declarations))
+        programs.append(DevProgram(settings, files))
         return programs[0]
 
     code = run_program(make_program, settings.log_level)
--- a/redwingplank/cli/entry.py
+++ b/redwingplank/cli/entry.py
@@ -4,25 +4,19 @@
 import sys
 import uuid
 
-import xxhash
+import logbook
 
 from redwingplank.api import make_entry_app
+from redwingplank.cli.node import NodeConnections
 from redwingplank.cli.program import Program, read_settings, run_program
 from redwingplank.cli.settings import EntrySettings
 from redwingplank.config import Declarations
-from redwingplank.core import Clock, MonotonicClock, UnixClock
-from redwingplank.platform import KeyValueStore, VmRole
-from redwingplank.platform.http import (
-    HttpKeyValueStore,
-    HttpServer,
-    HttpUpstreamClient,
-    HttpVmList,
-    open_session,
-    serve_http,
-)
+from redwingplank.core import Clock, log_event, make_logger
+from redwingplank.platform import KeyValueStore, PlatformError
+from redwingplank.platform.budget import StorePurpose
+from redwingplank.platform.http import HttpServer, HttpUpstreamClient, serve_http
 from redwingplank.routing import RouterSettings, make_router
 from redwingplank.routing.orders import OrderBook
-from redwingplank.rpc import PeerConnections
 from redwingplank.rpc.scheduler_calls import SchedulerCalls
 from redwingplank.runtime.entry import EntryParts, EntryRuntime
 from redwingplank.runtime.jobs import JobGateway
@@ -35,6 +29,10 @@
 __all__ = ["EntryProgram", "main"]
 
 SHORT_ID_CHARACTERS = 8
+EXPIRE_EVERY_S = 60.0
+HOME_RETRY_S = 1.0
+
+_logger = make_logger("entry")
 
 
 class EntryProgram(Program):
@@ -48,27 +46,24 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
-        self._clock = MonotonicClock()
-        self._session = open_session()
-        self._store = HttpKeyValueStore(self._session, settings.store_url, settings.store_timeout_s)
-        self._vm_list = HttpVmList(self._session, settings.vms_url, settings.store_timeout_s)
-        self._peers = PeerConnections()
-        self._home = make_order_home(self._store)
-        parts = self._make_parts()
-        self.runtime = EntryRuntime(parts, self._clock)
+        self.node = NodeConnections(settings, self.change_declarations)
+        self._home = make_order_home(self.node.store(StorePurpose.JOURNAL), self.node.unix_clock)
+        self.runtime = EntryRuntime(self._make_parts(), self.node.clock)
         self._metrics = MetricsReporter(
             settings.statsd_address,
             f"redwing.entry.{settings.name}",
-            {"requests": self.runtime.gauges},
+            {"requests": self.runtime.gauges, "node": self.node.gauges},
         )
         self._server: HttpServer | None = None
 
     async def start(self) -> None:
-        await self._home.start()
+        await self.node.start({})
         runtime = self.runtime
-        await runtime.parts.directory.refresh()
         runtime.start(
-            runtime.parts.directory.refresh_forever(), self._poll_list(), self._metrics.run()
+            self._home_loop(),
+            runtime.parts.directory.refresh_forever(),
+            runtime.follow_upstreams(self.node.membership.live_upstreams),
+            self._metrics.run(),
         )
         app = make_entry_app(runtime.parts.proxy, runtime.parts.gateway, runtime)
         settings = self._settings
@@ -79,12 +74,12 @@
 
     async def drain(self) -> None:
         self.runtime.begin_leaving()
+        self.node.membership.leave()
         await asyncio.sleep(self._settings.drain_notice_s)
         if self._server is not None:
             await self._server.stop()
         await self.runtime.stop()
-        self._peers.close()
-        await self._session.close()
+        await self.node.stop()
 
     def describe_in_flight(self) -> str:
         gauges = self.runtime.gauges()
@@ -95,38 +90,43 @@
         self.runtime.change_declarations(declarations)
 
     def _make_parts(self) -> EntryParts:
-        settings = self._settings
+        settings, node = self._settings, self.node
         router = make_router(
             RouterSettings(
-                entry=settings.name,
-                failure_domain=settings.failure_domain,
-                seed=settings.seed or xxhash.xxh32_intdigest(settings.name.encode()),
+                entry=settings.name, failure_domain=settings.failure_domain, seed=node.seed
             ),
-            self._clock.now_s(),
+            node.clock.now_s(),
         )
         proxy = make_request_proxy(
             router,
-            HttpUpstreamClient(self._session),
+            HttpUpstreamClient(node.session),
             self._home,
-            self._clock,
+            node.clock,
             settings=ProxySettings(settings.name, uuid.uuid4().hex[:SHORT_ID_CHARACTERS]),
         )
-        calls = SchedulerCalls(self._peers)
+        calls = SchedulerCalls(node.peers)
         shards = shard_names(settings.failure_domains, settings.shards_per_domain)
         directory = ShardDirectory(calls, shards, settings.schedulers, settings.failure_domain)
         return EntryParts(router, proxy, JobGateway(calls, directory), directory)
 
-    async def _poll_list(self) -> None:
+    async def _home_loop(self) -> None:
+        """Read the orders' records, and delete those that are no longer needed."""
+        is_started = False
         while True:
-            listing = await self._vm_list.read()
-            upstreams = tuple(vm for vm in listing.vms if vm.role is VmRole.UPSTREAM)
-            self.runtime.change_upstreams(upstreams)
-            await asyncio.sleep(1.0)
-
-
-def make_order_home(store: KeyValueStore, unix_clock: Clock | None = None) -> OrderHome:
+            try:
+                if is_started:
+                    await self._home.expire()
+                else:
+                    await self._home.start()
+                    is_started = True
+            except PlatformError as error:
+                log_event(_logger, "orders_not_read", level=logbook.WARNING, error=str(error))
+            await asyncio.sleep(EXPIRE_EVERY_S if is_started else HOME_RETRY_S)
+
+
+def make_order_home(store: KeyValueStore, unix_clock: Clock) -> OrderHome:
     """Return a home of all orders that keeps its records in the store."""
-    return OrderHome(OrderBook(), KeyValueOrderLog(store, "all"), unix_clock or UnixClock())
+    return OrderHome(OrderBook(), KeyValueOrderLog(store, "all"), unix_clock)
 
 
 def main() -> None:
--- /dev/null
+++ b/redwingplank/cli/node.py
@@ -0,0 +1,120 @@
+"""What entries and schedulers have in common: platform, peers, membership, declarations."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import aiohttp
+import numpy as np
+import xxhash
+
+from redwingplank.cli.settings import NodeSettings
+from redwingplank.config import Declarations
+from redwingplank.core import MonotonicClock, UnixClock
+from redwingplank.membership import NodeIdentity
+from redwingplank.platform import KeyValueStore
+from redwingplank.platform.budget import (
+    BudgetedStore,
+    BudgetLimits,
+    StoreBudget,
+    StorePurpose,
+)
+from redwingplank.platform.http import HttpKeyValueStore, HttpVmList, open_session
+from redwingplank.rpc import NodeServer, PeerConnections
+from redwingplank.rpc.membership_calls import MEMBERSHIP_SERVICE, MembershipCalls
+from redwingplank.runtime.declarations import DeclarationsFollower
+from redwingplank.runtime.membership import MembershipNode
+
+__all__ = ["NodeConnections"]
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class NodeConnections:
+    """One process's connections.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        From flags and environment variables.
+    on_change : callable
+        Called with each newer revision of the declarations.
+    """
+
+    def __init__(self, settings: NodeSettings, on_change: Callable[[Declarations], None]) -> None:
+        self.settings = settings
+        self.clock = MonotonicClock()
+        self.unix_clock = UnixClock()
+        self.seed = settings.seed or xxhash.xxh32_intdigest(settings.name.encode())
+        self.session: aiohttp.ClientSession = open_session()
+        self.vm_list = HttpVmList(self.session, settings.vms_url, settings.store_timeout_s)
+        self.peers = PeerConnections()
+        self._addresses_by_name = {**settings.entries, **settings.schedulers}
+        self._store = self._make_store()
+        self.membership = self._make_membership()
+        self.follower = DeclarationsFollower(
+            self.store(StorePurpose.DECLARATIONS),
+            self.membership,
+            on_change,
+            self.clock,
+            name=settings.name,
+            seed=self.seed,
+        )
+        self.membership.follow(self.follower)
+        self._server: NodeServer | None = None
+
+    def store(self, purpose: StorePurpose) -> KeyValueStore:
+        """Return the store, as the node's budget lets calls of a purpose through."""
+        return self._store.with_purpose(purpose)
+
+    async def start(self, services_by_name: Mapping[str, Any]) -> None:
+        """Offer services beside membership, and begin to follow the others."""
+        services = {MEMBERSHIP_SERVICE: self.membership.server, **services_by_name}
+        server = NodeServer(services)
+        await server.start(self.settings.rpc_address)
+        self._server = server
+        await self.membership.start()
+        await self.follower.start()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self.follower.stop()
+        await self.membership.stop()
+        if self._server is not None:
+            await self._server.stop()
+        self.peers.close()
+        await self.session.close()
+
+    def gauges(self) -> dict[str, float]:
+        """Return the store's calls, and how many nodes and upstreams are live."""
+        now_s = self.clock.now_s()
+        budget = self._store.budget
+        return {
+            "store.calls": sum(budget.calls_by_method.values()),
+            "store.refused": sum(budget.refused_by_purpose.values()),
+            "store.watches": budget.open_watches,
+            "peers.live": len(self.membership.live_peers(now_s)),
+            "upstreams.live": len(self.membership.live_upstreams(now_s)),
+            "declarations.revision": self.follower.revision,
+        }
+
+    def _make_store(self) -> BudgetedStore:
+        settings = self.settings
+        budget = StoreBudget(
+            BudgetLimits(),
+            max(1, len(self._addresses_by_name)),
+            np.random.default_rng(self.seed),
+        )
+        http_store = HttpKeyValueStore(self.session, settings.store_url, settings.store_timeout_s)
+        return BudgetedStore(http_store, budget, self.clock)
+
+    def _make_membership(self) -> MembershipNode:
+        settings = self.settings
+        return MembershipNode(
+            NodeIdentity(settings.name, settings.failure_domain, settings.rpc_address),
+            self.vm_list,
+            MembershipCalls(self.peers),
+            self.clock,
+            addresses_by_name=self._addresses_by_name,
+            incarnation=int(self.unix_clock.now_s() * MILLISECONDS_PER_SECOND),
+            seed=self.seed,
+        )
--- a/redwingplank/cli/sample.py
+++ b/redwingplank/cli/sample.py
@@ -76,6 +76,7 @@
 SAMPLE: tuple[SampleRequest | SampleJob, ...] = (
     SampleRequest("proof", "state-orchestra", "proof", b"violin 1, bars 1-64"),
     SampleJob("part extraction, 24 tasks", "state-orchestra", "part-extraction", 24),
+    SampleJob("extraction under a quota", "conservatory", "part-extraction", 4),
     SampleJob("gang of 6", "state-orchestra", "premiere-set", 6),
     SampleRequest("quick quote", "tokachi", "quick-quote", b"piano lid, 2 m2"),
     SampleJob("full estimate", "tokachi", "full-estimate"),
--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -1,19 +1,16 @@
 """`redwing-scheduler`: a candidate for the ownership of its failure domain's shards."""
 
+import asyncio
 import sys
 
+from redwingplank.cli.node import NodeConnections
 from redwingplank.cli.program import Program, read_settings, run_program
 from redwingplank.cli.settings import SchedulerProgramSettings
 from redwingplank.config import Declarations
-from redwingplank.core import MonotonicClock, UnixClock
-from redwingplank.platform.http import (
-    HttpKeyValueStore,
-    HttpVmList,
-    HttpWorkerClient,
-    open_session,
-)
-from redwingplank.rpc import NodeServer, serve_node
+from redwingplank.platform.budget import StorePurpose
+from redwingplank.platform.http import HttpWorkerClient
 from redwingplank.rpc.scheduler_calls import SCHEDULER_SERVICE
+from redwingplank.runtime.metrics import MetricsReporter
 from redwingplank.runtime.scheduler import make_scheduler_process
 from redwingplank.runtime.scheduler_core import SchedulerCore
 from redwingplank.runtime.settings import SchedulerProcessSettings
@@ -38,24 +35,27 @@
 
     def __init__(self, settings: SchedulerProgramSettings) -> None:
         self._settings = settings
-        self._clock = MonotonicClock()
-        self._unix_clock = UnixClock()
-        self._session = open_session()
-        self._server: NodeServer | None = None
+        self.node = NodeConnections(settings, self.change_declarations)
         self.process = make_scheduler_process(
             make_process_settings(settings),
-            HttpKeyValueStore(self._session, settings.store_url, settings.store_timeout_s),
-            HttpVmList(self._session, settings.vms_url, settings.store_timeout_s),
-            HttpWorkerClient(self._session),
-            self._clock,
-            self._unix_clock,
+            self.node.store(StorePurpose.LEASE),
+            self.node.vm_list,
+            HttpWorkerClient(self.node.session),
+            self.node.clock,
+            self.node.unix_clock,
             self._make_core,
         )
+        self._metrics = MetricsReporter(
+            settings.statsd_address,
+            f"redwing.scheduler.{settings.name}",
+            {"node": self.node.gauges},
+        )
+        self._metrics_task: asyncio.Task | None = None
 
     async def start(self) -> None:
-        services = {SCHEDULER_SERVICE: self.process.service()}
-        self._server = await serve_node(self._settings.rpc_address, services)
+        await self.node.start({SCHEDULER_SERVICE: self.process.service()})
         self.process.start()
+        self._metrics_task = asyncio.create_task(self._metrics.run())
 
     async def wait(self) -> None:
         await self.process.wait()
@@ -63,10 +63,11 @@
     async def drain(self) -> None:
         own = self._settings.rpc_address
         successor = next((item for item in self._candidates() if item != own), "")
+        self.node.membership.leave()
         await self.process.stop(successor)
-        if self._server is not None:
-            await self._server.stop()
-        await self._session.close()
+        if self._metrics_task is not None:
+            self._metrics_task.cancel()
+        await self.node.stop()
 
     def describe_in_flight(self) -> str:
         shards = [
--- a/redwingplank/runtime/entry.py
+++ b/redwingplank/runtime/entry.py
@@ -1,7 +1,7 @@
 """An entry's parts, and the order in which they start and stop."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +15,8 @@
 
 __all__ = ["EntryParts", "EntryRuntime"]
 
+UPSTREAMS_EVERY_S = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class EntryParts:
@@ -41,6 +43,7 @@
         self.parts = parts
         self._clock = clock
         self._is_leaving = False
+        self._has_upstreams = False
         self._tasks: list[asyncio.Task] = []
 
     def start(self, *loops: Coroutine[Any, Any, None]) -> None:
@@ -62,9 +65,22 @@
 
     def change_upstreams(self, upstreams: tuple[ListedVm, ...]) -> None:
         """Route to these upstreams from now on."""
+        self._has_upstreams = self._has_upstreams or bool(upstreams)
         self.parts.router.set_upstreams(self._clock.now_s(), upstreams)
         self.parts.proxy.wake_waiting()
 
+    async def follow_upstreams(
+        self, read_upstreams: Callable[[float], tuple[ListedVm, ...]]
+    ) -> None:
+        """Hand each change of the live upstreams to the router, until cancelled."""
+        known: tuple[ListedVm, ...] | None = None
+        while True:
+            upstreams = read_upstreams(self._clock.now_s())
+            if upstreams != known:
+                known = upstreams
+                self.change_upstreams(upstreams)
+            await asyncio.sleep(UPSTREAMS_EVERY_S)
+
     def find_obstacles(self) -> tuple[str, ...]:
         """Return why the entry wants no new work."""
         obstacles = []
@@ -72,6 +88,8 @@
             obstacles.append("stopping")
         if not self.parts.router.declarations.organisations_by_name:
             obstacles.append("no declarations yet")
+        if not self._has_upstreams:
+            obstacles.append("no list of upstreams yet")
         return tuple(obstacles)
 
     @property
