Repeat wishes for quota and name all that waits in them

Cause: a lane that parked for quota within 5 s of its organisation's last wish made no wish of its own and was never tried again, so its job waited for ever; found by a sample job under a quota. Change: one wish a second for the sum of all parked lanes, for as long as any is parked. The test that wanted exactly one wish in 12 s held the fault in place; it now wants one each second, and another test wants the sum of all lanes. Conclusion: liveness under quota holds; the first grant costs about a second.

--- a/redwingplank/runtime/tests/test_membership.py
+++ b/redwingplank/runtime/tests/test_membership.py
@@ -92,7 +92,7 @@
 
 
 async def until(condition):
-    while not condition():
+    while not condition():  # noqa: ASYNC110
         await asyncio.sleep(0.01)
 
 
--- a/redwingplank/scheduling/parking.py
+++ b/redwingplank/scheduling/parking.py
@@ -1,20 +1,41 @@
 """Lanes that found no room or no quota, kept aside until that changes."""
 
+from dataclasses import dataclass
 from functools import partial
+from itertools import islice
 
 import numpy as np
 
+from redwingplank.core import Resources, sum_resources
 from redwingplank.scheduling.messages import GrantWanted
 from redwingplank.scheduling.queue import Lane
+from redwingplank.scheduling.shares import OrganisationUsage
 from redwingplank.scheduling.state import ShardState
 from redwingplank.scheduling.vm_table import Amounts
 
 __all__ = ["Parking"]
 
+MAX_WISH_JOBS = 256
+"""Jobs of a lane that one wish counts; those behind them are counted by later wishes."""
+
 NeedKey = tuple[bool, tuple[int, ...]]
 """Whether lanes need more than one place with room, and what each of their tasks needs."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Wish:
+    """What a lane needs: at least `count` tasks, at most all that wait in it."""
+
+    lane: Lane
+    need: Resources
+    count: int
+
+    def wanted(self) -> Resources:
+        jobs = islice(self.lane.jobs, MAX_WISH_JOBS)
+        waiting = sum(len(job.queued) for _, _, _, job in jobs)
+        return self.need * max(self.count, waiting)
+
+
 class Parking:
     """Parks lanes by their need and brings them back when a place of that size appears.
 
@@ -28,6 +49,7 @@
         self._state = state
         self._lanes_by_need: dict[NeedKey, list[Lane]] = {}
         self._lanes_by_organisation: dict[str, list[Lane]] = {}
+        self._wishes_by_organisation: dict[str, dict[int, _Wish]] = {}
 
     def is_full(self, need: Amounts) -> bool:
         """Return whether lanes of the same need found no place already."""
@@ -46,11 +68,26 @@
         """Park a lane until its organisation holds less or may hold more."""
         state = self._state
         state.queue.park(lane)
-        self._lanes_by_organisation.setdefault(lane.usage.name, []).append(lane)
-        if now_s >= lane.usage.wanted_at_s + state.settings.grant_repeat_s:
-            lane.usage.wanted_at_s = now_s
-            wanted = state.resources(need) * count
-            state.messages.append(GrantWanted(lane.usage.name, wanted))
+        usage = lane.usage
+        wish = _Wish(lane, state.resources(need), count)
+        self._wishes_by_organisation.setdefault(usage.name, {})[lane.number] = wish
+        self._lanes_by_organisation.setdefault(usage.name, []).append(lane)
+        if not usage.is_wish_due:
+            usage.is_wish_due = True
+            due_s = max(now_s, usage.wanted_at_s + state.settings.grant_repeat_s)
+            state.due.call_at(due_s, partial(self._wish, usage))
+
+    def _wish(self, usage: OrganisationUsage, now_s: float) -> None:
+        """Ask for what all parked lanes of an organisation need, again and again."""
+        wishes = self._wishes_by_organisation.get(usage.name)
+        usage.is_wish_due = bool(wishes)
+        if not wishes:
+            return
+        wanted = sum_resources(wish.wanted() for wish in wishes.values())
+        state = self._state
+        usage.wanted_at_s = now_s
+        state.messages.append(GrantWanted(usage.name, wanted))
+        state.due.call_at(now_s + state.settings.grant_repeat_s, partial(self._wish, usage))
 
     def retry_at(self, lane: Lane, due_s: float) -> None:
         """Bring a parked lane back at `due_s` if it is still parked."""
@@ -77,6 +114,7 @@
 
     def release_organisation(self, organisation: str) -> None:
         """Bring back the lanes that wait for an organisation's quota."""
+        self._wishes_by_organisation.pop(organisation, None)
         for lane in self._lanes_by_organisation.pop(organisation, ()):
             self._state.queue.unpark(lane)
 
--- a/redwingplank/scheduling/settings.py
+++ b/redwingplank/scheduling/settings.py
@@ -103,5 +103,5 @@
     overshoot_step_s: float = 5.0
     stop_repeat_s: float = 3.0
     service_move_wait_s: float = 30.0
-    grant_repeat_s: float = 5.0
+    grant_repeat_s: float = 1.0
     job_retention_s: float = 3600.0
--- a/redwingplank/scheduling/shares.py
+++ b/redwingplank/scheduling/shares.py
@@ -33,6 +33,7 @@
     used: list[int] = field(default_factory=list)
     share: float = 0.0
     wanted_at_s: float = float("-inf")
+    is_wish_due: bool = False
 
 
 class ShareTable:
--- a/redwingplank/scheduling/tests/test_sharing.py
+++ b/redwingplank/scheduling/tests/test_sharing.py
@@ -37,7 +37,21 @@
         assert shard.running_on() == {}
         wanted = [m for m in shard.messages if isinstance(m, GrantWanted)]
         assert wanted[0].organisation == "bureau"
-        assert len(wanted) == 1
+        assert wanted[0].wanted == make_resources(8000, 8 * 1024)
+        assert 11 <= len(wanted) <= 12
+
+    def test_wish_names_all_that_waits_also_what_came_after_the_first_wish(self):
+        shard = Shard(make_declarations(make_service(), BULK, quota=make_resources(9000, 99_999)))
+        shard.add_workers(2)
+        shard.submit("first", task_count=1, payload=FOREVER)
+        shard.run(0.5)
+        shard.inbox.append(GrantChanged("bureau", make_resources(1000, 1024)))
+        shard.submit("second", "bulk", task_count=3, payload=FOREVER)
+        shard.submit("third", task_count=2, payload=FOREVER)
+        shard.run(3.0)
+        last = [m for m in shard.messages if isinstance(m, GrantWanted)][-1]
+        assert running_of(shard, "first") == 1
+        assert last.wanted == make_resources(5000, 5 * 1024)
 
     def test_grant_bounds_what_runs(self):
         shard = Shard(make_declarations(quota=make_resources(4000, 8192)))
