Exchange slot credits and ask orders' homes over RPC

Cause: credits and orders need their messages between processes, under a grantor's lease and owners of shards. Change: credits.capnp, orders.capnp and their runtime; the grantor's lease and record of members in the store.

--- a/redwingplank/routing/credit_grantor.py
+++ b/redwingplank/routing/credit_grantor.py
@@ -172,6 +172,12 @@
         self._extend(now_s, member)
         return True
 
+    def is_latest(self, report: CreditReport) -> bool:
+        """Return whether no later report of its entry was taken."""
+        member = self._members_by_entry.get(report.entry)
+        identity = (report.incarnation, report.sequence)
+        return member is not None and (member.incarnation, member.sequence) == identity
+
     def would_change(self, now_s: float, entry: str) -> bool:
         """Return whether a grant to an entry would differ from what it holds."""
         member = self._members_by_entry.get(entry)
--- a/redwingplank/routing/credit_holder.py
+++ b/redwingplank/routing/credit_holder.py
@@ -45,6 +45,13 @@
         """Return the credits that may be used now, by upstream."""
         return self._held_by_upstream if now_s < self._expires_s else {}
 
+    def usable(self, now_s: float) -> Mapping[str, int]:
+        """Return the credits on which new requests may start, without those wanted back."""
+        held = self.held(now_s)
+        return {
+            name: self._wanted_back_by_upstream.get(name, count) for name, count in held.items()
+        }
+
     def give_back(self, now_s: float, in_use_by_upstream: Mapping[str, int]) -> bool:
         """Give up what was asked for and is free; return whether anything was given up."""
         is_changed = False
--- /dev/null
+++ b/redwingplank/rpc/credits.capnp
@@ -0,0 +1,45 @@
+@0x9c3f5be210a7d684;
+# Exchange of slot credits between the entries of a failure domain.
+
+struct Count {
+  name @0 :Text;
+  count @1 :UInt32;
+}
+
+struct ServiceUse {
+  service @0 :Text;
+  inFlight @1 :UInt32;
+  waiting @2 :UInt32;
+  idle @3 :UInt32;
+}
+
+struct Report {
+  entry @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  epoch @3 :UInt64;
+  held @4 :List(Count);
+  uses @5 :List(ServiceUse);
+  isFrozen @6 :Bool;
+  isLast @7 :Bool;
+}
+
+struct Peer {
+  entry @0 :Text;
+  idle @1 :List(Count);
+  waiting @2 :UInt32;
+}
+
+struct Grant {
+  epoch @0 :UInt64;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  credits @3 :List(Count);
+  isFrozen @4 :Bool;
+  peers @5 :List(Peer);
+}
+
+interface Credits {
+  exchange @0 (report :Report) -> (isAnswered :Bool, grant :Grant);
+  # Answered when the grant differs from what the entry holds, or after a while.
+}
--- /dev/null
+++ b/redwingplank/rpc/order_messages.py
@@ -0,0 +1,107 @@
+"""Conversion between the messages of orders and their Cap'n Proto form."""
+
+from typing import Any
+
+from redwingplank.routing.orders import (
+    ClaimAnswer,
+    ClaimOutcome,
+    OrderClaim,
+    OrderEnd,
+    OrderKey,
+    OrderReport,
+    StoredAnswer,
+)
+from redwingplank.rpc.schema import load_schema
+
+__all__ = [
+    "NOT_HOME",
+    "read_claim",
+    "read_claim_answer",
+    "read_report",
+    "write_claim",
+    "write_claim_answer",
+    "write_report",
+]
+
+NOT_HOME = "not_home"
+
+_schema: Any = load_schema("orders")
+
+
+def write_claim(claim: OrderClaim) -> Any:
+    """Return the message of a claim."""
+    return _schema.OrderClaim.new_message(
+        key=_key_fields(claim.key),
+        claimId=claim.claim_id,
+        entry=claim.entry,
+        bodyDigest=claim.body_digest,
+        timeoutS=claim.timeout_s,
+    )
+
+
+def read_claim(message: Any) -> OrderClaim:
+    """Return the claim in a message."""
+    return OrderClaim(
+        key=_read_key(message.key),
+        claim_id=message.claimId,
+        entry=message.entry,
+        body_digest=message.bodyDigest,
+        timeout_s=message.timeoutS,
+    )
+
+
+def write_claim_answer(answer: ClaimAnswer | None) -> Any:
+    """Return the message of the answer to a claim; None for "not the home"."""
+    if answer is None:
+        return _schema.ClaimAnswer.new_message(outcome=NOT_HOME)
+    message = _schema.ClaimAnswer.new_message(outcome=answer.outcome.value)
+    _write_stored(message, answer.answer)
+    return message
+
+
+def read_claim_answer(message: Any) -> ClaimAnswer | None:
+    """Return the answer in a message, None for "not the home"."""
+    if message.outcome == NOT_HOME:
+        return None
+    return ClaimAnswer(ClaimOutcome(message.outcome), _read_stored(message))
+
+
+def write_report(report: OrderReport) -> Any:
+    """Return the message of a report."""
+    message = _schema.OrderReport.new_message(
+        key=_key_fields(report.key), claimId=report.claim_id, end=report.end.value
+    )
+    _write_stored(message, report.answer)
+    return message
+
+
+def read_report(message: Any) -> OrderReport:
+    """Return the report in a message."""
+    key = _read_key(message.key)
+    return OrderReport(key, message.claimId, OrderEnd(message.end), _read_stored(message))
+
+
+def _key_fields(key: OrderKey) -> dict[str, str]:
+    return {"organisation": key.organisation, "service": key.service, "key": key.key}
+
+
+def _read_key(message: Any) -> OrderKey:
+    return OrderKey(message.organisation, message.service, message.key)
+
+
+def _write_stored(message: Any, stored: StoredAnswer | None) -> None:
+    if stored is None:
+        return
+    message.hasAnswer = True
+    message.answer = {
+        "status": stored.status,
+        "headers": [{"name": name, "value": value} for name, value in stored.headers],
+        "body": stored.body,
+    }
+
+
+def _read_stored(message: Any) -> StoredAnswer | None:
+    if not message.hasAnswer:
+        return None
+    headers = tuple((header.name, header.value) for header in message.answer.headers)
+    return StoredAnswer(message.answer.status, headers, bytes(message.answer.body))
--- /dev/null
+++ b/redwingplank/runtime/credit_authority.py
@@ -0,0 +1,215 @@
+"""The grantor's lease in the platform's store, and the record of who may hold credits."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from redwingplank.core import Clock, log_event, make_logger
+from redwingplank.platform import (
+    Compare,
+    KeyValue,
+    KeyValueStore,
+    OutcomeUnknownError,
+    PlatformError,
+    Put,
+)
+from redwingplank.routing.credit_grantor import CreditGrantor
+
+__all__ = ["CreditAuthority", "GrantorPlace"]
+
+LEASE_TTL_S = 3.0
+RENEW_INTERVAL_S = 1.0
+CLOCK_MARGIN_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class GrantorPlace:
+    """Who grants the credits of a failure domain, and where."""
+
+    entry: str
+    address: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class _MembersRecord:
+    """The epoch and the incarnations of the entries that may hold credits."""
+
+    epoch: int = 0
+    members: dict[str, int] = field(default_factory=dict)
+
+
+class CreditAuthority:
+    """Takes and keeps the grantor's lease of a failure domain.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The platform's service.
+    failure_domain : str
+        Part of the keys.
+    place : GrantorPlace
+        This process.
+    grantor : CreditGrantor
+        The ledger that the authority is for.
+    clock : Clock
+        The present time.
+    on_change : callable
+        Called when grants may have changed.
+
+    Notes
+    -----
+    The lease counts from the moment at which its renewal was sent, less a margin for clocks, so
+    that it ends here before it ends in the store. When a renewal fails, every entry is told to
+    keep its credits; when the lease is lost, the ledger is given up.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        failure_domain: str,
+        place: GrantorPlace,
+        grantor: CreditGrantor,
+        clock: Clock,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._prefix = f"credits/{failure_domain}/"
+        self._place = place
+        self._grantor = grantor
+        self._clock = clock
+        self._on_change = on_change
+        self._lease_id = 0
+        self._members_revision = 0
+        self._recording = asyncio.Lock()
+        self._record_again_at_s = 0.0
+        self._logger = make_logger("credits")
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this process is the grantor."""
+        return self._grantor.epoch > 0
+
+    async def run(self) -> None:
+        """Renew the lease and the record of members until cancelled."""
+        while True:
+            await asyncio.sleep(RENEW_INTERVAL_S)
+            if self.is_held:
+                await self.renew()
+
+    async def find_or_take(self) -> GrantorPlace | None:
+        """Return the grantor, which is this process when there was none.
+
+        Raises
+        ------
+        PlatformError
+            The store did not answer.
+        """
+        found = await self._store.range(self._prefix)
+        entries_by_key = {entry.key: entry for entry in found.entries}
+        current = entries_by_key.get(self._grantor_key)
+        if current is not None:
+            place = msgspec.msgpack.decode(current.value, type=GrantorPlace)
+            if place != self._place or self.is_held:
+                return place
+            return None
+        return self._place if await self._take(entries_by_key.get(self._members_key)) else None
+
+    async def renew(self) -> None:
+        """Renew the lease once, and tell entries to keep their credits if that fails."""
+        sent_s = self._clock.now_s()
+        try:
+            remaining_s = await self._store.keep_alive(self._lease_id)
+        except PlatformError as error:
+            log_event(self._logger, "grantor_lease_not_renewed", reason=str(error))
+            self._grantor.freeze()
+            return
+        if remaining_s <= 0:
+            self._resign("the lease lapsed")
+            return
+        self._grantor.renew(sent_s + LEASE_TTL_S - CLOCK_MARGIN_S)
+        await self.record_members()
+
+    async def record_members(self) -> None:
+        """Write the record of members if it changed, a while after a failure at the earliest."""
+        async with self._recording:
+            if self._clock.now_s() >= self._record_again_at_s:
+                await self._record_members()
+
+    async def _record_members(self) -> None:
+        members = self._grantor.unrecorded_members()
+        if members is None or not self.is_held:
+            return
+        value = msgspec.msgpack.encode(_MembersRecord(self._grantor.epoch, dict(members)))
+        compare = Compare(self._members_key, self._members_revision)
+        try:
+            result = await self._store.transact((compare,), (Put(self._members_key, value),))
+            written = result.revision if result.succeeded else 0
+        except OutcomeUnknownError:
+            written = await self._read_back(value)
+        except PlatformError as error:
+            log_event(self._logger, "members_not_recorded", reason=str(error))
+            self._record_again_at_s = self._clock.now_s() + RENEW_INTERVAL_S
+            return
+        if not written:
+            self._resign("another grantor wrote the record")
+            return
+        self._members_revision = written
+        self._grantor.members_recorded(members)
+        self._on_change()
+
+    async def release(self) -> None:
+        """Give up the lease, so that another entry can take it at once."""
+        if not self.is_held:
+            return
+        self._resign("the process stops")
+        try:
+            await self._store.revoke_lease(self._lease_id)
+        except PlatformError as error:
+            log_event(self._logger, "grantor_lease_not_revoked", reason=str(error))
+
+    @property
+    def _grantor_key(self) -> str:
+        return f"{self._prefix}grantor"
+
+    @property
+    def _members_key(self) -> str:
+        return f"{self._prefix}members"
+
+    async def _take(self, members_entry: KeyValue | None) -> bool:
+        record = _MembersRecord()
+        if members_entry is not None:
+            record = msgspec.msgpack.decode(members_entry.value, type=_MembersRecord)
+        revision = members_entry.mod_revision if members_entry else 0
+        sent_s = self._clock.now_s()
+        lease_id = await self._store.grant_lease(LEASE_TTL_S)
+        taken = _MembersRecord(record.epoch + 1, record.members)
+        value = msgspec.msgpack.encode(taken)
+        compares = (Compare(self._grantor_key, 0), Compare(self._members_key, revision))
+        place = Put(self._grantor_key, msgspec.msgpack.encode(self._place), lease_id)
+        result = await self._store.transact(compares, (place, Put(self._members_key, value)))
+        if not result.succeeded:
+            return False
+        self._lease_id = lease_id
+        self._members_revision = result.revision
+        authority_until_s = sent_s + LEASE_TTL_S - CLOCK_MARGIN_S
+        self._grantor.take_over(sent_s, taken.epoch, authority_until_s, taken.members)
+        log_event(self._logger, "grantor_lease_taken", epoch=taken.epoch)
+        self._on_change()
+        return True
+
+    async def _read_back(self, value: bytes) -> int:
+        """Return the revision of a record whose write had no answer, 0 if it is not there."""
+        try:
+            found = await self._store.range(self._members_key, is_prefix=False)
+        except PlatformError:
+            return 0
+        entry = found.entries[0] if found.entries else None
+        return entry.mod_revision if entry is not None and entry.value == value else 0
+
+    def _resign(self, reason: str) -> None:
+        log_event(self._logger, "grantor_resigned", epoch=self._grantor.epoch, reason=reason)
+        self._grantor.resign()
+        self._on_change()
--- /dev/null
+++ b/redwingplank/runtime/credits.py
@@ -0,0 +1,289 @@
+"""Exchange of slot credits between the entries of a failure domain."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from redwingplank.core import Clock, log_event, make_logger
+from redwingplank.platform import KeyValueStore, ListedVm, PlatformError, VmRole
+from redwingplank.routing import Router
+from redwingplank.routing.credit_grantor import CreditGrantor
+from redwingplank.routing.credit_holder import CreditHolder
+from redwingplank.routing.credit_messages import (
+    CreditGrant,
+    CreditReport,
+    CreditSettings,
+    ServiceUse,
+)
+from redwingplank.rpc import PeerConnections, RpcError, load_schema
+from redwingplank.rpc.credit_messages import read_grant, read_report, write_grant, write_report
+from redwingplank.runtime.credit_authority import CreditAuthority, GrantorPlace
+
+__all__ = [
+    "CREDITS_SERVICE",
+    "CreditClient",
+    "CreditExchange",
+    "CreditService",
+    "EntryPlace",
+    "RpcCreditClient",
+]
+
+CREDITS_SERVICE = "credits"
+HOLD_S = 0.5
+MIN_INTERVAL_S = 0.01
+CHECK_INTERVAL_S = 0.02
+CALL_TIMEOUT_S = 1.5
+RETRY_INTERVAL_S = 0.5
+REPEAT_WHILE_WAITING_S = 0.04
+
+_schema: Any = load_schema("credits")
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPlace:
+    """This process: its entry's name, where it listens, its failure domain and its start.
+
+    Parameters
+    ----------
+    entry, address, failure_domain : str
+        Name, ``"IP:PORT"`` and place.
+    incarnation : int
+        Grows with each start of a process of this name, such as nanoseconds since 1970.
+    settings : CreditSettings
+        Leases.
+    """
+
+    entry: str
+    address: str
+    failure_domain: str
+    incarnation: int
+    settings: CreditSettings = field(default_factory=CreditSettings)
+
+
+class CreditClient(ABC):
+    """Sends reports to the grantor."""
+
+    @abstractmethod
+    async def exchange(self, address: str, report: CreditReport) -> CreditGrant | None:
+        """Return the grant, None when the process is not the grantor; raises `RpcError`."""
+
+
+class RpcCreditClient(CreditClient):
+    """Sends reports over RPC."""
+
+    def __init__(self, peers: PeerConnections) -> None:
+        self._peers = peers
+
+    async def exchange(self, address: str, report: CreditReport) -> CreditGrant | None:
+        message = write_report(report)
+        response = await self._peers.call(
+            address,
+            CREDITS_SERVICE,
+            _schema.Credits,
+            lambda peer: peer.exchange(message),
+            CALL_TIMEOUT_S,
+        )
+        return read_grant(response.grant) if response.isAnswered else None
+
+
+class CreditService(_schema.Credits.Server):
+    """Answers the reports of other entries."""
+
+    def __init__(self, exchange: "CreditExchange") -> None:
+        self._exchange = exchange
+
+    async def exchange(self, report: Any, _context: Any, **_: Any) -> Any:
+        grant = await self._exchange.answer(read_report(report))
+        return (False, _schema.Grant.new_message()) if grant is None else (True, write_grant(grant))
+
+
+class CreditExchange:
+    """Keeps a router supplied with credits, and grants them when this process is the grantor.
+
+    Parameters
+    ----------
+    place : EntryPlace
+        This process.
+    router : Router
+        Uses the credits; its settings say ``uses_credits``.
+    on_credits : callable
+        Called after the router was given other credits, to decide on waiting requests again.
+    store : KeyValueStore
+        Holds the grantor's lease.
+    client : CreditClient
+        Reaches the grantor in another process.
+    clock : Clock
+        The router's clock.
+    """
+
+    def __init__(
+        self,
+        place: EntryPlace,
+        router: Router,
+        on_credits: Callable[[], None],
+        store: KeyValueStore,
+        client: CreditClient,
+        clock: Clock,
+    ) -> None:
+        self._place = place
+        self._router = router
+        self._on_credits = on_credits
+        self._client = client
+        self._clock = clock
+        self._holder = CreditHolder(place.settings, place.entry, place.incarnation)
+        self._grantor = CreditGrantor(place.settings)
+        self._authority = CreditAuthority(
+            store,
+            place.failure_domain,
+            GrantorPlace(place.entry, place.address, place.incarnation),
+            self._grantor,
+            clock,
+            self._grants_changed,
+        )
+        self._grantor_place: GrantorPlace | None = None
+        self._grants_event = asyncio.Event()
+        self._report_event = asyncio.Event()
+        self._held_by_entry: dict[str, int] = {}
+        self._given: Mapping[str, int] = {}
+        self._logger = make_logger("credits")
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        await asyncio.gather(self._authority.run(), self._exchange_forever(), self._check_forever())
+
+    def set_listed(self, vms: Iterable[ListedVm]) -> None:
+        """Take the platform's list: upstreams to divide, and entries that are gone."""
+        own = [vm for vm in vms if vm.failure_domain == self._place.failure_domain]
+        upstreams = [vm for vm in own if vm.role is VmRole.UPSTREAM]
+        entries = [vm.name for vm in own if vm.role is VmRole.ENTRY]
+        self._grantor.set_upstreams(upstreams)
+        self._grantor.set_listed_entries(self._clock.now_s(), entries)
+        self._grants_changed()
+
+    async def answer(self, report: CreditReport) -> CreditGrant | None:
+        """Return the grant for an entry's report, as soon as it differs from what it holds."""
+        if not self._grantor.report(self._clock.now_s(), report):
+            return None
+        if self._grantor.unrecorded_members() is not None:
+            await self._authority.record_members()
+        if report.is_last or self._is_urgent(report):
+            self._grants_changed()
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + HOLD_S
+        while self._grantor.is_latest(report):
+            remaining_s = ends_s - loop.time()
+            changes = self._grantor.would_change(self._clock.now_s(), report.entry)
+            if changes or remaining_s <= 0:
+                return self._grantor.grant(self._clock.now_s(), report.entry)
+            await _wait(self._grants_event, remaining_s)
+        return None
+
+    async def leave(self) -> None:
+        """Give back everything, for a process that stops; call it once nothing is in flight."""
+        self._give({})
+        report = self._holder.report(self._clock.now_s(), {}, {}, is_last=True)
+        try:
+            await asyncio.wait_for(self._send(report), CALL_TIMEOUT_S)
+        except (RpcError, TimeoutError) as error:
+            log_event(self._logger, "credits_not_returned", reason=str(error))
+        await self._authority.release()
+
+    async def _exchange_forever(self) -> None:
+        while True:
+            self._report_event.clear()
+            if self._grantor_place is None and not await self._find_grantor():
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                continue
+            if not await self._exchange_once():
+                self._grantor_place = None
+                await asyncio.sleep(MIN_INTERVAL_S)
+            await asyncio.sleep(MIN_INTERVAL_S)
+
+    async def _find_grantor(self) -> bool:
+        try:
+            self._grantor_place = await self._authority.find_or_take()
+        except PlatformError as error:
+            log_event(self._logger, "grantor_not_found", reason=str(error))
+        return self._grantor_place is not None
+
+    async def _exchange_once(self) -> bool:
+        """Send a report; return False when the grantor has to be looked for again."""
+        now_s = self._clock.now_s()
+        demand = self._router.demand_by_service(now_s)
+        report = self._holder.report(
+            now_s,
+            {name: ServiceUse(each.in_flight, each.waiting) for name, each in demand.items()},
+            {name: each.idle for name, each in demand.items()},
+        )
+        call = asyncio.ensure_future(self._send(report))
+        interrupt = asyncio.ensure_future(self._report_event.wait())
+        try:
+            await asyncio.wait({call, interrupt}, return_when=asyncio.FIRST_COMPLETED)
+            if not call.done():
+                return True
+            return self._take(call)
+        finally:
+            call.cancel()
+            interrupt.cancel()
+
+    async def _send(self, report: CreditReport) -> CreditGrant | None:
+        place = self._grantor_place
+        if place is None:
+            return None
+        if place.entry == self._place.entry and place.incarnation == self._place.incarnation:
+            return await self.answer(report)
+        return await self._client.exchange(place.address, report)
+
+    def _take(self, call: "asyncio.Future[CreditGrant | None]") -> bool:
+        error = call.exception()
+        if isinstance(error, RpcError):
+            log_event(self._logger, "credits_not_exchanged", reason=str(error))
+            return False
+        grant = call.result()
+        if grant is None:
+            return False
+        now_s = self._clock.now_s()
+        self._holder.receive(now_s, grant, self._router.in_flight_by_upstream())
+        self._router.set_peers(now_s, grant.peers)
+        self._give(self._holder.usable(now_s))
+        return True
+
+    async def _check_forever(self) -> None:
+        """Return credits as they become free, ask for more, and notice a lapsed lease."""
+        last_report_s = 0.0
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now_s = self._clock.now_s()
+            returned = self._holder.give_back(now_s, self._router.in_flight_by_upstream())
+            is_due = now_s - last_report_s >= REPEAT_WHILE_WAITING_S
+            if returned or (self._router.waiting_count and is_due):
+                last_report_s = now_s
+                self._report_event.set()
+            self._give(self._holder.usable(now_s))
+
+    def _give(self, credits_by_upstream: Mapping[str, int]) -> None:
+        if credits_by_upstream == self._given:
+            return
+        self._given = dict(credits_by_upstream)
+        self._router.set_credits(self._clock.now_s(), self._given)
+        self._on_credits()
+
+    def _is_urgent(self, report: CreditReport) -> bool:
+        """Return whether other entries' grants may change by a report."""
+        is_wanting = any(use.waiting for use in report.use_by_service.values())
+        is_less = sum(report.held_by_upstream.values()) < self._held_by_entry.get(report.entry, 0)
+        self._held_by_entry[report.entry] = sum(report.held_by_upstream.values())
+        return is_wanting or is_less
+
+    def _grants_changed(self) -> None:
+        event, self._grants_event = self._grants_event, asyncio.Event()
+        event.set()
+
+
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    try:
+        await asyncio.wait_for(event.wait(), timeout_s)
+    except TimeoutError:
+        return
--- a/redwingplank/runtime/order_log.py
+++ b/redwingplank/runtime/order_log.py
@@ -59,6 +59,10 @@
     async def delete(self, digests: tuple[str, ...]) -> None:
         """Delete records."""
 
+    @abstractmethod
+    async def read(self, digest: str) -> OrderRecord | None:
+        """Return the record of an order."""
+
     @abstractmethod
     async def replay(self) -> tuple[OrderRecord, ...]:
         """Return all records."""
@@ -122,6 +126,10 @@
         writes = (self._write(digest, None, self._known_revision(digest)) for digest in known)
         await asyncio.gather(*writes)
 
+    async def read(self, digest: str) -> OrderRecord | None:
+        result = await self._store.range(self._prefix + digest, is_prefix=False)
+        return OrderRecord.decode(result.entries[0].value) if result.entries else None
+
     async def replay(self) -> tuple[OrderRecord, ...]:
         result = await self._store.range(self._prefix)
         self._revisions_by_key = {entry.key: entry.mod_revision for entry in result.entries}
--- /dev/null
+++ b/redwingplank/runtime/order_service.py
@@ -0,0 +1,192 @@
+"""Orders' homes over RPC: the service of a scheduler process and its client in an entry."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
+from typing import Any
+
+from redwingplank.core import log_event, make_logger
+from redwingplank.platform import PlatformError
+from redwingplank.routing.orders import ClaimAnswer, OrderClaim, OrderReport
+from redwingplank.routing.rendezvous import choose_by_rendezvous
+from redwingplank.rpc import PeerConnections, RpcError, load_schema
+from redwingplank.rpc.order_messages import (
+    read_claim,
+    read_claim_answer,
+    read_report,
+    write_claim,
+    write_claim_answer,
+    write_report,
+)
+from redwingplank.runtime.orders import HomeUnreachableError, OrderHome, OrderHomes
+
+__all__ = ["ORDERS_SERVICE", "OrderService", "OwnedOrderHomes", "RpcOrderHomes"]
+
+ORDERS_SERVICE = "orders"
+FOLLOW_INTERVAL_S = 0.2
+EXPIRE_INTERVAL_S = 60.0
+CALL_TIMEOUT_S = 2.0
+
+_schema: Any = load_schema("orders")
+
+
+class OwnedOrderHomes:
+    """The homes of the shards that this process owns.
+
+    Parameters
+    ----------
+    make_home : callable
+        Returns a home for a shard's name.
+    owned_shards : callable
+        Returns the names of the shards that are owned now.
+    """
+
+    def __init__(
+        self,
+        make_home: Callable[[str], OrderHome],
+        owned_shards: Callable[[], Collection[str]],
+    ) -> None:
+        self._make_home = make_home
+        self._owned_shards = owned_shards
+        self.homes_by_shard: dict[str, OrderHome] = {}
+        self._logger = make_logger("orders")
+
+    async def run(self) -> None:
+        """Follow the ownership of shards until cancelled."""
+        loop = asyncio.get_running_loop()
+        expire_at_s = loop.time() + EXPIRE_INTERVAL_S
+        while True:
+            await self.follow()
+            if loop.time() >= expire_at_s:
+                expire_at_s = loop.time() + EXPIRE_INTERVAL_S
+                await self._expire()
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+
+    async def follow(self) -> None:
+        """Open the homes of shards that were won, and close those of shards that were lost."""
+        owned = set(self._owned_shards())
+        for shard in set(self.homes_by_shard) - owned:
+            self.homes_by_shard.pop(shard).stop()
+        for shard in owned - set(self.homes_by_shard):
+            home = self._make_home(shard)
+            try:
+                await home.start()
+            except PlatformError as error:
+                log_event(self._logger, "order_home_not_opened", shard=shard, reason=str(error))
+                continue
+            self.homes_by_shard[shard] = home
+
+    async def _expire(self) -> None:
+        for shard, home in list(self.homes_by_shard.items()):
+            try:
+                await home.expire()
+            except PlatformError as error:
+                log_event(self._logger, "orders_not_expired", shard=shard, reason=str(error))
+
+
+class OrderService(_schema.Orders.Server):
+    """Answers entries for the homes that are open in this process.
+
+    Parameters
+    ----------
+    homes_by_shard : mapping of str to OrderHome
+        Changes while the service runs.
+    """
+
+    def __init__(self, homes_by_shard: Mapping[str, OrderHome]) -> None:
+        self._homes_by_shard = homes_by_shard
+
+    async def look(self, shard: str, claim: Any, _context: Any, **_: Any) -> Any:
+        read = read_claim(claim)
+        return write_claim_answer(await self._ask(shard, lambda home: home.look(read)))
+
+    async def claim(self, shard: str, claim: Any, _context: Any, **_: Any) -> Any:
+        read = read_claim(claim)
+        return write_claim_answer(await self._ask(shard, lambda home: home.claim(read)))
+
+    async def report(self, shard: str, report: Any, _context: Any, **_: Any) -> bool:
+        read = read_report(report)
+
+        async def take(home: OrderHome) -> bool:
+            await home.report(read)
+            return True
+
+        return bool(await self._ask(shard, take))
+
+    async def _ask(self, shard: str, method: Callable[[OrderHome], Awaitable[Any]]) -> Any:
+        home = self._homes_by_shard.get(shard)
+        if home is None:
+            return None
+        try:
+            return await method(home)
+        except HomeUnreachableError:
+            return None
+
+
+class RpcOrderHomes(OrderHomes):
+    """Finds the home of each order and calls it.
+
+    Parameters
+    ----------
+    peers : PeerConnections
+        Open connections.
+    shards : sequence of str
+        All shards of the cell; the same in every entry.
+    find_owner : callable
+        Returns the address of a shard's owner, or None.
+    """
+
+    def __init__(
+        self,
+        peers: PeerConnections,
+        shards: Sequence[str],
+        find_owner: Callable[[str], str | None],
+    ) -> None:
+        self._peers = peers
+        self._shards = tuple(shards)
+        self._find_owner = find_owner
+
+    async def look(self, claim: OrderClaim) -> ClaimAnswer:
+        shard, message = self._shard_of(claim.key.digest()), write_claim(claim)
+        timeout_s = claim.timeout_s + CALL_TIMEOUT_S
+        response = await self._call(shard, timeout_s, lambda home: home.look(shard, message))
+        return _read_answer(response, shard)
+
+    async def claim(self, claim: OrderClaim) -> ClaimAnswer:
+        shard, message = self._shard_of(claim.key.digest()), write_claim(claim)
+        timeout_s = claim.timeout_s + CALL_TIMEOUT_S
+        response = await self._call(shard, timeout_s, lambda home: home.claim(shard, message))
+        return _read_answer(response, shard)
+
+    async def report(self, report: OrderReport) -> None:
+        shard, message = self._shard_of(report.key.digest()), write_report(report)
+        response = await self._call(shard, CALL_TIMEOUT_S, lambda home: home.report(shard, message))
+        if not response.isTaken:
+            raise HomeUnreachableError(f"the owner of shard {shard} did not take the report")
+
+    def _shard_of(self, digest: str) -> str:
+        shard = choose_by_rendezvous(digest, self._shards)
+        if shard is None:
+            raise HomeUnreachableError(
+                "there is no shard; name the failure domains in the settings"
+            )
+        return shard
+
+    async def _call(
+        self, shard: str, timeout_s: float, method: Callable[[Any], Awaitable[Any]]
+    ) -> Any:
+        address = self._find_owner(shard)
+        if address is None:
+            raise HomeUnreachableError(f"shard {shard} has no owner now; try again")
+        try:
+            return await self._peers.call(
+                address, ORDERS_SERVICE, _schema.Orders, method, timeout_s
+            )
+        except RpcError as error:
+            raise HomeUnreachableError(f"the owner of shard {shard} failed: {error}") from error
+
+
+def _read_answer(response: Any, shard: str) -> ClaimAnswer:
+    answer = read_claim_answer(response.answer)
+    if answer is None:
+        raise HomeUnreachableError(f"the process is not the home of shard {shard}; try again")
+    return answer
--- a/redwingplank/runtime/orders.py
+++ b/redwingplank/runtime/orders.py
@@ -12,6 +12,7 @@
     OrderClaim,
     OrderRecord,
     OrderReport,
+    OrderState,
 )
 from redwingplank.runtime.order_log import OrderExistsError, OrderLog
 
@@ -19,6 +20,7 @@
 
 MAX_WAIT_S = 30.0
 EXPIRE_BATCH = 64
+READ_AGAIN_S = 0.25
 
 
 class HomeUnreachableError(RedwingError):
@@ -123,7 +125,7 @@
             await self._log.create(record)
         except OrderExistsError as error:
             self._book.replay(error.record)
-            return await self._wait_for_end(claim)
+            return await self._wait_for_other(claim, error.record)
         except PlatformError as error:
             self._book.not_recorded(record)
             raise HomeUnreachableError(f"the order could not be recorded: {error}") from error
@@ -134,6 +136,22 @@
             self._wake(record.digest)
         return self._book.recorded(record)
 
+    async def _wait_for_other(self, claim: OrderClaim, record: OrderRecord) -> ClaimAnswer:
+        """Wait for the end of an order that another process recorded."""
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + min(MAX_WAIT_S, claim.timeout_s)
+        while loop.time() < ends_at_s and record.state is OrderState.CLAIMED:
+            await asyncio.sleep(READ_AGAIN_S)
+            try:
+                found = await self._log.read(record.digest)
+            except PlatformError:
+                continue
+            if found is None:
+                raise HomeUnreachableError("the order's first run ended without effect; ask again")
+            record = found
+            self._book.replay(record)
+        return self._book.look(self._clock.now_s(), claim)
+
     async def _wait_for_end(self, claim: OrderClaim) -> ClaimAnswer:
         digest = claim.key.digest()
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/redwingplank/runtime/tests/test_order_service.py
@@ -0,0 +1,106 @@
+"""Orders' homes over RPC, and their shards changing hands."""
+
+import asyncio
+
+import capnp
+import pytest
+
+from redwingplank.routing import Ran
+from redwingplank.routing.orders import ClaimOutcome, OrderClaim, OrderKey
+from redwingplank.rpc import PeerConnections, serve_node
+from redwingplank.runtime.order_service import (
+    ORDERS_SERVICE,
+    OrderService,
+    OwnedOrderHomes,
+    RpcOrderHomes,
+)
+from redwingplank.runtime.orders import HomeUnreachableError
+from redwingplank.runtime.tests.requests_fixture import Cell
+
+FIRST_HOME, SECOND_HOME = "127.0.0.1:17401", "127.0.0.1:17402"
+
+
+def run(coroutine):
+    return asyncio.run(capnp.run(asyncio.wait_for(coroutine, 20.0)))
+
+
+class _Scheduler:
+    """A process that owns the shard when it is told to."""
+
+    def __init__(self, cell, address):
+        self.owned = []
+        self.address = address
+        self.homes = OwnedOrderHomes(lambda shard: cell.make_home(), lambda: self.owned)
+
+    async def serve(self):
+        services = {ORDERS_SERVICE: OrderService(self.homes.homes_by_shard)}
+        self.server = await serve_node(self.address, services)
+
+    async def own(self, *shards):
+        self.owned = list(shards)
+        await self.homes.follow()
+
+
+class TestOrdersOverRpc:
+    def test_a_repeat_after_the_home_moved_gets_the_first_answer(self):
+        async def scenario():
+            cell = Cell()
+            first, second = _Scheduler(cell, FIRST_HOME), _Scheduler(cell, SECOND_HOME)
+            await first.serve()
+            await second.serve()
+            await first.own("a")
+            owner = [FIRST_HOME]
+            peers = PeerConnections()
+            homes = RpcOrderHomes(peers, ["a"], lambda shard: owner[0])
+            entry = cell.make_entry(orders=homes)
+            answer = await entry.ask("order", key="k")
+            assert answer.ran is Ran.YES
+            entry.proxy.begin_stop()
+            await entry.proxy.drained()
+            await first.server.stop()
+            await second.own("a")
+            owner[0] = SECOND_HOME
+            repeat = await cell.make_entry("entry-2", orders=homes).ask("order", key="k")
+            assert repeat.body == answer.body
+            assert repeat.headers["idempotent-replayed"] == "true"
+            assert len(cell.started()) == 1
+            peers.close()
+            await second.server.stop()
+
+        run(scenario())
+
+    def test_a_shard_without_home_or_owner_means_not_run(self):
+        async def scenario():
+            cell = Cell()
+            scheduler = _Scheduler(cell, FIRST_HOME)
+            await scheduler.serve()
+            peers = PeerConnections()
+            for address in (FIRST_HOME, SECOND_HOME, None):
+                homes = RpcOrderHomes(peers, ["a"], lambda shard, found=address: found)
+                answer = await cell.make_entry(orders=homes).ask("order", key="k")
+                assert answer.ran is Ran.NO
+            assert not cell.started()
+            peers.close()
+            await scheduler.server.stop()
+
+        run(scenario())
+
+    def test_a_lost_shard_is_no_longer_answered_for(self):
+        async def scenario():
+            cell = Cell()
+            scheduler = _Scheduler(cell, FIRST_HOME)
+            await scheduler.own("a")
+            home = scheduler.homes.homes_by_shard["a"]
+            await scheduler.own()
+            claim = OrderClaim(OrderKey("b", "o", "k"), "c", "e", "d", 1.0)
+            with pytest.raises(HomeUnreachableError):
+                await home.claim(claim)
+            cell.store_faults.is_down = True
+            await scheduler.own("a")
+            assert not scheduler.homes.homes_by_shard
+            cell.store_faults.is_down = False
+            await scheduler.own("a")
+            answer = await scheduler.homes.homes_by_shard["a"].claim(claim)
+            assert answer.outcome is ClaimOutcome.FIRST
+
+        run(scenario())
