--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from redwingplank.config import Service
-from redwingplank.core import NO_RESOURCES, Resources
+from redwingplank.core import NO_RESOURCES, Resources, format_value
 from redwingplank.platform import TaskAction
 from redwingplank.scheduling.messages import JobSpec, JobState, TaskState
 from redwingplank.scheduling.vm_table import Amounts
@@ -109,9 +109,18 @@
     restarts: int = 0
     is_restart_possible: bool = False
     is_recovering: bool = False
+    is_preemptible: bool = False
     replaces: "Task | None" = None
     replacement: "Task | None" = None
 
+    @property
+    def log_id(self) -> str:
+        """The task's id, quoted for a log line where needed."""
+        job = self.job
+        if job.log_id is job.spec.job_id:
+            return self.task_id
+        return format_value(self.task_id)
+
     @property
     def state(self) -> TaskState:
         """The state as callers see it once it is durable."""
@@ -157,6 +166,8 @@
     deadline_s: float = 0.0
     queue_class: int = 0
     lane: "Lane | None" = None
+    declared: Amounts | None = None
+    log_id: str = ""
     is_durable: bool = False
     is_volatile: bool = False
     is_cancelled: bool = False
@@ -195,6 +206,8 @@
     name: str
     row: int
     rack: str = ""
+    rack_number: int = 0
+    log_name: str = ""
     incarnation: int = 0
     is_adopted: bool = False
     is_reachable: bool = False
@@ -214,6 +227,7 @@
     actions_in_flight: tuple[TaskAction, ...] = ()
     is_in_flight: bool = False
     is_timeout_set: bool = False
+    is_renewal_spread: bool = False
     timer_due_s: float = float("inf")
     was_renewed_in_flight: bool = False
     sent_at_s: float = 0.0
@@ -221,8 +235,11 @@
     due_at_s: float = 0.0
     processed_end: int = 0
     acknowledged_end: int = 0
-    suspicion_by_job: dict[str, int] = field(default_factory=dict)
+    suspicion_by_job: dict[str, float] = field(default_factory=dict)
     failed_tasks: list[Task] = field(default_factory=list)
+    failure_streak: int = 0
+    cool_count: int = 0
+    is_cooling: bool = False
     quarantine_count: int = 0
     quarantined_until_s: float = 0.0
     is_quarantined: bool = False
