Measure messages with workers and store and the idle cost of the real programs

Cause: the capacity page is to be worked out from measured slopes. Change: benchmarks/capacity.py; the relay counts bytes.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,181 @@
+"""Costs of single messages and of whole programs, from which docs/CAPACITY.md is worked out."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import psutil
+
+from redwingplank.core import Resources
+from redwingplank.platform import Compare, Put, StartTask, TaskAction, TaskActionKind, WorkerRequest
+from redwingplank.platform.http import HttpKeyValueStore, HttpWorkerClient, open_session
+from tools.local_cell import STANDIN_HOST, CellLayout, LocalCell, wait_until
+from tools.relay import Relay
+
+FIRST_PORT = 17700
+RELAY_PORT = 17990
+EXCHANGES = 200
+PAYLOAD = b'{"run_s": 1000.0}'
+TASK = Resources(100, 64)
+DOMAIN = "only"
+MEASURED_S = 10.0
+SETTLE_S = 4.0
+US_PER_S = 1e6
+MIB = 1024 * 1024
+
+
+@contextmanager
+def running_standin(workers: int) -> Iterator[LocalCell]:
+    """Run the platform's stand-in alone."""
+    cell = make_cell(workers)
+    try:
+        cell.start_standin()
+        yield cell
+    finally:
+        cell.stop()
+
+
+def make_cell(workers: int, entries: int = 1, schedulers: int = 2) -> LocalCell:
+    """Return a cell of one failure domain that is not started yet."""
+    layout = CellLayout(
+        entries_by_domain={DOMAIN: entries},
+        schedulers_by_domain={DOMAIN: schedulers},
+        first_port=FIRST_PORT,
+        workers_per_domain=workers,
+    )
+    return LocalCell(layout, extra_flags_by_role={"standin": ["--processors=1024"]})
+
+
+class WorkerExchange:
+    """One exchange with a worker over HTTP: starts in, the ends of earlier ones out."""
+
+    params = [[0, 4, 16, 64]]
+    param_names = ["starts"]
+    timeout = 120
+
+    def track_cost(self, starts: int) -> dict[str, float]:
+        """Processor time of the owner's side, and bytes on the connection without TCP and IP."""
+        with running_standin(1) as cell:
+            port = cell.layout.first_port + 1
+            relay = Relay((STANDIN_HOST, RELAY_PORT), (STANDIN_HOST, port))
+            try:
+                sent = asyncio.run(_exchange(f"{relay.address}", starts, 1, EXCHANGES))
+                del sent
+                bytes_out, bytes_in = relay.bytes_forwarded, relay.bytes_returned
+            finally:
+                relay.close()
+            used_s = asyncio.run(_exchange(f"{STANDIN_HOST}:{port}", starts, 1000, EXCHANGES))
+        return {
+            "us": used_s / EXCHANGES * US_PER_S,
+            "request_bytes": bytes_out / EXCHANGES,
+            "report_bytes": bytes_in / EXCHANGES,
+        }
+
+
+class StoreWrite:
+    """One journal write to the store over HTTP."""
+
+    params = [[100, 1_000, 10_000, 100_000]]
+    param_names = ["value_bytes"]
+    timeout = 120
+
+    def track_cost(self, value_bytes: int) -> dict[str, float]:
+        """Processor time of the owner's side, and bytes both ways without TCP and IP."""
+        with running_standin(1) as cell:
+            target = (STANDIN_HOST, cell.layout.first_port)
+            relay = Relay((STANDIN_HOST, RELAY_PORT), target)
+            try:
+                asyncio.run(_write(f"http://{relay.address}", value_bytes, EXCHANGES))
+                moved = relay.bytes_forwarded + relay.bytes_returned
+            finally:
+                relay.close()
+            used_s = asyncio.run(_write(cell.standin_url, value_bytes, EXCHANGES))
+        return {"us": used_s / EXCHANGES * US_PER_S, "bytes": moved / EXCHANGES}
+
+
+class IdlePrograms:
+    """Real programs that have nothing to do, beside more and more workers."""
+
+    params = [[4, 16, 64]]
+    param_names = ["workers"]
+    timeout = 300
+
+    def track_cost(self, workers: int) -> dict[str, float]:
+        """Processor time and memory of owner, stand-by and entry, and calls to the store."""
+        cell = make_cell(workers)
+        try:
+            cell.start_standin()
+            for node in cell.nodes:
+                cell.start_node(node.name)
+            wait_until("the shard has an owner", lambda: bool(cell.read_owners()))
+            time.sleep(SETTLE_S)
+            return _measure_programs(cell, MEASURED_S)
+        finally:
+            cell.stop()
+
+
+def _measure_programs(cell: LocalCell, for_s: float) -> dict[str, float]:
+    owner = cell.read_owners()[DOMAIN]
+    names = {"owner": owner, "entry": cell.entries[0].name}
+    names["standby"] = next(
+        node.name for node in cell.nodes if node.role == "scheduler" and node.name != owner
+    )
+    processes = {
+        role: psutil.Process(cell.processes_by_name[name].pid) for role, name in names.items()
+    }
+    relay = cell.relays_by_domain[DOMAIN]
+    calls = sum(cell.get_admin("/calls").values())
+    moved = relay.bytes_forwarded + relay.bytes_returned
+    used_s = {role: _cpu_s(process) for role, process in processes.items()}
+    time.sleep(for_s)
+    figures = {}
+    for role, process in processes.items():
+        figures[f"{role}_core_percent"] = (_cpu_s(process) - used_s[role]) / for_s * 100
+        figures[f"{role}_mib"] = process.memory_info().rss / MIB
+    figures["store_calls_per_s"] = (sum(cell.get_admin("/calls").values()) - calls) / for_s
+    figures["platform_bytes_per_s"] = (relay.bytes_forwarded + relay.bytes_returned - moved) / for_s
+    return figures
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+async def _exchange(address: str, starts: int, first_attempt: int, count: int) -> float:
+    """Exchange so often that each stops the tasks of the last one; return the processor time."""
+    async with open_session() as session:
+        client = HttpWorkerClient(session)
+        await client.adopt(address, 1, 30.0)
+        before_s = time.process_time()
+        acknowledged = 0
+        for attempt in range(first_attempt, first_attempt + count):
+            request = WorkerRequest(
+                epoch=1,
+                lease_s=30.0,
+                starts=tuple(_start(index, attempt) for index in range(starts)),
+                actions=tuple(_stop(index, attempt - 1) for index in range(starts)),
+                acknowledged_sequence=acknowledged,
+            )
+            report = await client.exchange(address, request)
+            acknowledged = max((end.sequence for end in report.ended), default=acknowledged)
+        return time.process_time() - before_s
+
+
+def _start(index: int, attempt: int) -> StartTask:
+    return StartTask(f"{DOMAIN}.{'0' * 32}/{index}", attempt, TASK, PAYLOAD)
+
+
+def _stop(index: int, attempt: int) -> TaskAction:
+    return TaskAction(f"{DOMAIN}.{'0' * 32}/{index}", attempt, TaskActionKind.STOP)
+
+
+async def _write(url: str, value_bytes: int, count: int) -> float:
+    async with open_session() as session:
+        store = HttpKeyValueStore(session, url, 5.0)
+        value = b"x" * value_bytes
+        before_s = time.process_time()
+        for _ in range(count):
+            await store.transact((Compare("absent", 0),), (Put("written", value),))
+        return time.process_time() - before_s
--- a/benchmarks/tests/test_runner.py
+++ b/benchmarks/tests/test_runner.py
@@ -112,7 +112,6 @@
         names = {metric["name"] for metric in value["metrics"]}
         assert {"time_sum.median", "time_sum.p99", "time_sum.calibrated"} <= names
 
-
     def test_parts_of_a_figure_have_the_unit_of_their_name(self, capsys):
         parts = BenchmarkClass("test.Parts", Parts)
         value = json.loads(run(capsys, "--json", benchmarks=[parts])[1].out)
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -20,11 +20,16 @@
         Host and port to listen at.
     target : tuple of (str, int)
         Where connections are forwarded to.
+
+    Notes
+    -----
+    `bytes_forwarded` and `bytes_returned` count what passed to the target and back.
     """
 
     def __init__(self, listen: Address, target: Address) -> None:
         self._target = target
         self._is_cut = False
+        self.bytes_forwarded = self.bytes_returned = 0
         self._writers: set[asyncio.StreamWriter] = set()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -62,14 +67,21 @@
         self._writers |= {writer, target_writer}
         with contextlib.suppress(OSError, asyncio.CancelledError):
             await asyncio.gather(
-                self._copy(reader, target_writer), self._copy(target_reader, writer)
+                self._copy(reader, target_writer, is_forward=True),
+                self._copy(target_reader, writer, is_forward=False),
             )
         for each in (writer, target_writer):
             self._writers.discard(each)
             each.transport.abort()
 
-    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, is_forward: bool
+    ) -> None:
         while chunk := await reader.read(CHUNK_BYTES):
+            if is_forward:
+                self.bytes_forwarded += len(chunk)
+            else:
+                self.bytes_returned += len(chunk)
             writer.write(chunk)
             await writer.drain()
         if writer.can_write_eof():
