Take a gang's places back when one is missing; adjust services that lose a task

Change: all members or none are placed, first away from workers where they failed; a probe that keeps running returns its worker; a service that loses a task is counted again.

--- a/redwingplank/scheduling/health.py
+++ b/redwingplank/scheduling/health.py
@@ -15,6 +15,7 @@
 _MAX_FAILURE_STREAK = 4
 _COOL_S = 1.0
 _MAX_COOL_S = 16.0
+_PROBE_RUN_S = 10.0
 
 
 class WorkerHealth:
@@ -45,10 +46,7 @@
             worker.failure_streak = worker.cool_count = 0
             self._warm(worker, now_s)
         if worker.is_probing:
-            worker.is_probing = False
-            worker.quarantine_count = 0
-            update_open(self._state, worker)
-            self._state.decide("worker_returned", worker=worker.name)
+            self._return(worker)
         if job.failure_workers:
             job.failure_workers.discard(worker.name)
             self._confirm(job, now_s)
@@ -148,3 +146,21 @@
         worker.is_quarantined, worker.is_probing = False, True
         update_open(self._state, worker)
         self._state.decide("worker_probed", worker=worker.name)
+        self._state.due.call_at(now_s + _PROBE_RUN_S, partial(self._check_probe, worker))
+
+    def _check_probe(self, worker: Worker, now_s: float) -> None:
+        """Return a worker whose probe keeps running, such as a task of a standing service."""
+        if not worker.is_probing:
+            return
+        since_s = now_s - _PROBE_RUN_S
+        tasks = worker.tasks_by_id.values()
+        if any(task.phase is Phase.RUNNING and task.placed_at_s <= since_s for task in tasks):
+            self._return(worker)
+        else:
+            self._state.due.call_at(now_s + _PROBE_RUN_S, partial(self._check_probe, worker))
+
+    def _return(self, worker: Worker) -> None:
+        worker.is_probing = False
+        worker.quarantine_count = 0
+        update_open(self._state, worker)
+        self._state.decide("worker_returned", worker=worker.name)
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -95,6 +95,12 @@
             task.phase = Phase.INTENDED
             self._state.intended.append(task)
 
+    def take_back(self, task: Task) -> None:
+        """Undo `place` in the same tick; the task waits again as if nothing had happened."""
+        self.release(task)
+        task.phase = Phase.QUEUED
+        self._state.queue.put_back(task)
+
     def reserve(self, task: Task, worker: Worker, amounts: Amounts) -> None:
         """Give a task a reservation on a worker."""
         state = self._state
@@ -173,7 +179,8 @@
     def write_intents(self, now_s: float) -> None:
         """Record this tick's intents to start non-idempotent tasks, in one record."""
         state = self._state
-        intended = [task for task in state.intended if task.phase is Phase.INTENDED]
+        placed = dict.fromkeys(state.intended)
+        intended = [task for task in placed if task.phase is Phase.INTENDED]
         state.intended.clear()
         if not intended:
             return
@@ -251,6 +258,7 @@
         job.tasks.remove(task)
         job.tasks_by_index.pop(task.index, None)
         self._state.service_attempts_by_id[task.task_id] = task.attempt
+        self._state.changed_services[job.job_id] = job
         if task.replaces is not None:
             task.replaces.replacement = None
 
--- a/redwingplank/scheduling/scheduler.py
+++ b/redwingplank/scheduling/scheduler.py
@@ -111,6 +111,7 @@
         if self._rejoin.complete_if_proven(now_s):
             self._services.adjust_all(now_s)
         self._adoption.update_closing(now_s)
+        self._services.adjust_changed(now_s)
         state.queue.promote_due(now_s)
         self._starter.run(now_s)
         self._lifecycle.write_intents(now_s)
--- a/redwingplank/scheduling/services.py
+++ b/redwingplank/scheduling/services.py
@@ -75,6 +75,12 @@
             self._jobs_by_id.pop(job.job_id, None)
             self._state.jobs_by_id.pop(job.job_id, None)
 
+    def adjust_changed(self, now_s: float) -> None:
+        """Check the services that lost a task since the last call."""
+        changed, self._state.changed_services = self._state.changed_services, {}
+        for job in changed.values():
+            self.adjust(job, now_s)
+
     def adjust_all(self, now_s: float) -> None:
         """Check every service, once recovery is complete."""
         for job in list(self._jobs_by_id.values()):
--- a/redwingplank/scheduling/starter.py
+++ b/redwingplank/scheduling/starter.py
@@ -128,11 +128,29 @@
             self._wait_for_room(lane, job, need, count, now_s)
             return _Result(0, 1)
         self._room.release(job)
-        lane.blocked_since_s = -1.0
         job.queued.clear()
+        for avoids_failed in (True, False):
+            if self._place_members(members, need, avoids_failed, now_s):
+                lane.blocked_since_s = -1.0
+                return _Result(count, 0)
+        job.queued.extend(members)
+        self._wait_for_room(lane, job, need, count, now_s)
+        return _Result(0, 1)
+
+    def _place_members(
+        self, members: list[Task], need: Amounts, avoids_failed: bool, now_s: float
+    ) -> bool:
+        """Place all tasks of a gang, or none of them."""
+        placed: list[Task] = []
         for task in members:
-            self._place(task, self._choose_open(task, need), need, now_s)
-        return _Result(count, 0)
+            choice = self._choose_open(task, need, avoids_failed)
+            if choice.row == NO_ROW:
+                for other in placed:
+                    self._lifecycle.take_back(other)
+                return False
+            self._place(task, choice, need, now_s)
+            placed.append(task)
+        return True
 
     def _need(self, lane: Lane, job: Job) -> Amounts:
         spec = job.spec
@@ -150,11 +168,10 @@
         row = self._room.find_backfill(job, need, now_s)
         return NO_CHOICE if row == NO_ROW else Choice(row, 1, "backfill")
 
-    def _choose_open(self, task: Task, need: Amounts) -> Choice:
+    def _choose_open(self, task: Task, need: Amounts, avoids_failed: bool = True) -> Choice:
         job = task.job
-        return self._state.placer.choose(
-            need, job.service.policy, self._failed_rows(task), self._rack_counts(job)
-        )
+        avoided = self._failed_rows(task) if avoids_failed else ()
+        return self._state.placer.choose(need, job.service.policy, avoided, self._rack_counts(job))
 
     def _failed_rows(self, task: Task) -> tuple[int, ...]:
         if not task.failure_workers:
--- a/redwingplank/scheduling/state.py
+++ b/redwingplank/scheduling/state.py
@@ -49,6 +49,7 @@
     service_attempts_by_id: dict[str, int] = field(default_factory=dict)
     touched: dict[str, Worker] = field(default_factory=dict)
     freed_rows: dict[int, None] = field(default_factory=dict)
+    changed_services: dict[str, Job] = field(default_factory=dict)
     changed_organisations: dict[str, OrganisationUsage] = field(default_factory=dict)
     intended: list[Task] = field(default_factory=list)
     messages: list[OutboxMessage] = field(default_factory=list)
--- a/redwingplank/scheduling/tests/test_health.py
+++ b/redwingplank/scheduling/tests/test_health.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from redwingplank.config import DeadlineClass, PlacementPolicyName
+from redwingplank.config import DeadlineClass, PlacementPolicyName, WorkloadKind
 from redwingplank.core import make_resources
 from redwingplank.platform import TaskActionKind
 from redwingplank.scheduling import SchedulerSettings
@@ -93,6 +93,21 @@
         on_bad = [event for event in starts if event.vm == "w1" and event.time_s > 110.0]
         assert 0 < len(on_bad) <= 5
 
+    def test_probe_that_keeps_running_returns_the_worker(self):
+        web = make_service("web", kind=WorkloadKind.SERVICE, count=1)
+        shard = Shard(
+            make_declarations(make_service(), web),
+            SchedulerSettings("s", quarantine_s=2.0, quarantine_score=0.2),
+        )
+        shard.add_workers(1)
+        switches = shard.workers_by_name["w0"].switches
+        switches.is_failing = True
+        shard.run(1.0)
+        assert shard.scheduler.summary(0.0).quarantined_count == 1
+        switches.is_failing = False
+        shard.run(40.0, 0.2)
+        assert shard.scheduler.summary(0.0).open_worker_count == 1
+
 
 class TestLearning:
     def test_next_tasks_reserve_what_the_last_ones_used(self):
