--- a/redwingplank/membership/tests/test_membership.py
+++ b/redwingplank/membership/tests/test_membership.py
@@ -199,7 +199,7 @@
         cell.run_for(5.0)
         first, second = cell.nodes[:2]
         is_cut = cell._is_cut
-        cell._is_cut = lambda a, b: {a, b} == {first, second} or is_cut(a, b)  # type: ignore
+        cell._is_cut = lambda a, b: {a, b} == {first, second} or is_cut(a, b)
         cell.run_for(60.0)
         assert second.identity.name in live_names(first)
         assert first.identity.name in live_names(second)
--- a/redwingplank/runtime/declarations.py
+++ b/redwingplank/runtime/declarations.py
@@ -3,7 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Coroutine
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from typing import Any
 
 import logbook
@@ -163,10 +163,9 @@
             for action in self._spread.step(now_s, self._peers.view(now_s)):
                 self._do(action)
             self._wake.clear()
-            try:
-                await asyncio.wait_for(self._wake.wait(), STEP_S)
-            except TimeoutError:
-                continue
+            with suppress(TimeoutError):
+                async with asyncio.timeout(STEP_S):
+                    await self._wake.wait()
 
     def _do(self, action: SpreadAction) -> None:
         if isinstance(action, OpenWatch):
--- a/redwingplank/runtime/membership.py
+++ b/redwingplank/runtime/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Mapping
+from contextlib import suppress
 from typing import Any
 
 import logbook
@@ -200,10 +201,9 @@
                 self._start(self._do(action))
             self._log_peers()
             self._wake.clear()
-            try:
-                await asyncio.wait_for(self._wake.wait(), TICK_S)
-            except TimeoutError:
-                continue
+            with suppress(TimeoutError):
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/redwingplank/runtime/tests/test_membership.py
+++ b/redwingplank/runtime/tests/test_membership.py
@@ -85,14 +85,14 @@
 
 def run(coroutine):
     async def bounded():
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(10):
             await coroutine
 
     asyncio.run(capnp.run(bounded()))
 
 
 async def until(condition):
-    while not condition():
+    while not condition():  # noqa: ASYNC110
         await asyncio.sleep(0.01)
 
 
--- a/redwingplank/standin/store.py
+++ b/redwingplank/standin/store.py
@@ -126,9 +126,10 @@
             if event_revision > revision and event.key.startswith(prefix)
         )
 
-    async def wait_for_change(self) -> None:
-        """Return after the next change."""
-        await self._changed.wait()
+    @property
+    def next_change(self) -> asyncio.Event:
+        """Set at the next change; take it before looking for changes, so that none is missed."""
+        return self._changed
 
     def _check(self, operations: tuple[Put | Delete, ...]) -> None:
         for operation in operations:
@@ -229,17 +230,14 @@
         await self._begin("watch")
         revision = after_revision
         while not self.store.is_closed:
-            changed = asyncio.ensure_future(self.store.wait_for_change())
-            try:
-                events = self.store.events_after(revision, prefix)
-                if events and not self.faults.is_watch_silent:
-                    await self.faults.before_effect()
-                    revision = self.store.revision
-                    yield WatchBatch(events, revision)
-                    continue
-                await changed
-            finally:
-                changed.cancel()
+            next_change = self.store.next_change
+            events = self.store.events_after(revision, prefix)
+            if events and not self.faults.is_watch_silent:
+                revision = self.store.revision
+                await self.faults.before_effect()
+                yield WatchBatch(events, revision)
+            else:
+                await next_change.wait()
 
     async def _begin(self, method: str) -> None:
         self.store.calls_by_method[method] += 1
