--- a/redwingplank/standin/workers.py
+++ b/redwingplank/standin/workers.py
@@ -240,9 +240,8 @@
             self._report_end(start, TaskEndReason.REFUSED, "no room", 0.0)
             return
         now_s = self.clock.now_s()
-        program = _read_program(start.payload)
-        is_endless = program.run_s <= 0 or SERVICE_MARK in start.task_id
-        run_s = float("inf") if is_endless else program.run_s / self.speed
+        program = _read_program(start)
+        run_s = program.run_s / self.speed if program.run_s > 0 else float("inf")
         if self.switches.is_failing:
             run_s = 0.0
         self.attempts_by_task[start.task_id] = _Attempt(
@@ -340,11 +339,12 @@
         return worker
 
 
-def _read_program(payload: bytes) -> TaskProgram:
-    if not payload:
-        return TaskProgram()
+def _read_program(start: StartTask) -> TaskProgram:
+    if not start.payload:
+        is_standing = SERVICE_MARK in start.task_id
+        return TaskProgram(run_s=0.0) if is_standing else TaskProgram()
     try:
-        return msgspec.json.decode(payload, type=TaskProgram)
+        return msgspec.json.decode(start.payload, type=TaskProgram)
     except msgspec.MsgspecError:
         return TaskProgram()
 
