--- a/redwingplank/runtime/apply.py
+++ b/redwingplank/runtime/apply.py
@@ -38,6 +38,8 @@
     "ApplyOutcome",
     "ApplyResult",
     "apply_declarations",
+    "find_base",
+    "name_wanted",
     "read_history",
     "read_live_set",
     "roll_back",
@@ -153,10 +155,11 @@
         If the base revision is no longer kept.
     """
     documents = parse_documents(files)
-    wanted: dict[str, Mapping[str, Any] | None] = {
-        key: document.content for key, document in documents.items()
-    }
     authorship = Authorship(nonce, options.author, now_s)
+
+    def wanted(base: Base) -> Wanted:
+        return name_wanted(documents, base, options.is_pruning)
+
     return await _Apply(store, wanted, documents, authorship, options).run()
 
 
@@ -180,7 +183,7 @@
     wanted: dict[str, Mapping[str, Any] | None] = dict.fromkeys(live.stored_by_key)
     wanted.update(contents)
     authorship = Authorship(nonce, options.author, now_s, f"rollback to {to_revision}")
-    return await _Apply(store, wanted, {}, authorship, options, make_base(live)).run()
+    return await _Apply(store, lambda base: wanted, {}, authorship, options, make_base(live)).run()
 
 
 async def read_live_set(store: KeyValueStore) -> LiveSet:
@@ -194,13 +197,33 @@
     return decode_history((await store.range(HISTORY_PREFIX)).entries)
 
 
+async def find_base(store: KeyValueStore, live: LiveSet, revision: int | None) -> Base:
+    """Return the documents at a revision, by default at the one in force.
+
+    Raises
+    ------
+    HistoryTooShortError
+        If the revision is no longer kept.
+    """
+    if revision is None or revision == live.head.revision:
+        return make_base(live)
+    history = await read_history(store)
+    return Base(revision, contents_at_revision(live, history, revision))
+
+
+def name_wanted(documents: Mapping[str, Document], base: Base, is_pruning: bool) -> Wanted:
+    """Return what files ask for: their documents and, if pruning, no others of the base."""
+    removed = dict.fromkeys(base.contents_by_key) if is_pruning else {}
+    return {**removed, **{key: document.content for key, document in documents.items()}}
+
+
 class _Apply:
     """One apply, through as many attempts as it takes."""
 
     def __init__(
         self,
         store: KeyValueStore,
-        wanted: Wanted,
+        wanted: Callable[[Base], Wanted],
         documents: Mapping[str, Document],
         authorship: Authorship,
         options: ApplyOptions,
@@ -239,8 +262,8 @@
         if settled is not None:
             return settled
         if self._base is None:
-            self._base = await self._find_base(live)
-        change_set = make_change_set(live, self._base, self._all_wanted())
+            self._base = await find_base(self._store, live, self._options.base_revision)
+        change_set = make_change_set(live, self._base, self._wanted(self._base))
         if change_set.conflicts:
             return ApplyResult(ApplyOutcome.CONFLICT, live.head.revision, (), change_set.conflicts)
         validate_change(live, change_set.changes, self._documents)
@@ -272,19 +295,6 @@
         self._unsettled = None
         return None
 
-    async def _find_base(self, live: LiveSet) -> Base:
-        revision = self._options.base_revision
-        if revision is None or revision == live.head.revision:
-            return make_base(live)
-        history = await read_history(self._store)
-        return Base(revision, contents_at_revision(live, history, revision))
-
-    def _all_wanted(self) -> Wanted:
-        if not self._options.is_pruning or self._base is None:
-            return self._wanted
-        removed: dict[str, Mapping[str, Any] | None] = dict.fromkeys(self._base.contents_by_key)
-        return {**removed, **self._wanted}
-
     def _backoff_s(self, attempt: int) -> float:
         ceiling_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0**attempt)
         return float(self._generator.uniform(0.0, ceiling_s))
--- /dev/null
+++ b/redwingplank/runtime/operator.py
@@ -0,0 +1,272 @@
+"""What operators ask of a cell: plans, the state of each node, draining, explanations."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import aiohttp
+
+from redwingplank.config import parse_documents
+from redwingplank.config.apply import (
+    ChangeSet,
+    make_change_set,
+    validate_change,
+)
+from redwingplank.config.impact import Impact, find_impacts
+from redwingplank.config.stored import resolve_live_set
+from redwingplank.core import RedwingError
+from redwingplank.membership import VmWord
+from redwingplank.platform import KeyValueStore, ListedVm, VmList, VmRole
+from redwingplank.platform.http import HttpKeyValueStore, HttpVmList, open_session
+from redwingplank.rpc import PeerConnections, RpcError
+from redwingplank.rpc.membership_calls import MembershipCalls
+from redwingplank.rpc.membership_codec import NodeReport
+from redwingplank.rpc.scheduler_calls import SchedulerCalls
+from redwingplank.runtime.apply import find_base, name_wanted, read_live_set
+from redwingplank.runtime.jobs import shard_of_job
+from redwingplank.runtime.shards import domain_of_shard
+
+__all__ = [
+    "CellAddresses",
+    "NodeLine",
+    "OperatorSession",
+    "Plan",
+    "UnknownTargetError",
+    "make_plan",
+    "open_operator_session",
+]
+
+
+class UnknownTargetError(RedwingError):
+    """The VM, job or node that an operator named is not there."""
+
+
+@dataclass(frozen=True, slots=True)
+class CellAddresses:
+    """Where an operator reaches a cell.
+
+    Parameters
+    ----------
+    store_url, vms_url : str
+        The platform's key-value service and its list of VMs.
+    entries, schedulers : mapping of str to str
+        RPC addresses by ``"FAILURE_DOMAIN/NAME"``.
+    timeout_s : float
+        Longest single call.
+    """
+
+    store_url: str
+    vms_url: str
+    entries: Mapping[str, str]
+    schedulers: Mapping[str, str]
+    timeout_s: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What an apply would do.
+
+    Parameters
+    ----------
+    revision : int
+        In force at the time of the plan.
+    change_set : ChangeSet
+        Documents that would change, and conflicts.
+    impacts : tuple of Impact
+        Effective values that would change, with their effect on work.
+    """
+
+    revision: int
+    change_set: ChangeSet
+    impacts: tuple[Impact, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeLine:
+    """One node's state; `report` is None and `problem` says why if it did not answer."""
+
+    name: str
+    report: NodeReport | None
+    problem: str = ""
+
+    def lag(self, newest_revision: int) -> int:
+        """Return how many revisions the node is behind; all of them if it did not answer."""
+        return newest_revision - (self.report.revision if self.report else 0)
+
+
+async def make_plan(
+    store: KeyValueStore,
+    files: Mapping[str, str],
+    base_revision: int | None = None,
+    is_pruning: bool = False,
+) -> Plan:
+    """Compare declaration files with what is in force, without changing anything.
+
+    Raises
+    ------
+    FindingsError
+        With every fault of the files, alone or together with what is in force.
+    HistoryTooShortError
+        If the base revision is no longer kept.
+    """
+    documents = parse_documents(files)
+    live = await read_live_set(store)
+    base = await find_base(store, live, base_revision)
+    change_set = make_change_set(live, base, name_wanted(documents, base, is_pruning))
+    after = validate_change(live, change_set.changes, documents)
+    return Plan(live.head.revision, change_set, find_impacts(resolve_live_set(live), after))
+
+
+class OperatorSession:
+    """Connections of one command.
+
+    Parameters
+    ----------
+    addresses : CellAddresses
+        Where the cell is.
+    store : KeyValueStore
+        The platform's store.
+    vm_list : VmList
+        The platform's list.
+    peers : PeerConnections
+        To the nodes.
+    http_session : aiohttp.ClientSession or None
+        Closed at the end.
+    """
+
+    def __init__(
+        self,
+        addresses: CellAddresses,
+        store: KeyValueStore,
+        vm_list: VmList,
+        peers: PeerConnections,
+        http_session: aiohttp.ClientSession | None = None,
+    ) -> None:
+        self.addresses = addresses
+        self.store = store
+        self._vm_list = vm_list
+        self._peers = peers
+        self._http_session = http_session
+        self._membership = MembershipCalls(peers)
+        self._schedulers = SchedulerCalls(peers)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._peers.close()
+        if self._http_session is not None:
+            await self._http_session.close()
+
+    async def read_nodes(self) -> list[NodeLine]:
+        """Ask every entry and scheduler for its state."""
+        nodes = {**self.addresses.entries, **self.addresses.schedulers}
+        lines = [self._read_node(name, address) for name, address in sorted(nodes.items())]
+        return list(await asyncio.gather(*lines))
+
+    async def drain(self, vm_name: str, is_draining: bool) -> str:
+        """Empty a worker's VM or end that; give an upstream's VM no new requests.
+
+        Returns
+        -------
+        str
+            What was done.
+
+        Raises
+        ------
+        UnknownTargetError
+            If the VM is not listed, or cannot be drained from here.
+        RpcError
+            If no node that could do it answered.
+        """
+        vm = await self._find_vm(vm_name)
+        if vm.role is VmRole.WORKER:
+            return await self._drain_worker(vm, is_draining)
+        if vm.role is VmRole.UPSTREAM and is_draining:
+            return await self._drain_upstream(vm)
+        raise UnknownTargetError(
+            f"VM {vm_name} is an {vm.role} VM: "
+            + (
+                "end its processes with SIGTERM, they hand over and finish"
+                if vm.role is VmRole.ENTRY
+                else "an upstream that was drained is replaced, not taken back"
+            )
+        )
+
+    async def explain(self, task_or_job_id: str) -> tuple[str, ...]:
+        """Return why a job or task waits, or where it ran."""
+        shard = shard_of_job(task_or_job_id)
+        if not shard:
+            raise UnknownTargetError(
+                f"{task_or_job_id!r} is no job or task id; give the id that the submission returned"
+            )
+        address = await self._find_owner(domain_of_shard(shard), shard)
+        timeout_s = self.addresses.timeout_s
+        return await self._schedulers.explain(address, shard, task_or_job_id, timeout_s)
+
+    async def _read_node(self, name: str, address: str) -> NodeLine:
+        try:
+            report = await self._membership.status(address, self.addresses.timeout_s)
+        except RpcError as error:
+            return NodeLine(name, None, str(error))
+        return NodeLine(name, report)
+
+    async def _find_vm(self, vm_name: str) -> ListedVm:
+        for vm in (await self._vm_list.read()).vms:
+            if vm.name == vm_name:
+                return vm
+        raise UnknownTargetError(f"VM {vm_name} is not on the platform's list; check its name")
+
+    async def _drain_worker(self, vm: ListedVm, is_draining: bool) -> str:
+        address = await self._find_owner(vm.failure_domain)
+        await self._schedulers.drain(address, vm.name, is_draining, self.addresses.timeout_s)
+        if is_draining:
+            return f"worker {vm.name} gets no new tasks; its running ones are moved or finish"
+        return f"worker {vm.name} gets tasks again"
+
+    async def _drain_upstream(self, vm: ListedVm) -> str:
+        problems = []
+        for address in self._in_domain(self.addresses.entries, vm.failure_domain):
+            try:
+                await self._membership.mark(address, VmWord(vm.name), self.addresses.timeout_s)
+            except RpcError as error:
+                problems.append(str(error))
+            else:
+                return f"upstream {vm.name} gets no new requests"
+        raise RpcError(
+            f"no entry of {vm.failure_domain} took it: {'; '.join(problems) or 'none is known'}"
+        )
+
+    async def _find_owner(self, failure_domain: str, shard: str = "") -> str:
+        problems = []
+        for address in self._in_domain(self.addresses.schedulers, failure_domain):
+            try:
+                owners = await self._schedulers.owners(address, self.addresses.timeout_s)
+            except RpcError as error:
+                problems.append(str(error))
+                continue
+            for owned, (owner, _) in owners.items():
+                if owned == shard or (not shard and domain_of_shard(owned) == failure_domain):
+                    return owner
+        raise RpcError(
+            f"no scheduler of {failure_domain} knows an owner: "
+            f"{'; '.join(problems) or 'try again in some seconds'}"
+        )
+
+    @staticmethod
+    def _in_domain(addresses_by_name: Mapping[str, str], failure_domain: str) -> list[str]:
+        return [
+            address
+            for name, address in sorted(addresses_by_name.items())
+            if name.partition("/")[0] == failure_domain
+        ]
+
+
+def open_operator_session(addresses: CellAddresses) -> OperatorSession:
+    """Return a session over HTTP and RPC; call it within ``capnp.kj_loop()``."""
+    http_session = open_session()
+    return OperatorSession(
+        addresses,
+        HttpKeyValueStore(http_session, addresses.store_url, addresses.timeout_s),
+        HttpVmList(http_session, addresses.vms_url, addresses.timeout_s),
+        PeerConnections(),
+        http_session,
+    )
