--- a/redwingplank/runtime/operator.py
+++ b/redwingplank/runtime/operator.py
@@ -182,14 +182,11 @@
             return await self._drain_worker(vm, is_draining)
         if vm.role is VmRole.UPSTREAM and is_draining:
             return await self._drain_upstream(vm)
-        raise UnknownTargetError(
-            f"VM {vm_name} is an {vm.role} VM: "
-            + (
-                "end its processes with SIGTERM, they hand over and finish"
-                if vm.role is VmRole.ENTRY
-                else "an upstream that was drained is replaced, not taken back"
-            )
-        )
+        if vm.role is VmRole.UPSTREAM:
+            remedy = "an upstream that was drained is replaced, not taken back"
+        else:
+            remedy = "end its processes with SIGTERM: they hand over and finish"
+        raise UnknownTargetError(f"{vm.role} VM {vm_name} cannot be drained so: {remedy}")
 
     async def explain(self, task_or_job_id: str) -> tuple[str, ...]:
         """Return why a job or task waits, or where it ran."""
