--- a/redwingplank/runtime/tests/test_membership.py
+++ b/redwingplank/runtime/tests/test_membership.py
@@ -85,7 +85,7 @@
 
 def run(coroutine):
     async def bounded():
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(10):
             await coroutine
 
     asyncio.run(capnp.run(bounded()))
