--- a/redwingplank/core/logs.py
+++ b/redwingplank/core/logs.py
@@ -1,14 +1,15 @@
 """Logging: one line of key=value pairs for each event."""
 
+import re
 import sys
 from typing import Any, TextIO
 
 import logbook
 from logbook import Logger
 
-__all__ = ["Logger", "format_event", "log_event", "make_logger", "start_logging"]
+__all__ = ["Logger", "format_event", "format_value", "log_event", "make_logger", "start_logging"]
 
-_PLAIN_PUNCTUATION = frozenset("-_.:/,+@%#")
+_is_plain = re.compile(r"[\w\-.:/,+@%#]+").fullmatch
 
 
 def make_logger(name: str) -> Logger:
@@ -31,8 +32,9 @@
     >>> format_event("task_placed", {"vm": "vm-1", "reason": "best fit"})
     'event=task_placed vm=vm-1 reason="best fit"'
     """
-    pairs = [f"event={_format_value(event)}"]
-    pairs.extend(f"{key}={_format_value(value)}" for key, value in fields.items())
+    pairs = [f"event={format_value(event)}"]
+    for key, value in fields.items():
+        pairs.append(f"{key}={format_value(value)}")
     return " ".join(pairs)
 
 
@@ -81,13 +83,16 @@
     return handler
 
 
-def _format_value(value: Any) -> str:
+def format_value(value: Any) -> str:
+    """Return a value as it stands in a line of pairs, quoted where needed."""
+    if type(value) is int:
+        return str(value)
     if isinstance(value, float):
         return f"{value:.6g}"
     if value is None:
         return "none"
     text = str(value)
-    if text and all(char.isalnum() or char in _PLAIN_PUNCTUATION for char in text):
+    if _is_plain(text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
     escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -18,6 +18,7 @@
     TaskFinished,
     TaskState,
 )
+from redwingplank.scheduling.openness import update_open
 from redwingplank.scheduling.state import ShardState
 from redwingplank.scheduling.vm_table import Amounts
 
@@ -72,8 +73,10 @@
 
     def declared(self, job: Job) -> Amounts:
         """Return the declared need of each task of a job."""
-        need = job.spec.resources or job.service.resources
-        return self._state.table.amounts(need)
+        if job.declared is None:
+            need = job.spec.resources or job.service.resources
+            job.declared = self._state.table.amounts(need)
+        return job.declared
 
     def place(self, task: Task, worker: Worker, amounts: Amounts, now_s: float) -> None:
         """Reserve `amounts` on a worker and start the task there."""
@@ -92,6 +95,12 @@
             task.phase = Phase.INTENDED
             self._state.intended.append(task)
 
+    def take_back(self, task: Task) -> None:
+        """Undo `place` in the same tick; the task waits again as if nothing had happened."""
+        self.release(task)
+        task.phase = Phase.QUEUED
+        self._state.queue.put_back(task)
+
     def reserve(self, task: Task, worker: Worker, amounts: Amounts) -> None:
         """Give a task a reservation on a worker."""
         state = self._state
@@ -101,13 +110,29 @@
         task.reserved = state.resources(amounts)
         state.table.reserve(worker.row, amounts)
         worker.tasks_by_id[task.task_id] = task
-        rack = int(state.table.rack[worker.row])
+        rack = worker.rack_number
         job.used_by_rack[rack] = job.used_by_rack.get(rack, 0) + 1
+        self._count(task, worker, amounts, 1)
+        if worker.is_probing:
+            update_open(state, worker)
         usage = state.shares.find(job.spec.organisation)
         state.shares.charge(usage, amounts, 1)
-        state.queue.reorder(usage)
+        state.changed_organisations[usage.name] = usage
         state.running_count += 1
 
+    def _count(self, task: Task, worker: Worker, amounts: Amounts, sign: int) -> None:
+        """Count a reservation under what it may be moved for."""
+        service = task.job.service
+        table = self._state.table
+        if sign > 0:
+            is_left = task.preemptions < self._state.settings.max_preemptions_per_task
+            may_stop = service.is_preemptible and service.is_idempotent
+            task.is_preemptible = is_left and may_stop
+        if service.kind is WorkloadKind.SERVICE:
+            table.add_standing(worker.row, amounts, sign)
+        if task.is_preemptible:
+            table.add_preemptible(worker.row, int(service.deadline_class), amounts, sign)
+
     def release(self, task: Task) -> None:
         """Give a task's reservation back; only with proof that it has stopped."""
         state = self._state
@@ -117,15 +142,16 @@
         if task.phase is Phase.RUNNING:
             worker.confirmed_count -= 1
         state.table.release(worker.row, amounts)
+        self._count(task, worker, amounts, -1)
         state.freed_rows[worker.row] = None
         del worker.tasks_by_id[task.task_id]
-        task.job.used_by_rack[int(state.table.rack[worker.row])] -= 1
+        task.job.used_by_rack[worker.rack_number] -= 1
         usage = state.shares.find(task.job.spec.organisation)
         state.shares.charge(usage, amounts, -1)
-        if usage.has_quota:
-            state.freed_organisations[usage.name] = None
-        state.queue.reorder(usage)
+        state.changed_organisations[usage.name] = usage
         state.running_count -= 1
+        if worker.is_probing:
+            update_open(state, worker)
         task.worker = task.amounts = None
         task.phase = Phase.HELD
 
@@ -135,9 +161,13 @@
         assert task.worker is not None
         assert task.amounts is not None
         state.table.reserve(task.worker.row, extra)
+        self._count(task, task.worker, task.amounts, -1)
         task.amounts = task.amounts + extra
+        self._count(task, task.worker, task.amounts, 1)
         task.reserved = state.resources(task.amounts)
-        state.shares.charge(state.shares.find(task.job.spec.organisation), extra, 1)
+        usage = state.shares.find(task.job.spec.organisation)
+        state.shares.charge(usage, extra, 1)
+        state.changed_organisations[usage.name] = usage
 
     def send_start(self, task: Task) -> None:
         """Put a start into its worker's next request."""
@@ -149,7 +179,8 @@
     def write_intents(self, now_s: float) -> None:
         """Record this tick's intents to start non-idempotent tasks, in one record."""
         state = self._state
-        intended = [task for task in state.intended if task.phase is Phase.INTENDED]
+        placed = dict.fromkeys(state.intended)
+        intended = [task for task in placed if task.phase is Phase.INTENDED]
         state.intended.clear()
         if not intended:
             return
@@ -227,6 +258,7 @@
         job.tasks.remove(task)
         job.tasks_by_index.pop(task.index, None)
         self._state.service_attempts_by_id[task.task_id] = task.attempt
+        self._state.changed_services[job.job_id] = job
         if task.replaces is not None:
             task.replaces.replacement = None
 
--- a/redwingplank/scheduling/queue.py
+++ b/redwingplank/scheduling/queue.py
@@ -16,6 +16,7 @@
 
 _MIN_PURGE_AT = 1024
 _MIN_COMPACT_AT = 1024
+_INFINITY = float("inf")
 
 
 @dataclass(slots=True, eq=False)
@@ -47,6 +48,8 @@
     jobs: list[tuple[float, int, int, Job]] = field(default_factory=list)
     is_parked: bool = False
     blocked_since_s: float = -1.0
+    parked_need: tuple[bool, tuple[int, ...]] | None = None
+    retry_at_s: float = 0.0
 
     def head(self) -> Job | None:
         """Return the job with the earliest start deadline that still waits here."""
@@ -122,6 +125,10 @@
         """Note that a waiting task has left the queue; its phase is changed by the caller."""
         self.waiting_by_class[task.job.queue_class] -= 1
 
+    def put_back(self, task: Task) -> None:
+        """Count a task as waiting again that `take` took in the same tick."""
+        self.waiting_by_class[task.job.queue_class] += 1
+
     def drop(self, job: Job) -> list[Task]:
         """Remove all waiting tasks of a job and return them."""
         dropped = [task for task in job.queued if task.phase is Phase.QUEUED]
@@ -162,6 +169,12 @@
                 heappop(ready)
         return None
 
+    def next_share(self, queue_class: int) -> float:
+        """Return a lower bound of the share of the organisation that goes second."""
+        return min(
+            (entry[0] for entry in self._ready_by_class[queue_class][1:3]), default=_INFINITY
+        )
+
     def reorder(self, usage: OrganisationUsage) -> None:
         """Put an organisation in its place after its share changed."""
         queue = self._queues_by_organisation.get(usage.name)
@@ -181,11 +194,9 @@
         ready[:] = {entry for entry in ready if entry[2] == queues[entry[1]].version}
         heapify(ready)
 
-    def park(self, lane: Lane, now_s: float) -> None:
+    def park(self, lane: Lane) -> None:
         """Take a lane out of the order until `unpark`."""
         lane.is_parked = True
-        if lane.blocked_since_s < 0:
-            lane.blocked_since_s = now_s
 
     def unpark(self, lane: Lane) -> None:
         """Put a parked lane back."""
--- a/redwingplank/scheduling/starter.py
+++ b/redwingplank/scheduling/starter.py
@@ -1,5 +1,7 @@
 """Places waiting tasks on workers."""
 
+from dataclasses import dataclass
+
 import numpy as np
 from numpy.typing import NDArray
 
@@ -9,14 +11,21 @@
 from redwingplank.scheduling.learning import Learning
 from redwingplank.scheduling.lifecycle import TaskLifecycle
 from redwingplank.scheduling.parking import Parking
-from redwingplank.scheduling.placer import NO_ROW
+from redwingplank.scheduling.placer import NO_CHOICE, NO_ROW, Choice
 from redwingplank.scheduling.queue import Lane
+from redwingplank.scheduling.room import RoomMaker
 from redwingplank.scheduling.state import ShardState
 from redwingplank.scheduling.vm_table import Amounts
 
 __all__ = ["Starter"]
 
 
+@dataclass(frozen=True, slots=True)
+class _Result:
+    starts: int
+    misses: int
+
+
 class Starter:
     """Takes waiting tasks in order and gives each the best place.
 
@@ -35,6 +44,7 @@
         self._lifecycle = lifecycle
         self._learning = learning
         self._parking = Parking(state)
+        self._room = RoomMaker(state, lifecycle, learning)
 
     @property
     def parking(self) -> Parking:
@@ -47,6 +57,7 @@
         self._parking.release_fitting()
         if not state.may_start(now_s, is_volatile=True):
             return
+        self._room.begin_tick()
         misses = starts = 0
         while starts < state.settings.max_starts_per_tick:
             lane = state.queue.top()
@@ -57,57 +68,110 @@
                 continue
             if not state.may_start(now_s, job.is_volatile):
                 break
-            placed, missed = self._place_next(lane, job, now_s)
-            starts += placed
-            misses += missed
+            result = self._place_run(lane, job, starts, now_s)
+            starts += result.starts
+            misses += result.misses
 
-    def _place_next(self, lane: Lane, job: Job, now_s: float) -> tuple[int, int]:
+    def _place_run(self, lane: Lane, job: Job, starts: int, now_s: float) -> _Result:
+        """Place tasks of one job for as long as its organisation stays the first in order."""
         state = self._state
         need = self._need(lane, job)
         if is_gang(job):
-            return self._place_gang(lane, job, need, now_s)
-        if not state.shares.may_start(lane.usage, need):
-            self._parking.park_for_quota(lane, need, 1, now_s)
-            return 0, 0
-        if self._parking.is_full(need):
-            self._parking.park_for_room(lane, need, now_s)
-            return 0, 0
-        task = job.queued[0]
-        row = self._choose(task, need)
-        if row == NO_ROW:
-            self._parking.park_for_room(lane, need, now_s)
-            return 0, 1
-        lane.blocked_since_s = -1.0
-        job.queued.popleft()
-        self._place(task, row, need, now_s)
-        return 1, 0
-
-    def _place_gang(self, lane: Lane, job: Job, need: Amounts, now_s: float) -> tuple[int, int]:
+            result = self._place_gang(lane, job, need, now_s)
+        else:
+            at_most = state.settings.max_starts_per_tick - starts
+            result = self._place_some(lane, job, need, at_most, now_s)
+        if result.starts:
+            state.queue.reorder(lane.usage)
+        return result
+
+    def _place_some(
+        self, lane: Lane, job: Job, need: Amounts, at_most: int, now_s: float
+    ) -> _Result:
+        state = self._state
+        next_share = state.queue.next_share(lane.queue_class)
+        starts = 0
+        while starts < at_most and lane.head() is job:
+            if starts and lane.usage.share > next_share:
+                break
+            if not state.shares.may_start(lane.usage, need):
+                self._parking.park_for_quota(lane, need, 1, now_s)
+                break
+            choice = self._choose(job, need, now_s)
+            if choice.row == NO_ROW:
+                is_searched = bool(job.queued[0].failure_workers)
+                is_searched |= not self._parking.is_full(need)
+                self._wait_for_room(lane, job, need, 1, now_s)
+                return _Result(starts, int(is_searched))
+            if job.held_rows:
+                self._room.release(job)
+            lane.blocked_since_s = -1.0
+            self._place(job.queued.popleft(), choice, need, now_s)
+            starts += 1
+        return _Result(starts, 0)
+
+    def _wait_for_room(self, lane: Lane, job: Job, need: Amounts, count: int, now_s: float) -> None:
+        if lane.blocked_since_s < 0:
+            lane.blocked_since_s = now_s
+        self._room.make_room(lane, job, need, count, now_s)
+        self._parking.park_for_room(lane, need)
+        self._parking.retry_at(lane, self._room.next_try_s(lane, job, now_s))
+
+    def _place_gang(self, lane: Lane, job: Job, need: Amounts, now_s: float) -> _Result:
         state = self._state
         members = [task for task in job.queued if task.phase is Phase.QUEUED]
         count = len(members)
         if not state.shares.may_start(lane.usage, need, count):
             self._parking.park_for_quota(lane, need, count, now_s)
-            return 0, 0
+            return _Result(0, 0)
         if count_places(state.table, need, job.held_rows) < count:
-            self._parking.park_for_room(lane, need, now_s)
-            return 0, 1
-        lane.blocked_since_s = -1.0
+            self._wait_for_room(lane, job, need, count, now_s)
+            return _Result(0, 1)
+        self._room.release(job)
         job.queued.clear()
+        for avoids_failed in (True, False):
+            if self._place_members(members, need, avoids_failed, now_s):
+                lane.blocked_since_s = -1.0
+                return _Result(count, 0)
+        job.queued.extend(members)
+        self._wait_for_room(lane, job, need, count, now_s)
+        return _Result(0, 1)
+
+    def _place_members(
+        self, members: list[Task], need: Amounts, avoids_failed: bool, now_s: float
+    ) -> bool:
+        """Place all tasks of a gang, or none of them."""
+        placed: list[Task] = []
         for task in members:
-            self._place(task, self._choose(task, need), need, now_s)
-        return count, 0
+            choice = self._choose_open(task, need, avoids_failed)
+            if choice.row == NO_ROW:
+                for other in placed:
+                    self._lifecycle.take_back(other)
+                return False
+            self._place(task, choice, need, now_s)
+            placed.append(task)
+        return True
 
     def _need(self, lane: Lane, job: Job) -> Amounts:
         spec = job.spec
         return self._learning.need(spec.organisation, spec.service, lane.declared)
 
-    def _choose(self, task: Task, need: Amounts) -> int:
-        state = self._state
+    def _choose(self, job: Job, need: Amounts, now_s: float) -> Choice:
+        if job.held_rows:
+            row = self._room.find_held(job, need)
+            if row != NO_ROW:
+                return Choice(row, len(job.held_rows), "reserved_vm")
+        if job.queued[0].failure_workers or not self._parking.is_full(need):
+            choice = self._choose_open(job.queued[0], need)
+            if choice.row != NO_ROW:
+                return choice
+        row = self._room.find_backfill(job, need, now_s)
+        return NO_CHOICE if row == NO_ROW else Choice(row, 1, "backfill")
+
+    def _choose_open(self, task: Task, need: Amounts, avoids_failed: bool = True) -> Choice:
         job = task.job
-        return state.placer.choose(
-            need, job.service.policy, self._failed_rows(task), self._rack_counts(job)
-        )
+        avoided = self._failed_rows(task) if avoids_failed else ()
+        return self._state.placer.choose(need, job.service.policy, avoided, self._rack_counts(job))
 
     def _failed_rows(self, task: Task) -> tuple[int, ...]:
         if not task.failure_workers:
@@ -123,15 +187,12 @@
             counts[rack] = count
         return counts
 
-    def _place(self, task: Task, row: int, need: Amounts, now_s: float) -> None:
+    def _place(self, task: Task, choice: Choice, need: Amounts, now_s: float) -> None:
         state = self._state
-        worker = state.workers_by_row[row]
+        worker = state.workers_by_row[choice.row]
         self._lifecycle.place(task, worker, need, now_s)
-        state.decide(
-            "task_placed",
-            task=task.task_id,
-            attempt=task.attempt,
-            vm=worker.name,
-            policy=task.job.service.policy,
-            waited_ms=int(task.waited_s * 1000),
+        state.decisions.append(
+            f"event=task_placed task={task.log_id} attempt={task.attempt} vm={worker.log_name} "
+            f"policy={task.job.service.policy.value} waited_ms={int(task.waited_s * 1000)} "
+            f"candidates={choice.candidates} reason={choice.reason}"
         )
