Tell callers at once when a term ends, before its tasks are awaited

Cause: a stop that came during the end of a term left callers without an answer. Change: callers are closed first.

--- a/redwingplank/runtime/term_runner.py
+++ b/redwingplank/runtime/term_runner.py
@@ -167,11 +167,11 @@
         try:
             await self._tick_until_over()
         finally:
-            for loop in loops:
-                loop.cancel()
-            await asyncio.gather(*loops, return_exceptions=True)
-            await self.exchanges.stop()
             self.callers.close("the shard changed hands: ask its new owner for the outcome")
+            ending = [*loops, *self.exchanges.stop()]
+            for task in ending:
+                task.cancel()
+            await asyncio.gather(*ending, return_exceptions=True)
 
     async def drain(self) -> None:
         """Return once no caller waits and everything is durable."""
--- a/redwingplank/runtime/worker_exchanges.py
+++ b/redwingplank/runtime/worker_exchanges.py
@@ -114,13 +114,12 @@
             if link.task is None:
                 link.task = asyncio.create_task(self._drain(worker, link))
 
-    async def stop(self) -> None:
-        """Cancel everything that is in flight."""
+    def stop(self) -> list[asyncio.Task]:
+        """Send nothing more, and return the tasks that are to be cancelled."""
         tasks = list(self._adoptions_by_worker.values())
         tasks += [link.task for link in self._links_by_worker.values() if link.task is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        self._links_by_worker.clear()
+        return tasks
 
     def _begin_adoption(self, vm: ListedVm, lease_s: float) -> None:
         if vm.name not in self._adoptions_by_worker:
