--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -107,6 +107,7 @@
     overshoot_step: int = 0
     overshoot_at_s: float = 0.0
     restarts: int = 0
+    resends: int = 0
     is_restart_possible: bool = False
     is_recovering: bool = False
     is_preemptible: bool = False
--- a/redwingplank/scheduling/exchanges.py
+++ b/redwingplank/scheduling/exchanges.py
@@ -13,6 +13,7 @@
 __all__ = ["Exchanges"]
 
 _GOLDEN_RATIO = 0.6180339887498949
+_MAX_RESENDS = 3
 
 
 class Exchanges:
@@ -32,8 +33,9 @@
     A worker has at most one exchange under way. After one whose outcome is unknown the owner
     sends probes that renew nothing and start nothing, so that the lease runs out at a known
     time; the first answer tells by the number of running attempts whether the starts in doubt
-    took effect. They are sent again only under the incarnation that did not receive them, where
-    an attempt starts at most once.
+    took effect. A probe acknowledges nothing either, because the worker may have restarted and
+    count its ends from 1 again. Starts are sent again only under the incarnation that did not
+    receive them, where an attempt starts at most once.
     """
 
     def __init__(self, state: ShardState, lifecycle: TaskLifecycle, ends: AttemptEnds) -> None:
@@ -70,7 +72,7 @@
             lease_s=state.settings.task_lease_s if renews else 0.0,
             starts=starts,
             actions=actions,
-            acknowledged_sequence=worker.acknowledged_end,
+            acknowledged_sequence=worker.acknowledged_end if renews else 0,
             start_before_unix_s=state.valid_until_s + offset_s if starts and offset_s else 0.0,
         )
 
@@ -173,8 +175,11 @@
 
     def send_again(self, task: Task, now_s: float) -> None:
         """Start an attempt again that does not run on its worker, if it never did."""
+        task.resends += 1
         if task.is_restart_possible and not task.job.service.is_idempotent:
             self._ends.lose(task, now_s, "the worker restarted")
+        elif task.resends > _MAX_RESENDS:
+            self._ends.lose(task, now_s, "the worker neither runs it nor reports its end")
         elif task.stop_reason is not None:
             self._lifecycle.end_unstarted(task, now_s)
         else:
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -84,6 +84,7 @@
         task.attempt = self._state.next_attempt(task)
         task.stop_reason = None
         task.is_restart_possible = False
+        task.resends = 0
         task.overshoot_step = 0
         task.placed_at_s = now_s
         task.waited_s = now_s - task.queued_at_s
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -206,6 +206,27 @@
         assert shard.state_of() == "succeeded"
         assert shard.starts_by_task() == {"job/0": 1}
 
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    def test_end_in_the_new_incarnation_is_not_acknowledged_unseen(self, is_idempotent):
+        shard = Shard(make_declarations(make_service(is_idempotent=is_idempotent)))
+        shard.add_workers(1)
+        shard.submit("first", task_count=8, payload=payload(run_s=0.2))
+        shard.run(5.0)
+        shard.workers_by_name["w0"].restart()
+        shard.fault = fail_once("lost_answer")
+        shard.submit(payload=payload(run_s=0.01))
+        shard.run(20.0)
+        assert shard.state_of() == "succeeded"
+        assert shard.starts_by_task()["job/0"] == 1
+
+    def test_start_that_a_worker_ignores_is_given_up(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.workers_by_name["w0"].highest_attempt_by_task["job/0"] = 1
+        shard.submit(payload=payload(run_s=1.0))
+        shard.run(10.0)
+        assert shard.state_of() == "succeeded"
+
 
 class TestRecovery:
     def run_then_take_over(self, declarations, silent: str = "", **fields) -> Shard:
