Wait for undeclared services; apply new parameters to waiting jobs; volatile lanes of their own

Cause: a recovered job of a service that is not declared (yet) would have reserved nothing; a durable job at the head held volatile ones up while degraded; a new revision forgot an unbounded grant; new parameters did not reach waiting jobs. Change: each mended with a test; placements and ends are kept as a job's history for explain; the rate of starts gives the predicted wait; a renewed lease no longer visits every worker.

--- a/redwingplank/scheduling/attempt_ends.py
+++ b/redwingplank/scheduling/attempt_ends.py
@@ -75,10 +75,12 @@
         if task is None or task.attempt != end.attempt:
             return
         detail = f" detail={format_value(end.detail)}" if end.detail else ""
-        self._state.decisions.append(
+        line = (
             f"event=attempt_ended task={task.log_id} attempt={end.attempt} vm={worker.log_name} "
             f"reason={end.reason.value}{detail}"
         )
+        self._state.decisions.append(line)
+        task.job.history.append(line)
         stop_reason = task.stop_reason
         self._lifecycle.release(task)
         if end.reason is not TaskEndReason.REFUSED:
--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -168,6 +168,8 @@
     queue_class: int = 0
     lane: "Lane | None" = None
     declared: Amounts | None = None
+    revision: int = 0
+    is_undeclared: bool = False
     log_id: str = ""
     is_durable: bool = False
     is_volatile: bool = False
--- a/redwingplank/scheduling/exchanges.py
+++ b/redwingplank/scheduling/exchanges.py
@@ -94,6 +94,8 @@
                 StartTask(task.task_id, task.attempt, task.reserved, payload, task.checkpoint)
             )
         worker.to_send = kept
+        if kept:
+            self._state.held_back[worker.name] = worker
         return tuple(starts)
 
     def take_report(self, message: WorkerReported, now_s: float) -> None:
--- a/redwingplank/scheduling/intake.py
+++ b/redwingplank/scheduling/intake.py
@@ -88,6 +88,7 @@
     def _add(self, spec: JobSpec, service: Service, now_s: float) -> Job:
         self._state.job_number += 1
         job = make_job(spec, service, self._state.job_number, now_s)
+        job.revision = self._state.declarations.revision
         self._state.jobs_by_id[job.job_id] = job
         self._state.decide("job_accepted", job=job.job_id, tasks=spec.task_count)
         return job
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -42,6 +42,9 @@
         state = self._state
         job = task.job
         task.stop_reason = None
+        if job.is_undeclared:
+            task.phase = Phase.HELD
+            return
         task.queued_at_s = now_s
         usage = state.shares.find(job.spec.organisation)
         state.queue.push(task, usage, self.declared(job))
@@ -71,6 +74,17 @@
         task.not_before_s = now_s + delay_s
         self._state.due.call_at(task.not_before_s, partial(self._end_backoff, task))
 
+    def refresh(self, job: Job) -> None:
+        """Take the parameters of the revision in force into a job that still waits."""
+        declarations = self._state.declarations
+        if job.revision == declarations.revision:
+            return
+        job.revision = declarations.revision
+        service = declarations.find_service(job.spec.organisation, job.spec.service)
+        if service is not None and service.kind is job.service.kind:
+            job.service = service
+            job.declared = None
+
     def declared(self, job: Job) -> Amounts:
         """Return the declared need of each task of a job."""
         if job.declared is None:
--- a/redwingplank/scheduling/parking.py
+++ b/redwingplank/scheduling/parking.py
@@ -49,6 +49,7 @@
         self._state = state
         self._lanes_by_need: dict[NeedKey, list[Lane]] = {}
         self._lanes_by_organisation: dict[str, list[Lane]] = {}
+        self._lanes_by_mode: list[Lane] = []
         self._wishes_by_organisation: dict[str, dict[int, _Wish]] = {}
 
     def is_full(self, need: Amounts) -> bool:
@@ -89,6 +90,17 @@
         state.messages.append(GrantWanted(usage.name, wanted))
         state.due.call_at(now_s + state.settings.grant_repeat_s, partial(self._wish, usage))
 
+    def park_for_mode(self, lane: Lane) -> None:
+        """Park a lane until the lease allows its jobs to start."""
+        self._state.queue.park(lane)
+        self._lanes_by_mode.append(lane)
+
+    def release_mode(self) -> None:
+        """Bring back the lanes that waited for the lease."""
+        lanes, self._lanes_by_mode = self._lanes_by_mode, []
+        for lane in lanes:
+            self._state.queue.unpark(lane)
+
     def retry_at(self, lane: Lane, due_s: float) -> None:
         """Bring a parked lane back at `due_s` if it is still parked."""
         if not lane.retry_at_s or due_s < lane.retry_at_s:
--- a/redwingplank/scheduling/queue.py
+++ b/redwingplank/scheduling/queue.py
@@ -12,7 +12,7 @@
 
 __all__ = ["Lane", "WaitingQueue"]
 
-LaneKey = tuple[str, int, str, tuple[int, ...], int]
+LaneKey = tuple[str, int, str, tuple[int, ...], int, bool]
 
 _MIN_PURGE_AT = 1024
 _MIN_COMPACT_AT = 1024
@@ -210,7 +210,7 @@
     def _file(self, job: Job, usage: OrganisationUsage, declared: Amounts) -> None:
         gang_size = job.spec.task_count if job.service.kind is WorkloadKind.GANG else 0
         need = tuple(declared.tolist())
-        key = (usage.name, job.queue_class, job.spec.service, need, gang_size)
+        key = (usage.name, job.queue_class, job.spec.service, need, gang_size, job.is_volatile)
         lane = self._lanes_by_key.get(key)
         if lane is None:
             self._purge()
--- a/redwingplank/scheduling/rejoin.py
+++ b/redwingplank/scheduling/rejoin.py
@@ -135,15 +135,34 @@
         else:
             self._lifecycle.repeat(task, 0.0, now_s)
 
+    def declare(self, now_s: float) -> None:
+        """Let recovered jobs wait for a place once their service is declared."""
+        state = self._state
+        for job in list(state.undeclared_by_id.values()):
+            spec = job.spec
+            service = state.declarations.find_service(spec.organisation, spec.service)
+            if service is None and not job.is_final:
+                continue
+            del state.undeclared_by_id[job.job_id]
+            if service is None:
+                continue
+            job.service, job.is_undeclared = service, False
+            job.declared = None
+            job.queue_class = int(service.deadline_class)
+            job.deadline_s = now_s + service.start_within_s
+            for task in job.tasks:
+                if task.phase is Phase.HELD and not task.is_recovering:
+                    self._lifecycle.queue(task, now_s)
+
     def _restore(self, recovered: RecoveredJob, now_s: float) -> None:
         state = self._state
         spec = recovered.spec
-        service = state.declarations.find_service(spec.organisation, spec.service)
-        if service is None:
-            service = _make_undeclared(recovered)
+        declared = state.declarations.find_service(spec.organisation, spec.service)
+        service = declared or _make_undeclared(recovered)
         state.job_number += 1
         job = make_job(spec, service, state.job_number, now_s)
         job.is_durable = True
+        job.is_undeclared = declared is None
         job.is_cancelled = recovered.is_cancelled
         state.jobs_by_id[job.job_id] = job
         for finished in recovered.finished:
@@ -155,6 +174,8 @@
             self._close_tasks(job.tasks, recovered)
             self._lifecycle.forget_later(job, now_s)
             return
+        if job.is_undeclared:
+            state.undeclared_by_id[job.job_id] = job
         for open_task in recovered.open_tasks:
             self._wait(open_task)
         if job.open_count == 0:
--- a/redwingplank/scheduling/scheduler.py
+++ b/redwingplank/scheduling/scheduler.py
@@ -173,9 +173,12 @@
             state.decide("ownership", mode=message.mode, epoch=message.epoch)
         state.mode = message.mode
         state.valid_until_s = message.valid_until_s
-        for worker in state.workers_by_name.values():
-            if worker.to_send:
-                state.touch(worker)
+        if not state.may_start(now_s, is_volatile=True):
+            return
+        self._starter.parking.release_mode()
+        held_back, state.held_back = state.held_back, {}
+        for worker in held_back.values():
+            state.touch(worker)
 
     def _take_declarations(self, message: DeclarationsChanged, now_s: float) -> None:
         if message.declarations.revision > self._state.declarations.revision:
@@ -188,6 +191,7 @@
             state.shares.declare(organisation.name, organisation.share, organisation.quota)
             self._starter.parking.release_organisation(organisation.name)
         self._services.declare(declarations, now_s)
+        self._rejoin.declare(now_s)
 
 
 def make_scheduler(
--- a/redwingplank/scheduling/shares.py
+++ b/redwingplank/scheduling/shares.py
@@ -21,15 +21,18 @@
     weight : int
         Its declared share.
     has_quota : bool
-        Whether its starts are bounded by a grant.
+        Whether a quota is declared, so that it starts nothing before a grant arrives.
     grant : ndarray or None
-        What it may reserve here; None with a quota means that none arrived yet.
+        What it may reserve here.
+    is_unbounded : bool
+        Whether a grant without bound arrived.
     """
 
     name: str
     weight: int = 100
     has_quota: bool = False
     grant: Amounts | None = None
+    is_unbounded: bool = False
     used: list[int] = field(default_factory=list)
     share: float = 0.0
     wanted_at_s: float = float("-inf")
@@ -72,15 +75,13 @@
     def set_grant(self, name: str, grant: Resources | None) -> None:
         """Take an organisation's grant; None removes every bound."""
         usage = self.find(name)
-        usage.has_quota = grant is not None
+        usage.is_unbounded = grant is None
         usage.grant = None if grant is None else self._table.amounts(grant)
 
     def may_start(self, usage: OrganisationUsage, amounts: Amounts, count: int = 1) -> bool:
         """Return whether `count` times `amounts` more stay within the grant."""
-        if not usage.has_quota:
-            return True
         if usage.grant is None:
-            return False
+            return usage.is_unbounded or not usage.has_quota
         grant = usage.grant.tolist()
         used = usage.used
         for dimension, amount in enumerate(amounts.tolist()):
--- a/redwingplank/scheduling/starter.py
+++ b/redwingplank/scheduling/starter.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Starter"]
 
+_RATE_WINDOW_S = 1.0
+_RATE_WEIGHT = 0.2
+
 
 @dataclass(frozen=True, slots=True)
 class _Result:
@@ -45,6 +48,8 @@
         self._learning = learning
         self._parking = Parking(state)
         self._room = RoomMaker(state, lifecycle, learning)
+        self._rate_since_s = 0.0
+        self._starts = 0
 
     @property
     def parking(self) -> Parking:
@@ -58,6 +63,7 @@
         if not state.may_start(now_s, is_volatile=True):
             return
         self._room.begin_tick()
+        self._note_rate(now_s)
         misses = starts = 0
         while starts < state.settings.max_starts_per_tick:
             lane = state.queue.top()
@@ -67,15 +73,27 @@
             if job is None:
                 continue
             if not state.may_start(now_s, job.is_volatile):
-                break
+                self._parking.park_for_mode(lane)
+                continue
             result = self._place_run(lane, job, starts, now_s)
             starts += result.starts
             misses += result.misses
+        self._starts += starts
+
+    def _note_rate(self, now_s: float) -> None:
+        """Keep the mean rate of starts, from which waits are predicted."""
+        passed_s = now_s - self._rate_since_s
+        if passed_s < _RATE_WINDOW_S:
+            return
+        rate = self._starts / passed_s
+        self._state.starts_per_s += _RATE_WEIGHT * (rate - self._state.starts_per_s)
+        self._rate_since_s, self._starts = now_s, 0
 
     def _place_run(self, lane: Lane, job: Job, starts: int, now_s: float) -> _Result:
         """Place tasks of one job for as long as its organisation stays the first in order."""
         state = self._state
-        need = self._need(lane, job)
+        self._lifecycle.refresh(job)
+        need = self._need(job)
         if is_gang(job):
             result = self._place_gang(lane, job, need, now_s)
         else:
@@ -152,9 +170,9 @@
             placed.append(task)
         return True
 
-    def _need(self, lane: Lane, job: Job) -> Amounts:
-        spec = job.spec
-        return self._learning.need(spec.organisation, spec.service, lane.declared)
+    def _need(self, job: Job) -> Amounts:
+        declared = self._lifecycle.declared(job)
+        return self._learning.need(job.spec.organisation, job.spec.service, declared)
 
     def _choose(self, job: Job, need: Amounts, now_s: float) -> Choice:
         if job.held_rows:
@@ -191,8 +209,10 @@
         state = self._state
         worker = state.workers_by_row[choice.row]
         self._lifecycle.place(task, worker, need, now_s)
-        state.decisions.append(
+        line = (
             f"event=task_placed task={task.log_id} attempt={task.attempt} vm={worker.log_name} "
             f"policy={task.job.service.policy.value} waited_ms={int(task.waited_s * 1000)} "
             f"candidates={choice.candidates} reason={choice.reason}"
         )
+        state.decisions.append(line)
+        task.job.history.append(line)
--- a/redwingplank/scheduling/state.py
+++ b/redwingplank/scheduling/state.py
@@ -48,6 +48,8 @@
     draining: set[str] = field(default_factory=set)
     service_attempts_by_id: dict[str, int] = field(default_factory=dict)
     touched: dict[str, Worker] = field(default_factory=dict)
+    held_back: dict[str, Worker] = field(default_factory=dict)
+    undeclared_by_id: dict[str, Job] = field(default_factory=dict)
     freed_rows: dict[int, None] = field(default_factory=dict)
     changed_services: dict[str, Job] = field(default_factory=dict)
     changed_organisations: dict[str, OrganisationUsage] = field(default_factory=dict)
--- a/redwingplank/scheduling/tests/test_acceptance.py
+++ b/redwingplank/scheduling/tests/test_acceptance.py
@@ -189,6 +189,21 @@
         assert shard.records == []
         assert shard.state_of() == "succeeded"
 
+    def test_durable_work_does_not_hold_volatile_work_up(self):
+        late = make_service("late", start_within_s=500.0, is_volatile_allowed=True)
+        shard = Shard(make_declarations(make_service(), late))
+        shard.submit("durable")
+        shard.run(0.2)
+        shard.own(OwnershipMode.DEGRADED)
+        shard.add_workers(1)
+        shard.submit("volatile", "late")
+        shard.run(5.0)
+        assert shard.state_of("volatile") == "succeeded"
+        assert shard.state_of("durable") == "accepted"
+        shard.own()
+        shard.run(5.0)
+        assert shard.state_of("durable") == "succeeded"
+
     def test_lost_sends_nothing(self):
         shard = Shard()
         shard.add_workers(1)
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -2,10 +2,11 @@
 
 import pytest
 
-from redwingplank.config import WorkloadKind
+from redwingplank.config import Declarations, WorkloadKind
 from redwingplank.core import make_resources
 from redwingplank.scheduling import SchedulerSettings
 from redwingplank.scheduling.messages import (
+    DeclarationsChanged,
     JournalCommitted,
     StartIntended,
     WorkerUnreachable,
@@ -284,6 +285,23 @@
         second.run(5.0)
         assert second.state_of() == "unknown"
 
+    def test_job_of_a_service_that_is_not_declared_yet_waits(self):
+        first = Shard()
+        first.submit()
+        first.run(0.5)
+        second = first.take_over()
+        declarations, second.declarations = second.declarations, Declarations()
+        second.scheduler = second.make()
+        second.list_vms()
+        second.run(0.5)
+        second.add_workers(1)
+        second.run(3.0)
+        assert second.state_of() == "accepted"
+        assert "is not declared" in second.scheduler.explain("job", 0.0)[-1]
+        second.inbox.append(DeclarationsChanged(declarations))
+        second.run(5.0)
+        assert second.state_of() == "succeeded"
+
     def test_cancelled_job_is_stopped_by_the_new_owner(self):
         first = Shard()
         first.add_workers(2)
--- a/redwingplank/scheduling/tests/test_sharing.py
+++ b/redwingplank/scheduling/tests/test_sharing.py
@@ -3,7 +3,7 @@
 from redwingplank.config import DeadlineClass, Declarations, Organisation, WorkloadKind
 from redwingplank.core import make_resources, sum_resources
 from redwingplank.scheduling import SchedulerSettings
-from redwingplank.scheduling.messages import GrantChanged, GrantWanted
+from redwingplank.scheduling.messages import DeclarationsChanged, GrantChanged, GrantWanted
 from redwingplank.scheduling.tests.shard import Shard, make_declarations, make_service, payload
 
 FOREVER = payload(run_s=1e6)
@@ -72,6 +72,32 @@
         shard.run(15.0)
         assert shard.state_of() == "succeeded"
 
+    def test_unbounded_grant_stays_over_a_new_revision(self):
+        quota = make_resources(4000, 8192)
+        shard = Shard(make_declarations(quota=quota))
+        shard.add_workers(1)
+        shard.inbox.append(GrantChanged("bureau", None))
+        shard.run(0.2)
+        shard.inbox.append(DeclarationsChanged(make_declarations(revision=2, quota=quota)))
+        shard.submit(payload=FOREVER)
+        shard.run(1.0)
+        assert len(shard.running_on()) == 1
+
+
+class TestDeclarations:
+    def test_waiting_jobs_take_the_new_parameters(self):
+        shard = Shard(make_declarations(make_service(resources=make_resources(9000, 1))))
+        shard.submit(payload=FOREVER)
+        shard.run(0.2)
+        shard.add_workers(1)
+        shard.run(1.0)
+        assert shard.running_on() == {}
+        smaller = make_service(resources=make_resources(4000, 1))
+        shard.inbox.append(DeclarationsChanged(make_declarations(smaller, revision=2)))
+        shard.run(12.0)
+        attempt = shard.workers_by_name["w0"].attempts_by_task["job/0"]
+        assert attempt.start.reserved == make_resources(4000, 1)
+
 
 class TestFairShare:
     def test_places_follow_the_weights(self):
--- a/redwingplank/scheduling/views.py
+++ b/redwingplank/scheduling/views.py
@@ -53,6 +53,8 @@
         if task.phase is Phase.BACKOFF:
             wait_s = max(0.0, task.not_before_s - now_s)
             return f"next attempt in {wait_s:.1f} s; {task.reason}"
+        if job.is_undeclared:
+            return f"service {job.spec.service} of {job.spec.organisation} is not declared"
         if task.phase is Phase.HELD:
             return "waits for proof that an earlier attempt has stopped"
         if not self._state.may_start(now_s, job.is_volatile):
