--- a/redwingplank/cli/ctl.py
+++ b/redwingplank/cli/ctl.py
@@ -11,7 +11,7 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Annotated
 
 import capnp
@@ -119,18 +119,18 @@
     prune: Annotated[
         bool, Parameter(negative="", help="Remove documents that are not in the files.")
     ] = False
-    author: Annotated[str, Parameter(help="Recorded with the revision.")] = field(
-        default_factory=getpass.getuser
-    )
+    author: Annotated[
+        str, Parameter(help="Recorded with the revision; the user's name by default.")
+    ] = ""
 
     def options(self) -> ApplyOptions:
         """Return the options of an apply."""
-        return ApplyOptions(self.author, self.base, self.prune)
+        return ApplyOptions(self.author or _find_user(), self.base, self.prune)
 
 
 DEFAULT_OUTPUT = OutputFlags()
 DEFAULT_CELL = CellFlags()
-DEFAULT_CHANGE = ChangeFlags(author="")
+DEFAULT_CHANGE = ChangeFlags()
 
 
 def make_app() -> App:
@@ -398,6 +398,13 @@
     return EXIT_DONE
 
 
+def _find_user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
+
+
 def _parse_addresses(flag: str, text: str) -> Mapping[str, str]:
     try:
         return parse_address_by_name(text) if text else {}
--- a/redwingplank/cli/tests/test_ctl.py
+++ b/redwingplank/cli/tests/test_ctl.py
@@ -88,15 +88,17 @@
         assert "started or drained" in impact["effect"]
         assert bench.run("history")[1]["revisions"][0]["revision"] == 1
 
-    def test_apply_history_rollback(self, bench):
+    def test_apply_history_rollback(self, bench, monkeypatch):
         assert bench.apply(TEMPLATES, "--author", "ann")[1]["revision"] == 1
         assert bench.apply(TEMPLATES)[1]["outcome"] == "unchanged"
+        monkeypatch.setenv("LOGNAME", "bob")
         assert bench.apply(TEMPLATES.replace("priority: 100", "priority: 7"))[1]["revision"] == 2
         code, answer = bench.run("rollback", "1")
         assert (code, answer["revision"]) == (0, 3)
         revisions = bench.run("history")[1]["revisions"]
         assert [row["revision"] for row in revisions] == [3, 2, 1]
-        assert revisions[0]["note"] == "rollback to 1" and revisions[2]["author"] == "ann"
+        assert revisions[0]["note"] == "rollback to 1" and revisions[1]["author"] == "bob"
+        assert revisions[2]["author"] == "ann"
         assert bench.run("rollback", "99")[0] == 2
 
     def test_a_conflict_reports_the_other_change_with_exit_code_3(self, bench):
