--- a/tools/local_cell.py
+++ b/tools/local_cell.py
@@ -4,6 +4,7 @@
 schedulers beside the platform's stand-in, and serves until it is interrupted.
 """
 
+import asyncio
 import base64
 import json
 import os
@@ -14,11 +15,15 @@
 import time
 import urllib.error
 import urllib.request
+import uuid
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from redwingplank.config import read_declaration_files
+from redwingplank.platform.http import HttpKeyValueStore, open_session
+from redwingplank.runtime.apply import ApplyOutcome, ApplyResult, apply_declarations
 from redwingplank.scheduling.ownership import ShardKeys, decode_owner
 from tools.relay import Relay
 
@@ -35,7 +40,6 @@
     "standin": "redwingplank.cli.standin",
     "scheduler": "redwingplank.cli.scheduler",
     "entry": "redwingplank.cli.entry",
-    "ctl": "redwingplank.cli.ctl",
 }
 UPSTREAM_SLOTS = 8
 STANDIN_HOST = "127.0.1.1"
@@ -155,11 +159,17 @@
         wait_until("the stand-in answers", lambda: self.get_admin("/calls") is not None)
 
     def apply(self, declarations: Sequence[Path]) -> None:
-        """Put declarations in force with ``redwingctl apply``."""
-        command = [sys.executable, "-m", MODULES_BY_ROLE["ctl"], "apply"]
-        command += [str(path) for path in declarations]
-        command += [f"--store-url={self.standin_url}"]
-        subprocess.run(command, cwd=ROOT, check=True, capture_output=True, timeout=READY_DEADLINE_S)
+        """Put declarations in force."""
+        files = read_declaration_files([str(path) for path in declarations])
+
+        async def apply() -> ApplyResult:
+            async with open_session() as session:
+                store = HttpKeyValueStore(session, self.standin_url, CALL_TIMEOUT_S)
+                return await apply_declarations(store, files, time.time(), uuid.uuid4().hex)
+
+        result = asyncio.run(apply())
+        if result.outcome is not ApplyOutcome.APPLIED:
+            raise AssertionError(f"the declarations were not applied: {result}")
 
     def start_node(self, name: str) -> None:
         """Start an entry or a scheduler by its name."""
