--- a/features/support/callers.py
+++ b/features/support/callers.py
@@ -20,6 +20,7 @@
 CALL_TIMEOUT_S = 45.0
 CONNECT_TIMEOUT_S = 2.0
 REPEAT_PAUSE_S = 0.1
+READINESS_POLL_S = 0.25
 FINAL_STATES = frozenset({"succeeded", "failed", "cancelled", "unknown"})
 
 
@@ -68,12 +69,15 @@
         self._requests: list[RequestRecord] = []
         self._jobs_by_id: dict[str, JobRecord] = {}
         self._refused_jobs: list[JobRecord] = []
+        self.refusals: list[str] = []
         self._load: Future | None = None
         self._is_loading = False
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
+        self._ready = list(entry_addresses)
         self._session: aiohttp.ClientSession = self.run(self._open())
+        self._balancer = self.begin(self._watch_readiness())
 
     def records(self) -> CallerRecords:
         """Return what callers were told so far."""
@@ -84,6 +88,7 @@
     def close(self) -> None:
         """Stop the load and end the thread."""
         self.stop_load()
+        self._balancer.cancel()
         self.run(self._session.close())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
@@ -123,11 +128,24 @@
                 xxhash.xxh3_64_hexdigest(answer.body) if is_whole else "",
                 answered_request_id=answer.request_id,
             )
+            if not is_whole:
+                self.refusals.append(f"{answer.status} {answer.body[:200]!r}")
         record = replace(record, is_idempotent=not wanted.key)
         with self._lock:
             self._requests.append(record)
         return record
 
+    async def send_until_settled(
+        self, wanted: RequestWanted, address: str, deadline_s: float = 60.0
+    ) -> RequestRecord:
+        """Send a request again as long as it is called not run."""
+        ends_at_s = time.monotonic() + deadline_s
+        record = await self.send(wanted, address)
+        while record.ran is Ran.NO and time.monotonic() < ends_at_s:
+            await asyncio.sleep(REPEAT_PAUSE_S)
+            record = await self.send(wanted, address)
+        return record
+
     async def submit(self, wanted: JobWanted, deadline_s: float = 60.0) -> str:
         """Submit a job, repeating it under its key until it is accepted, and return its id."""
         ends_at_s = time.monotonic() + deadline_s
@@ -175,6 +193,20 @@
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
         return aiohttp.ClientSession(timeout=timeout)
 
+    async def _watch_readiness(self) -> None:
+        while True:
+            answers = await asyncio.gather(*(self._is_ready(each) for each in self._addresses))
+            pairs = zip(self._addresses, answers, strict=True)
+            self._ready = [address for address, is_ready in pairs if is_ready] or self._addresses
+            await asyncio.sleep(READINESS_POLL_S)
+
+    async def _is_ready(self, address: str) -> bool:
+        try:
+            async with self._session.get(f"http://{address}/readyz") as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
     async def _send_until_stopped(
         self, wanted: RequestWanted, pause_s: float, callers: int
     ) -> None:
@@ -225,4 +257,4 @@
             return 0, {"detail": repr(error)}
 
     def _next_url(self) -> str:
-        return f"http://{self._addresses[next(self._turn) % len(self._addresses)]}"
+        return f"http://{self._ready[next(self._turn) % len(self._ready)]}"
