Share upstream slots by credits, ask orders' homes, hand requests on to other entries

Cause: each entry used all slots for itself and kept orders without a home. Change: entries exchange credits and find the home of an order at its shard's owner; a handed request keeps its id; entry VMs stand on the stand-in's list.

--- a/redwingplank/api/requests.py
+++ b/redwingplank/api/requests.py
@@ -18,6 +18,7 @@
 
 RAN_HEADER = "X-Redwing-Ran"
 REQUEST_ID_HEADER = "X-Request-Id"
+MAX_REQUEST_ID_CHARACTERS = 64
 
 
 class RequestsResource:
@@ -33,30 +34,37 @@
         organisation: str,
         service: str,
     ) -> None:
-        call = _read_call(req, organisation, service, uuid.uuid4().hex)
+        call = _read_call(req, organisation, service)
         body = await read_body(req)
         answer = await self._proxy.handle(call, body)
         _send_answer(resp, call, answer)
 
 
-def _read_call(
-    req: falcon.asgi.Request, organisation: str, service: str, request_id: str
-) -> CallerRequest:
+def _read_call(req: falcon.asgi.Request, organisation: str, service: str) -> CallerRequest:
     headers = {}
+    hops = read_hops(req)
     content_type = req.get_header("Content-Type")
     if content_type:
         headers["Content-Type"] = content_type
     return CallerRequest(
         organisation=organisation,
         service=service,
-        request_id=request_id,
+        request_id=_read_handed_id(req) if hops else uuid.uuid4().hex,
         idempotency_key=read_idempotency_key(req),
         deadline_ms=read_deadline_ms(req),
         headers=headers,
-        hops=read_hops(req),
+        hops=hops,
     )
 
 
+def _read_handed_id(req: falcon.asgi.Request) -> str:
+    """Return the id that another entry gave the request before it handed it on."""
+    request_id = req.get_header(REQUEST_ID_HEADER, default="")
+    if not request_id.isalnum() or len(request_id) > MAX_REQUEST_ID_CHARACTERS:
+        raise falcon.HTTPInvalidHeader("give the other entry's request id", REQUEST_ID_HEADER)
+    return request_id
+
+
 def _send_answer(resp: falcon.asgi.Response, call: CallerRequest, answer: CallerAnswer) -> None:
     if answer.problem is not None:
         details = ProblemDetails(
--- a/redwingplank/api/tests/test_api.py
+++ b/redwingplank/api/tests/test_api.py
@@ -113,6 +113,11 @@
         assert result.headers["x-redwing-ran"] == "yes"
         assert "~" not in result.headers["x-request-id"]
 
+    def test_a_request_that_was_handed_on_keeps_its_id(self):
+        result = Door().post(REQUESTS, b"x", X_Redwing_Hops="1", X_Request_Id="abc123")
+        assert result.headers["x-request-id"] == "abc123"
+        assert Door().post(REQUESTS, b"x", X_Redwing_Hops="1").status_code == 400
+
     @pytest.mark.parametrize(
         "path",
         [
--- a/redwingplank/cli/dev.py
+++ b/redwingplank/cli/dev.py
@@ -193,6 +193,9 @@
         "first_vm_port": str(settings.port + FIRST_VM_OFFSET),
         "failure_domains": ",".join(settings.failure_domains),
         "list_lag_s": "0",
+        "entries": _addresses(
+            _names(settings, "entry", settings.entries_per_domain), settings.port + ENTRY_RPC_OFFSET
+        ),
     }
     return load_settings(StandinSettings, texts, ())
 
@@ -221,6 +224,7 @@
                 "name": name,
                 "failure_domain": domain,
                 "http_address": f"{HOST}:{settings.port + ENTRY_HTTP_OFFSET + index}",
+                "entries_http": _addresses(names, settings.port + ENTRY_HTTP_OFFSET),
                 "rpc_address": f"{HOST}:{settings.port + ENTRY_RPC_OFFSET + index}",
                 "drain_notice_s": "0",
             },
--- a/redwingplank/cli/entry.py
+++ b/redwingplank/cli/entry.py
@@ -4,35 +4,35 @@
 import sys
 import uuid
 
-import logbook
-
 from redwingplank.api import make_entry_app
 from redwingplank.cli.node import NodeConnections
 from redwingplank.cli.program import Program, read_settings, run_program
 from redwingplank.cli.settings import EntrySettings
 from redwingplank.config import Declarations
-from redwingplank.core import Clock, log_event, make_logger
-from redwingplank.platform import KeyValueStore, PlatformError
+from redwingplank.platform import ListedVm, VmRole
 from redwingplank.platform.budget import StorePurpose
 from redwingplank.platform.http import HttpServer, HttpUpstreamClient, serve_http
 from redwingplank.routing import RouterSettings, make_router
-from redwingplank.routing.orders import OrderBook
 from redwingplank.rpc.scheduler_calls import SchedulerCalls
+from redwingplank.runtime.credits import (
+    CREDITS_SERVICE,
+    CreditExchange,
+    CreditService,
+    EntryPlace,
+    RpcCreditClient,
+)
 from redwingplank.runtime.entry import EntryParts, EntryRuntime
+from redwingplank.runtime.entry_client import HttpEntryClient
 from redwingplank.runtime.jobs import JobGateway
 from redwingplank.runtime.metrics import MetricsReporter
-from redwingplank.runtime.order_log import KeyValueOrderLog
-from redwingplank.runtime.orders import OrderHome
+from redwingplank.runtime.order_service import RpcOrderHomes
 from redwingplank.runtime.requests import ProxySettings, make_request_proxy
 from redwingplank.runtime.shards import ShardDirectory, shard_names
 
 __all__ = ["EntryProgram", "main"]
 
 SHORT_ID_CHARACTERS = 8
-EXPIRE_EVERY_S = 60.0
-HOME_RETRY_S = 1.0
-
-_logger = make_logger("entry")
+NANOSECONDS_PER_SECOND = 1_000_000_000
 
 
 class EntryProgram(Program):
@@ -47,8 +47,8 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self.node = NodeConnections(settings, self.change_declarations)
-        self._home = make_order_home(self.node.store(StorePurpose.JOURNAL), self.node.unix_clock)
         self.runtime = EntryRuntime(self._make_parts(), self.node.clock)
+        self.credits = self._make_credits()
         self._metrics = MetricsReporter(
             settings.statsd_address,
             f"redwing.entry.{settings.name}",
@@ -57,12 +57,12 @@
         self._server: HttpServer | None = None
 
     async def start(self) -> None:
-        await self.node.start({})
+        await self.node.start({CREDITS_SERVICE: CreditService(self.credits)})
         runtime = self.runtime
         runtime.start(
-            self._home_loop(),
             runtime.parts.directory.refresh_forever(),
-            runtime.follow_upstreams(self.node.membership.live_upstreams),
+            runtime.follow_upstreams(self._read_list),
+            self.credits.run(),
             self._metrics.run(),
         )
         app = make_entry_app(runtime.parts.proxy, runtime.parts.gateway, runtime)
@@ -78,6 +78,8 @@
         await asyncio.sleep(self._settings.drain_notice_s)
         if self._server is not None:
             await self._server.stop()
+        await self.runtime.finish_requests()
+        await self.credits.leave()
         await self.runtime.stop()
         await self.node.stop()
 
@@ -93,40 +95,63 @@
         settings, node = self._settings, self.node
         router = make_router(
             RouterSettings(
-                entry=settings.name, failure_domain=settings.failure_domain, seed=node.seed
+                entry=settings.name,
+                failure_domain=settings.failure_domain,
+                uses_credits=True,
+                seed=node.seed,
             ),
             node.clock.now_s(),
         )
+        calls = SchedulerCalls(node.peers)
+        shards = shard_names(settings.failure_domains, settings.shards_per_domain)
+        directory = ShardDirectory(calls, shards, settings.schedulers, settings.failure_domain)
+        addresses = {
+            name.partition("/")[2]: address for name, address in settings.entries_http.items()
+        }
         proxy = make_request_proxy(
             router,
             HttpUpstreamClient(node.session),
-            self._home,
+            RpcOrderHomes(node.peers, shards, directory.find_owner),
             node.clock,
+            entries=HttpEntryClient(node.session, addresses),
             settings=ProxySettings(settings.name, uuid.uuid4().hex[:SHORT_ID_CHARACTERS]),
         )
-        calls = SchedulerCalls(node.peers)
-        shards = shard_names(settings.failure_domains, settings.shards_per_domain)
-        directory = ShardDirectory(calls, shards, settings.schedulers, settings.failure_domain)
         return EntryParts(router, proxy, JobGateway(calls, directory), directory)
 
-    async def _home_loop(self) -> None:
-        """Read the orders' records, and delete those that are no longer needed."""
-        is_started = False
-        while True:
-            try:
-                if is_started:
-                    await self._home.expire()
-                else:
-                    await self._home.start()
-                    is_started = True
-            except PlatformError as error:
-                log_event(_logger, "orders_not_read", level=logbook.WARNING, error=str(error))
-            await asyncio.sleep(EXPIRE_EVERY_S if is_started else HOME_RETRY_S)
-
-
-def make_order_home(store: KeyValueStore, unix_clock: Clock) -> OrderHome:
-    """Return a home of all orders that keeps its records in the store."""
-    return OrderHome(OrderBook(), KeyValueOrderLog(store, "all"), unix_clock)
+    def _make_credits(self) -> CreditExchange:
+        settings, node, parts = self._settings, self.node, self.runtime.parts
+        place = EntryPlace(
+            settings.name,
+            settings.rpc_address,
+            settings.failure_domain,
+            int(node.unix_clock.now_s() * NANOSECONDS_PER_SECOND),
+        )
+        return CreditExchange(
+            place,
+            parts.router,
+            parts.proxy.wake_waiting,
+            node.store(StorePurpose.LEASE),
+            RpcCreditClient(node.peers),
+            node.clock,
+        )
+
+    def _read_list(self, now_s: float) -> tuple[ListedVm, ...]:
+        """Return the live upstreams, after the credits' grantor was told of them."""
+        upstreams = self.node.membership.live_upstreams(now_s)
+        self.credits.set_listed((*upstreams, *self._listed_entries()))
+        return upstreams
+
+    def _listed_entries(self) -> tuple[ListedVm, ...]:
+        """Return the entry VMs of this failure domain; those of the settings if none is listed."""
+        listed = self.node.membership.listed_entries()
+        if listed:
+            return listed
+        domain = self._settings.failure_domain
+        return tuple(
+            ListedVm(name.partition("/")[2], VmRole.ENTRY, domain, "", address)
+            for name, address in self._settings.entries.items()
+            if name.partition("/")[0] == domain
+        )
 
 
 def main() -> None:
--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -9,8 +9,12 @@
 from redwingplank.config import Declarations
 from redwingplank.platform.budget import StorePurpose
 from redwingplank.platform.http import HttpWorkerClient
+from redwingplank.routing.orders import OrderBook
 from redwingplank.rpc.scheduler_calls import SCHEDULER_SERVICE
 from redwingplank.runtime.metrics import MetricsReporter
+from redwingplank.runtime.order_log import KeyValueOrderLog
+from redwingplank.runtime.order_service import ORDERS_SERVICE, OrderService, OwnedOrderHomes
+from redwingplank.runtime.orders import OrderHome
 from redwingplank.runtime.scheduler import make_scheduler_process
 from redwingplank.runtime.scheduler_core import SchedulerCore
 from redwingplank.runtime.settings import SchedulerProcessSettings
@@ -50,12 +54,18 @@
             f"redwing.scheduler.{settings.name}",
             {"node": self.node.gauges},
         )
-        self._metrics_task: asyncio.Task | None = None
+        self._orders = OwnedOrderHomes(self._make_order_home, self._owned_shards)
+        self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
-        await self.node.start({SCHEDULER_SERVICE: self.process.service()})
+        services = {
+            SCHEDULER_SERVICE: self.process.service(),
+            ORDERS_SERVICE: OrderService(self._orders.homes_by_shard),
+        }
+        await self.node.start(services)
         self.process.start()
-        self._metrics_task = asyncio.create_task(self._metrics.run())
+        loops = (self._metrics.run(), self._orders.run())
+        self._tasks = [asyncio.create_task(loop) for loop in loops]
 
     async def wait(self) -> None:
         await self.process.wait()
@@ -65,22 +75,26 @@
         successor = next((item for item in self._candidates() if item != own), "")
         self.node.membership.leave()
         await self.process.stop(successor)
-        if self._metrics_task is not None:
-            self._metrics_task.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.node.stop()
 
     def describe_in_flight(self) -> str:
-        shards = [
-            shard
-            for shard, runner in self.process.runners_by_shard.items()
-            if runner.term_runner is not None
-        ]
-        return f"shards {','.join(shards) or 'none'}"
+        return f"shards {','.join(self._owned_shards()) or 'none'}"
 
     def change_declarations(self, declarations: Declarations) -> None:
         """Take in a newer revision of the declarations."""
         self.process.change_declarations(declarations)
 
+    def _owned_shards(self) -> tuple[str, ...]:
+        runners = self.process.runners_by_shard
+        return tuple(shard for shard, runner in runners.items() if runner.term_runner is not None)
+
+    def _make_order_home(self, shard: str) -> OrderHome:
+        log = KeyValueOrderLog(self.node.store(StorePurpose.JOURNAL), shard)
+        return OrderHome(OrderBook(), log, self.node.unix_clock)
+
     def _candidates(self) -> list[str]:
         domain = self._settings.failure_domain
         return [
--- a/redwingplank/cli/settings.py
+++ b/redwingplank/cli/settings.py
@@ -39,7 +39,9 @@
 class NodeSettings:
     """What every process of the system has to know of itself and of the cell."""
 
-    name: str = setting(parse_name, "Name of this process, unique in the cell.")
+    name: str = setting(
+        parse_name, "Name of this process, unique in the cell; an entry has its VM's name."
+    )
     failure_domain: str = setting(parse_name, "Failure domain that it stands in.")
     region: str = setting(parse_name, "Region of the failure domain.", default="region-1")
     failure_domains: tuple[str, ...] = setting(
@@ -85,6 +87,11 @@
     """Settings of `redwing-entry`."""
 
     http_address: str = setting(parse_address, "Address for callers.", unit="IP:PORT")
+    entries_http: Mapping[str, str] = setting(
+        parse_address_by_name,
+        "Addresses for callers of all entries, to hand requests on: FAILURE_DOMAIN/NAME=IP:PORT.",
+        default="",
+    )
     drain_notice_s: float = setting(
         parse_seconds(0.0, 60.0),
         "Time from not being ready to no longer listening, for the balancer to see it.",
@@ -150,6 +157,11 @@
         "Services that upstreams serve, separated by commas.",
         default="notahane,quoter",
     )
+    entries: Mapping[str, str] = setting(
+        parse_address_by_name,
+        "Entry VMs on the list: FAILURE_DOMAIN/NAME=IP:PORT, separated by commas.",
+        default="",
+    )
     processors: int = setting(parse_integer(1, 1024), "Processors of a worker.", default="64")
     memory_gib: int = setting(
         parse_integer(1, 4096), "Memory of a worker.", unit="GiB", default="128"
--- a/redwingplank/cli/standin.py
+++ b/redwingplank/cli/standin.py
@@ -8,6 +8,7 @@
 from redwingplank.cli.program import Program, read_settings, run_program
 from redwingplank.cli.settings import StandinSettings
 from redwingplank.core import MonotonicClock, make_resources
+from redwingplank.platform import ListedVm, VmRole
 from redwingplank.platform.http import HttpServer, serve_http
 from redwingplank.standin.cell import CellShape, StandinCell, make_standin_cell
 from redwingplank.standin.http_admin import add_admin_routes, add_vm_list_routes
@@ -37,6 +38,7 @@
         self._settings = settings
         self._servers: list[HttpServer] = []
         self.cell = make_standin_cell(make_shape(settings), MonotonicClock())
+        self.cell.vm_list.put(*make_entry_rows(settings))
 
     async def start(self) -> None:
         cell = self.cell
@@ -80,6 +82,15 @@
     )
 
 
+def make_entry_rows(settings: StandinSettings) -> list[ListedVm]:
+    """Return the rows of the entry VMs."""
+    rows = []
+    for full_name, address in settings.entries.items():
+        domain, _, name = full_name.partition("/")
+        rows.append(ListedVm(name, VmRole.ENTRY, domain, f"{domain}-entries", address))
+    return rows
+
+
 def make_platform_app(cell: StandinCell) -> falcon.asgi.App:
     """Return the application of the store, the list of VMs and the calls for tests."""
     app = falcon.asgi.App()
--- a/redwingplank/runtime/entry.py
+++ b/redwingplank/runtime/entry.py
@@ -101,10 +101,13 @@
         """Say that no new work is wanted; work that comes all the same is still taken."""
         self._is_leaving = True
 
-    async def stop(self) -> None:
-        """Refuse new work, finish what is in flight, and end the loops."""
+    async def finish_requests(self) -> None:
+        """Refuse new requests and return once none is in flight."""
         self.parts.proxy.begin_stop()
         await self.parts.proxy.drained()
+
+    async def stop(self) -> None:
+        """End the loops."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/redwingplank/runtime/membership.py
+++ b/redwingplank/runtime/membership.py
@@ -26,7 +26,7 @@
     VmWord,
     VmWordKind,
 )
-from redwingplank.platform import ListedVm, PlatformError, VmList
+from redwingplank.platform import ListedVm, PlatformError, VmList, VmRole
 from redwingplank.rpc import RpcError
 from redwingplank.rpc.membership_calls import (
     MembershipCalls,
@@ -133,6 +133,10 @@
         """Return the upstreams of this failure domain that may be given new work."""
         return self._state.live_upstreams()
 
+    def listed_entries(self) -> tuple[ListedVm, ...]:
+        """Return the entry VMs of this failure domain on the platform's list."""
+        return self._state.vms.listed(VmRole.ENTRY)
+
     def live_peers(self, now_s: float) -> tuple[Peer, ...]:
         """Return the other live nodes of this failure domain."""
         return self._state.live_peers()
