--- /dev/null
+++ b/benchmarks/credit_domain.py
@@ -0,0 +1,146 @@
+"""Entries that share upstreams by credits, with their real exchanges in virtual time."""
+
+import asyncio
+from dataclasses import dataclass
+
+from benchmarks.request_simulation import (
+    DOMAIN,
+    ONLY_QUOTES,
+    ORGANISATION,
+    RequestLoad,
+    declare,
+    upstream_vms,
+)
+from redwingplank.platform import ListedVm, VmRole
+from redwingplank.routing import Route, Router, RouteRequest, RouterSettings, make_router
+from redwingplank.routing.credit_messages import CreditGrant, CreditReport
+from redwingplank.runtime.credits import CreditClient, CreditExchange, EntryPlace
+from redwingplank.standin.store import MemoryStore, MemoryStoreClient
+from redwingplank.standin.virtual_time import VirtualClock, run_virtual
+
+__all__ = ["CreditMove", "measure_credit_move"]
+
+MESSAGE_S = 0.0015
+SETTLE_S = 2.0
+SAMPLE_S = 0.001
+LIMIT_S = 5.0
+DEADLINE_S = 60.0
+SLOTS = 8
+PART = 0.9
+
+
+@dataclass(frozen=True)
+class CreditMove:
+    """What a move took.
+
+    Parameters
+    ----------
+    duration_s : float
+        Until the hot entry used nine tenths of the slots that it gets in the end.
+    most_over_slots : float
+        Highest sum of credits of an upstream that was seen, over its slots.
+    final_part : float
+        Part of all slots that the hot entry uses in the end.
+    """
+
+    duration_s: float
+    most_over_slots: float
+    final_part: float
+
+
+class _LaggingClient(CreditClient):
+    def __init__(self, exchanges_by_address: dict[str, CreditExchange]) -> None:
+        self._exchanges_by_address = exchanges_by_address
+
+    async def exchange(self, address: str, report: CreditReport) -> CreditGrant | None:
+        await asyncio.sleep(MESSAGE_S)
+        grant = await self._exchanges_by_address[address].answer(report)
+        await asyncio.sleep(MESSAGE_S)
+        return grant
+
+
+class _Entry:
+    def __init__(self, name: str, domain: "_Domain") -> None:
+        self.router = _make_router(name)
+        self.router.set_upstreams(0.0, domain.upstreams)
+        place = EntryPlace(name, name, DOMAIN, 1)
+        store = MemoryStoreClient(domain.store)
+        self.exchange = CreditExchange(
+            place, self.router, self._take_released, store, domain.client, domain.clock
+        )
+        self.exchange.set_listed(domain.listed)
+        self.clock = domain.clock
+        self.in_flight = 0
+
+    def ask(self, count: int) -> None:
+        now_s = self.clock.now_s()
+        for number in range(count):
+            request = RouteRequest(f"r{number}", ORGANISATION, "quick", now_s + DEADLINE_S)
+            self.in_flight += isinstance(self.router.decide(now_s, request), Route)
+
+    def _take_released(self) -> None:
+        released = self.router.release(self.clock.now_s())
+        self.in_flight += sum(1 for decision in released if isinstance(decision, Route))
+
+
+class _Domain:
+    def __init__(self, entries: int, upstreams: int) -> None:
+        names = [f"entry-{number}" for number in range(entries)]
+        self.clock = VirtualClock()
+        self.store = MemoryStore(self.clock)
+        self.upstreams = upstream_vms(upstreams)
+        self.listed = (
+            *self.upstreams,
+            *(ListedVm(name, VmRole.ENTRY, DOMAIN, "rack-0", name) for name in names),
+        )
+        exchanges_by_address: dict[str, CreditExchange] = {}
+        self.client = _LaggingClient(exchanges_by_address)
+        self.entries = [_Entry(name, self) for name in names]
+        exchanges_by_address.update(
+            {name: entry.exchange for name, entry in zip(names, self.entries, strict=True)}
+        )
+        self.slots = SLOTS * upstreams
+        self.most_over_slots = 0.0
+
+    async def measure(self) -> CreditMove:
+        tasks = [asyncio.create_task(entry.exchange.run()) for entry in self.entries]
+        await asyncio.sleep(SETTLE_S)
+        hot = self.entries[-1]
+        started_s = self.clock.now_s()
+        hot.ask(2 * self.slots)
+        samples = []
+        while self.clock.now_s() < started_s + LIMIT_S:
+            samples.append((self.clock.now_s() - started_s, hot.in_flight))
+            self._check()
+            await asyncio.sleep(SAMPLE_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        final = samples[-1][1]
+        duration_s = next(at_s for at_s, in_flight in samples if in_flight >= PART * final)
+        return CreditMove(duration_s, self.most_over_slots, final / self.slots)
+
+    def _check(self) -> None:
+        totals: dict[str, int] = {}
+        for entry in self.entries:
+            for upstream, held in entry.exchange.held().items():
+                totals[upstream] = totals.get(upstream, 0) + held
+        self.most_over_slots = max(self.most_over_slots, max(totals.values(), default=0) / SLOTS)
+
+
+def measure_credit_move(entries: int, upstreams: int) -> CreditMove:
+    """Let one of the idle entries become hot and return how its credits came."""
+
+    async def measure() -> CreditMove:
+        return await _Domain(entries, upstreams).measure()
+
+    return run_virtual(measure())
+
+
+def _make_router(name: str) -> Router:
+    settings = RouterSettings(
+        entry=name, failure_domain=DOMAIN, uses_credits=True, max_waiting=100_000
+    )
+    router = make_router(settings, 0.0)
+    router.set_declarations(declare(RequestLoad(1.0, kinds=ONLY_QUOTES)))
+    return router
--- a/benchmarks/request_simulation.py
+++ b/benchmarks/request_simulation.py
@@ -20,7 +20,16 @@
     make_router,
 )
 
-__all__ = ["RequestKind", "RequestLoad", "RequestSimulation", "SimulationResult", "upstream_vms"]
+__all__ = [
+    "ONLY_QUOTES",
+    "QUOTES_AND_ESTIMATES",
+    "RequestKind",
+    "RequestLoad",
+    "RequestSimulation",
+    "SimulationResult",
+    "declare",
+    "upstream_vms",
+]
 
 UPSTREAM_SERVICE = "quoter"
 DOMAIN = "hokkaido-1"
@@ -109,7 +118,8 @@
     answers_s : dict of str to list of float
         From the caller's first try to the answer.
     counts : Counter
-        Requests by ``"answered"``, ``"late"``, ``"given_up"`` and ``"tries"``.
+        Requests by ``"answered"``, ``"answered_in_run"``, ``"late"``, ``"given_up"`` and
+        ``"tries"``.
     max_in_flight : int
         Most requests at one upstream.
     """
@@ -156,7 +166,8 @@
         self._in_flight: Counter[str] = Counter()
         settings = RouterSettings(failure_domain=DOMAIN, policy=policy, seed=seed)
         self._router = make_router(settings, 0.0)
-        self._router.set_declarations(_declare(offered))
+        self.decide = self._router.decide
+        self._router.set_declarations(declare(offered))
         self._router.set_upstreams(0.0, upstream_vms(len(offered.slownesses)))
         self._slowness_by_name = {
             vm.name: slowness
@@ -199,7 +210,7 @@
         self._callers_by_id[request_id] = caller
         deadline_s = caller.arrived_s + caller.kind.timeout_s
         request = RouteRequest(request_id, ORGANISATION, caller.kind.name, deadline_s)
-        self._take(now_s, self._router.decide(now_s, request))
+        self._take(now_s, self.decide(now_s, request))
 
     def _take(self, now_s: float, decision: Decision) -> None:
         if isinstance(decision, Route):
@@ -226,6 +237,7 @@
         if is_in_time:
             self._router.finished(now_s, route)
             self.result.counts["answered"] += 1
+            self.result.counts["answered_in_run"] += now_s <= self._offered.duration_s
             answers = self.result.answers_s.setdefault(caller.kind.name, [])
             answers.append(now_s - caller.arrived_s)
         else:
@@ -268,7 +280,8 @@
     )
 
 
-def _declare(offered: RequestLoad) -> Declarations:
+def declare(offered: RequestLoad) -> Declarations:
+    """Return the declarations of a load's services."""
     services = {
         kind.name: Service(
             kind.name,
--- a/redwingplank/runtime/credits.py
+++ b/redwingplank/runtime/credits.py
@@ -32,6 +32,7 @@
 
 CREDITS_SERVICE = "credits"
 HOLD_S = 0.5
+MIN_WAIT_S = 0.001
 MIN_INTERVAL_S = 0.01
 CHECK_INTERVAL_S = 0.02
 CALL_TIMEOUT_S = 1.5
@@ -162,6 +163,10 @@
         self._grantor.set_listed_entries(self._clock.now_s(), entries)
         self._grants_changed()
 
+    def held(self) -> Mapping[str, int]:
+        """Return the credits that this entry holds now, by upstream."""
+        return self._holder.held(self._clock.now_s())
+
     async def answer(self, report: CreditReport) -> CreditGrant | None:
         """Return the grant for an entry's report, as soon as it differs from what it holds."""
         if not self._grantor.report(self._clock.now_s(), report):
@@ -175,7 +180,7 @@
         while self._grantor.is_latest(report):
             remaining_s = ends_s - loop.time()
             changes = self._grantor.would_change(self._clock.now_s(), report.entry)
-            if changes or remaining_s <= 0:
+            if changes or remaining_s <= MIN_WAIT_S:
                 return self._grantor.grant(self._clock.now_s(), report.entry)
             await _wait(self._grants_event, remaining_s)
         return None
--- a/redwingplank/runtime/requests_routes.py
+++ b/redwingplank/runtime/requests_routes.py
@@ -1,7 +1,6 @@
 """Gets a route for each request, now or when the router releases it."""
 
 import asyncio
-from typing import Any
 
 from redwingplank.core import Clock, Logger, log_event
 from redwingplank.routing import (
@@ -13,8 +12,9 @@
     Shed,
     Wait,
 )
+from redwingplank.routing.decision_log import decision_fields
 
-__all__ = ["RouteSource", "decision_fields"]
+__all__ = ["RouteSource"]
 
 RELEASE_INTERVAL_S = 0.01
 
@@ -87,35 +87,3 @@
 
     def _log(self, request: RouteRequest, decision: Route | Shed | HandOn | Wait) -> None:
         log_event(self._logger, "request_decided", **decision_fields(request, decision))
-
-
-def decision_fields(
-    request: RouteRequest, decision: Route | Shed | HandOn | Wait
-) -> dict[str, Any]:
-    """Return the pairs of the log line of a decision."""
-    return {
-        "request_id": request.request_id,
-        "organisation": request.organisation,
-        "service": request.service,
-        "attempt": request.attempt,
-        **_outcome_fields(decision),
-    }
-
-
-def _outcome_fields(decision: Route | Shed | HandOn | Wait) -> dict[str, Any]:
-    if isinstance(decision, Route):
-        return {
-            "decision": "hedge" if decision.is_hedge else "route",
-            "upstream": decision.upstream,
-            "expected_ms": decision.expected_s * 1000,
-            "waited_ms": decision.waited_s * 1000,
-        }
-    if isinstance(decision, Shed):
-        return {
-            "decision": "shed",
-            "reason": decision.reason.value,
-            "retry_after_ms": decision.retry_after_s * 1000,
-        }
-    if isinstance(decision, HandOn):
-        return {"decision": "hand_on", "entry": decision.entry}
-    return {"decision": "wait", "predicted_wait_ms": decision.predicted_wait_s * 1000}
