--- a/benchmarks/bounds.py
+++ b/benchmarks/bounds.py
@@ -117,4 +117,24 @@
         0,
         "urgent work starts within 6.9 s",
     ),
+    Bound("recovery.Takeover", "track_takeover.total_s", 6.9, "urgent work starts within 6.9 s"),
+    Bound("recovery.Takeover", "track_takeover.doubled_or_lost", 0, "placed work is never lost"),
+    Bound(
+        "recovery.JournalTraffic",
+        "track_figures.peak_writes_per_s",
+        20,
+        "a fifteenth of the store's 300 writes a second",
+    ),
+    Bound(
+        "recovery.JournalTraffic",
+        "track_figures.reads_per_s",
+        133,
+        "a fifteenth of the store's 2,000 reads a second",
+    ),
+    Bound(
+        "recovery.JournalTraffic",
+        "track_figures.journal_bytes_per_s",
+        15_000,
+        "control sends at most 15 KB a second",
+    ),
 )
