--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -24,9 +24,10 @@
 from redwingplank.runtime.settings import SchedulerProcessSettings
 from redwingplank.runtime.shard_runner import ShardRunner
 from redwingplank.scheduling import SchedulerSettings, make_scheduler
-from redwingplank.scheduling.journal import JournalBuffer, JournalPosition, JournalSettings
+from redwingplank.scheduling.journal import JournalBuffer
 from redwingplank.scheduling.journal_codec import encode_entry
 from redwingplank.scheduling.journal_image import JournalImage
+from redwingplank.scheduling.journal_values import JournalPosition, JournalSettings
 from redwingplank.scheduling.messages import (
     JobAccepted,
     JobFinished,
--- a/redwingplank/runtime/journal_writer.py
+++ b/redwingplank/runtime/journal_writer.py
@@ -14,7 +14,9 @@
     UnavailableError,
 )
 from redwingplank.runtime.counters import ProcessCounters
-from redwingplank.scheduling.journal import Flush, JournalBuffer, SnapshotPlan, head_key
+from redwingplank.scheduling.journal import JournalBuffer
+from redwingplank.scheduling.journal_keys import head_key
+from redwingplank.scheduling.journal_values import Flush, SnapshotPlan
 from redwingplank.scheduling.ownership import ShardKeys, ShardTerm
 
 __all__ = ["FencedError", "JournalWriter"]
--- a/redwingplank/runtime/settings.py
+++ b/redwingplank/runtime/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from redwingplank.scheduling.journal import JournalSettings
+from redwingplank.scheduling.journal_values import JournalSettings
 from redwingplank.scheduling.ownership import LeaseSettings
 from redwingplank.scheduling.recovery import RecoverySettings
 
--- a/redwingplank/runtime/term_runner.py
+++ b/redwingplank/runtime/term_runner.py
@@ -19,7 +19,8 @@
 from redwingplank.runtime.scheduler_core import SchedulerCore, SchedulerFactory
 from redwingplank.runtime.settings import SchedulerProcessSettings
 from redwingplank.runtime.worker_exchanges import WorkerExchanges
-from redwingplank.scheduling.journal import Flush, JournalBuffer
+from redwingplank.scheduling.journal import JournalBuffer
+from redwingplank.scheduling.journal_values import Flush
 from redwingplank.scheduling.messages import (
     DeclarationsChanged,
     GrantWanted,
--- a/redwingplank/scheduling/journal.py
+++ b/redwingplank/scheduling/journal.py
@@ -27,21 +27,22 @@
     encode_entry,
 )
 from redwingplank.scheduling.journal_image import JournalImage
+from redwingplank.scheduling.journal_keys import (
+    base_key,
+    base_prefix,
+    head_key,
+    log_key,
+    log_segment_prefix,
+)
+from redwingplank.scheduling.journal_values import (
+    Flush,
+    JournalPosition,
+    JournalSettings,
+    SnapshotPlan,
+)
 from redwingplank.scheduling.messages import JournalEntry, JournalRecord
 
-__all__ = [
-    "Flush",
-    "JournalBuffer",
-    "JournalFullError",
-    "JournalPosition",
-    "JournalSettings",
-    "RecordTooLargeError",
-    "SnapshotPlan",
-    "base_key",
-    "head_key",
-    "log_key",
-    "log_segment_prefix",
-]
+__all__ = ["JournalBuffer", "JournalFullError", "RecordTooLargeError"]
 
 
 class RecordTooLargeError(RedwingError):
@@ -52,95 +53,6 @@
     """Too much waits to be written: refuse new work until the store answers again."""
 
 
-@dataclass(frozen=True, slots=True)
-class JournalSettings:
-    """Bounds of the journal.
-
-    Parameters
-    ----------
-    max_flushes_per_s : float
-        Transactions for each second and shard.
-    max_flush_bytes : int
-        Size of a flush; the rest waits for the next one.
-    max_part_bytes : int
-        Size of one part of a snapshot.
-    max_waiting_bytes : int
-        What may wait for the store before new work is refused.
-    snapshot_after_bytes, snapshot_after_flushes : int
-        Size of the log that brings about a snapshot.
-    finished_retention_s : float
-        How long finished jobs are remembered.
-    """
-
-    max_flushes_per_s: float = 10.0
-    max_flush_bytes: int = 512_000
-    max_part_bytes: int = 512_000
-    max_waiting_bytes: int = 64_000_000
-    snapshot_after_bytes: int = 8_000_000
-    snapshot_after_flushes: int = 4_000
-    finished_retention_s: float = 86_400.0
-
-
-@dataclass(frozen=True, slots=True)
-class JournalPosition:
-    """Where the next flush goes.
-
-    Parameters
-    ----------
-    segment, number : int
-        Of the next key of the log.
-    first_segment : int
-        The lowest segment that the valid head does not cover.
-    head_revision : int
-        Modification revision of the head, 0 before the first snapshot.
-    log_bytes, log_flushes : int
-        Size of the log that is not covered.
-    """
-
-    segment: int = 0
-    number: int = 1
-    first_segment: int = 0
-    head_revision: int = 0
-    log_bytes: int = 0
-    log_flushes: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Flush:
-    """One group commit.
-
-    Parameters
-    ----------
-    key, value : str, bytes
-        What is written; the key must be absent before.
-    last_sequence : int
-        Of the last record in it, 0 without records.
-    token : int
-        Grows with each change of a map stream; durable through this one.
-    entries : tuple of JournalEntry
-        The records.
-    body : FlushBody
-        The decoded value.
-    """
-
-    key: str
-    value: bytes
-    last_sequence: int
-    token: int
-    entries: tuple[JournalEntry, ...]
-    body: FlushBody
-
-
-@dataclass(frozen=True, slots=True)
-class SnapshotPlan:
-    """A snapshot that has begun: which segment it opens and what it covers."""
-
-    segment: int
-    last_sequence: int
-    job_ids: tuple[str, ...]
-    map_keys: tuple[tuple[str, str], ...]
-
-
 @dataclass(frozen=True, slots=True)
 class _WaitingRecord:
     sequence: int
@@ -401,28 +313,3 @@
             raise RecordTooLargeError(
                 f"a record of {size_bytes} bytes is over {limit_bytes}: make the payload smaller"
             )
-
-
-def head_key(prefix: str) -> str:
-    """Return the key of the head."""
-    return f"{prefix}head"
-
-
-def base_prefix(prefix: str, segment: int) -> str:
-    """Return the prefix of a snapshot's parts."""
-    return f"{prefix}base/{segment:010d}/"
-
-
-def base_key(prefix: str, segment: int, part: int) -> str:
-    """Return the key of one part of a snapshot."""
-    return f"{base_prefix(prefix, segment)}{part:06d}"
-
-
-def log_segment_prefix(prefix: str, segment: int) -> str:
-    """Return the prefix of one segment of the log."""
-    return f"{prefix}log/{segment:010d}/"
-
-
-def log_key(prefix: str, segment: int, number: int) -> str:
-    """Return the key of one flush."""
-    return f"{log_segment_prefix(prefix, segment)}{number:010d}"
--- /dev/null
+++ b/redwingplank/scheduling/journal_keys.py
@@ -0,0 +1,28 @@
+"""Keys of a shard's journal under its prefix."""
+
+__all__ = ["base_key", "base_prefix", "head_key", "log_key", "log_segment_prefix"]
+
+
+def head_key(prefix: str) -> str:
+    """Return the key of the head."""
+    return f"{prefix}head"
+
+
+def base_prefix(prefix: str, segment: int) -> str:
+    """Return the prefix of a snapshot's parts."""
+    return f"{prefix}base/{segment:010d}/"
+
+
+def base_key(prefix: str, segment: int, part: int) -> str:
+    """Return the key of one part of a snapshot."""
+    return f"{base_prefix(prefix, segment)}{part:06d}"
+
+
+def log_segment_prefix(prefix: str, segment: int) -> str:
+    """Return the prefix of one segment of the log."""
+    return f"{prefix}log/{segment:010d}/"
+
+
+def log_key(prefix: str, segment: int, number: int) -> str:
+    """Return the key of one flush."""
+    return f"{log_segment_prefix(prefix, segment)}{number:010d}"
--- a/redwingplank/scheduling/recovery.py
+++ b/redwingplank/scheduling/recovery.py
@@ -5,7 +5,6 @@
 
 from redwingplank.core import RedwingError
 from redwingplank.platform import KeyValue
-from redwingplank.scheduling.journal import JournalPosition
 from redwingplank.scheduling.journal_codec import (
     SnapshotHead,
     decode_body,
@@ -13,6 +12,7 @@
     decode_part,
 )
 from redwingplank.scheduling.journal_image import JobImage, JournalImage
+from redwingplank.scheduling.journal_values import JournalPosition
 from redwingplank.scheduling.messages import (
     RecoveredJob,
     RecoveredState,
--- a/redwingplank/scheduling/tests/test_journal.py
+++ b/redwingplank/scheduling/tests/test_journal.py
@@ -6,15 +6,10 @@
 
 from redwingplank.core import RedwingError, make_resources
 from redwingplank.platform import Delete, KeyValue, Put
-from redwingplank.scheduling.journal import (
-    JournalBuffer,
-    JournalFullError,
-    JournalPosition,
-    JournalSettings,
-    RecordTooLargeError,
-)
+from redwingplank.scheduling.journal import JournalBuffer, JournalFullError, RecordTooLargeError
 from redwingplank.scheduling.journal_codec import decode_entry, encode_entry
 from redwingplank.scheduling.journal_image import JournalImage, MapValue
+from redwingplank.scheduling.journal_values import JournalPosition, JournalSettings
 from redwingplank.scheduling.messages import (
     JobAccepted,
     JobCancelled,
