End the term when a loop of it fails, and refuse what no record can hold

Change: the failure ends the process's run; payloads over 256,000 bytes are refused, larger results fail their task. Conclusion: nothing fails unseen.

--- a/redwingplank/runtime/shard_runner.py
+++ b/redwingplank/runtime/shard_runner.py
@@ -18,11 +18,14 @@
     OwnershipMode,
     SubmitAnswer,
     SubmitJob,
+    SubmitOutcome,
 )
 from redwingplank.scheduling.ownership import OwnerRecord, ShardOwnership
 from redwingplank.scheduling.summary import ShardSummary
 
-__all__ = ["ShardRunner"]
+__all__ = ["MAX_PAYLOAD_BYTES", "ShardRunner"]
+
+MAX_PAYLOAD_BYTES = 256_000
 
 
 class ShardRunner:
@@ -140,6 +143,9 @@
             The shard changed hands meanwhile.
         """
         runner = self._owner()
+        if len(spec.payload) > MAX_PAYLOAD_BYTES:
+            detail = f"the payload of {len(spec.payload)} bytes is over {MAX_PAYLOAD_BYTES}"
+            return SubmitAnswer(0, spec.job_id, SubmitOutcome.REJECTED, detail)
         call_id, future = runner.callers.begin()
         runner.deliver(SubmitJob(call_id, spec))
         return await future
--- a/redwingplank/runtime/term_runner.py
+++ b/redwingplank/runtime/term_runner.py
@@ -115,6 +115,7 @@
         self._won_at_s = context.clock.now_s()
         self._adopt_at_s = adopt_from_s(self._won_at_s, context.settings.recovery())
         self._is_over = False
+        self._failure: BaseException | None = None
         self._logger = make_logger("shard")
         self._decision_logger = make_logger("decision")
 
@@ -165,8 +166,12 @@
             asyncio.create_task(self._adopt_workers(self.exchanges)),
             asyncio.create_task(self.grants.run()),
         ]
+        for loop in loops:
+            loop.add_done_callback(self._loop_ended)
         try:
             await self._tick_until_over()
+            if self._failure is not None:
+                raise self._failure
         finally:
             self.callers.close("the shard changed hands: ask its new owner for the outcome")
             ending = [*loops, *self.exchanges.stop()]
@@ -174,6 +179,12 @@
                 task.cancel()
             await asyncio.gather(*ending, return_exceptions=True)
 
+    def _loop_ended(self, loop: asyncio.Task) -> None:
+        """End the term when one of its loops fails: nothing may go on without it."""
+        if not loop.cancelled() and loop.exception() is not None:
+            self._failure = loop.exception()
+            self.end()
+
     async def drain(self) -> None:
         """Return once no caller waits and everything is durable."""
         while self.callers.open_count or (self.writer and self.writer.buffer.has_waiting):
--- a/redwingplank/runtime/tests/test_scheduler.py
+++ b/redwingplank/runtime/tests/test_scheduler.py
@@ -1,12 +1,20 @@
 import asyncio
+from dataclasses import replace
 
 import capnp
 import pytest
 
 from redwingplank.core import MonotonicClock
-from redwingplank.rpc import NotOwnerError, PeerConnections, serve_node
+from redwingplank.rpc import CallOutcomeUnknownError, NotOwnerError, PeerConnections, serve_node
 from redwingplank.rpc.scheduler_calls import SCHEDULER_SERVICE, SchedulerCalls
-from redwingplank.runtime.tests.cells import DOMAIN, Cell, make_spec, until
+from redwingplank.runtime.tests.cells import (
+    DOMAIN,
+    Cell,
+    make_declarations,
+    make_real_core,
+    make_spec,
+    until,
+)
 from redwingplank.scheduling.messages import JobState, SubmitOutcome
 from redwingplank.standin.virtual_time import run_virtual
 
@@ -26,6 +34,53 @@
 
         run_virtual(scenario())
 
+    def test_refuses_a_payload_that_no_record_can_hold(self):
+        async def scenario():
+            cell = Cell()
+            candidate = cell.add_candidate("a")
+            await until(lambda: candidate.is_ready)
+            large = replace(make_spec(), payload=b"p" * 300_000)
+            answer = await candidate.runner.submit(large)
+            assert answer.outcome is SubmitOutcome.REJECTED
+            assert "300000 bytes" in answer.detail
+
+        run_virtual(scenario())
+
+    def test_a_result_that_no_record_can_hold_fails_the_task(self):
+        async def scenario():
+            cell = Cell(worker_count=1, make_core=make_real_core, declarations=make_declarations())
+            (worker,) = cell.workers.values()
+            candidate = cell.add_candidate("a")
+            await until(lambda: candidate.is_ready)
+            await candidate.runner.submit(make_spec(run_s=2.0))
+            await until(lambda: len(cell.started_tasks()) == 1)
+            worker.advance()
+            await asyncio.sleep(2.0)
+            worker.advance()
+            worker.unacknowledged = [
+                replace(end, result=b"r" * 300_000) for end in worker.unacknowledged
+            ]
+            assert worker.unacknowledged
+            await until(lambda: len(cell.started_tasks()) == 2)
+            assert candidate.is_ready
+
+        run_virtual(scenario())
+
+    def test_ends_when_a_loop_of_the_term_fails(self):
+        async def scenario():
+            cell = Cell()
+            candidate = cell.add_candidate("a")
+            await until(lambda: candidate.is_ready)
+            writer = candidate.runner.term_runner.writer
+            writer.buffer.cut_flush = None
+            answer = asyncio.create_task(candidate.runner.submit(make_spec()))
+            with pytest.raises(TypeError):
+                await candidate.process.wait()
+            with pytest.raises(CallOutcomeUnknownError):
+                await answer
+
+        run_virtual(scenario())
+
 
 class TestSchedulerCalls:
     def test_serves_every_call_and_names_the_owner_elsewhere(self):
--- a/redwingplank/runtime/worker_exchanges.py
+++ b/redwingplank/runtime/worker_exchanges.py
@@ -10,6 +10,8 @@
     ListedVm,
     PlatformError,
     StaleEpochError,
+    TaskEnd,
+    TaskEndReason,
     UnavailableError,
     WorkerClient,
     WorkerRequest,
@@ -25,7 +27,9 @@
 )
 from redwingplank.scheduling.ownership import ShardOwnership
 
-__all__ = ["WorkerExchanges"]
+__all__ = ["MAX_RESULT_BYTES", "WorkerExchanges"]
+
+MAX_RESULT_BYTES = 256_000
 
 
 @dataclass(slots=True)
@@ -151,7 +155,8 @@
             log_event(self._logger, "adoption_failed", worker=vm.name, reason=error)
         else:
             self._links_by_worker.setdefault(vm.name, _Link(vm))
-            self._deliver(WorkerAdopted(vm, inventory))
+            bounded = replace(inventory, ended=_bounded_ends(inventory.ended))
+            self._deliver(WorkerAdopted(vm, bounded))
         finally:
             self._adoptions_by_worker.pop(vm.name, None)
 
@@ -179,7 +184,8 @@
         except (PlatformError, TimeoutError):
             self._failed(worker, link, is_effect_possible=True)
         else:
-            self._deliver(WorkerReported(report))
+            bounded = replace(report, ended=_bounded_ends(report.ended)) if report.ended else report
+            self._deliver(WorkerReported(bounded))
 
     def _checked(self, request: WorkerRequest) -> WorkerRequest | None:
         """Return what the lease still allows of a request, None for nothing.
@@ -211,6 +217,19 @@
         self._on_stale()
 
 
+def _bounded_ends(ended: tuple[TaskEnd, ...]) -> tuple[TaskEnd, ...]:
+    """Replace ends whose results no journal record can hold by failures that say so."""
+    return tuple(_bounded_end(end) for end in ended)
+
+
+def _bounded_end(end: TaskEnd) -> TaskEnd:
+    size_bytes = len(end.result)
+    if size_bytes <= MAX_RESULT_BYTES:
+        return end
+    detail = f"the result of {size_bytes} bytes is over {MAX_RESULT_BYTES}: return a smaller one"
+    return replace(end, reason=TaskEndReason.FAILED, result=b"", detail=detail)
+
+
 def _enqueue(waiting: deque[WorkerRequest], request: WorkerRequest) -> None:
     """Append a request; one that only renews takes the place of another such one."""
     if waiting and not waiting[-1].starts and not waiting[-1].actions:
