Give the local cell its entries on the list and their callers' addresses

Cause: credits of a dead entry are freed by the list, and requests are handed on by HTTP. Change: flags of the processes of tools/local_cell.

--- a/tools/local_cell.py
+++ b/tools/local_cell.py
@@ -151,6 +151,7 @@
         flags += [f"--failure-domains={','.join(self.layout.entries_by_domain)}"]
         flags += [f"--workers-per-domain={self.layout.workers_per_domain}"]
         flags += [f"--upstreams-per-domain={self.layout.upstreams_per_domain}"]
+        flags += [f"--entries={self._peers('entry')}"]
         self._spawn("standin", "standin", flags)
         target = (STANDIN_HOST, self.layout.first_port)
         for index, domain in enumerate(self.layout.entries_by_domain, start=2):
@@ -183,6 +184,7 @@
         flags += [f"--schedulers={self._peers('scheduler')}"]
         if node.role == "entry":
             flags += [f"--http-address={node.http_address}"]
+            flags += [f"--entries-http={self._peers('entry', is_http=True)}"]
         self._spawn(name, node.role, flags)
 
     def wait_ready(self, name: str) -> None:
@@ -252,9 +254,13 @@
         """Return what a process has logged."""
         return (self.log_folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
 
-    def _peers(self, role: str) -> str:
-        nodes = [node for node in self.nodes if node.role == role]
-        return ",".join(f"{node.failure_domain}/{node.name}={node.rpc_address}" for node in nodes)
+    def _peers(self, role: str, is_http: bool = False) -> str:
+        return ",".join(
+            f"{node.failure_domain}/{node.name}="
+            f"{node.http_address if is_http else node.rpc_address}"
+            for node in self.nodes
+            if node.role == role
+        )
 
     def _spawn(self, name: str, role: str, flags: Sequence[str]) -> None:
         command = [sys.executable, "-m", MODULES_BY_ROLE[role], *flags]
