Choose the faster free upstream before thinking of waiting

Cause: two random choices could both fall on a slow upstream, and the request then waited although a fast one was free; TestChoice.test_a_quick_request_waits_for_the_faster_upstream showed it. Change: the two choices are made among the free upstreams whose speed is close to the fastest free one. Conclusion: a request waits only for upstreams that are busy and faster than every free one.

--- a/redwingplank/routing/choice.py
+++ b/redwingplank/routing/choice.py
@@ -99,10 +99,11 @@
         found = candidates.pool.fastest_free(FASTEST_CONSIDERED, candidates.excluded)
         if not found:
             return None
-        chosen = self._choose_of_two(found)
+        most = found[0].slowness + MIN_GAIN
+        chosen = self._choose_of_two([row for row in found if row.slowness <= most])
         if candidates.ahead and chosen.slowness * candidates.work_s > candidates.remaining_s:
             return None
-        return None if _is_wait_shorter(candidates, chosen) else chosen
+        return None if _is_wait_shorter(candidates, found[0]) else chosen
 
     def _choose_slowest(self, candidates: Candidates) -> UpstreamRow | None:
         budget_s = candidates.remaining_s * BULK_DEADLINE_FRACTION
@@ -185,11 +186,11 @@
     )
 
 
-def _is_wait_shorter(candidates: Candidates, chosen: UpstreamRow) -> bool:
-    """Return whether a slot of a faster upstream is expected to finish the request earlier."""
-    speed = candidates.pool.speed_before(chosen)
+def _is_wait_shorter(candidates: Candidates, fastest_free: UpstreamRow) -> bool:
+    """Return whether a slot of a faster, busy upstream is expected to finish it earlier."""
+    speed = candidates.pool.speed_before(fastest_free)
     fastest = candidates.pool.rows[0]
-    gain_s = (chosen.slowness - fastest.slowness - MIN_GAIN) * candidates.work_s
+    gain_s = (fastest_free.slowness - fastest.slowness - MIN_GAIN) * candidates.work_s
     if not speed or gain_s <= 0:
         return False
     return (candidates.ahead + 1) * candidates.mix_work_s / speed < gain_s
