--- a/redwingplank/runtime/membership.py
+++ b/redwingplank/runtime/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Mapping
+from contextlib import suppress
 from typing import Any
 
 import logbook
@@ -25,7 +26,7 @@
     VmWord,
     VmWordKind,
 )
-from redwingplank.platform import ListedVm, PlatformError, VmList
+from redwingplank.platform import ListedVm, PlatformError, VmList, VmRole
 from redwingplank.rpc import RpcError
 from redwingplank.rpc.membership_calls import (
     MembershipCalls,
@@ -132,6 +133,10 @@
         """Return the upstreams of this failure domain that may be given new work."""
         return self._state.live_upstreams()
 
+    def listed_entries(self) -> tuple[ListedVm, ...]:
+        """Return the entry VMs of this failure domain on the platform's list."""
+        return self._state.vms.listed(VmRole.ENTRY)
+
     def live_peers(self, now_s: float) -> tuple[Peer, ...]:
         """Return the other live nodes of this failure domain."""
         return self._state.live_peers()
@@ -200,10 +205,9 @@
                 self._start(self._do(action))
             self._log_peers()
             self._wake.clear()
-            try:
-                await asyncio.wait_for(self._wake.wait(), TICK_S)
-            except TimeoutError:
-                continue
+            with suppress(TimeoutError):
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -107,6 +107,7 @@
     overshoot_step: int = 0
     overshoot_at_s: float = 0.0
     restarts: int = 0
+    resends: int = 0
     is_restart_possible: bool = False
     is_recovering: bool = False
     is_preemptible: bool = False
@@ -167,6 +168,8 @@
     queue_class: int = 0
     lane: "Lane | None" = None
     declared: Amounts | None = None
+    revision: int = 0
+    is_undeclared: bool = False
     log_id: str = ""
     is_durable: bool = False
     is_volatile: bool = False
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -42,6 +42,9 @@
         state = self._state
         job = task.job
         task.stop_reason = None
+        if job.is_undeclared:
+            task.phase = Phase.HELD
+            return
         task.queued_at_s = now_s
         usage = state.shares.find(job.spec.organisation)
         state.queue.push(task, usage, self.declared(job))
@@ -71,6 +74,17 @@
         task.not_before_s = now_s + delay_s
         self._state.due.call_at(task.not_before_s, partial(self._end_backoff, task))
 
+    def refresh(self, job: Job) -> None:
+        """Take the parameters of the revision in force into a job that still waits."""
+        declarations = self._state.declarations
+        if job.revision == declarations.revision:
+            return
+        job.revision = declarations.revision
+        service = declarations.find_service(job.spec.organisation, job.spec.service)
+        if service is not None and service.kind is job.service.kind:
+            job.service = service
+            job.declared = None
+
     def declared(self, job: Job) -> Amounts:
         """Return the declared need of each task of a job."""
         if job.declared is None:
@@ -84,6 +98,7 @@
         task.attempt = self._state.next_attempt(task)
         task.stop_reason = None
         task.is_restart_possible = False
+        task.resends = 0
         task.overshoot_step = 0
         task.placed_at_s = now_s
         task.waited_s = now_s - task.queued_at_s
@@ -95,6 +110,12 @@
             task.phase = Phase.INTENDED
             self._state.intended.append(task)
 
+    def take_back(self, task: Task) -> None:
+        """Undo `place` in the same tick; the task waits again as if nothing had happened."""
+        self.release(task)
+        task.phase = Phase.QUEUED
+        self._state.queue.put_back(task)
+
     def reserve(self, task: Task, worker: Worker, amounts: Amounts) -> None:
         """Give a task a reservation on a worker."""
         state = self._state
@@ -173,7 +194,8 @@
     def write_intents(self, now_s: float) -> None:
         """Record this tick's intents to start non-idempotent tasks, in one record."""
         state = self._state
-        intended = [task for task in state.intended if task.phase is Phase.INTENDED]
+        placed = dict.fromkeys(state.intended)
+        intended = [task for task in placed if task.phase is Phase.INTENDED]
         state.intended.clear()
         if not intended:
             return
@@ -251,6 +273,7 @@
         job.tasks.remove(task)
         job.tasks_by_index.pop(task.index, None)
         self._state.service_attempts_by_id[task.task_id] = task.attempt
+        self._state.changed_services[job.job_id] = job
         if task.replaces is not None:
             task.replaces.replacement = None
 
--- a/redwingplank/scheduling/queue.py
+++ b/redwingplank/scheduling/queue.py
@@ -12,7 +12,7 @@
 
 __all__ = ["Lane", "WaitingQueue"]
 
-LaneKey = tuple[str, int, str, tuple[int, ...], int]
+LaneKey = tuple[str, int, str, tuple[int, ...], int, bool]
 
 _MIN_PURGE_AT = 1024
 _MIN_COMPACT_AT = 1024
@@ -125,6 +125,10 @@
         """Note that a waiting task has left the queue; its phase is changed by the caller."""
         self.waiting_by_class[task.job.queue_class] -= 1
 
+    def put_back(self, task: Task) -> None:
+        """Count a task as waiting again that `take` took in the same tick."""
+        self.waiting_by_class[task.job.queue_class] += 1
+
     def drop(self, job: Job) -> list[Task]:
         """Remove all waiting tasks of a job and return them."""
         dropped = [task for task in job.queued if task.phase is Phase.QUEUED]
@@ -206,7 +210,7 @@
     def _file(self, job: Job, usage: OrganisationUsage, declared: Amounts) -> None:
         gang_size = job.spec.task_count if job.service.kind is WorkloadKind.GANG else 0
         need = tuple(declared.tolist())
-        key = (usage.name, job.queue_class, job.spec.service, need, gang_size)
+        key = (usage.name, job.queue_class, job.spec.service, need, gang_size, job.is_volatile)
         lane = self._lanes_by_key.get(key)
         if lane is None:
             self._purge()
--- a/redwingplank/scheduling/scheduler.py
+++ b/redwingplank/scheduling/scheduler.py
@@ -112,6 +112,7 @@
         if self._rejoin.complete_if_proven(now_s):
             self._services.adjust_all(now_s)
         self._adoption.update_closing(now_s)
+        self._services.adjust_changed(now_s)
         state.queue.promote_due(now_s)
         self._starter.run(now_s)
         self._lifecycle.write_intents(now_s)
@@ -172,9 +173,12 @@
             state.decide("ownership", mode=message.mode, epoch=message.epoch)
         state.mode = message.mode
         state.valid_until_s = message.valid_until_s
-        for worker in state.workers_by_name.values():
-            if worker.to_send:
-                state.touch(worker)
+        if not state.may_start(now_s, is_volatile=True):
+            return
+        self._starter.parking.release_mode()
+        held_back, state.held_back = state.held_back, {}
+        for worker in held_back.values():
+            state.touch(worker)
 
     def _take_declarations(self, message: DeclarationsChanged, now_s: float) -> None:
         if message.declarations.revision > self._state.declarations.revision:
@@ -187,6 +191,7 @@
             state.shares.declare(organisation.name, organisation.share, organisation.quota)
             self._starter.parking.release_organisation(organisation.name)
         self._services.declare(declarations, now_s)
+        self._rejoin.declare(now_s)
 
 
 def make_scheduler(
--- a/redwingplank/scheduling/starter.py
+++ b/redwingplank/scheduling/starter.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Starter"]
 
+_RATE_WINDOW_S = 1.0
+_RATE_WEIGHT = 0.2
+
 
 @dataclass(frozen=True, slots=True)
 class _Result:
@@ -45,6 +48,8 @@
         self._learning = learning
         self._parking = Parking(state)
         self._room = RoomMaker(state, lifecycle, learning)
+        self._rate_since_s = 0.0
+        self._starts = 0
 
     @property
     def parking(self) -> Parking:
@@ -58,6 +63,7 @@
         if not state.may_start(now_s, is_volatile=True):
             return
         self._room.begin_tick()
+        self._note_rate(now_s)
         misses = starts = 0
         while starts < state.settings.max_starts_per_tick:
             lane = state.queue.top()
@@ -67,15 +73,27 @@
             if job is None:
                 continue
             if not state.may_start(now_s, job.is_volatile):
-                break
+                self._parking.park_for_mode(lane)
+                continue
             result = self._place_run(lane, job, starts, now_s)
             starts += result.starts
             misses += result.misses
+        self._starts += starts
+
+    def _note_rate(self, now_s: float) -> None:
+        """Keep the mean rate of starts, from which waits are predicted."""
+        passed_s = now_s - self._rate_since_s
+        if passed_s < _RATE_WINDOW_S:
+            return
+        rate = self._starts / passed_s
+        self._state.starts_per_s += _RATE_WEIGHT * (rate - self._state.starts_per_s)
+        self._rate_since_s, self._starts = now_s, 0
 
     def _place_run(self, lane: Lane, job: Job, starts: int, now_s: float) -> _Result:
         """Place tasks of one job for as long as its organisation stays the first in order."""
         state = self._state
-        need = self._need(lane, job)
+        self._lifecycle.refresh(job)
+        need = self._need(job)
         if is_gang(job):
             result = self._place_gang(lane, job, need, now_s)
         else:
@@ -128,15 +146,33 @@
             self._wait_for_room(lane, job, need, count, now_s)
             return _Result(0, 1)
         self._room.release(job)
-        lane.blocked_since_s = -1.0
         job.queued.clear()
+        for avoids_failed in (True, False):
+            if self._place_members(members, need, avoids_failed, now_s):
+                lane.blocked_since_s = -1.0
+                return _Result(count, 0)
+        job.queued.extend(members)
+        self._wait_for_room(lane, job, need, count, now_s)
+        return _Result(0, 1)
+
+    def _place_members(
+        self, members: list[Task], need: Amounts, avoids_failed: bool, now_s: float
+    ) -> bool:
+        """Place all tasks of a gang, or none of them."""
+        placed: list[Task] = []
         for task in members:
-            self._place(task, self._choose_open(task, need), need, now_s)
-        return _Result(count, 0)
+            choice = self._choose_open(task, need, avoids_failed)
+            if choice.row == NO_ROW:
+                for other in placed:
+                    self._lifecycle.take_back(other)
+                return False
+            self._place(task, choice, need, now_s)
+            placed.append(task)
+        return True
 
-    def _need(self, lane: Lane, job: Job) -> Amounts:
-        spec = job.spec
-        return self._learning.need(spec.organisation, spec.service, lane.declared)
+    def _need(self, job: Job) -> Amounts:
+        declared = self._lifecycle.declared(job)
+        return self._learning.need(job.spec.organisation, job.spec.service, declared)
 
     def _choose(self, job: Job, need: Amounts, now_s: float) -> Choice:
         if job.held_rows:
@@ -150,11 +186,10 @@
         row = self._room.find_backfill(job, need, now_s)
         return NO_CHOICE if row == NO_ROW else Choice(row, 1, "backfill")
 
-    def _choose_open(self, task: Task, need: Amounts) -> Choice:
+    def _choose_open(self, task: Task, need: Amounts, avoids_failed: bool = True) -> Choice:
         job = task.job
-        return self._state.placer.choose(
-            need, job.service.policy, self._failed_rows(task), self._rack_counts(job)
-        )
+        avoided = self._failed_rows(task) if avoids_failed else ()
+        return self._state.placer.choose(need, job.service.policy, avoided, self._rack_counts(job))
 
     def _failed_rows(self, task: Task) -> tuple[int, ...]:
         if not task.failure_workers:
@@ -174,8 +209,10 @@
         state = self._state
         worker = state.workers_by_row[choice.row]
         self._lifecycle.place(task, worker, need, now_s)
-        state.decisions.append(
+        line = (
             f"event=task_placed task={task.log_id} attempt={task.attempt} vm={worker.log_name} "
             f"policy={task.job.service.policy.value} waited_ms={int(task.waited_s * 1000)} "
             f"candidates={choice.candidates} reason={choice.reason}"
         )
+        state.decisions.append(line)
+        task.job.history.append(line)
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -2,10 +2,11 @@
 
 import pytest
 
-from redwingplank.config import WorkloadKind
+from redwingplank.config import Declarations, WorkloadKind
 from redwingplank.core import make_resources
 from redwingplank.scheduling import SchedulerSettings
 from redwingplank.scheduling.messages import (
+    DeclarationsChanged,
     JournalCommitted,
     StartIntended,
     WorkerUnreachable,
@@ -206,6 +207,27 @@
         assert shard.state_of() == "succeeded"
         assert shard.starts_by_task() == {"job/0": 1}
 
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    def test_end_in_the_new_incarnation_is_not_acknowledged_unseen(self, is_idempotent):
+        shard = Shard(make_declarations(make_service(is_idempotent=is_idempotent)))
+        shard.add_workers(1)
+        shard.submit("first", task_count=8, payload=payload(run_s=0.2))
+        shard.run(5.0)
+        shard.workers_by_name["w0"].restart()
+        shard.fault = fail_once("lost_answer")
+        shard.submit(payload=payload(run_s=0.01))
+        shard.run(20.0)
+        assert shard.state_of() == "succeeded"
+        assert shard.starts_by_task()["job/0"] == 1
+
+    def test_start_that_a_worker_ignores_is_given_up(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.workers_by_name["w0"].highest_attempt_by_task["job/0"] = 1
+        shard.submit(payload=payload(run_s=1.0))
+        shard.run(10.0)
+        assert shard.state_of() == "succeeded"
+
 
 class TestRecovery:
     def run_then_take_over(self, declarations, silent: str = "", **fields) -> Shard:
@@ -263,6 +285,23 @@
         second.run(5.0)
         assert second.state_of() == "unknown"
 
+    def test_job_of_a_service_that_is_not_declared_yet_waits(self):
+        first = Shard()
+        first.submit()
+        first.run(0.5)
+        second = first.take_over()
+        declarations, second.declarations = second.declarations, Declarations()
+        second.scheduler = second.make()
+        second.list_vms()
+        second.run(0.5)
+        second.add_workers(1)
+        second.run(3.0)
+        assert second.state_of() == "accepted"
+        assert "is not declared" in second.scheduler.explain("job", 0.0)[-1]
+        second.inbox.append(DeclarationsChanged(declarations))
+        second.run(5.0)
+        assert second.state_of() == "succeeded"
+
     def test_cancelled_job_is_stopped_by_the_new_owner(self):
         first = Shard()
         first.add_workers(2)
