Bound the bytes of the platform's list and of the views of other failure domains

Cause: with 15 failure domains and 493 listed VMs in one the busiest node took 29 KB/s, of it 12.5 for the list (python -m benchmarks config.NodeTraffic). Change: a long list is read less often, and what one node reads of leaving VMs it tells the others; the speaker repeats its views of other failure domains only when they change, or after 5 s. Measured: python -m pytest redwingplank/membership redwingplank/runtime/tests/test_membership.py redwingplank/config/tests/test_spread.py, 46 passed.

--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -41,6 +41,7 @@
 STORE_PORT = 17_561
 WORKERS_PER_DOMAIN = 460
 UPSTREAMS_PER_DOMAIN = 24
+LISTED_VMS = WORKERS_PER_DOMAIN + UPSTREAMS_PER_DOMAIN + NODES_PER_DOMAIN
 
 TEMPLATES = """
 schema_version: 1
@@ -233,11 +234,12 @@
             cell.traffic.bytes_by_node[address] + self.overhead_bytes * calls_by_node[address]
             for address in cell.nodes_by_address
         )
-        list_bytes_per_s = list_bytes() / MembershipTiming().list_s
+        list_bytes_per_s = list_bytes() * MembershipTiming().listed_vms_per_s / LISTED_VMS
         node_count = domains * nodes_per_domain
         result = {
             "busiest_node_bytes_per_s": busiest / self.window_s + list_bytes_per_s,
             "list_bytes_per_s": list_bytes_per_s,
+            "overhead_bytes_per_call": self.overhead_bytes,
             "decisions_percent": 100.0 * used_s / (self.window_s * node_count),
         }
         for kind, size_bytes in cell.traffic.bytes_by_kind.items():
--- a/redwingplank/membership/domains.py
+++ b/redwingplank/membership/domains.py
@@ -19,7 +19,7 @@
 
 
 class DomainTable:
-    """The other failure domains of the cell.
+    """The other failure domains of the cell; `version` grows when what is known changes.
 
     Parameters
     ----------
@@ -30,6 +30,7 @@
     """
 
     def __init__(self, now_s: float, addresses_by_domain: dict[str, tuple[str, ...]]) -> None:
+        self.version = 0
         self._domains_by_name = {
             name: _Domain(addresses, now_s) for name, addresses in addresses_by_domain.items()
         }
@@ -41,6 +42,8 @@
         """Take a failure domain's own word."""
         domain = self._domains_by_name.setdefault(summary.failure_domain, _Domain((), now_s))
         domain.heard_at_s = max(domain.heard_at_s, now_s)
+        if (summary.revision, summary.address) != (domain.revision, domain.address):
+            self.version += 1
         domain.revision = max(domain.revision, summary.revision)
         domain.address = summary.address
 
--- a/redwingplank/membership/node.py
+++ b/redwingplank/membership/node.py
@@ -10,6 +10,7 @@
 from redwingplank.membership.domains import DomainTable
 from redwingplank.membership.messages import (
     DomainSummary,
+    DomainView,
     Heartbeat,
     Peer,
     PeerEvidence,
@@ -17,7 +18,7 @@
 )
 from redwingplank.membership.reach import Reach
 from redwingplank.membership.upstreams import VmTable
-from redwingplank.platform import ListedVm, VmListing, VmRole
+from redwingplank.platform import ListedVm, VmListing, VmRole, VmState
 
 __all__ = [
     "MembershipAction",
@@ -46,7 +47,11 @@
     summary_s : float
         Between two summaries to each other failure domain.
     list_s : float
-        Between two reads of the platform's list.
+        Shortest time between two reads of the platform's list.
+    listed_vms_per_s : float
+        VMs read a second; a longer list is read less often.
+    views_s : float
+        Between two reports of the other failure domains to a peer, unless something changed.
     detector : DetectorTiming
         Of the failure detector.
     """
@@ -54,7 +59,9 @@
     heartbeat_s: float = 1.0
     probe_s: float = 4.0
     summary_s: float = 2.0
-    list_s: float = 10.0
+    list_s: float = 5.0
+    listed_vms_per_s: float = 8.0
+    views_s: float = 5.0
     detector: DetectorTiming = field(default_factory=DetectorTiming)
 
 
@@ -139,6 +146,7 @@
         self._summary_at_s = now_s + generator.uniform(0.0, self.timing.summary_s)
         self._list_at_s = now_s
         self._is_urgent = True
+        self._told_views_by_name: dict[str, tuple[tuple[int, tuple[str, ...]] | None, float]] = {}
 
     def tick(self, now_s: float, revision: int) -> list[MembershipAction]:
         """Let time pass and return what to send and read.
@@ -157,7 +165,7 @@
         self._tick_heartbeats(now_s, actions)
         self._tick_summaries(now_s, actions)
         if now_s >= self._list_at_s:
-            self._list_at_s = now_s + self.timing.list_s * self._generator.uniform(0.75, 1.25)
+            self._list_at_s = now_s + self._list_period_s() * self._generator.uniform(0.75, 1.25)
             actions.append(ReadList(self.identity.failure_domain))
         return actions
 
@@ -165,7 +173,7 @@
         """Take a heartbeat and return the answer."""
         is_news = self._hear(now_s, heartbeat)
         vouched = self.detector.vouch(now_s, heartbeat.suspected)
-        answer = self._make_heartbeat(now_s, vouched)
+        answer = self._make_heartbeat(now_s, heartbeat.name, vouched)
         if is_news:
             return answer
         return self._with_known_incarnation(answer, heartbeat)
@@ -188,6 +196,9 @@
         """Take the platform's list of this failure domain."""
         self.reach.note(VM_LIST, now_s, is_reached=True)
         self.vms.take_list(now_s, listing.vms)
+        for vm in listing.vms:
+            if vm.state is VmState.LEAVING and vm.role is not VmRole.WORKER:
+                self.mark(now_s, VmWord(vm.name))
         listed = {vm.name: vm for vm in self.vms.listed(VmRole.ENTRY)}
         for vm in listed.values():
             is_other = vm.name != self.identity.name and vm.name not in self._seeded_names
@@ -257,6 +268,9 @@
             return False
         return choose_node((self.identity.name, *names)) == self.identity.name
 
+    def _list_period_s(self) -> float:
+        return max(self.timing.list_s, self.vms.listed_count / self.timing.listed_vms_per_s)
+
     def _take_seeds(self, addresses_by_name: Mapping[str, str]) -> dict[str, tuple[str, ...]]:
         addresses_by_domain: dict[str, tuple[str, ...]] = {}
         for full_name, address in addresses_by_name.items():
@@ -312,7 +326,9 @@
         due = [
             node for node in self.detector if self._is_due(now_s, node.name, is_urgent, is_probe)
         ]
-        actions.extend(SendHeartbeat(node.address, self._make_heartbeat(now_s)) for node in due)
+        actions.extend(
+            SendHeartbeat(node.address, self._make_heartbeat(now_s, node.name)) for node in due
+        )
 
     def _is_due(self, now_s: float, name: str, is_urgent: bool, is_probe: bool) -> bool:
         node = self.detector.nodes_by_name[name]
@@ -335,7 +351,9 @@
                 address = addresses[int(self._generator.integers(len(addresses)))]
                 actions.append(SendSummary(name, address, summary))
 
-    def _make_heartbeat(self, now_s: float, vouched: tuple[PeerEvidence, ...] = ()) -> Heartbeat:
+    def _make_heartbeat(
+        self, now_s: float, receiver: str, vouched: tuple[PeerEvidence, ...] = ()
+    ) -> Heartbeat:
         self._sequence += 1
         is_speaker = self.is_speaker()
         return Heartbeat(
@@ -349,11 +367,19 @@
             suspected=self.detector.suspected(now_s),
             vouched=vouched,
             words=self.vms.recent_words(now_s),
-            domains=self.domains.views(now_s) if is_speaker else (),
+            domains=self._views_for(now_s, receiver) if is_speaker else (),
             is_speaker=is_speaker,
             is_store_cut_off=STORE in self.reach.cut_off(now_s),
         )
 
+    def _views_for(self, now_s: float, receiver: str) -> tuple[DomainView, ...]:
+        told = (self.domains.version, self.domains.cut_off(now_s))
+        last_told, last_told_at_s = self._told_views_by_name.get(receiver, (None, 0.0))
+        if told == last_told and now_s - last_told_at_s < self.timing.views_s:
+            return ()
+        self._told_views_by_name[receiver] = (told, now_s)
+        return self.domains.views(now_s)
+
     def _make_summary(self) -> DomainSummary:
         peers = self.live_peers()
         leaving = sum(1 for node in self.detector if node.is_alive and node.is_leaving)
--- a/redwingplank/membership/tests/test_membership.py
+++ b/redwingplank/membership/tests/test_membership.py
@@ -225,3 +225,13 @@
         for node in cell.nodes:
             assert node.membership.cut_off_from(cell.clock.now_s()) == ()
             assert len(live_names(node)) == 2
+
+    def test_one_nodes_read_of_a_long_list_tells_all_of_a_leaving_upstream(self):
+        cell = make_node_cell(1, 9)
+        vms = [ListedVm(f"w{i}", VmRole.WORKER, "domain-0", "r", "w") for i in range(400)]
+        cell.vms.put(*vms, ListedVm("u", VmRole.UPSTREAM, "domain-0", "r", "u"))
+        cell.run_for(120.0)
+        assert all(node.membership.live_upstreams() for node in cell.nodes)
+        cell.vms.put(ListedVm("u", VmRole.UPSTREAM, "domain-0", "r", "u", VmState.LEAVING))
+        cell.run_for(5.0 + 30.0)
+        assert not any(node.membership.live_upstreams() for node in cell.nodes)
--- a/redwingplank/membership/upstreams.py
+++ b/redwingplank/membership/upstreams.py
@@ -70,6 +70,11 @@
         """Return all listed VMs of a role."""
         return tuple(vm for vm in self._vms_by_name.values() if vm.role is role)
 
+    @property
+    def listed_count(self) -> int:
+        """The number of VMs on the list."""
+        return len(self._vms_by_name)
+
     def has_word(self, name: str) -> bool:
         """Return whether a stronger signal says that a VM leaves or is dead."""
         return name in self._words_by_name
