--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -20,8 +20,7 @@
 from redwingplank.config import parse_declarations, parse_documents
 from redwingplank.config.stored import encode_declarations
 from redwingplank.core import MonotonicClock, make_resources
-from redwingplank.membership import VmWord
-from redwingplank.membership.node import MembershipTiming
+from redwingplank.membership import MembershipTiming, VmWord
 from redwingplank.platform import ListedVm, Put, VmRole
 from redwingplank.platform.http import serve_http
 from redwingplank.rpc import PeerConnections, load_schema, serve_node
--- a/redwingplank/cli/ctl.py
+++ b/redwingplank/cli/ctl.py
@@ -5,13 +5,11 @@
 """
 
 import asyncio
-import getpass
 import json
 import sys
 import time
 import uuid
-from collections.abc import Awaitable, Callable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Annotated
 
 import capnp
@@ -19,9 +17,16 @@
 from cyclopts.config import Env
 
 from redwingplank import __version__
+from redwingplank.cli.ctl_flags import (
+    DEFAULT_CELL,
+    DEFAULT_CHANGE,
+    DEFAULT_OUTPUT,
+    CellFlags,
+    ChangeFlags,
+    OutputFlags,
+)
 from redwingplank.cli.ctl_get import format_document, list_documents, show_effective
 from redwingplank.cli.ctl_output import (
-    OutputFormat,
     Printer,
     change_rows,
     complain,
@@ -33,10 +38,8 @@
 from redwingplank.config import make_schema, parse_declarations, read_declaration_files
 from redwingplank.config.apply import HistoryTooShortError
 from redwingplank.core import FindingsError, InvalidValueError, RedwingError
-from redwingplank.core.settings import parse_address_by_name
 from redwingplank.platform import PlatformError
 from redwingplank.runtime.apply import (
-    ApplyOptions,
     ApplyOutcome,
     ApplyResult,
     apply_declarations,
@@ -45,7 +48,6 @@
     roll_back,
 )
 from redwingplank.runtime.operator import (
-    CellAddresses,
     OperatorSession,
     UnknownTargetError,
     make_plan,
@@ -72,67 +74,6 @@
 Command = Callable[[OperatorSession, Printer], Awaitable[int]]
 
 
-@Parameter(name="*")
-@dataclass(frozen=True)
-class OutputFlags:
-    """How results are printed."""
-
-    output: Annotated[OutputFormat, Parameter(help="table or json.")] = OutputFormat.TABLE
-
-
-@Parameter(name="*")
-@dataclass(frozen=True)
-class CellFlags(OutputFlags):
-    """Where the cell is."""
-
-    store_url: Annotated[str, Parameter(help="The platform's key-value service.")] = (
-        "http://127.0.0.1:2379"
-    )
-    vms_url: Annotated[str, Parameter(help="The platform's list of VMs.")] = "http://127.0.0.1:2380"
-    entries: Annotated[
-        str, Parameter(help="FAILURE_DOMAIN/NAME=IP:PORT of all entries, separated by commas.")
-    ] = ""
-    schedulers: Annotated[
-        str, Parameter(help="FAILURE_DOMAIN/NAME=IP:PORT of all schedulers, separated by commas.")
-    ] = ""
-    timeout_s: Annotated[float, Parameter(help="Longest single call, in seconds.")] = 2.0
-
-    def addresses(self) -> CellAddresses:
-        """Return the addresses; raises `RedwingError` where they are malformed."""
-        return CellAddresses(
-            self.store_url,
-            self.vms_url,
-            _parse_addresses("--entries", self.entries),
-            _parse_addresses("--schedulers", self.schedulers),
-            self.timeout_s,
-        )
-
-
-@Parameter(name="*")
-@dataclass(frozen=True)
-class ChangeFlags:
-    """How a change is made."""
-
-    base: Annotated[
-        int | None, Parameter(help="Revision that the files were made from; the newest by default.")
-    ] = None
-    prune: Annotated[
-        bool, Parameter(negative="", help="Remove documents that are not in the files.")
-    ] = False
-    author: Annotated[
-        str, Parameter(help="Recorded with the revision; the user's name by default.")
-    ] = ""
-
-    def options(self) -> ApplyOptions:
-        """Return the options of an apply."""
-        return ApplyOptions(self.author or _find_user(), self.base, self.prune)
-
-
-DEFAULT_OUTPUT = OutputFlags()
-DEFAULT_CELL = CellFlags()
-DEFAULT_CHANGE = ChangeFlags()
-
-
 def make_app() -> App:
     """Return the command-line application."""
     app = App(
@@ -398,20 +339,6 @@
     return EXIT_DONE
 
 
-def _find_user() -> str:
-    try:
-        return getpass.getuser()
-    except (KeyError, OSError):
-        return ""
-
-
-def _parse_addresses(flag: str, text: str) -> Mapping[str, str]:
-    try:
-        return parse_address_by_name(text) if text else {}
-    except InvalidValueError as error:
-        raise InvalidValueError(f"{flag} is {text!r}: {error}") from error
-
-
 def _run(cell: CellFlags, work: Command) -> int:
     async def run() -> int:
         session = open_operator_session(cell.addresses())
--- a/redwingplank/membership/__init__.py
+++ b/redwingplank/membership/__init__.py
@@ -1,5 +1,13 @@
 """Membership: which nodes, upstreams and failure domains are there, and which are leaving."""
 
+from redwingplank.membership.actions import (
+    MembershipAction,
+    MembershipTiming,
+    NodeIdentity,
+    ReadList,
+    SendHeartbeat,
+    SendSummary,
+)
 from redwingplank.membership.detector import (
     DetectorTiming,
     FailureDetector,
@@ -15,15 +23,7 @@
     VmWord,
     VmWordKind,
 )
-from redwingplank.membership.node import (
-    MembershipAction,
-    MembershipState,
-    MembershipTiming,
-    NodeIdentity,
-    ReadList,
-    SendHeartbeat,
-    SendSummary,
-)
+from redwingplank.membership.node import MembershipState
 
 __all__ = [
     "DetectorTiming",
