Empty the buckets of the store budget at the end of an outage

Cause: emptying them at a failure had no effect that a test could see: they filled up again before the store returned. Change: the first success after failures empties them. Conclusion: what piled up goes at the node's rate.

--- a/redwingplank/platform/budget.py
+++ b/redwingplank/platform/budget.py
@@ -106,8 +106,8 @@
 
     Notes
     -----
-    Leases never wait for their turn, but use up the budget of the others. After an outage the
-    bucket is empty, so that calls that piled up do not go all at once.
+    Leases never wait for their turn, but use up the budget of the others. At the end of an outage
+    the buckets are emptied, so that calls that piled up do not go all at once.
     """
 
     def __init__(
@@ -161,8 +161,12 @@
         self.calls_by_method[method] += 1
         return wait_s
 
-    def note_success(self) -> None:
-        """Take the success of a call."""
+    def note_success(self, now_s: float) -> None:
+        """Take the success of a call; the first one after failures empties the buckets."""
+        if self._failures:
+            for bucket in self._buckets_by_kind.values():
+                bucket.fill(now_s)
+                bucket.tokens = min(bucket.tokens, 0.0)
         self._failures = 0
         self._blocked_until_s = float("-inf")
         self._lease_blocked_until_s = float("-inf")
@@ -177,9 +181,6 @@
         self._blocked_until_s = now_s + jitter * min(self.limits.max_backoff_s, ceiling_s)
         lease_s = jitter * min(self.limits.max_lease_backoff_s, ceiling_s)
         self._lease_blocked_until_s = now_s + lease_s
-        for bucket in self._buckets_by_kind.values():
-            bucket.fill(now_s)
-            bucket.tokens = min(bucket.tokens, 1.0)
 
     def _check_backoff(self, now_s: float, purpose: StorePurpose) -> None:
         is_lease = purpose is StorePurpose.LEASE
@@ -258,7 +259,7 @@
             stream: Any = self._store.watch(prefix, after_revision)
             async with aclosing(stream) as batches:
                 async for batch in batches:
-                    self.budget.note_success()
+                    self.budget.note_success(self._clock.now_s())
                     yield batch
         except (UnavailableError, OutcomeUnknownError):
             self.budget.note_failure(self._clock.now_s())
@@ -275,7 +276,7 @@
         except (UnavailableError, OutcomeUnknownError):
             self.budget.note_failure(self._clock.now_s())
             raise
-        self.budget.note_success()
+        self.budget.note_success(self._clock.now_s())
         return result
 
     async def _wait_for_turn(self, kind: CallKind, method: str) -> None:
