--- a/redwingplank/runtime/worker_exchanges.py
+++ b/redwingplank/runtime/worker_exchanges.py
@@ -114,13 +114,12 @@
             if link.task is None:
                 link.task = asyncio.create_task(self._drain(worker, link))
 
-    async def stop(self) -> None:
-        """Cancel everything that is in flight."""
+    def stop(self) -> list[asyncio.Task]:
+        """Send nothing more, and return the tasks that are to be cancelled."""
         tasks = list(self._adoptions_by_worker.values())
         tasks += [link.task for link in self._links_by_worker.values() if link.task is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        self._links_by_worker.clear()
+        return tasks
 
     def _begin_adoption(self, vm: ListedVm, lease_s: float) -> None:
         if vm.name not in self._adoptions_by_worker:
@@ -144,8 +143,8 @@
     async def _adopt(self, vm: ListedVm, lease_s: float) -> None:
         self._counters.add("worker.adoptions")
         try:
-            call = self._client.adopt(vm.address, self._epoch, lease_s)
-            inventory = await asyncio.wait_for(call, self._settings.worker_timeout_s)
+            async with asyncio.timeout(self._settings.worker_timeout_s):
+                inventory = await self._client.adopt(vm.address, self._epoch, lease_s)
         except StaleEpochError as error:
             self._refused(vm.name, error)
         except (PlatformError, TimeoutError) as error:
@@ -170,8 +169,8 @@
             return
         self._counters.add("worker.exchanges")
         try:
-            call = self._client.exchange(link.vm.address, request)
-            report = await asyncio.wait_for(call, self._settings.worker_timeout_s)
+            async with asyncio.timeout(self._settings.worker_timeout_s):
+                report = await self._client.exchange(link.vm.address, request)
         except StaleEpochError as error:
             self._refused(worker, error)
             self._failed(worker, link, is_effect_possible=False)
