Bound the figures of declarations, spread, membership and store calls

Cause: a regression should fail the benchmarks. Change: bounds from the stated target. Conclusion: python -m benchmarks config checks them.

--- a/benchmarks/bounds.py
+++ b/benchmarks/bounds.py
@@ -89,6 +89,10 @@
 _PEAK = {"starts_per_s": 3700}
 _OWN_PART = {"starts_per_s": 247}
 
+_CHECKS = "plan and validate of 150 organisations take at most 1 s"
+_IN_FORCE = "an accepted change is in force everywhere within 9 s"
+_STORE = "the store takes some hundred writes and 2,000 reads a second in all"
+
 BOUNDS: tuple[Bound, ...] = (
     Bound(
         "scheduling.SteadyStarts",
@@ -117,4 +121,48 @@
         0,
         "urgent work starts within 6.9 s",
     ),
+    Bound("config.ParseTime", "time_validate.median", 1.0, _CHECKS),
+    Bound("config.ParseTime", "time_plan.median", 1.0, _CHECKS),
+    Bound("config.ChangeInForce", "track_time.max_s", 9.0, _IN_FORCE),
+    Bound("config.ChangeInForceWithoutWatch", "track_time.max_s", 9.0, _IN_FORCE),
+    Bound(
+        "config.NodeProcesses",
+        "track_change.p99_s",
+        2.0,
+        "an accepted change is in force on nine separate processes within 2 s at p99",
+    ),
+    Bound("config.NodeProcesses", "track_change.idle_cpu_percent", 2.3, _SHARE),
+    Bound(
+        "config.Detection",
+        "track_leaving.max_s",
+        2.0,
+        "a leaving VM is known in its failure domain within 2 s",
+    ),
+    Bound(
+        "config.Detection",
+        "track_upstream_leaving.max_s",
+        2.0,
+        "a leaving VM is known in its failure domain within 2 s",
+    ),
+    Bound(
+        "config.Detection",
+        "track_dead.max_s",
+        5.0,
+        "a dead VM is known in its failure domain within 5 s",
+    ),
+    Bound(
+        "config.Detection",
+        "track_false_deaths_in_one_hour",
+        0,
+        "no false death in an hour with pauses of 1 s",
+    ),
+    Bound(
+        "config.NodeTraffic",
+        "track_traffic.busiest_node_bytes_per_s",
+        15_000,
+        "a node spends at most 15 KB a second for control",
+    ),
+    Bound("config.StoreCalls", "track_calls.busiest_second_at_start", 300, _STORE),
+    Bound("config.StoreCalls", "track_calls.busiest_second_at_return", 300, _STORE),
+    Bound("config.StoreCalls", "track_calls.in_force_after_return_s", 9.0, _IN_FORCE),
 )
