Let tests of nodes over RPC take free ports

Cause: two runs of the tests at once took the same ports, which failed seven tests. Change: ports are asked of the system. Conclusion: the tests may run beside themselves.

--- a/redwingplank/runtime/tests/test_membership.py
+++ b/redwingplank/runtime/tests/test_membership.py
@@ -1,4 +1,6 @@
 import asyncio
+import socket
+from contextlib import ExitStack
 
 import capnp
 
@@ -14,10 +16,17 @@
 from redwingplank.standin.store import MemoryStore, MemoryStoreClient
 from redwingplank.standin.vms import LaggingVmList, MemoryVmList
 
-FIRST_PORT = 17500
 FILES = "schema_version: 1\ntemplates: {{t: {{priority: {priority}}}}}"
 
 
+def find_free_addresses(count):
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+
+
 class Cell:
     """Nodes over RPC on loopback, in one process."""
 
@@ -25,9 +34,7 @@
         self.clock = MonotonicClock()
         self.store = MemoryStore(self.clock)
         self.vms = LaggingVmList(self.clock)
-        self.addresses_by_name = {
-            name: f"127.0.0.1:{FIRST_PORT + index}" for index, name in enumerate(names)
-        }
+        self.addresses_by_name = dict(zip(names, find_free_addresses(len(names)), strict=True))
         self.nodes_by_name = {}
         self.followers_by_name = {}
         self.revisions_by_name = {}
