Let a cell by hand, tests and benchmarks run beside each other

Cause: the documented cell and a running test used the same ports. Change: the manual cell listens from port 7600, scenarios from REDWING_TEST_PORT or 17600. Test: every command of docs/operators/README.md typed against the manual cell: ready, answered, job accepted.

--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -1,5 +1,6 @@
 """Steps of the failure scenarios."""
 
+import os
 import signal
 import time
 import uuid
@@ -18,6 +19,7 @@
 EXAMPLES: tuple[Path, ...] = (ROOT / "examples" / "bureau", ROOT / "examples" / "cooperative")
 ORGANISATION, JOB_SERVICE = "state-orchestra", "part-extraction"
 QUICK = RequestWanted("tokachi", "quick-quote", b"a table")
+FIRST_PORT = int(os.environ.get("REDWING_TEST_PORT", "17600"))
 LOAD_PAUSE_S = 0.02
 FIRST_REQUESTS = 20
 
@@ -27,6 +29,7 @@
     layout = CellLayout(
         entries_by_domain=dict(zip(DOMAINS, (3, 2, 2), strict=True)),
         schedulers_by_domain=dict.fromkeys(DOMAINS, 2),
+        first_port=FIRST_PORT,
     )
     context.cell = LocalCell(layout)
     context.cell.start(EXAMPLES)
--- a/tools/local_cell.py
+++ b/tools/local_cell.py
@@ -43,6 +43,7 @@
 }
 UPSTREAM_SLOTS = 8
 STANDIN_HOST = "127.0.1.1"
+MANUAL_FIRST_PORT = 7600
 HTTP_PORT_OFFSET = 200
 RPC_PORT_OFFSET = 201
 READY_DEADLINE_S = 60.0
@@ -310,6 +311,7 @@
     layout = CellLayout(
         entries_by_domain=dict(zip(domains, (3, 2, 2), strict=True)),
         schedulers_by_domain=dict.fromkeys(domains, 1),
+        first_port=MANUAL_FIRST_PORT,
     )
     cell = LocalCell(layout)
     try:
