--- a/redwingplank/scheduling/recovery.py
+++ b/redwingplank/scheduling/recovery.py
@@ -1,8 +1,10 @@
 """Replay of a shard's journal into what a new owner starts from."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+import msgspec
+
 from redwingplank.core import RedwingError
 from redwingplank.platform import KeyValue
 from redwingplank.scheduling.journal import JournalPosition
@@ -86,14 +88,23 @@
     Raises
     ------
     JournalCorruptError
-        A part of the valid snapshot or a flush is missing.
+        A part of the valid snapshot or a flush is missing or cannot be read.
 
     Notes
     -----
     Parts of a snapshot that never became valid, and segments that a valid one covers, are
     ignored: a writer died between two steps.
     """
-    entries_by_name = {entry.key.removeprefix(prefix): entry for entry in entries}
+    try:
+        return _replay({entry.key.removeprefix(prefix): entry for entry in entries})
+    except (msgspec.MsgspecError, ValueError, KeyError) as error:
+        raise JournalCorruptError(
+            f"a value below {prefix} cannot be read ({error}): keep the keys, and restore them "
+            "from the platform's backup"
+        ) from error
+
+
+def _replay(entries_by_name: Mapping[str, KeyValue]) -> ReplayedJournal:
     values_by_name = {name: entry.value for name, entry in entries_by_name.items()}
     head = decode_head(values_by_name["head"]) if "head" in values_by_name else FIRST_HEAD
     image = JournalImage()
