--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -233,11 +233,16 @@
         await asyncio.Event().wait()
     async with aiohttp.ClientSession() as session:
         pending: set[asyncio.Task[None]] = set()
-        while True:
-            task = asyncio.create_task(_post(session, url, body))
-            pending.add(task)
-            task.add_done_callback(pending.discard)
-            await asyncio.sleep(1 / calls_per_s)
+        try:
+            while True:
+                task = asyncio.create_task(_post(session, url, body))
+                pending.add(task)
+                task.add_done_callback(pending.discard)
+                await asyncio.sleep(1 / calls_per_s)
+        finally:
+            for task in pending:
+                task.cancel()
+            await asyncio.gather(*pending, return_exceptions=True)
 
 
 async def _post(session: aiohttp.ClientSession, url: str, body: dict[str, Any]) -> None:
