--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -7,6 +7,7 @@
 from redwingplank.cli.program import Program, read_settings, run_program
 from redwingplank.cli.settings import SchedulerProgramSettings
 from redwingplank.config import Declarations
+from redwingplank.core import tune_collector
 from redwingplank.platform.budget import StorePurpose
 from redwingplank.platform.http import HttpWorkerClient
 from redwingplank.routing.orders import OrderBook
@@ -152,6 +153,7 @@
 def main() -> None:
     """Run the program."""
     settings = read_settings("redwing-scheduler", SchedulerProgramSettings, __doc__ or "")
+    tune_collector()
     sys.exit(run_program(lambda: SchedulerProgram(settings), settings.log_level))
 
 
--- a/redwingplank/core/__init__.py
+++ b/redwingplank/core/__init__.py
@@ -1,6 +1,7 @@
 """Types and services that every other package builds on."""
 
 from redwingplank.core.clock import Clock, FakeClock, MonotonicClock, UnixClock
+from redwingplank.core.collector import tune_collector
 from redwingplank.core.errors import InvalidValueError, RedwingError
 from redwingplank.core.findings import Finding, FindingsError, Place, raise_findings
 from redwingplank.core.logs import (
@@ -34,4 +35,5 @@
     "raise_findings",
     "start_logging",
     "sum_resources",
+    "tune_collector",
 ]
--- a/redwingplank/scheduling/parking.py
+++ b/redwingplank/scheduling/parking.py
@@ -134,6 +134,7 @@
         """Bring back the lanes whose need or quota fits after what was released."""
         state = self._state
         for organisation, usage in state.changed_organisations.items():
+            state.shares.update(usage)
             state.queue.reorder(usage)
             self.release_organisation(organisation)
         state.changed_organisations.clear()
--- a/redwingplank/scheduling/shares.py
+++ b/redwingplank/scheduling/shares.py
@@ -70,7 +70,7 @@
         usage = self.find(name)
         usage.weight = max(1, weight)
         usage.has_quota = quota is not None
-        self._update(usage)
+        self.update(usage)
 
     def set_grant(self, name: str, grant: Resources | None) -> None:
         """Take an organisation's grant; None removes every bound."""
@@ -99,9 +99,9 @@
         for dimension, amount in enumerate(amounts.tolist()):
             if amount:
                 used[dimension] += sign * amount
-        self._update(usage)
 
-    def _update(self, usage: OrganisationUsage) -> None:
+    def update(self, usage: OrganisationUsage) -> None:
+        """Work the share out again after `charge`."""
         dominant = 0.0
         for amount, inverse in zip(usage.used, self._inverse_total, strict=False):
             if amount * inverse > dominant:
--- a/redwingplank/scheduling/starter.py
+++ b/redwingplank/scheduling/starter.py
@@ -106,6 +106,7 @@
         else:
             result = self._place_some(lane, job, need, at_most, now_s)
         if result.starts:
+            state.shares.update(lane.usage)
             state.queue.reorder(lane.usage)
         return result
 
@@ -131,6 +132,7 @@
                 self._room.release(job)
             lane.blocked_since_s = -1.0
             self._place(job.queued.popleft(), choice, need, now_s)
+            state.shares.update(lane.usage)
             starts += 1
         return _Result(starts, 0)
 
