--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -74,8 +74,8 @@
         return Outcomes(frozenset(), frozenset())
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
-        command = [sys.executable, "-m", "behave", "--format", "progress"]
-        command += ["--no-capture", "--format", "json", "--outfile", str(report), "features"]
+        command = [sys.executable, "-m", "behave", "--format", "json", "--outfile", str(report)]
+        command += ["--format", "progress", "--no-capture", "features"]
         completed = subprocess.run(command, cwd=ROOT, timeout=BEHAVE_TIMEOUT_S, check=False)
         outcomes = _read_behave(report)
     if completed.returncode != 0 and not outcomes.failed:
--- /dev/null
+++ b/tools/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tools."""
