--- a/benchmarks/bounds.py
+++ b/benchmarks/bounds.py
@@ -89,6 +89,11 @@
 _PEAK = {"starts_per_s": 3700}
 _OWN_PART = {"starts_per_s": 247}
 
+_ROUTING_DECISIONS = "a routing decision with its log line takes 50 us, 1 ms at the 99th percentile"
+_GOODPUT = "goodput stays at 90 % of capacity when callers retry at three times the load"
+_HOT_SPOT = "slot credits move to a new hot spot within 100 ms"
+_SLOTS = "the credits of an upstream never exceed its slots"
+
 BOUNDS: tuple[Bound, ...] = (
     Bound(
         "scheduling.SteadyStarts",
@@ -117,4 +122,10 @@
         0,
         "urgent work starts within 6.9 s",
     ),
+    Bound("routing.DecisionCost", "track_decision.median", 50.0, _ROUTING_DECISIONS),
+    Bound("routing.DecisionCost", "track_decision.p99", 1000.0, _ROUTING_DECISIONS),
+    Bound("routing.QuickQuotes", "track_answer_p99_over_best_baseline", 1.0, _NEVER_WORSE),
+    Bound("routing.RetryStorm", "track_goodput_over_capacity", 0.9, _GOODPUT, is_minimum=True),
+    Bound("routing.CreditMoves", "track_move_time", 100.0, _HOT_SPOT),
+    Bound("routing.CreditMoves", "track_most_held_over_slots", 1.0, _SLOTS),
 )
