--- a/redwingplank/routing/credit_grantor.py
+++ b/redwingplank/routing/credit_grantor.py
@@ -178,6 +178,8 @@
         member = self._members_by_entry.get(entry)
         if member is None:
             return False
+        if member.is_frozen != self._grants_frozen(now_s):
+            return True
         return self._grants(now_s, entry, member) != member.held_by_upstream
 
     def grant(self, now_s: float, entry: str) -> CreditGrant | None:
@@ -188,7 +190,7 @@
         grants = self._grants(now_s, entry, member)
         held = member.held_by_upstream
         self._set_held(member, {**held, **{u: max(n, held.get(u, 0)) for u, n in grants.items()}})
-        is_frozen = self._is_frozen or now_s >= self._authority_until_s
+        is_frozen = self._grants_frozen(now_s)
         member.is_frozen = member.is_frozen or is_frozen
         return CreditGrant(
             self._epoch,
@@ -222,6 +224,9 @@
         if member is not None:
             self._set_held(member, {})
 
+    def _grants_frozen(self, now_s: float) -> bool:
+        return self._is_frozen or now_s >= self._authority_until_s
+
     def _is_older(self, member: _Member, report: CreditReport) -> bool:
         if report.incarnation != member.incarnation:
             return report.incarnation < member.incarnation
--- a/redwingplank/runtime/credit_authority.py
+++ b/redwingplank/runtime/credit_authority.py
@@ -125,6 +125,7 @@
         except PlatformError as error:
             log_event(self._logger, "grantor_lease_not_renewed", reason=str(error))
             self._grantor.freeze()
+            self._on_change()
             return
         if remaining_s <= 0:
             self._resign("the lease lapsed")
--- a/redwingplank/runtime/tests/test_credits.py
+++ b/redwingplank/runtime/tests/test_credits.py
@@ -176,7 +176,8 @@
             domain.start()
             await until(lambda: domain.total() == SLOTS * 3)
             domain.faults.is_down = True
-            await asyncio.sleep(2.2)
+            holders = [exchange._holder for exchange in domain.exchanges.values()]
+            await until(lambda: all(each._expires_s == float("inf") for each in holders))
             for name in list(domain.entries):
                 if domain.exchanges[name]._authority.is_held:
                     domain.kill(name)
