--- a/benchmarks/bounds.py
+++ b/benchmarks/bounds.py
@@ -93,6 +93,9 @@
 _GOODPUT = "goodput stays at 90 % of capacity when callers retry at three times the load"
 _HOT_SPOT = "slot credits move to a new hot spot within 100 ms"
 _SLOTS = "the credits of an upstream never exceed its slots"
+_CHECKS = "plan and validate of 150 organisations take at most 1 s"
+_IN_FORCE = "an accepted change is in force everywhere within 9 s"
+_STORE = "the store takes some hundred writes and 2,000 reads a second in all"
 
 BOUNDS: tuple[Bound, ...] = (
     Bound(
@@ -128,4 +131,68 @@
     Bound("routing.RetryStorm", "track_goodput_over_capacity", 0.9, _GOODPUT, is_minimum=True),
     Bound("routing.CreditMoves", "track_move_time", 100.0, _HOT_SPOT),
     Bound("routing.CreditMoves", "track_most_held_over_slots", 1.0, _SLOTS),
+    Bound("recovery.Takeover", "track_takeover.total_s", 6.9, "urgent work starts within 6.9 s"),
+    Bound("recovery.Takeover", "track_takeover.doubled_or_lost", 0, "placed work is never lost"),
+    Bound(
+        "recovery.JournalTraffic",
+        "track_figures.peak_writes_per_s",
+        20,
+        "a fifteenth of the store's 300 writes a second",
+    ),
+    Bound(
+        "recovery.JournalTraffic",
+        "track_figures.reads_per_s",
+        133,
+        "a fifteenth of the store's 2,000 reads a second",
+    ),
+    Bound(
+        "recovery.JournalTraffic",
+        "track_figures.journal_bytes_per_s",
+        15_000,
+        "control sends at most 15 KB a second",
+    ),
+    Bound("config.ParseTime", "time_validate.median", 1.0, _CHECKS),
+    Bound("config.ParseTime", "time_plan.median", 1.0, _CHECKS),
+    Bound("config.ChangeInForce", "track_time.max_s", 9.0, _IN_FORCE),
+    Bound("config.ChangeInForceWithoutWatch", "track_time.max_s", 9.0, _IN_FORCE),
+    Bound(
+        "config.NodeProcesses",
+        "track_change.p99_s",
+        2.0,
+        "an accepted change is in force on nine separate processes within 2 s at p99",
+    ),
+    Bound("config.NodeProcesses", "track_change.idle_cpu_percent", 2.3, _SHARE),
+    Bound(
+        "config.Detection",
+        "track_leaving.max_s",
+        2.0,
+        "a leaving VM is known in its failure domain within 2 s",
+    ),
+    Bound(
+        "config.Detection",
+        "track_upstream_leaving.max_s",
+        2.0,
+        "a leaving VM is known in its failure domain within 2 s",
+    ),
+    Bound(
+        "config.Detection",
+        "track_dead.max_s",
+        5.0,
+        "a dead VM is known in its failure domain within 5 s",
+    ),
+    Bound(
+        "config.Detection",
+        "track_false_deaths_in_one_hour",
+        0,
+        "no false death in an hour with pauses of 1 s",
+    ),
+    Bound(
+        "config.NodeTraffic",
+        "track_traffic.busiest_node_bytes_per_s",
+        15_000,
+        "a node spends at most 15 KB a second for control",
+    ),
+    Bound("config.StoreCalls", "track_calls.busiest_second_at_start", 300, _STORE),
+    Bound("config.StoreCalls", "track_calls.busiest_second_at_return", 300, _STORE),
+    Bound("config.StoreCalls", "track_calls.in_force_after_return_s", 9.0, _IN_FORCE),
 )
