Send tables of credits as MessagePack within the messages

Cause: a report and a grant of 460 upstreams took 13.2 ms of processor time and 18 KB each (a trial). Change: the tables are one Data field each, encoded by msgspec. Measured by the same trial: 0.21 ms and 6.4 KB each at 460 upstreams; 49 us and 0.4 KB at 24.

--- a/redwingplank/rpc/credit_messages.py
+++ b/redwingplank/rpc/credit_messages.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+import msgspec
+
 from redwingplank.routing import PeerLoad
 from redwingplank.routing.credit_messages import CreditGrant, CreditReport, ServiceUse
 from redwingplank.rpc.schema import load_schema
@@ -85,9 +87,9 @@
     )
 
 
-def _write_counts(counts_by_name: Mapping[str, int]) -> list[dict[str, Any]]:
-    return [{"name": name, "count": count} for name, count in counts_by_name.items()]
+def _write_counts(counts_by_name: Mapping[str, int]) -> bytes:
+    return msgspec.msgpack.encode(dict(counts_by_name))
 
 
 def _read_counts(message: Any) -> dict[str, int]:
-    return {item.name: item.count for item in message}
+    return msgspec.msgpack.decode(message, type=dict[str, int])
--- a/redwingplank/rpc/credits.capnp
+++ b/redwingplank/rpc/credits.capnp
@@ -1,10 +1,8 @@
 @0x9c3f5be210a7d684;
 # Exchange of slot credits between the entries of a failure domain.
 
-struct Count {
-  name @0 :Text;
-  count @1 :UInt32;
-}
+# Tables of counts by name are MessagePack maps: one item of a list costs as much here as a whole
+# table there.
 
 struct ServiceUse {
   service @0 :Text;
@@ -18,7 +16,8 @@
   incarnation @1 :UInt64;
   sequence @2 :UInt64;
   epoch @3 :UInt64;
-  held @4 :List(Count);
+  held @4 :Data;
+  # Credits by upstream.
   uses @5 :List(ServiceUse);
   isFrozen @6 :Bool;
   isLast @7 :Bool;
@@ -26,7 +25,8 @@
 
 struct Peer {
   entry @0 :Text;
-  idle @1 :List(Count);
+  idle @1 :Data;
+  # Idle credits by service.
   waiting @2 :UInt32;
 }
 
@@ -34,7 +34,8 @@
   epoch @0 :UInt64;
   incarnation @1 :UInt64;
   sequence @2 :UInt64;
-  credits @3 :List(Count);
+  credits @3 :Data;
+  # Credits by upstream.
   isFrozen @4 :Bool;
   peers @5 :List(Peer);
 }
