Report a template's own fault alone, not its users as undeclared references

Cause: a template that broke the schema was left out, so that every service made from it was reported to name a template that is not declared. Change: it stays known as faulty, and what is made from it is not checked further. Conclusion: 150 organisations with errors in many files give one finding for each error.

--- a/redwingplank/config/documents.py
+++ b/redwingplank/config/documents.py
@@ -32,12 +32,15 @@
         The declared values, already checked against the schema.
     places_by_path : mapping of tuple to Place
         Where its values stand, by path within `content`; not part of its identity.
+    is_faulty : bool
+        Whether it broke the schema; then its content is left out.
     """
 
     kind: DocumentKind
     name: str
     content: Mapping[str, Any]
     places_by_path: Mapping[Path, Place] = field(default_factory=dict, compare=False, repr=False)
+    is_faulty: bool = False
 
     @property
     def key(self) -> str:
--- a/redwingplank/config/parse.py
+++ b/redwingplank/config/parse.py
@@ -151,9 +151,9 @@
         if not isinstance(entities, dict):
             continue
         for name, content in entities.items():
-            if (section, name) not in faulty:
-                places = PlacesBelow(placed.places_by_path, (section, name))
-                documents.append(Document(kind, name, content, places))
+            places = PlacesBelow(placed.places_by_path, (section, name))
+            is_faulty = (section, name) in faulty
+            documents.append(Document(kind, name, {} if is_faulty else content, places, is_faulty))
     return documents
 
 
--- a/redwingplank/config/tests/test_parse.py
+++ b/redwingplank/config/tests/test_parse.py
@@ -140,6 +140,29 @@
         found = findings_of(a=text)
         assert any(problem in finding for finding in found), found
 
+    def test_150_organisations_with_errors_in_many_files(self):
+        files = {
+            "t": "schema_version: 1\ntemplates: {t: {kind: batch, resources: {millicores: 1}}}"
+        }
+        for index in range(150):
+            share = 0 if index % 3 == 0 else 1
+            template = "gone" if index % 5 == 1 else "t"
+            files[f"f{index:03}"] = (
+                f"schema_version: 1\norganisations:\n  o{index}:\n    share: {share}\n"
+                f"    services: {{s: {{template: {template}}}}}\n"
+            )
+        found = findings_of(**files)
+        wrong_shares = {f"f{index:03}.yaml:4:5" for index in range(0, 150, 3)}
+        # The references of a document are checked once its own values are right.
+        wrong_templates = {
+            f"f{index:03}.yaml:5:20" for index in range(150) if index % 5 == 1 and index % 3
+        }
+        assert {finding.split(" ")[0] for finding in found} == wrong_shares | wrong_templates
+
+    def test_a_faulty_template_is_the_only_finding_about_it(self):
+        text = organisation("{template: t}") + "\ntemplates: {t: {kind: bath}, u: {extends: t}}"
+        assert [finding.split(" ")[0] for finding in findings_of(a=text)] == ["a.yaml:7:17"]
+
     def test_the_same_name_in_two_files(self):
         text = "schema_version: 1\ntemplates:\n  t: {priority: 1}"
         assert "first at a.yaml:3:3" in findings_of(a=text, b=text)[0]
