Send HTTP answers at once instead of after the client's delayed acknowledgement

Change: listening sockets are made with IPPROTO_TCP and TCP_NODELAY. Test: pytest redwingplank/platform.

--- a/redwingplank/platform/http/server.py
+++ b/redwingplank/platform/http/server.py
@@ -93,8 +93,9 @@
 
 def _listen(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     listening.bind((host, int(port)))
     listening.listen(LISTEN_BACKLOG)
     listening.setblocking(False)
--- a/redwingplank/platform/tests/test_http.py
+++ b/redwingplank/platform/tests/test_http.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 
 import falcon.asgi
 import pytest
@@ -25,6 +26,7 @@
     open_session,
     serve_http,
 )
+from redwingplank.platform.http.server import _listen
 from redwingplank.standin.faults import Faults
 from redwingplank.standin.history import History
 from redwingplank.standin.http_admin import add_vm_list_routes
@@ -187,3 +189,13 @@
             await server.stop()
 
         asyncio.run(scenario())
+
+
+class TestHttpServer:
+    def test_its_sockets_send_at_once(self):
+        listening = _listen("127.0.7.2:17995")
+        try:
+            assert listening.proto == socket.IPPROTO_TCP
+            assert listening.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        finally:
+            listening.close()
