--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -55,7 +55,9 @@
     points: tuple[tuple[float, float], ...]
 
     def at(self, size: float) -> float:
-        """Return the value at a size."""
+        """Return the value at a size; a falling line counts as level at its largest point."""
+        if self.slope < 0:
+            return max(value for _, value in self.points)
         return self.base + self.slope * size
 
 
@@ -106,6 +108,7 @@
     exchange_us_by_start: Line
     store_bytes_by_value: Line
     store_calls_by_start: Line
+    platform_bytes_by_start: Line
 
 
 SOURCES: dict[str, tuple[str, str, str, str]] = {
@@ -140,6 +143,9 @@
     "store_calls_by_start": (
         "capacity.LoadedPrograms", "track_cost.store_calls_per_s", "starts_per_s", "1/s"
     ),
+    "platform_bytes_by_start": (
+        "capacity.LoadedPrograms", "track_cost.platform_bytes_per_s", "starts_per_s", "B/s"
+    ),
 }  # fmt: skip
 
 
@@ -215,7 +221,7 @@
 
 
 def owner_bytes_per_s(slopes: Slopes, workers: float, starts_per_s: float) -> float:
-    """Return an owner's bytes with its workers, without TCP and IP.
+    """Return an owner's bytes with its workers and its journal, without TCP and IP.
 
     A start finds its worker's exchange of the same tick free to share only when several starts of
     one tick go to one worker, so each start is counted with an exchange of its own as long as a
@@ -224,7 +230,8 @@
     per_exchange = slopes.request_bytes_by_start.base + slopes.report_bytes_by_start.base
     per_start = slopes.request_bytes_by_start.slope + slopes.report_bytes_by_start.slope
     exchanges_per_s = workers * RENEWALS_PER_S + min(starts_per_s, workers / TICK_S)
-    return per_exchange * exchanges_per_s + per_start * starts_per_s
+    journal = slopes.platform_bytes_by_start.slope * starts_per_s
+    return per_exchange * exchanges_per_s + per_start * starts_per_s + journal
 
 
 def roles_table(slopes: Slopes) -> str:
@@ -256,32 +263,37 @@
 
 
 def store_table(slopes: Slopes) -> str:
-    """Return the store's calls for several numbers of shards in a domain."""
+    """Return the store's calls for several numbers of shards in a domain.
+
+    Calls without starts are renewals, polls and watches; each call that starts add is counted as a
+    write.
+    """
     rows = []
     for shards in (1, 3, ENTRIES_PER_DOMAIN):
         cut = FAILURE_DOMAINS * shards
-        idle = slopes.store_calls_by_start.base
-        starts = PEAK_STARTS_PER_S / cut
-        peak = slopes.store_calls_by_start.at(starts)
-        total = STORE_WRITES_PER_S + STORE_READS_PER_S
+        idle = slopes.store_calls_by_start.base * cut
+        writes = slopes.store_calls_by_start.slope * PEAK_STARTS_PER_S
+        is_kept = idle <= STORE_READS_PER_S and writes <= STORE_WRITES_PER_S
         rows.append(
             (
                 f"{shards}",
                 f"{cut}",
-                f"{idle * cut:.0f}",
-                f"{peak:.2f}",
-                f"{peak * cut:.0f}",
-                f"{total}",
-                "carried" if peak * cut <= total else "not carried",
+                f"{idle:.0f}",
+                f"{STORE_READS_PER_S}",
+                f"{writes:.0f}",
+                f"{STORE_WRITES_PER_S}",
+                f"{1 - idle / STORE_READS_PER_S:+.0%}, {1 - writes / STORE_WRITES_PER_S:+.0%}",
+                "carried" if is_kept else "not carried",
             )
         )
     headers = (
         "shards per domain",
         "shards",
-        "calls/s, idle",
-        "calls/s of a shard at the peak",
-        "calls/s, peak",
+        "calls/s without starts",
+        "limit",
+        "writes/s of starts at the peak",
         "limit",
+        "margins",
         "verdict",
     )
     return _table(rows, headers)
