--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -20,8 +20,7 @@
 from redwingplank.config import parse_declarations, parse_documents
 from redwingplank.config.stored import encode_declarations
 from redwingplank.core import MonotonicClock, make_resources
-from redwingplank.membership import VmWord
-from redwingplank.membership.node import MembershipTiming
+from redwingplank.membership import MembershipTiming, VmWord
 from redwingplank.platform import ListedVm, Put, VmRole
 from redwingplank.platform.http import serve_http
 from redwingplank.rpc import PeerConnections, load_schema, serve_node
@@ -41,6 +40,7 @@
 STORE_PORT = 17_561
 WORKERS_PER_DOMAIN = 460
 UPSTREAMS_PER_DOMAIN = 24
+LISTED_VMS = WORKERS_PER_DOMAIN + UPSTREAMS_PER_DOMAIN + NODES_PER_DOMAIN
 
 TEMPLATES = """
 schema_version: 1
@@ -233,11 +233,12 @@
             cell.traffic.bytes_by_node[address] + self.overhead_bytes * calls_by_node[address]
             for address in cell.nodes_by_address
         )
-        list_bytes_per_s = list_bytes() / MembershipTiming().list_s
+        list_bytes_per_s = list_bytes() * MembershipTiming().listed_vms_per_s / LISTED_VMS
         node_count = domains * nodes_per_domain
         result = {
             "busiest_node_bytes_per_s": busiest / self.window_s + list_bytes_per_s,
             "list_bytes_per_s": list_bytes_per_s,
+            "overhead_bytes_per_call": self.overhead_bytes,
             "decisions_percent": 100.0 * used_s / (self.window_s * node_count),
         }
         for kind, size_bytes in cell.traffic.bytes_by_kind.items():
--- a/redwingplank/scheduling/recovery.py
+++ b/redwingplank/scheduling/recovery.py
@@ -7,7 +7,6 @@
 
 from redwingplank.core import RedwingError
 from redwingplank.platform import KeyValue
-from redwingplank.scheduling.journal import JournalPosition
 from redwingplank.scheduling.journal_codec import (
     SnapshotHead,
     decode_body,
@@ -15,6 +14,7 @@
     decode_part,
 )
 from redwingplank.scheduling.journal_image import JobImage, JournalImage
+from redwingplank.scheduling.journal_values import JournalPosition
 from redwingplank.scheduling.messages import (
     RecoveredJob,
     RecoveredState,
