--- a/redwingplank/scheduling/attempt_ends.py
+++ b/redwingplank/scheduling/attempt_ends.py
@@ -110,6 +110,7 @@
         elif self._retire(task, stop_reason, now_s):
             return
         elif end.reason is TaskEndReason.FAILED:
+            task.failure_workers = (*task.failure_workers, worker.name)
             self._health.note_failure(worker, task, now_s)
             self._take_failure(task, worker, end.detail, now_s)
         elif end.reason is TaskEndReason.LEASE_LAPSED:
@@ -147,7 +148,6 @@
         self._lifecycle.repeat(task, self._state.settings.retry_backoff_s, now_s)
 
     def _take_failure(self, task: Task, worker: Worker, detail: str, now_s: float) -> None:
-        task.failure_workers = (*task.failure_workers, worker.name)
         service = task.job.service
         attempts = len(task.failure_workers)
         task.stop_reason = None
@@ -158,7 +158,7 @@
             self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=reason)
         else:
             task.reason = f"attempt {task.attempt} failed on {worker.name}: {detail}"
-            self._lifecycle.repeat(task, self._backoff_s(attempts), now_s)
+            self._lifecycle.repeat(task, self._backoff_s(max(1, attempts)), now_s)
 
     def _backoff_s(self, attempts: int) -> float:
         settings = self._state.settings
@@ -178,6 +178,7 @@
             reason = f"stopped before its end: {stop_reason or 'by the worker'}"
             self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=reason)
         elif stop_reason is StopReason.OVERSHOOT:
+            task.failure_workers = (*task.failure_workers, worker.name)
             self._take_failure(task, worker, "used more than the VM could give", now_s)
         elif stop_reason is None:
             self._repeat_lost(task, "stopped by the worker", now_s)
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -49,8 +49,18 @@
         usage = state.shares.find(job.spec.organisation)
         state.queue.push(task, usage, self.declared(job))
         if len(job.queued) == 1 and job.queue_class > 0:
-            wait_s = job.service.start_within_s * state.settings.ageing_factor
-            state.queue.promote_at(job, now_s + wait_s)
+            self._promote_later(job, now_s)
+
+    def promote_waiting(self, now_s: float) -> None:
+        """Move jobs that have waited too long up one class."""
+        for job in self._state.queue.promote_due(now_s):
+            self._state.decide("job_promoted", job=job.job_id, to_class=job.queue_class)
+            if job.queue_class > 0:
+                self._promote_later(job, now_s)
+
+    def _promote_later(self, job: Job, now_s: float) -> None:
+        wait_s = job.service.start_within_s * self._state.settings.ageing_factor
+        self._state.queue.promote_at(job, now_s + wait_s)
 
     def repeat(self, task: Task, delay_s: float, now_s: float) -> None:
         """Let a task that holds no reservation start again; a gang starts again as a whole."""
--- a/redwingplank/scheduling/scheduler.py
+++ b/redwingplank/scheduling/scheduler.py
@@ -113,7 +113,7 @@
             self._services.adjust_all(now_s)
         self._adoption.update_closing(now_s)
         self._services.adjust_changed(now_s)
-        state.queue.promote_due(now_s)
+        self._lifecycle.promote_waiting(now_s)
         self._starter.run(now_s)
         self._lifecycle.write_intents(now_s)
         requests = self._exchanges.build(now_s)
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -4,6 +4,7 @@
 
 from redwingplank.config import Declarations, WorkloadKind
 from redwingplank.core import make_resources
+from redwingplank.platform import StartTask, WorkerRequest
 from redwingplank.scheduling import SchedulerSettings
 from redwingplank.scheduling.messages import (
     DeclarationsChanged,
@@ -11,6 +12,7 @@
     StartIntended,
     WorkerUnreachable,
 )
+from redwingplank.scheduling.state import ATTEMPTS_PER_EPOCH
 from redwingplank.scheduling.tests.shard import Shard, make_declarations, make_service, payload
 
 ONCE = make_declarations(make_service(is_idempotent=False))
@@ -347,6 +349,29 @@
         second.adopt("w0")
         second.run(30.0)
         assert second.state_of() == "failed"
+        attempts = [event.attempt for event in second.history.events if event.attempt]
+        assert attempts == sorted(attempts)
+        assert max(attempts) > ATTEMPTS_PER_EPOCH
+
+    def test_gang_waits_for_a_member_that_may_still_run(self):
+        gang = make_service(kind=WorkloadKind.GANG, resources=make_resources(8000, 1024))
+        first = Shard(make_declarations(gang))
+        first.add_workers(4)
+        first.submit(task_count=3, payload=payload(run_s=30.0))
+        first.run(0.5)
+        places = [names[0] for names in first.running_on().values()]
+        first.workers_by_name[places[0]].switches.is_paused = True
+        second = first.take_over()
+        second.list_vms()
+        for name in second.workers_by_name:
+            if name != places[0]:
+                second.adopt(name)
+        second.run(0.5)
+        second.workers_by_name[places[1]].restart()
+        for _ in range(900):
+            second.tick()
+            assert all(len(names) == 1 for names in second.running_on().values())
+        assert second.state_of() == "succeeded"
 
     def test_workers_without_inventory_wait_for_the_fence(self):
         settings = SchedulerSettings("s", workers_have_inventory=False)
@@ -379,6 +404,22 @@
         assert second.scheduler.summary(0.0).free == second.scheduler.summary(0.0).capacity
 
 
+class TestMismatch:
+    def test_unknown_attempt_at_a_worker_is_found_by_its_count_and_stopped(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.run(0.5)
+        other = StartTask("other/0", 1, make_resources(1000, 1024), payload(run_s=100.0))
+        shard.workers_by_name["w0"].exchange(WorkerRequest(1, 6.0, starts=(other,)))
+        shard.fault = fail_once("lost_request")
+        shard.submit(task_count=2, payload=payload(run_s=2.0))
+        shard.run(10.0)
+        assert any("event=inventory_wanted" in line for line in shard.decisions)
+        assert any("event=stray_stopped" in line for line in shard.decisions)
+        assert shard.state_of() == "succeeded"
+        assert shard.running_on() == {}
+
+
 class TestDuplicatedNews:
     def test_failure_without_an_exchange_is_ignored(self):
         shard = Shard()
--- a/redwingplank/scheduling/tests/test_health.py
+++ b/redwingplank/scheduling/tests/test_health.py
@@ -45,6 +45,16 @@
         assert any("event=worker_quarantined worker=w1" in line for line in shard.decisions)
         assert not any("worker_quarantined worker=w0" in line for line in shard.decisions)
 
+    def test_spoilt_attempt_is_given_back(self):
+        settings = SchedulerSettings("s", quarantine_score=0.2)
+        shard = Shard(make_declarations(make_service(max_attempts=1)), settings)
+        shard.add_workers(2)
+        shard.workers_by_name["w0"].switches.is_failing = True
+        shard.submit(payload=payload(run_s=0.2))
+        shard.run(5.0)
+        assert shard.state_of() == "succeeded"
+        assert shard.starts_by_task() == {"job/0": 2}
+
     def test_worker_that_fails_one_large_job_is_found(self):
         shard = Shard(make_declarations(make_service(max_attempts=2)))
         shard.add_workers(4)
--- a/redwingplank/scheduling/tests/test_sharing.py
+++ b/redwingplank/scheduling/tests/test_sharing.py
@@ -129,8 +129,10 @@
 
     def test_old_bulk_work_is_not_starved_by_urgent_work(self):
         bulk = make_service("bulk", deadline_class=DeadlineClass.BULK, start_within_s=5.0)
-        shard = Shard(make_declarations(URGENT, bulk))
+        shard = Shard(make_declarations(URGENT, bulk), SchedulerSettings("s", max_reservations=0))
         shard.add_workers(1)
+        shard.submit("first", "urgent", task_count=200, payload=payload(run_s=1.0))
+        shard.run(0.5)
         shard.submit("bulk-job", "bulk", payload=payload(run_s=0.5))
         for number in range(400):
             shard.submit(f"u{number}", "urgent", task_count=4, payload=payload(run_s=1.0))
