--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -303,7 +303,11 @@
         self._state.due.call_at(due_s, partial(self._forget, job.job_id))
 
     def _forget(self, job_id: str, now_s: float) -> None:
-        self._state.jobs_by_id.pop(job_id, None)
+        job = self._state.jobs_by_id.pop(job_id, None)
+        if job is not None:
+            job.tasks.clear()
+            job.tasks_by_index.clear()
+            job.queued.clear()
 
     def _mark_started(self, job: Job) -> None:
         if job.state is JobState.ACCEPTED:
