--- a/redwingplank/scheduling/tests/shard.py
+++ b/redwingplank/scheduling/tests/shard.py
@@ -138,6 +138,13 @@
         )
         self.inbox.append(WorkerAdopted(self.vms_by_name[name], inventory))
 
+    def join_all(self, but: str = "") -> None:
+        """List all VMs and adopt their workers, but for one that is silent."""
+        self.list_vms()
+        for name in self.workers_by_name:
+            if name != but:
+                self.adopt(name)
+
     def submit(self, job_id: str = "job", service: str = "work", **fields) -> None:
         """Submit a job of the bureau."""
         call_id = len(self.messages) + len(self.inbox) + 1
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -238,10 +238,7 @@
         first.submit(task_count=6, payload=payload(run_s=4.0), **fields)
         first.run(1.0)
         second = first.take_over()
-        second.list_vms()
-        for name in second.workers_by_name:
-            if name != silent:
-                second.adopt(name)
+        second.join_all(but=silent)
         return second
 
     @pytest.mark.parametrize("is_idempotent", [True, False])
@@ -330,10 +327,7 @@
         first.workers_by_name[silent].switches.is_paused = True
         first.clock.advance(1.0)
         second = first.take_over()
-        second.list_vms()
-        for name in second.workers_by_name:
-            if name != silent:
-                second.adopt(name)
+        second.join_all(but=silent)
         for _ in range(300):
             second.tick()
             assert all(len(places) == 1 for places in second.running_on().values())
@@ -362,10 +356,7 @@
         places = [names[0] for names in first.running_on().values()]
         first.workers_by_name[places[0]].switches.is_paused = True
         second = first.take_over()
-        second.list_vms()
-        for name in second.workers_by_name:
-            if name != places[0]:
-                second.adopt(name)
+        second.join_all(but=places[0])
         second.run(0.5)
         second.workers_by_name[places[1]].restart()
         for _ in range(900):
--- a/redwingplank/scheduling/tests/test_services.py
+++ b/redwingplank/scheduling/tests/test_services.py
@@ -95,9 +95,7 @@
         first.add_workers(3)
         first.run(2.0)
         second = first.take_over()
-        second.list_vms()
-        for name in second.workers_by_name:
-            second.adopt(name)
+        second.join_all()
         second.run(5.0)
         assert len(second.running_on()) == 4
         assert set(second.starts_by_task().values()) == {1}
