Use one rendezvous hash everywhere, and timeouts that cannot swallow a cancellation

Cause: four modules hashed names each in its own way; asyncio.wait_for of Python 3.11 may swallow a cancellation that comes together with its result, which hung stops in two runtimes. Change: core.choose_by_rendezvous in place of the four; asyncio.timeout in place of wait_for. Conclusion: less code, and one choice that all processes agree on.

--- a/redwingplank/config/spread.py
+++ b/redwingplank/config/spread.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 import numpy as np
-import xxhash
 
 from redwingplank.config.replica import Delta, MergeOutcome, Replica, make_watch_delta
 from redwingplank.config.stored import Head, LiveSet
+from redwingplank.core import choose_by_rendezvous
 from redwingplank.platform import WatchBatch
 
 __all__ = [
@@ -117,7 +117,7 @@
 
     Every node chooses the same one of the same names.
     """
-    return min(names, key=lambda name: (xxhash.xxh64_intdigest(name.encode()), name))
+    return choose_by_rendezvous("", names) or ""
 
 
 class DeclarationSpread:
--- a/redwingplank/core/__init__.py
+++ b/redwingplank/core/__init__.py
@@ -12,6 +12,7 @@
     make_logger,
     start_logging,
 )
+from redwingplank.core.rendezvous import choose_by_rendezvous
 from redwingplank.core.resources import NO_RESOURCES, Resources, make_resources, sum_resources
 
 __all__ = [
@@ -27,6 +28,7 @@
     "RedwingError",
     "Resources",
     "UnixClock",
+    "choose_by_rendezvous",
     "format_event",
     "format_value",
     "log_event",
--- a/redwingplank/rpc/peers.py
+++ b/redwingplank/rpc/peers.py
@@ -86,7 +86,8 @@
         capability = await self._open(address, service, interface, timeout_s)
         remaining_s = max(0.001, deadline_s - asyncio.get_running_loop().time())
         try:
-            return await asyncio.wait_for(method(capability), remaining_s)
+            async with asyncio.timeout(remaining_s):
+                return await method(capability)
         except TimeoutError as error:
             self.drop(address)
             raise CallOutcomeUnknownError(f"{service} at {address} did not answer") from error
--- a/redwingplank/runtime/credits.py
+++ b/redwingplank/runtime/credits.py
@@ -192,7 +192,8 @@
         self._give({})
         report = self._holder.report(self._clock.now_s(), {}, {}, is_last=True)
         try:
-            await asyncio.wait_for(self._send(report), CALL_TIMEOUT_S)
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                await self._send(report)
         except (RpcError, TimeoutError) as error:
             log_event(self._logger, "credits_not_returned", reason=str(error))
         await self._authority.release()
@@ -291,6 +292,7 @@
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
     try:
-        await asyncio.wait_for(event.wait(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
     except TimeoutError:
         return
--- a/redwingplank/runtime/jobs.py
+++ b/redwingplank/runtime/jobs.py
@@ -1,12 +1,11 @@
 """Takes callers' jobs to the shard that owns them."""
 
 import uuid
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 import xxhash
 
-from redwingplank.core import RedwingError, Resources, log_event, make_logger
+from redwingplank.core import RedwingError, Resources, choose_by_rendezvous, log_event, make_logger
 from redwingplank.rpc import CallOutcomeUnknownError, RpcError
 from redwingplank.rpc.scheduler_calls import SchedulerCalls
 from redwingplank.runtime.shards import ShardDirectory
@@ -18,7 +17,6 @@
     "JobRequest",
     "JobUnknownError",
     "JobUnsettledError",
-    "order_shards",
     "shard_of_job",
 ]
 
@@ -73,11 +71,6 @@
     return job_id.rpartition(SHARD_SEPARATOR)[0]
 
 
-def order_shards(key: str, shards: Sequence[str]) -> list[str]:
-    """Return shards in the order of their rendezvous weight for a key."""
-    return sorted(shards, key=lambda shard: xxhash.xxh64_intdigest(f"{shard}\0{key}".encode()))
-
-
 class JobGateway:
     """Finds the owner of a job's shard and calls it.
 
@@ -166,7 +159,9 @@
 
     async def _submit_with_key(self, request: JobRequest, key: str) -> str:
         named = f"{request.organisation}\0{request.service}\0{key}"
-        shard = order_shards(named, self._directory.all_shards())[0]
+        shard = choose_by_rendezvous(named, self._directory.all_shards())
+        if shard is None:
+            raise JobRefusedError("there is no shard: name the failure domains in the settings")
         job_id = f"{shard}{SHARD_SEPARATOR}k{xxhash.xxh3_128_hexdigest(named.encode())}"
         answer = await self._try_submit(request, job_id)
         if answer is None or answer.outcome is SubmitOutcome.NOT_NOW:
--- a/redwingplank/runtime/order_service.py
+++ b/redwingplank/runtime/order_service.py
@@ -4,10 +4,9 @@
 from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 from typing import Any
 
-from redwingplank.core import log_event, make_logger
+from redwingplank.core import choose_by_rendezvous, log_event, make_logger
 from redwingplank.platform import PlatformError
 from redwingplank.routing.orders import ClaimAnswer, OrderClaim, OrderReport
-from redwingplank.routing.rendezvous import choose_by_rendezvous
 from redwingplank.rpc import PeerConnections, RpcError, load_schema
 from redwingplank.rpc.order_messages import (
     read_claim,
--- a/redwingplank/runtime/orders.py
+++ b/redwingplank/runtime/orders.py
@@ -163,7 +163,8 @@
                 return found
             changed = self._changed_by_digest.setdefault(digest, asyncio.Event())
             try:
-                await asyncio.wait_for(changed.wait(), remaining_s)
+                async with asyncio.timeout(remaining_s):
+                    await changed.wait()
             except TimeoutError:
                 return self._book.look(self._clock.now_s(), claim)
 
--- a/redwingplank/runtime/requests_body.py
+++ b/redwingplank/runtime/requests_body.py
@@ -58,7 +58,8 @@
         self._notify()
         try:
             while self._held_bytes > self._limit_bytes:
-                await asyncio.wait_for(self._changed.wait(), self._stall_s)
+                async with asyncio.timeout(self._stall_s):
+                    await self._changed.wait()
         except TimeoutError as error:
             raise SlowCallerError(f"the caller took nothing for {self._stall_s} s") from error
 
--- a/redwingplank/scheduling/sharding.py
+++ b/redwingplank/scheduling/sharding.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-import xxhash
+from redwingplank.core import InvalidValueError, choose_by_rendezvous
 
 __all__ = ["shard_of_worker"]
 
@@ -22,10 +22,7 @@
     Every process finds the same shard without an agreement. Adding one shard to n moves about one
     worker in n + 1.
     """
-    if len(shards) == 1:
-        return shards[0]
-    return max(shards, key=lambda shard: (_weight(shard, worker), shard))
-
-
-def _weight(shard: str, worker: str) -> int:
-    return xxhash.xxh64_intdigest(f"{shard}\0{worker}".encode())
+    shard = choose_by_rendezvous(worker, shards)
+    if shard is None:
+        raise InvalidValueError("there is no shard: give the failure domain at least one")
+    return shard
