--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -4,6 +4,7 @@
 
 from redwingplank.config import Declarations, WorkloadKind
 from redwingplank.core import make_resources
+from redwingplank.platform import StartTask, WorkerRequest
 from redwingplank.scheduling import SchedulerSettings
 from redwingplank.scheduling.messages import (
     DeclarationsChanged,
@@ -11,6 +12,7 @@
     StartIntended,
     WorkerUnreachable,
 )
+from redwingplank.scheduling.state import ATTEMPTS_PER_EPOCH
 from redwingplank.scheduling.tests.shard import Shard, make_declarations, make_service, payload
 
 ONCE = make_declarations(make_service(is_idempotent=False))
@@ -236,10 +238,7 @@
         first.submit(task_count=6, payload=payload(run_s=4.0), **fields)
         first.run(1.0)
         second = first.take_over()
-        second.list_vms()
-        for name in second.workers_by_name:
-            if name != silent:
-                second.adopt(name)
+        second.join_all(but=silent)
         return second
 
     @pytest.mark.parametrize("is_idempotent", [True, False])
@@ -318,24 +317,35 @@
         assert second.state_of() == "cancelled"
         assert second.running_on() == {}
 
-    def test_gang_is_not_placed_before_every_worker_is_adopted(self):
-        gang = make_service(kind=WorkloadKind.GANG, resources=make_resources(3000, 1024))
-        first = Shard(make_declarations(gang))
-        first.add_workers(3)
-        first.submit(task_count=4, payload=payload(run_s=1.0))
+    def gang_with_a_silent_worker(self, millicores, run_s, **fields) -> tuple[Shard, list[str]]:
+        """Start a gang, pause one of its workers and take over; return where the tasks ran."""
+        need = make_resources(millicores, 1024)
+        first = Shard(make_declarations(make_service(kind=WorkloadKind.GANG, resources=need)))
+        first.add_workers(4)
+        first.submit(payload=payload(run_s=run_s), **fields)
         first.run(0.5)
-        silent = {places[0] for places in first.running_on().values()}.pop()
-        first.workers_by_name[silent].switches.is_paused = True
+        places = sorted({names[0] for names in first.running_on().values()})
+        first.workers_by_name[places[0]].switches.is_paused = True
         first.clock.advance(1.0)
         second = first.take_over()
-        second.list_vms()
-        for name in second.workers_by_name:
-            if name != silent:
-                second.adopt(name)
-        for _ in range(300):
-            second.tick()
-            assert all(len(places) == 1 for places in second.running_on().values())
-        assert second.state_of() == "succeeded"
+        second.join_all(but=places[0])
+        return second, places
+
+    def check_single_places(self, shard: Shard, ticks: int) -> None:
+        for _ in range(ticks):
+            shard.tick()
+            assert all(len(names) == 1 for names in shard.running_on().values())
+        assert shard.state_of() == "succeeded"
+
+    def test_gang_is_not_placed_before_every_worker_is_adopted(self):
+        shard, _ = self.gang_with_a_silent_worker(3000, 1.0, task_count=4)
+        self.check_single_places(shard, 300)
+
+    def test_gang_waits_for_a_member_that_may_still_run(self):
+        shard, places = self.gang_with_a_silent_worker(8000, 30.0, task_count=3)
+        shard.run(0.5)
+        shard.workers_by_name[places[1]].restart()
+        self.check_single_places(shard, 900)
 
     def test_attempts_grow_across_owners(self):
         first = Shard()
@@ -347,6 +357,9 @@
         second.adopt("w0")
         second.run(30.0)
         assert second.state_of() == "failed"
+        attempts = [event.attempt for event in second.history.events if event.attempt]
+        assert attempts == sorted(attempts)
+        assert max(attempts) > ATTEMPTS_PER_EPOCH
 
     def test_workers_without_inventory_wait_for_the_fence(self):
         settings = SchedulerSettings("s", workers_have_inventory=False)
@@ -379,6 +392,22 @@
         assert second.scheduler.summary(0.0).free == second.scheduler.summary(0.0).capacity
 
 
+class TestMismatch:
+    def test_unknown_attempt_at_a_worker_is_found_by_its_count_and_stopped(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.run(0.5)
+        other = StartTask("other/0", 1, make_resources(1000, 1024), payload(run_s=100.0))
+        shard.workers_by_name["w0"].exchange(WorkerRequest(1, 6.0, starts=(other,)))
+        shard.fault = fail_once("lost_request")
+        shard.submit(task_count=2, payload=payload(run_s=2.0))
+        shard.run(10.0)
+        assert any("event=inventory_wanted" in line for line in shard.decisions)
+        assert any("event=stray_stopped" in line for line in shard.decisions)
+        assert shard.state_of() == "succeeded"
+        assert shard.running_on() == {}
+
+
 class TestDuplicatedNews:
     def test_failure_without_an_exchange_is_ignored(self):
         shard = Shard()
