--- a/redwingplank/cli/entry.py
+++ b/redwingplank/cli/entry.py
@@ -5,7 +5,7 @@
 import uuid
 
 from redwingplank.api import make_entry_app
-from redwingplank.cli.node import NodeConnections
+from redwingplank.cli.node import UPSTREAM_CONNECTIONS, NodeConnections
 from redwingplank.cli.program import Program, read_settings, run_program
 from redwingplank.cli.settings import EntrySettings
 from redwingplank.config import Declarations
@@ -46,7 +46,7 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
-        self.node = NodeConnections(settings, self.change_declarations)
+        self.node = NodeConnections(settings, self.change_declarations, share_connections(settings))
         self.runtime = EntryRuntime(self._make_parts(), self.node.clock)
         self.credits = self._make_credits()
         self._metrics = MetricsReporter(
@@ -154,6 +154,12 @@
         )
 
 
+def share_connections(settings: EntrySettings) -> int:
+    """Return an entry's part of the connections that each upstream takes."""
+    domains = [name.partition("/")[0] for name in settings.entries]
+    return max(1, UPSTREAM_CONNECTIONS // max(1, domains.count(settings.failure_domain)))
+
+
 def main() -> None:
     """Run the program."""
     settings = read_settings("redwing-entry", EntrySettings, __doc__ or "")
--- a/redwingplank/cli/node.py
+++ b/redwingplank/cli/node.py
@@ -24,7 +24,10 @@
 from redwingplank.runtime.declarations import DeclarationsFollower
 from redwingplank.runtime.membership import MembershipNode
 
-__all__ = ["NodeConnections"]
+__all__ = ["UPSTREAM_CONNECTIONS", "NodeConnections"]
+
+UPSTREAM_CONNECTIONS = 64
+"""Connections that an upstream takes, shared by all entries of its failure domain."""
 
 MILLISECONDS_PER_SECOND = 1000
 
@@ -38,14 +41,21 @@
         From flags and environment variables.
     on_change : callable
         Called with each newer revision of the declarations.
+    connections_per_host : int
+        Most HTTP connections to one address.
     """
 
-    def __init__(self, settings: NodeSettings, on_change: Callable[[Declarations], None]) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        on_change: Callable[[Declarations], None],
+        connections_per_host: int = UPSTREAM_CONNECTIONS,
+    ) -> None:
         self.settings = settings
         self.clock = MonotonicClock()
         self.unix_clock = UnixClock()
         self.seed = settings.seed or xxhash.xxh32_intdigest(settings.name.encode())
-        self.session: aiohttp.ClientSession = open_session()
+        self.session: aiohttp.ClientSession = open_session(connections_per_host)
         self.vm_list = HttpVmList(self.session, settings.vms_url, settings.store_timeout_s)
         self.peers = PeerConnections()
         self._addresses_by_name = {**settings.entries, **settings.schedulers}
