Log unexpected errors of the API, report shards' gauges, wake grantors only on change

Cause: an unexpected error in the API left no line in the log; queue lengths and packing were in no metric; every entry told the grantor the unchanged list ten times a second, which woke every waiting report. Conclusion: no error is dropped silently.

--- a/redwingplank/api/problems.py
+++ b/redwingplank/api/problems.py
@@ -11,12 +11,17 @@
 
 import falcon
 import falcon.asgi
+import logbook
 import msgspec
 
+from redwingplank.core import log_event, make_logger
+
 __all__ = ["PROBLEM_MEDIA_TYPE", "ProblemDetails", "add_problem_handlers", "send_problem"]
 
 PROBLEM_MEDIA_TYPE = "application/problem+json"
 
+_logger = make_logger("api")
+
 
 class ProblemDetails(msgspec.Struct, frozen=True, omit_defaults=True):
     """The body of an error.
@@ -65,7 +70,6 @@
 
 def add_problem_handlers(app: falcon.asgi.App) -> None:
     """Make every error of the framework a problem; none of them ran anything."""
-    app.set_error_serializer(_serialize)
     app.add_error_handler(Exception, _answer_unexpected)
     app.add_error_handler(falcon.HTTPError, _answer_http_error)
 
@@ -77,8 +81,9 @@
     params: dict[str, Any],
 ) -> None:
     resp.set_headers(error.headers or {})
-    detail = error.description or error.title or "the request is not valid"
-    send_problem(resp, ProblemDetails(error.status_code, error.title or "error", detail, "no"))
+    title = error.title or "error"
+    detail = error.description or title
+    send_problem(resp, ProblemDetails(error.status_code, title, detail, "no"))
 
 
 async def _answer_unexpected(
@@ -87,21 +92,14 @@
     error: Exception,
     params: dict[str, Any],
 ) -> None:
-    if isinstance(error, falcon.HTTPError):
-        await _answer_http_error(req, resp, error, params)
-        return
-    req.context.logger_error = error
+    kind = type(error).__name__
+    log_event(
+        _logger, "unexpected", level=logbook.ERROR, path=req.path, kind=kind, error=str(error)
+    )
     problem = ProblemDetails(
         HTTPStatus.INTERNAL_SERVER_ERROR,
         "internal error",
-        f"{type(error).__name__}: report it with the time of the request",
+        f"{kind}: report it with the time of the request",
         "unknown",
     )
     send_problem(resp, problem)
-
-
-def _serialize(
-    req: falcon.asgi.Request, resp: falcon.asgi.Response, error: falcon.HTTPError
-) -> None:
-    detail = error.description or error.title or "the request is not valid"
-    send_problem(resp, ProblemDetails(error.status_code, error.title or "error", detail, "no"))
--- a/redwingplank/api/tests/test_api.py
+++ b/redwingplank/api/tests/test_api.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import sys
 from dataclasses import dataclass, field
 
 import falcon.testing
@@ -7,7 +8,7 @@
 
 from redwingplank.api import make_entry_app, read_openapi
 from redwingplank.config import Declarations, Organisation, Service, WorkloadKind
-from redwingplank.core import FakeClock
+from redwingplank.core import FakeClock, start_logging
 from redwingplank.platform import ListedVm, VmRole
 from redwingplank.routing import RouterSettings, make_router
 from redwingplank.routing.orders import OrderBook
@@ -151,6 +152,17 @@
         assert not door.upstream.history.events
 
 
+class TestUnexpectedError:
+    def test_is_unknown_to_the_caller_and_logged(self, capsys):
+        handler = start_logging("ERROR", sys.stdout)
+        try:
+            result = Door(FakeCalls(ZeroDivisionError("odd"))).post(JOBS, b'{"service": "parts"}')
+        finally:
+            handler.pop_application()
+        assert_problem(result, 500, "unknown")
+        assert "event=unexpected" in capsys.readouterr().out
+
+
 class TestJobs:
     def test_accepts_a_job_and_says_where_to_read_it(self):
         door = Door()
--- a/redwingplank/cli/entry.py
+++ b/redwingplank/cli/entry.py
@@ -32,6 +32,9 @@
 __all__ = ["EntryProgram", "main"]
 
 SHORT_ID_CHARACTERS = 8
+LIST_AGAIN_S = 5.0
+"""The grantor counts how long an entry is missing, so it is told an unchanged list too."""
+
 NANOSECONDS_PER_SECOND = 1_000_000_000
 
 
@@ -55,6 +58,8 @@
             {"requests": self.runtime.gauges, "node": self.node.gauges},
         )
         self._server: HttpServer | None = None
+        self._listed: tuple[ListedVm, ...] = ()
+        self._list_again_at_s = 0.0
 
     async def start(self) -> None:
         await self.node.start({CREDITS_SERVICE: CreditService(self.credits)})
@@ -138,7 +143,11 @@
     def _read_list(self, now_s: float) -> tuple[ListedVm, ...]:
         """Return the live upstreams, after the credits' grantor was told of them."""
         upstreams = self.node.membership.live_upstreams(now_s)
-        self.credits.set_listed((*upstreams, *self._listed_entries()))
+        listed = (*upstreams, *self._listed_entries())
+        if listed != self._listed or now_s >= self._list_again_at_s:
+            self._listed = listed
+            self._list_again_at_s = now_s + LIST_AGAIN_S
+            self.credits.set_listed(listed)
         return upstreams
 
     def _listed_entries(self) -> tuple[ListedVm, ...]:
--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -53,7 +53,7 @@
         self._metrics = MetricsReporter(
             settings.statsd_address,
             f"redwing.scheduler.{settings.name}",
-            {"node": self.node.gauges},
+            {"node": self.node.gauges, "scheduler": self.process.gauges},
         )
         self._orders = OwnedOrderHomes(self._make_order_home, self._owned_shards)
         self._tasks: list[asyncio.Task] = []
--- a/redwingplank/runtime/entry.py
+++ b/redwingplank/runtime/entry.py
@@ -15,7 +15,7 @@
 
 __all__ = ["EntryParts", "EntryRuntime"]
 
-UPSTREAMS_EVERY_S = 0.1
+UPSTREAMS_EVERY_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
--- a/redwingplank/runtime/scheduler.py
+++ b/redwingplank/runtime/scheduler.py
@@ -7,7 +7,7 @@
 import numpy as np
 import xxhash
 
-from redwingplank.config import NO_DECLARATIONS, Declarations
+from redwingplank.config import NO_DECLARATIONS, DeadlineClass, Declarations
 from redwingplank.core import Clock, log_event, make_logger
 from redwingplank.platform import KeyValueStore, ListedVm, VmList, WorkerClient
 from redwingplank.runtime.bounded_store import BoundedStore
@@ -22,6 +22,7 @@
 from redwingplank.scheduling.messages import RecoveredState
 from redwingplank.scheduling.ownership import ShardOwnership
 from redwingplank.scheduling.sharding import shard_of_worker
+from redwingplank.scheduling.summary import ShardSummary
 
 __all__ = ["CoreFactory", "SchedulerProcess", "make_scheduler_process"]
 
@@ -69,6 +70,15 @@
         """Return what answers calls, for `serve_node`."""
         return SchedulerService(self.runners_by_shard)
 
+    def gauges(self) -> dict[str, float]:
+        """Return what the shards owned here hold, with a name's dots between its parts."""
+        gauges = dict(self.counters.read())
+        for shard, runner in self.runners_by_shard.items():
+            if runner.term_runner is not None and runner.term_runner.core is not None:
+                values = summary_gauges(runner.summary())
+                gauges.update({f"shard.{shard}.{name}": value for name, value in values.items()})
+        return gauges
+
     def change_declarations(self, declarations: Declarations) -> None:
         """Take in a newer revision of the declarations; an older one is ignored."""
         for runner in self.runners_by_shard.values():
@@ -106,6 +116,25 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
+def summary_gauges(summary: ShardSummary) -> dict[str, float]:
+    """Return queue lengths, expected waits and packing of a shard by name."""
+    gauges: dict[str, float] = {
+        "running": summary.running_count,
+        "workers": summary.worker_count,
+        "workers_open": summary.open_worker_count,
+        "workers_quarantined": summary.quarantined_count,
+    }
+    for deadline_class in DeadlineClass:
+        name = deadline_class.name.lower()
+        gauges[f"waiting.{name}"] = summary.waiting_by_class[deadline_class]
+        gauges[f"expected_wait_s.{name}"] = summary.predicted_wait_s_by_class[deadline_class]
+    for dimension in ("millicores", "memory_mib"):
+        capacity = getattr(summary.capacity, dimension)
+        free = getattr(summary.free, dimension)
+        gauges[f"reserved_fraction.{dimension}"] = 1 - free / capacity if capacity else 0.0
+    return gauges
+
+
 def make_scheduler_process(
     settings: SchedulerProcessSettings,
     store: KeyValueStore,
