--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -35,7 +35,7 @@
 STORE_WRITES_PER_S = 300
 STORE_READS_PER_S = 2_000
 TICK_S = 0.02
-RENEWALS_PER_S = 0.1
+RENEW_EVERY_S = 1.5
 
 
 @dataclass(frozen=True)
@@ -229,7 +229,7 @@
     """
     per_exchange = slopes.request_bytes_by_start.base + slopes.report_bytes_by_start.base
     per_start = slopes.request_bytes_by_start.slope + slopes.report_bytes_by_start.slope
-    exchanges_per_s = workers * RENEWALS_PER_S + min(starts_per_s, workers / TICK_S)
+    exchanges_per_s = workers / RENEW_EVERY_S + min(starts_per_s, workers / TICK_S)
     journal = slopes.platform_bytes_by_start.slope * starts_per_s
     return per_exchange * exchanges_per_s + per_start * starts_per_s + journal
 
