Hand a shard over to a candidate that lives

Cause: a stopping scheduler named the first other candidate as successor, dead or not; a dead one costs the successor's grace of a second. Change: live peers go first. Measured: pytest redwingplank/cli/tests/test_programs.py passes; not measured with dead candidates. Conclusion: a planned stop waits for nobody who is known to be dead.

--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections.abc import Collection, Sequence
 
 from redwingplank.cli.node import NodeConnections
 from redwingplank.cli.program import Program, read_settings, run_program
@@ -72,8 +73,8 @@
         await self.process.wait()
 
     async def drain(self) -> None:
-        own = self._settings.rpc_address
-        successor = next((item for item in self._candidates() if item != own), "")
+        live = self.node.membership.live_peers(self.node.clock.now_s())
+        successor = choose_successor(self._candidates(), {peer.address for peer in live})
         self.node.membership.leave()
         await self.process.stop(successor)
         for task in self._tasks:
@@ -97,12 +98,8 @@
         return OrderHome(OrderBook(), log, self.node.unix_clock)
 
     def _candidates(self) -> list[str]:
-        domain = self._settings.failure_domain
-        return [
-            address
-            for name, address in sorted(self._settings.schedulers.items())
-            if name.partition("/")[0] == domain
-        ]
+        """Return the addresses of the failure domain's other schedulers."""
+        return list(make_process_settings(self._settings).peer_addresses)
 
     def _make_core(
         self,
@@ -127,6 +124,18 @@
         return make_scheduler(core_settings, recovered, declarations, now_s)
 
 
+def choose_successor(candidates: Sequence[str], live: Collection[str]) -> str:
+    """Return the first live candidate, or the first one if none is known to live.
+
+    Returns
+    -------
+    str
+        An address, empty without candidates.
+    """
+    alive = [address for address in candidates if address in live]
+    return next(iter(alive or candidates), "")
+
+
 def make_process_settings(settings: SchedulerProgramSettings) -> SchedulerProcessSettings:
     """Return the settings of the process from those of the program."""
     own_domain = settings.failure_domain
--- a/redwingplank/cli/tests/test_programs.py
+++ b/redwingplank/cli/tests/test_programs.py
@@ -9,6 +9,7 @@
 
 from redwingplank.cli.entry import share_connections
 from redwingplank.cli.program import EXIT_CUT_OFF, EXIT_OK, Program, read_settings, run_program
+from redwingplank.cli.scheduler import choose_successor
 from redwingplank.cli.settings import (
     EntrySettings,
     SchedulerProgramSettings,
@@ -103,6 +104,20 @@
         assert ("event=cut_off" in capsys.readouterr().err) == (code == EXIT_CUT_OFF)
 
 
+class TestChooseSuccessor:
+    @pytest.mark.parametrize(
+        ("candidates", "live", "successor"),
+        [
+            (["a", "b"], {"b"}, "b"),
+            (["a", "b"], {"a", "b"}, "a"),
+            (["a", "b"], {"c"}, "a"),
+            ([], {"c"}, ""),
+        ],
+    )
+    def test_prefers_the_first_that_lives(self, candidates, live, successor):
+        assert choose_successor(candidates, live) == successor
+
+
 class TestShareConnections:
     def test_entries_of_a_domain_share_an_upstreams_connections(self):
         texts = {
