Report unknown templates of entities that have other faults too

Cause: validate reported a wrong share and kept silent on an unknown template of the same organisation until the share was corrected; seen when the operators' commands were typed against a running cell. Change: a faulty entity keeps its references, and these are checked. The test of 150 organisations held the gap in place and now wants every fault. Conclusion: one run of validate names every fault.

--- a/redwingplank/config/parse.py
+++ b/redwingplank/config/parse.py
@@ -3,6 +3,7 @@
 import difflib
 from collections.abc import Iterable, Mapping
 from pathlib import Path as FilePath
+from typing import Any
 
 from jsonschema import ValidationError
 
@@ -153,10 +154,28 @@
         for name, content in entities.items():
             places = PlacesBelow(placed.places_by_path, (section, name))
             is_faulty = (section, name) in faulty
-            documents.append(Document(kind, name, {} if is_faulty else content, places, is_faulty))
+            kept = _keep_references(content) if is_faulty else content
+            documents.append(Document(kind, name, kept, places, is_faulty))
     return documents
 
 
+def _keep_references(content: Any) -> dict[str, Any]:
+    """Return the names of templates in a faulty entity, so that these are checked all the same."""
+    if not isinstance(content, dict):
+        return {}
+    kept: dict[str, Any] = {}
+    if isinstance(content.get("extends"), str):
+        kept["extends"] = content["extends"]
+    services = content.get("services")
+    if isinstance(services, dict):
+        kept["services"] = {
+            name: {"template": declared["template"]}
+            for name, declared in services.items()
+            if isinstance(declared, dict) and isinstance(declared.get("template"), str)
+        }
+    return kept
+
+
 def _add_document(
     documents: dict[str, Document], document: Document, findings: list[Finding]
 ) -> None:
--- a/redwingplank/config/resolve.py
+++ b/redwingplank/config/resolve.py
@@ -147,7 +147,7 @@
         if chain.finding is not None and not chain.templates:
             findings.append(chain.finding)
             continue
-        if any(template.is_faulty for template in chain.templates):
+        if document.is_faulty or any(template.is_faulty for template in chain.templates):
             continue
         service = _resolve_service(document, name, declared, chain, findings)
         if service is not None:
--- a/redwingplank/config/tests/test_parse.py
+++ b/redwingplank/config/tests/test_parse.py
@@ -153,16 +153,27 @@
             )
         found = findings_of(**files)
         wrong_shares = {f"f{index:03}.yaml:4:5" for index in range(0, 150, 3)}
-        # The references of a document are checked once its own values are right.
-        wrong_templates = {
-            f"f{index:03}.yaml:5:20" for index in range(150) if index % 5 == 1 and index % 3
-        }
+        wrong_templates = {f"f{index:03}.yaml:5:20" for index in range(150) if index % 5 == 1}
         assert {finding.split(" ")[0] for finding in found} == wrong_shares | wrong_templates
 
     def test_a_faulty_template_is_the_only_finding_about_it(self):
         text = organisation("{template: t}") + "\ntemplates: {t: {kind: bath}, u: {extends: t}}"
         assert [finding.split(" ")[0] for finding in findings_of(a=text)] == ["a.yaml:7:17"]
 
+    def test_unknown_templates_of_a_faulty_entity_are_found_too(self):
+        text = """schema_version: 1
+templates:
+  thing: {extends: nowhere, kind: batch, priority: -1}
+organisations:
+  one: {share: -1, services: {x: {template: nope}, y: {template: thing}}}
+"""
+        with pytest.raises(FindingsError) as caught:
+            parse_declarations({"a.yaml": text})
+        lines = [finding.place.line for finding in caught.value.findings]
+        assert lines == [3, 3, 5, 5]
+        assert "'nope'" in str(caught.value)
+        assert "'nowhere'" in str(caught.value)
+
     def test_the_same_name_in_two_files(self):
         text = "schema_version: 1\ntemplates:\n  t: {priority: 1}"
         assert "first at a.yaml:3:3" in findings_of(a=text, b=text)[0]
