Let waiting jobs follow their service's deadline class

Cause: a test for each parameter of a change found that jobs which waited already kept the class and the time to start of their acceptance; a template change was in force for later jobs only. Change: a change of either moves the waiting jobs of that service, and only these; a job that waits for its next attempt takes them when it is queued. Tests for shares, an older revision and the class.

--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -2,7 +2,7 @@
 
 from functools import partial
 
-from redwingplank.config import WorkloadKind
+from redwingplank.config import Service, WorkloadKind
 from redwingplank.platform import TaskAction, TaskActionKind
 from redwingplank.scheduling.entities import Job, Phase, StopReason, Task, Worker
 from redwingplank.scheduling.gangs import (
@@ -22,7 +22,12 @@
 from redwingplank.scheduling.state import ShardState
 from redwingplank.scheduling.vm_table import Amounts
 
-__all__ = ["TaskLifecycle"]
+__all__ = ["TaskLifecycle", "is_other_class"]
+
+
+def is_other_class(old: Service, new: Service) -> bool:
+    """Return whether work of two declarations of a service waits in another order."""
+    return (old.deadline_class, old.start_within_s) != (new.deadline_class, new.start_within_s)
 
 
 class TaskLifecycle:
@@ -45,12 +50,20 @@
         if job.is_undeclared:
             task.phase = Phase.HELD
             return
+        self.refresh(job)
         task.queued_at_s = now_s
         usage = state.shares.find(job.spec.organisation)
         state.queue.push(task, usage, self.declared(job))
         if len(job.queued) == 1 and job.queue_class > 0:
             self._promote_later(job, now_s)
 
+    def reclassify(self, organisation: str, service: Service, now_s: float) -> None:
+        """Let the waiting jobs of a service wait in its new deadline class."""
+        for job in self._state.queue.reclassify(organisation, service):
+            self._state.decide("job_reclassified", job=job.job_id, to_class=job.queue_class)
+            if job.queue_class > 0:
+                self._promote_later(job, now_s)
+
     def promote_waiting(self, now_s: float) -> None:
         """Move jobs that have waited too long up one class."""
         for job in self._state.queue.promote_due(now_s):
@@ -91,9 +104,14 @@
             return
         job.revision = declarations.revision
         service = declarations.find_service(job.spec.organisation, job.spec.service)
-        if service is not None and service.kind is job.service.kind:
-            job.service = service
-            job.declared = None
+        if service is None or service.kind is not job.service.kind:
+            return
+        is_class_new = is_other_class(job.service, service)
+        job.service = service
+        job.declared = None
+        if is_class_new and not self._state.queue.is_waiting(job):
+            job.queue_class = int(service.deadline_class)
+            job.deadline_s = job.accepted_at_s + service.start_within_s
 
     def declared(self, job: Job) -> Amounts:
         """Return the declared need of each task of a job."""
--- a/redwingplank/scheduling/queue.py
+++ b/redwingplank/scheduling/queue.py
@@ -5,7 +5,7 @@
 from heapq import heapify, heappop, heappush
 from itertools import count
 
-from redwingplank.config import DeadlineClass, WorkloadKind
+from redwingplank.config import DeadlineClass, Service, WorkloadKind
 from redwingplank.scheduling.entities import Job, Phase, Task
 from redwingplank.scheduling.shares import OrganisationUsage
 from redwingplank.scheduling.vm_table import Amounts
@@ -136,6 +136,40 @@
         self.waiting_by_class[job.queue_class] -= len(dropped)
         return dropped
 
+    def is_waiting(self, job: Job) -> bool:
+        """Return whether a task of a job waits here."""
+        return _first_queued(job) is not None
+
+    def reclassify(self, organisation: str, service: Service) -> list[Job]:
+        """Move the waiting jobs of a service to its deadline class and time to start.
+
+        Returns
+        -------
+        list of Job
+            The jobs that were moved.
+        """
+        moved = []
+        lanes = [
+            lane
+            for lane in self._lanes_by_key.values()
+            if lane.usage.name == organisation and lane.service == service.name
+        ]
+        for lane in lanes:
+            jobs = {id(entry[3]): entry[3] for entry in lane.jobs if entry[3].lane is lane}
+            lane.jobs.clear()
+            for job in filter(self.is_waiting, jobs.values()):
+                self._move_to_class(job, int(service.deadline_class))
+                job.deadline_s = job.accepted_at_s + service.start_within_s
+                self._file(job, lane.usage, lane.declared)
+                moved.append(job)
+        return moved
+
+    def _move_to_class(self, job: Job, queue_class: int) -> None:
+        waiting = sum(task.phase is Phase.QUEUED for task in job.queued)
+        self.waiting_by_class[job.queue_class] -= waiting
+        job.queue_class = queue_class
+        self.waiting_by_class[job.queue_class] += waiting
+
     def promote_at(self, job: Job, due_s: float) -> None:
         """Move a job up one class at `due_s` if it still waits then."""
         heappush(self._promotions, (due_s, next(self._ticket), job))
@@ -148,10 +182,7 @@
             if job.queue_class == 0 or job.lane is None or _first_queued(job) is None:
                 continue
             old = job.lane
-            count = sum(task.phase is Phase.QUEUED for task in job.queued)
-            self.waiting_by_class[job.queue_class] -= count
-            job.queue_class -= 1
-            self.waiting_by_class[job.queue_class] += count
+            self._move_to_class(job, job.queue_class - 1)
             self._file(job, old.usage, old.declared)
             promoted.append(job)
         return promoted
--- a/redwingplank/scheduling/scheduler.py
+++ b/redwingplank/scheduling/scheduler.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from redwingplank.config import Declarations
+from redwingplank.config import Declarations, Organisation
 from redwingplank.core import Resources
 from redwingplank.scheduling.adoption import Adoption
 from redwingplank.scheduling.attempt_ends import AttemptEnds
 from redwingplank.scheduling.exchanges import Exchanges
 from redwingplank.scheduling.intake import Intake
 from redwingplank.scheduling.learning import Learning
-from redwingplank.scheduling.lifecycle import TaskLifecycle
+from redwingplank.scheduling.lifecycle import TaskLifecycle, is_other_class
 from redwingplank.scheduling.messages import (
     CancelJob,
     DeclarationsChanged,
@@ -186,13 +186,21 @@
 
     def _declare(self, declarations: Declarations, now_s: float) -> None:
         state = self._state
+        earlier = state.declarations
         state.declarations = declarations
         for organisation in declarations.organisations_by_name.values():
+            self._reclassify(organisation, earlier, now_s)
             state.shares.declare(organisation.name, organisation.share, organisation.quota)
             self._starter.parking.release_organisation(organisation.name)
         self._services.declare(declarations, now_s)
         self._rejoin.declare(now_s)
 
+    def _reclassify(self, organisation: Organisation, earlier: Declarations, now_s: float) -> None:
+        for service in organisation.services_by_name.values():
+            old = earlier.find_service(organisation.name, service.name)
+            if old is not None and is_other_class(old, service):
+                self._lifecycle.reclassify(organisation.name, service, now_s)
+
 
 def make_scheduler(
     settings: SchedulerSettings,
--- a/redwingplank/scheduling/tests/test_sharing.py
+++ b/redwingplank/scheduling/tests/test_sharing.py
@@ -1,5 +1,7 @@
 """Quota, fair shares, ageing, reservations and preemption."""
 
+from dataclasses import replace
+
 from redwingplank.config import DeadlineClass, Declarations, Organisation, WorkloadKind
 from redwingplank.core import make_resources, sum_resources
 from redwingplank.scheduling import SchedulerSettings
@@ -98,6 +100,42 @@
         attempt = shard.workers_by_name["w0"].attempts_by_task["job/0"]
         assert attempt.start.reserved == make_resources(4000, 1)
 
+    def test_shares_count_from_the_next_tick(self):
+        shard = Shard(two_organisations(100, 100))
+        shard.submit("a-job", organisation="a", task_count=50, payload=FOREVER)
+        shard.submit("b-job", organisation="b", task_count=50, payload=FOREVER)
+        shard.run(0.2)
+        changed = replace(two_organisations(100, 300), revision=2)
+        shard.inbox.append(DeclarationsChanged(changed))
+        shard.tick()
+        shard.add_workers(2)
+        shard.run(1.0)
+        assert (running_of(shard, "a-"), running_of(shard, "b-")) == (4, 12)
+
+    def test_an_older_revision_changes_nothing(self):
+        shard = Shard(replace(two_organisations(100, 300), revision=5))
+        shard.submit("a-job", organisation="a", task_count=50, payload=FOREVER)
+        shard.submit("b-job", organisation="b", task_count=50, payload=FOREVER)
+        shard.inbox.append(DeclarationsChanged(replace(two_organisations(300, 100), revision=4)))
+        shard.run(0.2)
+        shard.add_workers(2)
+        shard.run(1.0)
+        assert (running_of(shard, "a-"), running_of(shard, "b-")) == (4, 12)
+
+    def test_a_waiting_job_takes_its_services_new_deadline_class(self):
+        first = make_service("first", deadline_class=DeadlineClass.STANDARD, start_within_s=120.0)
+        second = make_service("second", deadline_class=DeadlineClass.BULK, start_within_s=3600.0)
+        shard = Shard(make_declarations(first, second))
+        shard.submit("first-job", "first", task_count=8, payload=FOREVER)
+        shard.submit("second-job", "second", task_count=8, payload=FOREVER)
+        shard.run(0.2)
+        urgent = replace(second, deadline_class=DeadlineClass.URGENT, start_within_s=6.9)
+        shard.inbox.append(DeclarationsChanged(make_declarations(first, urgent, revision=2)))
+        shard.tick()
+        shard.add_workers(1)
+        shard.run(1.0)
+        assert (running_of(shard, "first"), running_of(shard, "second")) == (0, 8)
+
 
 class TestFairShare:
     def test_places_follow_the_weights(self):
