Report a failure domain as cut off only after its news had time to come

Cause: typed by hand, status showed a scheduler as cut off from two domains that it could reach. A speaker's view of another domain comes every 5 s and may be 3 s old, but 6 s without news counted as cut off. Change: 9 s for failure domains; the wait for store and list stays at 6 s. A test of the message version. Conclusion: no false report in a cell without cuts; a real one is told 3 s later.

--- a/redwingplank/membership/domains.py
+++ b/redwingplank/membership/domains.py
@@ -7,7 +7,8 @@
 
 __all__ = ["DomainTable"]
 
-CUT_OFF_AFTER_S = 6.0
+CUT_OFF_AFTER_S = 9.0
+"""Longer than a summary, a speaker's view of it and a heartbeat take together."""
 
 
 @dataclass(slots=True)
--- a/redwingplank/membership/tests/test_membership.py
+++ b/redwingplank/membership/tests/test_membership.py
@@ -234,6 +234,15 @@
             assert node.membership.cut_off_from(cell.clock.now_s()) == ()
             assert len(live_names(node)) == 2
 
+    def test_nobody_reports_a_cut_in_a_cell_that_has_none(self):
+        cell = make_node_cell(3, 4)
+        reported: set[tuple[str, ...]] = set()
+        for _ in range(240):
+            cell.run_for(0.25)
+            now_s = cell.clock.now_s()
+            reported |= {node.membership.cut_off_from(now_s) for node in cell.nodes}
+        assert reported == {()}
+
     def test_one_nodes_read_of_a_long_list_tells_all_of_a_leaving_upstream(self):
         cell = make_node_cell(1, 9)
         vms = [ListedVm(f"w{i}", VmRole.WORKER, "domain-0", "r", "w") for i in range(400)]
--- a/redwingplank/rpc/tests/test_peers.py
+++ b/redwingplank/rpc/tests/test_peers.py
@@ -72,3 +72,15 @@
             await server.stop()
 
         run(scenario())
+
+    def test_a_message_version_that_is_not_spoken_is_told_so(self, monkeypatch):
+        async def scenario():
+            server = await serve_node(ADDRESS, {"test": _Node()})
+            peers = PeerConnections()
+            monkeypatch.setattr("redwingplank.rpc.peers.MESSAGE_VERSION", 99)
+            with pytest.raises(PeerUnreachableError, match="version 99 is not spoken here, use 1"):
+                await call(peers, "fine")
+            peers.close()
+            await server.stop()
+
+        run(scenario())
