--- /dev/null
+++ b/redwingplank/batch/owner.py
@@ -0,0 +1,418 @@
+"""The decisions of the owner of a cell's jobs, without input or output."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from redwingplank.batch.commands import AskAdvice, Commands
+from redwingplank.batch.ends import Ends
+from redwingplank.batch.entities import Job, Run, RunState, Step, Worker
+from redwingplank.batch.model import (
+    CellConfig,
+    HoldReport,
+    JobSpec,
+    JobState,
+    StartOutcome,
+    StepKey,
+    WorkerEntry,
+)
+from redwingplank.batch.pacing import Pacing
+from redwingplank.batch.placement import Placement
+from redwingplank.batch.ranking import set_objective
+from redwingplank.batch.records import encode_progress, restore_progress
+from redwingplank.batch.reports import Reports
+from redwingplank.batch.settings import BatchSettings
+from redwingplank.batch.starter import Starter
+from redwingplank.batch.state import Decide, OwnerState
+from redwingplank.batch.tickets import Tickets
+
+__all__ = ["HoldOrder", "JobOwner", "RecordToStore"]
+
+UNHEALTHY_PAUSE_S = 0.5
+REFUSED_RETRY_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class HoldOrder:
+    """The next look at a worker.
+
+    `lease_until_ms` is on the worker's clock, None to look without renewing the lease.
+    """
+
+    noted: int
+    lease_until_ms: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class RecordToStore:
+    """How far a job got, as it has to be stored."""
+
+    job_id: str
+    version: int
+    value: bytes
+
+
+class JobOwner:
+    """Decides for one term of ownership.
+
+    Parameters
+    ----------
+    settings : BatchSettings
+        Of the decisions.
+    term : int
+        Number of the term.
+    config : CellConfig
+        The configuration in force.
+    decide : callable
+        Called with each decision, for the log.
+    """
+
+    def __init__(
+        self, settings: BatchSettings, term: int, config: CellConfig, decide: Decide
+    ) -> None:
+        self.state = OwnerState(settings, term, config, decide)
+        self._ends = Ends(self.state)
+        self._reports = Reports(self.state, self._ends)
+        self._placement = Placement(self.state)
+        self._tickets = Tickets(self.state, self._placement)
+        self._starter = Starter(self.state, self._placement, self._tickets)
+        self._pacing = Pacing(self.state)
+
+    # Jobs.
+
+    def load(self, spec: JobSpec, progress: bytes | None, now_s: float, now_unix_s: float) -> None:
+        """Take a job that was accepted before this term."""
+        job = self._make_job(spec, now_s, now_unix_s)
+        self._open_due(job, now_s, now_unix_s)
+        if progress is not None:
+            restore_progress(job, progress)
+        if job.state.is_final:
+            job.ended_s = now_s
+            job.steps_by_key.clear()
+            return
+        until_s = self._proof_time_s(now_s)
+        for step in job.steps_by_key.values():
+            for host in step.hosts:
+                self.state.unproven_hosts.setdefault(host, until_s)
+        self._reopen_all(job, now_s)
+
+    def _proof_time_s(self, now_s: float) -> float:
+        settings = self.state.settings
+        lease_s = settings.lease_limit_s / (1 - settings.slow_clock)
+        return now_s + settings.owner_silence_s + lease_s + settings.lease_margin_s
+
+    def _reopen_all(self, job: Job, now_s: float) -> None:
+        for step in job.steps_by_key.values():
+            if step.undone:
+                self._ends.open_if_due(job, step, now_s)
+        is_done = all(step.undone == 0 for step in job.steps_by_key.values())
+        if is_done and job.due_count == job.occurrence_count:
+            self.state.finish_job(job, JobState.COMPLETED, now_s, "all_done")
+
+    def submit(self, spec: JobSpec, now_s: float, now_unix_s: float) -> None:
+        """Take a job that the store holds."""
+        if spec.job_id in self.state.jobs_by_id:
+            return
+        job = self._make_job(spec, now_s, now_unix_s)
+        self._open_due(job, now_s, now_unix_s)
+        self.state.decide(
+            "job_taken",
+            job=spec.job_id,
+            queue=spec.queue,
+            steps=len(spec.steps),
+            tasks=sum(step.count for step in spec.steps),
+            age_s=now_s - job.submitted_s,
+        )
+        if not any(queue == spec.queue for queue in self.state.config.queues_by_name):
+            self.state.decide("queue_not_configured", job=spec.job_id, queue=spec.queue)
+
+    def _make_job(self, spec: JobSpec, now_s: float, now_unix_s: float) -> Job:
+        age_s = max(0.0, now_unix_s - spec.submitted_unix_s) if spec.submitted_unix_s else 0.0
+        job = Job(spec, now_s - age_s)
+        set_objective(job, self.state.queue_of(job), self.state.speeds)
+        self.state.jobs_by_id[spec.job_id] = job
+        return job
+
+    def _open_due(self, job: Job, now_s: float, now_unix_s: float) -> None:
+        spec = job.spec
+        while job.due_count < job.occurrence_count and not job.state.is_final:
+            due_unix_s = spec.first_run_unix_s + job.due_count * spec.interval_s
+            if spec.repeat_count and due_unix_s > now_unix_s:
+                return
+            occurrence = job.due_count
+            job.due_count += 1
+            steps = [
+                Step(job, StepKey(spec.job_id, occurrence, number), step)
+                for number, step in enumerate(spec.steps)
+            ]
+            job.steps_by_key.update((step.key, step) for step in steps)
+            for step in steps:
+                self._ends.open_if_due(job, step, now_s)
+
+    def cancel(self, job_id: str, now_s: float) -> int | None:
+        """Cancel a job; return the version that has to be stored before it is confirmed.
+
+        Returns
+        -------
+        int or None
+            None for a job that is not known or has ended.
+        """
+        job = self.state.jobs_by_id.get(job_id)
+        if job is None or (job.state.is_final and job.state is not JobState.CANCELLED):
+            return None
+        if job.state is not JobState.CANCELLED:
+            self.state.finish_job(job, JobState.CANCELLED, now_s, "cancelled")
+        return job.version
+
+    def job_state(self, job_id: str) -> JobState | None:
+        """Return what a caller may be told, None for a job that is not known."""
+        job = self.state.jobs_by_id.get(job_id)
+        if job is None:
+            return None
+        if job.state.is_final and job.stored_version < job.version:
+            return JobState.RUNNING if job.is_started else JobState.QUEUED
+        return job.state
+
+    def pending_count(self, queue: str) -> int:
+        """Return how many jobs of a queue wait for their first start."""
+        return sum(
+            1
+            for job in self.state.jobs_by_id.values()
+            if job.spec.queue == queue and not job.is_started and not job.state.is_final
+        )
+
+    # What is stored.
+
+    def take_records(self, limit: int) -> list[RecordToStore]:
+        """Return records to store, at most `limit`."""
+        records = []
+        for job_id in list(self.state.dirty_jobs)[:limit]:
+            job = self.state.dirty_jobs.pop(job_id)
+            records.append(RecordToStore(job_id, job.version, encode_progress(job)))
+        return records
+
+    def restore_dirty(self, records: Iterable[RecordToStore]) -> None:
+        """Take back records that could not be stored."""
+        for record in records:
+            job = self.state.jobs_by_id.get(record.job_id)
+            if job is not None:
+                self.state.dirty_jobs.setdefault(record.job_id, job)
+
+    def stored(self, records: Iterable[RecordToStore], now_s: float) -> None:
+        """Go on with what waited for records to be stored."""
+        for record in records:
+            job = self.state.jobs_by_id.get(record.job_id)
+            if job is None:
+                continue
+            job.stored_version = max(job.stored_version, record.version)
+            for run in job.runs():
+                if run.state is RunState.PLANNED and run.version <= job.stored_version:
+                    self.state.commands.starts.append(run)
+            if job.state.is_final and job.stored_version == job.version and not job.runs():
+                job.steps_by_key.clear()
+        for worker in self.state.workers_by_id.values():
+            worker.note_stored()
+
+    # Workers.
+
+    def list_workers(self, entries: list[WorkerEntry], now_s: float) -> None:
+        """Take the platform's list of workers."""
+        self._reports.list_workers(entries, now_s)
+
+    def next_hold(self, worker: Worker, now_s: float, *, may_renew: bool) -> HoldOrder:
+        """Return the next look at a worker.
+
+        Parameters
+        ----------
+        worker : Worker
+            Who is asked.
+        now_s : float
+            The present time.
+        may_renew : bool
+            Whether the ownership is recent enough to renew leases.
+        """
+        if worker.clock_ms is None or worker.is_silent or not may_renew:
+            return HoldOrder(worker.noted, None)
+        until_ms = worker.clock_now_ms(now_s) + round(self.state.settings.lease_s * 1000)
+        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        return HoldOrder(worker.noted, until_ms)
+
+    def start_lease_ms(self, worker: Worker, now_s: float) -> int:
+        """Return the lease that an order to start carries."""
+        until_ms = worker.clock_now_ms(now_s) + round(self.state.settings.lease_s * 1000)
+        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        return until_ms
+
+    def worker_reported(
+        self, worker: Worker, report: HoldReport, sent_s: float, now_s: float
+    ) -> None:
+        """Take a worker's answer to a look that was sent at `sent_s`."""
+        self._reports.take(worker, report, sent_s, now_s)
+        self._stop_stalled(worker, now_s)
+        self._pacing.adjust(worker, now_s)
+
+    def worker_silent(self, worker: Worker, now_s: float) -> None:
+        """Take note that a worker did not answer a look."""
+        self._reports.silent(worker, now_s)
+
+    # Orders.
+
+    def start_sent(self, run: Run, now_s: float) -> bool:
+        """Return whether a planned run is still wanted, and note that its order goes out."""
+        if run.state is not RunState.PLANNED:
+            return False
+        run.state = RunState.STARTING
+        run.sent_s = now_s
+        return True
+
+    def start_ended(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
+        """Take the end of an order to start."""
+        if run.worker.runs_by_key.get(run.key) is not run:
+            return
+        self._log_start(run, outcome, now_s)
+        if outcome is StartOutcome.STARTED:
+            self._started(run, now_s)
+        elif outcome is StartOutcome.UNKNOWN:
+            if run.state is RunState.STARTING:
+                run.state = RunState.DOUBTFUL
+                run.sent_s = now_s
+        else:
+            self._refused(run, outcome, now_s)
+
+    def _started(self, run: Run, now_s: float) -> None:
+        if run.state in (RunState.STARTING, RunState.DOUBTFUL):
+            run.state = RunState.RUNNING
+            run.settled_s = now_s
+            run.started_s = run.moved_s = now_s
+
+    def _refused(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
+        task = self.state.drop_run(run, now_s)
+        worker = run.worker
+        if outcome is StartOutcome.UNHEALTHY:
+            worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNHEALTHY_PAUSE_S)
+        if outcome is StartOutcome.NOT_SENT:
+            worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNHEALTHY_PAUSE_S)
+        found = self.state.find_task(run.task_id)
+        if task is None or found is None:
+            return
+        step = found[0].steps_by_key[run.task_id.step_key]
+        if outcome is StartOutcome.BAD_TICKET:
+            step.allowed.pop(worker.id, None)
+        task.not_before_s = now_s + REFUSED_RETRY_S
+        if step.spec.is_gang:
+            for member in step.tasks:
+                for other in list(member.runs):
+                    self.state.order_stop(other, now_s, "gang_member_refused")
+
+    def _log_start(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
+        self.state.decide(
+            "start_answered",
+            job=run.task_id.job_id,
+            task=run.task_id,
+            attempt=run.attempt,
+            worker=run.worker.id,
+            outcome=outcome.name.lower(),
+            took_s=now_s - run.sent_s,
+        )
+
+    def stop_ended(self, run: Run, *, is_taken: bool, now_s: float) -> None:
+        """Take the end of an order to stop."""
+        if is_taken and run.settled_s is None:
+            run.settled_s = now_s
+        if not is_taken:
+            run.stop_sent_s = now_s
+
+    # Advice.
+
+    def advice_ended(
+        self, call: AskAdvice, tickets_by_worker: dict[str, str] | None, now_s: float
+    ) -> None:
+        """Take an answer of the advice service, None if there was none."""
+        self._tickets.answered(call, tickets_by_worker, now_s)
+
+    # Time.
+
+    def set_config(self, config: CellConfig) -> None:
+        """Take a newer configuration."""
+        if config.version > self.state.config.version:
+            self.state.config = config
+            self.state.needs_pass = True
+
+    def tick(self, now_s: float, now_unix_s: float) -> Commands:
+        """Decide everything that is due, and return what is to be done."""
+        self._expire(now_s)
+        for job in list(self.state.jobs_by_id.values()):
+            if job.due_count < job.occurrence_count and not job.state.is_final:
+                self._open_due(job, now_s, now_unix_s)
+        self._evacuate(now_s)
+        self._repeat_stops(now_s)
+        self._starter.run(now_s)
+        self.state.needs_pass = False
+        commands = self.state.commands
+        self.state.commands = Commands()
+        return commands
+
+    def _expire(self, now_s: float) -> None:
+        state = self.state
+        for worker in list(state.workers_by_id.values()):
+            self._reports.expire(worker, now_s)
+        for host, until_s in list(state.unproven_hosts.items()):
+            if now_s >= until_s:
+                del state.unproven_hosts[host]
+                state.decide("host_free", worker=host, reason="every_lease_over")
+
+    def forget_ended(self, now_s: float) -> list[str]:
+        """Forget jobs that ended long ago; return their ids, to be removed from the store."""
+        kept_s = self.state.settings.state_kept_s
+        gone = [
+            job_id
+            for job_id, job in self.state.jobs_by_id.items()
+            if job.state.is_final
+            and now_s - job.ended_s > kept_s
+            and job.stored_version == job.version
+            and not job.runs()
+        ]
+        for job_id in gone:
+            del self.state.jobs_by_id[job_id]
+        return gone
+
+    def _evacuate(self, now_s: float) -> None:
+        """Stop tasks that a leaving worker will not let end."""
+        for worker in self.state.workers_by_id.values():
+            if not worker.entry.is_draining or worker.is_silent:
+                continue
+            for run in list(worker.runs_by_key.values()):
+                spec = run.spec
+                if run.state is not RunState.RUNNING or spec is None:
+                    continue
+                if spec.is_lasting or (spec.saves and not spec.is_gang):
+                    self.state.order_stop(run, now_s, "worker_leaves")
+
+    def _repeat_stops(self, now_s: float) -> None:
+        retry_s = self.state.settings.stop_retry_s
+        for worker in self.state.workers_by_id.values():
+            if worker.is_silent:
+                continue
+            for run in worker.runs_by_key.values():
+                is_stopping = run.state is RunState.STOPPING and run.settled_s is None
+                if is_stopping and now_s - (run.stop_sent_s or 0.0) > retry_s:
+                    run.stop_sent_s = now_s
+                    self.state.commands.stops.append(run)
+
+    def _stop_stalled(self, worker: Worker, now_s: float) -> None:
+        settings = self.state.settings
+        if worker.filler_percent < 100:
+            return
+        for run in list(worker.runs_by_key.values()):
+            spec = run.spec
+            if spec is None or spec.is_lasting or run.state is not RunState.RUNNING:
+                continue
+            found = self.state.find_task(run.task_id)
+            if found is None or spec.is_gang:
+                continue
+            job, task = found
+            expected_s = self.state.speeds.expected_s(spec, job.spec.queue, worker.entry.kind)
+            is_over = now_s - run.started_s > 2 * expected_s + settings.stall_s
+            if is_over and now_s - run.moved_s > settings.stall_s:
+                task.bad_workers.add(worker.id)
+                worker.avoided_until_s = now_s + settings.avoid_s
+                self.state.order_stop(run, now_s, "no_progress")
--- /dev/null
+++ b/redwingplank/batch/placement.py
@@ -0,0 +1,146 @@
+"""Chooses workers for the tasks of a step."""
+
+from collections.abc import Iterable
+
+from redwingplank.batch.entities import Step, Task, Worker
+from redwingplank.batch.model import Amounts, StepSpec
+from redwingplank.batch.state import OwnerState
+
+__all__ = ["Placement", "named_for_advice"]
+
+REMOTE_FACTOR = 2.0
+"""Slowness away from the data (stated by the platform)."""
+DISTURBANCE_FACTOR = 1.5
+"""Preference against putting tasks that fill beside tasks that serve."""
+LOAD_WEIGHT = 0.35
+"""How much a full worker counts against one that is empty."""
+BAD_WORKER_FACTOR = 4.0
+
+
+class Placement:
+    """Ranks workers for a step.
+
+    Parameters
+    ----------
+    state : OwnerState
+        The tables.
+    """
+
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
+
+    def usable(self, service: str, now_s: float) -> list[Worker]:
+        """Return the workers of a service that may be given work now."""
+        return [
+            worker
+            for worker in self._state.workers_by_id.values()
+            if worker.entry.service == service
+            and worker.is_proven
+            and worker.is_listed
+            and not worker.is_silent
+            and not worker.entry.is_draining
+            and worker.clock_ms is not None
+        ]
+
+    def suits(self, worker: Worker, step: Step) -> bool:
+        """Return whether a worker, if it were empty, could run a task of the step."""
+        spec = step.spec
+        if spec.required_label and spec.required_label not in worker.entry.labels:
+            return False
+        return worker.entry.capacity.holds(spec.reserved)
+
+    def fits(self, worker: Worker, step: Step, now_s: float) -> bool:
+        """Return whether a worker has room for one more task of the step."""
+        spec = step.spec
+        if now_s < worker.avoided_until_s or not worker.free.holds(spec.reserved):
+            return False
+        if spec.max_per_worker and worker.step_counts.get(step.key, 0) >= spec.max_per_worker:
+            return False
+        return self.suits(worker, step)
+
+    def choose(
+        self, workers: Iterable[Worker], step: Step, task: Task, now_s: float
+    ) -> Worker | None:
+        """Return the best of some workers with room, None if none has any."""
+        best: Worker | None = None
+        best_score = float("inf")
+        for worker in workers:
+            if not self.fits(worker, step, now_s):
+                continue
+            score = self._score(worker, step)
+            if worker.id in task.bad_workers:
+                score *= BAD_WORKER_FACTOR
+            if score < best_score:
+                best, best_score = worker, score
+        return best
+
+    def choose_gang(self, workers: list[Worker], step: Step, now_s: float) -> list[Worker] | None:
+        """Return a worker for each task of a gang, None if not all have room."""
+        spec = step.spec
+        fitting = [worker for worker in workers if self.fits(worker, step, now_s)]
+        fitting.sort(key=lambda worker: (self._score(worker, step), worker.id))
+        if spec.same_rack:
+            for rack in sorted({worker.entry.rack for worker in fitting}):
+                inside = [worker for worker in fitting if worker.entry.rack == rack]
+                chosen = self._fill(inside, step)
+                if chosen is not None:
+                    return chosen
+        return self._fill(fitting, step)
+
+    def _fill(self, workers: list[Worker], step: Step) -> list[Worker] | None:
+        chosen: list[Worker] = []
+        for worker in workers:
+            chosen.extend([worker] * self._room_for(worker, step))
+            if len(chosen) >= step.spec.count:
+                return chosen[: step.spec.count]
+        return None
+
+    def _room_for(self, worker: Worker, step: Step) -> int:
+        spec = step.spec
+        counts = [
+            free // need for free, need in zip(worker.free, spec.reserved, strict=True) if need > 0
+        ]
+        room = min(counts, default=spec.count)
+        if spec.max_per_worker:
+            room = min(room, spec.max_per_worker - worker.step_counts.get(step.key, 0))
+        return max(0, room)
+
+    def _score(self, worker: Worker, step: Step) -> float:
+        """Return an expected run time, weighted by what else speaks for or against a worker."""
+        spec = step.spec
+        entry = worker.entry
+        score = self._state.speeds.factor(entry.kind) * max(0.5, worker.slowness)
+        if spec.data_rack and spec.data_rack != entry.rack:
+            score *= REMOTE_FACTOR
+        score *= 1.0 + LOAD_WEIGHT * _used_share(worker.reserved, entry.capacity)
+        if self._disturbs(worker, spec):
+            score *= DISTURBANCE_FACTOR
+        if worker.filler_percent < 100 and not spec.is_lasting:
+            score *= DISTURBANCE_FACTOR
+        return score
+
+    def _disturbs(self, worker: Worker, spec: StepSpec) -> bool:
+        if not spec.image:
+            return False
+        return any(
+            run.spec is not None
+            and run.spec.image
+            and bool(run.spec.target_ms) != bool(spec.target_ms)
+            for run in worker.runs_by_key.values()
+        )
+
+
+def _used_share(used: Amounts, capacity: Amounts) -> float:
+    return used.cpu_millicores / capacity.cpu_millicores if capacity.cpu_millicores else 0.0
+
+
+def named_for_advice(workers: list[Worker], step: Step, limit: int) -> tuple[str, ...]:
+    """Return the workers to ask advice about: those known as allowed, then the emptiest."""
+    known = [worker.id for worker in workers if worker.id in step.allowed]
+    others = [
+        worker
+        for worker in workers
+        if worker.id not in step.allowed and worker.id not in step.refused
+    ]
+    others.sort(key=lambda worker: (_used_share(worker.reserved, worker.entry.capacity), worker.id))
+    return tuple((known + [worker.id for worker in others])[:limit])
--- /dev/null
+++ b/redwingplank/batch/ranking.py
@@ -0,0 +1,63 @@
+"""Says which step comes first."""
+
+from redwingplank.batch.entities import Job, Step
+from redwingplank.batch.model import JobSpec, QueuePolicy
+from redwingplank.batch.speeds import Speeds
+
+__all__ = ["Rank", "chain_s", "rank_step", "set_objective"]
+
+LATE_FACTOR = 3.0
+"""A job that ends within this many times its objective still counts, as late."""
+
+Rank = tuple[int, float, float]
+
+_LASTING_TIER = 0
+_IN_TIME_TIER = 1
+_LATE_TIER = 2
+_HOPELESS_TIER = 3
+
+
+def chain_s(spec: JobSpec, speeds: Speeds, queue: str) -> list[float]:
+    """Return for each step how long it and all that follows it takes, in seconds."""
+    follows: list[float] = [0.0] * len(spec.steps)
+    for number in range(len(spec.steps) - 1, -1, -1):
+        step = spec.steps[number]
+        own_s = 0.0 if step.is_lasting else speeds.expected_s(step, queue)
+        follows[number] += own_s
+        for earlier in step.after:
+            follows[earlier] = max(follows[earlier], follows[number])
+    return follows
+
+
+def set_objective(job: Job, queue: QueuePolicy | None, speeds: Speeds) -> None:
+    """Work out when a job is to be complete, and when it is worth nothing any more."""
+    stretch = queue.stretch if queue else 1.0
+    target_s = queue.target_s if queue else 0.0
+    longest_s = max(chain_s(job.spec, speeds, job.spec.queue), default=0.0)
+    span_s = stretch * longest_s + target_s
+    job.objective_s = job.submitted_s + span_s
+    job.latest_end_s = job.submitted_s + LATE_FACTOR * span_s
+
+
+def rank_step(step: Step, remaining_s: float, now_s: float) -> Rank:
+    """Return a step's place; the smallest comes first.
+
+    Parameters
+    ----------
+    step : Step
+        With tasks to start.
+    remaining_s : float
+        How long it and all that follows it takes.
+    now_s : float
+        The present time.
+    """
+    if step.spec.is_lasting:
+        return _LASTING_TIER, step.opened_s, 0.0
+    job = step.job
+    slack_s = job.objective_s - now_s - remaining_s
+    if slack_s >= 0:
+        return _IN_TIME_TIER, slack_s, job.submitted_s
+    late_slack_s = job.latest_end_s - now_s - remaining_s
+    if late_slack_s >= 0:
+        return _LATE_TIER, late_slack_s, job.submitted_s
+    return _HOPELESS_TIER, job.submitted_s, 0.0
--- /dev/null
+++ b/redwingplank/batch/starter.py
@@ -0,0 +1,114 @@
+"""One pass over the steps with tasks to start, most urgent first."""
+
+from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
+from redwingplank.batch.model import JobState, QueuePolicy
+from redwingplank.batch.placement import Placement
+from redwingplank.batch.ranking import Rank, chain_s, rank_step
+from redwingplank.batch.state import OwnerState
+from redwingplank.batch.tickets import Tickets
+
+__all__ = ["Starter"]
+
+
+class Starter:
+    """Plans runs.
+
+    Parameters
+    ----------
+    state : OwnerState
+        The tables.
+    placement : Placement
+        Chooses workers.
+    tickets : Tickets
+        Tells which workers a step may use.
+    """
+
+    def __init__(self, state: OwnerState, placement: Placement, tickets: Tickets) -> None:
+        self._state = state
+        self._placement = placement
+        self._tickets = tickets
+
+    def run(self, now_s: float) -> None:
+        """Start what can start."""
+        usable_by_service: dict[str, list[Worker]] = {}
+        for _, step in self._ranked(now_s):
+            queue = self._state.queue_of(step.job)
+            if queue is None or not self._is_free_to_start(step):
+                continue
+            if queue.service not in usable_by_service:
+                usable_by_service[queue.service] = self._placement.usable(queue.service, now_s)
+            self._run_step(step, queue, usable_by_service[queue.service], now_s)
+
+    def _ranked(self, now_s: float) -> list[tuple[Rank, Step]]:
+        ranked = []
+        speeds = self._state.speeds
+        for step in list(self._state.open_steps.values()):
+            if not step.waiting(now_s):
+                if all(task.is_done or task.runs for task in step.tasks):
+                    del self._state.open_steps[step.key]
+                continue
+            spec = step.job.spec
+            remaining_s = chain_s(spec, speeds, spec.queue)[step.key.step]
+            ranked.append((rank_step(step, remaining_s, now_s), step))
+        ranked.sort(key=lambda pair: (pair[0], pair[1].key))
+        return ranked
+
+    def _is_free_to_start(self, step: Step) -> bool:
+        """Return whether no task of the step can still run for an earlier owner, unseen."""
+        unproven = self._state.unproven_hosts
+        return not unproven or unproven.keys().isdisjoint(step.hosts)
+
+    def _run_step(self, step: Step, queue: QueuePolicy, usable: list[Worker], now_s: float) -> None:
+        workers = usable
+        if queue.advice is not None:
+            workers = self._tickets.allowed(step, usable, now_s)
+        if step.spec.is_gang:
+            is_complete = self._start_gang(step, workers, now_s)
+        else:
+            is_complete = self._start_tasks(step, workers, now_s)
+        if not is_complete and queue.advice is not None:
+            self._tickets.ask(step, usable, queue.advice, now_s)
+
+    def _start_tasks(self, step: Step, workers: list[Worker], now_s: float) -> bool:
+        """Return whether no task is left that only lacks a worker."""
+        for task in step.waiting(now_s):
+            worker = self._placement.choose(workers, step, task, now_s)
+            if worker is None:
+                return False
+            self._plan(step, task, worker, self._state.next_attempt(task), now_s)
+        return True
+
+    def _start_gang(self, step: Step, workers: list[Worker], now_s: float) -> bool:
+        if len(step.waiting(now_s)) < step.spec.count:
+            return True
+        chosen = self._placement.choose_gang(workers, step, now_s)
+        if chosen is None:
+            return False
+        attempt = max(self._state.next_attempt(task) for task in step.tasks)
+        for task, worker in zip(step.tasks, chosen, strict=True):
+            self._plan(step, task, worker, attempt, now_s)
+        return True
+
+    def _plan(self, step: Step, task: Task, worker: Worker, attempt: int, now_s: float) -> None:
+        state = self._state
+        run = Run(task.id, attempt, worker, step.spec, now_s, RunState.PLANNED)
+        state.add_run(task, run)
+        job = step.job
+        if worker.id not in step.hosts or not job.is_started:
+            step.hosts.add(worker.id)
+            job.is_started = True
+            if not job.state.is_final:
+                job.state = JobState.RUNNING
+            state.change(job)
+        run.version = job.version
+        state.decide(
+            "start_planned",
+            job=job.spec.job_id,
+            task=task.id,
+            attempt=attempt,
+            worker=worker.id,
+            free_millicores=worker.free.cpu_millicores,
+            waited_s=now_s - step.opened_s,
+        )
+        if job.stored_version >= run.version:
+            state.commands.starts.append(run)
--- /dev/null
+++ b/redwingplank/batch/tickets.py
@@ -0,0 +1,88 @@
+"""Keeps the tickets that starts on advised queues need."""
+
+from redwingplank.batch.commands import AskAdvice
+from redwingplank.batch.entities import Step, Ticket, Worker
+from redwingplank.batch.model import AdvicePolicy
+from redwingplank.batch.placement import Placement, named_for_advice
+from redwingplank.batch.state import OwnerState
+
+__all__ = ["Tickets"]
+
+MAX_NAMED = 30
+"""Workers named in one call."""
+MAX_OPEN_CALLS = 40
+"""Calls for advice that are under way at the same time."""
+
+
+class Tickets:
+    """Asks for advice and tells which workers a step may use.
+
+    Parameters
+    ----------
+    state : OwnerState
+        The tables.
+    placement : Placement
+        Tells which workers could run a step.
+    """
+
+    def __init__(self, state: OwnerState, placement: Placement) -> None:
+        self._state = state
+        self._placement = placement
+        self._open_calls = 0
+
+    def allowed(self, step: Step, workers: list[Worker], now_s: float) -> list[Worker]:
+        """Return those of some workers for which the step has a ticket that is good now."""
+        limit_s = now_s + self._state.settings.ticket_margin_s
+        return [
+            worker
+            for worker in workers
+            if worker.id in step.allowed and step.allowed[worker.id].valid_until_s > limit_s
+        ]
+
+    def ask(self, step: Step, workers: list[Worker], policy: AdvicePolicy, now_s: float) -> None:
+        """Ask for tickets, unless a call for the step is under way or none could be used."""
+        if step.is_advice_open or self._open_calls >= MAX_OPEN_CALLS:
+            return
+        suited = [worker for worker in workers if self._placement.suits(worker, step)]
+        if step.allowed and not self._could_use(step, suited, now_s):
+            return
+        named = named_for_advice(suited, step, MAX_NAMED)
+        if not named:
+            return
+        step.is_advice_open = True
+        step.advice_sent_s = now_s
+        self._open_calls += 1
+        work_s = policy.decision_s + policy.per_worker_s * len(named)
+        self._state.commands.advice.append(AskAdvice(step, named, work_s, policy.valid_s))
+
+    def _could_use(self, step: Step, workers: list[Worker], now_s: float) -> bool:
+        return any(
+            self._placement.fits(worker, step, now_s)
+            for worker in workers
+            if worker.id not in step.refused
+        )
+
+    def answered(
+        self, call: AskAdvice, tickets_by_worker: dict[str, str] | None, now_s: float
+    ) -> None:
+        """Take an answer, None if there was none."""
+        step = call.step
+        step.is_advice_open = False
+        self._open_calls -= 1
+        self._state.needs_pass = True
+        if tickets_by_worker is None:
+            return
+        valid_until_s = now_s + call.valid_s
+        for worker_id in call.workers:
+            if worker_id in tickets_by_worker:
+                step.allowed[worker_id] = Ticket(tickets_by_worker[worker_id], valid_until_s)
+            else:
+                step.refused.add(worker_id)
+        self._state.decide(
+            "advice",
+            job=step.key.job_id,
+            step=step.key.step,
+            named=len(call.workers),
+            allowed=len(tickets_by_worker),
+            took_s=now_s - step.advice_sent_s,
+        )
--- /dev/null
+++ b/redwingplank/cell/app.py
@@ -0,0 +1,171 @@
+"""The callers' HTTP application of a node, and its readiness."""
+
+import re
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import falcon
+import falcon.asgi
+import msgspec
+
+from redwingplank.batch.model import QueuePolicy
+from redwingplank.cell.callers import Callers, SubmitEnd
+from redwingplank.cell.clocks import now_s, now_unix_s
+from redwingplank.core import InvalidValueError
+from redwingplank.platform.site.ingress import (
+    READINESS_PATH,
+    read_deadline_s,
+    write_pending,
+    write_state,
+)
+from redwingplank.platform.site.jobs import decode_job
+
+__all__ = ["make_app"]
+
+RETRY_AFTER_S = 1
+"""Callers have a few tries; an outage of the store lasts seconds."""
+_is_job_id = re.compile(r"[0-9A-Za-z_-]{1,64}").fullmatch
+
+
+class _Readiness:
+    def __init__(self, find_obstacle: Callable[[], str]) -> None:
+        self._find_obstacle = find_obstacle
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        obstacle = self._find_obstacle()
+        if obstacle:
+            resp.status = HTTPStatus.SERVICE_UNAVAILABLE
+            resp.media = {"problem": obstacle}
+
+
+class _CloseWhenStopping:
+    def __init__(self, is_stopping: Callable[[], bool]) -> None:
+        self._is_stopping = is_stopping
+
+    async def process_response(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, resource: Any, ok: bool
+    ) -> None:
+        if self._is_stopping():
+            resp.set_header("Connection", "close")
+
+
+class _Jobs:
+    """Every path that is not the readiness: the longest prefix names the queue."""
+
+    def __init__(self, callers: Callers) -> None:
+        self._callers = callers
+
+    async def handle(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response | None, **_: Any
+    ) -> None:
+        """Serve one request."""
+        assert resp is not None
+        config = self._callers.find_config()
+        if config is None:
+            _refuse(resp, "no configuration has arrived yet")
+            return
+        queue = config.find_queue(req.host.lower(), req.path)
+        if queue is None:
+            _answer(resp, HTTPStatus.NOT_FOUND, "no queue has this host and path")
+            return
+        job_id = req.path[len(queue.prefix) :]
+        if not job_id and req.method == "GET":
+            await self._pending(queue, resp)
+        elif not _is_job_id(job_id):
+            _answer(resp, HTTPStatus.NOT_FOUND, "the path holds no job id")
+        elif req.method == "POST":
+            await self._submit(req, resp, queue, job_id, config.max_body_bytes)
+        elif req.method == "GET":
+            await self._state(resp, job_id)
+        elif req.method == "DELETE":
+            await self._cancel(resp, job_id)
+        else:
+            _answer(resp, HTTPStatus.METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
+            resp.set_header("Allow", "POST, GET, DELETE")
+
+    async def _submit(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        queue: QueuePolicy,
+        job_id: str,
+        max_body_bytes: int,
+    ) -> None:
+        deadline_s = now_s() + read_deadline_s(req.get_header)
+        body = await req.stream.read(max_body_bytes + 1)
+        if len(body) > max_body_bytes:
+            problem = f"send at most {max_body_bytes} bytes"
+            _answer(resp, HTTPStatus.REQUEST_ENTITY_TOO_LARGE, problem)
+            return
+        try:
+            spec = decode_job(body, job_id, queue.name, now_unix_s())
+        except InvalidValueError as error:
+            _answer(resp, HTTPStatus.BAD_REQUEST, str(error))
+            return
+        end = await self._callers.submit(spec, deadline_s)
+        if end is SubmitEnd.ACCEPTED:
+            resp.media = {}
+        elif end is SubmitEnd.NOT_RUN:
+            _refuse(resp, "the job was not stored and does not run")
+        else:
+            _answer(resp, HTTPStatus.GATEWAY_TIMEOUT, "the job may be stored: submit it again")
+
+    async def _state(self, resp: falcon.asgi.Response, job_id: str) -> None:
+        outcome = await self._callers.state(job_id)
+        if not outcome.is_told:
+            _refuse(resp, "the state cannot be told now")
+        elif outcome.state is None:
+            _answer(resp, HTTPStatus.GONE, "no such job")
+        else:
+            resp.data = write_state(outcome.state)
+            resp.content_type = falcon.MEDIA_JSON
+
+    async def _cancel(self, resp: falcon.asgi.Response, job_id: str) -> None:
+        answer = await self._callers.cancel(job_id)
+        if answer.is_stored:
+            resp.media = {}
+        elif answer.is_known:
+            _refuse(resp, "the cancellation is not stored yet: try again")
+        else:
+            _answer(resp, HTTPStatus.GONE, "no such job")
+
+    async def _pending(self, queue: QueuePolicy, resp: falcon.asgi.Response) -> None:
+        count = await self._callers.pending(queue.name)
+        if count is None:
+            _refuse(resp, "the owner of the jobs cannot be reached")
+            return
+        resp.data = write_pending(count)
+        resp.content_type = falcon.MEDIA_JSON
+
+
+def _answer(resp: falcon.asgi.Response, status: HTTPStatus, problem: str) -> None:
+    resp.status = status
+    resp.data = msgspec.json.encode({"problem": problem})
+    resp.content_type = falcon.MEDIA_JSON
+
+
+def _refuse(resp: falcon.asgi.Response, problem: str) -> None:
+    _answer(resp, HTTPStatus.SERVICE_UNAVAILABLE, problem)
+    resp.set_header("Retry-After", str(RETRY_AFTER_S))
+
+
+def make_app(
+    callers: Callers, find_obstacle: Callable[[], str], is_stopping: Callable[[], bool]
+) -> falcon.asgi.App:
+    """Return the application.
+
+    Parameters
+    ----------
+    callers : Callers
+        Serves requests for jobs.
+    find_obstacle : callable
+        Returns why the node is not ready, or an empty text.
+    is_stopping : callable
+        Returns whether the node is about to stop.
+    """
+    app = falcon.asgi.App(middleware=[_CloseWhenStopping(is_stopping)])
+    app.add_route(READINESS_PATH, _Readiness(find_obstacle))
+    jobs = _Jobs(callers)
+    app.add_sink(jobs.handle, prefix="/")
+    return app
--- /dev/null
+++ b/redwingplank/cell/callers.py
@@ -0,0 +1,228 @@
+"""Callers' requests for jobs: submit, state, cancel, and how many wait."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from redwingplank.batch.model import CellConfig, JobSpec, JobState
+from redwingplank.batch.records import encode_submission
+from redwingplank.cell.clocks import now_s
+from redwingplank.cell.context import STORE_ERRORS, NodeContext
+from redwingplank.cell.keys import CANCELS_PREFIX, JOBS_PREFIX, PROGRESS_PREFIX
+from redwingplank.cell.membership import Membership
+from redwingplank.cell.owner import OwnerRuntime
+from redwingplank.platform.site.http import NoAnswerError, NotSentError
+from redwingplank.platform.site.store import Put, StoreRefusedError, TransactionEnd
+from redwingplank.rpc.cell_calls import CancelAnswer
+from redwingplank.rpc.errors import RpcError
+
+__all__ = ["Callers", "Outcome", "SubmitEnd"]
+
+SUBMIT_TIMEOUT_S = 0.9
+MIN_TIME_S = 0.15
+OWNER_TIMEOUT_S = 0.5
+CANCEL_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 0.8
+REFUSED_PAUSE_S = 0.12
+
+
+class SubmitEnd(enum.Enum):
+    """What became of a submission."""
+
+    ACCEPTED = enum.auto()
+    NOT_RUN = enum.auto()
+    """Certainly not stored: it never runs."""
+    UNKNOWN = enum.auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """An answer about a job: whether it is known, and its state; neither while nobody can tell."""
+
+    is_told: bool
+    state: JobState | None = None
+
+
+class Callers:
+    """Serves callers on this node.
+
+    Parameters
+    ----------
+    context : NodeContext
+        Of this node.
+    membership : Membership
+        Tells where the owner is.
+    find_owner : callable
+        Returns the loaded owner in this process, or None.
+    find_config : callable
+        Returns the configuration in force, or None.
+    """
+
+    def __init__(
+        self,
+        context: NodeContext,
+        membership: Membership,
+        find_owner: Callable[[], OwnerRuntime | None],
+        find_config: Callable[[], CellConfig | None],
+    ) -> None:
+        self._context = context
+        self._membership = membership
+        self._find_owner = find_owner
+        self.find_config = find_config
+
+    async def submit(self, spec: JobSpec, deadline_s: float) -> SubmitEnd:
+        """Store a job.
+
+        Parameters
+        ----------
+        spec : JobSpec
+            The job.
+        deadline_s : float
+            Until when the caller waits.
+        """
+        if self._context.health.is_away:
+            age_s = now_s() - self._context.health.answered_s
+            self._log_submit(spec, SubmitEnd.NOT_RUN, "store_away", age_s)
+            return SubmitEnd.NOT_RUN
+        started_s = now_s()
+        key = JOBS_PREFIX + spec.job_id
+        puts = [Put(key, encode_submission(spec))]
+        may_be_stored = False
+        reason = "deadline"
+        while (left_s := deadline_s - now_s()) > MIN_TIME_S:
+            try:
+                timeout_s = min(SUBMIT_TIMEOUT_S, left_s)
+                result = await self._context.store.transact({key: 0}, puts, [], timeout_s)
+            except NoAnswerError as error:
+                may_be_stored = True
+                self._context.health.failed(error)
+            except (NotSentError, StoreRefusedError) as error:
+                self._context.health.failed(error)
+                reason = repr(error)
+                if not may_be_stored:
+                    break
+                await asyncio.sleep(REFUSED_PAUSE_S)
+            else:
+                self._context.health.answered()
+                is_new = result.end is TransactionEnd.DONE
+                reason = "stored" if is_new else "already_stored"
+                self._log_submit(spec, SubmitEnd.ACCEPTED, reason, now_s() - started_s)
+                return SubmitEnd.ACCEPTED
+        end = SubmitEnd.UNKNOWN if may_be_stored else SubmitEnd.NOT_RUN
+        self._log_submit(spec, end, reason, now_s() - started_s)
+        return end
+
+    def _log_submit(self, spec: JobSpec, end: SubmitEnd, reason: str, age_s: float) -> None:
+        name = end.name.lower()
+        self._context.log(
+            "submit", job=spec.job_id, queue=spec.queue, outcome=name, reason=reason, age_s=age_s
+        )
+
+    async def state(self, job_id: str) -> Outcome:
+        """Return the state of a job."""
+        owner = self._find_owner()
+        if owner is not None:
+            state = owner.job_state(job_id)
+            if state is not None:
+                return Outcome(True, state)
+        else:
+            told = await self._ask_owner(job_id)
+            if told.state is not None:
+                return told
+        return await self._state_in_store(job_id)
+
+    async def _ask_owner(self, job_id: str) -> Outcome:
+        address = self._owner_address()
+        if not address:
+            return Outcome(False)
+        try:
+            is_owner, state = await self._context.calls.job_state(address, job_id, OWNER_TIMEOUT_S)
+        except RpcError as error:
+            self._context.log("owner_unreachable", address=address, error=error)
+            return Outcome(False)
+        return Outcome(is_owner, state)
+
+    def _owner_address(self) -> str:
+        owner = self._membership.owner
+        if owner is None or owner.incarnation == self._membership.incarnation:
+            return ""
+        return owner.address
+
+    async def _state_in_store(self, job_id: str) -> Outcome:
+        store = self._context.store
+        try:
+            progress = await store.get(PROGRESS_PREFIX + job_id, READ_TIMEOUT_S)
+            if progress is not None and progress.value is not None:
+                return Outcome(True, _read_state(progress.value))
+            job = await store.get(JOBS_PREFIX + job_id, READ_TIMEOUT_S)
+        except STORE_ERRORS as error:
+            self._context.health.failed(error)
+            return Outcome(False)
+        return Outcome(True, JobState.QUEUED if job is not None else None)
+
+    async def cancel(self, job_id: str) -> CancelAnswer:
+        """Cancel a job, durably."""
+        owner = self._find_owner()
+        if owner is not None:
+            answer: CancelAnswer | None = await owner.cancel(job_id)
+        else:
+            answer = await self._cancel_at_owner(job_id)
+        if answer is None or not answer.is_known or not answer.is_stored:
+            answer = await self._cancel_in_store(job_id)
+        self._context.log(
+            "cancel", job=job_id, is_known=answer.is_known, is_stored=answer.is_stored
+        )
+        return answer
+
+    async def _cancel_at_owner(self, job_id: str) -> CancelAnswer | None:
+        address = self._owner_address()
+        if not address:
+            return None
+        try:
+            return await self._context.calls.cancel(address, job_id, CANCEL_TIMEOUT_S)
+        except RpcError as error:
+            self._context.log("owner_unreachable", address=address, error=error)
+            return None
+
+    async def _cancel_in_store(self, job_id: str) -> CancelAnswer:
+        store = self._context.store
+        try:
+            job = await store.get(JOBS_PREFIX + job_id, READ_TIMEOUT_S)
+            if job is None:
+                return CancelAnswer(is_known=False, is_stored=False)
+            puts = [Put(CANCELS_PREFIX + job_id, b"1")]
+            expected = {JOBS_PREFIX + job_id: job.revision}
+            result = await store.transact(expected, puts, [], READ_TIMEOUT_S)
+        except STORE_ERRORS as error:
+            self._context.health.failed(error)
+            return CancelAnswer(is_known=True, is_stored=False)
+        return CancelAnswer(True, result.end is TransactionEnd.DONE)
+
+    async def pending(self, queue: str) -> int | None:
+        """Return how many jobs of a queue wait, None if nobody can tell."""
+        owner = self._find_owner()
+        if owner is not None:
+            return owner.pending(queue)
+        address = self._owner_address()
+        count: int | None = None
+        if address:
+            try:
+                count = await self._context.calls.pending(address, queue, OWNER_TIMEOUT_S)
+            except RpcError as error:
+                self._context.log("owner_unreachable", address=address, error=error)
+        return count
+
+
+class _StateOnly(msgspec.Struct):
+    state: str = ""
+    is_started: bool = False
+
+
+def _read_state(value: bytes) -> JobState:
+    record = msgspec.json.decode(value, type=_StateOnly)
+    if record.state:
+        return JobState(record.state)
+    return JobState.RUNNING if record.is_started else JobState.QUEUED
--- /dev/null
+++ b/redwingplank/cell/follower.py
@@ -0,0 +1,82 @@
+"""Follows all keys below a prefix of the store."""
+
+import asyncio
+from collections.abc import Callable
+
+from redwingplank.cell.context import STORE_ERRORS, NodeContext
+from redwingplank.platform.site.store import HistoryGoneError, Item
+
+__all__ = ["PrefixFollower"]
+
+READ_TIMEOUT_S = 1.5
+RETRY_S = 0.25
+LONGEST_RETRY_S = 1.0
+
+
+class PrefixFollower:
+    """Reads a prefix, then watches it; reads it anew when the history is gone.
+
+    Parameters
+    ----------
+    context : NodeContext
+        Of this node.
+    prefix : str
+        What is followed.
+    wait_s : float
+        How long one watch waits: it bounds how long a silent connection goes unnoticed.
+    on_items : callable
+        Called with all items after each full read.
+    on_events : callable
+        Called with what changed since.
+    """
+
+    def __init__(
+        self,
+        context: NodeContext,
+        prefix: str,
+        wait_s: float,
+        on_items: Callable[[tuple[Item, ...]], None],
+        on_events: Callable[[tuple[Item, ...]], None],
+    ) -> None:
+        self._context = context
+        self._prefix = prefix
+        self._wait_s = wait_s
+        self._on_items = on_items
+        self._on_events = on_events
+        self.revision = 0
+        self.is_current = asyncio.Event()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        retry_s = RETRY_S
+        while True:
+            try:
+                if not self.revision:
+                    await self.read()
+                page = await self._context.store.watch(self._prefix, self.revision, self._wait_s)
+            except HistoryGoneError as error:
+                self._context.log("history_gone", prefix=self._prefix, error=error)
+                self.revision = 0
+                continue
+            except STORE_ERRORS as error:
+                self._context.health.failed(error)
+                await asyncio.sleep(retry_s)
+                retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+                continue
+            self._context.health.answered()
+            retry_s = RETRY_S
+            self.revision = max(self.revision, page.revision)
+            if page.events:
+                self._on_events(page.events)
+
+    async def read(self) -> None:
+        """Read everything.
+
+        Raises
+        ------
+        NotSentError, NoAnswerError, StoreRefusedError
+        """
+        page = await self._context.store.read_range(self._prefix, READ_TIMEOUT_S)
+        self._on_items(page.items)
+        self.revision = page.revision
+        self.is_current.set()
--- /dev/null
+++ b/redwingplank/cell/node.py
@@ -0,0 +1,110 @@
+"""One node: starts its parts, and stops them without cutting an answer."""
+
+import asyncio
+
+from redwingplank.batch.model import CellConfig
+from redwingplank.cell.app import make_app
+from redwingplank.cell.callers import Callers
+from redwingplank.cell.config import ConfigFollower
+from redwingplank.cell.context import STORE_ERRORS, NodeContext
+from redwingplank.cell.membership import Membership, Ownership
+from redwingplank.cell.owner import OwnerRuntime
+from redwingplank.cell.service import CellService
+from redwingplank.cell.tasks import TaskSet
+from redwingplank.platform.http.server import HttpServer, serve_http
+from redwingplank.rpc.cell_calls import CELL_SERVICE
+from redwingplank.rpc.server import NodeServer
+
+__all__ = ["Node"]
+
+LEAVE_SHARE = 0.45
+"""Share of the time until SIGKILL in which new requests are still served: the balancer needs two
+missed checks to turn elsewhere."""
+FINISH_S = 1.5
+
+
+class Node:
+    """Serves callers, and owns the jobs when it wins them.
+
+    Parameters
+    ----------
+    context : NodeContext
+        Settings, clients and log.
+    """
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._tasks = TaskSet(context)
+        self._config = ConfigFollower(context)
+        self._config.listeners.append(self._config_changed)
+        self._membership = Membership(context, self._won, self._lost)
+        self._owner: OwnerRuntime | None = None
+        self._peer_server: NodeServer | None = None
+        self._http: HttpServer | None = None
+        self.callers = Callers(
+            context, self._membership, self._find_owner, lambda: self._config.current
+        )
+
+    async def start(self) -> None:
+        """Start all parts; returns once callers are served."""
+        settings = self._context.settings
+        self._peer_server = NodeServer({CELL_SERVICE: CellService(self._context, self._find_owner)})
+        await self._peer_server.start(settings.peer_address)
+        app = make_app(self.callers, self._find_obstacle, lambda: self._context.is_stopping)
+        addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
+        self._http = await serve_http(app, addresses, FINISH_S)
+        self._tasks.start(self._config.follower.run())
+        self._tasks.start(self._membership.keep_lease())
+        self._tasks.start(self._membership.follow())
+        self._tasks.start(self._membership.stand())
+
+    async def stop(self) -> None:
+        """Hand over, serve until callers come no more, then close."""
+        self._context.is_stopping = True
+        self._context.log("stopping", is_owner=self._owner is not None)
+        try:
+            await self._membership.resign()
+        except STORE_ERRORS as error:
+            self._context.log("resign_failed", error=error)
+        await asyncio.sleep(self._context.settings.grace_s * LEAVE_SHARE)
+        try:
+            await self._membership.leave()
+        except STORE_ERRORS as error:
+            self._context.log("leave_failed", error=error)
+        if self._http is not None:
+            await self._http.stop()
+        if self._owner is not None:
+            await self._owner.stop()
+        if self._peer_server is not None:
+            await self._peer_server.stop()
+        await self._tasks.stop()
+        await self._context.close()
+        self._context.log("stopped")
+
+    def _find_obstacle(self) -> str:
+        if self._context.is_stopping:
+            return "the node is about to stop"
+        if self._config.current is None:
+            return "no configuration has arrived yet"
+        return ""
+
+    def _find_owner(self) -> OwnerRuntime | None:
+        return self._owner if self._owner is not None and self._owner.is_loaded else None
+
+    def _config_changed(self, config: CellConfig) -> None:
+        self._membership.may_own = True
+        self._membership.wake()
+        if self._owner is not None:
+            self._owner.set_config(config)
+
+    def _won(self, ownership: Ownership) -> None:
+        config = self._config.current
+        assert config is not None
+        self._owner = OwnerRuntime(self._context, self._membership, ownership, config)
+        self._owner.start()
+
+    def _lost(self, reason: str) -> None:
+        owner, self._owner = self._owner, None
+        if owner is not None:
+            self._tasks.start(owner.stop())
+        self._membership.wake()
--- /dev/null
+++ b/redwingplank/cell/owner.py
@@ -0,0 +1,386 @@
+"""Runs the decisions of one term of ownership: reads, orders, looks and writes."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from redwingplank.batch.commands import AskAdvice, Commands, PaceRun
+from redwingplank.batch.entities import Run, Worker
+from redwingplank.batch.model import CellConfig, JobState, StartOutcome, WorkerEntry
+from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.records import decode_submission
+from redwingplank.batch.settings import BatchSettings
+from redwingplank.cell.advisers import Advisers
+from redwingplank.cell.clocks import now_s, now_unix_s
+from redwingplank.cell.context import STORE_ERRORS, NodeContext
+from redwingplank.cell.follower import PrefixFollower
+from redwingplank.cell.keys import CANCELS_PREFIX, INTAKE_PREFIX, JOBS_PREFIX, PROGRESS_PREFIX
+from redwingplank.cell.membership import Membership, Ownership
+from redwingplank.cell.record_writer import RecordWriter
+from redwingplank.cell.tasks import TaskSet
+from redwingplank.platform.site.http import SiteError
+from redwingplank.platform.site.store import Item
+from redwingplank.platform.site.workers import (
+    WORKER_ENTRIES_PREFIX,
+    FencedError,
+    StartOrder,
+    decode_worker,
+)
+from redwingplank.rpc.cell_calls import CancelAnswer
+
+__all__ = ["OwnerRuntime"]
+
+LONGEST_LEASE_S = 6.5
+"""Leases bridge a cut of five seconds; longer ones free lost tasks later."""
+INTAKE_WAIT_S = 2.0
+WORKER_POLL_S = 0.6
+READ_TIMEOUT_S = 1.5
+HOLD_WAIT_MS = 1500
+FIRST_HOLD_WAIT_MS = 0
+PAUSE_AFTER_ENDS_S = 0.06
+"""Ends that come within it are learnt with one look."""
+SILENT_PAUSE_S = 0.4
+START_TIMEOUT_S = 0.8
+STOP_TIMEOUT_S = 0.8
+TICK_S = 0.1
+FORGET_PERIOD_S = 10.0
+CANCEL_WAIT_S = 1.5
+
+
+class OwnerRuntime:
+    """One term.
+
+    Parameters
+    ----------
+    context : NodeContext
+        Of this node.
+    membership : Membership
+        Tells how recent the ownership is, and which nodes live.
+    ownership : Ownership
+        The term.
+    config : CellConfig
+        The configuration in force.
+    """
+
+    def __init__(
+        self,
+        context: NodeContext,
+        membership: Membership,
+        ownership: Ownership,
+        config: CellConfig,
+    ) -> None:
+        self._context = context
+        self._membership = membership
+        self._tasks = TaskSet(context)
+        self._settings = _make_settings(context)
+        self.owner = JobOwner(self._settings, ownership.term, config, self._decide)
+        self._term = ownership.term
+        self._writer = RecordWriter(context, ownership, self.owner, self._wake, membership.lose)
+        self._advisers = Advisers(context, membership, self._advice_ended)
+        self._intake = PrefixFollower(
+            context, INTAKE_PREFIX, INTAKE_WAIT_S, self._load, self._take_intake
+        )
+        self._progress_by_id: dict[str, bytes] = {}
+        self._followed_workers: set[str] = set()
+        self._wakeup = asyncio.Event()
+        self._stored = asyncio.Event()
+        self.is_loaded = False
+        self._is_ordering = True
+
+    def start(self) -> None:
+        """Read what the store holds, then decide."""
+        self._tasks.start(self._run())
+
+    async def stop(self) -> None:
+        """Stop ordering at once."""
+        self._is_ordering = False
+        await self._tasks.stop()
+
+    async def _run(self) -> None:
+        await self._read_everything()
+        self.is_loaded = True
+        self._context.log(
+            "owner_loaded",
+            term=self._term,
+            jobs=len(self.owner.state.jobs_by_id),
+            workers=len(self.owner.state.workers_by_id),
+            unproven=len(self.owner.state.unproven_hosts),
+        )
+        self._tasks.start(self._intake.run())
+        self._tasks.start(self._writer.run())
+        self._tasks.start(self._poll_workers())
+        self._tasks.start(self._forget())
+        await self._tick_for_ever()
+
+    async def _read_everything(self) -> None:
+        store = self._context.store
+        while True:
+            try:
+                progress = await store.read_range(PROGRESS_PREFIX, READ_TIMEOUT_S)
+                self._progress_by_id = {
+                    item.key.removeprefix(PROGRESS_PREFIX): item.value or b""
+                    for item in progress.items
+                }
+                await self._intake.read()
+                await self._read_workers()
+                return
+            except STORE_ERRORS as error:
+                self._context.health.failed(error)
+                await asyncio.sleep(0.1)
+
+    # What the store holds.
+
+    def _load(self, items: tuple[Item, ...]) -> None:
+        now, unix = now_s(), now_unix_s()
+        for item in items:
+            if not item.key.startswith(JOBS_PREFIX) or item.value is None:
+                continue
+            job_id = item.key.removeprefix(JOBS_PREFIX)
+            if job_id in self.owner.state.jobs_by_id:
+                continue
+            try:
+                spec = decode_submission(item.value)
+                progress = self._progress_by_id.get(job_id)
+                self.owner.load(spec, progress, now, unix)
+            except (msgspec.MsgspecError, ValueError) as error:
+                self._context.log("job_unreadable", job=job_id, error=error)
+        self._take_cancels(items)
+        self._wake()
+
+    def _take_intake(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if not item.key.startswith(JOBS_PREFIX) or item.value is None:
+                continue
+            try:
+                self.owner.submit(decode_submission(item.value), now_s(), now_unix_s())
+            except msgspec.MsgspecError as error:
+                self._context.log("job_unreadable", key=item.key, error=error)
+        self._take_cancels(items)
+        self._wake()
+
+    def _take_cancels(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if item.key.startswith(CANCELS_PREFIX) and item.value is not None:
+                self.owner.cancel(item.key.removeprefix(CANCELS_PREFIX), now_s())
+
+    async def _poll_workers(self) -> None:
+        while True:
+            await asyncio.sleep(WORKER_POLL_S)
+            try:
+                await self._read_workers()
+                self._context.health.answered()
+            except STORE_ERRORS as error:
+                self._context.health.failed(error)
+
+    async def _read_workers(self) -> None:
+        page = await self._context.store.read_range(WORKER_ENTRIES_PREFIX, READ_TIMEOUT_S)
+        entries: list[WorkerEntry] = []
+        for item in page.items:
+            entry = decode_worker(item.key, item.value or b"")
+            if entry is not None:
+                entries.append(entry)
+        self.owner.list_workers(entries, now_s())
+        for entry in entries:
+            if entry.worker_id not in self._followed_workers:
+                self._followed_workers.add(entry.worker_id)
+                worker = self.owner.state.workers_by_id[entry.worker_id]
+                self._tasks.start(self._follow_worker(worker))
+        self._wake()
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_PERIOD_S)
+            gone = self.owner.forget_ended(now_s())
+            if gone:
+                await self._writer.remove(gone)
+
+    # Decisions.
+
+    def set_config(self, config: CellConfig) -> None:
+        """Take a newer configuration."""
+        self.owner.set_config(config)
+        self._wake()
+
+    def _decide(self, event: str, **fields: Any) -> None:
+        self._context.log(event, term=self._term, **fields)
+
+    def _wake(self) -> None:
+        self._wakeup.set()
+        self._stored.set()
+
+    async def _tick_for_ever(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wakeup.wait()
+            except TimeoutError:
+                pass
+            self._wakeup.clear()
+            commands = self.owner.tick(now_s(), now_unix_s())
+            if self.owner.state.dirty_jobs:
+                self._writer.wake()
+            self._carry_out(commands)
+
+    def _carry_out(self, commands: Commands) -> None:
+        for run in commands.starts:
+            self._tasks.start(self._start_run(run))
+        for run in commands.stops:
+            self._tasks.start(self._stop_run(run))
+        for pace in commands.paces:
+            self._tasks.start(self._pace_run(pace))
+        for call in commands.advice:
+            self._tasks.start(self._advisers.ask(call))
+
+    def _may_order(self) -> bool:
+        """Return whether the ownership was confirmed recently enough to order anything."""
+        age_s = now_s() - self._membership.renewed_s
+        return self._is_ordering and age_s < self._settings.owner_silence_s - 1.5
+
+    # Orders.
+
+    async def _start_run(self, run: Run) -> None:
+        if not self.owner.start_sent(run, now_s()):
+            return
+        outcome = StartOutcome.NOT_SENT
+        if self._may_order() and run.worker.clock_ms is not None:
+            order = self._start_order(run)
+            outcome = await self._context.workers.start(run.worker.entry, order, START_TIMEOUT_S)
+        if outcome is StartOutcome.FENCED:
+            self._membership.lose("fenced_by_worker")
+            return
+        self.owner.start_ended(run, outcome, now_s())
+        self._wake()
+
+    def _start_order(self, run: Run) -> StartOrder:
+        state = self.owner.state
+        job = state.jobs_by_id[run.task_id.job_id]
+        step = job.steps_by_key[run.task_id.step_key]
+        ticket = step.allowed.get(run.worker.id)
+        task = step.tasks[run.task_id.index]
+        return StartOrder(
+            task=run.task_id,
+            attempt=run.attempt,
+            payload=job.spec.payload,
+            lease_until_ms=self.owner.start_lease_ms(run.worker, now_s()),
+            token=self._term,
+            saved=task.saved,
+            ticket=ticket.text if ticket else "",
+        )
+
+    async def _stop_run(self, run: Run) -> None:
+        if not self._may_order():
+            return
+        is_taken = False
+        try:
+            is_taken = await self._context.workers.stop(
+                run.worker.entry, run.task_id, run.attempt, self._term, STOP_TIMEOUT_S
+            )
+        except FencedError:
+            self._membership.lose("fenced_by_worker")
+            return
+        except SiteError as error:
+            self._context.log("stop_failed", task=run.task_id, worker=run.worker.id, error=error)
+        self.owner.stop_ended(run, is_taken=is_taken, now_s=now_s())
+
+    async def _pace_run(self, pace: PaceRun) -> None:
+        run = pace.run
+        if not self._may_order():
+            return
+        try:
+            is_taken = await self._context.workers.pace(
+                run.worker.entry,
+                run.task_id,
+                run.attempt,
+                pace.percent,
+                self._term,
+                STOP_TIMEOUT_S,
+            )
+        except SiteError as error:
+            self._context.log("pace_failed", task=run.task_id, error=error)
+            is_taken = False
+        if not is_taken:
+            run.pace_percent = -1
+
+    def _advice_ended(self, call: AskAdvice, tickets: dict[str, str] | None) -> None:
+        self.owner.advice_ended(call, tickets, now_s())
+        self._wake()
+
+    # Looks.
+
+    async def _follow_worker(self, worker: Worker) -> None:
+        wait_ms = FIRST_HOLD_WAIT_MS
+        state = self.owner.state
+        try:
+            while state.workers_by_id.get(worker.id) is worker:
+                had_ends = await self._look(worker, wait_ms)
+                wait_ms = HOLD_WAIT_MS
+                if had_ends is None:
+                    wait_ms = FIRST_HOLD_WAIT_MS
+                    await asyncio.sleep(SILENT_PAUSE_S)
+                elif had_ends:
+                    await asyncio.sleep(PAUSE_AFTER_ENDS_S)
+                if worker.lease_until_ms == 0:
+                    wait_ms = FIRST_HOLD_WAIT_MS
+        finally:
+            self._followed_workers.discard(worker.id)
+
+    async def _look(self, worker: Worker, wait_ms: int) -> bool | None:
+        """Return whether the worker listed ends, None if it did not answer."""
+        sent_s = now_s()
+        order = self.owner.next_hold(worker, sent_s, may_renew=self._may_order())
+        try:
+            report = await self._context.workers.hold(
+                worker.entry, self._term, order.noted, order.lease_until_ms, wait_ms
+            )
+        except FencedError:
+            self._membership.lose("fenced_by_worker")
+            return None
+        except SiteError as error:
+            self._context.counters["hold_failed"] += 1
+            self._context.log("hold_failed", worker=worker.id, error=error)
+            self.owner.worker_silent(worker, now_s())
+            self._wake()
+            return None
+        self.owner.worker_reported(worker, report, sent_s, now_s())
+        self._wake()
+        return bool(report.ends)
+
+    # Callers.
+
+    def job_state(self, job_id: str) -> JobState | None:
+        """Return what a caller may be told, None for a job that is not known."""
+        return self.owner.job_state(job_id)
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of a queue wait for their first start."""
+        return self.owner.pending_count(queue)
+
+    async def cancel(self, job_id: str) -> CancelAnswer:
+        """Cancel a job; the answer tells whether that is stored."""
+        job = self.owner.state.jobs_by_id.get(job_id)
+        if job is None:
+            return CancelAnswer(is_known=False, is_stored=False)
+        version = self.owner.cancel(job_id, now_s())
+        if version is None:
+            return CancelAnswer(is_known=True, is_stored=True)
+        self._wake()
+        deadline_s = now_s() + CANCEL_WAIT_S
+        while job.stored_version < version and now_s() < deadline_s:
+            self._stored.clear()
+            try:
+                async with asyncio.timeout(deadline_s - now_s()):
+                    await self._stored.wait()
+            except TimeoutError:
+                break
+        return CancelAnswer(is_known=True, is_stored=job.stored_version >= version)
+
+
+def _make_settings(context: NodeContext) -> BatchSettings:
+    site = context.settings
+    return BatchSettings(
+        lease_s=min(LONGEST_LEASE_S, site.lease_limit_s),
+        lease_limit_s=site.lease_limit_s,
+        stop_grace_s=site.stop_grace_s,
+        state_kept_s=site.state_kept_s + 30.0,
+    )
--- /dev/null
+++ b/redwingplank/cell/service.py
@@ -0,0 +1,65 @@
+"""What a node offers to the other nodes."""
+
+from collections.abc import Callable
+from typing import Any
+
+from redwingplank.batch.model import StepKey
+from redwingplank.cell.context import NodeContext
+from redwingplank.cell.owner import OwnerRuntime
+from redwingplank.platform.site.advice import AdviceBusyError
+from redwingplank.platform.site.http import SiteError
+from redwingplank.rpc.schema import load_schema
+
+__all__ = ["CellService"]
+
+_CellServer: Any = load_schema("cell").Cell.Server
+
+
+class CellService(_CellServer):
+    """Answers calls of peers.
+
+    Parameters
+    ----------
+    context : NodeContext
+        Of this node.
+    find_owner : callable
+        Returns the loaded owner in this process, or None.
+    """
+
+    def __init__(self, context: NodeContext, find_owner: Callable[[], OwnerRuntime | None]) -> None:
+        self._context = context
+        self._find_owner = find_owner
+
+    async def jobState(self, jobId: str, _context: Any, **_: Any) -> tuple[bool, str]:
+        owner = self._find_owner()
+        state = owner.job_state(jobId) if owner else None
+        return owner is not None, state or ""
+
+    async def cancel(self, jobId: str, _context: Any, **_: Any) -> tuple[bool, bool, bool]:
+        owner = self._find_owner()
+        if owner is None:
+            return False, False, False
+        answer = await owner.cancel(jobId)
+        return True, answer.is_known, answer.is_stored
+
+    async def pending(self, queue: str, _context: Any, **_: Any) -> tuple[bool, int]:
+        owner = self._find_owner()
+        return owner is not None, owner.pending(queue) if owner else 0
+
+    async def advise(
+        self,
+        jobId: str,
+        occurrence: int,
+        step: int,
+        workers: Any,
+        timeoutS: float,
+        _context: Any,
+        **_: Any,
+    ) -> tuple[bool, list[dict[str, str]]]:
+        key = StepKey(jobId, occurrence, step)
+        try:
+            tickets = await self._context.advice.ask(key, list(workers), timeoutS)
+        except (AdviceBusyError, SiteError) as error:
+            self._context.log("advice_failed", job=jobId, error=repr(error))
+            return False, []
+        return True, [{"worker": worker, "text": text} for worker, text in tickets.items()]
--- a/redwingplank/platform/__init__.py
+++ b/redwingplank/platform/__init__.py
@@ -3,13 +3,6 @@
 The adapters that speak HTTP are in `redwingplank.platform.http`.
 """
 
-from redwingplank.platform.budget import (
-    BudgetedStore,
-    BudgetLimits,
-    CallKind,
-    StoreBudget,
-    StorePurpose,
-)
 from redwingplank.platform.errors import (
     OutcomeUnknownError,
     PlatformError,
@@ -48,9 +41,6 @@
 
 __all__ = [
     "MAX_VALUE_BYTES",
-    "BudgetLimits",
-    "BudgetedStore",
-    "CallKind",
     "Compare",
     "Delete",
     "Epoch",
@@ -65,8 +55,6 @@
     "RunningTask",
     "StaleEpochError",
     "StartTask",
-    "StoreBudget",
-    "StorePurpose",
     "TaskAction",
     "TaskActionKind",
     "TaskEnd",
--- /dev/null
+++ b/redwingplank/platform/site/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, translated into the project's types."""
--- /dev/null
+++ b/redwingplank/platform/site/advice.py
@@ -0,0 +1,58 @@
+"""The advice service: which workers may run a step."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from redwingplank.batch.model import StepKey
+from redwingplank.platform.site.http import NoAnswerError, SiteClient
+
+__all__ = ["AdviceBusyError", "SiteAdvice"]
+
+
+class AdviceBusyError(Exception):
+    """Too many calls of this VM wait already."""
+
+
+class _WireAdvice(msgspec.Struct):
+    # Rows of worker and ticket.
+    allowed: list[tuple[str, str]] = []
+
+
+class SiteAdvice:
+    """Calls of the advice service.
+
+    Parameters
+    ----------
+    client : SiteClient
+        Sends the calls.
+    address : str
+        ``"IP:PORT"`` of the service.
+    """
+
+    def __init__(self, client: SiteClient, address: str) -> None:
+        self._client = client
+        self._address = address
+        self.calls = 0
+
+    async def ask(self, step: StepKey, workers: Sequence[str], timeout_s: float) -> dict[str, str]:
+        """Return tickets by worker.
+
+        Raises
+        ------
+        AdviceBusyError
+            Ask another VM, or later.
+        NotSentError, NoAnswerError
+        """
+        name = f"{step.job_id}.{step.occurrence}.{step.step}"
+        body = msgspec.json.encode({"step": name, "workers": list(workers)})
+        self.calls += 1
+        reply = await self._client.call("POST", self._address, "/-/advise", timeout_s, body)
+        if reply.status == 429:
+            raise AdviceBusyError(name)
+        if not reply.is_ok:
+            raise NoAnswerError(f"the advice service answered {reply.status}")
+        try:
+            return dict(msgspec.json.decode(reply.body, type=_WireAdvice).allowed)
+        except msgspec.MsgspecError as error:
+            raise NoAnswerError(f"unreadable advice: {error}") from error
--- /dev/null
+++ b/redwingplank/platform/site/ingress.py
@@ -0,0 +1,36 @@
+"""What callers and the platform's balancer send to a node, and the answers."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from redwingplank.batch.model import JobState
+
+__all__ = [
+    "DEADLINE_HEADER",
+    "READINESS_PATH",
+    "read_deadline_s",
+    "write_pending",
+    "write_state",
+]
+
+READINESS_PATH = "/-/readyz"
+DEADLINE_HEADER = "X-Redwingplank-Deadline-Ms"
+DEFAULT_DEADLINE_S = 3.0
+MS_PER_S = 1000.0
+
+
+def read_deadline_s(get_header: Callable[[str], str | None]) -> float:
+    """Return how long the caller waits, in seconds."""
+    text = get_header(DEADLINE_HEADER) or ""
+    return int(text) / MS_PER_S if text.isdecimal() else DEFAULT_DEADLINE_S
+
+
+def write_state(state: JobState) -> bytes:
+    """Return the answer to a question for a job's state."""
+    return msgspec.json.encode({"state": state.value})
+
+
+def write_pending(count: int) -> bytes:
+    """Return the answer to a question for the jobs that wait."""
+    return msgspec.json.encode({"pending": count})
--- /dev/null
+++ b/redwingplank/platform/site/settings.py
@@ -0,0 +1,175 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from redwingplank.core import Finding, FindingsError, Place
+
+__all__ = ["SETTINGS_VARIABLE", "SiteSettings", "read_site_settings"]
+
+SETTINGS_VARIABLE = "REDWINGPLANK_SETTINGS"
+MS_PER_S = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class SiteSettings:
+    """What a process of the cell needs to know, times in seconds.
+
+    Parameters
+    ----------
+    name, failure_domain : str
+        Of this VM.
+    ip : str
+        This VM's address.
+    callers_address, readiness_address : str
+        Where callers and readiness checks arrive.
+    peer_port, metrics_port : int
+        Ports for the other processes of the cell and for metrics.
+    store_address, advice_address, machines_address : str
+        Services of the platform; the last two may be empty.
+    lease_limit_s : float
+        Longest lease that a worker takes.
+    stop_grace_s : float
+        Longest time from an order to stop to the end of the run.
+    gang_timeout_s : float
+        How long a gang's first task waits for the others.
+    drain_s, grace_s : float
+        How soon starts on a leaving worker must cease, and the time from SIGTERM to SIGKILL.
+    state_kept_s : float
+        How long the state of an ended job is told.
+    store_lease_s : float
+        Shortest lease of the store.
+    """
+
+    name: str
+    failure_domain: str
+    ip: str
+    callers_address: str
+    readiness_address: str
+    peer_port: int
+    metrics_port: int
+    store_address: str
+    advice_address: str
+    machines_address: str
+    lease_limit_s: float
+    stop_grace_s: float
+    gang_timeout_s: float
+    drain_s: float
+    grace_s: float
+    state_kept_s: float
+    store_lease_s: float
+
+    @property
+    def peer_address(self) -> str:
+        """Where the other processes of the cell reach this one."""
+        return f"{self.ip}:{self.peer_port}"
+
+
+class _WireListen(msgspec.Struct):
+    frontend: str
+    ready: str
+
+
+class _WirePlatform(msgspec.Struct):
+    address: str
+    ttl_min_ms: float = 1000
+
+
+class _WireCloud(msgspec.Struct):
+    address: str = ""
+
+
+class _WireBounds(msgspec.Struct):
+    hold_max_ms: float = 6000
+    stop_grace_ms: float = 1000
+    gang_timeout_ms: float = 3000
+    drain_ms: float = 2000
+    grace_s: float = 6
+    status_s: float = 120
+
+
+class _WireSettings(msgspec.Struct):
+    node_name: str
+    zone: str
+    ip: str
+    listen: _WireListen
+    # First and last port, both usable.
+    port_range: tuple[int, int]
+    platform: _WirePlatform
+    bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
+    advisor: str | None = None
+    cloud_api: _WireCloud | None = None
+
+
+def read_site_settings(path: str | None = None) -> SiteSettings:
+    """Return the settings of this process.
+
+    Parameters
+    ----------
+    path : str, optional
+        The file; by default the environment names it.
+
+    Raises
+    ------
+    FindingsError
+        With each fault and its field.
+    """
+    chosen = path or os.environ.get(SETTINGS_VARIABLE, "")
+    if not chosen:
+        place = Place("environment", field=SETTINGS_VARIABLE)
+        raise FindingsError([Finding(place, "is not set", "name the settings file")])
+    try:
+        raw = Path(chosen).read_bytes()
+    except OSError as error:
+        raise FindingsError([Finding(Place(chosen), str(error), "give a readable file")]) from error
+    return _read(_decode(raw, chosen))
+
+
+def _decode(raw: bytes, source: str) -> _WireSettings:
+    try:
+        tables = msgspec.json.decode(raw)
+    except msgspec.MsgspecError as error:
+        raise FindingsError([Finding(Place(source), str(error), "write valid JSON")]) from error
+    if not isinstance(tables, dict):
+        raise FindingsError([Finding(Place(source), "is not a table", "write a JSON object")])
+    findings = []
+    for field in msgspec.structs.fields(_WireSettings):
+        if field.name not in tables:
+            if field.required:
+                place = Place(source, field=field.name)
+                findings.append(Finding(place, "is missing", "add it"))
+            continue
+        try:
+            msgspec.convert(tables[field.name], field.type)
+        except msgspec.ValidationError as error:
+            place = Place(source, field=field.name)
+            findings.append(Finding(place, str(error), "give a value of the right kind"))
+    if findings:
+        raise FindingsError(findings)
+    return msgspec.convert(tables, _WireSettings)
+
+
+def _read(wire: _WireSettings) -> SiteSettings:
+    bounds = wire.bounds
+    return SiteSettings(
+        name=wire.node_name,
+        failure_domain=wire.zone,
+        ip=wire.ip,
+        callers_address=wire.listen.frontend,
+        readiness_address=wire.listen.ready,
+        peer_port=wire.port_range[0],
+        metrics_port=wire.port_range[1],
+        store_address=wire.platform.address,
+        advice_address=wire.advisor or "",
+        machines_address=wire.cloud_api.address if wire.cloud_api else "",
+        lease_limit_s=bounds.hold_max_ms / MS_PER_S,
+        stop_grace_s=bounds.stop_grace_ms / MS_PER_S,
+        gang_timeout_s=bounds.gang_timeout_ms / MS_PER_S,
+        drain_s=bounds.drain_ms / MS_PER_S,
+        grace_s=bounds.grace_s,
+        state_kept_s=bounds.status_s,
+        store_lease_s=wire.platform.ttl_min_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/redwingplank/platform/site/store.py
@@ -0,0 +1,260 @@
+"""The platform's key-value store."""
+
+import base64
+import enum
+from dataclasses import dataclass
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from redwingplank.core import RedwingError
+from redwingplank.platform.site.http import NoAnswerError, Reply, SiteClient
+
+__all__ = [
+    "HistoryGoneError",
+    "Item",
+    "Page",
+    "Put",
+    "SiteStore",
+    "StoreRefusedError",
+    "TransactionEnd",
+    "TransactionResult",
+    "WatchPage",
+]
+
+T = TypeVar("T")
+
+WATCH_SLACK_S = 1.5
+
+
+class StoreRefusedError(RedwingError):
+    """The store answered that it did nothing."""
+
+
+class HistoryGoneError(RedwingError):
+    """The store no longer has the history that a watch asked for."""
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key of the store; `value` is None in an event that tells of its removal."""
+
+    key: str
+    value: bytes | None
+    revision: int
+    created: int = 0
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """A key to be written, under a lease unless that is 0."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """All items of a range, and the revision of the first page."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchPage:
+    """Events after a revision, and where to go on."""
+
+    events: tuple[Item, ...]
+    revision: int
+
+
+class TransactionEnd(enum.Enum):
+    """What became of a transaction that was answered."""
+
+    DONE = enum.auto()
+    CONFLICT = enum.auto()
+    LEASE_GONE = enum.auto()
+
+
+@dataclass(frozen=True, slots=True)
+class TransactionResult:
+    """The end of a transaction.
+
+    `revision` is that of the writes; `found` holds the compared items after a conflict.
+    """
+
+    end: TransactionEnd
+    revision: int = 0
+    found: tuple[Item, ...] = ()
+
+
+class _WireItem(msgspec.Struct):
+    key: str = ""
+    value: str = ""
+    revision: int = 0
+    created: int = 0
+    lease_id: int = 0
+    at_rev: int = 0
+    deleted: bool = False
+
+
+class _WireRange(msgspec.Struct):
+    items: list[_WireItem] = []
+    has_more: bool = False
+    at_rev: int = 0
+
+
+class _WireEvents(msgspec.Struct):
+    events: list[_WireItem] = []
+    at_rev: int = 0
+
+
+class _WireTransaction(msgspec.Struct):
+    revision: int = 0
+    items: list[_WireItem | None] = []
+
+
+class _WireLease(msgspec.Struct):
+    lease_id: int = 0
+    ttl_ms: float = 0
+
+
+class SiteStore:
+    """Calls of the store, each with a time limit.
+
+    Parameters
+    ----------
+    client : SiteClient
+        Sends the calls.
+    address : str
+        ``"IP:PORT"`` of the store.
+
+    Notes
+    -----
+    Every method raises `NotSentError` or `NoAnswerError` without an answer, and
+    `StoreRefusedError` when the store says that it did nothing.
+    """
+
+    def __init__(self, client: SiteClient, address: str) -> None:
+        self._client = client
+        self._address = address
+        self.calls = 0
+
+    async def get(self, key: str, timeout_s: float) -> Item | None:
+        """Return an item, None if the key does not exist."""
+        reply = await self._call("GET", f"/-/kv-key?key={quote(key, safe='')}", timeout_s)
+        if reply.status == 404:
+            return None
+        return _read_item(_decode(_raise_refused(reply), _WireItem))
+
+    async def read_range(self, prefix: str, timeout_s: float, *, stale: bool = False) -> Page:
+        """Return all items below a prefix; stale reads are cheap and may be seconds old."""
+        items: list[Item] = []
+        revision = 0
+        after = ""
+        while True:
+            target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
+            target += f"&after={quote(after, safe='')}" if after else ""
+            target += "&serializable=1" if stale else ""
+            reply = await self._call("GET", target, timeout_s)
+            page = _decode(_raise_refused(reply), _WireRange)
+            items.extend(_read_item(item) for item in page.items)
+            revision = revision or page.at_rev
+            if not page.has_more or not page.items:
+                return Page(tuple(items), revision)
+            after = page.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> WatchPage:
+        """Wait for changes below a prefix.
+
+        Raises
+        ------
+        HistoryGoneError
+            Read the range anew.
+        """
+        target = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
+        target += f"&wait_ms={round(wait_s * 1000)}"
+        reply = await self._call("GET", target, wait_s + WATCH_SLACK_S)
+        if reply.status == 410:
+            raise HistoryGoneError(f"changes of {prefix} after {after} are gone")
+        page = _decode(_raise_refused(reply), _WireEvents)
+        events = tuple(_read_item(event) for event in page.events)
+        return WatchPage(events, max(page.at_rev, after))
+
+    async def transact(
+        self,
+        expected: dict[str, int],
+        puts: list[Put],
+        removes: list[str],
+        timeout_s: float,
+    ) -> TransactionResult:
+        """Change keys together if each of `expected` still has its revision (0: is absent)."""
+        body = {
+            "expect": [{"key": key, "revision": revision} for key, revision in expected.items()],
+            "puts": [_write_put(put) for put in puts],
+            "remove": removes,
+        }
+        reply = await self._call("POST", "/-/kv-txn", timeout_s, msgspec.json.encode(body))
+        if reply.status == 404:
+            return TransactionResult(TransactionEnd.LEASE_GONE)
+        if reply.status == 412:
+            wire = _decode(reply, _WireTransaction)
+            found = tuple(_read_item(item) for item in wire.items if item is not None)
+            return TransactionResult(TransactionEnd.CONFLICT, 0, found)
+        wire = _decode(_raise_refused(reply), _WireTransaction)
+        return TransactionResult(TransactionEnd.DONE, wire.revision)
+
+    async def open_lease(self, ttl_s: float, timeout_s: float) -> int:
+        """Return the number of a new lease."""
+        body = msgspec.json.encode({"ttl_ms": round(ttl_s * 1000)})
+        reply = await self._call("POST", "/-/kv-lease", timeout_s, body)
+        return _decode(_raise_refused(reply), _WireLease).lease_id
+
+    async def renew_lease(self, lease: int, timeout_s: float) -> bool:
+        """Return whether the lease goes on."""
+        reply = await self._call("POST", f"/-/kv-keep/{lease}", timeout_s)
+        if reply.status == 404:
+            return False
+        _raise_refused(reply)
+        return True
+
+    async def end_lease(self, lease: int, timeout_s: float) -> None:
+        """End a lease and remove its keys."""
+        reply = await self._call("DELETE", f"/-/kv-lease-end/{lease}", timeout_s)
+        if reply.status != 404:
+            _raise_refused(reply)
+
+    async def _call(
+        self, method: str, target: str, timeout_s: float, body: bytes | None = None
+    ) -> Reply:
+        self.calls += 1
+        return await self._client.call(method, self._address, target, timeout_s, body)
+
+
+def _raise_refused(reply: Reply) -> Reply:
+    if reply.is_ok:
+        return reply
+    if reply.status in (400, 403, 404, 412, 429, 503):
+        raise StoreRefusedError(f"the store refused with status {reply.status}")
+    raise NoAnswerError(f"the store answered with status {reply.status}")
+
+
+def _decode(reply: Reply, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise NoAnswerError(f"unreadable answer of the store: {error}") from error
+
+
+def _read_item(wire: _WireItem) -> Item:
+    value = None if wire.deleted else base64.b64decode(wire.value)
+    return Item(wire.key, value, wire.revision, wire.created, wire.lease_id)
+
+
+def _write_put(put: Put) -> dict[str, object]:
+    text = base64.b64encode(put.value).decode("ascii")
+    return {"key": put.key, "value": text, "lease_id": put.lease}
--- /dev/null
+++ b/redwingplank/rpc/cell.capnp
@@ -0,0 +1,16 @@
+@0xa7d3e0c41f5b8692;
+# Calls between the nodes of a cell whose jobs live in the platform's store.
+
+struct Ticket {
+  worker @0 :Text;
+  text @1 :Text;
+}
+
+interface Cell {
+  jobState @0 (jobId :Text) -> (isOwner :Bool, state :Text);
+  # An empty state: the owner does not know the job.
+  cancel @1 (jobId :Text) -> (isOwner :Bool, isKnown :Bool, isStored :Bool);
+  pending @2 (queue :Text) -> (isOwner :Bool, count :UInt32);
+  advise @3 (jobId :Text, occurrence :UInt32, step :UInt32, workers :List(Text),
+             timeoutS :Float64) -> (isAnswered :Bool, tickets :List(Ticket));
+}
--- /dev/null
+++ b/redwingplank/rpc/cell_calls.py
@@ -0,0 +1,74 @@
+"""Calls to another node of a cell."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from redwingplank.batch.model import JobState, StepKey
+from redwingplank.rpc.peers import PeerConnections
+from redwingplank.rpc.schema import load_schema
+
+__all__ = ["CELL_SERVICE", "CancelAnswer", "CellCalls"]
+
+CELL_SERVICE = "cell"
+ADVICE_SLACK_S = 0.3
+
+_interface: Any = load_schema("cell").Cell
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAnswer:
+    """Whether the owner knows a job, and whether its cancellation is stored."""
+
+    is_known: bool
+    is_stored: bool
+
+
+class CellCalls:
+    """Typed client of every node.
+
+    Parameters
+    ----------
+    peers : PeerConnections
+        Open connections.
+
+    Notes
+    -----
+    Every method raises what `PeerConnections.call` raises.
+    """
+
+    def __init__(self, peers: PeerConnections) -> None:
+        self._peers = peers
+
+    async def job_state(
+        self, address: str, job_id: str, timeout_s: float
+    ) -> tuple[bool, JobState | None]:
+        """Return whether the peer owns the jobs, and the state that it tells."""
+        answer = await self._call(address, lambda peer: peer.jobState(job_id), timeout_s)
+        return answer.isOwner, JobState(answer.state) if answer.state else None
+
+    async def cancel(self, address: str, job_id: str, timeout_s: float) -> CancelAnswer | None:
+        """Cancel a job; None if the peer does not own the jobs."""
+        answer = await self._call(address, lambda peer: peer.cancel(job_id), timeout_s)
+        return CancelAnswer(answer.isKnown, answer.isStored) if answer.isOwner else None
+
+    async def pending(self, address: str, queue: str, timeout_s: float) -> int | None:
+        """Return how many jobs wait; None if the peer does not own the jobs."""
+        answer = await self._call(address, lambda peer: peer.pending(queue), timeout_s)
+        return answer.count if answer.isOwner else None
+
+    async def advise(
+        self, address: str, step: StepKey, workers: Sequence[str], timeout_s: float
+    ) -> dict[str, str] | None:
+        """Have a peer ask the advice service; None if it got no answer."""
+
+        def ask(peer: Any) -> Any:
+            return peer.advise(*step, list(workers), timeout_s)
+
+        answer = await self._call(address, ask, timeout_s + ADVICE_SLACK_S)
+        if not answer.isAnswered:
+            return None
+        return {ticket.worker: ticket.text for ticket in answer.tickets}
+
+    async def _call(self, address: str, method: Any, timeout_s: float) -> Any:
+        return await self._peers.call(address, CELL_SERVICE, _interface, method, timeout_s)
