Start nothing of ended jobs after a change of owner, and never win a lost term again

Cause: a loaded job's steps were opened before its record was read, so tasks of final jobs were planned and held room for ever; and a fenced owner whose view of the store was old took its own term for one that it had won without an answer. Ruled out: the proof of unseen workers (host_free shows that it ends).

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -220,9 +220,9 @@
     def find_task(self, task_id: TaskId) -> Task | None:
         """Return a task, None if the job has no such task."""
         step = self.steps_by_key.get(task_id.step_key)
-        if step is None or not 0 <= task_id.index < len(step.tasks):
+        if step is None or not 0 <= task_id.position < len(step.tasks):
             return None
-        return step.tasks[task_id.index]
+        return step.tasks[task_id.position]
 
     def runs(self) -> list[Run]:
         """Return all runs that may exist."""
--- a/redwingplank/batch/model.py
+++ b/redwingplank/batch/model.py
@@ -61,7 +61,7 @@
     job_id: str
     occurrence: int
     step: int
-    index: int
+    position: int
 
     @property
     def step_key(self) -> StepKey:
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -82,7 +82,7 @@
     def load(self, spec: JobSpec, progress: bytes | None, now_s: float, now_unix_s: float) -> None:
         """Take a job that was accepted before this term."""
         job = self._make_job(spec, now_s, now_unix_s)
-        self._open_due(job, now_s, now_unix_s)
+        self._add_due_steps(job, now_unix_s)
         if progress is not None:
             restore_progress(job, progress)
         if job.state.is_final:
@@ -133,20 +133,25 @@
         return job
 
     def _open_due(self, job: Job, now_s: float, now_unix_s: float) -> None:
+        for step in self._add_due_steps(job, now_unix_s):
+            self._ends.open_if_due(job, step, now_s)
+
+    def _add_due_steps(self, job: Job, now_unix_s: float) -> list[Step]:
+        """Add the steps of all occurrences that are due, and return those that are new."""
         spec = job.spec
+        added: list[Step] = []
         while job.due_count < job.occurrence_count and not job.state.is_final:
             due_unix_s = spec.first_run_unix_s + job.due_count * spec.interval_s
             if spec.repeat_count and due_unix_s > now_unix_s:
-                return
+                break
             occurrence = job.due_count
             job.due_count += 1
-            steps = [
+            added.extend(
                 Step(job, StepKey(spec.job_id, occurrence, number), step)
                 for number, step in enumerate(spec.steps)
-            ]
-            job.steps_by_key.update((step.key, step) for step in steps)
-            for step in steps:
-                self._ends.open_if_due(job, step, now_s)
+            )
+        job.steps_by_key.update((step.key, step) for step in added)
+        return added
 
     def cancel(self, job_id: str, now_s: float) -> int | None:
         """Cancel a job; return the version that has to be stored before it is confirmed.
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -88,6 +88,7 @@
         self.owner: TermEntry | None = None
         self.ownership: Ownership | None = None
         self.may_own = False
+        self._lost_term = 0
         self.incarnation = secrets.token_hex(8)
         self.lease = 0
         self.renewed_s = 0.0
@@ -199,6 +200,7 @@
         if self.ownership is None:
             return
         self._context.log("ownership_lost", term=self.ownership.term, reason=reason)
+        self._lost_term = self.ownership.term
         self.ownership = None
         self._on_lost(reason)
 
@@ -231,6 +233,8 @@
         owner, term = self.owner, self.term
         if self.ownership is not None or owner is None or not self.may_own:
             return
+        if owner.number <= self._lost_term:
+            return
         if owner.incarnation != self.incarnation or term != owner or self._context.is_stopping:
             return
         self._win(owner.number, self.term_revision, now_s())
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -257,7 +257,7 @@
         job = state.jobs_by_id[run.task_id.job_id]
         step = job.steps_by_key[run.task_id.step_key]
         ticket = step.allowed.get(run.worker.id)
-        task = step.tasks[run.task_id.index]
+        task = step.tasks[run.task_id.position]
         return StartOrder(
             task=run.task_id,
             attempt=run.attempt,
--- a/redwingplank/cell/tasks.py
+++ b/redwingplank/cell/tasks.py
@@ -1,6 +1,7 @@
 """Background tasks that end together, and whose errors are logged."""
 
 import asyncio
+import traceback
 from collections.abc import Coroutine
 from typing import Any
 
@@ -31,8 +32,13 @@
 
     def _ended(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._context.log("task_failed", error=repr(task.exception()))
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            where = f"{place.name}:{place.lineno}"
+            self._context.log("task_failed", error=repr(error), where=where)
 
     async def stop(self) -> None:
         """Cancel all tasks and wait for their end."""
--- a/redwingplank/platform/site/workers.py
+++ b/redwingplank/platform/site/workers.py
@@ -266,7 +266,7 @@
 
 def format_task(task: TaskId) -> str:
     """Return a task's name on the wire."""
-    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.position}"
 
 
 def parse_task(name: str) -> TaskId | None:
