--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -195,12 +195,12 @@
             records.append(RecordToStore(job_id, job.version, encode_progress(job)))
         return records
 
-    def restore_dirty(self, records: Iterable[RecordToStore]) -> None:
-        """Take back records that could not be stored."""
-        for record in records:
-            job = self.state.jobs_by_id.get(record.job_id)
-            if job is not None:
-                self.state.dirty_jobs.setdefault(record.job_id, job)
+    def is_write_urgent(self) -> bool:
+        """Return whether a start or a caller waits for a record."""
+        return any(
+            job.state.is_final or any(run.state is RunState.PLANNED for run in job.runs())
+            for job in self.state.dirty_jobs.values()
+        )
 
     def stored(self, records: Iterable[RecordToStore], now_s: float) -> None:
         """Go on with what waited for records to be stored."""
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -1,6 +1,5 @@
 """Callers' requests for jobs: submit, state, cancel, and how many wait."""
 
-import asyncio
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,19 +13,20 @@
 from redwingplank.cell.keys import CANCELS_PREFIX, JOBS_PREFIX, PROGRESS_PREFIX
 from redwingplank.cell.membership import Membership
 from redwingplank.cell.owner import OwnerRuntime
+from redwingplank.core import choose_by_rendezvous
 from redwingplank.platform.site.http import NoAnswerError, NotSentError
 from redwingplank.platform.site.store import Put, StoreRefusedError, TransactionEnd
 from redwingplank.rpc.cell_calls import CancelAnswer
-from redwingplank.rpc.errors import RpcError
+from redwingplank.rpc.errors import PeerUnreachableError, RpcError
 
 __all__ = ["Callers", "Outcome", "SubmitEnd"]
 
-SUBMIT_TIMEOUT_S = 0.9
+SUBMIT_TIMEOUT_S = 0.7
+PEER_TIMEOUT_S = 0.8
 MIN_TIME_S = 0.15
 OWNER_TIMEOUT_S = 0.5
 CANCEL_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 0.8
-REFUSED_PAUSE_S = 0.12
 
 
 class SubmitEnd(enum.Enum):
@@ -74,7 +74,7 @@
         self.find_config = find_config
 
     async def submit(self, spec: JobSpec, deadline_s: float) -> SubmitEnd:
-        """Store a job.
+        """Store a job, through a peer if this node does not reach the store.
 
         Parameters
         ----------
@@ -83,38 +83,78 @@
         deadline_s : float
             Until when the caller waits.
         """
-        if self._context.health.is_away:
-            age_s = now_s() - self._context.health.answered_s
-            self._log_submit(spec, SubmitEnd.NOT_RUN, "store_away", age_s)
-            return SubmitEnd.NOT_RUN
         started_s = now_s()
-        key = JOBS_PREFIX + spec.job_id
-        puts = [Put(key, encode_submission(spec))]
-        may_be_stored = False
-        reason = "deadline"
-        while (left_s := deadline_s - now_s()) > MIN_TIME_S:
-            try:
-                timeout_s = min(SUBMIT_TIMEOUT_S, left_s)
-                result = await self._context.store.transact({key: 0}, puts, [], timeout_s)
-            except NoAnswerError as error:
-                may_be_stored = True
-                self._context.health.failed(error)
-            except (NotSentError, StoreRefusedError) as error:
-                self._context.health.failed(error)
-                reason = repr(error)
-                if not may_be_stored:
-                    break
-                await asyncio.sleep(REFUSED_PAUSE_S)
-            else:
-                self._context.health.answered()
-                is_new = result.end is TransactionEnd.DONE
-                reason = "stored" if is_new else "already_stored"
-                self._log_submit(spec, SubmitEnd.ACCEPTED, reason, now_s() - started_s)
-                return SubmitEnd.ACCEPTED
-        end = SubmitEnd.UNKNOWN if may_be_stored else SubmitEnd.NOT_RUN
+        submission = encode_submission(spec)
+        end, reason = SubmitEnd.NOT_RUN, "store_away"
+        if not self._context.health.is_away:
+            timeout_s = max(MIN_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
+            end, reason = await self.store_here(spec.job_id, submission, timeout_s)
+        if end is not SubmitEnd.ACCEPTED:
+            end, reason = await self._store_through_peer(spec.job_id, submission, deadline_s, end)
         self._log_submit(spec, end, reason, now_s() - started_s)
         return end
 
+    def store_outage_s(self) -> float:
+        """Return how long the store has not answered this node, 0 if it does."""
+        health = self._context.health
+        return now_s() - health.answered_s if health.is_away else 0.0
+
+    async def store_here(
+        self, job_id: str, submission: bytes, timeout_s: float
+    ) -> tuple[SubmitEnd, str]:
+        """Store a job once; return the end and its reason."""
+        key = JOBS_PREFIX + job_id
+        puts = [Put(key, submission)]
+        try:
+            result = await self._context.store.transact({key: 0}, puts, [], timeout_s)
+        except NoAnswerError as error:
+            self._context.health.failed(error)
+            return SubmitEnd.UNKNOWN, "no_answer"
+        except (NotSentError, StoreRefusedError) as error:
+            self._context.health.failed(error)
+            return SubmitEnd.NOT_RUN, "refused_by_store"
+        self._context.health.answered()
+        is_new = result.end is TransactionEnd.DONE
+        return SubmitEnd.ACCEPTED, "stored" if is_new else "already_stored"
+
+    async def _store_through_peer(
+        self, job_id: str, submission: bytes, deadline_s: float, end: SubmitEnd
+    ) -> tuple[SubmitEnd, str]:
+        """Have peers store a job; what may be stored already stays unknown until one has."""
+        for address in self._peers_to_try(job_id):
+            timeout_s = min(PEER_TIMEOUT_S, deadline_s - now_s() - MIN_TIME_S)
+            if timeout_s <= 0:
+                break
+            try:
+                name = await self._context.calls.submit(address, job_id, submission, timeout_s)
+            except PeerUnreachableError as error:
+                self._context.log("peer_unreachable", address=address, error=error)
+                continue
+            except RpcError as error:
+                self._context.log("peer_unreachable", address=address, error=error)
+                end = SubmitEnd.UNKNOWN
+                continue
+            if SubmitEnd[name] is SubmitEnd.ACCEPTED:
+                return SubmitEnd.ACCEPTED, "stored_by_peer"
+            if SubmitEnd[name] is SubmitEnd.UNKNOWN:
+                end = SubmitEnd.UNKNOWN
+        return end, "no_peer_stored_it"
+
+    def _peers_to_try(self, job_id: str) -> list[str]:
+        """Return the owner, which reached the store lately, and one more node."""
+        owner = self._owner_address()
+        own = self._context.settings.peer_address
+        others = [
+            entry.address
+            for entry in self._membership.nodes_by_name.values()
+            if entry.address not in (owner, own)
+        ]
+        chosen = [owner] if owner else []
+        other = choose_by_rendezvous(job_id, others)
+        if other is not None:
+            chosen.append(other)
+        return chosen
+
     def _log_submit(self, spec: JobSpec, end: SubmitEnd, reason: str, age_s: float) -> None:
         name = end.name.lower()
         self._context.log(
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -48,7 +48,9 @@
     async def start(self) -> None:
         """Start all parts; returns once callers are served."""
         settings = self._context.settings
-        self._peer_server = NodeServer({CELL_SERVICE: CellService(self._context, self._find_owner)})
+        self._peer_server = NodeServer(
+            {CELL_SERVICE: CellService(self._context, self._find_owner, self.callers.store_here)}
+        )
         await self._peer_server.start(settings.peer_address)
         app = make_app(self.callers, self._find_obstacle, lambda: self._context.is_stopping)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -26,6 +26,8 @@
 JOBS_PER_REMOVAL = 9
 WRITE_TIMEOUT_S = 1.2
 RETRY_S = 0.15
+GATHER_S = 0.05
+"""Ends that come within it are stored with one write."""
 
 
 class RecordWriter:
@@ -77,6 +79,8 @@
         while True:
             await self._is_wanted.wait()
             self._is_wanted.clear()
+            if not self._owner.is_write_urgent():
+                await asyncio.sleep(GATHER_S)
             while records := self._owner.take_records(RECORDS_PER_WRITE):
                 self.is_idle = False
                 puts = [Put(PROGRESS_PREFIX + record.job_id, record.value) for record in records]
--- a/redwingplank/cell/service.py
+++ b/redwingplank/cell/service.py
@@ -1,9 +1,10 @@
 """What a node offers to the other nodes."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from redwingplank.batch.model import StepKey
+from redwingplank.cell.callers import SubmitEnd
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.platform.site.advice import AdviceBusyError
@@ -24,9 +25,17 @@
         Of this node.
     find_owner : callable
         Returns the loaded owner in this process, or None.
+    store_job : callable
+        Stores a job for a peer.
     """
 
-    def __init__(self, context: NodeContext, find_owner: Callable[[], OwnerRuntime | None]) -> None:
+    def __init__(
+        self,
+        context: NodeContext,
+        find_owner: Callable[[], OwnerRuntime | None],
+        store_job: Callable[[str, bytes, float], Awaitable[tuple[SubmitEnd, str]]],
+    ) -> None:
+        self._store_job = store_job
         self._context = context
         self._find_owner = find_owner
 
@@ -63,3 +72,15 @@
             self._context.log("advice_failed", job=jobId, error=repr(error))
             return False, []
         return True, [{"worker": worker, "text": text} for worker, text in tickets.items()]
+
+    async def submit(
+        self,
+        jobId: str,
+        submission: bytes,
+        timeoutS: float,
+        _context: Any,
+        **_: Any,
+    ) -> str:
+        end, reason = await self._store_job(jobId, bytes(submission), timeoutS)
+        self._context.log("submit_for_peer", job=jobId, outcome=end.name.lower(), reason=reason)
+        return end.name
--- a/redwingplank/rpc/cell.capnp
+++ b/redwingplank/rpc/cell.capnp
@@ -13,4 +13,6 @@
   pending @2 (queue :Text) -> (isOwner :Bool, count :UInt32);
   advise @3 (jobId :Text, occurrence :UInt32, step :UInt32, workers :List(Text),
              timeoutS :Float64) -> (isAnswered :Bool, tickets :List(Ticket));
+  submit @4 (jobId :Text, submission :Data, timeoutS :Float64) -> (end :Text);
+  # Stores a job for a peer that does not reach the store.
 }
--- a/redwingplank/rpc/cell_calls.py
+++ b/redwingplank/rpc/cell_calls.py
@@ -12,6 +12,7 @@
 
 CELL_SERVICE = "cell"
 ADVICE_SLACK_S = 0.3
+SUBMIT_SLACK_S = 0.1
 
 _interface: Any = load_schema("cell").Cell
 
@@ -70,5 +71,14 @@
             return None
         return {ticket.worker: ticket.text for ticket in answer.tickets}
 
+    async def submit(self, address: str, job_id: str, submission: bytes, timeout_s: float) -> str:
+        """Have a peer store a job; return the name of the end."""
+
+        def ask(peer: Any) -> Any:
+            return peer.submit(job_id, submission, timeout_s)
+
+        answer = await self._call(address, ask, timeout_s + SUBMIT_SLACK_S)
+        return answer.end
+
     async def _call(self, address: str, method: Any, timeout_s: float) -> Any:
         return await self._peers.call(address, CELL_SERVICE, _interface, method, timeout_s)
