--- a/redwingplank/cell/config.py
+++ b/redwingplank/cell/config.py
@@ -13,8 +13,8 @@
 
 __all__ = ["ConfigFollower"]
 
-WATCH_WAIT_S = 9.0
-"""A connection that falls silent is noticed sooner, by its keep-alive probes."""
+WATCH_WAIT_S = 1.2
+"""Below the time in which a change has to be in force: a watch may miss changes unnoticed."""
 
 
 class ConfigFollower:
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -28,7 +28,7 @@
 CALL_TIMEOUT_S = 0.9
 SETTLE_S = 0.06
 """Spreads the candidates of a free ownership, so that usually one tries."""
-WATCH_WAIT_S = 9.0
+WATCH_WAIT_S = 2.5
 
 
 class NodeEntry(msgspec.Struct, frozen=True):
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -33,13 +33,13 @@
 
 LONGEST_LEASE_S = 6.5
 """Leases bridge a cut of five seconds; longer ones free lost tasks later."""
-INTAKE_WAIT_S = 2.0
+INTAKE_WAIT_S = 1.5
 WORKER_POLL_S = 0.6
 READ_TIMEOUT_S = 1.5
-HOLD_WAIT_MS = 1200
+HOLD_WAIT_MS = 1500
 IDLE_HOLD_WAIT_MS = 2000
 FIRST_HOLD_WAIT_MS = 0
-PAUSE_AFTER_ENDS_S = 0.03
+PAUSE_AFTER_ENDS_S = 0.06
 """Ends that come within it are learnt with one look."""
 SILENT_PAUSE_S = 0.4
 START_TIMEOUT_S = 0.8
