Emulate workers under faults; never start a dropped run, and doubt orders that met a new process

Ruled out: late orders that reach another process of the same id; no owner can fence them, and the emulator drops them (docs: a question for the users).

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -57,6 +57,7 @@
 
     __slots__ = (
         "attempt",
+        "is_listed",
         "load",
         "moved_s",
         "pace_percent",
@@ -94,6 +95,8 @@
         """When the progress last changed."""
         self.percent = 0.0
         self.load = 0.0
+        self.is_listed = False
+        """Whether a report of the worker has shown the run."""
         self.pace_percent = 100
         self.stop_sent_s: float | None = None
         self.settled_s: float | None = None
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -235,7 +235,10 @@
         may_renew : bool
             Whether the ownership is recent enough to renew leases.
         """
-        if worker.clock_ms is None or worker.is_silent or not may_renew:
+        if worker.is_silent:
+            # Another process may answer, with ends of its own under the same numbers.
+            return HoldOrder(0, None)
+        if worker.clock_ms is None or not may_renew:
             return HoldOrder(worker.noted, None)
         until_ms = worker.clock_now_ms(now_s) + round(self.state.settings.lease_s * 1000)
         worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
@@ -263,7 +266,11 @@
 
     def start_sent(self, run: Run, now_s: float) -> bool:
         """Return whether a planned run is still wanted, and note that its order goes out."""
-        if run.state is not RunState.PLANNED:
+        is_dropped = run.worker.runs_by_key.get(run.key) is not run
+        if is_dropped or run.state is not RunState.PLANNED:
+            return False
+        if run.worker.clock_ms is None or run.worker.is_silent:
+            self.state.drop_run(run, now_s)
             return False
         run.state = RunState.STARTING
         run.sent_s = now_s
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -58,7 +58,10 @@
         state.needs_pass = True
 
     def reborn(self, worker: Worker, born_ms: int, now_s: float) -> None:
-        """Take note that a worker's process began anew: nothing runs there any more."""
+        """Take note that a worker's process began anew: what it had listed runs no more.
+
+        An order that was sent since the last report may have reached the new process.
+        """
         self._log_worker(worker, "worker_reborn")
         worker.born_ms = born_ms
         worker.clock_ms = None
@@ -68,7 +71,11 @@
         worker.failures_in_row = 0
         worker.avoided_until_s = 0.0
         worker.slowness = 1.0
-        self._release_all(worker, now_s, "worker_reborn")
+        for run in list(worker.runs_by_key.values()):
+            if run.is_listed:
+                self._release(run, now_s, "worker_reborn")
+            else:
+                self._doubt(run, now_s)
         self._prove(worker)
 
     def take(self, worker: Worker, report: HoldReport, sent_s: float, now_s: float) -> None:
@@ -125,6 +132,7 @@
                 self._missing(run, sent_s, now_s)
 
     def _update(self, run: Run, row: RunReport, now_s: float) -> None:
+        run.is_listed = True
         if row.percent != run.percent:
             run.percent = row.percent
             run.moved_s = now_s
@@ -160,6 +168,7 @@
             spec = step.spec
         run = Run(row.task, row.attempt, worker, spec, now_s, RunState.RUNNING)
         run.settled_s = now_s
+        run.is_listed = True
         run.percent, run.load = row.percent, row.load
         if found is None:
             worker.add(run)
@@ -214,15 +223,24 @@
 
     def _release_all(self, worker: Worker, now_s: float, reason: str) -> None:
         for run in list(worker.runs_by_key.values()):
-            self._state.decide(
-                "run_lost",
-                job=run.task_id.job_id,
-                task=run.task_id,
-                attempt=run.attempt,
-                worker=worker.id,
-                reason=reason,
-            )
-            self._state.drop_run(run, now_s)
+            self._release(run, now_s, reason)
+
+    def _release(self, run: Run, now_s: float, reason: str) -> None:
+        self._state.decide(
+            "run_lost",
+            job=run.task_id.job_id,
+            task=run.task_id,
+            attempt=run.attempt,
+            worker=run.worker.id,
+            reason=reason,
+        )
+        self._state.drop_run(run, now_s)
+
+    def _doubt(self, run: Run, now_s: float) -> None:
+        run.settled_s = None
+        if run.state is RunState.RUNNING:
+            run.state = RunState.DOUBTFUL
+            run.sent_s = now_s
 
     def _prove(self, worker: Worker) -> None:
         if worker.is_proven:
--- /dev/null
+++ b/redwingplank/batch/tests/cells.py
@@ -0,0 +1,43 @@
+"""Cells and jobs for the tests."""
+
+from redwingplank.batch.emulator import EmulatedCell, EmulatedWorker
+from redwingplank.batch.model import (
+    Amounts,
+    CellConfig,
+    JobSpec,
+    QueuePolicy,
+    StepSpec,
+    WorkerEntry,
+)
+
+PROOF = QueuePolicy("proof", "h", "/proof/", "render", 0, 4, 1.5, 0.25)
+EXTRACT = QueuePolicy("extract", "h", "/extract/", "render", 2, 2, 2.2, 1.2)
+WATCH = QueuePolicy("watch", "h", "/watch/", "render", 1, 3, 2.2, 2.5)
+CORES_8 = Amounts(8000, 16000, 0)
+
+
+def make_config(*queues: QueuePolicy) -> CellConfig:
+    chosen = queues or (PROOF, EXTRACT, WATCH)
+    return CellConfig(1, {queue.name: queue for queue in chosen})
+
+
+def make_worker(number: int, capacity: Amounts = CORES_8, **values) -> EmulatedWorker:
+    entry = WorkerEntry(
+        f"w{number}", f"w{number}:80", "a", "render", capacity, "k", f"r{number % 3}", ("k",), 1
+    )
+    return EmulatedWorker(entry, **values)
+
+
+def make_cell(worker_count: int = 4, seed: int = 0, config=None, **values) -> EmulatedCell:
+    workers = [make_worker(number) for number in range(worker_count)]
+    cell = EmulatedCell(config or make_config(), workers, seed, **values)
+    cell.run_for(1.0)
+    return cell
+
+
+def make_job(job_id: str, *steps: StepSpec, queue: str = "proof", at_s: float = 0.0) -> JobSpec:
+    return JobSpec(job_id, queue, "payload", steps, at_s)
+
+
+def step(count: int = 1, cpu: int = 2000, estimate_s: float = 0.5, **values) -> StepSpec:
+    return StepSpec(count, Amounts(cpu, 1000, 0), estimate_s, **values)
--- /dev/null
+++ b/redwingplank/batch/tests/test_owner.py
@@ -0,0 +1,294 @@
+"""The path of a job, and what each fault does to it."""
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from redwingplank.batch.emulator import Fault, reborn_entry
+from redwingplank.batch.model import AdvicePolicy, JobState, QueuePolicy
+from redwingplank.batch.tests.cells import make_cell, make_config, make_job, step
+
+
+class TestPath:
+    def test_steps_run_in_order_and_the_job_completes(self):
+        cell = make_cell()
+        cell.submit(make_job("a", step(6), step(3, after=(0,)), at_s=cell.now_s))
+        cell.run_for(4.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.violations == []
+        assert cell.starts == 9
+
+    def test_a_submission_that_comes_twice_is_one_job(self):
+        cell = make_cell()
+        for _ in range(2):
+            cell.submit(make_job("a", step(2), at_s=cell.now_s))
+        cell.run_for(3.0)
+        assert cell.starts == 2
+
+    def test_room_is_never_exceeded(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(40, cpu=3000, estimate_s=0.3), at_s=cell.now_s))
+        cell.run_for(8.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.violations == []
+
+    def test_completion_is_told_only_once_it_is_stored(self):
+        cell = make_cell()
+        cell.submit(make_job("a", step(1), at_s=cell.now_s))
+        cell.run_for(0.3)
+        cell.is_store_away = True
+        cell.run_for(2.0)
+        assert cell.state("a") is JobState.RUNNING
+        cell.is_store_away = False
+        cell.run_for(0.5)
+        assert cell.state("a") is JobState.COMPLETED
+
+    def test_pending_counts_jobs_without_a_start(self):
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(4, estimate_s=5.0), at_s=cell.now_s))
+        cell.run_for(0.5)
+        cell.submit(make_job("b", step(1, estimate_s=5.0), at_s=cell.now_s))
+        cell.run_for(0.5)
+        assert cell.owner.pending_count("proof") == 1
+
+    def test_a_ticket_is_asked_for_where_the_queue_is_advised(self):
+        queue = QueuePolicy("q", "h", "/q/", "render", advice=AdvicePolicy(0.1, 0.01, 2.5))
+        cell = make_cell(config=make_config(queue))
+        cell.submit(make_job("a", step(4), queue="q", at_s=cell.now_s))
+        cell.run_for(3.0)
+        assert cell.state("a") is JobState.COMPLETED
+
+
+class TestEnds:
+    def test_a_task_that_always_fails_uses_up_its_attempts(self):
+        cell = make_cell(3)
+        for worker in cell.workers.values():
+            worker.faults.add(Fault.FAIL_ALL)
+        cell.submit(make_job("a", step(1), queue="extract", at_s=cell.now_s))
+        cell.run_for(20.0)
+        assert cell.state("a") is JobState.FAILED
+        assert cell.starts == 2
+
+    def test_a_worker_that_fails_everything_is_avoided(self):
+        cell = make_cell(4)
+        cell.workers["w0"].faults.add(Fault.FAIL_ALL)
+        for number in range(12):
+            cell.submit(make_job(f"j{number}", step(4, estimate_s=0.2), at_s=cell.now_s))
+            cell.run_for(0.5)
+        cell.run_for(5.0)
+        states = [cell.state(f"j{number}") for number in range(12)]
+        assert states == [JobState.COMPLETED] * 12
+
+    def test_a_run_without_progress_is_stopped_and_repeated_elsewhere(self):
+        cell = make_cell(2)
+        cell.workers["w0"].faults.add(Fault.HANG)
+        cell.submit(make_job("a", step(4, estimate_s=0.4), at_s=cell.now_s))
+        cell.run_for(12.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.violations == []
+
+    def test_a_lasting_task_is_started_again_however_it_ends(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(2, is_lasting=True), queue="watch", at_s=cell.now_s))
+        cell.run_for(1.0)
+        for worker in cell.workers.values():
+            worker.faults.add(Fault.FAIL_ALL)
+        cell.run_for(0.3)
+        for worker in cell.workers.values():
+            worker.faults.clear()
+        cell.run_for(6.0)
+        assert sum(len(worker.runs) for worker in cell.workers.values()) == 2
+
+    def test_a_gang_starts_whole_or_not_at_all(self):
+        cell = make_cell(2)
+        cell.submit(make_job("busy", step(5, cpu=3000, estimate_s=1.0), at_s=cell.now_s))
+        cell.run_for(0.2)
+        cell.submit(make_job("g", step(4, cpu=3500, is_gang=True), at_s=cell.now_s))
+        cell.run_for(0.4)
+        assert not any(
+            run.task.job_id == "g"
+            for worker in cell.workers.values()
+            for run in worker.runs.values()
+        )
+        cell.run_for(6.0)
+        assert cell.state("g") is JobState.COMPLETED
+
+
+class TestCancel:
+    def test_everything_of_a_cancelled_job_stops(self):
+        cell = make_cell()
+        cell.submit(make_job("a", step(6, estimate_s=30.0), at_s=cell.now_s))
+        cell.run_for(1.0)
+        cell.owner.cancel("a", cell.now_s)
+        cell.run_for(2.0)
+        assert cell.state("a") is JobState.CANCELLED
+        assert not any(worker.runs for worker in cell.workers.values())
+
+    def test_an_order_that_is_under_way_is_stopped_too(self):
+        cell = make_cell()
+        cell.submit(make_job("a", step(6, estimate_s=30.0), at_s=cell.now_s))
+        cell.run_for(0.04)
+        cell.owner.cancel("a", cell.now_s)
+        cell.run_for(3.0)
+        assert not any(worker.runs for worker in cell.workers.values())
+
+    def test_an_unknown_job_cannot_be_cancelled(self):
+        cell = make_cell()
+        assert cell.owner.cancel("nobody", cell.now_s) is None
+
+
+class TestWorkersLost:
+    def test_a_cut_workers_tasks_wait_for_its_lease(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(4, estimate_s=3.0), at_s=cell.now_s))
+        cell.run_for(1.0)
+        cell.workers["w0"].faults.add(Fault.CUT)
+        cell.run_for(20.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.violations == []
+
+    def test_copies_are_made_of_tasks_out_of_sight(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(4, estimate_s=1.0, may_copy=True), at_s=cell.now_s))
+        cell.run_for(0.4)
+        cell.workers["w0"].faults.add(Fault.CUT)
+        cell.run_for(3.5)
+        assert cell.state("a") is JobState.COMPLETED
+
+    def test_a_reborn_worker_frees_its_tasks_at_once(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(4, estimate_s=1.0), at_s=cell.now_s))
+        cell.run_for(0.5)
+        cell.crash("w0")
+        cell.run_for(3.5)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.violations == []
+
+    def test_ends_of_a_new_process_are_not_acknowledged_unseen(self):
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(4, estimate_s=0.2), at_s=cell.now_s))
+        cell.run_for(2.0)
+        worker = cell.owner.state.workers_by_id["w0"]
+        assert worker.noted == 4
+        cell.owner.worker_silent(worker, cell.now_s)
+        assert cell.owner.next_hold(worker, cell.now_s, may_renew=True).noted == 0
+
+    def test_a_start_that_reached_the_new_process_is_not_repeated(self):
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(2, estimate_s=3.0), at_s=cell.now_s))
+        cell.run_for(0.06)
+        worker = cell.owner.state.workers_by_id["w0"]
+        cell.workers["w0"].entry = reborn_entry(cell.workers["w0"].entry, 2)
+        cell.owner.list_workers([cell.workers["w0"].entry], cell.now_s)
+        assert len(worker.runs_by_key) == 2
+        cell.run_for(5.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.starts == 2
+        assert cell.violations == []
+
+
+class TestTakeover:
+    def test_running_tasks_go_on(self):
+        cell = make_cell()
+        cell.submit(make_job("a", step(6, estimate_s=3.0), at_s=cell.now_s))
+        cell.run_for(1.0)
+        cell.replace_owner()
+        cell.run_for(6.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.starts == 6
+        assert cell.violations == []
+
+    def test_nothing_of_an_ended_job_is_started(self):
+        cell = make_cell()
+        cell.submit(make_job("a", step(6), at_s=cell.now_s))
+        cell.submit(make_job("b", step(1, estimate_s=50.0), at_s=cell.now_s))
+        cell.run_for(3.0)
+        cell.owner.cancel("b", cell.now_s)
+        cell.run_for(1.0)
+        cell.replace_owner()
+        cell.run_for(3.0)
+        assert cell.starts == 7
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.state("b") is JobState.CANCELLED
+        assert all(
+            worker.reserved.cpu_millicores == 0
+            for worker in cell.owner.state.workers_by_id.values()
+        )
+
+    def test_tasks_of_a_worker_out_of_sight_are_not_repeated_before_its_lease_is_over(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(4, estimate_s=4.0), at_s=cell.now_s))
+        cell.run_for(1.0)
+        cell.workers["w0"].faults.add(Fault.CUT)
+        cell.replace_owner()
+        cell.run_for(30.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.violations == []
+
+    def test_tasks_that_no_unseen_worker_can_have_start_at_once(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(10, estimate_s=2.0), at_s=cell.now_s))
+        cell.run_for(1.0)
+        cell.workers["w0"].faults.add(Fault.CUT)
+        cell.replace_owner()
+        cell.run_for(5.0)
+        done = [task for task in cell.noted_done if task.job_id == "a"]
+        assert len(done) >= 4
+        assert cell.violations == []
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize("seed", range(60))
+    def test_nothing_is_promised_and_broken(self, seed):
+        cell = make_cell(5, seed=seed)
+        rng = cell.rng
+        for number in range(40):
+            steps = [step(rng.randint(1, 6), estimate_s=rng.choice([0.2, 0.8, 2.0]))]
+            if rng.random() < 0.5:
+                steps.append(step(rng.randint(1, 4), after=(0,), estimate_s=0.4))
+            cell.submit(make_job(f"j{number}", *steps, at_s=cell.now_s))
+            _break_something(cell)
+            cell.run_for(0.6)
+        cell.lost_share = 0.0
+        for worker in cell.workers.values():
+            worker.faults.clear()
+        cell.run_for(60.0)
+        assert cell.violations == []
+        unfinished = [job_id for job_id in cell.specs_by_id if not cell.state(job_id).is_final]
+        assert unfinished == []
+
+    @settings(max_examples=25, deadline=None, suppress_health_check=list(HealthCheck))
+    @given(st.integers(0, 10_000))
+    def test_takeovers_at_any_moment_keep_the_promises(self, seed):
+        cell = make_cell(3, seed=seed)
+        cell.lost_share = 0.1
+        for number in range(8):
+            cell.submit(make_job(f"j{number}", step(3), step(2, after=(0,)), at_s=cell.now_s))
+            cell.run_for(cell.rng.random())
+            if cell.rng.random() < 0.4:
+                cell.replace_owner()
+        cell.lost_share = 0.0
+        cell.run_for(40.0)
+        assert cell.violations == []
+        assert all(cell.state(job_id) is JobState.COMPLETED for job_id in cell.specs_by_id)
+
+
+def _break_something(cell):
+    rng = cell.rng
+    worker = cell.workers[f"w{rng.randrange(5)}"]
+    chance = rng.random()
+    if chance < 0.15:
+        worker.faults.add(Fault.CUT)
+        cell.after(rng.uniform(0.5, 9.0), lambda: worker.faults.discard(Fault.CUT))
+    elif chance < 0.25:
+        cell.crash(worker.entry.worker_id)
+    elif chance < 0.35:
+        cell.replace_owner()
+    elif chance < 0.45:
+        worker.faults.add(Fault.HANG)
+        cell.after(4.0, lambda: worker.faults.discard(Fault.HANG))
+    elif chance < 0.55:
+        cell.lost_share = rng.choice([0.0, 0.15, 0.3])
+    elif chance < 0.6:
+        cell.is_store_away = True
+        cell.after(3.0, lambda: setattr(cell, "is_store_away", False))
