--- a/redwingplank/batch/commands.py
+++ b/redwingplank/batch/commands.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from redwingplank.batch.entities import Run, Step
+from redwingplank.batch.entities import Run, Step, Worker
 
 __all__ = ["AskAdvice", "Commands", "PaceRun"]
 
@@ -36,3 +36,5 @@
     stops: list[Run] = field(default_factory=list)
     paces: list[PaceRun] = field(default_factory=list)
     advice: list[AskAdvice] = field(default_factory=list)
+    looks: list[Worker] = field(default_factory=list)
+    """Workers whose next report settles an order that was not answered."""
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -286,7 +286,7 @@
         elif outcome is StartOutcome.UNKNOWN:
             if run.state is RunState.STARTING:
                 run.state = RunState.DOUBTFUL
-                run.sent_s = now_s
+                self.state.order_stop(run, now_s, "start_not_answered")
         else:
             self._refused(run, outcome, now_s)
 
@@ -328,10 +328,12 @@
 
     def stop_ended(self, run: Run, *, is_taken: bool, now_s: float) -> None:
         """Take the end of an order to stop."""
-        if is_taken and run.settled_s is None:
-            run.settled_s = now_s
         if not is_taken:
             run.stop_sent_s = now_s
+        elif run.settled_s is None:
+            run.settled_s = now_s
+            if not run.is_listed:
+                self.state.commands.looks.append(run.worker)
 
     # Advice.
 
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -43,7 +43,7 @@
     slow_clock: float = 0.02
     lease_margin_s: float = 0.25
     owner_silence_s: float = 5.0
-    stop_retry_s: float = 0.5
+    stop_retry_s: float = 0.25
     failures_to_avoid: int = 2
     avoid_s: float = 1.5
     avoid_limit_s: float = 12.0
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -22,9 +22,10 @@
 
 __all__ = ["Membership", "NodeEntry", "Ownership", "TermEntry"]
 
-LEASE_S = 1.7
+LEASE_S = 1.2
 """Lease of a node in the store: bounds how long a dead owner goes unnoticed."""
-RENEW_S = 0.5
+RENEW_S = 0.35
+RENEW_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 0.9
 SETTLE_S = 0.06
 """Spreads the candidates of a free ownership, so that usually one tries."""
@@ -86,6 +87,7 @@
         self.term: TermEntry | None = None
         self.term_revision = 0
         self.owner: TermEntry | None = None
+        self._owner_revision = 0
         self.ownership: Ownership | None = None
         self.may_own = False
         self._lost_term = 0
@@ -117,7 +119,7 @@
 
     async def _renew(self, started_s: float) -> None:
         store = self._context.store
-        if self.lease and await store.renew_lease(self.lease, CALL_TIMEOUT_S):
+        if self.lease and await store.renew_lease(self.lease, RENEW_TIMEOUT_S):
             self.renewed_s = started_s
             return
         if self.lease:
@@ -156,6 +158,7 @@
         keys = {item.key for item in items}
         if OWNER_KEY not in keys:
             self.owner = None
+            self._owner_revision = 0
         self._take(items)
 
     def _take(self, items: tuple[Item, ...]) -> None:
@@ -184,6 +187,7 @@
             name = owner.owner if owner else "none"
             self._context.log("owner_seen", owner=name, term=owner.number if owner else 0)
         self.owner = owner
+        self._owner_revision = item.revision if owner else 0
 
     def _take_term(self, item: Item) -> None:
         assert item.value is not None
@@ -247,13 +251,22 @@
     def _is_free(self) -> bool:
         return (
             self.may_own
-            and self.owner is None
+            and (self.owner is None or self._is_own_ghost())
             and self.ownership is None
             and self.lease != 0
             and self._follower.revision != 0
             and not self._context.is_stopping
         )
 
+    def _is_own_ghost(self) -> bool:
+        """Return whether the owner was an earlier process of this node: that one is gone."""
+        owner = self.owner
+        return (
+            owner is not None
+            and owner.owner == self._context.settings.name
+            and owner.incarnation != self.incarnation
+        )
+
     def _settle_s(self) -> float:
         key = f"{self._context.settings.name}/{self.term_revision}"
         return SETTLE_S * (xxhash.xxh32_intdigest(key.encode()) / 2**32)
@@ -261,7 +274,7 @@
     async def _try_to_win(self) -> None:
         term = (self.term.number if self.term else 0) + 1
         value = self._own_entry(term)
-        expected = {OWNER_KEY: 0, TERM_KEY: self.term_revision}
+        expected = {OWNER_KEY: self._owner_revision, TERM_KEY: self.term_revision}
         puts = [
             Put(OWNER_KEY, value, self.lease),
             Put(TERM_KEY, value),
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -38,12 +38,16 @@
 READ_TIMEOUT_S = 1.5
 HOLD_WAIT_MS = 1500
 IDLE_HOLD_WAIT_MS = 2000
+LOSSY_HOLD_WAIT_MS = 400
+"""While orders go unanswered: a lost look blinds the owner this much longer."""
+LOSSY_S = 3.0
 FIRST_HOLD_WAIT_MS = 0
 PAUSE_AFTER_ENDS_S = 0.06
 """Ends that come within it are learnt with one look."""
 SILENT_PAUSE_S = 0.4
-START_TIMEOUT_S = 0.8
-STOP_TIMEOUT_S = 0.8
+START_TIMEOUT_S = 0.35
+STOP_TIMEOUT_S = 0.35
+PACE_TIMEOUT_S = 0.5
 TICK_S = 0.1
 FORGET_PERIOD_S = 10.0
 CANCEL_WAIT_S = 1.5
@@ -86,6 +90,8 @@
         self._followed_workers: set[str] = set()
         self._wakeup = asyncio.Event()
         self._stored = asyncio.Event()
+        self._unanswered_s = 0.0
+        """When an order was last not answered."""
         self.is_loaded = False
         self._is_ordering = True
 
@@ -230,6 +236,8 @@
             self._tasks.start(self._stop_run(run))
         for pace in commands.paces:
             self._tasks.start(self._pace_run(pace))
+        for worker in commands.looks:
+            self._tasks.start(self._look(worker, FIRST_HOLD_WAIT_MS))
         for call in commands.advice:
             self._tasks.start(self._advisers.ask(call))
 
@@ -250,6 +258,8 @@
         if outcome is StartOutcome.FENCED:
             self._membership.lose("fenced_by_worker")
             return
+        if outcome is StartOutcome.UNKNOWN:
+            self._unanswered_s = now_s()
         self.owner.start_ended(run, outcome, now_s())
         self._wake()
 
@@ -283,6 +293,7 @@
         except SiteError as error:
             self._context.log("stop_failed", task=run.task_id, worker=run.worker.id, error=error)
         self.owner.stop_ended(run, is_taken=is_taken, now_s=now_s())
+        self._wake()
 
     async def _pace_run(self, pace: PaceRun) -> None:
         run = pace.run
@@ -295,7 +306,7 @@
                 run.attempt,
                 pace.percent,
                 self._term,
-                STOP_TIMEOUT_S,
+                PACE_TIMEOUT_S,
             )
         except SiteError as error:
             self._context.log("pace_failed", task=run.task_id, error=error)
@@ -320,7 +331,7 @@
                         await asyncio.sleep(SILENT_PAUSE_S)
                     wait_ms = FIRST_HOLD_WAIT_MS
                     continue
-                wait_ms = HOLD_WAIT_MS if worker.runs_by_key else IDLE_HOLD_WAIT_MS
+                wait_ms = self._wait_ms(worker)
                 if had_ends:
                     await asyncio.sleep(PAUSE_AFTER_ENDS_S)
                 if worker.lease_until_ms == 0:
@@ -328,6 +339,12 @@
         finally:
             self._followed_workers.discard(worker.id)
 
+    def _wait_ms(self, worker: Worker) -> int:
+        if not worker.runs_by_key:
+            return IDLE_HOLD_WAIT_MS
+        is_lossy = now_s() - self._unanswered_s < LOSSY_S
+        return LOSSY_HOLD_WAIT_MS if is_lossy else HOLD_WAIT_MS
+
     async def _look(self, worker: Worker, wait_ms: int) -> bool | None:
         """Return whether the worker listed ends, None if it did not answer."""
         sent_s = now_s()
