--- a/redwingplank/cell/context.py
+++ b/redwingplank/cell/context.py
@@ -1,10 +1,10 @@
 """What all parts of a node share."""
 
-from collections import Counter
 from typing import Any
 
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.eventlog import EventLog
+from redwingplank.cell.metrics import NodeMetrics
 from redwingplank.platform.site.advice import SiteAdvice
 from redwingplank.platform.site.http import NoAnswerError, NotSentError, SiteClient
 from redwingplank.platform.site.settings import SiteSettings
@@ -61,7 +61,7 @@
     def __init__(self, settings: SiteSettings, log: EventLog) -> None:
         self.settings = settings
         self.events = log
-        self.counters: Counter[str] = Counter()
+        self.metrics = NodeMetrics()
         self.client = SiteClient()
         self.store = SiteStore(self.client, settings.store_address)
         self.workers = SiteWorkers(self.client)
@@ -73,7 +73,7 @@
 
     def log(self, event: str, **fields: Any) -> None:
         """Write an event and count it."""
-        self.counters[event] += 1
+        self.metrics.note(event, fields)
         self.events.write(now_s(), event, fields)
 
     async def close(self) -> None:
--- /dev/null
+++ b/redwingplank/cell/metrics.py
@@ -0,0 +1,90 @@
+"""Counters and latency histograms of a node, served as text."""
+
+from typing import Any
+
+import falcon.asgi
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+__all__ = ["METRICS_PATH", "NodeMetrics", "make_metrics_app"]
+
+METRICS_PATH = "/metrics"
+_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+
+
+class NodeMetrics:
+    """What a node counts; each event of the log is counted here too."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._events = Counter(
+            "redwing_events", "Events of the log by name", ["event"], registry=self.registry
+        )
+        self.is_owner = Gauge(
+            "redwing_is_owner", "1 while this node owns the jobs", registry=self.registry
+        )
+        self.jobs = Gauge("redwing_jobs", "Jobs that the owner knows", registry=self.registry)
+        self.open_steps = Gauge(
+            "redwing_open_steps", "Steps with tasks to start", registry=self.registry
+        )
+        self.workers = Gauge("redwing_workers", "Workers that answer", registry=self.registry)
+        self.log_lines_lost = Gauge(
+            "redwing_log_lines_lost", "Lines that nobody read in time", registry=self.registry
+        )
+        self._histograms_by_event = {
+            event: (self._histogram(name, text), field)
+            for event, name, text, field in (
+                ("submit", "redwing_submit_seconds", "From a submission to its answer", "age_s"),
+                (
+                    "start_planned",
+                    "redwing_task_wait_seconds",
+                    "From a task's turn to the choice of its worker",
+                    "waited_s",
+                ),
+                (
+                    "start_answered",
+                    "redwing_start_order_seconds",
+                    "From an order to start to its answer",
+                    "took_s",
+                ),
+                ("run_ended", "redwing_run_seconds", "From a start to its end", "run_s"),
+                ("advice", "redwing_advice_seconds", "From a question to its advice", "took_s"),
+                ("job_ended", "redwing_job_seconds", "From a submission to the end", "after_s"),
+            )
+        }
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(name, text, buckets=_BUCKETS_S, registry=self.registry)
+
+    def note(self, event: str, fields: dict[str, Any]) -> None:
+        """Count an event, and its duration where it has one."""
+        self._events.labels(event).inc()
+        measured = self._histograms_by_event.get(event)
+        if measured is not None and measured[1] in fields:
+            measured[0].observe(fields[measured[1]])
+
+    def render(self) -> bytes:
+        """Return all values in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+
+class _Metrics:
+    def __init__(self, metrics: NodeMetrics) -> None:
+        self._metrics = metrics
+
+    async def on_get(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
+        resp.data = self._metrics.render()
+        resp.content_type = CONTENT_TYPE_LATEST
+
+
+def make_metrics_app(metrics: NodeMetrics) -> falcon.asgi.App:
+    """Return the application that serves the metrics."""
+    app = falcon.asgi.App()
+    app.add_route(METRICS_PATH, _Metrics(metrics))
+    return app
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -8,6 +8,7 @@
 from redwingplank.cell.config import ConfigFollower
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.membership import Membership, Ownership
+from redwingplank.cell.metrics import make_metrics_app
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.service import CellService
 from redwingplank.cell.tasks import TaskSet
@@ -41,6 +42,7 @@
         self._owner: OwnerRuntime | None = None
         self._peer_server: NodeServer | None = None
         self._http: HttpServer | None = None
+        self._metrics_server: HttpServer | None = None
         self.callers = Callers(
             context, self._membership, self._find_owner, lambda: self._config.current
         )
@@ -55,6 +57,9 @@
         app = make_app(self.callers, self._find_obstacle, lambda: self._context.is_stopping)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
         self._http = await serve_http(app, addresses, FINISH_S)
+        if settings.metrics_address:
+            metrics_app = make_metrics_app(self._context.metrics)
+            self._metrics_server = await serve_http(metrics_app, [settings.metrics_address])
         self._tasks.start(self._config.follower.run())
         self._tasks.start(self._membership.keep_lease())
         self._tasks.start(self._membership.follow())
@@ -75,6 +80,8 @@
             self._context.log("leave_failed", error=error)
         if self._http is not None:
             await self._http.stop()
+        if self._metrics_server is not None:
+            await self._metrics_server.stop()
         if self._owner is not None:
             await self._owner.stop()
         if self._peer_server is not None:
@@ -83,6 +90,11 @@
         await self._context.close()
         self._context.log("stopped")
 
+    @property
+    def owns_jobs(self) -> bool:
+        """Whether this node has won the ownership and read what the store holds."""
+        return self._find_owner() is not None
+
     def _find_obstacle(self) -> str:
         if self._context.is_stopping:
             return "the node is about to stop"
@@ -104,9 +116,11 @@
         assert config is not None
         self._owner = OwnerRuntime(self._context, self._membership, ownership, config)
         self._owner.start()
+        self._context.metrics.is_owner.set(1)
 
     def _lost(self, reason: str) -> None:
         owner, self._owner = self._owner, None
+        self._context.metrics.is_owner.set(0)
         if owner is not None:
             self._tasks.start(owner.stop())
         self._membership.wake()
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -198,10 +198,18 @@
     async def _forget(self) -> None:
         while True:
             await asyncio.sleep(FORGET_PERIOD_S)
+            self._measure()
             gone = self.owner.forget_ended(now_s())
             if gone:
                 await self._writer.remove(gone)
 
+    def _measure(self) -> None:
+        metrics, state = self._context.metrics, self.owner.state
+        metrics.jobs.set(len(state.jobs_by_id))
+        metrics.open_steps.set(len(state.open_steps))
+        metrics.workers.set(sum(not worker.is_silent for worker in state.workers_by_id.values()))
+        metrics.log_lines_lost.set(self._context.events.dropped)
+
     # Decisions.
 
     def set_config(self, config: CellConfig) -> None:
@@ -357,7 +365,6 @@
             self._membership.lose("fenced_by_worker")
             return None
         except SiteError as error:
-            self._context.counters["hold_failed"] += 1
             self._context.log("hold_failed", worker=worker.id, error=error)
             self.owner.worker_silent(worker, now_s())
             self._wake()
--- /dev/null
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -0,0 +1,176 @@
+"""The platform's stand-in on loopback, and nodes that run against it."""
+
+import asyncio
+import os
+import socket
+import time
+from collections.abc import Callable
+
+import aiohttp
+import capnp
+import msgspec
+
+from redwingplank.cell.context import NodeContext
+from redwingplank.cell.eventlog import EventLog
+from redwingplank.cell.node import Node
+from redwingplank.platform.http.server import HttpServer, serve_http
+from redwingplank.platform.site.settings import SiteSettings
+from redwingplank.standin.site_store import SiteStoreModel, make_site_store_app
+from redwingplank.standin.site_workers import SiteWorkerModel, make_site_worker_app
+
+HOST = "queue.example"
+
+
+def free_address() -> str:
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{found.getsockname()[1]}"
+
+
+class Site:
+    """A store, workers and nodes in one process."""
+
+    def __init__(self) -> None:
+        self.store = SiteStoreModel()
+        self.workers: list[SiteWorkerModel] = []
+        self.nodes: list[Node] = []
+        self.contexts: list[NodeContext] = []
+        self.lines: list[str] = []
+        self.store_address = free_address()
+        self._servers: list[HttpServer] = []
+        self._log_read, self._log_write = os.pipe()
+        os.set_blocking(self._log_read, False)
+
+    async def start(self, workers: int = 2, nodes: int = 1) -> None:
+        store_app = make_site_store_app(self.store, time.monotonic)
+        self._servers.append(await serve_http(store_app, [self.store_address], 0))
+        for number in range(workers):
+            await self._start_worker(number)
+        self.configure(1)
+        for number in range(nodes):
+            await self.add_node(number)
+        await self.until(lambda: self.owner_node() is not None)
+
+    async def _start_worker(self, number: int) -> None:
+        model, address = SiteWorkerModel(), free_address()
+        self.workers.append(model)
+        app = make_site_worker_app(model, time.monotonic)
+        self._servers.append(await serve_http(app, [address], 0))
+        entry = {
+            "service": "render",
+            "address": address,
+            "zone": "a",
+            "state": "ready",
+            "capacity": {"cpu": 8000, "mem_mb": 16000},
+            "labels": ["k", f"r{number}"],
+            "born": 1,
+        }
+        self.store.put(f"servers/w{number}", msgspec.json.encode(entry))
+
+    def configure(self, version: int, **route: object) -> None:
+        values = {
+            "name": "proof",
+            "host": HOST,
+            "prefix": "/proof/",
+            "service": "render",
+            "max_attempts": 3,
+            "stretch_factor": 1.5,
+            "target_duration_ms": 250,
+            **route,
+        }
+        config = {"version": version, "routes": [values], "limits": {"max_body_bytes": 20_000}}
+        self.store.put("op/config", msgspec.json.encode(config))
+
+    async def add_node(self, number: int) -> Node:
+        callers, peer = free_address(), free_address()
+        settings = SiteSettings(
+            name=f"n{number}",
+            failure_domain="a",
+            ip="127.0.0.1",
+            callers_address=callers,
+            readiness_address=callers,
+            peer_port=int(peer.rpartition(":")[2]),
+            metrics_address=free_address(),
+            store_address=self.store_address,
+            advice_address="",
+            machines_address="",
+            lease_limit_s=6.0,
+            stop_grace_s=0.5,
+            gang_timeout_s=3.0,
+            drain_s=2.0,
+            grace_s=0.2,
+            state_kept_s=120.0,
+            store_lease_s=1.0,
+        )
+        context = NodeContext(settings, EventLog(settings.name, self._log_write))
+        node = Node(context)
+        self.nodes.append(node)
+        self.contexts.append(context)
+        await node.start()
+        return node
+
+    def owner_node(self) -> Node | None:
+        for node in self.nodes:
+            if node.owns_jobs:
+                return node
+        return None
+
+    async def until(self, condition: Callable[[], object], attempts: int = 1500) -> None:
+        """Return once a condition holds."""
+        for _ in range(attempts):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("the condition did not come true")
+
+    async def call(self, method: str, path: str, body: object = None, node: int = 0):
+        """Return status, decoded body and headers of a caller's request."""
+        data = body if isinstance(body, bytes | None) else msgspec.json.encode(body)
+        url = f"http://{self.contexts[node].settings.callers_address}{path}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, data=data, headers={"Host": HOST}) as response,
+        ):
+            raw = await response.read()
+            return response.status, msgspec.json.decode(raw) if raw else None, response.headers
+
+    async def state_of(self, job_id: str, node: int = 0) -> str:
+        _, body, _ = await self.call("GET", f"/proof/{job_id}", node=node)
+        return (body or {}).get("state", "")
+
+    async def until_state(self, job_id: str, state: str, node: int = 0) -> None:
+        for _ in range(1000):
+            if await self.state_of(job_id, node) == state:
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"{job_id} never was {state}")
+
+    def events(self) -> list[str]:
+        """Return the lines that nodes have written so far."""
+        try:
+            while chunk := os.read(self._log_read, 1 << 16):
+                self.lines.extend(chunk.decode().splitlines())
+        except BlockingIOError:
+            pass
+        return self.lines
+
+    async def stop(self) -> None:
+        for node in self.nodes:
+            await node.stop()
+        for server in self._servers:
+            server.abort()
+            await server.stop()
+
+
+def run_site(scenario, **values) -> None:
+    """Run a scenario against a site."""
+
+    async def whole() -> None:
+        site = Site()
+        try:
+            await site.start(**values)
+            await scenario(site)
+        finally:
+            await site.stop()
+
+    asyncio.run(capnp.run(asyncio.wait_for(whole(), 40.0)))
--- /dev/null
+++ b/redwingplank/cell/tests/test_node.py
@@ -0,0 +1,175 @@
+"""The whole path over HTTP, against the platform's stand-in."""
+
+import re
+from pathlib import Path
+
+import aiohttp
+
+from redwingplank.cell.tests.site_fixture import run_site
+
+STEP = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 50}
+JOB = {"spec": "payload", "steps": [STEP, {**STEP, "after": [0]}]}
+LASTING = {"spec": "last", "steps": [{**STEP, "long_running": True}]}
+ID = "5c0e7a21d94b36f8"
+DOCS = Path(__file__).parents[3] / "docs"
+
+
+class TestPath:
+    def test_a_job_runs_to_its_end(self):
+        async def scenario(site):
+            status, _, _ = await site.call("POST", f"/proof/{ID}", JOB)
+            assert status == 200
+            await site.until_state(ID, "completed")
+            starts = [start for worker in site.workers for start in worker.starts]
+            assert len(starts) == 4
+            assert {p for worker in site.workers for p in worker.payloads} == {"payload"}
+            assert (await site.call("GET", "/proof/"))[1] == {"pending": 0}
+
+        run_site(scenario)
+
+    def test_the_same_id_is_one_job_at_any_node(self):
+        async def scenario(site):
+            for node in (0, 1, 0):
+                status, _, _ = await site.call("POST", f"/proof/{ID}", JOB, node=node)
+                assert status == 200
+            await site.until_state(ID, "completed", node=1)
+            assert sum(len(worker.starts) for worker in site.workers) == 4
+
+        run_site(scenario, nodes=2)
+
+    def test_a_cancelled_job_stops(self):
+        async def scenario(site):
+            await site.call("POST", f"/proof/{ID}", LASTING)
+            await site.until(lambda: sum(len(worker.runs) for worker in site.workers) == 2)
+            status, _, _ = await site.call("DELETE", f"/proof/{ID}")
+            assert status == 200
+            await site.until(lambda: not any(worker.runs for worker in site.workers))
+            assert await site.state_of(ID) == "cancelled"
+
+        run_site(scenario)
+
+    def test_a_new_configuration_is_followed(self):
+        async def scenario(site):
+            assert (await site.call("POST", f"/other/{ID}", JOB))[0] == 404
+            site.configure(2, prefix="/other/")
+            await site.until(lambda: any("version=2" in line for line in site.events()))
+            assert (await site.call("POST", f"/other/{ID}", JOB))[0] == 200
+            assert (await site.call("GET", "/proof/"))[0] == 404
+
+        run_site(scenario)
+
+
+class TestBadInput:
+    def test_is_refused_with_a_reason_and_changes_nothing(self):
+        async def scenario(site):
+            cases = [
+                (b"{", 400),
+                ({"spec": "x", "steps": []}, 400),
+                ({"spec": "x" * 4001, "steps": [STEP]}, 400),
+                ({"spec": "x", "steps": [{**STEP, "after": [0]}]}, 400),
+                ({"spec": "x", "steps": [{**STEP, "count": "many"}]}, 400),
+                (b" " * 20_001, 413),
+            ]
+            for body, expected in cases:
+                status, answer, _ = await site.call("POST", f"/proof/{ID}", body)
+                assert status == expected
+                assert answer["problem"]
+            assert (await site.call("PUT", f"/proof/{ID}", JOB))[0] == 405
+            assert (await site.call("POST", "/proof/a/b", JOB))[0] == 404
+            assert (await site.call("GET", f"/proof/{ID}"))[0] == 410
+            assert (await site.call("DELETE", f"/proof/{ID}"))[0] == 410
+            assert not any(key.startswith("redwing/intake") for key in site.store.items)
+
+        run_site(scenario)
+
+
+class TestStoreTrouble:
+    def test_a_refusal_names_a_time_to_come_back_and_is_true(self):
+        async def scenario(site):
+            site.store.is_down = True
+            status, _, headers = await site.call("POST", f"/proof/{ID}", JOB)
+            assert status == 503
+            assert int(headers["Retry-After"]) >= 1
+            site.store.is_down = False
+            assert f"redwing/intake/jobs/{ID}" not in site.store.items
+
+        run_site(scenario)
+
+    def test_a_lost_answer_never_reads_as_not_run(self):
+        async def scenario(site):
+            site.store.lose_answers = 1
+            status, _, _ = await site.call("POST", f"/proof/{ID}", JOB)
+            assert status in (200, 504)
+            while status != 200:
+                status, _, _ = await site.call("POST", f"/proof/{ID}", JOB)
+            await site.until_state(ID, "completed")
+            assert sum(len(worker.starts) for worker in site.workers) == 4
+
+        run_site(scenario)
+
+    def test_forgotten_history_is_read_anew(self):
+        async def scenario(site):
+            site.store.forget_history()
+            site.configure(2, prefix="/other/")
+            site.store.forget_history()
+            await site.until(lambda: any("version=2" in line for line in site.events()))
+
+        run_site(scenario)
+
+
+class TestOrdersWithoutAnswer:
+    def test_a_start_that_was_carried_out_unanswered_runs_once_at_a_time(self):
+        async def scenario(site):
+            site.workers[0].lose_answers = 2
+            await site.call("POST", f"/proof/{ID}", JOB)
+            await site.until_state(ID, "completed")
+
+        run_site(scenario, workers=1)
+
+
+class TestTakeover:
+    def test_a_stopped_owner_hands_over_and_running_tasks_go_on(self):
+        async def scenario(site):
+            await site.call("POST", f"/proof/{ID}", LASTING)
+            await site.until(lambda: sum(len(worker.runs) for worker in site.workers) == 2)
+            old = site.owner_node()
+            other = 1 - site.nodes.index(old)
+            await old.stop()
+            site.nodes.remove(old)
+            await site.until(lambda: site.owner_node() is not None)
+            await site.until(lambda: all(worker.token == 2 for worker in site.workers))
+            assert await site.state_of(ID, node=other) == "running"
+            assert sum(len(worker.starts) for worker in site.workers) == 2
+
+        run_site(scenario, nodes=2)
+
+
+class TestLogsAndMetrics:
+    def test_every_event_is_documented_and_names_its_job(self):
+        async def scenario(site):
+            await site.call("POST", f"/proof/{ID}", JOB)
+            await site.until_state(ID, "completed")
+            lines = site.events()
+            documented = set(re.findall(r"^\| `(\w+)`", (DOCS / "logs.md").read_text(), re.M))
+            emitted = {re.search(r"event=(\w+)", line).group(1) for line in lines}
+            assert emitted <= documented
+            story = [line for line in lines if f"job={ID}" in line]
+            events = [re.search(r"event=(\w+)", line).group(1) for line in story]
+            assert events[0] in ("submit", "step_opened")
+            assert {"submit", "job_taken", "start_planned", "run_ended", "job_ended"} <= set(events)
+
+        run_site(scenario)
+
+    def test_metrics_are_served_as_text(self):
+        async def scenario(site):
+            await site.call("POST", f"/proof/{ID}", JOB)
+            address = site.contexts[0].settings.metrics_address
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(f"http://{address}/metrics") as response,
+            ):
+                text = await response.text()
+            assert 'redwing_events_total{event="submit"} 1.0' in text
+            assert "redwing_submit_seconds_bucket" in text
+
+        run_site(scenario)
--- a/redwingplank/platform/site/settings.py
+++ b/redwingplank/platform/site/settings.py
@@ -11,6 +11,8 @@
 __all__ = ["SETTINGS_VARIABLE", "SiteSettings", "read_site_settings"]
 
 SETTINGS_VARIABLE = "REDWINGPLANK_SETTINGS"
+METRICS_PORT = 9464
+"""As the deploy file names it."""
 MS_PER_S = 1000.0
 
 
@@ -26,8 +28,10 @@
         This VM's address.
     callers_address, readiness_address : str
         Where callers and readiness checks arrive.
-    peer_port, metrics_port : int
-        Ports for the other processes of the cell and for metrics.
+    peer_port : int
+        Port for the other processes of the cell.
+    metrics_address : str
+        Where metrics are served, empty for nowhere.
     store_address, advice_address, machines_address : str
         Services of the platform; the last two may be empty.
     lease_limit_s : float
@@ -50,7 +54,7 @@
     callers_address: str
     readiness_address: str
     peer_port: int
-    metrics_port: int
+    metrics_address: str
     store_address: str
     advice_address: str
     machines_address: str
@@ -161,7 +165,7 @@
         callers_address=wire.listen.frontend,
         readiness_address=wire.listen.ready,
         peer_port=wire.port_range[0],
-        metrics_port=wire.port_range[1],
+        metrics_address=f"{wire.ip}:{METRICS_PORT}",
         store_address=wire.platform.address,
         advice_address=wire.advisor or "",
         machines_address=wire.cloud_api.address if wire.cloud_api else "",
--- /dev/null
+++ b/redwingplank/standin/site_store.py
@@ -0,0 +1,227 @@
+"""A stand-in of the users' store: items, leases, watches and transactions over HTTP."""
+
+import asyncio
+import base64
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import falcon.asgi
+import msgspec
+
+__all__ = ["SiteStoreModel", "make_site_store_app"]
+
+MAX_ENTRIES = 32
+
+
+@dataclass
+class _Item:
+    value: bytes
+    revision: int
+    created: int
+    lease: int = 0
+
+
+class SiteStoreModel:
+    """The store's state; time is an argument.
+
+    Attributes
+    ----------
+    is_down : bool
+        Calls are refused with 503.
+    lose_answers : int
+        That many writes are carried out and not answered.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, _Item] = {}
+        self.revision = 1
+        self.events: list[tuple[int, dict[str, Any]]] = []
+        self.forgotten = 0
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.is_down = False
+        self.lose_answers = 0
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key as the operator or a worker does."""
+        self.revision += 1
+        self._put(key, value, lease)
+        self._notify()
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        self._remove(key)
+        self._notify()
+
+    def forget_history(self) -> None:
+        """Drop all events; watches that began before are told so at their next call."""
+        self.events.clear()
+        self.forgotten = self.revision
+
+    def expire(self, now_s: float) -> None:
+        """End leases that have run out."""
+        for lease, (_, until_s) in list(self.leases.items()):
+            if now_s >= until_s:
+                self.end_lease(lease)
+
+    def end_lease(self, lease: int) -> bool:
+        """End a lease and remove its keys."""
+        if self.leases.pop(lease, None) is None:
+            return False
+        for key in [key for key, item in self.items.items() if item.lease == lease]:
+            self.remove(key)
+        return True
+
+    def open_lease(self, ttl_s: float, now_s: float) -> int:
+        """Return the number of a new lease."""
+        self.revision += 1
+        self.leases[self.revision] = (ttl_s, now_s + ttl_s)
+        return self.revision
+
+    def renew(self, lease: int, now_s: float) -> bool:
+        """Renew a lease."""
+        found = self.leases.get(lease)
+        if found is None:
+            return False
+        self.leases[lease] = (found[0], now_s + found[0])
+        return True
+
+    def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Return status and answer of a transaction."""
+        entries = [*body.get("expect", ()), *body.get("puts", ()), *body.get("remove", ())]
+        if len(entries) > MAX_ENTRIES:
+            return 400, {}
+        for row in body.get("expect", ()):
+            item = self.items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                keys = [row["key"] for row in body["expect"]]
+                return 412, {"items": [self.show(key) for key in keys if key in self.items]}
+        for row in body.get("puts", ()):
+            if row.get("lease_id") and row["lease_id"] not in self.leases:
+                return 404, {}
+        self.revision += 1
+        for row in body.get("puts", ()):
+            self._put(row["key"], base64.b64decode(row["value"]), row.get("lease_id", 0))
+        for key in body.get("remove", ()):
+            if key in self.items:
+                self._remove(key)
+        self._notify()
+        return 200, {"revision": self.revision}
+
+    def show(self, key: str) -> dict[str, Any]:
+        """Return an item as it is answered."""
+        item = self.items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(item.value).decode(),
+            "revision": item.revision,
+            "created": item.created,
+            "lease_id": item.lease,
+        }
+
+    def events_after(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        """Return what changed below a prefix since a revision."""
+        return [
+            event
+            for revision, event in self.events
+            if revision > after and event["key"].startswith(prefix)
+        ]
+
+    def _put(self, key: str, value: bytes, lease: int) -> None:
+        old = self.items.get(key)
+        created = old.created if old else self.revision
+        self.items[key] = _Item(value, self.revision, created, lease)
+        self.events.append((self.revision, self.show(key)))
+
+    def _remove(self, key: str) -> None:
+        del self.items[key]
+        event = {"key": key, "revision": self.revision, "deleted": True}
+        self.events.append((self.revision, event))
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class _StoreResource:
+    def __init__(self, model: SiteStoreModel, now_s: Callable[[], float]) -> None:
+        self._model = model
+        self._now_s = now_s
+
+    async def handle(self, req: falcon.asgi.Request, resp: Any, **_: Any) -> None:
+        model = self._model
+        model.expire(self._now_s())
+        if model.is_down:
+            resp.status = 503
+            return
+        name = req.path.removeprefix("/-/")
+        if name == "kv-key":
+            key = req.get_param("key")
+            resp.status = 200 if key in model.items else 404
+            resp.media = {**model.show(key), "at_rev": model.revision} if key in model.items else {}
+        elif name == "kv-range":
+            prefix = req.get_param("prefix") or ""
+            keys = sorted(key for key in model.items if key.startswith(prefix))
+            items = [model.show(key) for key in keys]
+            resp.media = {"items": items, "has_more": False, "at_rev": model.revision}
+        elif name == "kv-watch":
+            await self._watch(req, resp)
+        else:
+            await self._write(req, resp, name)
+
+    async def _watch(self, req: falcon.asgi.Request, resp: Any) -> None:
+        model = self._model
+        prefix, after = req.get_param("prefix") or "", req.get_param_as_int("after") or 0
+        until_s = self._now_s() + (req.get_param_as_int("wait_ms") or 0) / 1000
+        while True:
+            if after < model.forgotten:
+                resp.status = 410
+                return
+            events = model.events_after(prefix, after)
+            left_s = until_s - self._now_s()
+            if events or left_s <= 0:
+                resp.media = {"events": events, "at_rev": model.revision}
+                return
+            try:
+                async with asyncio.timeout(min(left_s, 0.1)):
+                    await model.changed.wait()
+            except TimeoutError:
+                model.expire(self._now_s())
+
+    async def _write(self, req: falcon.asgi.Request, resp: Any, name: str) -> None:
+        model, now_s = self._model, self._now_s()
+        if name == "kv-txn":
+            status, media = model.transact(msgspec.json.decode(await req.stream.read()))
+            if model.lose_answers and status == 200:
+                model.lose_answers -= 1
+                await asyncio.Event().wait()
+            resp.status, resp.media = status, media
+        elif name == "kv-lease":
+            ttl_ms = msgspec.json.decode(await req.stream.read())["ttl_ms"]
+            resp.media = {"lease_id": model.open_lease(ttl_ms / 1000, now_s), "ttl_ms": ttl_ms}
+        elif name.startswith("kv-keep/"):
+            is_kept = model.renew(int(name.split("/")[1]), now_s)
+            resp.status, resp.media = (200 if is_kept else 404), {}
+        elif name.startswith("kv-lease-end/"):
+            is_ended = model.end_lease(int(name.split("/")[1]))
+            resp.status, resp.media = (200 if is_ended else 404), {}
+        else:
+            resp.status = 404
+
+
+def make_site_store_app(model: SiteStoreModel, now_s: Callable[[], float]) -> falcon.asgi.App:
+    """Return the store's application.
+
+    Parameters
+    ----------
+    model : SiteStoreModel
+        The state.
+    now_s : callable
+        The clock of leases.
+    """
+    app = falcon.asgi.App()
+    app.add_sink(_StoreResource(model, now_s).handle, prefix="/")
+    return app
--- /dev/null
+++ b/redwingplank/standin/site_workers.py
@@ -0,0 +1,155 @@
+"""A stand-in of the users' workers: start, stop and hold over HTTP."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import falcon.asgi
+import msgspec
+
+__all__ = ["SiteWorkerModel", "make_site_worker_app"]
+
+
+class SiteWorkerModel:
+    """A worker's state; time is an argument.
+
+    Parameters
+    ----------
+    born_ms : int
+        Incarnation.
+    run_s : float
+        How long each task runs; tasks whose payload is ``"last"`` run until stopped.
+    """
+
+    def __init__(self, born_ms: int = 1, run_s: float = 0.05) -> None:
+        self.born_ms = born_ms
+        self.run_s = run_s
+        self.token = 0
+        self.lease_until_ms = 0
+        self.runs: dict[str, tuple[int, float]] = {}
+        self.blocked: dict[str, int] = {}
+        self.ends: list[list[Any]] = []
+        self.end_count = 0
+        self.starts: list[tuple[str, int]] = []
+        self.payloads: list[str] = []
+        self.lose_answers = 0
+        self.late_s: float | None = None
+        """Orders to start get no answer and are carried out this much later."""
+
+    def start(self, body: dict[str, Any], now_s: float) -> tuple[int, str]:
+        """Return status and reason of an order to start."""
+        task, attempt = body["task"], body["attempt"]
+        if body.get("fencing_token", 0) < self.token:
+            return 409, "fence"
+        self.token = body.get("fencing_token", 0)
+        if body["deadline_ms"] < now_s * 1000:
+            return 409, "late"
+        self.lease_until_ms = max(self.lease_until_ms, body["deadline_ms"])
+        if task in self.runs and self.runs[task][0] == attempt:
+            return 200, ""
+        if attempt <= self.blocked.get(task, 0):
+            return 409, "old"
+        ends_s = now_s + self.run_s if body["spec"] != "last" else float("inf")
+        self.runs[task] = (attempt, ends_s)
+        self.starts.append((task, attempt))
+        self.payloads.append(body["spec"])
+        return 200, ""
+
+    def stop(self, body: dict[str, Any]) -> tuple[int, str]:
+        """Return status and reason of an order to stop."""
+        task, attempt = body["task"], body["attempt"]
+        if body.get("fencing_token", 0) < self.token:
+            return 409, "fence"
+        self.blocked[task] = max(self.blocked.get(task, 0), attempt)
+        if task in self.runs and self.runs[task][0] <= attempt:
+            self._end(task, "stopped")
+        return 200, ""
+
+    def work(self, now_s: float) -> None:
+        """End what is done and what has no lease any more."""
+        for task, (_, ends_s) in list(self.runs.items()):
+            if now_s >= ends_s:
+                self._end(task, "done")
+            elif now_s * 1000 > self.lease_until_ms:
+                self._end(task, "lapsed")
+
+    def _end(self, task: str, how: str) -> None:
+        attempt, _ = self.runs.pop(task)
+        self.blocked[task] = max(self.blocked.get(task, 0), attempt)
+        self.end_count += 1
+        self.ends.append([self.end_count, task, attempt, how, ""])
+
+    def hold(self, body: dict[str, Any]) -> tuple[int, str]:
+        """Renew the lease and forget acknowledged ends."""
+        if body.get("fencing_token", 0) < self.token:
+            return 409, "fence"
+        self.token = body.get("fencing_token", 0)
+        self.lease_until_ms = max(self.lease_until_ms, body.get("deadline_ms", 0))
+        self.ends = [end for end in self.ends if end[0] > body["last_seen"]]
+        return 200, ""
+
+    def report(self, now_s: float) -> dict[str, Any]:
+        """Return both lists."""
+        running = [[task, attempt, "", 50, 0] for task, (attempt, _) in self.runs.items()]
+        return {
+            "clock_ms": round(now_s * 1000),
+            "born": self.born_ms,
+            "running": running,
+            "finished": self.ends,
+        }
+
+
+class _WorkerResource:
+    def __init__(self, model: SiteWorkerModel, now_s: Callable[[], float]) -> None:
+        self._model = model
+        self._now_s = now_s
+
+    async def handle(self, req: falcon.asgi.Request, resp: Any, **_: Any) -> None:
+        model, name = self._model, req.path.removeprefix("/-/")
+        body = msgspec.json.decode(await req.stream.read())
+        model.work(self._now_s())
+        if name == "run-start":
+            await self._start(body, resp)
+            return
+        if name == "run-stop":
+            self._answer(resp, *model.stop(body))
+            return
+        status, reason = model.hold(body)
+        until_s = self._now_s() + body.get("wait_ms", 0) / 1000
+        while status == 200 and not model.ends and self._now_s() < until_s:
+            await asyncio.sleep(0.01)
+            model.work(self._now_s())
+        self._answer(resp, status, reason)
+        if status == 200:
+            resp.media = model.report(self._now_s())
+
+    async def _start(self, body: dict[str, Any], resp: Any) -> None:
+        model = self._model
+        if model.late_s is not None:
+            await asyncio.sleep(model.late_s)
+            model.start(body, self._now_s())
+            await asyncio.Event().wait()
+        status, reason = model.start(body, self._now_s())
+        if model.lose_answers:
+            model.lose_answers -= 1
+            await asyncio.Event().wait()
+        self._answer(resp, status, reason)
+
+    def _answer(self, resp: Any, status: int, reason: str) -> None:
+        resp.status = status
+        resp.media = {"clock_ms": round(self._now_s() * 1000), "reason": reason}
+
+
+def make_site_worker_app(model: SiteWorkerModel, now_s: Callable[[], float]) -> falcon.asgi.App:
+    """Return a worker's application.
+
+    Parameters
+    ----------
+    model : SiteWorkerModel
+        The state.
+    now_s : callable
+        The worker's clock.
+    """
+    app = falcon.asgi.App()
+    app.add_sink(_WorkerResource(model, now_s).handle, prefix="/")
+    return app
