Refuse truly while the store is known to be away, also for peers; ask callers back after one second

Tried: two seconds in Retry-After after a longer outage: callers give up after about three seconds in all, so it cost them a try.

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -24,9 +24,7 @@
 __all__ = ["make_app"]
 
 RETRY_AFTER_S = 1
-LONG_RETRY_AFTER_S = 2
-"""Callers have few tries: once an outage has lasted a while, they are spread over more of it."""
-LONG_OUTAGE_S = 1.5
+"""Callers wait about three seconds in all: two more tries find the store back where they can."""
 _is_job_id = re.compile(r"[0-9A-Za-z_-]{1,64}").fullmatch
 
 
@@ -109,14 +107,10 @@
         if end is SubmitEnd.ACCEPTED:
             resp.media = {}
         elif end is SubmitEnd.NOT_RUN:
-            _refuse(resp, "the job was not stored and does not run", self._retry_after_s())
+            _refuse(resp, "the job was not stored and does not run")
         else:
             _answer(resp, HTTPStatus.GATEWAY_TIMEOUT, "the job may be stored: submit it again")
 
-    def _retry_after_s(self) -> int:
-        is_long = self._callers.store_outage_s() > LONG_OUTAGE_S
-        return LONG_RETRY_AFTER_S if is_long else RETRY_AFTER_S
-
     async def _state(self, resp: falcon.asgi.Response, job_id: str) -> None:
         outcome = await self._callers.state(job_id)
         if not outcome.is_told:
@@ -151,9 +145,9 @@
     resp.content_type = falcon.MEDIA_JSON
 
 
-def _refuse(resp: falcon.asgi.Response, problem: str, retry_after_s: int = RETRY_AFTER_S) -> None:
+def _refuse(resp: falcon.asgi.Response, problem: str) -> None:
     _answer(resp, HTTPStatus.SERVICE_UNAVAILABLE, problem)
-    resp.set_header("Retry-After", str(retry_after_s))
+    resp.set_header("Retry-After", str(RETRY_AFTER_S))
 
 
 def make_app(
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -85,24 +85,22 @@
         """
         started_s = now_s()
         submission = encode_submission(spec)
-        end, reason = SubmitEnd.NOT_RUN, "store_away"
-        if not self._context.health.is_away:
-            timeout_s = max(MIN_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
-            end, reason = await self.store_here(spec.job_id, submission, timeout_s)
+        timeout_s = max(MIN_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
+        end, reason = await self.store_here(spec.job_id, submission, timeout_s)
         if end is not SubmitEnd.ACCEPTED:
             end, reason = await self._store_through_peer(spec.job_id, submission, deadline_s, end)
         self._log_submit(spec, end, reason, now_s() - started_s)
         return end
 
-    def store_outage_s(self) -> float:
-        """Return how long the store has not answered this node, 0 if it does."""
-        health = self._context.health
-        return now_s() - health.answered_s if health.is_away else 0.0
-
     async def store_here(
         self, job_id: str, submission: bytes, timeout_s: float
     ) -> tuple[SubmitEnd, str]:
-        """Store a job once; return the end and its reason."""
+        """Store a job once, unless the store is known to be away; return the end and its reason.
+
+        Not trying is what makes the refusal true: a call that breaks may have been carried out.
+        """
+        if self._context.health.is_away:
+            return SubmitEnd.NOT_RUN, "store_away"
         key = JOBS_PREFIX + job_id
         puts = [Put(key, submission)]
         try:
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from redwingplank.cell.callers import SubmitEnd
 from redwingplank.cell.tests.site_fixture import run_site
 
 STEP = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 50}
@@ -95,6 +96,18 @@
 
         run_site(scenario)
 
+    def test_a_peer_that_knows_the_store_is_away_refuses_truly(self):
+        async def scenario(site):
+            site.store.is_down = True
+            await site.until(lambda: all(each.health.is_away for each in site.contexts))
+            site.store.is_down = False
+            for each in site.contexts:
+                each.health.is_away = True
+            ends = [await node.callers.store_here(ID, b"{}", 0.5) for node in site.nodes]
+            assert ends == [(SubmitEnd.NOT_RUN, "store_away")] * 2
+
+        run_site(scenario, nodes=2)
+
     def test_a_lost_answer_never_reads_as_not_run(self):
         async def scenario(site):
             site.store.lose_answers = 1
