--- a/redwingplank/cli/cell.py
+++ b/redwingplank/cli/cell.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 
 import capnp
 
@@ -21,22 +22,64 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def main() -> int:
-    """Run a node until SIGTERM, and return the exit code."""
-    try:
-        settings = read_site_settings()
-    except FindingsError as error:
-        for finding in error.findings:
-            print(f"redwing-node: {finding}", file=sys.stderr)
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a node until SIGTERM, and return the exit code.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        The command line, by default the process's own; the platform gives none.
+    """
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    if given:
+        return _run_command(given)
+    settings = _read_settings(None)
+    if settings is None:
         return EXIT_BAD_SETTINGS
-    if "--check-settings" in sys.argv[1:]:
-        print("redwing-node: all settings are valid")
-        return EXIT_OK
     gc.freeze()
     asyncio.run(capnp.run(_run(settings)))
     return EXIT_OK
 
 
+def _run_command(given: list[str]) -> int:
+    # Imported here: a start on the platform has no flags, and is to be quick.
+    import cyclopts
+
+    app = cyclopts.App(
+        name="redwing-node",
+        version=__version__,
+        help="A node of a cell on the users' platform; without flags it runs until SIGTERM.",
+        result_action="return_value",
+    )
+
+    @app.default
+    def _check(*, check_settings: bool, settings: str = "") -> int:
+        """Check the settings file and start nothing.
+
+        Parameters
+        ----------
+        check_settings
+            Print every fault with its field.
+        settings
+            The file; by default the environment names it.
+        """
+        if not check_settings or _read_settings(settings or None) is None:
+            return EXIT_BAD_SETTINGS
+        print("redwing-node: all settings are valid")
+        return EXIT_OK
+
+    return app(given) or EXIT_OK
+
+
+def _read_settings(path: str | None) -> SiteSettings | None:
+    try:
+        return read_site_settings(path)
+    except FindingsError as error:
+        for finding in error.findings:
+            print(f"redwing-node: {finding}", file=sys.stderr)
+        return None
+
+
 async def _run(settings: SiteSettings) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
