--- a/redwingplank/batch/ends.py
+++ b/redwingplank/batch/ends.py
@@ -7,6 +7,7 @@
 __all__ = ["Ends"]
 
 RETRY_AFTER_FAILURE_S = 0.05
+"""Failures are mostly the worker's: another one is tried soon."""
 LASTING_RETRY_S = 0.02
 
 
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -28,7 +28,9 @@
 __all__ = ["HoldOrder", "JobOwner", "RecordToStore"]
 
 UNHEALTHY_PAUSE_S = 0.5
+"""How long a worker that refused or could not be reached is left alone."""
 REFUSED_RETRY_S = 0.1
+"""A refused task waits this long, so that refusals cannot spin."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/redwingplank/cell/advisers.py
+++ b/redwingplank/cell/advisers.py
@@ -14,8 +14,11 @@
 __all__ = ["Advisers"]
 
 CALL_SLACK_S = 1.2
+"""Beyond the work that the service has for this node's calls."""
 PAUSE_AFTER_FAILURE_S = 1.0
+"""A node that got no answer is not asked for this long."""
 WAIT_FOR_NODE_S = 0.02
+"""Before the step is asked for again, through another node."""
 
 
 class Advisers:
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -22,11 +22,17 @@
 __all__ = ["Callers", "Outcome", "SubmitEnd"]
 
 SUBMIT_TIMEOUT_S = 0.7
+"""The store answers in 0.01 s, a slow one in 0.25 s; callers wait 3 s, peers are asked after it."""
 PEER_TIMEOUT_S = 0.7
+"""As long as this node's own try: the peer makes the same call."""
 MIN_TIME_S = 0.15
+"""Less is not worth another call."""
 OWNER_TIMEOUT_S = 0.5
+"""A call to another node takes 0.005 s; after it the store is read instead."""
 CANCEL_TIMEOUT_S = 2.0
+"""Longer than the owner itself waits for the store."""
 READ_TIMEOUT_S = 0.8
+"""Two reads and the owner's call fit into a caller's 3 s."""
 
 
 class SubmitEnd(enum.Enum):
--- a/redwingplank/cell/follower.py
+++ b/redwingplank/cell/follower.py
@@ -9,8 +9,10 @@
 __all__ = ["PrefixFollower"]
 
 READ_TIMEOUT_S = 1.5
+"""A page of 1 MB from a slow store takes under a second."""
 RETRY_S = 0.25
 LONGEST_RETRY_S = 1.0
+"""A change of the configuration has to be in force within 2 s of the store's return."""
 
 
 class PrefixFollower:
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -25,11 +25,14 @@
 LEASE_S = 1.2
 """Lease of a node in the store: bounds how long a dead owner goes unnoticed."""
 RENEW_S = 0.35
+"""Two renewals may be lost before the lease ends."""
 RENEW_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 0.9
+"""A slow store answers in 0.25 s."""
 SETTLE_S = 0.06
 """Spreads the candidates of a free ownership, so that usually one tries."""
 WATCH_WAIT_S = 2.5
+"""A watch may miss changes unnoticed: a free ownership is found at most this much later."""
 
 
 class NodeEntry(msgspec.Struct, frozen=True):
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -34,10 +34,15 @@
 LONGEST_LEASE_S = 6.5
 """Leases bridge a cut of five seconds; longer ones free lost tasks later."""
 INTAKE_WAIT_S = 1.5
+"""A watch may miss changes unnoticed: new jobs wait at most this much longer."""
 WORKER_POLL_S = 0.6
+"""Well below the 2 s in which starts on a leaving worker have to cease."""
 READ_TIMEOUT_S = 1.5
+"""A page of 1 MB from a slow store takes under a second."""
 HOLD_WAIT_MS = 1500
+"""A quarter of a lease: three looks may be lost before it runs out."""
 IDLE_HOLD_WAIT_MS = 2000
+"""The longest wait that workers allow."""
 LOSSY_HOLD_WAIT_MS = 400
 """While orders go unanswered: a lost look blinds the owner this much longer."""
 LOSSY_S = 3.0
@@ -45,12 +50,17 @@
 PAUSE_AFTER_ENDS_S = 0.06
 """Ends that come within it are learnt with one look."""
 SILENT_PAUSE_S = 0.4
+"""Between looks at a silent worker; far below the time that its lease lasts."""
 START_TIMEOUT_S = 0.35
+"""Orders take 0.005 s; a lost one delays its task by this."""
 STOP_TIMEOUT_S = 0.35
 PACE_TIMEOUT_S = 0.5
 TICK_S = 0.1
+"""Longest time between two passes without news."""
 FORGET_PERIOD_S = 10.0
+"""Ended jobs are kept for minutes: a few seconds more do not matter."""
 CANCEL_WAIT_S = 1.5
+"""A cancellation that is not stored by then is written by the caller's node."""
 
 
 class OwnerRuntime:
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -24,8 +24,11 @@
 RECORDS_PER_WRITE = 28
 """A transaction takes 32 entries; two keys are compared and one more is written."""
 JOBS_PER_REMOVAL = 9
+"""Three keys a job, within the 32 entries of a transaction."""
 WRITE_TIMEOUT_S = 1.2
+"""A slow store answers in 0.25 s; a full write is larger."""
 RETRY_S = 0.15
+"""A store that refuses is asked seven times a second, by the owner alone."""
 GATHER_S = 0.05
 """Ends that come within it are stored with one write."""
 
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -12,12 +12,17 @@
 __all__ = ["NoAnswerError", "NotSentError", "Reply", "SiteClient", "SiteError"]
 
 CONNECT_TIMEOUT_S = 1.0
+"""One opening packet; its repetition comes after a second."""
 CONNECTIONS_PER_HOST = 24
+"""A worker takes 64 from all nodes together."""
 IDLE_S = 20.0
+"""New connections are priced: idle ones are kept."""
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
+"""A connection that fell silent is noticed after 3 s."""
 UNACKNOWLEDGED_MS = 3000
+"""The same for bytes that were sent."""
 
 
 class SiteError(RedwingError):
