Keep a step in one failure domain where that costs little

Ruled out: shorter leases on workers, so that cut tasks are free sooner: a lease holds for a whole worker, so long and lasting tasks would be lost with it. Change: a step prefers the failure domain of its runs, else the one with room for most of its tasks on the best workers; workers elsewhere count 1.25 times. Lasting tasks are left spread.

--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -1,5 +1,6 @@
 """Chooses workers for the tasks of a step."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from redwingplank.batch.entities import Step, Task, Worker
@@ -15,6 +16,8 @@
 LOAD_WEIGHT = 0.35
 """How much a full worker counts against one that is empty."""
 BAD_WORKER_FACTOR = 4.0
+AWAY_FACTOR = 1.25
+"""Preference against spreading a step over failure domains: each that it touches may be cut off."""
 
 
 class Placement:
@@ -58,16 +61,53 @@
             return False
         return self.suits(worker, step)
 
+    def home(self, workers: Iterable[Worker], step: Step, now_s: float) -> str:
+        """Return the failure domain that a step's tasks are best kept in.
+
+        It is the one that has most of the step's runs; without any, the one with room for most of
+        its tasks, on the best workers. Empty for tasks that last, which are better spread.
+        """
+        if step.spec.is_lasting:
+            return ""
+        domains = Counter(
+            run.worker.entry.failure_domain for task in step.tasks for run in task.runs
+        )
+        if domains:
+            return domains.most_common(1)[0][0]
+        workers_by_domain: dict[str, list[Worker]] = {}
+        for worker in workers:
+            if self.fits(worker, step, now_s):
+                workers_by_domain.setdefault(worker.entry.failure_domain, []).append(worker)
+        return min(
+            sorted(workers_by_domain),
+            key=lambda domain: self._domain_score(workers_by_domain[domain], step),
+            default="",
+        )
+
+    def _domain_score(self, workers: list[Worker], step: Step) -> tuple[int, float]:
+        """Return how many tasks find no room on some workers, and the mean score of the others."""
+        scores: list[float] = []
+        for worker in workers:
+            room = min(step.spec.count, self._room_for(worker, step))
+            scores.extend([self._score(worker, step)] * room)
+        best = sorted(scores)[: step.spec.count]
+        return step.spec.count - len(best), sum(best) / len(best)
+
     def choose(
-        self, workers: Iterable[Worker], step: Step, task: Task, now_s: float
+        self, workers: Iterable[Worker], step: Step, task: Task, now_s: float, home: str = ""
     ) -> Worker | None:
-        """Return the best of some workers with room, None if none has any."""
+        """Return the best of some workers with room, None if none has any.
+
+        Workers outside the failure domain `home`, if there is one, count as worse.
+        """
         best: Worker | None = None
         best_score = float("inf")
         for worker in workers:
             if not self.fits(worker, step, now_s):
                 continue
             score = self._score(worker, step)
+            if home and worker.entry.failure_domain != home:
+                score *= AWAY_FACTOR
             if worker.id in task.bad_workers:
                 score *= BAD_WORKER_FACTOR
             if score < best_score:
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -79,8 +79,10 @@
 
     def _start_tasks(self, step: Step, workers: list[Worker], now_s: float) -> bool:
         """Return whether no task is left that only lacks a worker."""
-        for task in self._startable(step, now_s):
-            worker = self._placement.choose(workers, step, task, now_s)
+        waiting = self._startable(step, now_s)
+        home = self._placement.home(workers, step, now_s) if waiting else ""
+        for task in waiting:
+            worker = self._placement.choose(workers, step, task, now_s, home)
             if worker is None:
                 return False
             self._plan(step, task, worker, self._state.next_attempt(task), now_s)
--- a/redwingplank/batch/tests/cells.py
+++ b/redwingplank/batch/tests/cells.py
@@ -21,10 +21,12 @@
     return CellConfig(1, {queue.name: queue for queue in chosen})
 
 
-def make_worker(number: int, capacity: Amounts = CORES_8, **values) -> EmulatedWorker:
-    entry = WorkerEntry(
-        f"w{number}", f"w{number}:80", "a", "render", capacity, "k", f"r{number % 3}", ("k",), 1
-    )
+def make_worker(
+    number: int, capacity: Amounts = CORES_8, domain: str = "a", kind: str = "k", **values
+) -> EmulatedWorker:
+    name = f"w{number}"
+    rack = f"r{number % 3}"
+    entry = WorkerEntry(name, f"{name}:80", domain, "render", capacity, kind, rack, (kind,), 1)
     return EmulatedWorker(entry, **values)
 
 
