Tell the next owner what the last one learned of speeds

Ruled out: learning faster (the weight is 1/n already for the first samples); one key for each kind (a call of its own; now it goes along with a write that is due anyway, every 2 s).

--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -159,6 +159,8 @@
         self._order = itertools.count()
         self.specs_by_id: dict[str, JobSpec] = {}
         self.records_by_id: dict[str, bytes] = {}
+        self.learned = b""
+        """What the last owner that wrote had learned of speeds."""
         self.noted_done: set[TaskId] = set()
         self.completed_s_by_id: dict[str, float] = {}
         self.violations: list[str] = []
@@ -174,6 +176,8 @@
     def _make_owner(self) -> JobOwner:
         self.term += 1
         owner = JobOwner(self.settings, self.term, self.config, _ignore)
+        if self.learned:
+            owner.state.speeds.restore(self.learned)
         for job_id, spec in self.specs_by_id.items():
             owner.load(spec, self.records_by_id.get(job_id), self.now_s, self.now_s)
         owner.list_workers(self._entries(), self.now_s)
@@ -279,6 +283,7 @@
             if owner is not self.owner:
                 return
             self._writing = False
+            self.learned = owner.state.speeds.encode()
             for record in records:
                 self.records_by_id[record.job_id] = record.value
             owner.stored(records, self.now_s)
--- a/redwingplank/batch/tests/test_load.py
+++ b/redwingplank/batch/tests/test_load.py
@@ -25,7 +25,9 @@
     """Submit jobs of six short tasks at an even pace."""
     for _ in range(round(per_s * for_s)):
         spec = make_job(
-            f"proof-{len(cell.specs_by_id)}", step(6, cpu=PROOF_CORES, estimate_s=1.0), at_s=cell.now_s
+            f"proof-{len(cell.specs_by_id)}",
+            step(6, cpu=PROOF_CORES, estimate_s=1.0),
+            at_s=cell.now_s,
         )
         cell.submit(spec)
         yield spec
@@ -40,6 +42,33 @@
     )
 
 
+class TestOwnersChangeUnderLoad:
+    """Small jobs keep coming while one owner after the other goes, and some workers are slow."""
+
+    def play(self, *, is_told: bool) -> int:
+        kinds = ("slow", "fast", "fast")
+        workers = [
+            make_worker(number, kind=kinds[number % 3], slowness=2.2 if number % 3 == 0 else 1.0)
+            for number in range(12)
+        ]
+        cell = EmulatedCell(make_config(), workers)
+        cell.run_for(1.0)
+        list(proofs(cell, 6.0, 5.0))
+        specs: list[JobSpec] = []
+        for _ in range(4):
+            if not is_told:
+                cell.learned = b""
+            cell.replace_owner()
+            specs += proofs(cell, 6.0, 2.0)
+        cell.run_for(5.0)
+        assert not cell.violations
+        return count_late(cell, specs)
+
+    def test_each_owner_begins_with_what_the_last_one_learned(self):
+        late, late_when_untold = self.play(is_told=True), self.play(is_told=False)
+        assert late <= late_when_untold / 2
+
+
 class TestDomainCutUnderSmallJobs:
     """Many jobs of a few short tasks run when a failure domain is cut off for 5 s."""
 
--- a/redwingplank/cell/keys.py
+++ b/redwingplank/cell/keys.py
@@ -4,6 +4,7 @@
     "CANCELS_PREFIX",
     "INTAKE_PREFIX",
     "JOBS_PREFIX",
+    "LEARNED_KEY",
     "NODES_PREFIX",
     "OWNER_KEY",
     "PROGRESS_PREFIX",
@@ -25,3 +26,5 @@
 JOBS_PREFIX = "redwing/intake/jobs/"
 CANCELS_PREFIX = "redwing/intake/cancels/"
 PROGRESS_PREFIX = "redwing/progress/"
+LEARNED_KEY = "redwing/learned"
+"""How fast kinds of worker are and how long images take, as the last owner learned it."""
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -15,7 +15,13 @@
 from redwingplank.cell.clocks import now_s, now_unix_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.follower import PrefixFollower
-from redwingplank.cell.keys import CANCELS_PREFIX, INTAKE_PREFIX, JOBS_PREFIX, PROGRESS_PREFIX
+from redwingplank.cell.keys import (
+    CANCELS_PREFIX,
+    INTAKE_PREFIX,
+    JOBS_PREFIX,
+    LEARNED_KEY,
+    PROGRESS_PREFIX,
+)
 from redwingplank.cell.membership import Membership, Ownership
 from redwingplank.cell.record_writer import RecordWriter
 from redwingplank.cell.tasks import TaskSet
@@ -123,6 +129,7 @@
             jobs=len(self.owner.state.jobs_by_id),
             workers=len(self.owner.state.workers_by_id),
             unproven=len(self.owner.state.unproven_hosts),
+            learned_kinds=",".join(self.owner.state.speeds.kinds),
         )
         self._tasks.start(self._intake.run())
         self._tasks.start(self._writer.run())
@@ -134,7 +141,11 @@
         store = self._context.store
         while True:
             try:
-                progress = await store.read_range(PROGRESS_PREFIX, READ_TIMEOUT_S)
+                progress, learned = await asyncio.gather(
+                    store.read_range(PROGRESS_PREFIX, READ_TIMEOUT_S),
+                    store.get(LEARNED_KEY, READ_TIMEOUT_S),
+                )
+                self._take_learned(learned)
                 self._progress_by_id = {
                     item.key.removeprefix(PROGRESS_PREFIX): item.value or b""
                     for item in progress.items
@@ -148,6 +159,14 @@
 
     # What the store holds.
 
+    def _take_learned(self, item: Item | None) -> None:
+        if item is None or item.value is None:
+            return
+        try:
+            self.owner.state.speeds.restore(item.value)
+        except msgspec.MsgspecError as error:
+            self._context.log("learned_unreadable", error=error)
+
     def _load(self, items: tuple[Item, ...]) -> None:
         now, unix = now_s(), now_unix_s()
         for item in items:
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -11,6 +11,7 @@
 from redwingplank.cell.keys import (
     CANCELS_PREFIX,
     JOBS_PREFIX,
+    LEARNED_KEY,
     PROGRESS_PREFIX,
     SEQUENCE_KEY,
     TERM_KEY,
@@ -22,7 +23,9 @@
 __all__ = ["RecordWriter"]
 
 RECORDS_PER_WRITE = 28
-"""A transaction takes 32 entries; two keys are compared and one more is written."""
+"""A transaction takes 32 entries; two keys are compared and up to two more are written."""
+LEARNED_PERIOD_S = 2.0
+"""Learned speeds change within tens of tasks; they go along with a write that is due anyway."""
 JOBS_PER_REMOVAL = 9
 """Three keys a job, within the 32 entries of a transaction."""
 WRITE_TIMEOUT_S = 1.2
@@ -71,7 +74,7 @@
         self._sequence = 0
         self._sequence_revision = ownership.sequence_revision
         self._is_wanted = asyncio.Event()
-        self.is_idle = True
+        self._learned_s = now_s()
 
     def wake(self) -> None:
         """Say that there is something to store."""
@@ -85,13 +88,19 @@
             if not self._owner.is_write_urgent():
                 await asyncio.sleep(GATHER_S)
             while records := self._owner.take_records(RECORDS_PER_WRITE):
-                self.is_idle = False
                 puts = [Put(PROGRESS_PREFIX + record.job_id, record.value) for record in records]
-                if not await self._write(puts, [], records):
+                puts += self._learned(now_s())
+                if not await self._write(puts, records):
                     return
                 self._owner.stored(records, now_s())
                 self._on_stored()
-            self.is_idle = True
+
+    def _learned(self, now: float) -> list[Put]:
+        """Return what the next owner is to know of speeds, if it was not written lately."""
+        if now - self._learned_s < LEARNED_PERIOD_S:
+            return []
+        self._learned_s = now
+        return [Put(LEARNED_KEY, self._owner.state.speeds.encode())]
 
     async def remove(self, job_ids: list[str]) -> None:
         """Remove all keys of jobs that are forgotten."""
@@ -107,9 +116,7 @@
             except STORE_ERRORS as error:
                 self._context.log("removal_failed", jobs=len(job_ids), error=error)
 
-    async def _write(
-        self, puts: list[Put], removes: list[str], records: list[RecordToStore]
-    ) -> bool:
+    async def _write(self, puts: list[Put], records: list[RecordToStore]) -> bool:
         """Return whether the write was carried out; False once another owner has written."""
         self._sequence += 1
         mark = msgspec.json.encode([self._ownership.term, self._sequence])
@@ -120,9 +127,7 @@
         all_puts = [Put(SEQUENCE_KEY, mark), *puts]
         while True:
             try:
-                result = await self._context.store.transact(
-                    expected, all_puts, removes, WRITE_TIMEOUT_S
-                )
+                result = await self._context.store.transact(expected, all_puts, [], WRITE_TIMEOUT_S)
             except STORE_ERRORS as error:
                 self._context.health.failed(error)
                 self._context.log(
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -6,7 +6,9 @@
 
 import aiohttp
 
+from redwingplank.cell import record_writer
 from redwingplank.cell.callers import SubmitEnd
+from redwingplank.cell.keys import LEARNED_KEY
 from redwingplank.cell.tests.site_fixture import run_site
 
 STEP = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 50}
@@ -172,6 +174,32 @@
 
         run_site(scenario, nodes=2)
 
+    def test_the_next_owner_begins_with_the_speeds_that_were_learned(self, monkeypatch):
+        monkeypatch.setattr(record_writer, "LEARNED_PERIOD_S", 0.0)
+
+        async def scenario(site):
+            await site.call("POST", f"/proof/{ID}", JOB)
+            await site.until_state(ID, "completed", node=1)
+            old = site.owner_node()
+            await old.stop()
+            site.nodes.remove(old)
+            await site.until(lambda: site.owner_node() is not None)
+            loaded = [line for line in site.events() if "event=owner_loaded" in line]
+            assert "learned_kinds=k" in loaded[-1]
+
+        run_site(scenario, nodes=2)
+
+    def test_learned_speeds_that_cannot_be_read_are_left_out(self):
+        async def scenario(site):
+            site.store.put(LEARNED_KEY, b"nonsense")
+            old = site.owner_node()
+            await old.stop()
+            site.nodes.remove(old)
+            await site.until(lambda: site.owner_node() is not None)
+            assert any("event=learned_unreadable" in line for line in site.events())
+
+        run_site(scenario, nodes=2)
+
 
 class TestLogsAndMetrics:
     def test_every_event_is_documented_and_names_its_job(self):
