Remove the store's budget and the spread of revisions from peer to peer

Cause: both were built for a store with less room. Gone: the budget with its token buckets and purposes, and its tests; the watcher of a failure domain, announcements and differences between peers. Every node watches the store; what a peer is still asked for, as a whole and only without the store, is the newest declarations.

--- a/redwingplank/cli/ctl_output.py
+++ b/redwingplank/cli/ctl_output.py
@@ -152,7 +152,7 @@
                 "node": line.name,
                 "revision": report.revision if report else None,
                 "lag": line.lag(newest_revision) if report else None,
-                "watcher": report.is_watcher if report else None,
+                "watching": report.is_watching if report else None,
                 "leaving": report.is_leaving if report else None,
                 "peers": len(report.live_peers) if report else None,
                 "upstreams": len(report.live_upstreams) if report else None,
--- a/redwingplank/cli/node.py
+++ b/redwingplank/cli/node.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import aiohttp
-import numpy as np
 import xxhash
 
 from redwingplank.cli.settings import NodeSettings
@@ -12,15 +11,11 @@
 from redwingplank.core import MonotonicClock, UnixClock
 from redwingplank.membership import NodeIdentity
 from redwingplank.platform import KeyValueStore
-from redwingplank.platform.budget import (
-    BudgetedStore,
-    BudgetLimits,
-    StoreBudget,
-    StorePurpose,
-)
 from redwingplank.platform.http import HttpKeyValueStore, HttpVmList, open_session
 from redwingplank.rpc import NodeServer, PeerConnections
 from redwingplank.rpc.membership_calls import MEMBERSHIP_SERVICE, MembershipCalls
+from redwingplank.runtime.bounded_store import BoundedStore
+from redwingplank.runtime.counters import ProcessCounters
 from redwingplank.runtime.declarations import DeclarationsFollower
 from redwingplank.runtime.membership import MembershipNode
 
@@ -59,10 +54,11 @@
         self.vm_list = HttpVmList(self.session, settings.vms_url, settings.store_timeout_s)
         self.peers = PeerConnections()
         self._addresses_by_name = {**settings.entries, **settings.schedulers}
-        self._store = self._make_store()
+        self._counters = ProcessCounters()
+        self.store: KeyValueStore = self._make_store()
         self.membership = self._make_membership()
         self.follower = DeclarationsFollower(
-            self.store(StorePurpose.DECLARATIONS),
+            self.store,
             self.membership,
             on_change,
             self.clock,
@@ -72,10 +68,6 @@
         self.membership.follow(self.follower)
         self._server: NodeServer | None = None
 
-    def store(self, purpose: StorePurpose) -> KeyValueStore:
-        """Return the store, as the node's budget lets calls of a purpose through."""
-        return self._store.with_purpose(purpose)
-
     async def start(self, services_by_name: Mapping[str, Any]) -> None:
         """Offer services beside membership, and begin to follow the others."""
         services = {MEMBERSHIP_SERVICE: self.membership.server, **services_by_name}
@@ -97,25 +89,17 @@
     def gauges(self) -> dict[str, float]:
         """Return the store's calls, and how many nodes and upstreams are live."""
         now_s = self.clock.now_s()
-        budget = self._store.budget
         return {
-            "store.calls": sum(budget.calls_by_method.values()),
-            "store.refused": sum(budget.refused_by_purpose.values()),
-            "store.watches": budget.open_watches,
+            "store.calls": self._counters.store_calls(),
             "peers.live": len(self.membership.live_peers(now_s)),
             "upstreams.live": len(self.membership.live_upstreams(now_s)),
             "declarations.revision": self.follower.revision,
         }
 
-    def _make_store(self) -> BudgetedStore:
+    def _make_store(self) -> KeyValueStore:
         settings = self.settings
-        budget = StoreBudget(
-            BudgetLimits(),
-            max(1, len(self._addresses_by_name)),
-            np.random.default_rng(self.seed),
-        )
-        http_store = HttpKeyValueStore(self.session, settings.store_url, settings.store_timeout_s)
-        return BudgetedStore(http_store, budget, self.clock)
+        client = HttpKeyValueStore(self.session, settings.store_url, settings.store_timeout_s)
+        return BoundedStore(client, self._counters, settings.store_timeout_s)
 
     def _make_membership(self) -> MembershipNode:
         settings = self.settings
--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -9,7 +9,6 @@
 from redwingplank.cli.settings import SchedulerProgramSettings
 from redwingplank.config import Declarations
 from redwingplank.core import tune_collector
-from redwingplank.platform.budget import StorePurpose
 from redwingplank.platform.http import HttpWorkerClient
 from redwingplank.routing.orders import OrderBook
 from redwingplank.rpc.scheduler_calls import SCHEDULER_SERVICE
@@ -44,7 +43,7 @@
         self.node = NodeConnections(settings, self.change_declarations)
         self.process = make_scheduler_process(
             make_process_settings(settings),
-            self.node.store(StorePurpose.LEASE),
+            self.node.store,
             self.node.vm_list,
             HttpWorkerClient(self.node.session),
             self.node.clock,
@@ -94,7 +93,7 @@
         return tuple(shard for shard, runner in runners.items() if runner.term_runner is not None)
 
     def _make_order_home(self, shard: str) -> OrderHome:
-        log = KeyValueOrderLog(self.node.store(StorePurpose.JOURNAL), shard)
+        log = KeyValueOrderLog(self.node.store, shard)
         return OrderHome(OrderBook(), log, self.node.unix_clock)
 
     def _candidates(self) -> list[str]:
--- /dev/null
+++ b/redwingplank/config/follow.py
@@ -0,0 +1,235 @@
+"""Decides how a node learns of new revisions: from its watch, from a poll, else from a peer."""
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from redwingplank.config.replica import MergeOutcome, Replica, make_watch_delta
+from redwingplank.config.stored import Head, LiveSet
+from redwingplank.platform import WatchBatch
+
+__all__ = [
+    "FollowAction",
+    "FollowState",
+    "FollowTiming",
+    "OpenWatch",
+    "PeerRevision",
+    "Pull",
+    "ReadAll",
+    "ReadHead",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class FollowTiming:
+    """Times of following the store, in seconds.
+
+    Parameters
+    ----------
+    poll_s : float
+        Between two reads of the head, which detect a silent watch.
+    start_s : float
+        Within it, at random, a started node reads for the first time.
+    retry_s, max_retry_s : float
+        First and longest wait after a failed call.
+    """
+
+    poll_s: float = 4.0
+    start_s: float = 1.0
+    retry_s: float = 0.25
+    max_retry_s: float = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRevision:
+    """A live peer and the newest revision that it is known to have."""
+
+    name: str
+    address: str
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OpenWatch:
+    """Watch the live documents after a revision of the store."""
+
+    after_store_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadHead:
+    """Read the head alone."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadAll:
+    """Read all live documents."""
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """Ask a peer for all documents in force there."""
+
+    address: str
+
+
+FollowAction = OpenWatch | ReadHead | ReadAll | Pull
+
+
+class FollowState:
+    """The state of one node; `step` returns what to do, the other methods take results.
+
+    Parameters
+    ----------
+    generator : numpy.random.Generator
+        For jitter and the choice of peers.
+    timing : FollowTiming
+        Times.
+
+    Notes
+    -----
+    Every action ends with exactly one call of the method that takes its result or its failure.
+    A peer is asked only while the store does not answer this node.
+    """
+
+    def __init__(self, generator: np.random.Generator, timing: FollowTiming | None = None) -> None:
+        self.replica = Replica()
+        self._generator = generator
+        self._timing = timing or FollowTiming()
+        self._store_revision = 0
+        self._is_started = False
+        self._is_reading = False
+        self._is_watching = False
+        self._is_pulling = False
+        self._must_read_all = False
+        self._read_at_s = 0.0
+        self._pull_at_s = 0.0
+        self._failures = 0
+        self._pull_failures = 0
+
+    @property
+    def revision(self) -> int:
+        """The revision in force at this node."""
+        return self.replica.revision
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether a watch is open."""
+        return self._is_watching
+
+    def step(self, now_s: float, peers: tuple[PeerRevision, ...] = ()) -> list[FollowAction]:
+        """Return what to do now.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time.
+        peers : tuple of PeerRevision
+            The live peers, the near ones first.
+        """
+        if not self._is_started:
+            self._is_started = True
+            self._read_at_s = now_s + self._timing.start_s * self._generator.uniform()
+        actions: list[FollowAction] = []
+        self._step_watch(actions)
+        self._step_read(now_s, actions)
+        self._step_pull(now_s, peers, actions)
+        return actions
+
+    def on_head(self, now_s: float, head: Head, store_revision: int) -> None:
+        """Take the head that was read from the store."""
+        self._end_read(now_s)
+        if head.revision > self.revision:
+            self._must_read_all = True
+            self._read_at_s = now_s
+            self._is_watching = False
+        else:
+            self._store_revision = store_revision
+
+    def on_all(self, now_s: float, live: LiveSet) -> MergeOutcome:
+        """Take all documents that were read from the store."""
+        self._end_read(now_s)
+        self._must_read_all = False
+        self._store_revision = live.store_revision
+        return self.replica.merge_live_set(live)
+
+    def on_read_failed(self, now_s: float) -> None:
+        """Take the failure of a read."""
+        self._is_reading = False
+        self._failures += 1
+        self._read_at_s = now_s + self._backoff_s(self._failures)
+
+    def on_watch_batch(self, now_s: float, batch: WatchBatch) -> MergeOutcome:
+        """Take a batch of the watch."""
+        if not batch.events:
+            return MergeOutcome.OLD
+        delta = make_watch_delta(batch.events)
+        outcome = MergeOutcome.INCOMPLETE
+        if delta is not None and self.revision > 0:
+            outcome = self.replica.merge_delta(delta)
+        if outcome is MergeOutcome.INCOMPLETE:
+            self._must_read_all = True
+            self._read_at_s = now_s
+        else:
+            self._store_revision = batch.revision
+        return outcome
+
+    def on_watch_ended(self, now_s: float) -> None:
+        """Take the end or failure of the watch."""
+        if self._is_watching:
+            self._is_watching = False
+            self._failures += 1
+            self._store_revision = 0
+            self._read_at_s = now_s + self._backoff_s(self._failures)
+
+    def on_pulled(self, now_s: float, live: LiveSet) -> MergeOutcome:
+        """Take what a peer answered to a pull."""
+        self._is_pulling = False
+        outcome = self.replica.merge_live_set(live)
+        if outcome is MergeOutcome.ADOPTED:
+            self._pull_failures = 0
+        else:
+            self.on_pull_failed(now_s)
+        return outcome
+
+    def on_pull_failed(self, now_s: float) -> None:
+        """Take the failure of a pull."""
+        self._is_pulling = False
+        self._pull_failures += 1
+        self._pull_at_s = now_s + self._backoff_s(self._pull_failures)
+
+    def _step_watch(self, actions: list[FollowAction]) -> None:
+        if not self._is_watching and self._store_revision and not self._must_read_all:
+            self._is_watching = True
+            actions.append(OpenWatch(self._store_revision))
+
+    def _step_read(self, now_s: float, actions: list[FollowAction]) -> None:
+        if self._is_reading or now_s < self._read_at_s:
+            return
+        self._is_reading = True
+        if self._must_read_all or self.revision == 0:
+            actions.append(ReadAll())
+        else:
+            actions.append(ReadHead())
+
+    def _step_pull(
+        self, now_s: float, peers: tuple[PeerRevision, ...], actions: list[FollowAction]
+    ) -> None:
+        if not self._failures or self._is_pulling or now_s < self._pull_at_s:
+            return
+        highest = max((peer.revision for peer in peers), default=0)
+        if highest <= self.revision:
+            return
+        best = [peer for peer in peers if peer.revision == highest]
+        self._is_pulling = True
+        # One of the nearest two, so that a peer that cannot be reached is not asked for ever.
+        actions.append(Pull(best[int(self._generator.integers(min(2, len(best))))].address))
+
+    def _end_read(self, now_s: float) -> None:
+        self._is_reading = False
+        self._failures = 0
+        self._read_at_s = now_s + self._timing.poll_s * self._generator.uniform(0.75, 1.25)
+
+    def _backoff_s(self, failures: int) -> float:
+        ceiling_s = min(self._timing.max_retry_s, self._timing.retry_s * 2.0 ** min(failures, 16))
+        return float(self._generator.uniform(0.5, 1.0) * ceiling_s)
--- a/redwingplank/config/replica.py
+++ b/redwingplank/config/replica.py
@@ -1,4 +1,4 @@
-"""A node's copy of the declarations in force, and the differences that nodes exchange."""
+"""A node's copy of the declarations in force, and the differences that its watch delivers."""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -21,11 +21,9 @@
 
 __all__ = ["Delta", "MergeOutcome", "Replica", "make_watch_delta"]
 
-MAX_REMOVED_KEYS = 1000
-
 
 class MergeOutcome(Enum):
-    """What became of a difference that a node received."""
+    """What became of documents that a node received."""
 
     ADOPTED = "adopted"
     OLD = "old"
@@ -34,33 +32,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Delta:
-    """What changed after a revision.
+    """What changed up to a revision.
 
     Parameters
     ----------
-    after_revision : int
-        The receiver's revision; 0 for a whole set.
     head : Head
         The revision that the receiver gets to.
     stored_by_key : mapping of str to StoredDocument
-        Documents changed after `after_revision`.
+        Documents that changed.
     removed_keys : tuple of str
-        Documents removed after it.
+        Documents that were removed.
     """
 
-    after_revision: int
     head: Head
     stored_by_key: Mapping[str, StoredDocument] = field(default_factory=dict)
     removed_keys: tuple[str, ...] = ()
 
 
-def make_watch_delta(after_revision: int, events: Iterable[WatchEvent]) -> Delta | None:
+def make_watch_delta(events: Iterable[WatchEvent]) -> Delta | None:
     """Return the difference that a watch delivered, or None if it lacks the head.
 
     Parameters
     ----------
-    after_revision : int
-        The node's revision.
     events : iterable of WatchEvent
         In the order of the store.
     """
@@ -77,7 +70,7 @@
         else:
             stored_by_key[key] = decode_document(event.key, event.entry.value)
             removed.pop(key, None)
-    return None if head is None else Delta(after_revision, head, stored_by_key, tuple(removed))
+    return None if head is None else Delta(head, stored_by_key, tuple(removed))
 
 
 class Replica:
@@ -87,8 +80,6 @@
         self.head = Head()
         self.declarations: Declarations = NO_DECLARATIONS
         self._stored_by_key: dict[str, StoredDocument] = {}
-        self._removed_revisions_by_key: dict[str, int] = {}
-        self._complete_since_revision = 0
 
     @property
     def revision(self) -> int:
@@ -96,14 +87,10 @@
         return self.head.revision
 
     def merge_live_set(self, live: LiveSet) -> MergeOutcome:
-        """Take over a whole set that was read from the store."""
+        """Take over a whole set that was read from the store or got from a peer."""
         if live.head.revision <= self.revision:
             return MergeOutcome.OLD
-        outcome = self._adopt(live.head, dict(live.stored_by_key))
-        if outcome is MergeOutcome.ADOPTED:
-            self._removed_revisions_by_key.clear()
-            self._complete_since_revision = live.head.revision
-        return outcome
+        return self._adopt(live.head, dict(live.stored_by_key))
 
     def merge_delta(self, delta: Delta) -> MergeOutcome:
         """Take over a difference, if it leads to a higher revision and nothing is missing.
@@ -115,31 +102,14 @@
         """
         if delta.head.revision <= self.revision:
             return MergeOutcome.OLD
-        if delta.after_revision == 0:
-            return self.merge_live_set(LiveSet(delta.head, delta.stored_by_key))
         stored_by_key = {**self._stored_by_key, **delta.stored_by_key}
         for key in delta.removed_keys:
             stored_by_key.pop(key, None)
-        outcome = self._adopt(delta.head, stored_by_key)
-        if outcome is MergeOutcome.ADOPTED:
-            self._remember_removed(delta)
-        return outcome
-
-    def make_delta(self, after_revision: int) -> Delta:
-        """Return what a node at `after_revision` lacks: a whole set where that is too old."""
-        if after_revision < self._complete_since_revision:
-            return Delta(0, self.head, dict(self._stored_by_key))
-        changed = {
-            key: stored
-            for key, stored in self._stored_by_key.items()
-            if stored.revision > after_revision
-        }
-        removed = tuple(
-            key
-            for key, revision in self._removed_revisions_by_key.items()
-            if revision > after_revision
-        )
-        return Delta(after_revision, self.head, changed, removed)
+        return self._adopt(delta.head, stored_by_key)
+
+    def live_set(self) -> LiveSet:
+        """Return all documents in force here, for a peer that does not reach the store."""
+        return LiveSet(self.head, dict(self._stored_by_key))
 
     def _adopt(self, head: Head, stored_by_key: dict[str, StoredDocument]) -> MergeOutcome:
         revisions_by_key = {key: stored.revision for key, stored in stored_by_key.items()}
@@ -161,13 +131,3 @@
         }
         documents = {key: to_document(key, stored.content) for key, stored in stored_by_key.items()}
         return resolve_changed(self.declarations, documents, changed_keys, head.revision)
-
-    def _remember_removed(self, delta: Delta) -> None:
-        for key in delta.stored_by_key:
-            self._removed_revisions_by_key.pop(key, None)
-        for key in delta.removed_keys:
-            self._removed_revisions_by_key[key] = delta.head.revision
-        while len(self._removed_revisions_by_key) > MAX_REMOVED_KEYS:
-            oldest = next(iter(self._removed_revisions_by_key))
-            revision = self._removed_revisions_by_key.pop(oldest)
-            self._complete_since_revision = max(self._complete_since_revision, revision)
--- a/redwingplank/membership/node.py
+++ b/redwingplank/membership/node.py
@@ -5,7 +5,8 @@
 
 import numpy as np
 
-from redwingplank.config.spread import PeerRevision, choose_node
+from redwingplank.config.follow import PeerRevision
+from redwingplank.core import choose_by_rendezvous
 from redwingplank.membership.actions import (
     MembershipAction,
     MembershipTiming,
@@ -199,7 +200,7 @@
         names = tuple(peer.name for peer in self.live_peers())
         if self.is_leaving and names:
             return False
-        return choose_node((self.identity.name, *names)) == self.identity.name
+        return _choose_speaker((self.identity.name, *names)) == self.identity.name
 
     def _list_period_s(self) -> float:
         return max(self.timing.list_s, self.vms.listed_count / self.timing.listed_vms_per_s)
@@ -321,7 +322,7 @@
     def _make_summary(self) -> DomainSummary:
         peers = self.live_peers()
         leaving = sum(1 for node in self.detector if node.is_alive and node.is_leaving)
-        speaker = choose_node((self.identity.name, *(peer.name for peer in peers)))
+        speaker = _choose_speaker((self.identity.name, *(peer.name for peer in peers)))
         addresses_by_name = {peer.name: peer.address for peer in peers}
         return DomainSummary(
             self.identity.failure_domain,
@@ -330,3 +331,8 @@
             leaving + (1 if self.is_leaving else 0),
             max([self._revision, *(peer.revision for peer in peers)]),
         )
+
+
+def _choose_speaker(names: tuple[str, ...]) -> str:
+    """Return the node that speaks for a failure domain: every node finds the same one."""
+    return choose_by_rendezvous("", names) or ""
--- a/redwingplank/rpc/membership.capnp
+++ b/redwingplank/rpc/membership.capnp
@@ -1,5 +1,5 @@
 @0xb6f0d2c9a1e34751;
-# Membership and the spread of revisions between the nodes of a cell. Ages are in milliseconds,
+# Membership, and declarations for nodes that do not reach the store. Ages are in milliseconds,
 # because the clocks of two nodes are not compared.
 
 struct Evidence {
@@ -53,12 +53,10 @@
   value @1 :Data;
 }
 
-struct Delta {
-  # What changed after a revision; a whole set if that is 0.
-  afterRevision @0 :UInt64;
-  head @1 :Data;
-  documents @2 :List(Document);
-  removedKeys @3 :List(Text);
+struct LiveSet {
+  # All declarations in force at a node.
+  head @0 :Data;
+  documents @1 :List(Document);
 }
 
 struct NodeStatus {
@@ -66,7 +64,7 @@
   failureDomain @1 :Text;
   revision @2 :UInt64;
   isLeaving @3 :Bool;
-  isWatcher @4 :Bool;
+  isWatching @4 :Bool;
   livePeers @5 :List(Text);
   liveUpstreams @6 :List(Text);
   cutOffFrom @7 :List(Text);
@@ -75,10 +73,8 @@
 interface Membership {
   heartbeat @0 (heartbeat :Heartbeat) -> (answer :Heartbeat);
   summary @1 (summary :DomainSummary) -> (answer :DomainSummary);
-  announce @2 (address :Text, revision :UInt64) -> ();
-  # Says that the node at the address has a revision.
-  pull @3 (afterRevision :UInt64) -> (delta :Delta);
-  status @4 () -> (status :NodeStatus);
-  mark @5 (word :VmWord) -> ();
+  pull @2 () -> (live :LiveSet);
+  status @3 () -> (status :NodeStatus);
+  mark @4 (word :VmWord) -> ();
   # Says that a VM leaves or is dead.
 }
--- a/redwingplank/rpc/membership_calls.py
+++ b/redwingplank/rpc/membership_calls.py
@@ -3,17 +3,17 @@
 from abc import ABC, abstractmethod
 from typing import Any
 
-from redwingplank.config.replica import Delta
+from redwingplank.config.stored import LiveSet
 from redwingplank.membership import DomainSummary, Heartbeat, VmWord
 from redwingplank.rpc.membership_codec import (
     NodeReport,
-    decode_delta,
     decode_heartbeat,
+    decode_live_message,
     decode_report,
     decode_summary,
     decode_word,
-    encode_delta,
     encode_heartbeat,
+    encode_live_message,
     encode_report,
     encode_summary,
     encode_word,
@@ -67,20 +67,10 @@
         )
         return decode_summary(response.answer)
 
-    async def announce(
-        self, address: str, own_address: str, revision: int, timeout_s: float
-    ) -> None:
-        """Tell a node that the one at `own_address` has a revision."""
-        await self._call(
-            address, lambda service: service.announce(own_address, revision), timeout_s
-        )
-
-    async def pull(self, address: str, after_revision: int, timeout_s: float) -> Delta:
-        """Return what changed after a revision."""
-        response = await self._call(
-            address, lambda service: service.pull(after_revision), timeout_s
-        )
-        return decode_delta(response.delta)
+    async def pull(self, address: str, timeout_s: float) -> LiveSet:
+        """Return the declarations in force at a node."""
+        response = await self._call(address, lambda service: service.pull(), timeout_s)
+        return decode_live_message(response.live)
 
     async def status(self, address: str, timeout_s: float) -> NodeReport:
         """Return what a node says of itself."""
@@ -109,12 +99,8 @@
         """Take a summary and return this failure domain's own."""
 
     @abstractmethod
-    def on_announced(self, address: str, revision: int) -> None:
-        """Take a node's word that it has a revision."""
-
-    @abstractmethod
-    def make_delta(self, after_revision: int) -> Delta:
-        """Return what changed after a revision."""
+    def live_set(self) -> LiveSet:
+        """Return the declarations in force here."""
 
     @abstractmethod
     def report(self) -> NodeReport:
@@ -142,11 +128,8 @@
         answer = self._handler.on_summary(decode_summary(summary))
         return encode_summary(answer)
 
-    async def announce(self, address: str, revision: int, _context: Any, **_: Any) -> None:
-        self._handler.on_announced(address, revision)
-
-    async def pull(self, afterRevision: int, _context: Any, **_: Any) -> Any:  # noqa: N803
-        return encode_delta(self._handler.make_delta(afterRevision))
+    async def pull(self, _context: Any, **_: Any) -> Any:
+        return encode_live_message(self._handler.live_set())
 
     async def status(self, _context: Any, **_: Any) -> Any:
         return encode_report(self._handler.report())
--- a/redwingplank/rpc/membership_codec.py
+++ b/redwingplank/rpc/membership_codec.py
@@ -1,11 +1,9 @@
-"""Translates the messages of membership and of the spread to Cap'n Proto and back."""
+"""Translates the messages of membership and of declarations to Cap'n Proto and back."""
 
 from dataclasses import dataclass
 from typing import Any
 
-from redwingplank.config.replica import Delta
-from redwingplank.config.spread import Announce, Pull
-from redwingplank.config.stored import decode_document, decode_head, encode
+from redwingplank.config.stored import LiveSet, decode_document, decode_head, encode
 from redwingplank.membership import (
     DomainSummary,
     DomainView,
@@ -18,13 +16,13 @@
 
 __all__ = [
     "NodeReport",
-    "decode_delta",
     "decode_heartbeat",
+    "decode_live_message",
     "decode_report",
     "decode_summary",
     "decode_word",
-    "encode_delta",
     "encode_heartbeat",
+    "encode_live_message",
     "encode_report",
     "encode_summary",
     "encode_word",
@@ -45,8 +43,8 @@
         The node.
     revision : int
         Of the declarations in force there.
-    is_leaving, is_watcher : bool
-        Whether it stops, and whether it watches the store for its failure domain.
+    is_leaving, is_watching : bool
+        Whether it stops, and whether its watch of the store is open.
     live_peers, live_upstreams : tuple of str
         Names, within its failure domain.
     cut_off_from : tuple of str
@@ -57,7 +55,7 @@
     failure_domain: str
     revision: int
     is_leaving: bool = False
-    is_watcher: bool = False
+    is_watching: bool = False
     live_peers: tuple[str, ...] = ()
     live_upstreams: tuple[str, ...] = ()
     cut_off_from: tuple[str, ...] = ()
@@ -134,32 +132,23 @@
     return VmWord(message.vm, VmWordKind(str(message.kind)))
 
 
-def encode_delta(delta: Delta) -> Any:
-    """Return a difference as a message."""
-    message = _schema().Delta.new_message(
-        afterRevision=delta.after_revision,
-        head=encode(delta.head),
-        removedKeys=list(delta.removed_keys),
-    )
-    documents = message.init("documents", len(delta.stored_by_key))
-    for document, (key, stored) in zip(documents, delta.stored_by_key.items(), strict=True):
+def encode_live_message(live: LiveSet) -> Any:
+    """Return all declarations in force as a message."""
+    message = _schema().LiveSet.new_message(head=encode(live.head))
+    documents = message.init("documents", len(live.stored_by_key))
+    for document, (key, stored) in zip(documents, live.stored_by_key.items(), strict=True):
         document.key = key
         document.value = encode(stored)
     return message
 
 
-def decode_delta(message: Any) -> Delta:
-    """Return the difference in a message."""
+def decode_live_message(message: Any) -> LiveSet:
+    """Return the declarations in a message."""
     stored_by_key = {
         document.key: decode_document(document.key, document.value)
         for document in message.documents
     }
-    return Delta(
-        message.afterRevision,
-        decode_head(message.head),
-        stored_by_key,
-        tuple(message.removedKeys),
-    )
+    return LiveSet(decode_head(message.head), stored_by_key)
 
 
 def encode_report(report: NodeReport) -> Any:
@@ -169,7 +158,7 @@
         failureDomain=report.failure_domain,
         revision=report.revision,
         isLeaving=report.is_leaving,
-        isWatcher=report.is_watcher,
+        isWatching=report.is_watching,
         livePeers=list(report.live_peers),
         liveUpstreams=list(report.live_upstreams),
         cutOffFrom=list(report.cut_off_from),
@@ -183,22 +172,18 @@
         message.failureDomain,
         message.revision,
         message.isLeaving,
-        message.isWatcher,
+        message.isWatching,
         tuple(message.livePeers),
         tuple(message.liveUpstreams),
         tuple(message.cutOffFrom),
     )
 
 
-def message_bytes(message: Heartbeat | DomainSummary | Delta | Pull | Announce) -> int:
+def message_bytes(message: Heartbeat | DomainSummary) -> int:
     """Return the bytes of a message on the wire, without those of the call around it."""
     if isinstance(message, Heartbeat):
         return len(encode_heartbeat(message).to_bytes())
-    if isinstance(message, DomainSummary):
-        return len(encode_summary(message).to_bytes())
-    if isinstance(message, Delta):
-        return len(encode_delta(message).to_bytes())
-    return len(getattr(message, "address", "")) + 8
+    return len(encode_summary(message).to_bytes())
 
 
 def _schema() -> Any:
--- a/redwingplank/runtime/declarations.py
+++ b/redwingplank/runtime/declarations.py
@@ -1,4 +1,4 @@
-"""Follows the declarations in force: watch, pulls, polls and announcements of one node."""
+"""Follows the declarations in force: watch, polls and pulls of one node."""
 
 import asyncio
 from abc import ABC, abstractmethod
@@ -11,20 +11,18 @@
 import xxhash
 
 from redwingplank.config import Declarations
-from redwingplank.config.replica import Delta, MergeOutcome
-from redwingplank.config.spread import (
-    Announce,
-    CloseWatch,
-    DeclarationSpread,
+from redwingplank.config.follow import (
+    FollowAction,
+    FollowState,
+    FollowTiming,
     OpenWatch,
-    PeerView,
+    PeerRevision,
     Pull,
     ReadAll,
     ReadHead,
-    SpreadAction,
-    SpreadTiming,
 )
-from redwingplank.config.stored import HEAD_KEY, LIVE_PREFIX, decode_live_set
+from redwingplank.config.replica import MergeOutcome
+from redwingplank.config.stored import HEAD_KEY, LIVE_PREFIX, LiveSet, decode_live_set
 from redwingplank.core import Clock, RedwingError, log_event, make_logger
 from redwingplank.platform import KeyValueStore
 
@@ -39,16 +37,12 @@
     """What a follower needs of the other nodes."""
 
     @abstractmethod
-    def view(self, now_s: float) -> PeerView:
-        """Return the live peers and their revisions."""
+    def revisions(self, now_s: float) -> tuple[PeerRevision, ...]:
+        """Return the live peers and their revisions, the near ones first."""
 
     @abstractmethod
-    async def announce(self, address: str, revision: int) -> None:
-        """Tell a peer the revision in force here; raises `RedwingError`."""
-
-    @abstractmethod
-    async def pull(self, address: str, after_revision: int) -> Delta:
-        """Ask a peer for what changed after a revision; raises `RedwingError`."""
+    async def pull(self, address: str) -> LiveSet:
+        """Ask a peer for all that is in force there; raises `RedwingError`."""
 
     @abstractmethod
     def note_store(self, is_reached: bool) -> None:
@@ -56,13 +50,10 @@
 
 
 class _NoPeers(DeclarationPeers):
-    def view(self, now_s: float) -> PeerView:
-        return PeerView()
+    def revisions(self, now_s: float) -> tuple[PeerRevision, ...]:
+        return ()
 
-    async def announce(self, address: str, revision: int) -> None:
-        """Nobody listens."""
-
-    async def pull(self, address: str, after_revision: int) -> Delta:
+    async def pull(self, address: str) -> LiveSet:
         raise RedwingError("there is no peer to pull from; give peers")
 
     def note_store(self, is_reached: bool) -> None:
@@ -75,7 +66,7 @@
     Parameters
     ----------
     store : KeyValueStore
-        The platform's store; a `BudgetedStore` in the programs.
+        The platform's store.
     peers : DeclarationPeers or None
         The other nodes; None where there are none.
     on_change : callable
@@ -86,7 +77,7 @@
         This node's name.
     seed : int
         Of jitter; 0 takes one from the name.
-    timing : SpreadTiming, optional
+    timing : FollowTiming, optional
         Times.
     """
 
@@ -99,7 +90,7 @@
         *,
         name: str = "",
         seed: int = 0,
-        timing: SpreadTiming | None = None,
+        timing: FollowTiming | None = None,
     ) -> None:
         self._store = store
         self._peers = peers or _NoPeers()
@@ -107,8 +98,8 @@
         self._clock = clock
         generator = np.random.default_rng(seed or xxhash.xxh64_intdigest(name.encode()))
         if timing is None:
-            timing = SpreadTiming() if peers else SpreadTiming(settle_s=0.0, peer_first_s=0.0)
-        self._spread = DeclarationSpread(name, generator, timing)
+            timing = FollowTiming() if peers else FollowTiming(start_s=0.0)
+        self._state = FollowState(generator, timing)
         self._wake = asyncio.Event()
         self._changed = asyncio.Event()
         self._loop_task: asyncio.Task[None] | None = None
@@ -118,16 +109,16 @@
     @property
     def current(self) -> Declarations:
         """The declarations in force at this node."""
-        return self._spread.replica.declarations
+        return self._state.replica.declarations
 
     @property
     def revision(self) -> int:
         """Their revision; 0 before the first."""
-        return self._spread.revision
+        return self._state.revision
 
     @property
     def is_watching(self) -> bool:
-        """Whether this node watches the store for its failure domain."""
+        """Whether this node's watch of the store is open."""
         return self._watch_task is not None
 
     async def start(self) -> None:
@@ -148,35 +139,26 @@
             await self._changed.wait()
         return self.current
 
-    def on_announced(self, address: str, revision: int) -> None:
-        """Take a peer's word that it has a revision."""
-        self._spread.on_announced(address, revision)
-        self._wake.set()
-
-    def make_delta(self, after_revision: int) -> Delta:
-        """Return what a peer at a revision lacks."""
-        return self._spread.replica.make_delta(after_revision)
+    def live_set(self) -> LiveSet:
+        """Return all documents in force here, for a peer."""
+        return self._state.replica.live_set()
 
     async def _run(self) -> None:
         while True:
             now_s = self._clock.now_s()
-            for action in self._spread.step(now_s, self._peers.view(now_s)):
+            for action in self._state.step(now_s, self._peers.revisions(now_s)):
                 self._do(action)
             self._wake.clear()
             with suppress(TimeoutError):
                 async with asyncio.timeout(STEP_S):
                     await self._wake.wait()
 
-    def _do(self, action: SpreadAction) -> None:
+    def _do(self, action: FollowAction) -> None:
         if isinstance(action, OpenWatch):
             self._close_watch()
             self._watch_task = asyncio.create_task(self._watch(action.after_store_revision))
-        elif isinstance(action, CloseWatch):
-            self._close_watch()
         elif isinstance(action, Pull):
             self._start(self._pull(action))
-        elif isinstance(action, Announce):
-            self._start(self._announce(action))
         elif isinstance(action, ReadAll):
             self._start(self._read_all())
         elif isinstance(action, ReadHead):
@@ -197,20 +179,20 @@
             stream: Any = self._store.watch(LIVE_PREFIX, after_revision)
             async with aclosing(stream) as batches:
                 async for batch in batches:
-                    outcome = self._spread.on_watch_batch(self._clock.now_s(), batch)
+                    outcome = self._state.on_watch_batch(self._clock.now_s(), batch)
                     self._peers.note_store(is_reached=True)
                     self._finish("watch", outcome)
         except RedwingError as error:
             log_event(_logger, "watch_failed", level=logbook.WARNING, error=str(error))
         self._watch_task = None
-        self._spread.on_watch_ended(self._clock.now_s())
+        self._state.on_watch_ended(self._clock.now_s())
         self._wake.set()
 
     async def _read_all(self) -> None:
         try:
             result = await self._store.range(LIVE_PREFIX)
             live = decode_live_set(result.entries, result.revision)
-            outcome = self._spread.on_all(self._clock.now_s(), live)
+            outcome = self._state.on_all(self._clock.now_s(), live)
         except RedwingError as error:
             self._fail_read(error)
             return
@@ -225,18 +207,18 @@
             self._fail_read(error)
             return
         self._peers.note_store(is_reached=True)
-        self._spread.on_head(self._clock.now_s(), live.head, result.revision)
+        self._state.on_head(self._clock.now_s(), live.head, result.revision)
         self._wake.set()
 
     def _fail_read(self, error: RedwingError) -> None:
         log_event(_logger, "store_read_failed", level=logbook.WARNING, error=str(error))
         self._peers.note_store(is_reached=False)
-        self._spread.on_read_failed(self._clock.now_s())
+        self._state.on_read_failed(self._clock.now_s())
 
     async def _pull(self, action: Pull) -> None:
         try:
-            delta = await self._peers.pull(action.address, action.after_revision)
-            outcome = self._spread.on_delta(self._clock.now_s(), delta)
+            live = await self._peers.pull(action.address)
+            outcome = self._state.on_pulled(self._clock.now_s(), live)
         except RedwingError as error:
             log_event(
                 _logger,
@@ -245,22 +227,10 @@
                 peer=action.address,
                 error=str(error),
             )
-            self._spread.on_pull_failed(self._clock.now_s(), action.address)
+            self._state.on_pull_failed(self._clock.now_s())
             return
         self._finish(action.address, outcome)
 
-    async def _announce(self, action: Announce) -> None:
-        try:
-            await self._peers.announce(action.address, action.revision)
-        except RedwingError as error:
-            log_event(
-                _logger,
-                "announce_failed",
-                level=logbook.DEBUG,
-                peer=action.address,
-                error=str(error),
-            )
-
     def _finish(self, source: str, outcome: MergeOutcome) -> None:
         if outcome is MergeOutcome.ADOPTED:
             log_event(_logger, "revision_in_force", revision=self.revision, source=source)
--- a/redwingplank/runtime/membership.py
+++ b/redwingplank/runtime/membership.py
@@ -9,8 +9,8 @@
 import numpy as np
 import xxhash
 
-from redwingplank.config.replica import Delta
-from redwingplank.config.spread import PeerRevision, PeerView
+from redwingplank.config.follow import PeerRevision
+from redwingplank.config.stored import LiveSet
 from redwingplank.core import Clock, log_event, make_logger
 from redwingplank.membership import (
     DomainSummary,
@@ -101,7 +101,7 @@
         self.server: Any = make_membership_server(self)
 
     def follow(self, follower: DeclarationsFollower) -> None:
-        """Tell peers the revision of a follower, and the follower what they announce."""
+        """Tell peers the revision of a follower, and give them its declarations."""
         self._follower = follower
 
     async def start(self) -> None:
@@ -153,14 +153,10 @@
     def on_summary(self, summary: DomainSummary) -> DomainSummary:
         return self._state.on_summary(self._clock.now_s(), summary)
 
-    def on_announced(self, address: str, revision: int) -> None:
-        if self._follower is not None:
-            self._follower.on_announced(address, revision)
-
-    def make_delta(self, after_revision: int) -> Delta:
+    def live_set(self) -> LiveSet:
         if self._follower is None:
             raise RpcError("this node follows no declarations; pull from another one")
-        return self._follower.make_delta(after_revision)
+        return self._follower.live_set()
 
     def on_word(self, word: VmWord) -> None:
         log_event(_logger, "vm_marked", vm=word.vm, kind=word.kind)
@@ -175,25 +171,21 @@
             failure_domain=identity.failure_domain,
             revision=follower.revision if follower else 0,
             is_leaving=self._state.is_leaving,
-            is_watcher=follower.is_watching if follower else False,
+            is_watching=follower.is_watching if follower else False,
             live_peers=tuple(peer.name for peer in self._state.live_peers()),
             live_upstreams=tuple(vm.name for vm in self._state.live_upstreams()),
             cut_off_from=self._state.cut_off_from(self._clock.now_s()),
         )
 
-    def view(self, now_s: float) -> PeerView:
-        domain_peers = tuple(
+    def revisions(self, now_s: float) -> tuple[PeerRevision, ...]:
+        near = tuple(
             PeerRevision(peer.name, peer.address, peer.revision)
             for peer in self._state.live_peers()
         )
-        return PeerView(domain_peers, self._state.other_domains(now_s))
-
-    async def announce(self, address: str, revision: int) -> None:
-        own_address = self._state.identity.address
-        await self._calls.announce(address, own_address, revision, PULL_TIMEOUT_S)
+        return near + self._state.other_domains(now_s)
 
-    async def pull(self, address: str, after_revision: int) -> Delta:
-        return await self._calls.pull(address, after_revision, PULL_TIMEOUT_S)
+    async def pull(self, address: str) -> LiveSet:
+        return await self._calls.pull(address, PULL_TIMEOUT_S)
 
     def note_store(self, is_reached: bool) -> None:
         self._state.note_store(self._clock.now_s(), is_reached)
