Free the credits of a killed grantor though its VM is still listed

Cause, from the logs: the killed entry had been the grantor and held nearly all credits; the next grantor grants nothing anew until every member of earlier epochs reported or is gone from the platform's list, and this VM stayed on it. Whether it shows depends on which entry takes the first grantor's lease and on the demand of the two seconds before. Change: a member that stayed silent for a whole lease and whose address refuses connections has no process any more; its credits are free. A paused process still listens, a VM that is away says nothing. Test: test_credits.py, a killed grantor on a listed VM; without the change it fails.

--- a/benchmarks/credit_domain.py
+++ b/benchmarks/credit_domain.py
@@ -58,6 +58,9 @@
         await asyncio.sleep(MESSAGE_S)
         return grant
 
+    async def is_refused(self, address: str) -> bool:
+        return address not in self._exchanges_by_address
+
 
 class _Entry:
     def __init__(self, name: str, domain: "_Domain") -> None:
--- a/redwingplank/cli/entry.py
+++ b/redwingplank/cli/entry.py
@@ -10,7 +10,6 @@
 from redwingplank.cli.settings import EntrySettings
 from redwingplank.config import Declarations
 from redwingplank.platform import ListedVm, VmRole
-from redwingplank.platform.budget import StorePurpose
 from redwingplank.platform.http import HttpServer, HttpUpstreamClient, serve_http
 from redwingplank.routing import RouterSettings, make_router
 from redwingplank.rpc.scheduler_calls import SchedulerCalls
@@ -130,12 +129,13 @@
             settings.rpc_address,
             settings.failure_domain,
             int(node.unix_clock.now_s() * NANOSECONDS_PER_SECOND),
+            addresses_by_entry=self._addresses_in_domain(),
         )
         return CreditExchange(
             place,
             parts.router,
             parts.proxy.wake_waiting,
-            node.store(StorePurpose.LEASE),
+            node.store,
             RpcCreditClient(node.peers),
             node.clock,
         )
@@ -150,6 +150,15 @@
             self.credits.set_listed(listed)
         return upstreams
 
+    def _addresses_in_domain(self) -> dict[str, str]:
+        """Return the RPC addresses of this failure domain's entries, as the settings tell."""
+        prefix = f"{self._settings.failure_domain}/"
+        return {
+            name.removeprefix(prefix): address
+            for name, address in self._settings.entries.items()
+            if name.startswith(prefix)
+        }
+
     def _listed_entries(self) -> tuple[ListedVm, ...]:
         """Return the entry VMs of this failure domain; those of the settings if none is listed."""
         listed = self.node.membership.listed_entries()
@@ -157,9 +166,8 @@
             return listed
         domain = self._settings.failure_domain
         return tuple(
-            ListedVm(name.partition("/")[2], VmRole.ENTRY, domain, "", address)
-            for name, address in self._settings.entries.items()
-            if name.partition("/")[0] == domain
+            ListedVm(name, VmRole.ENTRY, domain, "", address)
+            for name, address in self._addresses_in_domain().items()
         )
 
 
--- a/redwingplank/routing/credit_grantor.py
+++ b/redwingplank/routing/credit_grantor.py
@@ -48,8 +48,9 @@
     Notes
     -----
     Nothing is granted anew until every member of earlier epochs reported, was replaced by a later
-    process of its name, or is gone from the platform's list. A member's lapsed credits are taken
-    back only under an authority that no other grantor can have, and never when they were frozen.
+    process of its name, or is gone: from the platform's list, or its process. A member's lapsed
+    credits are taken back only under an authority that no other grantor can have, and never when
+    they were frozen.
     """
 
     def __init__(self, settings: CreditSettings) -> None:
@@ -91,6 +92,8 @@
         self._members_by_entry = {
             entry: _Member(incarnation) for entry, incarnation in members.items()
         }
+        for member in self._members_by_entry.values():
+            self._extend(now_s, member)
         self.renew(authority_until_s)
 
     def renew(self, authority_until_s: float) -> None:
@@ -132,6 +135,26 @@
             if entry in self._seen_listed or now_s - since_s > self._settings.list_lag_s:
                 self._remove(entry)
 
+    def silent_members(self, now_s: float) -> Mapping[str, int]:
+        """Return the members that have not reported in this epoch for a whole lease.
+
+        Returns
+        -------
+        mapping of str to int
+            Their incarnations, by name.
+        """
+        return {
+            entry: member.incarnation
+            for entry, member in self._members_by_entry.items()
+            if not member.is_known and now_s >= member.expires_s
+        }
+
+    def process_gone(self, entry: str, incarnation: int) -> None:
+        """Free the credits of a silent member whose process certainly runs no more."""
+        member = self._members_by_entry.get(entry)
+        if member is not None and not member.is_known and member.incarnation == incarnation:
+            self._remove(entry)
+
     def unrecorded_members(self) -> Mapping[str, int] | None:
         """Return the members to record, or None when the record is as it should be."""
         members = {name: each.incarnation for name, each in self._members_by_entry.items()}
--- a/redwingplank/rpc/__init__.py
+++ b/redwingplank/rpc/__init__.py
@@ -7,7 +7,7 @@
     PeerUnreachableError,
     RpcError,
 )
-from redwingplank.rpc.peers import PeerConnections, split_address
+from redwingplank.rpc.peers import PeerConnections, is_refused, split_address
 from redwingplank.rpc.schema import MESSAGE_VERSION, load_schema
 from redwingplank.rpc.server import NodeServer, serve_node
 
@@ -20,6 +20,7 @@
     "PeerConnections",
     "PeerUnreachableError",
     "RpcError",
+    "is_refused",
     "load_schema",
     "serve_node",
     "split_address",
--- a/redwingplank/rpc/peers.py
+++ b/redwingplank/rpc/peers.py
@@ -14,9 +14,11 @@
 )
 from redwingplank.rpc.schema import MESSAGE_VERSION, load_schema
 
-__all__ = ["PeerConnections", "split_address"]
+__all__ = ["PeerConnections", "is_refused", "split_address"]
 
 CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 0.3
+"""Nodes answer each other in milliseconds; a VM that is away says nothing at all."""
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -25,6 +27,19 @@
     return host, int(port)
 
 
+async def is_refused(address: str) -> bool:
+    """Return whether nothing listens at ``"IP:PORT"`` on a VM that does answer."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(*split_address(address))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
 @dataclass(slots=True)
 class _Connection:
     stream: Any
--- a/redwingplank/runtime/credits.py
+++ b/redwingplank/runtime/credits.py
@@ -17,7 +17,7 @@
     CreditSettings,
     ServiceUse,
 )
-from redwingplank.rpc import PeerConnections, RpcError, load_schema
+from redwingplank.rpc import PeerConnections, RpcError, is_refused, load_schema
 from redwingplank.rpc.credit_messages import read_grant, read_report, write_grant, write_report
 from redwingplank.runtime.credit_authority import CreditAuthority, GrantorPlace
 
@@ -38,6 +38,8 @@
 CALL_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.5
 REPEAT_WHILE_WAITING_S = 0.04
+PROBE_INTERVAL_S = 0.5
+"""Between two attempts to find out whether a silent entry's process is gone."""
 
 _schema: Any = load_schema("credits")
 
@@ -54,6 +56,8 @@
         Grows with each start of a process of this name, such as nanoseconds since 1970.
     settings : CreditSettings
         Leases.
+    addresses_by_entry : mapping of str to str
+        Where the entries of the failure domain listen, as far as the settings tell.
     """
 
     entry: str
@@ -61,6 +65,7 @@
     failure_domain: str
     incarnation: int
     settings: CreditSettings = field(default_factory=CreditSettings)
+    addresses_by_entry: Mapping[str, str] = field(default_factory=dict)
 
 
 class CreditClient(ABC):
@@ -70,6 +75,10 @@
     async def exchange(self, address: str, report: CreditReport) -> CreditGrant | None:
         """Return the grant, None when the process is not the grantor; raises `RpcError`."""
 
+    @abstractmethod
+    async def is_refused(self, address: str) -> bool:
+        """Return whether the VM answers and no process listens there any more."""
+
 
 class RpcCreditClient(CreditClient):
     """Sends reports over RPC."""
@@ -88,6 +97,9 @@
         )
         return read_grant(response.grant) if response.isAnswered else None
 
+    async def is_refused(self, address: str) -> bool:
+        return await is_refused(address)
+
 
 class CreditService(_schema.Credits.Server):
     """Answers the reports of other entries."""
@@ -153,7 +165,12 @@
 
     async def run(self) -> None:
         """Exchange until cancelled."""
-        await asyncio.gather(self._authority.run(), self._exchange_forever(), self._check_forever())
+        await asyncio.gather(
+            self._authority.run(),
+            self._exchange_forever(),
+            self._check_forever(),
+            self._probe_forever(),
+        )
 
     def set_listed(self, vms: Iterable[ListedVm]) -> None:
         """Take the platform's list: upstreams to divide, and entries that are gone."""
@@ -271,6 +288,17 @@
                 self._report_event.set()
             self._give(self._holder.usable(now_s))
 
+    async def _probe_forever(self) -> None:
+        """Free the credits of entries of an earlier epoch whose process is gone."""
+        while not self._is_leaving:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            for entry, incarnation in self._grantor.silent_members(self._clock.now_s()).items():
+                address = self._place.addresses_by_entry.get(entry, "")
+                if address and await self._client.is_refused(address):
+                    log_event(self._logger, "member_gone", entry=entry, address=address)
+                    self._grantor.process_gone(entry, incarnation)
+                    self._grants_changed()
+
     def _give(self, credits_by_upstream: Mapping[str, int]) -> None:
         if credits_by_upstream == self._given:
             return
--- a/redwingplank/runtime/tests/test_credits.py
+++ b/redwingplank/runtime/tests/test_credits.py
@@ -8,7 +8,12 @@
 from redwingplank.core import MonotonicClock
 from redwingplank.platform import ListedVm, VmRole
 from redwingplank.routing import RouterSettings, make_router
-from redwingplank.routing.credit_messages import CreditGrant, CreditReport, ServiceUse
+from redwingplank.routing.credit_messages import (
+    CreditGrant,
+    CreditReport,
+    CreditSettings,
+    ServiceUse,
+)
 from redwingplank.rpc import PeerConnections, PeerUnreachableError, serve_node
 from redwingplank.rpc.credit_messages import read_grant, read_report, write_grant, write_report
 from redwingplank.runtime.credits import (
@@ -51,11 +56,15 @@
             raise PeerUnreachableError(f"nobody is at {address}")
         return await found.answer(report)
 
+    async def is_refused(self, address):
+        return address not in self.exchanges_by_address
+
 
 class Domain:
     """Entries that share the upstreams of a cell by credits."""
 
-    def __init__(self, entries=3, upstreams=3):
+    def __init__(self, entries=3, upstreams=3, credit_settings=None):
+        self.credit_settings = credit_settings or CreditSettings()
         self.cell = Cell(upstream_count=upstreams)
         self.store = MemoryStore(MonotonicClock())
         self.faults = Faults()
@@ -81,7 +90,8 @@
             cell.clock,
             settings=ProxySettings(entry=name),
         )
-        place = EntryPlace(name, address, DOMAIN, incarnation=1)
+        addresses = {each: f"addr-{number}" for number, each in enumerate(self.names)}
+        place = EntryPlace(name, address, DOMAIN, 1, self.credit_settings, addresses)
         store = MemoryStoreClient(self.store, self.faults)
         exchange = CreditExchange(place, router, proxy.wake_waiting, store, client, cell.clock)
         exchange.set_listed(self.listed())
@@ -190,6 +200,19 @@
 
         run(scenario())
 
+    def test_a_killed_grantors_credits_are_free_after_its_lease_though_its_vm_is_listed(self):
+        async def scenario():
+            domain = Domain(credit_settings=CreditSettings(lease_s=0.6, margin_s=0.1))
+            domain.start()
+            await until(lambda: domain.total() == SLOTS * 3)
+            dead = next(name for name in domain.names if domain.exchanges[name]._authority.is_held)
+            assert domain.credits(dead) > 0
+            domain.kill(dead)
+            await until(lambda: domain.total() == SLOTS * 3)
+            await domain.stop()
+
+        run(scenario())
+
     def test_a_new_grantor_takes_over(self):
         async def scenario():
             domain = Domain()
