Take over as soon as the owner's process is gone

Ruled out: a shorter lease (a slow store answers in 0.25 s, a lost renewal costs 0.5 s). Change: every node keeps a quiet connection to the owner. When it breaks and the owner's address refuses connections from here and from every node that answers, this node stands for the ownership. A mistake costs a takeover; terms fence the old owner as before. A paused owner still listens, a VM that is away says nothing: there the lease decides. Long calls for advice now keep to half of the nodes: after a takeover twenty short ones shared a single one. Tests: test_node.py, a killed owner with a lease of 60 s, an owner that another node still reaches.

--- a/redwingplank/batch/lanes.py
+++ b/redwingplank/batch/lanes.py
@@ -16,8 +16,8 @@
     Parameters
     ----------
     long_call_s : float
-        Calls that take longer never take the last node that has none of them, so that short calls
-        do not wait for long ones.
+        Calls that take longer are kept to half of the nodes, so that short calls do not wait for
+        them.
     """
 
     def __init__(self, long_call_s: float = LONG_CALL_S) -> None:
@@ -41,8 +41,8 @@
         fit = [name for name in nodes if self._shunned_until_s.get(name, 0.0) <= now_s] or nodes[:1]
         if work_s > self._long_call_s:
             busy = [name for name in fit if self._long_calls_by_node.get(name, 0)]
-            if len(busy) == len(fit) - 1:
-                fit = busy or fit
+            if len(busy) >= (len(fit) + 1) // 2:
+                fit = busy
         return min(fit, key=lambda name: self._work_s_by_node.get(name, 0.0))
 
     def began(self, node: str, work_s: float) -> float:
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -94,6 +94,8 @@
         self.ownership: Ownership | None = None
         self.may_own = False
         self._lost_term = 0
+        self._gone: TermEntry | None = None
+        """An owner whose process is known to be gone, though its lease goes on."""
         self.incarnation = secrets.token_hex(8)
         self.lease = 0
         self.renewed_s = 0.0
@@ -231,6 +233,7 @@
             try:
                 await self._try_to_win()
             except STORE_ERRORS as error:
+                self._gone = None
                 self._context.log("election_failed", error=error)
                 await asyncio.sleep(RENEW_S)
                 self._is_changed.set()
@@ -254,13 +257,18 @@
     def _is_free(self) -> bool:
         return (
             self.may_own
-            and (self.owner is None or self._is_own_ghost())
+            and (self.owner is None or self._is_own_ghost() or self.owner == self._gone)
             and self.ownership is None
             and self.lease != 0
             and self._follower.revision != 0
             and not self._context.is_stopping
         )
 
+    def take_over_from(self, owner: TermEntry) -> None:
+        """Stand for the ownership though the owner's lease has not ended."""
+        self._gone = owner
+        self._is_changed.set()
+
     def _is_own_ghost(self) -> bool:
         """Return whether the owner was an earlier process of this node: that one is gone."""
         owner = self.owner
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -10,6 +10,7 @@
 from redwingplank.cell.membership import Membership, Ownership
 from redwingplank.cell.metrics import make_metrics_app
 from redwingplank.cell.owner import OwnerRuntime
+from redwingplank.cell.owner_watch import OwnerWatch
 from redwingplank.cell.service import CellService
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.platform.http.server import HttpServer, serve_http
@@ -40,6 +41,7 @@
         self._config = ConfigFollower(context)
         self._config.listeners.append(self._config_changed)
         self._membership = Membership(context, self._won, self._lost)
+        self._owner_watch = OwnerWatch(context, self._membership)
         self._owner: OwnerRuntime | None = None
         self._peer_server: NodeServer | None = None
         self._http: HttpServer | None = None
@@ -65,6 +67,7 @@
         self._tasks.start(self._membership.keep_lease())
         self._tasks.start(self._membership.follow())
         self._tasks.start(self._membership.stand())
+        self._tasks.start(self._owner_watch.run())
 
     async def stop(self) -> None:
         """Hand over, serve until callers come no more, then close."""
--- a/redwingplank/cell/service.py
+++ b/redwingplank/cell/service.py
@@ -9,6 +9,7 @@
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.platform.site.advice import AdviceBusyError
 from redwingplank.platform.site.http import SiteError
+from redwingplank.rpc.peers import is_refused
 from redwingplank.rpc.schema import load_schema
 
 __all__ = ["CellService"]
@@ -73,6 +74,9 @@
             return False, []
         return True, [{"worker": worker, "text": text} for worker, text in tickets.items()]
 
+    async def isRefused(self, address: str, _context: Any, **_: Any) -> bool:
+        return await is_refused(address)
+
     async def submit(
         self,
         jobId: str,
--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -30,8 +30,9 @@
 class Site:
     """A store, workers and nodes in one process."""
 
-    def __init__(self) -> None:
+    def __init__(self, store_lease_s: float = 1.0) -> None:
         self.store = SiteStoreModel()
+        self.store_lease_s = store_lease_s
         self.workers: list[SiteWorkerModel] = []
         self.nodes: list[Node] = []
         self.contexts: list[NodeContext] = []
@@ -100,7 +101,7 @@
             drain_s=2.0,
             grace_s=0.2,
             state_kept_s=120.0,
-            store_lease_s=1.0,
+            store_lease_s=self.store_lease_s,
         )
         context = NodeContext(settings, EventLog(settings.name, self._log_write))
         node = Node(context)
@@ -109,6 +110,18 @@
         await node.start()
         return node
 
+    async def crash(self, node: Node) -> None:
+        """End a node as SIGKILL would: nothing is handed over, its keys stay until their lease."""
+        self.nodes.remove(node)
+        await node._tasks.stop()
+        if node._owner is not None:
+            await node._owner.stop()
+        assert node._peer_server is not None and node._http is not None
+        await node._peer_server.stop()
+        node._http.abort()
+        await node._http.stop()
+        await node._context.close()
+
     def owner_node(self) -> Node | None:
         for node in self.nodes:
             if node.owns_jobs:
@@ -162,11 +175,11 @@
             await server.stop()
 
 
-def run_site(scenario, **values) -> None:
+def run_site(scenario, store_lease_s: float = 1.0, **values) -> None:
     """Run a scenario against a site."""
 
     async def whole() -> None:
-        site = Site()
+        site = Site(store_lease_s)
         try:
             await site.start(**values)
             await scenario(site)
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -6,10 +6,11 @@
 
 import aiohttp
 
-from redwingplank.cell import record_writer
+from redwingplank.cell import owner_watch, record_writer
 from redwingplank.cell.callers import SubmitEnd
 from redwingplank.cell.keys import LEARNED_KEY
-from redwingplank.cell.tests.site_fixture import run_site
+from redwingplank.cell.tests.site_fixture import free_address, run_site
+from redwingplank.rpc.peers import is_refused
 
 STEP = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 50}
 JOB = {"spec": "payload", "steps": [STEP, {**STEP, "after": [0]}]}
@@ -201,6 +202,42 @@
         run_site(scenario, nodes=2)
 
 
+class TestOwnerGone:
+    """The owner's process is killed long before its lease ends."""
+
+    def test_another_node_takes_over_without_waiting_for_the_lease(self):
+        async def scenario(site):
+            await site.call("POST", f"/proof/{ID}", LASTING)
+            await site.until(lambda: sum(len(worker.runs) for worker in site.workers) == 2)
+            await site.crash(site.owner_node())
+            await site.until(lambda: site.owner_node() is not None)
+            await site.until(lambda: all(worker.token == 2 for worker in site.workers))
+            assert any("event=owner_gone" in line for line in site.events())
+            assert sum(len(worker.starts) for worker in site.workers) == 2
+
+        run_site(scenario, nodes=3, store_lease_s=60.0)
+
+    def test_an_owner_that_another_node_reaches_is_not_gone(self, monkeypatch):
+        async def refused(address):
+            return True
+
+        async def scenario(site):
+            others = [node for node in site.nodes if node is not site.owner_node()]
+            watch = others[0]._owner_watch
+            await site.until(lambda: len(watch._membership.nodes_by_name) == 3)
+            assert await watch._is_gone(watch._membership.owner) is False
+
+        monkeypatch.setattr(owner_watch, "is_refused", refused)
+        run_site(scenario, nodes=3)
+
+    def test_an_address_that_answers_is_not_refused(self):
+        async def scenario(site):
+            assert not await is_refused(site.contexts[0].settings.peer_address)
+            assert await is_refused(free_address())
+
+        run_site(scenario)
+
+
 class TestLogsAndMetrics:
     def test_every_event_is_documented_and_names_its_job(self):
         async def scenario(site):
--- a/redwingplank/rpc/cell.capnp
+++ b/redwingplank/rpc/cell.capnp
@@ -15,4 +15,6 @@
              timeoutS :Float64) -> (isAnswered :Bool, tickets :List(Ticket));
   submit @4 (jobId :Text, submission :Data, timeoutS :Float64) -> (end :Text);
   # Stores a job for a peer that does not reach the store.
+  isRefused @5 (address :Text) -> (isRefused :Bool);
+  # Says whether the address refuses connections from here.
 }
--- a/redwingplank/rpc/cell_calls.py
+++ b/redwingplank/rpc/cell_calls.py
@@ -80,5 +80,10 @@
         answer = await self._call(address, ask, timeout_s + SUBMIT_SLACK_S)
         return answer.end
 
+    async def is_refused(self, address: str, of_address: str, timeout_s: float) -> bool:
+        """Return whether an address refuses connections from a peer."""
+        answer = await self._call(address, lambda peer: peer.isRefused(of_address), timeout_s)
+        return answer.isRefused
+
     async def _call(self, address: str, method: Any, timeout_s: float) -> Any:
         return await self._peers.call(address, CELL_SERVICE, _interface, method, timeout_s)
