--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -5,9 +5,8 @@
 
 import msgspec
 
-from redwingplank.batch.commands import AskAdvice, Commands, PaceRun
-from redwingplank.batch.entities import Run, Worker
-from redwingplank.batch.model import CellConfig, JobState, StartOutcome, WorkerEntry
+from redwingplank.batch.commands import AskAdvice, Commands
+from redwingplank.batch.model import CellConfig, JobState, WorkerEntry
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.records import decode_submission
 from redwingplank.batch.settings import BatchSettings
@@ -22,15 +21,14 @@
     LEARNED_KEY,
     PROGRESS_PREFIX,
 )
+from redwingplank.cell.looks import Looks
 from redwingplank.cell.membership import Membership, Ownership
+from redwingplank.cell.orders import Orders
 from redwingplank.cell.record_writer import RecordWriter
 from redwingplank.cell.tasks import TaskSet
-from redwingplank.platform.site.http import SiteError
 from redwingplank.platform.site.store import Item
 from redwingplank.platform.site.workers import (
     WORKER_ENTRIES_PREFIX,
-    FencedError,
-    StartOrder,
     decode_worker,
 )
 from redwingplank.rpc.cell_calls import CancelAnswer
@@ -45,22 +43,6 @@
 """Well below the 2 s in which starts on a leaving worker have to cease."""
 READ_TIMEOUT_S = 1.5
 """A page of 1 MB from a slow store takes under a second."""
-HOLD_WAIT_MS = 1500
-"""A quarter of a lease: three looks may be lost before it runs out."""
-IDLE_HOLD_WAIT_MS = 2000
-"""The longest wait that workers allow."""
-LOSSY_HOLD_WAIT_MS = 400
-"""While orders go unanswered: a lost look blinds the owner this much longer."""
-LOSSY_S = 3.0
-FIRST_HOLD_WAIT_MS = 0
-PAUSE_AFTER_ENDS_S = 0.06
-"""Ends that come within it are learnt with one look."""
-SILENT_PAUSE_S = 0.4
-"""Between looks at a silent worker; far below the time that its lease lasts."""
-START_TIMEOUT_S = 0.35
-"""Orders take 0.005 s; a lost one delays its task by this."""
-STOP_TIMEOUT_S = 0.35
-PACE_TIMEOUT_S = 0.5
 TICK_S = 0.1
 """Longest time between two passes without news."""
 FORGET_PERIOD_S = 10.0
@@ -98,18 +80,16 @@
         self.owner = JobOwner(self._settings, ownership.term, config, self._decide)
         self._term = ownership.term
         self._writer = RecordWriter(context, ownership, self.owner, self._wake, membership.lose)
+        self._orders = Orders(context, membership, self.owner, self._wake)
+        self._looks = Looks(context, self.owner, self._orders, self._tasks, self._wake)
         self._advisers = Advisers(context, membership, self._advice_ended)
         self._intake = PrefixFollower(
             context, INTAKE_PREFIX, INTAKE_WAIT_S, self._load, self._take_intake
         )
         self._progress_by_id: dict[str, bytes] = {}
-        self._followed_workers: set[str] = set()
         self._wakeup = asyncio.Event()
         self._stored = asyncio.Event()
-        self._unanswered_s = 0.0
-        """When an order was last not answered."""
         self.is_loaded = False
-        self._is_ordering = True
 
     def start(self) -> None:
         """Read what the store holds, then decide."""
@@ -117,7 +97,7 @@
 
     async def stop(self) -> None:
         """Stop ordering at once."""
-        self._is_ordering = False
+        self._orders.end()
         await self._tasks.stop()
 
     async def _run(self) -> None:
@@ -218,10 +198,7 @@
                 entries.append(entry)
         self.owner.list_workers(entries, now_s())
         for entry in entries:
-            if entry.worker_id not in self._followed_workers:
-                self._followed_workers.add(entry.worker_id)
-                worker = self.owner.state.workers_by_id[entry.worker_id]
-                self._tasks.start(self._follow_worker(worker))
+            self._looks.follow(self.owner.state.workers_by_id[entry.worker_id])
         self._wake()
 
     async def _forget(self) -> None:
@@ -268,140 +245,20 @@
 
     def _carry_out(self, commands: Commands) -> None:
         for run in commands.starts:
-            self._tasks.start(self._start_run(run))
+            self._tasks.start(self._orders.start(run))
         for run in commands.stops:
-            self._tasks.start(self._stop_run(run))
+            self._tasks.start(self._orders.stop(run))
         for pace in commands.paces:
-            self._tasks.start(self._pace_run(pace))
+            self._tasks.start(self._orders.pace(pace))
         for worker in commands.looks:
-            self._tasks.start(self._look(worker, FIRST_HOLD_WAIT_MS))
+            self._looks.once(worker)
         for call in commands.advice:
             self._tasks.start(self._advisers.ask(call))
 
-    def _may_order(self) -> bool:
-        """Return whether the ownership was confirmed recently enough to order anything."""
-        age_s = now_s() - self._membership.renewed_s
-        return self._is_ordering and age_s < self._settings.owner_silence_s - 1.5
-
-    # Orders.
-
-    async def _start_run(self, run: Run) -> None:
-        if not self.owner.start_sent(run, now_s()):
-            return
-        outcome = StartOutcome.NOT_SENT
-        if self._may_order() and run.worker.clock_ms is not None:
-            order = self._start_order(run)
-            outcome = await self._context.workers.start(run.worker.entry, order, START_TIMEOUT_S)
-        if outcome is StartOutcome.FENCED:
-            self._membership.lose("fenced_by_worker")
-            return
-        if outcome is StartOutcome.UNKNOWN:
-            self._unanswered_s = now_s()
-        self.owner.start_ended(run, outcome, now_s())
-        self._wake()
-
-    def _start_order(self, run: Run) -> StartOrder:
-        state = self.owner.state
-        job = state.jobs_by_id[run.task_id.job_id]
-        step = job.steps_by_key[run.task_id.step_key]
-        ticket = step.allowed.get(run.worker.id)
-        task = step.tasks[run.task_id.position]
-        return StartOrder(
-            task=run.task_id,
-            attempt=run.attempt,
-            payload=job.spec.payload,
-            lease_until_ms=self.owner.start_lease_ms(run.worker, now_s()),
-            token=self._term,
-            saved=task.saved,
-            ticket=ticket.text if ticket else "",
-        )
-
-    async def _stop_run(self, run: Run) -> None:
-        if not self._may_order():
-            return
-        is_taken = False
-        try:
-            is_taken = await self._context.workers.stop(
-                run.worker.entry, run.task_id, run.attempt, self._term, STOP_TIMEOUT_S
-            )
-        except FencedError:
-            self._membership.lose("fenced_by_worker")
-            return
-        except SiteError as error:
-            self._context.log("stop_failed", task=run.task_id, worker=run.worker.id, error=error)
-        self.owner.stop_ended(run, is_taken=is_taken, now_s=now_s())
-        self._wake()
-
-    async def _pace_run(self, pace: PaceRun) -> None:
-        run = pace.run
-        if not self._may_order():
-            return
-        try:
-            is_taken = await self._context.workers.pace(
-                run.worker.entry,
-                run.task_id,
-                run.attempt,
-                pace.percent,
-                self._term,
-                PACE_TIMEOUT_S,
-            )
-        except SiteError as error:
-            self._context.log("pace_failed", task=run.task_id, error=error)
-            is_taken = False
-        if not is_taken:
-            run.pace_percent = -1
-
     def _advice_ended(self, call: AskAdvice, tickets: dict[str, str] | None) -> None:
         self.owner.advice_ended(call, tickets, now_s())
         self._wake()
 
-    # Looks.
-
-    async def _follow_worker(self, worker: Worker) -> None:
-        wait_ms = FIRST_HOLD_WAIT_MS
-        state = self.owner.state
-        try:
-            while state.workers_by_id.get(worker.id) is worker:
-                had_ends = await self._look(worker, wait_ms)
-                if had_ends is None:
-                    if wait_ms == FIRST_HOLD_WAIT_MS:
-                        await asyncio.sleep(SILENT_PAUSE_S)
-                    wait_ms = FIRST_HOLD_WAIT_MS
-                    continue
-                wait_ms = self._wait_ms(worker)
-                if had_ends:
-                    await asyncio.sleep(PAUSE_AFTER_ENDS_S)
-                if worker.lease_until_ms == 0:
-                    wait_ms = FIRST_HOLD_WAIT_MS
-        finally:
-            self._followed_workers.discard(worker.id)
-
-    def _wait_ms(self, worker: Worker) -> int:
-        if not worker.runs_by_key:
-            return IDLE_HOLD_WAIT_MS
-        is_lossy = now_s() - self._unanswered_s < LOSSY_S
-        return LOSSY_HOLD_WAIT_MS if is_lossy else HOLD_WAIT_MS
-
-    async def _look(self, worker: Worker, wait_ms: int) -> bool | None:
-        """Return whether the worker listed ends, None if it did not answer."""
-        sent_s = now_s()
-        order = self.owner.next_hold(worker, sent_s, may_renew=self._may_order())
-        try:
-            report = await self._context.workers.hold(
-                worker.entry, self._term, order.noted, order.lease_until_ms, wait_ms
-            )
-        except FencedError:
-            self._membership.lose("fenced_by_worker")
-            return None
-        except SiteError as error:
-            self._context.log("hold_failed", worker=worker.id, error=error)
-            self.owner.worker_silent(worker, now_s())
-            self._wake()
-            return None
-        self.owner.worker_reported(worker, report, sent_s, now_s())
-        self._wake()
-        return bool(report.ends)
-
     # Callers.
 
     def job_state(self, job_id: str) -> JobState | None:
