Learn speeds by worker, in one place, and tell them to the next owner

Cause: what told fast workers from slow ones (6 of 24 take half the time; not tied to their kind) was a factor kept beside the learned means, with a weight of a quarter for each task, and lost at a takeover. Change: Speeds keeps kind, subject and worker, by one life of the worker; one weight, named.

--- a/redwingplank/batch/ends.py
+++ b/redwingplank/batch/ends.py
@@ -83,12 +83,8 @@
         if task.is_done or step.spec.is_lasting:
             return False
         if run is not None and run.state is not RunState.STOPPING and not task.saved:
-            kind = worker.entry.kind
             measured_s = now_s - run.started_s
-            expected_s = self._state.speeds.expected_s(step.spec, job.spec.queue, kind)
-            self._state.speeds.learn(step.spec, job.spec.queue, kind, measured_s)
-            slowness = min(8.0, measured_s / expected_s)
-            worker.slowness += 0.25 * (slowness - worker.slowness)
+            self._state.speeds.learn(step.spec, job.spec.queue, worker.entry, measured_s)
         finished = step.tasks if step.spec.is_gang else [task]
         for each in finished:
             if not each.is_done:
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -273,7 +273,6 @@
         "reserved",
         "runs_by_key",
         "seen",
-        "slowness",
         "step_counts",
         "unproven_until_s",
     )
@@ -297,7 +296,6 @@
         self.pending_ends: deque[PendingEnd] = deque()
         self.failures_in_row = 0
         self.avoided_until_s = 0.0
-        self.slowness = 1.0
         self.filler_percent = 100
         self.paced_s = 0.0
 
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -426,7 +426,7 @@
             if found is None or spec.is_gang:
                 continue
             job, task = found
-            expected_s = self.state.speeds.expected_s(spec, job.spec.queue, worker.entry.kind)
+            expected_s = self.state.speeds.expected_s(spec, job.spec.queue, worker.entry)
             is_over = now_s - run.started_s > 2 * expected_s + settings.stall_s
             if is_over and now_s - run.moved_s > settings.stall_s:
                 task.bad_workers.add(worker.id)
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -149,7 +149,7 @@
         """Return an expected run time, weighted by what else speaks for or against a worker."""
         spec = step.spec
         entry = worker.entry
-        score = self._state.speeds.factor(entry.kind) * max(0.5, worker.slowness)
+        score = self._state.speeds.factor(entry)
         if spec.data_rack and spec.data_rack != entry.rack:
             score *= REMOTE_FACTOR
         score *= 1.0 + LOAD_WEIGHT * _used_share(worker.reserved, entry.capacity)
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -70,7 +70,6 @@
         worker.pending_ends.clear()
         worker.failures_in_row = 0
         worker.avoided_until_s = 0.0
-        worker.slowness = 1.0
         for run in list(worker.runs_by_key.values()):
             if run.is_listed:
                 self._release(run, now_s, "worker_reborn")
@@ -255,6 +254,7 @@
             event,
             worker=worker.id,
             address=entry.address,
+            kind=entry.kind,
             born=worker.born_ms,
             runs=len(worker.runs_by_key),
             **fields,
--- a/redwingplank/batch/speeds.py
+++ b/redwingplank/batch/speeds.py
@@ -1,17 +1,21 @@
-"""Learns how long tasks take: by kind of worker, and by queue or image against the estimate."""
+"""Learns how long tasks take: by worker, by kind of worker, and by queue or image."""
 
 import msgspec
 
-from redwingplank.batch.model import StepSpec
+from redwingplank.batch.model import StepSpec, WorkerEntry
 
 __all__ = ["Speeds"]
 
 LEARNING_WEIGHT = 0.08
-FIRST_SAMPLES = 8
+"""Of a sample, once there are many."""
+WORKER_WEIGHT = 0.15
+"""The same for a worker: it may turn slow within seconds."""
 MAX_RATIO = 6.0
+MIN_WORKER_FACTOR = 0.4
+"""A worker is not taken for faster than this: single tasks are shorter than estimated."""
 MIN_ESTIMATE_S = 0.05
-MAX_SUBJECTS_KEPT = 100
-"""Images and queues that the next owner is told of: some 3 kB in the store."""
+MAX_KEPT = 300
+"""Workers, and images and queues, that the next owner is told of: some 15 kB in the store."""
 
 
 class _Learned(msgspec.Struct):
@@ -19,6 +23,7 @@
 
     by_kind: dict[str, tuple[float, int]] = {}
     by_subject: dict[str, tuple[float, int]] = {}
+    by_worker: dict[str, tuple[float, int]] = {}
 
 
 class _Mean:
@@ -28,9 +33,9 @@
         self.value = value
         self.count = count
 
-    def add(self, sample: float) -> None:
+    def add(self, sample: float, least_weight: float) -> None:
         self.count += 1
-        weight = max(LEARNING_WEIGHT, 1.0 / (self.count + 1))
+        weight = max(least_weight, 1.0 / (self.count + 1))
         self.value += weight * (sample - self.value)
 
 
@@ -40,8 +45,9 @@
     def __init__(self) -> None:
         self._by_kind: dict[str, _Mean] = {}
         self._by_subject: dict[str, _Mean] = {}
+        self._by_worker: dict[str, _Mean] = {}
 
-    def learn(self, spec: StepSpec, queue: str, kind: str, measured_s: float) -> None:
+    def learn(self, spec: StepSpec, queue: str, entry: WorkerEntry, measured_s: float) -> None:
         """Take the run time of a task that ended as done.
 
         Parameters
@@ -50,31 +56,29 @@
             Of its step.
         queue : str
             Its queue.
-        kind : str
-            The worker's kind.
+        entry : WorkerEntry
+            The worker.
         measured_s : float
             From the worker's taking it to its end.
         """
         estimate_s = max(MIN_ESTIMATE_S, spec.estimate_s)
         ratio = min(MAX_RATIO, measured_s / estimate_s)
         subject = self._by_subject.setdefault(spec.image or queue, _Mean())
-        by_kind = self._by_kind.setdefault(kind, _Mean())
-        by_kind.add(ratio / subject.value)
-        subject.add(ratio / by_kind.value)
+        by_kind = self._by_kind.setdefault(entry.kind, _Mean())
+        worker = self._by_worker.setdefault(_worker_key(entry), _Mean())
+        worker.add(min(MAX_RATIO, ratio / subject.value / by_kind.value), WORKER_WEIGHT)
+        by_kind.add(ratio / subject.value, LEARNING_WEIGHT)
+        subject.add(ratio / by_kind.value, LEARNING_WEIGHT)
 
     @property
-    def kinds(self) -> tuple[str, ...]:
-        """Kinds of worker that something was learned of."""
-        return tuple(sorted(self._by_kind))
+    def workers_known(self) -> int:
+        """How many workers something was learned of."""
+        return len(self._by_worker)
 
     def encode(self) -> bytes:
-        """Return what was learned, for the next owner; subjects with most samples go first."""
-        subjects = sorted(self._by_subject.items(), key=lambda pair: -pair[1].count)
+        """Return what was learned, for the next owner."""
         return msgspec.json.encode(
-            _Learned(
-                {name: (mean.value, mean.count) for name, mean in self._by_kind.items()},
-                {name: (mean.value, mean.count) for name, mean in subjects[:MAX_SUBJECTS_KEPT]},
-            )
+            _Learned(_kept(self._by_kind), _kept(self._by_subject), _kept(self._by_worker))
         )
 
     def restore(self, value: bytes) -> None:
@@ -86,17 +90,35 @@
             If the value is not from `encode`; nothing is taken then.
         """
         learned = msgspec.json.decode(value, type=_Learned)
-        self._by_kind = {name: _Mean(*pair) for name, pair in learned.by_kind.items()}
-        self._by_subject = {name: _Mean(*pair) for name, pair in learned.by_subject.items()}
-
-    def factor(self, kind: str) -> float:
-        """Return the run time on a kind of worker, relative to the others."""
-        mean = self._by_kind.get(kind)
-        return mean.value if mean else 1.0
-
-    def expected_s(self, spec: StepSpec, queue: str, kind: str | None = None) -> float:
-        """Return how long a task will take, on a kind of worker or on a usual one."""
+        self._by_kind = _means(learned.by_kind)
+        self._by_subject = _means(learned.by_subject)
+        self._by_worker = _means(learned.by_worker)
+
+    def factor(self, entry: WorkerEntry) -> float:
+        """Return the run time on a worker, relative to the others."""
+        kind = self._by_kind.get(entry.kind)
+        worker = self._by_worker.get(_worker_key(entry))
+        by_worker = max(MIN_WORKER_FACTOR, worker.value) if worker else 1.0
+        return by_worker * (kind.value if kind else 1.0)
+
+    def expected_s(self, spec: StepSpec, queue: str, entry: WorkerEntry | None = None) -> float:
+        """Return how long a task will take, on a worker or on a usual one."""
         subject = self._by_subject.get(spec.image or queue)
         ratio = subject.value if subject else 1.0
-        by_kind = self.factor(kind) if kind is not None else 1.0
-        return max(MIN_ESTIMATE_S, spec.estimate_s) * ratio * by_kind
+        by_worker = self.factor(entry) if entry is not None else 1.0
+        return max(MIN_ESTIMATE_S, spec.estimate_s) * ratio * by_worker
+
+
+def _worker_key(entry: WorkerEntry) -> str:
+    """Name one life of a worker: the next one may be of another kind."""
+    return f"{entry.worker_id}/{entry.born_ms}"
+
+
+def _kept(means: dict[str, _Mean]) -> dict[str, tuple[float, int]]:
+    """Return the means that the store is to hold: those of the newest names."""
+    names = list(means)[-MAX_KEPT:]
+    return {name: (round(means[name].value, 4), means[name].count) for name in names}
+
+
+def _means(kept: dict[str, tuple[float, int]]) -> dict[str, _Mean]:
+    return {name: _Mean(*pair) for name, pair in kept.items()}
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -109,7 +109,7 @@
             jobs=len(self.owner.state.jobs_by_id),
             workers=len(self.owner.state.workers_by_id),
             unproven=len(self.owner.state.unproven_hosts),
-            learned_kinds=",".join(self.owner.state.speeds.kinds),
+            workers_known=self.owner.state.speeds.workers_known,
         )
         self._tasks.start(self._intake.run())
         self._tasks.start(self._writer.run())
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -186,7 +186,7 @@
             site.nodes.remove(old)
             await site.until(lambda: site.owner_node() is not None)
             loaded = [line for line in site.events() if "event=owner_loaded" in line]
-            assert "learned_kinds=k" in loaded[-1]
+            assert "workers_known=2" in loaded[-1]
 
         run_site(scenario, nodes=2)
 
