Take the cost of distance from the settings, and leave it out of learned speeds

Cause: the factor for work away from its data stood in the code as 2; the settings tell it (1.5 to 3 on the users' deployments). A task far from its data also made its worker count as slow. Also gone: settings that nothing read (stop_grace_s, gang_timeout_s, drain_s, machines_address).

--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -9,8 +9,6 @@
 
 __all__ = ["Placement", "named_for_advice"]
 
-REMOTE_FACTOR = 2.0
-"""Slowness away from the data (stated by the platform)."""
 DISTURBANCE_FACTOR = 1.5
 """Preference against putting tasks that fill beside tasks that serve."""
 LOAD_WEIGHT = 0.35
@@ -149,9 +147,8 @@
         """Return an expected run time, weighted by what else speaks for or against a worker."""
         spec = step.spec
         entry = worker.entry
-        score = self._state.speeds.factor(entry)
-        if spec.data_rack and spec.data_rack != entry.rack:
-            score *= REMOTE_FACTOR
+        speeds = self._state.speeds
+        score = speeds.factor(entry) * speeds.distance(spec, entry)
         score *= 1.0 + LOAD_WEIGHT * _used_share(worker.reserved, entry.capacity)
         if self._disturbs(worker, spec):
             score *= DISTURBANCE_FACTOR
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -15,8 +15,8 @@
         Lease that a worker's runs are given.
     lease_limit_s : float
         Longest lease that workers grant to any owner.
-    stop_grace_s : float
-        Longest time from an order to stop to the end.
+    remote_factor : float
+        How many times as long a task takes away from its data.
     slow_clock : float
         Share by which a worker's clock may be slow (stated by the platform).
     lease_margin_s : float
@@ -39,7 +39,7 @@
 
     lease_s: float = 6.0
     lease_limit_s: float = 6.0
-    stop_grace_s: float = 1.0
+    remote_factor: float = 2.0
     slow_clock: float = 0.02
     lease_margin_s: float = 0.25
     owner_silence_s: float = 5.0
--- a/redwingplank/batch/speeds.py
+++ b/redwingplank/batch/speeds.py
@@ -40,9 +40,16 @@
 
 
 class Speeds:
-    """Running means of measured over estimated run times."""
+    """Running means of measured over estimated run times.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    remote_factor : float
+        How many times as long a task takes away from its data.
+    """
+
+    def __init__(self, remote_factor: float) -> None:
+        self._remote_factor = remote_factor
         self._by_kind: dict[str, _Mean] = {}
         self._by_subject: dict[str, _Mean] = {}
         self._by_worker: dict[str, _Mean] = {}
@@ -62,7 +69,7 @@
             From the worker's taking it to its end.
         """
         estimate_s = max(MIN_ESTIMATE_S, spec.estimate_s)
-        ratio = min(MAX_RATIO, measured_s / estimate_s)
+        ratio = min(MAX_RATIO, measured_s / estimate_s / self.distance(spec, entry))
         subject = self._by_subject.setdefault(spec.image or queue, _Mean())
         by_kind = self._by_kind.setdefault(entry.kind, _Mean())
         worker = self._by_worker.setdefault(_worker_key(entry), _Mean())
@@ -101,11 +108,16 @@
         by_worker = max(MIN_WORKER_FACTOR, worker.value) if worker else 1.0
         return by_worker * (kind.value if kind else 1.0)
 
+    def distance(self, spec: StepSpec, entry: WorkerEntry) -> float:
+        """Return how many times as long a task takes there for the way to its data."""
+        is_remote = bool(spec.data_rack) and spec.data_rack != entry.rack
+        return self._remote_factor if is_remote else 1.0
+
     def expected_s(self, spec: StepSpec, queue: str, entry: WorkerEntry | None = None) -> float:
         """Return how long a task will take, on a worker or on a usual one."""
         subject = self._by_subject.get(spec.image or queue)
         ratio = subject.value if subject else 1.0
-        by_worker = self.factor(entry) if entry is not None else 1.0
+        by_worker = 1.0 if entry is None else self.factor(entry) * self.distance(spec, entry)
         return max(MIN_ESTIMATE_S, spec.estimate_s) * ratio * by_worker
 
 
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -46,7 +46,7 @@
         """Workers of earlier owners and when every lease there is over."""
         self.dirty_jobs: dict[str, Job] = {}
         self.commands = Commands()
-        self.speeds = Speeds()
+        self.speeds = Speeds(settings.remote_factor)
         self.needs_pass = True
 
     def queue_of(self, job: Job) -> QueuePolicy | None:
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -294,6 +294,6 @@
     return BatchSettings(
         lease_s=min(LONGEST_LEASE_S, site.lease_limit_s),
         lease_limit_s=site.lease_limit_s,
-        stop_grace_s=site.stop_grace_s,
+        remote_factor=site.remote_factor,
         state_kept_s=site.state_kept_s + 30.0,
     )
--- a/redwingplank/platform/site/settings.py
+++ b/redwingplank/platform/site/settings.py
@@ -32,16 +32,14 @@
         Port for the other processes of the cell.
     metrics_address : str
         Where metrics are served, empty for nowhere.
-    store_address, advice_address, machines_address : str
-        Services of the platform; the last two may be empty.
+    store_address, advice_address : str
+        Services of the platform; the last one may be empty.
     lease_limit_s : float
         Longest lease that a worker takes.
-    stop_grace_s : float
-        Longest time from an order to stop to the end of the run.
-    gang_timeout_s : float
-        How long a gang's first task waits for the others.
-    drain_s, grace_s : float
-        How soon starts on a leaving worker must cease, and the time from SIGTERM to SIGKILL.
+    remote_factor : float
+        How many times as long a task takes away from its data.
+    grace_s : float
+        From SIGTERM to SIGKILL.
     state_kept_s : float
         How long the state of an ended job is told.
     store_lease_s : float
@@ -57,11 +55,8 @@
     metrics_address: str
     store_address: str
     advice_address: str
-    machines_address: str
     lease_limit_s: float
-    stop_grace_s: float
-    gang_timeout_s: float
-    drain_s: float
+    remote_factor: float
     grace_s: float
     state_kept_s: float
     store_lease_s: float
@@ -82,15 +77,9 @@
     ttl_min_ms: float = 1000
 
 
-class _WireCloud(msgspec.Struct):
-    address: str = ""
-
-
 class _WireBounds(msgspec.Struct):
     hold_max_ms: float = 6000
-    stop_grace_ms: float = 1000
-    gang_timeout_ms: float = 3000
-    drain_ms: float = 2000
+    remote_factor: float = 2
     grace_s: float = 6
     status_s: float = 120
 
@@ -105,7 +94,6 @@
     platform: _WirePlatform
     bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
     advisor: str | None = None
-    cloud_api: _WireCloud | None = None
 
 
 def read_site_settings(path: str | None = None) -> SiteSettings:
@@ -168,11 +156,8 @@
         metrics_address=f"{wire.ip}:{METRICS_PORT}",
         store_address=wire.platform.address,
         advice_address=wire.advisor or "",
-        machines_address=wire.cloud_api.address if wire.cloud_api else "",
         lease_limit_s=bounds.hold_max_ms / MS_PER_S,
-        stop_grace_s=bounds.stop_grace_ms / MS_PER_S,
-        gang_timeout_s=bounds.gang_timeout_ms / MS_PER_S,
-        drain_s=bounds.drain_ms / MS_PER_S,
+        remote_factor=bounds.remote_factor,
         grace_s=bounds.grace_s,
         state_kept_s=bounds.status_s,
         store_lease_s=wire.platform.ttl_min_ms / MS_PER_S,
