Rank the workers once for a step, and skip steps that fit nowhere

Cause: a pass asked every worker for every task of every waiting step. Ruled out: a slow store (no write_failed), slow workers (answers were there, read too late). Change: the workers with room are ranked once for a step and put back after each task; what exceeds the most room of any worker is not asked for; room is kept, not worked out; leases, stops and draining workers are looked through every 50 ms; passes leave at least half of the time to answers. Tests: test_load.py, a pass over 100 full workers and 40 steps asks none of them; a step of 50 tasks asks each worker once. owner.py and emulator.py are split (watchdog.py, emulated_worker.py).

--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -8,19 +8,17 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from redwingplank.batch.commands import AskAdvice, PaceRun
+from redwingplank.batch.emulated_worker import EmulatedRun, EmulatedWorker, Fault
 from redwingplank.batch.entities import Run
 from redwingplank.batch.model import (
-    Amounts,
     CellConfig,
     EndKind,
     HoldReport,
     JobSpec,
     JobState,
-    RunEnd,
     RunReport,
     StartOutcome,
     StepSpec,
@@ -30,7 +28,7 @@
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.settings import BatchSettings
 
-__all__ = ["EmulatedCell", "EmulatedRun", "EmulatedWorker", "Fault"]
+__all__ = ["EmulatedCell"]
 
 TICK_S = 0.02
 LOOK_S = 0.3
@@ -38,87 +36,6 @@
 STORE_S = 0.008
 
 
-@dataclass
-class EmulatedRun:
-    """A task at work."""
-
-    task: TaskId
-    attempt: int
-    spec: StepSpec
-    work_s: float
-    done_s: float = 0.0
-    stopping_at_s: float | None = None
-    pace: float = 1.0
-
-
-class Fault:
-    """Names of what can be wrong with a worker."""
-
-    CUT = "cut"
-    HANG = "hang"
-    FAIL_ALL = "fail_all"
-    SLOW = "slow"
-
-
-@dataclass
-class EmulatedWorker:
-    """A worker process.
-
-    Parameters
-    ----------
-    entry : WorkerEntry
-        What it publishes.
-    slowness : float
-        Factor on all run times.
-    """
-
-    entry: WorkerEntry
-    slowness: float = 1.0
-    faults: set[str] = field(default_factory=set)
-    token: int = 0
-    lease_until_s: float = 0.0
-    runs: dict[tuple[TaskId, int], EmulatedRun] = field(default_factory=dict)
-    blocked: dict[TaskId, int] = field(default_factory=dict)
-    ends: list[RunEnd] = field(default_factory=list)
-    end_count: int = 0
-    ended_done: set[TaskId] = field(default_factory=set)
-    """Every task that ever ended as done here; survives crashes."""
-
-    @property
-    def used(self) -> Amounts:
-        """What runs reserve, those being stopped included."""
-        total = Amounts()
-        for run in self.runs.values():
-            total = total.plus(run.spec.reserved)
-        return total
-
-    def crash(self, born_ms: int) -> None:
-        """Lose everything and begin anew."""
-        self.runs.clear()
-        self.blocked.clear()
-        self.ends.clear()
-        self.end_count = 0
-        self.token = 0
-        self.lease_until_s = 0.0
-        self.entry = reborn_entry(self.entry, born_ms)
-
-    def end(self, run: EmulatedRun, kind: EndKind) -> None:
-        """End a run and list it."""
-        del self.runs[(run.task, run.attempt)]
-        self.end_count += 1
-        self.blocked[run.task] = max(self.blocked.get(run.task, 0), run.attempt)
-        if kind is EndKind.DONE:
-            self.ended_done.add(run.task)
-        saved = "saved" if run.spec.saves and run.done_s > 0.5 else ""
-        self.ends.append(RunEnd(self.end_count, run.task, run.attempt, kind, saved))
-
-
-def reborn_entry(entry: WorkerEntry, born_ms: int) -> WorkerEntry:
-    values = {name: getattr(entry, name) for name in entry.__dataclass_fields__}
-    values["born_ms"] = born_ms
-    return WorkerEntry(**values)
-
-
 class EmulatedCell:
     """Workers, a store of records and one owner at a time.
 
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -6,7 +6,6 @@
 
 from redwingplank.batch.model import (
     NO_AMOUNTS,
-    Amounts,
     JobSpec,
     JobState,
     StepKey,
@@ -263,6 +262,7 @@
         "entry",
         "failures_in_row",
         "filler_percent",
+        "free",
         "is_listed",
         "is_proven",
         "is_silent",
@@ -290,6 +290,8 @@
         self.lease_until_ms = 0
         self.runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.reserved = NO_AMOUNTS
+        self.free = entry.capacity
+        """What is left of the capacity."""
         self.step_counts: dict[StepKey, int] = {}
         self.seen = 0
         self.noted = 0
@@ -304,15 +306,16 @@
         """The worker's id."""
         return self.entry.worker_id
 
-    @property
-    def free(self) -> Amounts:
-        """What is left of the capacity."""
-        return self.entry.capacity.minus(self.reserved)
+    def publish(self, entry: WorkerEntry) -> None:
+        """Take what the worker says of itself now."""
+        self.entry = entry
+        self.free = entry.capacity.minus(self.reserved)
 
     def add(self, run: Run) -> None:
         """Take a run's room."""
         self.runs_by_key[run.key] = run
         self.reserved = self.reserved.plus(run.reserved)
+        self.free = self.free.minus(run.reserved)
         key = run.task_id.step_key
         self.step_counts[key] = self.step_counts.get(key, 0) + 1
 
@@ -321,6 +324,7 @@
         if self.runs_by_key.pop(run.key, None) is None:
             return
         self.reserved = self.reserved.minus(run.reserved)
+        self.free = self.free.plus(run.reserved)
         key = run.task_id.step_key
         left = self.step_counts.get(key, 0) - 1
         if left > 0:
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -24,11 +24,14 @@
 from redwingplank.batch.starter import Starter
 from redwingplank.batch.state import Decide, OwnerState
 from redwingplank.batch.tickets import Tickets
+from redwingplank.batch.watchdog import Watchdog
 
 __all__ = ["HoldOrder", "JobOwner", "RecordToStore"]
 
 UNHEALTHY_PAUSE_S = 0.5
 """How long a worker that refused or could not be reached is left alone."""
+CHECK_PERIOD_S = 0.05
+"""Between two looks through all jobs and workers; everything found there bears this delay."""
 REFUSED_RETRY_S = 0.1
 """A refused task waits this long, so that refusals cannot spin."""
 
@@ -78,6 +81,8 @@
         self._tickets = Tickets(self.state, self._placement)
         self._starter = Starter(self.state, self._placement, self._tickets)
         self._pacing = Pacing(self.state)
+        self._watchdog = Watchdog(self.state, self._reports)
+        self._checked_s = float("-inf")
 
     # Jobs.
 
@@ -257,7 +262,7 @@
     ) -> None:
         """Take a worker's answer to a look that was sent at `sent_s`."""
         self._reports.take(worker, report, sent_s, now_s)
-        self._stop_stalled(worker, now_s)
+        self._watchdog.stop_stalled(worker, now_s)
         self._pacing.adjust(worker, now_s)
 
     def worker_silent(self, worker: Worker, now_s: float) -> None:
@@ -355,26 +360,21 @@
 
     def tick(self, now_s: float, now_unix_s: float) -> Commands:
         """Decide everything that is due, and return what is to be done."""
-        self._expire(now_s)
-        for job in list(self.state.jobs_by_id.values()):
-            if job.due_count < job.occurrence_count and not job.state.is_final:
-                self._open_due(job, now_s, now_unix_s)
-        self._evacuate(now_s)
-        self._repeat_stops(now_s)
+        if now_s - self._checked_s >= CHECK_PERIOD_S:
+            self._checked_s = now_s
+            self._check(now_s, now_unix_s)
         self._starter.run(now_s)
         self.state.needs_pass = False
         commands = self.state.commands
         self.state.commands = Commands()
         return commands
 
-    def _expire(self, now_s: float) -> None:
-        state = self.state
-        for worker in list(state.workers_by_id.values()):
-            self._reports.expire(worker, now_s)
-        for host, until_s in list(state.unproven_hosts.items()):
-            if now_s >= until_s:
-                del state.unproven_hosts[host]
-                state.decide("host_free", worker=host, reason="every_lease_over")
+    def _check(self, now_s: float, now_unix_s: float) -> None:
+        """Look through all jobs and workers for what time alone makes due."""
+        self._watchdog.check(now_s)
+        for job in list(self.state.jobs_by_id.values()):
+            if job.due_count < job.occurrence_count and not job.state.is_final:
+                self._open_due(job, now_s, now_unix_s)
 
     def forget_ended(self, now_s: float) -> list[str]:
         """Forget jobs that ended long ago; return their ids, to be removed from the store."""
@@ -390,45 +390,3 @@
         for job_id in gone:
             del self.state.jobs_by_id[job_id]
         return gone
-
-    def _evacuate(self, now_s: float) -> None:
-        """Stop tasks that a leaving worker will not let end."""
-        for worker in self.state.workers_by_id.values():
-            if not worker.entry.is_draining or worker.is_silent:
-                continue
-            for run in list(worker.runs_by_key.values()):
-                spec = run.spec
-                if run.state is not RunState.RUNNING or spec is None:
-                    continue
-                if spec.is_lasting or (spec.saves and not spec.is_gang):
-                    self.state.order_stop(run, now_s, "worker_leaves")
-
-    def _repeat_stops(self, now_s: float) -> None:
-        retry_s = self.state.settings.stop_retry_s
-        for worker in self.state.workers_by_id.values():
-            if worker.is_silent:
-                continue
-            for run in worker.runs_by_key.values():
-                is_stopping = run.state is RunState.STOPPING and run.settled_s is None
-                if is_stopping and now_s - (run.stop_sent_s or 0.0) > retry_s:
-                    run.stop_sent_s = now_s
-                    self.state.commands.stops.append(run)
-
-    def _stop_stalled(self, worker: Worker, now_s: float) -> None:
-        settings = self.state.settings
-        if worker.filler_percent < 100:
-            return
-        for run in list(worker.runs_by_key.values()):
-            spec = run.spec
-            if spec is None or spec.is_lasting or run.state is not RunState.RUNNING:
-                continue
-            found = self.state.find_task(run.task_id)
-            if found is None or spec.is_gang:
-                continue
-            job, task = found
-            expected_s = self.state.speeds.expected_s(spec, job.spec.queue, worker.entry)
-            is_over = now_s - run.started_s > 2 * expected_s + settings.stall_s
-            if is_over and now_s - run.moved_s > settings.stall_s:
-                task.bad_workers.add(worker.id)
-                worker.avoided_until_s = now_s + settings.avoid_s
-                self.state.order_stop(run, now_s, "no_progress")
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -1,23 +1,89 @@
 """Chooses workers for the tasks of a step."""
 
+import heapq
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from redwingplank.batch.entities import Step, Task, Worker
 from redwingplank.batch.model import Amounts, StepSpec
 from redwingplank.batch.state import OwnerState
 
-__all__ = ["Placement", "named_for_advice"]
+__all__ = ["Candidates", "Placement", "named_for_advice"]
 
 DISTURBANCE_FACTOR = 1.5
 """Preference against putting tasks that fill beside tasks that serve."""
 LOAD_WEIGHT = 0.35
 """How much a full worker counts against one that is empty."""
-BAD_WORKER_FACTOR = 4.0
 AWAY_FACTOR = 1.25
 """Preference against spreading a step over failure domains: each that it touches may be cut off."""
 
 
+@dataclass(frozen=True, slots=True)
+class Usable:
+    """The workers of a service that may be given work, and the most room that any of them has.
+
+    During a pass room only shrinks: what `most_free` does not hold fits nowhere.
+    """
+
+    workers: list[Worker]
+    most_free: Amounts
+
+
+class Candidates:
+    """The workers with room for tasks of one step, ranked once for all of its tasks.
+
+    Parameters
+    ----------
+    placement : Placement
+        Tells room and scores.
+    workers : iterable of Worker
+        That may be given work.
+    step : Step
+        With tasks to start.
+    now_s : float
+        The present time.
+    """
+
+    def __init__(
+        self, placement: "Placement", workers: Iterable[Worker], step: Step, now_s: float
+    ) -> None:
+        self._placement = placement
+        self._step = step
+        self._now_s = now_s
+        fitting = [worker for worker in workers if placement.fits(worker, step, now_s)]
+        self._home = placement.home(fitting, step)
+        self._ranked = [(self._score(worker), worker.id, worker) for worker in fitting]
+        heapq.heapify(self._ranked)
+
+    def take(self, task: Task) -> Worker | None:
+        """Return the best worker for a task, None if none has room; call `put_back` after.
+
+        A worker on which the task made no progress before comes after all others.
+        """
+        passed = []
+        while self._ranked and self._ranked[0][2].id in task.bad_workers:
+            passed.append(heapq.heappop(self._ranked))
+        if not self._ranked and passed:
+            chosen: Worker | None = passed.pop(0)[2]
+        else:
+            chosen = heapq.heappop(self._ranked)[2] if self._ranked else None
+        for entry in passed:
+            heapq.heappush(self._ranked, entry)
+        return chosen
+
+    def put_back(self, worker: Worker) -> None:
+        """Rank a worker again that was given a task, if it has room for another."""
+        if self._placement.fits(worker, self._step, self._now_s):
+            heapq.heappush(self._ranked, (self._score(worker), worker.id, worker))
+
+    def _score(self, worker: Worker) -> float:
+        """Return the score of a worker; those outside the step's failure domain count as worse."""
+        score = self._placement.score(worker, self._step)
+        is_away = bool(self._home) and worker.entry.failure_domain != self._home
+        return score * AWAY_FACTOR if is_away else score
+
+
 class Placement:
     """Ranks workers for a step.
 
@@ -30,9 +96,9 @@
     def __init__(self, state: OwnerState) -> None:
         self._state = state
 
-    def usable(self, service: str, now_s: float) -> list[Worker]:
+    def usable(self, service: str, now_s: float) -> Usable:
         """Return the workers of a service that may be given work now."""
-        return [
+        workers = [
             worker
             for worker in self._state.workers_by_id.values()
             if worker.entry.service == service
@@ -42,6 +108,9 @@
             and not worker.entry.is_draining
             and worker.clock_ms is not None
         ]
+        rooms = [worker.free for worker in workers if now_s >= worker.avoided_until_s]
+        most_free = Amounts(*(max(parts, default=0) for parts in zip(*rooms, strict=True)))
+        return Usable(workers, most_free)
 
     def suits(self, worker: Worker, step: Step) -> bool:
         """Return whether a worker, if it were empty, could run a task of the step."""
@@ -59,11 +128,12 @@
             return False
         return self.suits(worker, step)
 
-    def home(self, workers: Iterable[Worker], step: Step, now_s: float) -> str:
+    def home(self, fitting: Iterable[Worker], step: Step) -> str:
         """Return the failure domain that a step's tasks are best kept in.
 
         It is the one that has most of the step's runs; without any, the one with room for most of
-        its tasks, on the best workers. Empty for tasks that last, which are better spread.
+        its tasks, on the best of the workers that fit. Empty for tasks that last, which are better
+        spread.
         """
         if step.spec.is_lasting:
             return ""
@@ -73,9 +143,8 @@
         if domains:
             return domains.most_common(1)[0][0]
         workers_by_domain: dict[str, list[Worker]] = {}
-        for worker in workers:
-            if self.fits(worker, step, now_s):
-                workers_by_domain.setdefault(worker.entry.failure_domain, []).append(worker)
+        for worker in fitting:
+            workers_by_domain.setdefault(worker.entry.failure_domain, []).append(worker)
         return min(
             sorted(workers_by_domain),
             key=lambda domain: self._domain_score(workers_by_domain[domain], step),
@@ -87,36 +156,15 @@
         scores: list[float] = []
         for worker in workers:
             room = min(step.spec.count, self._room_for(worker, step))
-            scores.extend([self._score(worker, step)] * room)
+            scores.extend([self.score(worker, step)] * room)
         best = sorted(scores)[: step.spec.count]
         return step.spec.count - len(best), sum(best) / len(best)
 
-    def choose(
-        self, workers: Iterable[Worker], step: Step, task: Task, now_s: float, home: str = ""
-    ) -> Worker | None:
-        """Return the best of some workers with room, None if none has any.
-
-        Workers outside the failure domain `home`, if there is one, count as worse.
-        """
-        best: Worker | None = None
-        best_score = float("inf")
-        for worker in workers:
-            if not self.fits(worker, step, now_s):
-                continue
-            score = self._score(worker, step)
-            if home and worker.entry.failure_domain != home:
-                score *= AWAY_FACTOR
-            if worker.id in task.bad_workers:
-                score *= BAD_WORKER_FACTOR
-            if score < best_score:
-                best, best_score = worker, score
-        return best
-
     def choose_gang(self, workers: list[Worker], step: Step, now_s: float) -> list[Worker] | None:
         """Return a worker for each task of a gang, None if not all have room."""
         spec = step.spec
         fitting = [worker for worker in workers if self.fits(worker, step, now_s)]
-        fitting.sort(key=lambda worker: (self._score(worker, step), worker.id))
+        fitting.sort(key=lambda worker: (self.score(worker, step), worker.id))
         if spec.same_rack:
             for rack in sorted({worker.entry.rack for worker in fitting}):
                 inside = [worker for worker in fitting if worker.entry.rack == rack]
@@ -143,7 +191,7 @@
             room = min(room, spec.max_per_worker - worker.step_counts.get(step.key, 0))
         return max(0, room)
 
-    def _score(self, worker: Worker, step: Step) -> float:
+    def score(self, worker: Worker, step: Step) -> float:
         """Return an expected run time, weighted by what else speaks for or against a worker."""
         spec = step.spec
         entry = worker.entry
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -2,7 +2,7 @@
 
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import JobState, QueuePolicy
-from redwingplank.batch.placement import Placement
+from redwingplank.batch.placement import Candidates, Placement, Usable
 from redwingplank.batch.ranking import Rank, chain_s, rank_step
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
@@ -30,7 +30,7 @@
 
     def run(self, now_s: float) -> None:
         """Start what can start."""
-        usable_by_service: dict[str, list[Worker]] = {}
+        usable_by_service: dict[str, Usable] = {}
         for _, step in self._ranked(now_s):
             queue = self._state.queue_of(step.job)
             if queue is None:
@@ -66,26 +66,34 @@
                 bits |= hosted
         return [task for task in waiting if not bits >> task.id.position & 1]
 
-    def _run_step(self, step: Step, queue: QueuePolicy, usable: list[Worker], now_s: float) -> None:
+    def _run_step(self, step: Step, queue: QueuePolicy, usable: Usable, now_s: float) -> None:
+        has_room = usable.most_free.holds(step.spec.reserved)
+        is_complete = has_room and self._start_step(step, queue, usable.workers, now_s)
+        if not is_complete and queue.advice is not None:
+            self._tickets.ask(step, usable.workers, queue.advice, now_s, has_room=has_room)
+
+    def _start_step(
+        self, step: Step, queue: QueuePolicy, usable: list[Worker], now_s: float
+    ) -> bool:
+        """Return whether no task is left that only lacks a worker."""
         workers = usable
         if queue.advice is not None:
             workers = self._tickets.allowed(step, usable, now_s)
         if step.spec.is_gang:
-            is_complete = self._start_gang(step, workers, now_s)
-        else:
-            is_complete = self._start_tasks(step, workers, now_s)
-        if not is_complete and queue.advice is not None:
-            self._tickets.ask(step, usable, queue.advice, now_s)
+            return self._start_gang(step, workers, now_s)
+        return self._start_tasks(step, workers, now_s)
 
     def _start_tasks(self, step: Step, workers: list[Worker], now_s: float) -> bool:
-        """Return whether no task is left that only lacks a worker."""
         waiting = self._startable(step, now_s)
-        home = self._placement.home(workers, step, now_s) if waiting else ""
+        if not waiting:
+            return True
+        candidates = Candidates(self._placement, workers, step, now_s)
         for task in waiting:
-            worker = self._placement.choose(workers, step, task, now_s, home)
+            worker = candidates.take(task)
             if worker is None:
                 return False
             self._plan(step, task, worker, self._state.next_attempt(task), now_s)
+            candidates.put_back(worker)
         return True
 
     def _start_gang(self, step: Step, workers: list[Worker], now_s: float) -> bool:
--- a/redwingplank/batch/tests/cells.py
+++ b/redwingplank/batch/tests/cells.py
@@ -1,6 +1,7 @@
 """Cells and jobs for the tests."""
 
-from redwingplank.batch.emulator import EmulatedCell, EmulatedWorker
+from redwingplank.batch.emulated_worker import EmulatedWorker
+from redwingplank.batch.emulator import EmulatedCell
 from redwingplank.batch.model import (
     Amounts,
     CellConfig,
--- a/redwingplank/batch/tests/test_load.py
+++ b/redwingplank/batch/tests/test_load.py
@@ -1,11 +1,13 @@
 """Patterns of load that the sites see: each with what the decisions have to make of it."""
 
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
 from redwingplank.batch import placement
-from redwingplank.batch.emulator import EmulatedCell, Fault
+from redwingplank.batch.emulated_worker import Fault
+from redwingplank.batch.emulator import EmulatedCell
 from redwingplank.batch.model import JobSpec
 from redwingplank.batch.tests.cells import make_config, make_job, make_worker, step
 
@@ -92,3 +94,47 @@
         monkeypatch.setattr(placement.Placement, "home", lambda *_: "")
         _, late_when_spread = self.play()
         assert late <= late_when_spread / 2
+
+
+class TestManyStepsAtFullWorkers:
+    """Hundreds of workers are full while many steps wait: what a pass costs must not grow so."""
+
+    WORKERS = 100
+    STEPS = 40
+
+    def count_fits(self, monkeypatch: pytest.MonkeyPatch, cell: EmulatedCell) -> int:
+        """Return how often one pass asks whether a worker has room."""
+        calls = 0
+        fits = placement.Placement.fits
+
+        def counted(*arguments: Any) -> bool:
+            nonlocal calls
+            calls += 1
+            return fits(*arguments)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(placement.Placement, "fits", counted)
+            cell.owner.tick(cell.now_s, cell.now_s)
+        return calls
+
+    def make_cell(self) -> EmulatedCell:
+        cell = EmulatedCell(make_config(), [make_worker(number) for number in range(self.WORKERS)])
+        cell.run_for(1.0)
+        return cell
+
+    def test_a_pass_asks_no_worker_where_nothing_can_fit(self, monkeypatch: pytest.MonkeyPatch):
+        cell = self.make_cell()
+        full = step(4 * self.WORKERS, cpu=2000, estimate_s=30.0)
+        cell.submit(make_job("full", full, at_s=cell.now_s))
+        cell.run_for(1.0)
+        for number in range(self.STEPS):
+            cell.submit(make_job(f"waits-{number}", step(6, cpu=2000), at_s=cell.now_s))
+        assert self.count_fits(monkeypatch, cell) == 0
+
+    def test_a_step_asks_each_worker_once_and_not_for_each_task(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        cell = self.make_cell()
+        tasks = 50
+        cell.submit(make_job("wide", step(tasks, cpu=2000), at_s=cell.now_s))
+        assert self.count_fits(monkeypatch, cell) <= self.WORKERS + tasks
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -4,7 +4,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from redwingplank.batch.emulator import Fault, reborn_entry
+from redwingplank.batch.emulated_worker import Fault, reborn_entry
 from redwingplank.batch.model import AdvicePolicy, JobState, QueuePolicy
 from redwingplank.batch.tests.cells import make_cell, make_config, make_job, step
 
--- a/redwingplank/batch/tickets.py
+++ b/redwingplank/batch/tickets.py
@@ -39,10 +39,34 @@
             if worker.id in step.allowed and step.allowed[worker.id].valid_until_s > limit_s
         ]
 
-    def ask(self, step: Step, workers: list[Worker], policy: AdvicePolicy, now_s: float) -> None:
-        """Ask for tickets, unless a call for the step is under way or none could be used."""
+    def ask(
+        self,
+        step: Step,
+        workers: list[Worker],
+        policy: AdvicePolicy,
+        now_s: float,
+        *,
+        has_room: bool,
+    ) -> None:
+        """Ask for tickets, unless a call for the step is under way or none could be used.
+
+        Parameters
+        ----------
+        step : Step
+            With tasks to start.
+        workers : list of Worker
+            That may be given work.
+        policy : AdvicePolicy
+            Of its queue.
+        now_s : float
+            The present time.
+        has_room : bool
+            Whether any of the workers may have room.
+        """
         if step.is_advice_open or self._open_calls >= MAX_OPEN_CALLS:
             return
+        if step.allowed and not has_room:
+            return
         suited = [worker for worker in workers if self._placement.suits(worker, step)]
         if step.allowed and not self._could_use(step, suited, now_s):
             return
--- /dev/null
+++ b/redwingplank/batch/watchdog.py
@@ -0,0 +1,81 @@
+"""What time alone makes due at workers and their runs."""
+
+from redwingplank.batch.entities import RunState, Worker
+from redwingplank.batch.reports import Reports
+from redwingplank.batch.state import OwnerState
+
+__all__ = ["Watchdog"]
+
+
+class Watchdog:
+    """Finds leases that are over, workers that leave, stops to repeat, and runs that stand still.
+
+    Parameters
+    ----------
+    state : OwnerState
+        The tables.
+    reports : Reports
+        Gives up the runs of workers whose leases are over.
+    """
+
+    def __init__(self, state: OwnerState, reports: Reports) -> None:
+        self._state = state
+        self._reports = reports
+
+    def check(self, now_s: float) -> None:
+        """Look through all workers."""
+        self._expire(now_s)
+        self._evacuate(now_s)
+        self._repeat_stops(now_s)
+
+    def _expire(self, now_s: float) -> None:
+        state = self._state
+        for worker in list(state.workers_by_id.values()):
+            self._reports.expire(worker, now_s)
+        for host, until_s in list(state.unproven_hosts.items()):
+            if now_s >= until_s:
+                del state.unproven_hosts[host]
+                state.decide("host_free", worker=host, reason="every_lease_over")
+
+    def _evacuate(self, now_s: float) -> None:
+        """Stop tasks that a leaving worker will not let end."""
+        for worker in self._state.workers_by_id.values():
+            if not worker.entry.is_draining or worker.is_silent:
+                continue
+            for run in list(worker.runs_by_key.values()):
+                spec = run.spec
+                if run.state is not RunState.RUNNING or spec is None:
+                    continue
+                if spec.is_lasting or (spec.saves and not spec.is_gang):
+                    self._state.order_stop(run, now_s, "worker_leaves")
+
+    def _repeat_stops(self, now_s: float) -> None:
+        retry_s = self._state.settings.stop_retry_s
+        for worker in self._state.workers_by_id.values():
+            if worker.is_silent:
+                continue
+            for run in worker.runs_by_key.values():
+                is_stopping = run.state is RunState.STOPPING and run.settled_s is None
+                if is_stopping and now_s - (run.stop_sent_s or 0.0) > retry_s:
+                    run.stop_sent_s = now_s
+                    self._state.commands.stops.append(run)
+
+    def stop_stalled(self, worker: Worker, now_s: float) -> None:
+        """Stop runs of a worker that has just reported and that make no progress there."""
+        settings = self._state.settings
+        if worker.filler_percent < 100:
+            return
+        for run in list(worker.runs_by_key.values()):
+            spec = run.spec
+            if spec is None or spec.is_lasting or run.state is not RunState.RUNNING:
+                continue
+            found = self._state.find_task(run.task_id)
+            if found is None or spec.is_gang:
+                continue
+            job, task = found
+            expected_s = self._state.speeds.expected_s(spec, job.spec.queue, worker.entry)
+            is_over = now_s - run.started_s > 2 * expected_s + settings.stall_s
+            if is_over and now_s - run.moved_s > settings.stall_s:
+                task.bad_workers.add(worker.id)
+                worker.avoided_until_s = now_s + settings.avoid_s
+                self._state.order_stop(run, now_s, "no_progress")
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -238,10 +238,13 @@
             except TimeoutError:
                 pass
             self._wakeup.clear()
-            commands = self.owner.tick(now_s(), now_unix_s())
+            started_s = now_s()
+            commands = self.owner.tick(started_s, now_unix_s())
             if self.owner.state.dirty_jobs:
                 self._writer.wake()
             self._carry_out(commands)
+            # At most half of the time goes to passes, whatever their number of workers and steps.
+            await asyncio.sleep(now_s() - started_s)
 
     def _carry_out(self, commands: Commands) -> None:
         for run in commands.starts:
