Let a node with a fast processor own the jobs

Cause: VMs differ (0.39 to 0.72 of a core for a thread on a grown deployment); whichever node was first owned the jobs, and the owner's thread bounds the cell. Change: nodes publish the share of a core that a thread gets; candidates wait in the order of it, at most 0.06 s; an owner hands over, once for each, to a node with 1.5 times its share. Tests: test_node.py, a hand-over to a faster node with running tasks, none to one hardly faster.

--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -29,17 +29,23 @@
 RENEW_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 0.9
 """A slow store answers in 0.25 s."""
-SETTLE_S = 0.06
-"""Spreads the candidates of a free ownership, so that usually one tries."""
+SETTLE_STEP_S = 0.015
+"""A candidate waits this long for each one before it: a try takes 0.008 s."""
+LONGEST_SETTLE_S = 0.06
+YIELD_RATIO = 1.5
+"""An owner hands over to a node with this many times its processor share."""
+YIELD_AFTER_S = 2.0
+"""Not sooner after it won: nodes that start together register within a second."""
 WATCH_WAIT_S = 2.5
 """A watch may miss changes unnoticed: a free ownership is found at most this much later."""
 
 
 class NodeEntry(msgspec.Struct, frozen=True):
-    """A live node: where its peers reach it."""
+    """A live node: where its peers reach it, and the part of a core that its thread gets."""
 
     address: str
     failure_domain: str
+    core_share: float = 1.0
 
 
 class TermEntry(msgspec.Struct, frozen=True):
@@ -98,6 +104,8 @@
         """An owner whose process is known to be gone, though its lease goes on."""
         self.incarnation = secrets.token_hex(8)
         self.lease = 0
+        self._yielded_to: set[str] = set()
+        """Nodes that this one has handed over to, or tried to."""
         self.renewed_s = 0.0
         """When the last renewal that was answered had been sent."""
         self._is_changed = asyncio.Event()
@@ -118,6 +126,7 @@
             try:
                 await self._renew(started_s)
                 self._context.health.answered()
+                await self._yield_to_faster(started_s)
             except STORE_ERRORS as error:
                 self._context.health.failed(error)
             await asyncio.sleep(max(0.05, RENEW_S - (now_s() - started_s)))
@@ -140,7 +149,7 @@
 
     async def _put_own_key(self) -> None:
         settings = self._context.settings
-        entry = NodeEntry(settings.peer_address, settings.failure_domain)
+        entry = NodeEntry(settings.peer_address, settings.failure_domain, settings.core_share)
         put = Put(NODES_PREFIX + settings.name, msgspec.json.encode(entry), self.lease)
         await self._context.store.transact({}, [put], [], CALL_TIMEOUT_S)
 
@@ -227,7 +236,7 @@
             self._claim_unanswered()
             if not self._is_free():
                 continue
-            await asyncio.sleep(self._settle_s())
+            await asyncio.sleep(min(LONGEST_SETTLE_S, SETTLE_STEP_S * self._place()))
             if not self._is_free():
                 continue
             try:
@@ -278,9 +287,35 @@
             and owner.incarnation != self.incarnation
         )
 
-    def _settle_s(self) -> float:
-        key = f"{self._context.settings.name}/{self.term_revision}"
-        return SETTLE_S * (xxhash.xxh32_intdigest(key.encode()) / 2**32)
+    def _place(self) -> int:
+        """Return how many live nodes are better candidates: those with faster processors.
+
+        Among equals the order changes from term to term.
+        """
+        own = self._context.settings
+
+        def key(name: str, core_share: float) -> tuple[float, int]:
+            return -core_share, xxhash.xxh32_intdigest(f"{name}/{self.term_revision}".encode())
+
+        own_key = key(own.name, own.core_share)
+        return sum(
+            key(name, entry.core_share) < own_key
+            for name, entry in self.nodes_by_name.items()
+            if name != own.name and not (self.owner and name == self.owner.owner)
+        )
+
+    async def _yield_to_faster(self, now: float) -> None:
+        """Hand over from a slow VM, once for each faster node that is there."""
+        mine = self.ownership
+        if mine is None or now - mine.won_s < YIELD_AFTER_S:
+            return
+        least_share = YIELD_RATIO * self._context.settings.core_share
+        faster = {
+            name for name, entry in self.nodes_by_name.items() if entry.core_share >= least_share
+        }
+        if faster - self._yielded_to:
+            self._yielded_to |= faster
+            await self.resign("faster_node")
 
     async def _try_to_win(self) -> None:
         term = (self.term.number if self.term else 0) + 1
@@ -302,12 +337,12 @@
         if self.ownership is None:
             self._win(term, result.revision, started_s)
 
-    async def resign(self) -> None:
+    async def resign(self, reason: str) -> None:
         """Free the ownership so that another node takes over at once."""
         if self.ownership is None:
             return
         term_revision = self.ownership.term_revision
-        self.lose("stopping")
+        self.lose(reason)
         expected = {TERM_KEY: term_revision}
         await self._context.store.transact(expected, [], [OWNER_KEY], CALL_TIMEOUT_S)
 
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -94,7 +94,7 @@
 
     async def _resign(self) -> None:
         try:
-            await self._membership.resign()
+            await self._membership.resign("stopping")
         except STORE_ERRORS as error:
             self._context.log("resign_failed", error=error)
 
--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -82,12 +82,13 @@
         config = {"version": version, "routes": [values], "limits": {"max_body_bytes": 20_000}}
         self.store.put("op/config", msgspec.json.encode(config))
 
-    async def add_node(self, number: int) -> Node:
+    async def add_node(self, number: int, core_share: float = 1.0) -> Node:
         callers, peer = free_address(), free_address()
         settings = SiteSettings(
             name=f"n{number}",
             failure_domain="a",
             ip="127.0.0.1",
+            core_share=core_share,
             callers_address=callers,
             readiness_address=callers,
             peer_port=int(peer.rpartition(":")[2]),
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -6,8 +6,9 @@
 
 import aiohttp
 
-from redwingplank.cell import owner_watch, record_writer
+from redwingplank.cell import membership, owner_watch, record_writer
 from redwingplank.cell.callers import SubmitEnd
+from redwingplank.cell.clocks import now_s
 from redwingplank.cell.keys import LEARNED_KEY
 from redwingplank.cell.tests.site_fixture import free_address, run_site
 from redwingplank.rpc.peers import is_refused
@@ -202,6 +203,35 @@
         run_site(scenario, nodes=2)
 
 
+class TestSlowOwner:
+    """The first node of a cell has a slow processor."""
+
+    def test_hands_over_to_a_faster_node_and_keeps_the_jobs(self, monkeypatch):
+        monkeypatch.setattr(membership, "YIELD_AFTER_S", 0.0)
+
+        async def scenario(site):
+            await site.call("POST", f"/proof/{ID}", LASTING)
+            await site.until(lambda: sum(len(worker.runs) for worker in site.workers) == 2)
+            fast = await site.add_node(7, core_share=2.0)
+            await site.until(lambda: fast.owns_jobs)
+            await site.until(lambda: all(worker.token == 2 for worker in site.workers))
+            assert sum(len(worker.starts) for worker in site.workers) == 2
+
+        run_site(scenario)
+
+    def test_stays_with_nodes_that_are_hardly_faster(self, monkeypatch):
+        monkeypatch.setattr(membership, "YIELD_AFTER_S", 0.0)
+
+        async def scenario(site):
+            first = site.owner_node()
+            await site.add_node(7, core_share=1.2)
+            await site.until(lambda: len(first._membership.nodes_by_name) == 2)
+            await first._membership._yield_to_faster(now_s())
+            assert first.owns_jobs
+
+        run_site(scenario)
+
+
 class TestOwnerGone:
     """The owner's process is killed long before its lease ends."""
 
--- a/redwingplank/platform/site/settings.py
+++ b/redwingplank/platform/site/settings.py
@@ -26,6 +26,8 @@
         Of this VM.
     ip : str
         This VM's address.
+    core_share : float
+        Part of a core that one thread gets here.
     callers_address, readiness_address : str
         Where callers and readiness checks arrive.
     peer_port : int
@@ -49,6 +51,7 @@
     name: str
     failure_domain: str
     ip: str
+    core_share: float
     callers_address: str
     readiness_address: str
     peer_port: int
@@ -72,6 +75,11 @@
     ready: str
 
 
+class _WireLimits(msgspec.Struct):
+    # Of each core, not of the whole VM.
+    cpu_share: float = 1
+
+
 class _WirePlatform(msgspec.Struct):
     address: str
     ttl_min_ms: float = 1000
@@ -92,6 +100,7 @@
     # First and last port, both usable.
     port_range: tuple[int, int]
     platform: _WirePlatform
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
     bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
     advisor: str | None = None
 
@@ -150,6 +159,7 @@
         name=wire.node_name,
         failure_domain=wire.zone,
         ip=wire.ip,
+        core_share=wire.limits.cpu_share,
         callers_address=wire.listen.frontend,
         readiness_address=wire.listen.ready,
         peer_port=wire.port_range[0],
