--- a/benchmarks/bounds.py
+++ b/benchmarks/bounds.py
@@ -95,6 +95,7 @@
 _SLOTS = "the credits of an upstream never exceed its slots"
 _CHECKS = "plan and validate of 150 organisations take at most 1 s"
 _IN_FORCE = "an accepted change is in force everywhere within 9 s"
+_TAKEOVER = "a takeover takes 2.5 s at most"
 _STORE = "the store takes some hundred writes and 2,000 reads a second in all"
 
 BOUNDS: tuple[Bound, ...] = (
@@ -195,4 +196,6 @@
     Bound("config.StoreCalls", "track_calls.busiest_second_at_start", 300, _STORE),
     Bound("config.StoreCalls", "track_calls.busiest_second_at_return", 300, _STORE),
     Bound("config.StoreCalls", "track_calls.in_force_after_return_s", 9.0, _IN_FORCE),
+    Bound("takeover.OwnerGone", "track_killed.max_s", 2.5, _TAKEOVER),
+    Bound("takeover.OwnerGone", "track_stopped.max_s", 2.5, _TAKEOVER),
 )
