--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -1,22 +1,19 @@
 """Chooses workers for the tasks of a step."""
 
-import heapq
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from redwingplank.batch.entities import Step, Task, Worker
+from redwingplank.batch.entities import Step, Worker
 from redwingplank.batch.model import Amounts, StepSpec
 from redwingplank.batch.state import OwnerState
 
-__all__ = ["Candidates", "Placement", "named_for_advice"]
+__all__ = ["Placement", "Usable", "named_for_advice"]
 
 DISTURBANCE_FACTOR = 1.5
 """Preference against putting tasks that fill beside tasks that serve."""
 LOAD_WEIGHT = 0.35
 """How much a full worker counts against one that is empty."""
-AWAY_FACTOR = 1.25
-"""Preference against spreading a step over failure domains: each that it touches may be cut off."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,60 +27,6 @@
     most_free: Amounts
 
 
-class Candidates:
-    """The workers with room for tasks of one step, ranked once for all of its tasks.
-
-    Parameters
-    ----------
-    placement : Placement
-        Tells room and scores.
-    workers : iterable of Worker
-        That may be given work.
-    step : Step
-        With tasks to start.
-    now_s : float
-        The present time.
-    """
-
-    def __init__(
-        self, placement: "Placement", workers: Iterable[Worker], step: Step, now_s: float
-    ) -> None:
-        self._placement = placement
-        self._step = step
-        self._now_s = now_s
-        fitting = [worker for worker in workers if placement.fits(worker, step, now_s)]
-        self._home = placement.home(fitting, step)
-        self._ranked = [(self._score(worker), worker.id, worker) for worker in fitting]
-        heapq.heapify(self._ranked)
-
-    def take(self, task: Task) -> Worker | None:
-        """Return the best worker for a task, None if none has room; call `put_back` after.
-
-        A worker on which the task made no progress before comes after all others.
-        """
-        passed = []
-        while self._ranked and self._ranked[0][2].id in task.bad_workers:
-            passed.append(heapq.heappop(self._ranked))
-        if not self._ranked and passed:
-            chosen: Worker | None = passed.pop(0)[2]
-        else:
-            chosen = heapq.heappop(self._ranked)[2] if self._ranked else None
-        for entry in passed:
-            heapq.heappush(self._ranked, entry)
-        return chosen
-
-    def put_back(self, worker: Worker) -> None:
-        """Rank a worker again that was given a task, if it has room for another."""
-        if self._placement.fits(worker, self._step, self._now_s):
-            heapq.heappush(self._ranked, (self._score(worker), worker.id, worker))
-
-    def _score(self, worker: Worker) -> float:
-        """Return the score of a worker; those outside the step's failure domain count as worse."""
-        score = self._placement.score(worker, self._step)
-        is_away = bool(self._home) and worker.entry.failure_domain != self._home
-        return score * AWAY_FACTOR if is_away else score
-
-
 class Placement:
     """Ranks workers for a step.
 
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -1,8 +1,9 @@
 """One pass over the steps with tasks to start, most urgent first."""
 
+from redwingplank.batch.candidates import Candidates
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import JobState, QueuePolicy
-from redwingplank.batch.placement import Candidates, Placement, Usable
+from redwingplank.batch.placement import Placement, Usable
 from redwingplank.batch.ranking import Rank, chain_s, rank_step
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
