--- a/redwingplank/cell/context.py
+++ b/redwingplank/cell/context.py
@@ -63,7 +63,7 @@
         self.events = log
         self.metrics = NodeMetrics()
         self.client = SiteClient()
-        self.store = SiteStore(self.client, settings.store_address)
+        self.store = SiteStore(self.client, settings.store_address, self.metrics.note_store_call)
         self.workers = SiteWorkers(self.client)
         self.advice = SiteAdvice(self.client, settings.advice_address)
         self.peers = PeerConnections()
--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -15,7 +15,7 @@
 __all__ = ["METRICS_PATH", "NodeMetrics", "make_metrics_app"]
 
 METRICS_PATH = "/metrics"
-_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 
 
 class NodeMetrics:
@@ -37,6 +37,14 @@
         self.log_lines_lost = Gauge(
             "redwing_log_lines_lost", "Lines that nobody read in time", registry=self.registry
         )
+        self._store_calls = Histogram(
+            "redwing_store_call_seconds",
+            "From a call of the store to its answer",
+            ["call"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.passes = self._histogram("redwing_pass_seconds", "One pass over all open steps")
         self._histograms_by_event = {
             event: (self._histogram(name, text), field)
             for event, name, text, field in (
@@ -69,6 +77,10 @@
         if measured is not None and measured[1] in fields:
             measured[0].observe(fields[measured[1]])
 
+    def note_store_call(self, call: str, took_s: float) -> None:
+        """Count a call of the store; calls without an answer count with their time limit."""
+        self._store_calls.labels(call).observe(took_s)
+
     def render(self) -> bytes:
         """Return all values in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -244,7 +244,9 @@
                 self._writer.wake()
             self._carry_out(commands)
             # At most half of the time goes to passes, whatever their number of workers and steps.
-            await asyncio.sleep(now_s() - started_s)
+            took_s = now_s() - started_s
+            self._context.metrics.passes.observe(took_s)
+            await asyncio.sleep(took_s)
 
     def _carry_out(self, commands: Commands) -> None:
         for run in commands.starts:
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -295,5 +295,9 @@
                 text = await response.text()
             assert 'redwing_events_total{event="submit"} 1.0' in text
             assert "redwing_submit_seconds_bucket" in text
+            assert 'redwing_store_call_seconds_bucket{call="transact"' in text
+            served = set(re.findall(r"^# TYPE (redwing_\w+) ", text, re.M))
+            documented = re.findall(r"^\| `(redwing_\w+)", (DOCS / "metrics.md").read_text(), re.M)
+            assert {name for name in served if not name.endswith("_created")} == set(documented)
 
         run_site(scenario)
--- a/redwingplank/platform/site/store.py
+++ b/redwingplank/platform/site/store.py
@@ -2,6 +2,8 @@
 
 import base64
 import enum
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
@@ -132,6 +134,8 @@
         Sends the calls.
     address : str
         ``"IP:PORT"`` of the store.
+    observe : callable
+        Called with the name of each call but watches, which wait, and the seconds that it took.
 
     Notes
     -----
@@ -139,14 +143,16 @@
     `StoreRefusedError` when the store says that it did nothing.
     """
 
-    def __init__(self, client: SiteClient, address: str) -> None:
+    def __init__(
+        self, client: SiteClient, address: str, observe: Callable[[str, float], None]
+    ) -> None:
         self._client = client
         self._address = address
-        self.calls = 0
+        self._observe = observe
 
     async def get(self, key: str, timeout_s: float) -> Item | None:
         """Return an item, None if the key does not exist."""
-        reply = await self._call("GET", f"/-/kv-key?key={quote(key, safe='')}", timeout_s)
+        reply = await self._call("get", "GET", f"/-/kv-key?key={quote(key, safe='')}", timeout_s)
         if reply.status == 404:
             return None
         return _read_item(_decode(_raise_refused(reply), _WireItem))
@@ -160,7 +166,7 @@
             target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
             target += f"&after={quote(after, safe='')}" if after else ""
             target += "&serializable=1" if stale else ""
-            reply = await self._call("GET", target, timeout_s)
+            reply = await self._call("range", "GET", target, timeout_s)
             page = _decode(_raise_refused(reply), _WireRange)
             items.extend(_read_item(item) for item in page.items)
             revision = revision or page.at_rev
@@ -178,7 +184,7 @@
         """
         target = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
         target += f"&wait_ms={round(wait_s * 1000)}"
-        reply = await self._call("GET", target, wait_s + WATCH_SLACK_S)
+        reply = await self._client.call("GET", self._address, target, wait_s + WATCH_SLACK_S)
         if reply.status == 410:
             raise HistoryGoneError(f"changes of {prefix} after {after} are gone")
         page = _decode(_raise_refused(reply), _WireEvents)
@@ -198,7 +204,9 @@
             "puts": [_write_put(put) for put in puts],
             "remove": removes,
         }
-        reply = await self._call("POST", "/-/kv-txn", timeout_s, msgspec.json.encode(body))
+        reply = await self._call(
+            "transact", "POST", "/-/kv-txn", timeout_s, msgspec.json.encode(body)
+        )
         if reply.status == 404:
             return TransactionResult(TransactionEnd.LEASE_GONE)
         if reply.status == 412:
@@ -211,12 +219,12 @@
     async def open_lease(self, ttl_s: float, timeout_s: float) -> int:
         """Return the number of a new lease."""
         body = msgspec.json.encode({"ttl_ms": round(ttl_s * 1000)})
-        reply = await self._call("POST", "/-/kv-lease", timeout_s, body)
+        reply = await self._call("open_lease", "POST", "/-/kv-lease", timeout_s, body)
         return _decode(_raise_refused(reply), _WireLease).lease_id
 
     async def renew_lease(self, lease: int, timeout_s: float) -> bool:
         """Return whether the lease goes on."""
-        reply = await self._call("POST", f"/-/kv-keep/{lease}", timeout_s)
+        reply = await self._call("renew_lease", "POST", f"/-/kv-keep/{lease}", timeout_s)
         if reply.status == 404:
             return False
         _raise_refused(reply)
@@ -224,15 +232,18 @@
 
     async def end_lease(self, lease: int, timeout_s: float) -> None:
         """End a lease and remove its keys."""
-        reply = await self._call("DELETE", f"/-/kv-lease-end/{lease}", timeout_s)
+        reply = await self._call("end_lease", "DELETE", f"/-/kv-lease-end/{lease}", timeout_s)
         if reply.status != 404:
             _raise_refused(reply)
 
     async def _call(
-        self, method: str, target: str, timeout_s: float, body: bytes | None = None
+        self, name: str, method: str, target: str, timeout_s: float, body: bytes | None = None
     ) -> Reply:
-        self.calls += 1
-        return await self._client.call(method, self._address, target, timeout_s, body)
+        started_s = time.monotonic()
+        try:
+            return await self._client.call(method, self._address, target, timeout_s, body)
+        finally:
+            self._observe(name, time.monotonic() - started_s)
 
 
 def _raise_refused(reply: Reply) -> Reply:
