--- a/redwingplank/batch/lanes.py
+++ b/redwingplank/batch/lanes.py
@@ -38,13 +38,17 @@
         now_s : float
             The present time.
         """
-        fit = [name for name in nodes if self._shunned_until_s.get(name, 0.0) <= now_s] or nodes[:1]
+        fit = [name for name in nodes if not self.is_left_out(name, now_s)] or nodes[:1]
         if work_s > self._long_call_s:
             busy = [name for name in fit if self._long_calls_by_node.get(name, 0)]
             if len(busy) >= (len(fit) + 1) // 2:
                 fit = busy
         return min(fit, key=lambda name: self._work_s_by_node.get(name, 0.0))
 
+    def is_left_out(self, node: str, now_s: float) -> bool:
+        """Return whether a node failed a moment ago."""
+        return self._shunned_until_s.get(node, 0.0) > now_s
+
     def began(self, node: str, work_s: float) -> float:
         """Note a call; return how long it takes until its answer, with what it waits for."""
         self._work_s_by_node[node] = self._work_s_by_node.get(node, 0.0) + work_s
--- a/redwingplank/cell/advisers.py
+++ b/redwingplank/cell/advisers.py
@@ -18,6 +18,8 @@
 """Beyond the work that the service has for this node's calls."""
 WAIT_FOR_NODE_S = 0.02
 """Before the step is asked for again, through another node."""
+ALL_FAILED_PAUSE_S = 0.1
+"""Before a call while every node has failed: the service is out of reach for all."""
 
 
 class Advisers:
@@ -47,19 +49,28 @@
     async def ask(self, call: AskAdvice) -> None:
         """Ask for one step and hand on the answer."""
         name = self._lanes.choose(self._nodes(), call.work_s, now_s())
+        if self._lanes.is_left_out(name, now_s()):
+            await asyncio.sleep(ALL_FAILED_PAUSE_S)
         until_answer_s = self._lanes.began(name, call.work_s)
         tickets = None
         try:
             tickets = await self._ask_through(name, call, until_answer_s + CALL_SLACK_S)
-        except (AdviceBusyError, SiteError, RpcError, TimeoutError) as error:
-            event = "advice_busy" if isinstance(error, AdviceBusyError) else "advice_failed"
-            self._context.log(event, through=name, job=call.step.key.job_id, error=error)
-            self._lanes.failed(name, now_s())
-            await asyncio.sleep(WAIT_FOR_NODE_S)
+            if tickets is None:
+                await self._failed(name, call, "advice_failed", "the service did not answer it")
+        except AdviceBusyError as error:
+            await self._failed(name, call, "advice_busy", error)
+        except (SiteError, RpcError, TimeoutError) as error:
+            await self._failed(name, call, "advice_failed", error)
         finally:
             self._lanes.ended(name, call.work_s)
             self._on_answer(call, tickets)
 
+    async def _failed(self, name: str, call: AskAdvice, event: str, error: Exception | str) -> None:
+        """Leave a node out for a while."""
+        self._context.log(event, through=name, job=call.step.key.job_id, error=error)
+        self._lanes.failed(name, now_s())
+        await asyncio.sleep(WAIT_FOR_NODE_S)
+
     def _nodes(self) -> list[str]:
         """Return this node, then those of its failure domain, then the others."""
         settings = self._context.settings
--- a/redwingplank/cli/story.py
+++ b/redwingplank/cli/story.py
@@ -1,5 +1,6 @@
 """``python -m redwingplank.cli.story``: the story of one job from nodes' logs."""
 
+import os
 import re
 import sys
 from collections.abc import Iterable, Iterator
@@ -60,8 +61,13 @@
                 with log.open(encoding="utf-8", errors="replace") as opened:
                     yield from opened
 
-        for line in select_story(lines(), job_id):
-            sys.stdout.write(line)
+        try:
+            for line in select_story(lines(), job_id):
+                sys.stdout.write(line)
+            sys.stdout.flush()
+        except BrokenPipeError:
+            # The reader, such as `head`, has seen enough; nothing is left to flush at the end.
+            os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
 
     app()
 
