Bound the pause between passes

A pass is followed by a pause of its own length, by a clock that runs on while the process is frozen: a freeze of seconds within a pass would have been waited for twice.

--- a/redwingplank/batch/lanes.py
+++ b/redwingplank/batch/lanes.py
@@ -24,7 +24,7 @@
         self._long_call_s = long_call_s
         self._work_s_by_node: dict[str, float] = {}
         self._long_calls_by_node: dict[str, int] = {}
-        self._shunned_until_s: dict[str, float] = {}
+        self._left_out_until_s: dict[str, float] = {}
 
     def choose(self, nodes: Sequence[str], work_s: float, now_s: float) -> str:
         """Return the node to ask through.
@@ -47,7 +47,7 @@
 
     def is_left_out(self, node: str, now_s: float) -> bool:
         """Return whether a node failed a moment ago."""
-        return self._shunned_until_s.get(node, 0.0) > now_s
+        return self._left_out_until_s.get(node, 0.0) > now_s
 
     def began(self, node: str, work_s: float) -> float:
         """Note a call; return how long it takes until its answer, with what it waits for."""
@@ -64,4 +64,4 @@
 
     def failed(self, node: str, now_s: float) -> None:
         """Leave a node out for a while."""
-        self._shunned_until_s[node] = now_s + PAUSE_AFTER_FAILURE_S
+        self._left_out_until_s[node] = now_s + PAUSE_AFTER_FAILURE_S
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -45,6 +45,8 @@
 """A page of 1 MB from a slow store takes under a second."""
 TICK_S = 0.1
 """Longest time between two passes without news."""
+LONGEST_PAUSE_S = 0.05
+"""Between passes; a process that was frozen in one must not wait as long again."""
 FORGET_PERIOD_S = 10.0
 """Ended jobs are kept for minutes: a few seconds more do not matter."""
 CANCEL_WAIT_S = 1.5
@@ -246,7 +248,7 @@
             # At most half of the time goes to passes, whatever their number of workers and steps.
             took_s = now_s() - started_s
             self._context.metrics.passes.observe(took_s)
-            await asyncio.sleep(took_s)
+            await asyncio.sleep(min(took_s, LONGEST_PAUSE_S))
 
     def _carry_out(self, commands: Commands) -> None:
         for run in commands.starts:
