--- a/redwingplank/cell/tests/test_advisers.py
+++ b/redwingplank/cell/tests/test_advisers.py
@@ -46,6 +46,11 @@
         asyncio.run(play())
 
 
+@pytest.fixture(autouse=True)
+def stopped_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(advisers, "now_s", lambda: 100.0)
+
+
 class TestFailure:
     def test_another_node_is_asked_next(self):
         world = World({"w": "ticket"})
--- a/redwingplank/membership/upstreams.py
+++ b/redwingplank/membership/upstreams.py
@@ -32,7 +32,7 @@
         self._vms_by_name = {vm.name: vm for vm in vms}
         self._listed_at_s_by_name.update(dict.fromkeys(self._vms_by_name, now_s))
         for name in list(self._words_by_name):
-            if now_s - self._last_seen_s(name) > FORGET_AFTER_S:
+            if now_s - self._last_heard_s(name) > FORGET_AFTER_S:
                 del self._words_by_name[name]
                 del self._told_at_s_by_name[name]
         self._listed_at_s_by_name = {
@@ -79,6 +79,6 @@
         """Return whether a stronger signal says that a VM leaves or is dead."""
         return name in self._words_by_name
 
-    def _last_seen_s(self, name: str) -> float:
+    def _last_heard_s(self, name: str) -> float:
         told_at_s = self._told_at_s_by_name[name]
         return max(told_at_s, self._listed_at_s_by_name.get(name, told_at_s))
