Keep learned run times from drifting, and completions from being lost to an error

From the take-over of epoch 3 on, every report with a completion ended in ZeroDivisionError in Speeds.record_run_time. The means of kinds and of subjects were each measured relative to the other, so only their product was fixed: with scattered run times the means of subjects fell by a factor of ten for each 2,000 samples (a simulation of 30,000 samples: 1.3e-08), were rounded to 0.0 in the store, and the next owner divided by them. The completion had been marked as handled before the error, its run was then missing from the report, was "stopped" as not listed and started again: 218 of 270 stops of that owner had this reason. Before the zero is reached the drift makes expected run times, and so the order of who waits, wrong on every site.

Ruled out: pages of more than 500 items (read_range follows has_more), two owners of one epoch (one ownership_won), acknowledgements across epochs (attempts of one epoch only).

Change: kinds are kept at an average of 1, ratios are clipped on both sides, also when restored. A completion counts as handled only when it has been applied, and is acknowledged with the current version of its job. A report that cannot be applied is logged (report_failed) and polled again, so that the lease goes on.

Tests that failed first: batch/tests/test_speeds.py::TestManySamples and TestNextOwner (stored zero), batch/tests/test_owner.py::TestUnexpectedErrors (84 starts of 6 tasks before, 6 now).

--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -28,24 +28,25 @@
         self._state = state
 
     def apply_completion(self, worker: Worker, completion: RunCompletion, now_s: float) -> None:
-        """Apply one completion; a completion that was applied before is ignored."""
+        """Apply one completion; a completion that was applied before is ignored.
+
+        It counts as applied only at the end: after an unexpected error it is still in the worker's
+        next report, and its run stays known until then.
+        """
         if completion.number <= worker.handled_completion_number:
             return
-        worker.handled_completion_number = completion.number
         run = worker.runs_by_key.get((completion.task, completion.attempt))
         found = self._state.find_task(completion.task)
-        if found is None:
-            if run is not None:
-                self._state.remove_run(run, now_s)
-            worker.pending_completions.append(PendingCompletion(completion.number, None, 0))
-            return
-        job, task = found
-        step = job.steps_by_key[completion.task.step_key]
-        version = self._apply_to_task(job, step, task, worker, run, completion, now_s)
+        job: Job | None = None
+        version = 0
+        if found is not None:
+            job, task = found
+            step = job.steps_by_key[completion.task.step_key]
+            version = self._apply_to_task(job, step, task, worker, run, completion, now_s)
         if run is not None:
             self._state.remove_run(run, now_s)
-        subject = job if version else None
-        worker.pending_completions.append(PendingCompletion(completion.number, subject, version))
+        worker.handled_completion_number = completion.number
+        worker.pending_completions.append(PendingCompletion(completion.number, job, version))
 
     def _apply_to_task(
         self,
@@ -62,8 +63,8 @@
         Returns
         -------
         int
-            Version of the job that has to be stored before the completion is acknowledged,
-            0 if nothing changed.
+            Version of the job that has to be stored before the completion is acknowledged: the
+            current one if nothing changed, so that earlier changes are stored too.
         """
         task.attempt = max(task.attempt, completion.attempt)
         self._state.log_decision(
@@ -85,7 +86,7 @@
             is_changed |= self._apply_failure(job, step, task, worker, completion.attempt, now_s)
         if step.spec.is_gang and completion.kind is not CompletionKind.DONE:
             self._break_gang(step, completion.attempt, now_s)
-        return self._state.mark_dirty(job) if is_changed else 0
+        return self._state.mark_dirty(job) if is_changed else job.version
 
     def _apply_success(
         self, job: Job, step: Step, task: Task, worker: Worker, run: Run | None, now_s: float
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -57,6 +57,7 @@
 
     Notes
     -----
+    `report_errors` collects the unexpected errors of applied reports.
     `violations` collects every broken guarantee: a worker over its capacity, two runs of a task at
     the same time, a start of a task after its completion was acknowledged, and a start before the
     steps that it depends on are done.
@@ -85,6 +86,7 @@
         self.acknowledged_done: set[TaskId] = set()
         self.completed_s_by_id: dict[str, float] = {}
         self.violations: list[str] = []
+        self.report_errors: list[Exception] = []
         self.starts = 0
         self.lost_command_fraction = 0.0
         """Fraction of commands that get no answer; half of such starts are carried out late."""
@@ -349,8 +351,12 @@
         )
 
         def answer() -> None:
-            if worker.entry.born_ms == report.born_ms:
+            if worker.entry.born_ms != report.born_ms:
+                return
+            try:
                 owner.apply_report(known, report, sent_s, self.now_s)
+            except Exception as error:  # As in the runtime, the next poll follows.
+                self.report_errors.append(error)
 
         self.after(COMMAND_LATENCY_S, answer)
 
--- a/redwingplank/batch/speeds.py
+++ b/redwingplank/batch/speeds.py
@@ -1,5 +1,7 @@
 """Learns how long tasks take by worker, by kind of worker, and by image or queue."""
 
+from statistics import fmean
+
 import msgspec
 
 from redwingplank.batch.model import StepSpec, WorkerEntry
@@ -12,6 +14,8 @@
 """Smallest weight of a new sample of a worker; larger, as a worker may turn slow within seconds."""
 MAX_RATIO = 6.0
 """Larger ratios of measured to estimated run time are clipped to this value."""
+MIN_RATIO = 0.02
+"""Lower bound of ratios and means: a run time that was measured too late can be nearly zero."""
 MIN_WORKER_FACTOR = 0.4
 """Lower bound of a worker's factor, because single tasks are shorter than estimated."""
 MIN_ESTIMATE_S = 0.05
@@ -39,9 +43,10 @@
         self.count = count
 
     def add_sample(self, sample: float, min_weight: float) -> None:
+        """Add a sample, clipped to the range of plausible ratios."""
         self.count += 1
         weight = max(min_weight, 1.0 / (self.count + 1))
-        self.value += weight * (sample - self.value)
+        self.value += weight * (_clip(sample) - self.value)
 
 
 class Speeds:
@@ -51,6 +56,12 @@
     ----------
     remote_factor : float
         Factor on the run time of a task that runs in another rack than its data.
+
+    Notes
+    -----
+    A measured ratio is the product of the means of its subject (an image or a queue), of the kind
+    of the worker and of the worker itself. Samples fix only the product, so the means of kinds are
+    kept at an average of 1; otherwise they and those of the subjects drift apart without bound.
     """
 
     def __init__(self, remote_factor: float) -> None:
@@ -76,15 +87,22 @@
             Time from the start on the worker until the completion.
         """
         estimate_s = max(MIN_ESTIMATE_S, spec.estimate_s)
-        ratio = min(MAX_RATIO, measured_s / estimate_s / self.distance_factor(spec, entry))
+        ratio = _clip(measured_s / estimate_s / self.distance_factor(spec, entry))
         subject = self._by_subject.setdefault(spec.image or queue, _Mean())
         by_kind = self._by_kind.setdefault(entry.kind, _Mean())
         worker = self._by_worker.setdefault(_worker_key(entry), _Mean())
-        worker.add_sample(
-            min(MAX_RATIO, ratio / subject.value / by_kind.value), MIN_WORKER_SAMPLE_WEIGHT
-        )
+        worker.add_sample(ratio / subject.value / by_kind.value, MIN_WORKER_SAMPLE_WEIGHT)
         by_kind.add_sample(ratio / subject.value, MIN_SAMPLE_WEIGHT)
         subject.add_sample(ratio / by_kind.value, MIN_SAMPLE_WEIGHT)
+        self._normalise_kinds()
+
+    def _normalise_kinds(self) -> None:
+        """Scale the means of kinds to an average of 1, without changing any product of means."""
+        average = fmean(mean.value for mean in self._by_kind.values())
+        for mean in self._by_kind.values():
+            mean.value /= average
+        for mean in self._by_subject.values():
+            mean.value *= average
 
     @property
     def workers_known(self) -> int:
@@ -148,4 +166,8 @@
 
 
 def _decode_means(stored: dict[str, tuple[float, int]]) -> dict[str, _Mean]:
-    return {name: _Mean(*pair) for name, pair in stored.items()}
+    return {name: _Mean(_clip(value), max(0, count)) for name, (value, count) in stored.items()}
+
+
+def _clip(ratio: float) -> float:
+    return min(MAX_RATIO, max(MIN_RATIO, ratio))
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -292,3 +292,35 @@
     elif chance < 0.6:
         cell.is_store_unavailable = True
         cell.after(3.0, lambda: setattr(cell, "is_store_unavailable", False))
+
+
+class TestUnexpectedErrors:
+    """An error while a report is applied must not start work again that has run."""
+
+    def make_failing_cell(self, monkeypatch, failures: int):
+        cell = make_cell()
+        left = [failures]
+
+        def fail(*_args):
+            if left[0]:
+                left[0] -= 1
+                raise ZeroDivisionError("float division by zero")
+
+        monkeypatch.setattr(cell.owner.state.speeds, "record_run_time", fail)
+        cell.submit(make_job("a", step(6), at_s=cell.now_s))
+        return cell
+
+    def test_a_completion_that_could_not_be_applied_is_applied_with_the_next_report(
+        self, monkeypatch
+    ):
+        cell = self.make_failing_cell(monkeypatch, failures=3)
+        cell.run_for(5.0)
+        assert cell.violations == []
+        assert cell.starts == 6
+        assert cell.state("a") is JobState.COMPLETED
+
+    def test_no_task_runs_twice_while_the_error_lasts(self, monkeypatch):
+        cell = self.make_failing_cell(monkeypatch, failures=1_000_000)
+        cell.run_for(20.0)
+        assert cell.violations == []
+        assert cell.starts == 6
--- a/redwingplank/batch/tests/test_speeds.py
+++ b/redwingplank/batch/tests/test_speeds.py
@@ -1,5 +1,8 @@
 """Tests of the run time statistics."""
 
+import math
+import random
+
 import msgspec
 import pytest
 
@@ -52,3 +55,42 @@
         with pytest.raises(msgspec.MsgspecError):
             speeds.restore(b"nonsense")
         assert speeds.workers_known == 0
+
+    def test_a_stored_mean_of_zero_stays_usable(self):
+        entry = make_worker(1, kind="k").entry
+        stored = {"by_kind": {"k": (0.0, 9000)}, "by_subject": {"proof": (0.0, 9000)}}
+        speeds = make_speeds()
+        speeds.restore(msgspec.json.encode(stored))
+        speeds.record_run_time(step(estimate_s=1.0), "proof", entry, 1.0)
+        assert speeds.worker_factor(entry) > 0.0
+        assert speeds.expected_s(step(estimate_s=1.0), "proof") > 0.0
+
+
+class TestManySamples:
+    """Pattern: thousands of tasks with scattered run times, on two kinds of workers."""
+
+    SLOWNESS_BY_KIND = {"fast": 0.7, "slow": 1.7}
+
+    def learn(self, count: int) -> Speeds:
+        rng = random.Random(0)
+        speeds = make_speeds()
+        workers = [
+            make_worker(number, kind="slow" if number % 3 == 0 else "fast") for number in range(60)
+        ]
+        for _ in range(count):
+            entry = rng.choice(workers).entry
+            measured_s = self.SLOWNESS_BY_KIND[entry.kind] * rng.lognormvariate(0.0, 0.6)
+            queue = rng.choice(("proof", "proof", "extract"))
+            speeds.record_run_time(step(estimate_s=1.0), queue, entry, measured_s)
+        return speeds
+
+    def test_expected_run_times_do_not_drift(self):
+        true_mean_s = 1.03 * math.exp(0.6**2 / 2)
+        for count in (1_000, 10_000, 30_000):
+            expected_s = self.learn(count).expected_s(step(estimate_s=1.0), "proof")
+            assert true_mean_s / 2 < expected_s < true_mean_s * 2
+
+    def test_slow_kinds_stay_slower(self):
+        speeds = self.learn(30_000)
+        slow, fast = make_worker(100, kind="slow").entry, make_worker(101, kind="fast").entry
+        assert speeds.worker_factor(slow) > 1.5 * speeds.worker_factor(fast)
--- a/redwingplank/cell/worker_poller.py
+++ b/redwingplank/cell/worker_poller.py
@@ -120,6 +120,11 @@
             self._owner.mark_worker_unreachable(worker, now_s())
             self._wake()
             return None
-        self._owner.apply_report(worker, report, sent_s, now_s())
+        try:
+            self._owner.apply_report(worker, report, sent_s, now_s())
+        except Exception as error:
+            # Without further polls the worker's lease would expire, and all its runs with it.
+            self._context.log("report_failed", worker=worker.id, error=repr(error))
+            return None
         self._wake()
         return bool(report.completions)
--- a/redwingplank/cli/story.py
+++ b/redwingplank/cli/story.py
@@ -17,6 +17,7 @@
         "owner_loaded",
         "ownership_lost",
         "ownership_won",
+        "report_failed",
         "store_lost",
         "store_regained",
         "task_failed",
