Let loops of a node outlive an unexpected error

Cause: found while tracing the lost completions. A background loop that raised was logged and gone for good while the node kept its lease: an owner whose tick, writer, intake or worker list had failed once answered callers and renewed leases, but never started, stored, took in or saw a draining worker again. One step that could not be planned would have stopped all jobs.

Change: loops run again after a pause (TaskSet.start_loop); records that were taken out for a write that failed are marked as changed again; an error while a step is planned is logged (step_failed) and the steps of other jobs are planned.

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -214,6 +214,13 @@
             records.append(RecordToStore(job_id, job.version, encode_progress(job)))
         return records
 
+    def return_records(self, records: Iterable[RecordToStore]) -> None:
+        """Mark the jobs of records that were not stored as changed again."""
+        for record in records:
+            job = self.state.jobs_by_id.get(record.job_id)
+            if job is not None:
+                self.state.dirty_jobs[record.job_id] = job
+
     def is_write_urgent(self) -> bool:
         """Return whether a start or a caller waits for a record to be stored."""
         return any(
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -40,7 +40,15 @@
                 eligible_by_service[queue.service] = self._placement.find_eligible_workers(
                     queue.service, now_s
                 )
-            self._plan_step_or_ask_advice(step, queue, eligible_by_service[queue.service], now_s)
+            try:
+                self._plan_step_or_ask_advice(
+                    step, queue, eligible_by_service[queue.service], now_s
+                )
+            except Exception as error:
+                # The steps of other jobs are planned; this one is tried again in the next pass.
+                self._state.log_decision(
+                    "step_failed", job=step.key.job_id, step=step.key.step, error=repr(error)
+                )
 
     def _rank_open_steps(self, now_s: float) -> list[tuple[Rank, Step]]:
         ranked = []
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -6,6 +6,7 @@
 
 from redwingplank.batch.emulated_worker import Fault, make_restarted_entry
 from redwingplank.batch.model import AdvicePolicy, JobState, QueuePolicy
+from redwingplank.batch.placement import Placement
 from redwingplank.batch.tests.cells import make_cell, make_config, make_job, step
 
 
@@ -324,3 +325,19 @@
         cell.run_for(20.0)
         assert cell.violations == []
         assert cell.starts == 6
+
+    def test_a_step_that_cannot_be_planned_does_not_stop_other_jobs(self, monkeypatch):
+        cell = make_cell()
+        fits = Placement.fits
+
+        def fail_for_a(self, worker, step, now_s):
+            if step.key.job_id == "a":
+                raise KeyError("malformed")
+            return fits(self, worker, step, now_s)
+
+        monkeypatch.setattr(Placement, "fits", fail_for_a)
+        for job_id in ("a", "b"):
+            cell.submit(make_job(job_id, step(2), at_s=cell.now_s))
+        cell.run_for(3.0)
+        assert cell.state("a") is JobState.QUEUED
+        assert cell.state("b") is JobState.COMPLETED
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -65,11 +65,11 @@
         if settings.metrics_address:
             metrics_app = make_metrics_app(self._context.metrics)
             self._metrics_server = await serve_http(metrics_app, [settings.metrics_address])
-        self._tasks.start(self._config.follower.run())
-        self._tasks.start(self._membership.keep_lease())
-        self._tasks.start(self._membership.follow())
-        self._tasks.start(self._membership.contend_for_ownership())
-        self._tasks.start(self._owner_watch.run())
+        self._tasks.start_loop(self._config.follower.run)
+        self._tasks.start_loop(self._membership.keep_lease)
+        self._tasks.start_loop(self._membership.follow)
+        self._tasks.start_loop(self._membership.contend_for_ownership)
+        self._tasks.start_loop(self._owner_watch.run)
 
     async def stop(self) -> None:
         """Give up the ownership, serve until the balancer sends no more callers, and close."""
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -106,7 +106,7 @@
 
     def start(self) -> None:
         """Start in the background: read the stored jobs, then tick until stopped."""
-        self._tasks.start(self._run())
+        self._tasks.start_loop(self._run)
 
     async def stop(self) -> None:
         """Stop sending commands at once and cancel all background tasks."""
@@ -114,8 +114,17 @@
         await self._tasks.stop()
 
     async def _run(self) -> None:
-        await self._read_stored_state()
-        self.is_loaded = True
+        if not self.is_loaded:
+            await self._read_stored_state()
+            self.is_loaded = True
+            self._log_loaded()
+            self._tasks.start_loop(self._intake.run)
+            self._tasks.start_loop(self._writer.run)
+            self._tasks.start_loop(self._follow_worker_list)
+            self._tasks.start_loop(self._remove_ended_jobs)
+        await self._tick_for_ever()
+
+    def _log_loaded(self) -> None:
         self._context.log(
             "owner_loaded",
             term=self._epoch,
@@ -124,11 +133,6 @@
             unproven=len(self.owner.state.unconfirmed_hosts),
             workers_known=self.owner.state.speeds.workers_known,
         )
-        self._tasks.start(self._intake.run())
-        self._tasks.start(self._writer.run())
-        self._tasks.start(self._follow_worker_list())
-        self._tasks.start(self._remove_ended_jobs())
-        await self._tick_for_ever()
 
     async def _read_stored_state(self) -> None:
         store = self._context.store
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -92,13 +92,22 @@
             if not self._owner.is_write_urgent():
                 await asyncio.sleep(GATHER_S)
             while records := self._owner.pop_records(RECORDS_PER_WRITE):
-                puts = [Put(PROGRESS_PREFIX + record.job_id, record.value) for record in records]
-                puts += self._make_learned_speeds_put(now_s())
-                if not await self._write(puts, records):
+                try:
+                    is_written = await self._write_records(records)
+                except Exception:
+                    self._owner.return_records(records)
+                    self._is_wanted.set()
+                    raise
+                if not is_written:
                     return
                 self._owner.confirm_stored_records(records, now_s())
                 self._on_stored()
 
+    async def _write_records(self, records: list[RecordToStore]) -> bool:
+        puts = [Put(PROGRESS_PREFIX + record.job_id, record.value) for record in records]
+        puts += self._make_learned_speeds_put(now_s())
+        return await self._write(puts, records)
+
     def _make_learned_speeds_put(self, now: float) -> list[Put]:
         """Return the write of the learned speeds for the next owner, if one is due."""
         if now - self._learned_written_s < LEARNED_PERIOD_S:
