Repeat a store call whose answer is lost, in place of waiting for its time-out

A write of records hung for its time-out of 1.2 s with nothing else in flight, so every start and completion behind it waited; a submission waited 0.7 s and went to a peer; single lost renewals made a node refuse jobs as "store away".

Change: HedgedStore repeats reads, renewals and transactions every 0.12 s (three times the running mean of an answer for a slow store) up to six copies. The sequence key and the conditions of a transaction make a second copy a conflict that the caller recognises as its own write. A refusal counts as certain only if every copy was refused. One failure shortly after an answer is no outage. The watch of new jobs waits shorter while answers are lost.

Tests: cell/tests/test_hedged_store.py::TestTransact (pattern: writes are carried out, answers lost).

--- a/redwingplank/cell/context.py
+++ b/redwingplank/cell/context.py
@@ -4,6 +4,7 @@
 
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.eventlog import EventLog
+from redwingplank.cell.hedged_store import HedgedStore
 from redwingplank.cell.metrics import NodeMetrics
 from redwingplank.platform.site.advice import SiteAdvice
 from redwingplank.platform.site.http import NoAnswerError, NotSentError, SiteClient
@@ -17,10 +18,12 @@
 
 STORE_ERRORS = (NotSentError, NoAnswerError, StoreRefusedError)
 """Errors of a store call that was not sent, not answered, or refused by the store."""
+RECENT_ANSWER_S = 0.5
+"""A failure within this time after an answer is taken for a single lost call, not for an outage."""
 
 
 class StoreHealth:
-    """Whether this node's last recorded store call succeeded, and when one last did.
+    """Whether this node reaches the store, and when a store call last succeeded.
 
     Parameters
     ----------
@@ -42,9 +45,9 @@
 
     def record_failure(self, error: Exception) -> None:
         """Record a failed store call; only the first failure in a row is logged."""
-        if not self.is_unreachable:
+        age_s = now_s() - self.last_answer_s
+        if not self.is_unreachable and age_s >= RECENT_ANSWER_S:
             self.is_unreachable = True
-            age_s = now_s() - self.last_answer_s
             self._context.log("store_lost", error=error, last_answer_age_s=age_s)
 
 
@@ -64,7 +67,9 @@
         self.events = log
         self.metrics = NodeMetrics()
         self.client = SiteClient()
-        self.store = SiteStore(self.client, settings.store_address, self.metrics.record_store_call)
+        self.store = HedgedStore(
+            SiteStore(self.client, settings.store_address, self.metrics.record_store_call)
+        )
         self.workers = SiteWorkers(self.client)
         self.advice = SiteAdvice(self.client, settings.advice_address)
         self.peers = PeerConnections()
--- a/redwingplank/cell/follower.py
+++ b/redwingplank/cell/follower.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
+from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
-from redwingplank.platform.site.store import HistoryGoneError, Item
+from redwingplank.platform.site.store import HistoryGoneError, Item, WatchPage
 
 __all__ = ["PrefixFollower"]
 
@@ -16,6 +17,15 @@
 """Upper bound of the backoff: a configuration change has to be in force within 2 s after the store
 is reachable again."""
 
+LOSSY_S = 3.0
+"""After a lost answer of the store, further ones are likely to be lost for this long."""
+LOSSY_WAIT_S = 0.25
+"""Longest wait of a watch call during this time, so that a lost answer is noticed soon."""
+LOSSY_SLACK_S = 0.4
+"""Time after the wait within which such a call is answered; a slow store needs 0.25 s."""
+LOSS_CHECK_S = 0.15
+"""Period of checking, during a longer wait, whether answers have begun to be lost."""
+
 
 class PrefixFollower:
     """Reads a prefix and then watches it; reads it again when the store has discarded its history.
@@ -33,6 +43,9 @@
         Called with all items after each read of the whole prefix.
     on_events : callable
         Called with the changed items of each watch that returned changes.
+    is_urgent : bool
+        Whether changes are to be seen soon also while answers of the store are lost, which takes
+        more calls.
     """
 
     def __init__(
@@ -42,12 +55,15 @@
         wait_s: float,
         on_items: Callable[[tuple[Item, ...]], None],
         on_events: Callable[[tuple[Item, ...]], None],
+        *,
+        is_urgent: bool = False,
     ) -> None:
         self._context = context
         self._prefix = prefix
         self._wait_s = wait_s
         self._on_items = on_items
         self._on_events = on_events
+        self._is_urgent = is_urgent
         self.revision = 0
         self.is_current = asyncio.Event()
 
@@ -58,15 +74,16 @@
             try:
                 if not self.revision:
                     await self.read()
-                page = await self._context.store.watch(self._prefix, self.revision, self._wait_s)
+                page = await self._watch()
             except HistoryGoneError as error:
                 self._context.log("history_gone", prefix=self._prefix, error=error)
                 self.revision = 0
                 continue
             except STORE_ERRORS as error:
                 self._context.health.record_failure(error)
-                await asyncio.sleep(retry_s)
-                retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+                if not self._is_lossy():
+                    await asyncio.sleep(retry_s)
+                    retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
                 continue
             self._context.health.record_success()
             retry_s = RETRY_S
@@ -74,6 +91,25 @@
             if page.events:
                 self._on_events(page.events)
 
+    def _is_lossy(self) -> bool:
+        """Return whether changes are urgent and answers of the store were lost a short time ago."""
+        return self._is_urgent and now_s() - self._context.store.last_lost_s < LOSSY_S
+
+    async def _watch(self) -> WatchPage:
+        """Watch once; a wait that began before answers were lost is begun again."""
+        store = self._context.store
+        if self._is_lossy():
+            return await store.watch(self._prefix, self.revision, LOSSY_WAIT_S, LOSSY_SLACK_S)
+        call = asyncio.ensure_future(store.watch(self._prefix, self.revision, self._wait_s))
+        try:
+            while not call.done():
+                await asyncio.wait([call], timeout=LOSS_CHECK_S if self._is_urgent else None)
+                if not call.done() and self._is_lossy():
+                    return WatchPage((), self.revision)
+            return call.result()
+        finally:
+            call.cancel()
+
     async def read(self) -> None:
         """Read the whole prefix and pass its items to `on_items`.
 
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -97,7 +97,12 @@
         self._poller = WorkerPoller(context, self.owner, self._orders, self._tasks, self._wake)
         self._advisers = Advisers(context, membership, self._handle_advice)
         self._intake = PrefixFollower(
-            context, INTAKE_PREFIX, INTAKE_WAIT_S, self._restore_jobs, self._apply_intake
+            context,
+            INTAKE_PREFIX,
+            INTAKE_WAIT_S,
+            self._restore_jobs,
+            self._apply_intake,
+            is_urgent=True,
         )
         self._progress_by_id: dict[str, bytes] = {}
         self._wakeup = asyncio.Event()
--- a/redwingplank/cell/tests/test_tasks.py
+++ b/redwingplank/cell/tests/test_tasks.py
@@ -25,7 +25,7 @@
             if len(calls) <= 2:
                 raise KeyError("malformed")
 
-        async def scenario(context: RecordedContext) -> None:
+        async def scenario(context: Any) -> None:
             await TaskSet(context).start_loop(fail_twice)
 
         context = RecordedContext()
@@ -41,7 +41,8 @@
             await asyncio.Event().wait()
 
         async def scenario() -> None:
-            task_set = TaskSet(RecordedContext())
+            context: Any = RecordedContext()
+            task_set = TaskSet(context)
             task_set.start_loop(wait_for_ever)
             await asyncio.sleep(0)
             await task_set.stop()
--- a/redwingplank/platform/site/store.py
+++ b/redwingplank/platform/site/store.py
@@ -178,9 +178,13 @@
                 return Page(tuple(items), revision)
             after = page.items[-1].key
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> WatchPage:
+    async def watch(
+        self, prefix: str, after: int, wait_s: float, slack_s: float | None = None
+    ) -> WatchPage:
         """Wait up to `wait_s` for changes under a prefix after a revision.
 
+        The call fails if it is not answered `slack_s` after the wait, by default `WATCH_SLACK_S`.
+
         Raises
         ------
         HistoryGoneError
@@ -188,7 +192,8 @@
         """
         target = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
         target += f"&wait_ms={round(wait_s * 1000)}"
-        reply = await self._client.call("GET", self._address, target, wait_s + WATCH_SLACK_S)
+        timeout_s = wait_s + (WATCH_SLACK_S if slack_s is None else slack_s)
+        reply = await self._client.call("GET", self._address, target, timeout_s)
         if reply.status == 410:
             raise HistoryGoneError(f"changes of {prefix} after {after} are gone")
         page = _decode(_raise_for_status(reply), _WireEvents)
