Report a node as not ready while it cannot reach the store

Change: readiness includes the store, and connections are closed while the node is not ready, so that callers come back through the balancer to a domain that can store their jobs.

Test: cell/tests/test_node.py::TestReadiness (pattern: a domain is cut off from the store, not from its callers).

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -42,16 +42,16 @@
             resp.media = {"problem": obstacle}
 
 
-class _CloseWhenStopping:
-    """Middleware that closes callers' connections while the node stops."""
+class _CloseWhenNotReady:
+    """Middleware that closes connections, so that callers go on to nodes that are ready."""
 
-    def __init__(self, is_stopping: Callable[[], bool]) -> None:
-        self._is_stopping = is_stopping
+    def __init__(self, find_obstacle: Callable[[], str]) -> None:
+        self._find_obstacle = find_obstacle
 
     async def process_response(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response, resource: Any, ok: bool
     ) -> None:
-        if self._is_stopping():
+        if self._find_obstacle():
             resp.set_header("Connection", "close")
 
 
@@ -156,9 +156,7 @@
     resp.set_header("Retry-After", str(RETRY_AFTER_S))
 
 
-def make_app(
-    callers: Callers, find_obstacle: Callable[[], str], is_stopping: Callable[[], bool]
-) -> falcon.asgi.App:
+def make_app(callers: Callers, find_obstacle: Callable[[], str]) -> falcon.asgi.App:
     """Return the HTTP application.
 
     Parameters
@@ -167,10 +165,8 @@
         Handles requests for jobs.
     find_obstacle : callable
         Returns the reason why the node is not ready, or an empty string.
-    is_stopping : callable
-        Returns whether the node is stopping.
     """
-    app = falcon.asgi.App(middleware=[_CloseWhenStopping(is_stopping)])
+    app = falcon.asgi.App(middleware=[_CloseWhenNotReady(find_obstacle)])
     app.add_route(READINESS_PATH, _ReadinessResource(find_obstacle))
     jobs = _JobsSink(callers)
     app.add_sink(jobs.handle, prefix="/")
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -59,7 +59,7 @@
             {CELL_SERVICE: CellService(self._context, self._find_owner, self.callers.store_here)}
         )
         await self._peer_server.start(settings.peer_address)
-        app = make_app(self.callers, self._find_obstacle, lambda: self._context.is_stopping)
+        app = make_app(self.callers, self._find_obstacle)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
         self._http = await serve_http(app, addresses, FINISH_S)
         if settings.metrics_address:
@@ -110,6 +110,9 @@
             return "the node is about to stop"
         if self._config.current is None:
             return "no configuration has arrived yet"
+        if self._context.health.is_unreachable:
+            # Nodes of other failure domains may still reach it.
+            return "the store cannot be reached"
         return ""
 
     def _find_owner(self) -> OwnerRuntime | None:
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -135,6 +135,24 @@
         run_site(scenario)
 
 
+class TestReadiness:
+    """Pattern: a failure domain is cut off from the store, but not from its callers."""
+
+    def test_a_node_without_the_store_sends_its_callers_elsewhere(self):
+        async def scenario(site):
+            assert (await site.call("GET", "/-/readyz"))[0] == 200
+            site.store.is_down = True
+            await site.until(lambda: site.contexts[0].health.is_unreachable)
+            status, _, headers = await site.call("GET", "/-/readyz")
+            assert status == 503
+            assert headers["Connection"] == "close"
+            site.store.is_down = False
+            await site.until(lambda: not site.contexts[0].health.is_unreachable)
+            assert (await site.call("GET", "/-/readyz"))[0] == 200
+
+        run_site(scenario)
+
+
 class TestStop:
     def test_a_submission_in_progress_gets_its_answer(self):
         async def scenario(site):
