Ask a worker at once after an unanswered start, and give it nothing meanwhile

A failure domain that is cut off silently is noticed when the poll that waits there fails, up to 2 s after the cut. Until then each start to its workers went unanswered, its task could start nowhere else before the lease had expired, and the next start went to the next silent worker.

Change: an unanswered start has its worker polled without a wait, and the worker is avoided until that poll has certainly ended. Test: batch/tests/test_owner.py::TestUnansweredStart (failed first).

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -30,6 +30,9 @@
 
 UNHEALTHY_BACKOFF_S = 0.5
 """Time for which a worker that refused as unhealthy or could not be reached is avoided."""
+UNANSWERED_BACKOFF_S = 0.6
+"""Time for which a worker that left a start unanswered is avoided: the poll that then tells whether
+it is reachable ends within it."""
 CHECK_PERIOD_S = 0.05
 """Time between checks of all jobs and workers; what they find may be delayed by as much."""
 REFUSED_RETRY_S = 0.1
@@ -315,9 +318,7 @@
         if outcome is StartOutcome.STARTED:
             self._handle_accepted_start(run, now_s)
         elif outcome is StartOutcome.UNKNOWN:
-            if run.state is RunState.STARTING:
-                run.state = RunState.UNCONFIRMED
-                self.state.order_stop(run, now_s, "start_not_answered")
+            self._handle_unanswered_start(run, now_s)
         else:
             self._handle_refused_start(run, outcome, now_s)
 
@@ -327,6 +328,14 @@
             run.resolved_s = now_s
             run.started_s = run.progressed_s = now_s
 
+    def _handle_unanswered_start(self, run: Run, now_s: float) -> None:
+        worker = run.worker
+        worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNANSWERED_BACKOFF_S)
+        self.state.commands.polls.append(worker)
+        if run.state is RunState.STARTING:
+            run.state = RunState.UNCONFIRMED
+            self.state.order_stop(run, now_s, "start_not_answered")
+
     def _handle_refused_start(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
         task = self.state.remove_run(run, now_s)
         worker = run.worker
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from redwingplank.batch.emulated_worker import Fault, make_restarted_entry
-from redwingplank.batch.model import AdvicePolicy, JobState, QueuePolicy
+from redwingplank.batch.model import AdvicePolicy, JobState, QueuePolicy, StartOutcome
 from redwingplank.batch.placement import Placement
 from redwingplank.batch.tests.cells import make_cell, make_config, make_job, step
 
@@ -341,3 +341,23 @@
         cell.run_for(3.0)
         assert cell.state("a") is JobState.QUEUED
         assert cell.state("b") is JobState.COMPLETED
+
+
+class TestUnansweredStart:
+    """Pattern: a failure domain is cut off silently while jobs arrive.
+
+    The poll that waits at a worker fails only after its wait; until then starts would go on to a
+    worker that cannot hear them, and each of their tasks waits for a lease to expire.
+    """
+
+    def test_the_worker_is_asked_at_once_and_gets_nothing_until_it_answers(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(1), at_s=cell.now_s))
+        cell.run_for(0.04)
+        (run,) = (run for job in cell.owner.state.jobs_by_id.values() for run in job.runs())
+        cell.owner.handle_start_outcome(run, StartOutcome.UNKNOWN, cell.now_s)
+        assert cell.owner.state.commands.polls == [run.worker]
+        cell.submit(make_job("b", step(4), at_s=cell.now_s))
+        cell.run_for(0.3)
+        hosts = {run.worker.id for run in cell.owner.state.jobs_by_id["b"].runs()}
+        assert hosts and run.worker.id not in hosts
