--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -21,6 +21,7 @@
     PollReport,
     RunReport,
     StartOutcome,
+    StepKey,
     StepSpec,
     TaskId,
     WorkerEntry,
@@ -54,6 +55,8 @@
         Returns the true run time of a task on a worker of slowness 1; by default its estimate.
     settings : BatchSettings, optional
         Settings of the scheduling decisions.
+    is_allowed : callable, optional
+        Whether the advice service allows a worker, by its id, for a step; by default it allows all.
 
     Notes
     -----
@@ -70,6 +73,7 @@
         seed: int = 0,
         work_s: Callable[[TaskId, StepSpec], float] | None = None,
         settings: BatchSettings | None = None,
+        is_allowed: Callable[[StepKey, str], bool] | None = None,
     ) -> None:
         self.config = config
         self.workers = {worker.entry.worker_id: worker for worker in workers}
@@ -77,6 +81,7 @@
         self.now_s = 100.0
         self.settings = settings or BatchSettings()
         self._work_s = work_s or (lambda _, spec: spec.estimate_s)
+        self._is_allowed = is_allowed or (lambda _key, _worker_id: True)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self.specs_by_id: dict[str, JobSpec] = {}
@@ -322,7 +327,8 @@
             found.pace = pace.percent / 100
 
     def _answer_advice(self, owner: JobOwner, call: AskAdvice) -> None:
-        tickets = dict.fromkeys(call.workers, "ticket")
+        allowed = [name for name in call.workers if self._is_allowed(call.step.key, name)]
+        tickets = dict.fromkeys(allowed, "ticket")
         self.after(call.work_s, lambda: owner.handle_advice(call, tickets, self.now_s))
 
     def _poll(self, worker_id: str) -> None:
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -14,6 +14,11 @@
 """Score factor against running filler tasks and serving tasks on the same worker."""
 LOAD_WEIGHT = 0.35
 """Relative increase of the score of a full worker over that of an empty one."""
+PACKING_WEIGHT = 1.0
+"""The same the other way round for tasks with GPUs: they fill workers that are in use, so that
+others stay whole for tasks that need many GPUs of one worker."""
+MAX_HELD_SHARE = 0.5
+"""Largest part of the workers of a service that is held for large tasks."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +32,13 @@
     workers: list[Worker]
     most_free: Amounts
 
+    def without(self, worker_ids: set[str]) -> "EligibleWorkers":
+        """Return the workers that are not among the given ones."""
+        if not worker_ids:
+            return self
+        left = [worker for worker in self.workers if worker.id not in worker_ids]
+        return EligibleWorkers(left, self.most_free)
+
 
 class Placement:
     """Ranks workers for a step.
@@ -71,9 +83,12 @@
         spec = step.spec
         if now_s < worker.avoided_until_s or not worker.free.holds(spec.reserved):
             return False
-        if spec.max_per_worker and worker.step_counts.get(step.key, 0) >= spec.max_per_worker:
-            return False
-        return self.meets_requirements(worker, step)
+        return not self.is_at_step_limit(worker, step) and self.meets_requirements(worker, step)
+
+    def is_at_step_limit(self, worker: Worker, step: Step) -> bool:
+        """Return whether a worker runs as many tasks of the step as it may."""
+        limit = step.spec.max_per_worker
+        return bool(limit) and worker.step_counts.get(step.key, 0) >= limit
 
     def preferred_domain(self, fitting: Iterable[Worker], step: Step) -> str:
         """Return the preferred failure domain for the tasks of a step.
@@ -133,12 +148,34 @@
                 return chosen[: step.spec.count]
         return None
 
-    def _count_fitting_tasks(self, worker: Worker, step: Step) -> int:
+    def choose_workers_to_hold(self, step: Step, eligible: EligibleWorkers) -> list[Worker]:
+        """Return the workers to keep free of other work until a step fits there.
+
+        Small tasks would otherwise take every part that becomes free, and a step whose tasks need
+        at least half of a worker's GPUs would wait for as long as small ones arrive. Those with the
+        most free GPUs among the workers that the step may use are chosen.
+        """
         spec = step.spec
-        counts = [
-            free // need for free, need in zip(worker.free, spec.reserved, strict=True) if need > 0
+        allowed = [
+            worker
+            for worker in eligible.workers
+            if (worker.id in step.tickets_by_worker or not step.tickets_by_worker)
+            and self.meets_requirements(worker, step)
+            and 2 * spec.amounts.gpus >= worker.entry.capacity.gpus > 0
         ]
-        task_count = min(counts, default=spec.count)
+        allowed.sort(key=lambda worker: (-worker.free.gpus, worker.id))
+        chosen: list[Worker] = []
+        task_count = 0
+        for worker in allowed:
+            if task_count >= spec.count:
+                break
+            chosen.append(worker)
+            task_count += _count_tasks_within(worker.entry.capacity, spec)
+        return chosen
+
+    def _count_fitting_tasks(self, worker: Worker, step: Step) -> int:
+        spec = step.spec
+        task_count = _count_tasks_within(worker.free, spec)
         if spec.max_per_worker:
             task_count = min(task_count, spec.max_per_worker - worker.step_counts.get(step.key, 0))
         return max(0, task_count)
@@ -153,7 +190,10 @@
         entry = worker.entry
         speeds = self._state.speeds
         score = speeds.worker_factor(entry) * speeds.distance_factor(spec, entry)
-        score *= 1.0 + LOAD_WEIGHT * _used_share(worker.reserved, entry.capacity)
+        if spec.amounts.gpus:
+            score *= 1.0 + PACKING_WEIGHT * worker.free.gpus / max(1, entry.capacity.gpus)
+        else:
+            score *= 1.0 + LOAD_WEIGHT * _used_share(worker.reserved, entry.capacity)
         if self._would_disturb(worker, spec):
             score *= DISTURBANCE_FACTOR
         if worker.filler_percent < 100 and not spec.is_lasting:
@@ -171,21 +211,36 @@
         )
 
 
+def _count_tasks_within(room: Amounts, spec: StepSpec) -> int:
+    """Return how many tasks of a step fit into an amount, without its other limits."""
+    counts = [free // need for free, need in zip(room, spec.reserved, strict=True) if need > 0]
+    return min(counts, default=spec.count)
+
+
 def _used_share(used: Amounts, capacity: Amounts) -> float:
     return used.cpu_millicores / capacity.cpu_millicores if capacity.cpu_millicores else 0.0
 
 
-def select_workers_for_advice(workers: list[Worker], step: Step, limit: int) -> tuple[str, ...]:
+def select_workers_for_advice(
+    placement: Placement, workers: list[Worker], step: Step, limit: int, now_s: float
+) -> tuple[str, ...]:
     """Return the ids of at most `limit` workers to name in a call to the advice service.
 
-    Workers for which the step has a ticket come first, then the least loaded ones. Workers that
-    the advice service refused are left out.
+    Workers that could take a task now come first, among them those that are known to be allowed,
+    then the least loaded ones. Workers that the service refused are left out, and so are those that
+    can take no more tasks of the step: a wide step needs other ones.
     """
-    with_ticket = [worker.id for worker in workers if worker.id in step.tickets_by_worker]
-    others = [
+    candidates = [
         worker
         for worker in workers
-        if worker.id not in step.tickets_by_worker and worker.id not in step.refused_workers
+        if worker.id not in step.refused_workers and not placement.is_at_step_limit(worker, step)
     ]
-    others.sort(key=lambda worker: (_used_share(worker.reserved, worker.entry.capacity), worker.id))
-    return tuple((with_ticket + [worker.id for worker in others])[:limit])
+    candidates.sort(
+        key=lambda worker: (
+            not placement.fits(worker, step, now_s),
+            worker.id not in step.tickets_by_worker,
+            _used_share(worker.reserved, worker.entry.capacity),
+            worker.id,
+        )
+    )
+    return tuple(worker.id for worker in candidates[:limit])
--- a/redwingplank/batch/tests/test_load.py
+++ b/redwingplank/batch/tests/test_load.py
@@ -1,5 +1,6 @@
 """Tests of the scheduling decisions under load patterns that occur at the sites."""
 
+import zlib
 from collections.abc import Iterator
 from typing import Any
 
@@ -8,7 +9,7 @@
 from redwingplank.batch import placement
 from redwingplank.batch.emulated_worker import Fault
 from redwingplank.batch.emulator import EmulatedCell
-from redwingplank.batch.model import JobSpec
+from redwingplank.batch.model import AdvicePolicy, Amounts, JobSpec, QueuePolicy, StepSpec
 from redwingplank.batch.tests.cells import make_config, make_job, make_worker, step
 
 DOMAINS = ("a", "b", "c", "d")
@@ -152,3 +153,81 @@
         tasks = 50
         cell.submit(make_job("wide", step(tasks, cpu=2000), at_s=cell.now_s))
         assert self.count_fits(monkeypatch, cell) <= self.WORKERS + tasks
+
+
+class TestWideStepsUnderAdvice:
+    """A step may need more workers than one call to the advice service names.
+
+    Its tasks may not share workers, and the service allows only some of them for the step.
+    """
+
+    def test_every_task_of_a_wide_lasting_step_runs(self):
+        queue = QueuePolicy(
+            "watch", "h", "/watch/", "render", advice=AdvicePolicy(0.45, 0.0065, 2.5)
+        )
+        workers = [make_worker(number) for number in range(150)]
+        cell = EmulatedCell(
+            make_config(queue), workers, is_allowed=lambda _, worker: int(worker[1:]) % 2 == 0
+        )
+        cell.run_for(1.0)
+        wide = step(60, cpu=2000, is_lasting=True, max_per_worker=1)
+        cell.submit(make_job("wide", wide, queue="watch", at_s=cell.now_s))
+        cell.run_for(8.0)
+        assert sum(len(worker.runs) for worker in cell.workers.values()) == 60
+        assert not cell.violations
+
+
+class TestLargeGangsBesideSmallTasks:
+    """Tasks of one GPU must not leave every worker without room for gangs of whole workers.
+
+    The small tasks alone keep half of the GPUs busy. The service allows a gang only some workers.
+    """
+
+    WORKERS = 8
+
+    def run(self) -> tuple[EmulatedCell, list[JobSpec]]:
+        large = QueuePolicy(
+            "large", "h", "/l/", "render", 1, 2, 2.2, 1.0, AdvicePolicy(0.5, 0.008, 2)
+        )
+        small = QueuePolicy(
+            "small", "h", "/s/", "render", 2, 2, 4.0, 3.0, AdvicePolicy(0.1, 0.002, 2)
+        )
+        workers = [
+            make_worker(number, capacity=Amounts(32000, 64000, 8)) for number in range(self.WORKERS)
+        ]
+        cell = EmulatedCell(
+            make_config(large, small),
+            workers,
+            is_allowed=lambda key, worker: key.job_id[0] == "s"
+            or zlib.crc32(f"{key.job_id}{worker}".encode()) % 2 == 0,
+        )
+        cell.run_for(1.0)
+        gangs = []
+        for number in range(60):
+            tasks = StepSpec(8, Amounts(2800, 7400, 1), 2.4)
+            cell.submit(make_job(f"small-{number}", tasks, queue="small", at_s=cell.now_s))
+            if number % 4 == 2:
+                gang = StepSpec(2, Amounts(15000, 23000, 8), 2.0, is_gang=True)
+                gangs.append(make_job(f"gang-{number}", gang, queue="large", at_s=cell.now_s))
+                cell.submit(gangs[-1])
+            cell.run_for(0.6)
+        cell.run_for(20.0)
+        return cell, gangs
+
+    def test_gangs_end_in_time(self):
+        cell, gangs = self.run()
+        assert not cell.violations
+        times = [
+            cell.completed_s_by_id.get(gang.job_id, float("inf")) - gang.submitted_unix_s
+            for gang in gangs
+        ]
+        objective_s = 2.2 * 2.0 + 1.0
+        assert sum(each <= objective_s for each in times) >= 0.8 * len(times)
+
+    def test_small_tasks_are_not_starved(self):
+        cell, _ = self.run()
+        smalls = [spec for name, spec in cell.specs_by_id.items() if name.startswith("small")]
+        late_s = 3 * (4.0 * 2.4 + 3.0)
+        assert all(
+            cell.completed_s_by_id[spec.job_id] - spec.submitted_unix_s <= late_s for spec in smalls
+        )
--- a/redwingplank/batch/tickets.py
+++ b/redwingplank/batch/tickets.py
@@ -75,7 +75,7 @@
         ]
         if step.tickets_by_worker and not self._has_use_for_tickets(step, candidates, now_s):
             return
-        named = select_workers_for_advice(candidates, step, MAX_NAMED)
+        named = select_workers_for_advice(self._placement, candidates, step, MAX_NAMED, now_s)
         if not named:
             return
         step.is_advice_open = True
