Find workers with tickets by the tickets of a step

Cause: profile of the decisions on an emulated cell of 270 workers at some 340 starts/s: a pass went through all workers for each step to find the few with tickets, and the id of a worker was looked up in its entry 740,000 times in 6 s. Change: valid tickets are collected once for a step; the id is an attribute. No behaviour changes.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -275,6 +275,7 @@
         "filler_percent",
         "free",
         "handled_completion_number",
+        "id",
         "is_confirmed",
         "is_listed",
         "is_unreachable",
@@ -289,6 +290,7 @@
 
     def __init__(self, entry: WorkerEntry, unconfirmed_until_s: float) -> None:
         self.entry = entry
+        self.id = entry.worker_id
         self.born_ms = entry.born_ms
         self.is_listed = True
         self.is_confirmed = False
@@ -314,11 +316,6 @@
         """Speed of the filler tasks on the worker, as a percentage of full speed."""
         self.paced_s = 0.0
 
-    @property
-    def id(self) -> str:
-        """The worker's id."""
-        return self.entry.worker_id
-
     def update_entry(self, entry: WorkerEntry) -> None:
         """Replace the published entry of the worker and recompute the free capacity."""
         self.entry = entry
--- a/redwingplank/batch/tickets.py
+++ b/redwingplank/batch/tickets.py
@@ -35,12 +35,14 @@
     ) -> list[Worker]:
         """Return those of the given workers for which the step has a valid ticket."""
         limit_s = now_s + self._state.settings.ticket_margin_s
-        return [
-            worker
-            for worker in workers
-            if worker.id in step.tickets_by_worker
-            and step.tickets_by_worker[worker.id].valid_until_s > limit_s
-        ]
+        valid_ids = {
+            worker_id
+            for worker_id, ticket in step.tickets_by_worker.items()
+            if ticket.valid_until_s > limit_s
+        }
+        if not valid_ids:
+            return []
+        return [worker for worker in workers if worker.id in valid_ids]
 
     def request_tickets(
         self,
