Count the room of runs that a new owner has stopped but does not know

A second after a take-over a worker that had been out of reach listed a run of an ended job. It was stopped as not known, with a reservation of nothing, and three starts went over the capacity of the worker while the run was being stopped.

Change: such a run reserves what its step asked for, also if its job has ended; of a job that is not known at all it reserves all that is free until it is gone. Test that failed first: batch/tests/test_owner.py::TestTakeover (what is being stopped still takes its room, for ended and unknown jobs).

--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -2,7 +2,7 @@
 
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
-from redwingplank.batch.model import PollReport, RunReport, WorkerEntry
+from redwingplank.batch.model import Amounts, PollReport, RunReport, WorkerEntry
 from redwingplank.batch.state import OwnerState
 
 __all__ = ["Reports"]
@@ -162,19 +162,19 @@
     def _adopt_run(self, worker: Worker, row: RunReport, now_s: float) -> None:
         state = self._state
         found = state.find_task(row.task)
-        spec = None
-        if found is not None:
-            job, task = found
-            step = job.steps_by_key[row.task.step_key]
-            spec = step.spec
-        run = Run(row.task, row.attempt, worker, spec, now_s, RunState.RUNNING)
+        run = Run(row.task, row.attempt, worker, state.find_spec(row.task), now_s, RunState.RUNNING)
         run.resolved_s = now_s
         run.is_listed = True
         run.percent, run.load = row.percent, row.load
         if found is None:
+            if run.spec is None:
+                # It takes room until it has ended, and how much is not known.
+                run.reserved = Amounts(*(max(0, free) for free in worker.free))
             worker.add_run(run)
             state.order_stop(run, now_s, "job_not_known")
             return
+        job, task = found
+        step = job.steps_by_key[row.task.step_key]
         state.add_run(task, run)
         if step.add_host(worker.id, row.task):
             state.mark_dirty(job)
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -5,7 +5,7 @@
 
 from redwingplank.batch.commands import Commands
 from redwingplank.batch.entities import Job, Run, RunState, Step, Task, Worker
-from redwingplank.batch.model import CellConfig, JobState, QueuePolicy, StepKey, TaskId
+from redwingplank.batch.model import CellConfig, JobState, QueuePolicy, StepKey, StepSpec, TaskId
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.speeds import Speeds
 
@@ -61,6 +61,13 @@
         task = job.find_task(task_id) if job else None
         return (job, task) if job is not None and task is not None else None
 
+    def find_spec(self, task_id: TaskId) -> StepSpec | None:
+        """Return the step of a task as submitted, None if its job is unknown; it may have ended."""
+        job = self.jobs_by_id.get(task_id.job_id)
+        if job is None or task_id.step >= len(job.spec.steps):
+            return None
+        return job.spec.steps[task_id.step]
+
     def mark_dirty(self, job: Job) -> int:
         """Mark a job as changed; return the version that has to be stored for the change."""
         self.dirty_jobs[job.spec.job_id] = job
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -1,5 +1,7 @@
 """Tests of the owner with an emulated cell: the life cycle of jobs, with and without faults."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -188,6 +190,29 @@
         assert cell.violations == []
 
 
+class TestWorkersThatLeft:
+    """Pattern: the owner changes after a worker was taken off the list of workers."""
+
+    def test_the_next_owner_gives_it_nothing(self):
+        cell = make_cell(2)
+        cell.run_for(1.0)
+        entries = [worker.entry for worker in cell.workers.values()]
+        cell.workers["w0"].entry = replace(entries[0], is_draining=True)
+        cell.replace_owner()
+        cell.submit(make_job("a", step(6), at_s=cell.now_s))
+        cell.run_for(4.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert not cell.workers["w0"].ended_done
+
+    def test_an_owner_forgets_it_once_its_runs_are_gone(self):
+        cell = make_cell(2)
+        owner = cell.owner
+        left = owner.state.workers_by_id["w0"]
+        owner.mark_worker_unreachable(left, cell.now_s)
+        owner.list_workers([cell.workers["w1"].entry], cell.now_s)
+        assert "w0" not in owner.state.workers_by_id
+
+
 class TestTakeover:
     def test_running_tasks_go_on(self):
         cell = make_cell()
@@ -216,6 +241,21 @@
             for worker in cell.owner.state.workers_by_id.values()
         )
 
+    @pytest.mark.parametrize("is_known", [True, False], ids=["ended job", "unknown job"])
+    def test_what_is_being_stopped_still_takes_its_room(self, is_known):
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(1, cpu=8000, estimate_s=30.0), at_s=cell.now_s))
+        cell.run_for(1.0)
+        cell.owner.cancel("a", cell.now_s)
+        cell.run_for(0.04)
+        if not is_known:
+            del cell.specs_by_id["a"]
+        cell.replace_owner()
+        cell.submit(make_job("b", step(1, cpu=8000), at_s=cell.now_s))
+        cell.run_for(3.0)
+        assert cell.violations == []
+        assert cell.state("b") is JobState.COMPLETED
+
     def test_tasks_of_a_worker_out_of_sight_are_not_repeated_before_its_lease_is_over(self):
         cell = make_cell(2)
         cell.submit(make_job("a", step(4, estimate_s=4.0), at_s=cell.now_s))
