Name the workers with the best score in calls for advice

A call names 30 of 270 workers, the least loaded first; fast workers are in use, so the least loaded ones are those of the slow kind, and a task of an urgent step that gets tickets for them alone ends late. On a site with 24 workers every call names all, so nothing changes there.

Change: the ones named are those with the best score (expected run time with the load of the worker).

--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -1,5 +1,6 @@
 """Chooses workers for the tasks of a step."""
 
+import heapq
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -193,20 +194,22 @@
     """Return the ids of at most `limit` workers to name in a call to the advice service.
 
     Workers that could take a task now come first, among them those that are known to be allowed,
-    then the least loaded ones. Workers that the service refused are left out, and so are those that
-    can take no more tasks of the step: a wide step needs other ones.
+    then those with the best score. Workers that the service refused are left out, and so are those
+    that can take no more tasks of the step: a wide step needs other ones.
     """
     candidates = [
         worker
         for worker in workers
         if worker.id not in step.refused_workers and not placement.is_at_step_limit(worker, step)
     ]
-    candidates.sort(
+    best = heapq.nsmallest(
+        limit,
+        candidates,
         key=lambda worker: (
             not placement.fits(worker, step, now_s),
             worker.id not in step.tickets_by_worker,
-            _used_share(worker.reserved, worker.entry.capacity),
+            placement.score(worker, step),
             worker.id,
-        )
+        ),
     )
-    return tuple(worker.id for worker in candidates[:limit])
+    return tuple(worker.id for worker in best)
--- a/redwingplank/batch/tests/test_load.py
+++ b/redwingplank/batch/tests/test_load.py
@@ -231,3 +231,47 @@
         assert all(
             cell.completed_s_by_id[spec.job_id] - spec.submitted_unix_s <= late_s for spec in smalls
         )
+
+
+class TestSlowKindAmongManyWorkers:
+    """Urgent jobs must not end late on workers of a slow kind while fast ones have room.
+
+    One call for advice names a part of the workers only, a third of them are slow, and the service
+    allows two thirds of those that are named.
+    """
+
+    def count_late(self) -> tuple[int, int]:
+        queue = QueuePolicy(
+            "p", "h", "/p/", "render", 0, 4, 1.5, 0.3, AdvicePolicy(0.03, 0.0004, 2)
+        )
+        workers = [
+            make_worker(number, kind="slow" if number % 3 == 0 else "fast", slowness=slowness)
+            for number in range(150)
+            for slowness in ([1.7] if number % 3 == 0 else [0.7])
+        ]
+        cell = EmulatedCell(
+            make_config(queue),
+            workers,
+            is_allowed=lambda key, worker: zlib.crc32(f"{key.job_id}{worker}".encode()) % 3 != 0,
+        )
+        cell.run_for(1.0)
+        specs = []
+        for number in range(200):
+            spec = make_job(
+                f"job-{number}", step(8, cpu=4000, estimate_s=0.8), queue="p", at_s=cell.now_s
+            )
+            cell.submit(spec)
+            specs.append(spec)
+            cell.run_for(0.033)
+        cell.run_for(6.0)
+        assert not cell.violations
+        measured = specs[40:]
+        late = sum(
+            cell.completed_s_by_id[spec.job_id] - spec.submitted_unix_s > 1.5 * 0.8 + 0.3
+            for spec in measured
+        )
+        return late, len(measured)
+
+    def test_few_jobs_are_late(self):
+        late, count = self.count_late()
+        assert late <= count / 20
