Remove the spreading of declarations from peer to peer

Cause: the users asked that what their platform makes needless be removed. Every node watches and polls the store; what was left of spreading by messages served only nodes out of reach of the store, for which each heartbeat, summary and view carried a revision and a call of its own carried all documents.

Change: no pull, no revisions in messages of membership (their numbers in the schema stay taken, so that nodes of both versions run side by side).

--- a/redwingplank/cli/node.py
+++ b/redwingplank/cli/node.py
@@ -59,11 +59,11 @@
         self.membership = self._make_membership()
         self.follower = DeclarationsFollower(
             self.store,
-            self.membership,
             on_change,
             self.clock,
             name=settings.name,
             seed=self.seed,
+            on_store_call=self.membership.record_store_call,
         )
         self.membership.attach_follower(self.follower)
         self._server: NodeServer | None = None
--- a/redwingplank/config/follow.py
+++ b/redwingplank/config/follow.py
@@ -1,4 +1,4 @@
-"""Follows new revisions at a node through a watch of the store, a poll of it, or a peer."""
+"""Follows new revisions at a node through a watch of the store and a poll of it."""
 
 from dataclasses import dataclass
 
@@ -13,8 +13,6 @@
     "FollowState",
     "FollowTiming",
     "OpenWatch",
-    "PeerRevision",
-    "Pull",
     "ReadAll",
     "ReadHead",
 ]
@@ -40,15 +38,6 @@
     max_retry_s: float = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class PeerRevision:
-    """A live peer and the newest revision that it is known to have."""
-
-    name: str
-    address: str
-    revision: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class OpenWatch:
     """Watch the live documents for changes after a revision of the store."""
@@ -66,14 +55,7 @@
     """Read the head and all live documents from the store."""
 
 
-@dataclass(frozen=True, slots=True)
-class Pull:
-    """Ask a peer for all documents in force there."""
-
-    address: str
-
-
-FollowAction = OpenWatch | ReadHead | ReadAll | Pull
+FollowAction = OpenWatch | ReadHead | ReadAll
 
 
 class FollowState:
@@ -82,14 +64,14 @@
     Parameters
     ----------
     generator : numpy.random.Generator
-        Source of jitter and of the choice among peers.
+        Source of jitter.
     timing : FollowTiming
         Periods and waits; the defaults of `FollowTiming` if not given.
 
     Notes
     -----
     The caller reports the result or the failure of every action with exactly one call of the
-    method for it. A peer is asked only while the store does not answer this node.
+    method for it.
     """
 
     def __init__(self, generator: np.random.Generator, timing: FollowTiming | None = None) -> None:
@@ -100,12 +82,9 @@
         self._is_started = False
         self._is_reading = False
         self._is_watching = False
-        self._is_pulling = False
         self._must_read_all = False
         self._read_at_s = 0.0
-        self._pull_at_s = 0.0
         self._failures = 0
-        self._pull_failures = 0
 
     @property
     def revision(self) -> int:
@@ -117,23 +96,14 @@
         """Whether a watch is open."""
         return self._is_watching
 
-    def step(self, now_s: float, peers: tuple[PeerRevision, ...] = ()) -> list[FollowAction]:
-        """Return the actions to start now.
-
-        Parameters
-        ----------
-        now_s : float
-            Present time.
-        peers : tuple of PeerRevision
-            The live peers, those of this failure domain first.
-        """
+    def step(self, now_s: float) -> list[FollowAction]:
+        """Return the actions to start now."""
         if not self._is_started:
             self._is_started = True
             self._read_at_s = now_s + self._timing.start_s * self._generator.uniform()
         actions: list[FollowAction] = []
         self._step_watch(actions)
         self._step_read(now_s, actions)
-        self._step_pull(now_s, peers, actions)
         return actions
 
     def on_head(self, now_s: float, head: Head, store_revision: int) -> None:
@@ -182,22 +152,6 @@
             self._store_revision = 0
             self._read_at_s = now_s + self._backoff_s(self._failures)
 
-    def on_pulled(self, now_s: float, live: LiveSet) -> MergeOutcome:
-        """Merge the documents that a peer returned to a pull."""
-        self._is_pulling = False
-        outcome = self.replica.merge_live_set(live)
-        if outcome is MergeOutcome.ADOPTED:
-            self._pull_failures = 0
-        else:
-            self.on_pull_failed(now_s)
-        return outcome
-
-    def on_pull_failed(self, now_s: float) -> None:
-        """Handle the failure of a pull."""
-        self._is_pulling = False
-        self._pull_failures += 1
-        self._pull_at_s = now_s + self._backoff_s(self._pull_failures)
-
     def _step_watch(self, actions: list[FollowAction]) -> None:
         if not self._is_watching and self._store_revision and not self._must_read_all:
             self._is_watching = True
@@ -212,19 +166,6 @@
         else:
             actions.append(ReadHead())
 
-    def _step_pull(
-        self, now_s: float, peers: tuple[PeerRevision, ...], actions: list[FollowAction]
-    ) -> None:
-        if not self._failures or self._is_pulling or now_s < self._pull_at_s:
-            return
-        highest = max((peer.revision for peer in peers), default=0)
-        if highest <= self.revision:
-            return
-        best = [peer for peer in peers if peer.revision == highest]
-        self._is_pulling = True
-        # Choose among the nearest two so that an unreachable peer is not asked every time.
-        actions.append(Pull(best[int(self._generator.integers(min(2, len(best))))].address))
-
     def _finish_read(self, now_s: float) -> None:
         self._is_reading = False
         self._failures = 0
--- a/redwingplank/config/replica.py
+++ b/redwingplank/config/replica.py
@@ -107,10 +107,6 @@
             stored_by_key.pop(key, None)
         return self._adopt(delta.head, stored_by_key)
 
-    def live_set(self) -> LiveSet:
-        """Return all documents in force here, for a peer that cannot reach the store."""
-        return LiveSet(self.head, dict(self._stored_by_key))
-
     def _adopt(self, head: Head, stored_by_key: dict[str, StoredDocument]) -> MergeOutcome:
         revisions_by_key = {key: stored.revision for key, stored in stored_by_key.items()}
         if digest_revisions(revisions_by_key) != head.digest:
--- a/redwingplank/membership/detector.py
+++ b/redwingplank/membership/detector.py
@@ -70,8 +70,6 @@
         Time of the last heartbeat that this process or any reporting peer received from it.
     is_leaving : bool
         Whether the node announced that it stops.
-    revision : int
-        Revision of the declarations in force at the node.
     """
 
     name: str
@@ -82,7 +80,6 @@
     heartbeat_at_s: float = float("-inf")
     evidence_at_s: float = float("-inf")
     is_leaving: bool = False
-    revision: int = 0
 
     @property
     def is_alive(self) -> bool:
@@ -143,7 +140,6 @@
         node.incarnation, node.sequence = order
         node.address = heartbeat.address
         node.is_leaving = heartbeat.is_leaving
-        node.revision = heartbeat.revision
         node.heartbeat_at_s = now_s
         node.evidence_at_s = now_s
         node.status = NodeStatus.ALIVE
--- a/redwingplank/membership/domains.py
+++ b/redwingplank/membership/domains.py
@@ -18,15 +18,13 @@
 class _Domain:
     addresses: tuple[str, ...]
     updated_at_s: float
-    revision: int = 0
     address: str = ""
 
 
 class DomainTable:
     """The other failure domains of the cell.
 
-    `version` grows when the revision or the speaker's address in a summary differs from the known
-    one.
+    `version` grows when the speaker's address in a summary differs from the known one.
 
     Parameters
     ----------
@@ -49,9 +47,8 @@
         """Apply a summary that a failure domain sent about itself."""
         domain = self._domains_by_name.setdefault(summary.failure_domain, _Domain((), now_s))
         domain.updated_at_s = max(domain.updated_at_s, now_s)
-        if (summary.revision, summary.address) != (domain.revision, domain.address):
+        if summary.address != domain.address:
             self.version += 1
-        domain.revision = max(domain.revision, summary.revision)
         domain.address = summary.address
 
     def apply_view(self, now_s: float, view: DomainView) -> None:
@@ -60,12 +57,11 @@
         if now_s - view.age_s >= domain.updated_at_s:
             domain.updated_at_s = now_s - view.age_s
             domain.address = view.address or domain.address
-        domain.revision = max(domain.revision, view.revision)
 
     def views(self, now_s: float) -> tuple[DomainView, ...]:
         """Return the state of every other failure domain, to be sent to the peers."""
         return tuple(
-            DomainView(name, now_s - domain.updated_at_s, domain.revision, domain.address)
+            DomainView(name, now_s - domain.updated_at_s, domain.address)
             for name, domain in self._domains_by_name.items()
         )
 
--- a/redwingplank/membership/messages.py
+++ b/redwingplank/membership/messages.py
@@ -58,15 +58,12 @@
         The failure domain that the report is about.
     age_s : float
         Seconds since the last news of it.
-    revision : int
-        Newest revision of the declarations there.
     address : str
         Address of its speaker; empty if unknown.
     """
 
     failure_domain: str
     age_s: float
-    revision: int
     address: str
 
 
@@ -84,8 +81,6 @@
         Number of the heartbeat, which grows within an incarnation.
     is_leaving : bool
         Whether the sender is about to stop.
-    revision : int
-        Revision of the declarations in force at the sender.
     suspected : tuple of PeerEvidence
         Nodes that the sender suspects or considers dead.
     vouched : tuple of PeerEvidence
@@ -106,7 +101,6 @@
     incarnation: int
     sequence: int
     is_leaving: bool = False
-    revision: int = 0
     suspected: tuple[PeerEvidence, ...] = ()
     vouched: tuple[PeerEvidence, ...] = ()
     words: tuple[VmWord, ...] = ()
@@ -127,15 +121,12 @@
         Address of its speaker.
     live_count, leaving_count : int
         Number of its nodes that are live and that are leaving.
-    revision : int
-        Newest revision of the declarations in force at its nodes.
     """
 
     failure_domain: str
     address: str
     live_count: int
     leaving_count: int
-    revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,4 +137,3 @@
     failure_domain: str
     address: str
     is_leaving: bool = False
-    revision: int = 0
--- a/redwingplank/membership/node.py
+++ b/redwingplank/membership/node.py
@@ -5,7 +5,6 @@
 
 import numpy as np
 
-from redwingplank.config.follow import PeerRevision
 from redwingplank.core import choose_by_rendezvous
 from redwingplank.membership.actions import (
     MembershipAction,
@@ -72,7 +71,6 @@
         self.reachability = Reachability(now_s)
         self._generator = generator
         self._sequence = 0
-        self._revision = 0
         self._seeded_names: set[str] = set()
         self.domains = DomainTable(now_s, self._add_seeds(addresses_by_name))
         self._round_at_s = now_s + generator.uniform(0.0, self.timing.heartbeat_s)
@@ -82,17 +80,8 @@
         self._is_urgent = True
         self._sent_views_by_name: dict[str, tuple[tuple[int, tuple[str, ...]] | None, float]] = {}
 
-    def tick(self, now_s: float, revision: int) -> list[MembershipAction]:
-        """Advance to the present time and return the messages to send and the list to read.
-
-        Parameters
-        ----------
-        now_s : float
-            Present time.
-        revision : int
-            Revision of the declarations in force at this node.
-        """
-        self._revision = revision
+    def tick(self, now_s: float) -> list[MembershipAction]:
+        """Advance to the present time and return the messages to send and the list to read."""
         if any(node.status is NodeStatus.SUSPECT for node in self.detector.tick(now_s)):
             self._is_urgent = True
         actions: list[MembershipAction] = []
@@ -167,7 +156,7 @@
     def live_peers(self) -> tuple[Peer, ...]:
         """Return the other live nodes of this failure domain, without leaving ones."""
         return tuple(
-            Peer(node.name, self.identity.failure_domain, node.address, False, node.revision)
+            Peer(node.name, self.identity.failure_domain, node.address)
             for node in self.detector
             if node.is_alive and not node.is_leaving
         )
@@ -182,14 +171,6 @@
         """
         return self.domains.cut_off(now_s) + self.reachability.cut_off(now_s)
 
-    def other_domains(self, now_s: float) -> tuple[PeerRevision, ...]:
-        """Return the known speakers of the other failure domains with the newest revision there."""
-        return tuple(
-            PeerRevision(view.failure_domain, view.address, view.revision)
-            for view in self.domains.views(now_s)
-            if view.address
-        )
-
     @property
     def is_urgent(self) -> bool:
         """Whether a heartbeat should be sent at once instead of in the next period."""
@@ -318,7 +299,6 @@
             incarnation=self.incarnation,
             sequence=self._sequence,
             is_leaving=self.is_leaving,
-            revision=self._revision,
             suspected=self.detector.suspected(now_s),
             vouched=vouched,
             words=self.vms.recent_words(now_s),
@@ -345,7 +325,6 @@
             addresses_by_name.get(speaker, self.identity.address),
             len(peers) + (0 if self.is_leaving else 1),
             leaving + (1 if self.is_leaving else 0),
-            max([self._revision, *(peer.revision for peer in peers)]),
         )
 
 
--- a/redwingplank/rpc/membership.capnp
+++ b/redwingplank/rpc/membership.capnp
@@ -1,6 +1,7 @@
 @0xb6f0d2c9a1e34751;
-# Membership, and the declarations for nodes that cannot reach the store. Messages carry ages in
-# milliseconds instead of times of day, because clocks of different nodes are not compared.
+# Membership. Messages carry ages in milliseconds instead of times of day, because clocks of different
+# nodes are not compared. Numbers of fields that are gone stay taken, so that nodes of the versions
+# before and after can run side by side.
 
 struct Evidence {
   # When a third node was last heard from.
@@ -20,10 +21,10 @@
 }
 
 struct DomainView {
-  # When another failure domain was last heard from, and the newest revision there.
+  # When another failure domain was last heard from.
   failureDomain @0 :Text;
   address @1 :Text;
-  revision @2 :UInt64;
+  obsolete2 @2 :UInt64;
   ageMs @3 :UInt32;
 }
 
@@ -33,7 +34,7 @@
   address @2 :Text;
   incarnation @3 :UInt64;
   sequence @4 :UInt64;
-  revision @5 :UInt64;
+  obsolete5 @5 :UInt64;
   suspected @6 :List(Evidence);
   vouched @7 :List(Evidence);
   words @8 :List(VmWord);
@@ -49,18 +50,7 @@
   address @1 :Text;
   liveCount @2 :UInt32;
   leavingCount @3 :UInt32;
-  revision @4 :UInt64;
-}
-
-struct Document {
-  key @0 :Text;
-  value @1 :Data;
-}
-
-struct LiveSet {
-  # All declarations in force at a node.
-  head @0 :Data;
-  documents @1 :List(Document);
+  obsolete4 @4 :UInt64;
 }
 
 struct NodeStatus {
@@ -78,7 +68,7 @@
 interface Membership {
   heartbeat @0 (heartbeat :Heartbeat) -> (answer :Heartbeat);
   summary @1 (summary :DomainSummary) -> (answer :DomainSummary);
-  pull @2 () -> (live :LiveSet);
+  obsolete2 @2 () -> ();
   status @3 () -> (status :NodeStatus);
   mark @4 (word :VmWord) -> ();
   # Notifies the node that a VM is leaving or dead.
--- a/redwingplank/rpc/membership_calls.py
+++ b/redwingplank/rpc/membership_calls.py
@@ -3,17 +3,14 @@
 from abc import ABC, abstractmethod
 from typing import Any
 
-from redwingplank.config.stored import LiveSet
 from redwingplank.membership import DomainSummary, Heartbeat, VmWord
 from redwingplank.rpc.membership_codec import (
     NodeReport,
     decode_heartbeat,
-    decode_live_message,
     decode_report,
     decode_summary,
     decode_word,
     encode_heartbeat,
-    encode_live_message,
     encode_report,
     encode_summary,
     encode_word,
@@ -67,11 +64,6 @@
         )
         return decode_summary(response.answer)
 
-    async def pull(self, address: str, timeout_s: float) -> LiveSet:
-        """Return the declarations in force at a node."""
-        response = await self._call(address, lambda service: service.pull(), timeout_s)
-        return decode_live_message(response.live)
-
     async def status(self, address: str, timeout_s: float) -> NodeReport:
         """Return the status report of a node."""
         response = await self._call(address, lambda service: service.status(), timeout_s)
@@ -98,10 +90,6 @@
     def on_summary(self, summary: DomainSummary) -> DomainSummary:
         """Handle the summary of another failure domain and return that of this one."""
 
-    @abstractmethod
-    def live_set(self) -> LiveSet:
-        """Return the declarations in force at this node."""
-
     @abstractmethod
     def report(self) -> NodeReport:
         """Return the status report of this node."""
@@ -128,9 +116,6 @@
         answer = self._handler.on_summary(decode_summary(summary))
         return encode_summary(answer)
 
-    async def pull(self, _context: Any, **_: Any) -> Any:
-        return encode_live_message(self._handler.live_set())
-
     async def status(self, _context: Any, **_: Any) -> Any:
         return encode_report(self._handler.report())
 
--- a/redwingplank/rpc/membership_codec.py
+++ b/redwingplank/rpc/membership_codec.py
@@ -1,9 +1,8 @@
-"""Converts the messages of membership and declarations to and from Cap'n Proto."""
+"""Converts the messages of membership to and from Cap'n Proto."""
 
 from dataclasses import dataclass
 from typing import Any
 
-from redwingplank.config.stored import LiveSet, decode_document, decode_head, encode
 from redwingplank.membership import (
     DomainSummary,
     DomainView,
@@ -17,12 +16,10 @@
 __all__ = [
     "NodeReport",
     "decode_heartbeat",
-    "decode_live_message",
     "decode_report",
     "decode_summary",
     "decode_word",
     "encode_heartbeat",
-    "encode_live_message",
     "encode_report",
     "encode_summary",
     "encode_word",
@@ -69,7 +66,6 @@
         address=heartbeat.address,
         incarnation=heartbeat.incarnation,
         sequence=heartbeat.sequence,
-        revision=heartbeat.revision,
         isLeaving=heartbeat.is_leaving,
         isSpeaker=heartbeat.is_speaker,
         isStoreCutOff=heartbeat.is_store_cut_off,
@@ -90,7 +86,6 @@
         incarnation=message.incarnation,
         sequence=message.sequence,
         is_leaving=message.isLeaving,
-        revision=message.revision,
         suspected=tuple(_decode_evidence(each) for each in message.suspected),
         vouched=tuple(_decode_evidence(each) for each in message.vouched),
         words=tuple(decode_word(each) for each in message.words),
@@ -107,7 +102,6 @@
         address=summary.address,
         liveCount=summary.live_count,
         leavingCount=summary.leaving_count,
-        revision=summary.revision,
     )
 
 
@@ -118,7 +112,6 @@
         message.address,
         message.liveCount,
         message.leavingCount,
-        message.revision,
     )
 
 
@@ -132,25 +125,6 @@
     return VmWord(message.vm, VmWordKind(str(message.kind)))
 
 
-def encode_live_message(live: LiveSet) -> Any:
-    """Encode all declarations in force."""
-    message = _schema().LiveSet.new_message(head=encode(live.head))
-    documents = message.init("documents", len(live.stored_by_key))
-    for document, (key, stored) in zip(documents, live.stored_by_key.items(), strict=True):
-        document.key = key
-        document.value = encode(stored)
-    return message
-
-
-def decode_live_message(message: Any) -> LiveSet:
-    """Decode all declarations in force."""
-    stored_by_key = {
-        document.key: decode_document(document.key, document.value)
-        for document in message.documents
-    }
-    return LiveSet(decode_head(message.head), stored_by_key)
-
-
 def encode_report(report: NodeReport) -> Any:
     """Encode the status report of a node."""
     return _schema().NodeStatus.new_message(
@@ -215,13 +189,12 @@
 def _fill_view(target: Any, view: DomainView) -> None:
     target.failureDomain = view.failure_domain
     target.address = view.address
-    target.revision = view.revision
     target.ageMs = _to_ms(view.age_s)
 
 
 def _decode_view(message: Any) -> DomainView:
     age_s = message.ageMs / MS_PER_S
-    return DomainView(message.failureDomain, age_s, message.revision, message.address)
+    return DomainView(message.failureDomain, age_s, message.address)
 
 
 def _to_ms(age_s: float) -> int:
--- a/redwingplank/runtime/declarations.py
+++ b/redwingplank/runtime/declarations.py
@@ -1,11 +1,9 @@
 """Follows the declarations in force at one node.
 
-A node learns of new revisions from its watch of the store, from periodic reads and from other
-nodes.
+A node learns of new revisions from its watch of the store and from periodic reads.
 """
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections.abc import Callable, Coroutine
 from contextlib import aclosing, suppress
 from typing import Any
@@ -20,59 +18,28 @@
     FollowState,
     FollowTiming,
     OpenWatch,
-    PeerRevision,
-    Pull,
     ReadAll,
     ReadHead,
 )
 from redwingplank.config.replica import MergeOutcome
-from redwingplank.config.stored import HEAD_KEY, LIVE_PREFIX, LiveSet, decode_live_set
+from redwingplank.config.stored import HEAD_KEY, LIVE_PREFIX, decode_live_set
 from redwingplank.core import Clock, RedwingError, log_event, make_logger
 from redwingplank.platform import KeyValueStore
 
-__all__ = ["DeclarationPeers", "DeclarationsFollower"]
+__all__ = ["DeclarationsFollower"]
 
 STEP_INTERVAL_S = 0.25
 
 _logger = make_logger("declarations")
 
 
-class DeclarationPeers(ABC):
-    """Interface through which a follower reaches the other nodes."""
-
-    @abstractmethod
-    def revisions(self, now_s: float) -> tuple[PeerRevision, ...]:
-        """Return the live peers and their revisions, those of the same failure domain first."""
-
-    @abstractmethod
-    async def pull(self, address: str) -> LiveSet:
-        """Return all documents in force at a peer; raises `RedwingError`."""
-
-    @abstractmethod
-    def record_store_reachability(self, is_reached: bool) -> None:
-        """Record whether a call reached the store."""
-
-
-class _NoPeers(DeclarationPeers):
-    def revisions(self, now_s: float) -> tuple[PeerRevision, ...]:
-        return ()
-
-    async def pull(self, address: str) -> LiveSet:
-        raise RedwingError("there is no peer to pull from; give peers")
-
-    def record_store_reachability(self, is_reached: bool) -> None:
-        """Do nothing, because there is no peer to notify."""
-
-
 class DeclarationsFollower:
-    """Keeps the newest declarations that this node can obtain.
+    """Keeps the newest declarations that this node has read from the store.
 
     Parameters
     ----------
     store : KeyValueStore
         The platform's key-value store.
-    peers : DeclarationPeers or None
-        The other nodes; None if there are none.
     on_change : callable
         Called with each new set of declarations, in the order of the revisions.
     clock : Clock
@@ -82,27 +49,27 @@
     seed : int
         Seed of the jitter; 0 derives one from the name.
     timing : FollowTiming, optional
-        Intervals and delays. Without peers, the default has no delay at the start.
+        Intervals and delays.
+    on_store_call : callable, optional
+        Called after each call of the store with whether it was reached.
     """
 
     def __init__(
         self,
         store: KeyValueStore,
-        peers: DeclarationPeers | None,
         on_change: Callable[[Declarations], None],
         clock: Clock,
         *,
         name: str = "",
         seed: int = 0,
         timing: FollowTiming | None = None,
+        on_store_call: Callable[[bool], None] = lambda _: None,
     ) -> None:
         self._store = store
-        self._peers = peers or _NoPeers()
         self._on_change = on_change
+        self._on_store_call = on_store_call
         self._clock = clock
         generator = np.random.default_rng(seed or xxhash.xxh64_intdigest(name.encode()))
-        if timing is None:
-            timing = FollowTiming() if peers else FollowTiming(start_s=0.0)
         self._state = FollowState(generator, timing)
         self._wake = asyncio.Event()
         self._changed = asyncio.Event()
@@ -143,14 +110,10 @@
             await self._changed.wait()
         return self.current
 
-    def live_set(self) -> LiveSet:
-        """Return all documents in force at this node, for a peer that pulls them."""
-        return self._state.replica.live_set()
-
     async def _run(self) -> None:
         while True:
             now_s = self._clock.now_s()
-            for action in self._state.step(now_s, self._peers.revisions(now_s)):
+            for action in self._state.step(now_s):
                 self._execute(action)
             self._wake.clear()
             with suppress(TimeoutError):
@@ -161,8 +124,6 @@
         if isinstance(action, OpenWatch):
             self._close_watch()
             self._watch_task = asyncio.create_task(self._watch(action.after_store_revision))
-        elif isinstance(action, Pull):
-            self._spawn(self._pull(action))
         elif isinstance(action, ReadAll):
             self._spawn(self._read_all())
         elif isinstance(action, ReadHead):
@@ -184,7 +145,7 @@
             async with aclosing(stream) as batches:
                 async for batch in batches:
                     outcome = self._state.on_watch_batch(self._clock.now_s(), batch)
-                    self._peers.record_store_reachability(is_reached=True)
+                    self._on_store_call(True)
                     self._handle_merge_outcome("watch", outcome)
         except RedwingError as error:
             log_event(_logger, "watch_failed", level=logbook.WARNING, error=str(error))
@@ -200,7 +161,7 @@
         except RedwingError as error:
             self._handle_read_failure(error)
             return
-        self._peers.record_store_reachability(is_reached=True)
+        self._on_store_call(True)
         self._handle_merge_outcome("store", outcome)
 
     async def _read_head(self) -> None:
@@ -210,31 +171,15 @@
         except RedwingError as error:
             self._handle_read_failure(error)
             return
-        self._peers.record_store_reachability(is_reached=True)
+        self._on_store_call(True)
         self._state.on_head(self._clock.now_s(), live.head, result.revision)
         self._wake.set()
 
     def _handle_read_failure(self, error: RedwingError) -> None:
         log_event(_logger, "store_read_failed", level=logbook.WARNING, error=str(error))
-        self._peers.record_store_reachability(is_reached=False)
+        self._on_store_call(False)
         self._state.on_read_failed(self._clock.now_s())
 
-    async def _pull(self, action: Pull) -> None:
-        try:
-            live = await self._peers.pull(action.address)
-            outcome = self._state.on_pulled(self._clock.now_s(), live)
-        except RedwingError as error:
-            log_event(
-                _logger,
-                "pull_failed",
-                level=logbook.WARNING,
-                peer=action.address,
-                error=str(error),
-            )
-            self._state.on_pull_failed(self._clock.now_s())
-            return
-        self._handle_merge_outcome(action.address, outcome)
-
     def _handle_merge_outcome(self, source: str, outcome: MergeOutcome) -> None:
         if outcome is MergeOutcome.ADOPTED:
             log_event(_logger, "revision_in_force", revision=self.revision, source=source)
--- a/redwingplank/runtime/membership.py
+++ b/redwingplank/runtime/membership.py
@@ -9,8 +9,6 @@
 import numpy as np
 import xxhash
 
-from redwingplank.config.follow import PeerRevision
-from redwingplank.config.stored import LiveSet
 from redwingplank.core import Clock, log_event, make_logger
 from redwingplank.membership import (
     DomainSummary,
@@ -34,19 +32,18 @@
     make_membership_server,
 )
 from redwingplank.rpc.membership_codec import NodeReport
-from redwingplank.runtime.declarations import DeclarationPeers, DeclarationsFollower
+from redwingplank.runtime.declarations import DeclarationsFollower
 
 __all__ = ["MembershipNode"]
 
 TICK_S = 0.25
 HEARTBEAT_TIMEOUT_S = 1.0
 SUMMARY_TIMEOUT_S = 2.0
-PULL_TIMEOUT_S = 2.0
 
 _logger = make_logger("membership")
 
 
-class MembershipNode(MembershipHandler, DeclarationPeers):
+class MembershipNode(MembershipHandler):
     """Membership of one node, exchanged with the other nodes over RPC.
 
     Parameters
@@ -102,7 +99,7 @@
         self.server: Any = make_membership_server(self)
 
     def attach_follower(self, follower: DeclarationsFollower) -> None:
-        """Set the follower whose revision is reported to peers and whose documents they pull."""
+        """Set the follower whose revision is reported to operators."""
         self._follower = follower
 
     async def start(self) -> None:
@@ -154,11 +151,6 @@
     def on_summary(self, summary: DomainSummary) -> DomainSummary:
         return self._state.on_summary(self._clock.now_s(), summary)
 
-    def live_set(self) -> LiveSet:
-        if self._follower is None:
-            raise RpcError("this node follows no declarations; pull from another one")
-        return self._follower.live_set()
-
     def on_word(self, word: VmWord) -> None:
         log_event(_logger, "vm_marked", vm=word.vm, kind=word.kind)
         self._state.mark(self._clock.now_s(), word)
@@ -178,23 +170,13 @@
             cut_off_from=self._state.cut_off_from(self._clock.now_s()),
         )
 
-    def revisions(self, now_s: float) -> tuple[PeerRevision, ...]:
-        same_domain = tuple(
-            PeerRevision(peer.name, peer.address, peer.revision)
-            for peer in self._state.live_peers()
-        )
-        return same_domain + self._state.other_domains(now_s)
-
-    async def pull(self, address: str) -> LiveSet:
-        return await self._calls.pull(address, PULL_TIMEOUT_S)
-
-    def record_store_reachability(self, is_reached: bool) -> None:
+    def record_store_call(self, is_reached: bool) -> None:
+        """Record whether a call of this node reached the store."""
         self._state.note_store(self._clock.now_s(), is_reached)
 
     async def _run(self) -> None:
         while True:
-            revision = self._follower.revision if self._follower else 0
-            for action in self._state.tick(self._clock.now_s(), revision):
+            for action in self._state.tick(self._clock.now_s()):
                 self._spawn(self._execute(action))
             self._log_peers()
             self._wake.clear()
