--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -26,7 +26,7 @@
     TaskId,
     WorkerEntry,
 )
-from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.owner import JobOwner, RecordToStore
 from redwingplank.batch.settings import BatchSettings
 
 __all__ = ["EmulatedCell"]
@@ -38,6 +38,10 @@
 """Time until a command or a report arrives."""
 STORE_LATENCY_S = 0.008
 """Time until a write to the store is confirmed."""
+WRITE_RETRY_S = 0.12
+"""Time after which a write without an answer is sent again."""
+LATE_WRITE_S = (1.0, 6.0)
+"""Shortest and longest time after which the store may carry out a write that it did not answer."""
 
 
 class EmulatedCell:
@@ -96,6 +100,12 @@
         self.lost_command_fraction = 0.0
         """Fraction of commands that get no answer; half of such starts are carried out late."""
         self.is_store_unavailable = False
+        self.lost_write_fraction = 0.0
+        """Fraction of writes that get no answer; half of them are carried out late."""
+        self.is_store_conditional = True
+        """Whether the store checks the conditions of writes; False only to test the checks."""
+        self._sequence: tuple[int, int] = (0, 0)
+        """Epoch and number of the last write of records that was carried out."""
         self.epoch = 0
         self.owner = self._make_owner()
         self._is_writing = False
@@ -103,6 +113,7 @@
 
     def _make_owner(self) -> JobOwner:
         self.epoch += 1
+        self._sequence = (self.epoch, 0)
         owner = JobOwner(self.settings, self.epoch, self.config, _ignore)
         if self.stored_speeds:
             owner.state.speeds.restore(self.stored_speeds)
@@ -207,21 +218,49 @@
         if not records:
             return
         self._is_writing = True
-        owner = self.owner
+        self._send_write(self.owner, records, self._sequence)
 
-        def handle_stored() -> None:
+    def _send_write(
+        self, owner: JobOwner, records: list[RecordToStore], previous: tuple[int, int]
+    ) -> None:
+        """Send a write that requires `previous` to be the last one; repeat it until answered."""
+
+        def carry_out() -> bool:
+            written = (owner.state.epoch, previous[1] + 1)
+            if self.is_store_conditional and self._sequence != previous:
+                return self._sequence == written
+            self._sequence = written
+            self.records_by_id.update((record.job_id, record.value) for record in records)
+            return True
+
+        def answer() -> None:
+            is_stored = carry_out()
             if owner is not self.owner:
                 return
+            assert is_stored, "only a newer owner may write between two writes of an owner"
             self._is_writing = False
-            self.stored_speeds = owner.state.speeds.encode()
-            for record in records:
-                self.records_by_id[record.job_id] = record.value
-            owner.confirm_stored_records(records, self.now_s)
-            for record in records:
-                if owner.job_state(record.job_id) is JobState.COMPLETED:
-                    self.completed_s_by_id.setdefault(record.job_id, self.now_s)
+            self._confirm_write(records)
+
+        if self.rng.random() >= self.lost_write_fraction:
+            self.after(STORE_LATENCY_S, answer)
+            return
+        is_late = self.rng.random() < 0.5
+        delay_s = self.rng.uniform(*LATE_WRITE_S) if is_late else STORE_LATENCY_S
+        self.after(delay_s, lambda: _discard(carry_out()))
+        self.after(WRITE_RETRY_S, lambda: self._repeat_write(owner, records, previous))
+
+    def _repeat_write(
+        self, owner: JobOwner, records: list[RecordToStore], previous: tuple[int, int]
+    ) -> None:
+        if owner is self.owner:
+            self._send_write(owner, records, previous)
 
-        self.after(STORE_LATENCY_S, handle_stored)
+    def _confirm_write(self, records: list[RecordToStore]) -> None:
+        self.stored_speeds = self.owner.state.speeds.encode()
+        self.owner.confirm_stored_records(records, self.now_s)
+        for record in records:
+            if self.owner.job_state(record.job_id) is JobState.COMPLETED:
+                self.completed_s_by_id.setdefault(record.job_id, self.now_s)
 
     def _is_lost(self) -> bool:
         return self.lost_command_fraction > 0 and self.rng.random() < self.lost_command_fraction
@@ -377,5 +416,5 @@
     """Discard the log of decisions."""
 
 
-def _discard(outcome: StartOutcome) -> None:
-    """Discard the answer to a command that is carried out after its time-out."""
+def _discard(outcome: StartOutcome | bool) -> None:
+    """Discard the answer to a command or write that is carried out after its time-out."""
