--- a/redwingplank/core/resources.py
+++ b/redwingplank/core/resources.py
@@ -8,8 +8,6 @@
 
 __all__ = ["NO_RESOURCES", "Resources", "make_resources", "sum_resources"]
 
-MILLICORES_PER_PROCESSOR = 1000
-
 
 @dataclass(frozen=True, slots=True)
 class Resources:
--- a/redwingplank/scheduling/overshoot.py
+++ b/redwingplank/scheduling/overshoot.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-from redwingplank.core import Resources
 from redwingplank.platform import TaskCommand, TaskCommandKind, TaskUsage
 from redwingplank.scheduling.entities import Phase, StopReason, Task, Worker
 from redwingplank.scheduling.lifecycle import TaskLifecycle
@@ -92,11 +91,6 @@
             self._lifecycle.stop(task, StopReason.OVERSHOOT, step, now_s)
 
 
-def exceeds(used: Resources, reserved: Resources) -> bool:
-    """Return whether a task uses more processors or memory than it reserved."""
-    return used.millicores > reserved.millicores or used.memory_mib > reserved.memory_mib
-
-
 def _sort_key(task: Task) -> tuple[int, int, str]:
     service = task.job.service
     return (int(service.deadline_class), -service.priority, task.task_id)
--- a/redwingplank/standin/http_upstreams.py
+++ b/redwingplank/standin/http_upstreams.py
@@ -17,7 +17,6 @@
 __all__ = ["make_upstreams_app"]
 
 CHUNK_BYTES = 16_384
-NO_ANSWER_S = 3600.0
 
 
 def make_upstreams_app(upstreams_by_address: Mapping[str, UpstreamBehaviour]) -> falcon.asgi.App:
