--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -16,8 +16,8 @@
 LOAD_WEIGHT = 0.35
 """Relative increase of the score of a full worker over that of an empty one."""
 PACKING_WEIGHT = 1.0
-"""The same the other way round for tasks with GPUs: they fill workers that are in use, so that
-others stay whole for tasks that need many GPUs of one worker."""
+"""Relative increase of the score of an empty worker over that of a full one, for tasks with GPUs:
+they fill workers that are in use, and others stay whole for tasks that need many GPUs."""
 
 
 @dataclass(frozen=True, slots=True)
