Forget the host of a task once its run has certainly ended

The record still named it as a host. The owner that took over at 27 s could neither poll it nor find it on the list, and held the task back until every lease that an earlier owner may have granted there had expired (host_free at 38.4 s for just that worker).

Ruled out: room and advice (free, tickets known), a task lost by the record (it started at 40 s).

Change: a run that is removed, which happens only when it certainly no longer exists, takes its worker out of the hosts of its task, and the record is stored with the next write. Records keep a step with any progress, not only one with hosts. Ended jobs are not written again.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -202,6 +202,23 @@
         self.hosts[worker_id] = bits | 1 << task_id.position
         return self.hosts[worker_id] != bits
 
+    def remove_host(self, worker_id: str, task_id: TaskId) -> bool:
+        """Record that a worker no longer runs a task; return whether this was not recorded."""
+        bits = self.hosts.get(worker_id, 0)
+        left = bits & ~(1 << task_id.position)
+        if left:
+            self.hosts[worker_id] = left
+        else:
+            self.hosts.pop(worker_id, None)
+        return left != bits
+
+    @property
+    def has_progress(self) -> bool:
+        """Whether a new owner needs to know anything of the step beyond its specification."""
+        return bool(self.hosts) or any(
+            task.is_done or task.failures or task.saved for task in self.tasks
+        )
+
 
 class Job:
     """A job and its progress."""
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -49,7 +49,7 @@
         progress.steps = {
             f"{key.occurrence}.{key.step}": _encode_step(step)
             for key, step in job.steps_by_key.items()
-            if step.hosts
+            if step.has_progress
         }
     return msgspec.json.encode(progress)
 
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -90,13 +90,22 @@
         found = self.find_task(run.task_id)
         if found is None:
             return None
-        _, task = found
+        job, task = found
         if run in task.runs:
             task.runs.remove(run)
             task.last_end_s = now_s
+        self._forget_host(job, task, run.worker)
         self.reopen_step(run.task_id.step_key)
         return task
 
+    def _forget_host(self, job: Job, task: Task, worker: Worker) -> None:
+        """Let a next owner know that a task no longer waits for what a worker may run."""
+        if job.state.is_final or any(other.worker is worker for other in task.runs):
+            return
+        step = job.steps_by_key[task.id.step_key]
+        if step.remove_host(worker.id, task.id):
+            self.mark_dirty(job)
+
     def reopen_step(self, key: StepKey) -> None:
         """Add a step to the open steps again if it still has tasks that are not done."""
         job = self.jobs_by_id.get(key.job_id)
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -213,6 +213,36 @@
         assert "w0" not in owner.state.workers_by_id
 
 
+class TestHostsOfEndedRuns:
+    """Pattern: a worker was drained and left, and the owner changes soon after."""
+
+    def test_a_run_that_ended_there_delays_nothing(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(1, is_lasting=True), queue="watch", at_s=cell.now_s))
+        cell.run_for(1.0)
+        (host,) = (worker for worker in cell.workers.values() if worker.runs)
+        (other,) = (worker for worker in cell.workers.values() if worker is not host)
+        host.entry = replace(host.entry, is_draining=True)
+        cell.run_for(2.0)
+        assert other.runs
+        host.faults.add(Fault.CUT)
+        cell.crash(other.entry.worker_id)
+        cell.replace_owner()
+        cell.run_for(2.0)
+        assert other.runs
+        assert cell.violations == []
+
+    def test_what_is_done_stays_stored(self):
+        cell = make_cell(2)
+        cell.submit(make_job("a", step(3), step(2, after=(0,), estimate_s=5.0), at_s=cell.now_s))
+        cell.run_for(2.0)
+        cell.replace_owner()
+        cell.run_for(8.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.starts == 5
+        assert cell.violations == []
+
+
 class TestTakeover:
     def test_running_tasks_go_on(self):
         cell = make_cell()
