--- a/redwingplank/cell/follower.py
+++ b/redwingplank/cell/follower.py
@@ -22,7 +22,7 @@
 LOSSY_WAIT_S = 0.25
 """Longest wait of a watch call during this time, so that a lost answer is noticed soon."""
 LOSSY_SLACK_S = 0.4
-"""Time after the wait within which such a call is answered; a slow store needs 0.25 s."""
+"""Time after the wait within which such a call is answered, also by a slow store."""
 LOSS_CHECK_S = 0.15
 """Period of checking, during a longer wait, whether answers have begun to be lost."""
 
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -95,6 +95,7 @@
                 try:
                     is_written = await self._write_records(records)
                 except Exception:
+                    # The loop runs again, and what was not stored has to be stored then.
                     self._owner.return_records(records)
                     self._is_wanted.set()
                     raise
