--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -301,6 +301,7 @@
         "pending_completions",
         "reserved",
         "runs_by_key",
+        "silent_s",
         "step_counts",
         "unconfirmed_until_s",
     )
@@ -313,6 +314,8 @@
         self.is_confirmed = False
         self.unconfirmed_until_s = unconfirmed_until_s
         self.is_unreachable = False
+        self.silent_s = 0.0
+        """Time at which the worker became unreachable."""
         self.answered_s = 0.0
         self.clock_ms: int | None = None
         """Worker's clock in its last report, received at `clock_at_s`; None before that."""
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -208,6 +208,7 @@
         if not worker.is_unreachable:
             self._log_worker(worker, "worker_silent", age_s=now_s - worker.answered_s)
             worker.is_unreachable = True
+            worker.silent_s = now_s
             for task_id, _ in worker.runs_by_key:
                 self._state.reopen_step(task_id.step_key)
 
@@ -234,6 +235,7 @@
             attempt=run.attempt,
             worker=run.worker.id,
             reason=reason,
+            ran_s=run.worker.silent_s - run.started_s if run.worker.is_unreachable else 0.0,
         )
         self._state.remove_run(run, now_s)
 
@@ -247,9 +249,17 @@
         if worker.is_confirmed:
             return
         worker.is_confirmed = True
+        self._log_replaced(worker)
         self._state.unconfirmed_hosts.pop(worker.id, None)
         self._state.needs_pass = True
 
+    def _log_replaced(self, worker: Worker) -> None:
+        """Log each earlier worker at the address of one that answered: its process has ended."""
+        for other in self._state.workers_by_id.values():
+            is_earlier = other.born_ms < worker.born_ms
+            if other.entry.address == worker.entry.address and is_earlier:
+                self._log_worker(other, "worker_replaced", successor=worker.id)
+
     def _log_worker(self, worker: Worker, event: str, **fields: object) -> None:
         entry = worker.entry
         self._state.log_decision(
