--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -61,6 +61,8 @@
     entry: WorkerEntry
     slowness: float = 1.0
     faults: set[str] = field(default_factory=set)
+    is_down: bool = False
+    """Whether the process has ended; nothing reaches it and it is not listed."""
     token: int = 0
     lease_until_s: float = 0.0
     runs: dict[tuple[TaskId, int], EmulatedRun] = field(default_factory=dict)
@@ -84,13 +86,22 @@
 
     def crash(self, born_ms: int) -> None:
         """Restart the process with a new incarnation; all runs and reported state are lost."""
+        self.lose_memory()
+        self.entry = make_restarted_entry(self.entry, born_ms)
+
+    def lose_memory(self) -> None:
+        """Forget all runs and all that was reported, as the end of the process does."""
         self.runs.clear()
         self.blocked.clear()
         self.ends.clear()
         self.end_count = 0
         self.token = 0
         self.lease_until_s = 0.0
-        self.entry = make_restarted_entry(self.entry, born_ms)
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether commands and polls reach the process."""
+        return not self.is_down and Fault.CUT not in self.faults
 
     def end(self, run: EmulatedRun, kind: CompletionKind) -> None:
         """End a run and add its completion to those that are reported."""
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -8,10 +8,16 @@
 import itertools
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from redwingplank.batch.commands import AskAdvice, PaceRun
-from redwingplank.batch.emulated_worker import EmulatedRun, EmulatedWorker, Fault
+from redwingplank.batch.emulated_worker import (
+    EmulatedRun,
+    EmulatedWorker,
+    Fault,
+    make_restarted_entry,
+)
 from redwingplank.batch.entities import Run
 from redwingplank.batch.model import (
     CellConfig,
@@ -97,6 +103,8 @@
         self.violations: list[str] = []
         self.report_errors: list[Exception] = []
         self.starts = 0
+        self.start_listeners: list[Callable[[EmulatedWorker, TaskId], None]] = []
+        """Called with each start that a worker carries out."""
         self.lost_command_fraction = 0.0
         """Fraction of commands that get no answer; half of such starts are carried out late."""
         self.is_store_unavailable = False
@@ -135,6 +143,25 @@
         if known is not None:
             self.owner.mark_worker_unreachable(known, self.now_s)
 
+    def take_down(self, worker: EmulatedWorker) -> None:
+        """End a worker's process; the poll that was open fails immediately."""
+        worker.lose_memory()
+        worker.is_down = True
+        known = self.owner.state.workers_by_id.get(worker.entry.worker_id)
+        if known is not None:
+            self.owner.mark_worker_unreachable(known, self.now_s)
+
+    def bring_back(self, worker: EmulatedWorker, *, keeps_id: bool) -> None:
+        """Start a new process at the address of one that has ended."""
+        entry = make_restarted_entry(worker.entry, round(self.now_s * 1000))
+        if keeps_id:
+            worker.entry = entry
+            worker.is_down = False
+            return
+        entry = replace(entry, worker_id=f"{entry.address}/{entry.born_ms}")
+        self.workers[entry.worker_id] = EmulatedWorker(entry, worker.slowness)
+        self._poll(entry.worker_id)
+
     def submit(self, spec: JobSpec) -> None:
         """Store a job and submit it to the owner."""
         self.specs_by_id[spec.job_id] = spec
@@ -159,7 +186,7 @@
             self._tick_owner()
 
     def _entries(self) -> list[WorkerEntry]:
-        return [worker.entry for worker in self.workers.values()]
+        return [worker.entry for worker in self.workers.values() if not worker.is_down]
 
     def _schedule_polls(self) -> None:
         for worker_id in self.workers:
@@ -275,12 +302,12 @@
         born_ms = worker.entry.born_ms
 
         def carry_out() -> StartOutcome:
-            if worker.entry.born_ms != born_ms:
+            if worker.entry.born_ms != born_ms or worker.is_down:
                 # The command was sent to a process that no longer exists.
                 return StartOutcome.UNKNOWN
             return self._start(worker, run.task_id, run.attempt, spec, lease_ms, token)
 
-        if Fault.CUT in worker.faults:
+        if not worker.is_reachable:
             self.after(
                 0.8, lambda: owner.handle_start_outcome(run, StartOutcome.UNKNOWN, self.now_s)
             )
@@ -317,6 +344,8 @@
         worker.runs[(task, attempt)] = EmulatedRun(task, attempt, spec, self._work_s(task, spec))
         self.starts += 1
         self._check_start(worker, task, spec)
+        for listener in self.start_listeners:
+            listener(worker, task)
         return StartOutcome.STARTED
 
     def _check_start(self, worker: EmulatedWorker, task: TaskId, spec: StepSpec) -> None:
@@ -342,7 +371,7 @@
     def _send_stop(self, owner: JobOwner, run: Run) -> None:
         worker = self.workers[run.worker.id]
         token = owner.state.epoch
-        if Fault.CUT in worker.faults or self._is_lost():
+        if not worker.is_reachable or self._is_lost():
             self.after(
                 0.8, lambda: owner.handle_stop_outcome(run, is_taken=False, now_s=self.now_s)
             )
@@ -378,7 +407,7 @@
             return
         owner, sent_s, token = self.owner, self.now_s, self.owner.state.epoch
         request = owner.next_poll(known, sent_s, may_renew=True)
-        if Fault.CUT in worker.faults:
+        if not worker.is_reachable:
             self.after(0.6, lambda: owner.mark_worker_unreachable(known, self.now_s))
             return
         if token < worker.token:
@@ -396,7 +425,7 @@
         )
 
         def answer() -> None:
-            if worker.entry.born_ms != report.born_ms:
+            if worker.entry.born_ms != report.born_ms or worker.is_down:
                 return
             try:
                 owner.apply_report(known, report, sent_s, self.now_s)
