Release the runs of a worker once another process answers at its address

What callers saw: jobs whose worker had crashed were late by 6.5 s. Cause: a worker that crashes comes back under a new id at the same address after 3 to 4 s, and the owner took it for another worker: the runs of the old one waited for their lease. Why it works: a process that answers a poll with its own id at an address proves that the one before it there has ended; its birth is compared, so that a late answer of an older process proves nothing. The test failed before (its first version had one worker that the crashing task took down again at once; it now takes the worker down itself and asks for the restart of all three tasks, which is as strict).

--- /dev/null
+++ b/redwingplank/batch/crashes.py
@@ -0,0 +1,165 @@
+"""Finds the tasks that crash the workers that start them, and gives them up.
+
+A worker that crashes takes all its runs with it, and nothing says which of them was the cause.
+Those that had started just before are suspected. They start again on workers where nothing else
+has just started, so that the next crash has only one suspect.
+"""
+
+from redwingplank.batch.entities import PROBATION_S, LostRun, Run, RunState, Worker
+from redwingplank.batch.model import Incarnation, JobState, StepKey, TaskId
+from redwingplank.batch.state import OwnerState
+
+__all__ = ["Crashes"]
+
+CRASH_LIMIT = 5
+"""Number of crashed workers after which a task is given up even if others may be the cause."""
+GROUP_SIZE = 3
+"""This many workers that end at the same time have a cause in common, such as a rack."""
+SAME_TIME_S = 0.1
+"""Workers that become unreachable within this time of each other ended at the same time."""
+PROVEN_S = 10.0
+"""A run of a lasting task that is older than this did not crash its worker by starting there."""
+
+
+class Crashes:
+    """Counts crashes of workers against the tasks that ran there.
+
+    Parameters
+    ----------
+    state : OwnerState
+        Jobs and workers of the owner.
+
+    Notes
+    -----
+    The counts are stored with the progress of a job, as are the processes that may run its tasks,
+    so that a new owner also counts crashes that happened around the change of owners.
+    """
+
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
+
+    def count_end_of_process(self, worker: Worker, now_s: float) -> None:
+        """Count the end of a worker's process against the tasks that ran there.
+
+        Call it while the runs of the process are still known. Workers that leave as planned do not
+        count.
+        """
+        if worker.entry.is_draining:
+            return
+        for lost in self._judge_runs(worker, now_s):
+            self._count(lost, worker.id, now_s)
+
+    def remember_lost_runs(self, worker: Worker, now_s: float) -> None:
+        """Remember the runs of an unreachable worker, in case that its process has crashed."""
+        if not worker.entry.is_draining:
+            self._lost_runs_of(worker.incarnation).extend(self._judge_runs(worker, now_s))
+
+    def remember_inherited_tasks(self, process: Incarnation, task_ids: list[TaskId]) -> None:
+        """Remember tasks that a process may have started for an earlier owner."""
+        self._lost_runs_of(process).extend(LostRun(task_id) for task_id in task_ids)
+
+    def _lost_runs_of(self, process: Incarnation) -> list[LostRun]:
+        return self._state.lost_runs_by_process.setdefault(process, [])
+
+    def settle(self, worker: Worker, now_s: float) -> None:
+        """Settle what became of earlier processes with the id or the address of a worker.
+
+        Call it when the process of the worker is known to run.
+        """
+        by_process = self._state.lost_runs_by_process
+        self._forget_hosts(worker.incarnation, by_process.pop(worker.incarnation, []))
+        for process in [process for process in by_process if worker.has_replaced(process)]:
+            lost_runs = by_process.pop(process)
+            for lost in self._judge_inherited(lost_runs):
+                self._count(lost, process.worker_id, now_s)
+            self._forget_hosts(process, lost_runs)
+            self._state.unconfirmed_hosts.pop(process.worker_id, None)
+
+    def _forget_hosts(self, process: Incarnation, lost_runs: list[LostRun]) -> None:
+        """Let a next owner know that a process does not run these tasks, except those it listed."""
+        for lost in lost_runs:
+            found = self._state.find_task(lost.task_id)
+            if found is not None:
+                self._state.forget_host(*found, process)
+
+    def _judge_runs(self, worker: Worker, now_s: float) -> list[LostRun]:
+        """Return the runs of a worker whose process ended, with those that may have caused it.
+
+        No task is the only suspect if several workers ended at once, as those of a rack do.
+        """
+        ended_s = worker.silent_s if worker.is_unreachable else now_s
+        runs = [run for run in worker.runs_by_key.values() if run.state is not RunState.PLANNED]
+        suspects = {_subject(run) for run in runs if ended_s - run.begun_s < PROBATION_S}
+        is_alone = len(suspects) == 1 and self._count_silent_at(ended_s) < GROUP_SIZE
+        return [
+            LostRun(
+                run.task_id,
+                max(0.0, ended_s - run.begun_s),
+                is_certain=run.is_accepted or run.is_listed,
+                is_suspect=_subject(run) in suspects,
+                is_alone=is_alone,
+            )
+            for run in runs
+        ]
+
+    def _count_silent_at(self, ended_s: float) -> int:
+        return sum(
+            abs(worker.silent_s - ended_s) < SAME_TIME_S
+            for worker in self._state.workers_by_id.values()
+        )
+
+    def _judge_inherited(self, lost_runs: list[LostRun]) -> list[LostRun]:
+        """Suspect, among runs of unknown age, those whose tasks were suspected before, or all.
+
+        None of them is the only suspect: it may have ended before the crash.
+        """
+        inherited = [lost for lost in lost_runs if lost.run_s is None]
+        suspects = [lost for lost in inherited if self._is_suspected(lost.task_id)] or inherited
+        judged = [LostRun(lost.task_id, 0.0, is_suspect=lost in suspects) for lost in inherited]
+        return judged + [lost for lost in lost_runs if lost.run_s is not None]
+
+    def _is_suspected(self, task_id: TaskId) -> bool:
+        found = self._state.find_task(task_id)
+        return found is not None and found[1].suspicions > 0
+
+    def forget_ended_jobs(self) -> None:
+        """Forget the processes whose tasks all belong to jobs that are not known any more."""
+        by_process = self._state.lost_runs_by_process
+        for process, lost_runs in list(by_process.items()):
+            if not any(lost.task_id.job_id in self._state.jobs_by_id for lost in lost_runs):
+                del by_process[process]
+
+    def _count(self, lost: LostRun, worker_id: str, now_s: float) -> None:
+        found = self._state.find_task(lost.task_id)
+        if found is None or found[1].is_done or found[0].state.is_final:
+            return
+        job, task = found
+        run_s = lost.run_s or 0.0
+        if job.steps_by_key[lost.task_id.step_key].spec.is_lasting and run_s >= PROVEN_S:
+            task.crashes = task.proven_crashes = task.suspicions = 0
+        task.crashes += 1
+        task.proven_crashes += lost.is_certain
+        task.suspicions += lost.is_suspect
+        self._state.mark_dirty(job)
+        self._state.log_decision(
+            "task_crash",
+            job=lost.task_id.job_id,
+            task=lost.task_id,
+            worker=worker_id,
+            crashes=task.crashes,
+            proven=task.proven_crashes,
+            suspicions=task.suspicions,
+            ran_s=run_s,
+            is_suspect=lost.is_suspect,
+            is_alone=lost.is_alone,
+        )
+        is_only_suspect = lost.is_suspect and lost.is_alone and task.suspicions > 1
+        is_cause = is_only_suspect and task.proven_crashes > 1
+        if is_cause or task.crashes >= CRASH_LIMIT:
+            self._state.finish_job(job, JobState.FAILED, now_s, "crashes_workers")
+
+
+def _subject(run: Run) -> TaskId | StepKey:
+    """Return what is suspected as one: a whole gang, or a task."""
+    is_gang = run.spec is not None and run.spec.is_gang
+    return run.task_id.step_key if is_gang else run.task_id
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -6,6 +6,7 @@
 
 from redwingplank.batch.model import (
     NO_AMOUNTS,
+    Incarnation,
     JobSpec,
     JobState,
     StepKey,
@@ -336,6 +337,16 @@
         """Speed of the filler tasks on the worker, as a percentage of full speed."""
         self.paced_s = 0.0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The process that the worker is known to have."""
+        return Incarnation(self.id, self.entry.address, self.born_ms)
+
+    def has_replaced(self, process: Incarnation) -> bool:
+        """Return whether the worker's process proves that an earlier one has ended."""
+        is_same_place = self.id == process.worker_id or self.entry.address == process.address
+        return is_same_place and 0 < process.born_ms < self.born_ms
+
     def update_entry(self, entry: WorkerEntry) -> None:
         """Replace the published entry of the worker and recompute the free capacity."""
         self.entry = entry
--- a/redwingplank/batch/model.py
+++ b/redwingplank/batch/model.py
@@ -10,6 +10,7 @@
     "Amounts",
     "CellConfig",
     "CompletionKind",
+    "Incarnation",
     "JobSpec",
     "JobState",
     "PollReport",
@@ -251,6 +252,14 @@
         return found
 
 
+class Incarnation(NamedTuple):
+    """One process of a worker; `born_ms` is the Unix time in milliseconds of its start."""
+
+    worker_id: str
+    address: str
+    born_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
     """A worker as it published itself in the list of workers.
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -76,7 +76,7 @@
                 self._release_run(run, now_s, "worker_reborn")
             else:
                 self._mark_run_unconfirmed(run, now_s)
-        self._confirm_worker(worker)
+        self._confirm_worker(worker, now_s)
 
     def apply_report(self, worker: Worker, report: PollReport, sent_s: float, now_s: float) -> None:
         """Apply the report that a worker returned to a poll.
@@ -111,7 +111,7 @@
         for completion in report.completions:
             self._completions.apply_completion(worker, completion, now_s)
         self._apply_listed_runs(worker, report, sent_s, now_s)
-        self._confirm_worker(worker)
+        self._confirm_worker(worker, now_s)
         worker.acknowledge_stored_completions()
 
     def _apply_listed_runs(
@@ -245,20 +245,25 @@
             run.state = RunState.UNCONFIRMED
             run.sent_s = now_s
 
-    def _confirm_worker(self, worker: Worker) -> None:
+    def _confirm_worker(self, worker: Worker, now_s: float) -> None:
         if worker.is_confirmed:
             return
         worker.is_confirmed = True
-        self._log_replaced(worker)
+        self._release_replaced_workers(worker, now_s)
         self._state.unconfirmed_hosts.pop(worker.id, None)
         self._state.needs_pass = True
 
-    def _log_replaced(self, worker: Worker) -> None:
-        """Log each earlier worker at the address of one that answered: its process has ended."""
+    def _release_replaced_workers(self, worker: Worker, now_s: float) -> None:
+        """Release the runs of earlier workers at the address of one that has answered.
+
+        Their processes have ended, so nothing waits for their leases.
+        """
         for other in self._state.workers_by_id.values():
-            is_earlier = other.born_ms < worker.born_ms
-            if other.entry.address == worker.entry.address and is_earlier:
-                self._log_worker(other, "worker_replaced", successor=worker.id)
+            if other is worker or not worker.has_replaced(other.incarnation):
+                continue
+            self._log_worker(other, "worker_replaced", successor=worker.id)
+            self._release_all_runs(other, now_s, "worker_replaced")
+            self.mark_unreachable(other, now_s)
 
     def _log_worker(self, worker: Worker, event: str, **fields: object) -> None:
         entry = worker.entry
--- a/redwingplank/batch/tests/test_crashes.py
+++ b/redwingplank/batch/tests/test_crashes.py
@@ -99,14 +99,15 @@
     """Failure: tasks that only shared a crashed worker wait for its lease, or are given up."""
 
     def test_they_start_again_once_another_process_answers_at_the_address(self):
-        cell, tasks = make_crashing_cell(workers=1, down_s=2.0)
-        cell.submit(make_job("a", step(1, estimate_s=1.5), at_s=cell.now_s))
-        cell.run_for(0.5)
-        cell.submit(make_job("deadly", step(1, estimate_s=1.0), at_s=cell.now_s))
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(3, estimate_s=1.5), at_s=cell.now_s))
         cell.run_for(0.5)
-        assert tasks.crashes == 1
-        cell.run_for(2.5)
-        assert any(run.task.job_id == "a" for w in cell.workers.values() for run in w.runs.values())
+        (worker,) = cell.workers.values()
+        cell.take_down(worker)
+        cell.run_for(1.5)
+        cell.bring_back(worker, keeps_id=False)
+        cell.run_for(1.0)
+        assert cell.starts == 6
 
     def test_what_shared_every_crash_of_another_task_completes(self):
         cell, _ = make_crashing_cell(workers=2)
