Give up tasks that crash the workers that start them, and find which ones do

Cause: the loss of a run said nothing about its task. The class: a retry without a bound, whose cause goes with the witness. Change: the end of a process counts against the tasks that ran there (batch/crashes.py). Suspected are those that had started within 0.5 s before. A suspect starts again on a quiet worker, after two suspicions on one where nothing else has just started; it is given up when it was the only suspect and two workers certainly crashed under it, or after five crashes. Workers of a group that end at once, planned leaves and cuts (the same process answers again) name no cause. Suspects get no copies. Over owners: counts are stored with the job, and hosts are stored as processes (id, address, birth), so that a new owner sees that the process which ran a task has ended, and counts it, but as uncertain. Why it works: each crash after the first has one suspect, or leads to one that has.

--- a/redwingplank/batch/emulated_crashes.py
+++ b/redwingplank/batch/emulated_crashes.py
@@ -46,15 +46,13 @@
         self._down_s = down_s
         self._keeps_id = keeps_id
         self.crashes = 0
-        self.crash_counts: Counter[TaskId] = Counter()
-        """Number of workers that crashed under each task, by task."""
         self._starts_beyond: Counter[TaskId] = Counter()
         cell.start_listeners.append(self._handle_start)
 
     def _handle_start(self, worker: EmulatedWorker, task: TaskId) -> None:
         if not self._is_crashing(task):
             return
-        if self.crash_counts[task] >= CRASHES_BEFORE_LIMIT:
+        if self._cell.crash_counts[task] >= CRASHES_BEFORE_LIMIT:
             self._starts_beyond[task] += 1
         if self._starts_beyond[task] >= STARTS_BEYOND_LIMIT:
             self._cell.violations.append(f"{task} started although it crashes its workers")
@@ -64,8 +62,6 @@
         if worker.is_down or not any(run.task == task for run in worker.runs.values()):
             return
         self.crashes += 1
-        for run in worker.runs.values():
-            self.crash_counts[run.task] += 1
         self._cell.take_down(worker)
         self._cell.after(
             self._down_s, lambda: self._cell.bring_back(worker, keeps_id=self._keeps_id)
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -105,6 +106,8 @@
         self.starts = 0
         self.start_listeners: list[Callable[[EmulatedWorker, TaskId], None]] = []
         """Called with each start that a worker carries out."""
+        self.crash_counts: Counter[TaskId] = Counter()
+        """Number of workers that crashed while they ran a task, by task."""
         self.lost_command_fraction = 0.0
         """Fraction of commands that get no answer; half of such starts are carried out late."""
         self.is_store_unavailable = False
@@ -138,6 +141,7 @@
     def crash(self, worker_id: str) -> None:
         """Restart a worker's process; the poll that was open fails immediately."""
         worker = self.workers[worker_id]
+        self.crash_counts.update(run.task for run in worker.runs.values())
         worker.crash(worker.entry.born_ms + 1)
         known = self.owner.state.workers_by_id.get(worker_id)
         if known is not None:
@@ -145,6 +149,7 @@
 
     def take_down(self, worker: EmulatedWorker) -> None:
         """End a worker's process; the poll that was open fails immediately."""
+        self.crash_counts.update(run.task for run in worker.runs.values())
         worker.lose_memory()
         worker.is_down = True
         known = self.owner.state.workers_by_id.get(worker.entry.worker_id)
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -15,11 +15,24 @@
     WorkerEntry,
 )
 
-__all__ = ["Job", "PendingCompletion", "Run", "RunState", "Step", "Task", "Ticket", "Worker"]
+__all__ = [
+    "PROBATION_S",
+    "Job",
+    "LostRun",
+    "PendingCompletion",
+    "Run",
+    "RunState",
+    "Step",
+    "Task",
+    "Ticket",
+    "Worker",
+]
 
 
 MAX_COPIES = 2
 """Largest number of concurrent runs of one task, if its step allows copies."""
+PROBATION_S = 0.5
+"""Age in seconds below which a run is suspected if its worker crashes."""
 
 
 class RunState(enum.Enum):
@@ -55,11 +68,28 @@
     version: int
 
 
+class LostRun(NamedTuple):
+    """A run whose worker crashed, or may have.
+
+    `run_s` is its age then, None if an earlier owner had started it. `is_certain` is whether it
+    certainly ran then, `is_suspect` whether it may have been the cause, and `is_alone` whether
+    there was no other suspect.
+    """
+
+    task_id: TaskId
+    run_s: float | None = None
+    is_certain: bool = False
+    is_suspect: bool = False
+    is_alone: bool = False
+
+
 class Run:
     """One attempt of a task on a worker; it reserves capacity until its completion is known."""
 
     __slots__ = (
         "attempt",
+        "incarnation",
+        "is_accepted",
         "is_listed",
         "load",
         "pace_percent",
@@ -89,6 +119,8 @@
         self.task_id = task_id
         self.attempt = attempt
         self.worker = worker
+        self.incarnation = worker.incarnation
+        """The process that was told to start the run."""
         self.spec = spec
         self.state = state
         self.reserved = spec.reserved if spec else NO_AMOUNTS
@@ -100,6 +132,8 @@
         self.load = 0.0
         self.is_listed = False
         """Whether a report of the worker has listed the run."""
+        self.is_accepted = False
+        """Whether the worker has accepted the start command."""
         self.pace_percent = 100
         """Speed that the worker was last commanded to run at, as a percentage of full speed."""
         self.stop_sent_s: float | None = None
@@ -115,6 +149,16 @@
         """Key of the run among the runs of its worker: task and attempt."""
         return self.task_id, self.attempt
 
+    @property
+    def is_lost_at_start(self) -> bool:
+        """Whether the worker became unreachable just after it began with the run."""
+        return self.worker.is_unreachable and self.worker.silent_s - self.begun_s < PROBATION_S
+
+    @property
+    def begun_s(self) -> float:
+        """Time at which the worker began with the run, as far as known."""
+        return max(self.sent_s, self.started_s)
+
 
 class Task:
     """One task with its history and the runs of it that may exist."""
@@ -122,14 +166,18 @@
     __slots__ = (
         "attempt",
         "bad_workers",
+        "crashes",
         "failures",
         "id",
         "is_done",
+        "isolation_wait_from_s",
         "last_end_s",
         "last_failed_attempt",
         "not_before_s",
+        "proven_crashes",
         "runs",
         "saved",
+        "suspicions",
     )
 
     def __init__(self, task_id: TaskId) -> None:
@@ -143,6 +191,24 @@
         self.not_before_s = 0.0
         self.last_end_s = 0.0
         self.bad_workers: set[str] = set()
+        self.crashes = 0
+        """Number of workers that crashed while they may have run the task."""
+        self.proven_crashes = 0
+        """Number of workers that crashed while they certainly ran the task."""
+        self.suspicions = 0
+        """Number of these crashes that followed a start of the task."""
+        self.isolation_wait_from_s: float | None = None
+        """Time since when the task waits for a worker without other starts, None if it does not."""
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task may be what crashed a worker, or has just left one unreachable."""
+        return self.suspicions > 0 or any(run.is_lost_at_start for run in self.runs)
+
+    @property
+    def needs_isolation(self) -> bool:
+        """Whether the task has to start where nothing else has just started."""
+        return self.suspicions > 1
 
 
 class Step:
@@ -171,8 +237,8 @@
         self.undone_count = spec.count
         self.is_open = False
         self.opened_s = 0.0
-        self.hosts: dict[str, int] = {}
-        """Bit set, by worker id, of the tasks that the worker may have been told to run."""
+        self.hosts: dict[Incarnation, int] = {}
+        """Bit set, by process, of the tasks that the process may have been told to run."""
         self.tickets_by_worker: dict[str, Ticket] = {}
         self.refused_workers: set[str] = set()
         """Workers for which the advice service issued no ticket."""
@@ -193,31 +259,36 @@
     def _may_start(self, task: Task) -> bool:
         if not task.runs:
             return True
-        if not self.spec.may_copy or len(task.runs) >= MAX_COPIES:
+        if not self.spec.may_copy or task.is_suspect or len(task.runs) >= MAX_COPIES:
             return False
         return all(run.worker.is_unreachable for run in task.runs)
 
-    def add_host(self, worker_id: str, task_id: TaskId) -> bool:
-        """Record that a worker may run a task; return whether this was not recorded before."""
-        bits = self.hosts.get(worker_id, 0)
-        self.hosts[worker_id] = bits | 1 << task_id.position
-        return self.hosts[worker_id] != bits
+    def add_host(self, host: Incarnation, task_id: TaskId) -> bool:
+        """Record that a process may run a task; return whether this was not recorded before."""
+        bits = self.hosts.get(host, 0)
+        self.hosts[host] = bits | 1 << task_id.position
+        return self.hosts[host] != bits
 
-    def remove_host(self, worker_id: str, task_id: TaskId) -> bool:
-        """Record that a worker no longer runs a task; return whether this was not recorded."""
-        bits = self.hosts.get(worker_id, 0)
+    def remove_host(self, host: Incarnation, task_id: TaskId) -> bool:
+        """Record that a process no longer runs a task; return whether this was not recorded."""
+        bits = self.hosts.get(host, 0)
         left = bits & ~(1 << task_id.position)
         if left:
-            self.hosts[worker_id] = left
+            self.hosts[host] = left
         else:
-            self.hosts.pop(worker_id, None)
+            self.hosts.pop(host, None)
         return left != bits
 
+    def hosted_tasks(self, host: Incarnation) -> list[Task]:
+        """Return the tasks that are not done and that a process may have been told to run."""
+        bits = self.hosts.get(host, 0)
+        return [task for task in self.tasks if bits >> task.id.position & 1 and not task.is_done]
+
     @property
     def has_progress(self) -> bool:
         """Whether a new owner needs to know anything of the step beyond its specification."""
         return bool(self.hosts) or any(
-            task.is_done or task.failures or task.saved for task in self.tasks
+            task.is_done or task.failures or task.crashes or task.saved for task in self.tasks
         )
 
 
@@ -292,11 +363,13 @@
         "failures_in_row",
         "filler_percent",
         "free",
+        "guarded_until_s",
         "handled_completion_number",
         "id",
         "is_confirmed",
         "is_listed",
         "is_unreachable",
+        "last_start_s",
         "lease_until_ms",
         "paced_s",
         "pending_completions",
@@ -333,6 +406,9 @@
         self.pending_completions: deque[PendingCompletion] = deque()
         self.failures_in_row = 0
         self.avoided_until_s = 0.0
+        self.last_start_s = float("-inf")
+        self.guarded_until_s = 0.0
+        """Time until which a suspect that has just started should stay without other starts."""
         self.filler_percent = 100
         """Speed of the filler tasks on the worker, as a percentage of full speed."""
         self.paced_s = 0.0
@@ -352,6 +428,18 @@
         self.entry = entry
         self.free = entry.capacity.minus(self.reserved)
 
+    def record_start(self, task: Task, now_s: float) -> None:
+        """Record that a run of a task has been planned or has begun."""
+        self.last_start_s = now_s
+        if task.is_suspect:
+            self.guarded_until_s = now_s + PROBATION_S
+        if task.needs_isolation:
+            self.avoided_until_s = max(self.avoided_until_s, now_s + PROBATION_S)
+
+    def had_start_since(self, now_s: float) -> bool:
+        """Return whether a run on the worker is so young that it would be suspected of a crash."""
+        return now_s - self.last_start_s < PROBATION_S
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve capacity for it."""
         self.runs_by_key[run.key] = run
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -5,6 +5,7 @@
 
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.completions import Completions
+from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import Job, Run, RunState, Step, Worker
 from redwingplank.batch.model import (
     CellConfig,
@@ -80,7 +81,8 @@
     ) -> None:
         self.state = OwnerState(settings, epoch, config, log_decision)
         self._completions = Completions(self.state)
-        self._reports = Reports(self.state, self._completions)
+        self._crashes = Crashes(self.state)
+        self._reports = Reports(self.state, self._completions, self._crashes)
         self._placement = Placement(self.state)
         self._tickets = Tickets(self.state, self._placement)
         self._starter = Starter(self.state, self._placement, self._tickets)
@@ -105,7 +107,9 @@
         until_s = self._confirmation_deadline_s(now_s)
         for step in job.steps_by_key.values():
             for host in step.hosts:
-                self.state.unconfirmed_hosts.setdefault(host, until_s)
+                self.state.unconfirmed_hosts.setdefault(host.worker_id, until_s)
+                task_ids = [task.id for task in step.hosted_tasks(host)]
+                self._crashes.remember_inherited_tasks(host, task_ids)
         self._open_ready_steps(job, now_s)
 
     def _confirmation_deadline_s(self, now_s: float) -> float:
@@ -325,8 +329,12 @@
     def _handle_accepted_start(self, run: Run, now_s: float) -> None:
         if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
             run.state = RunState.RUNNING
+            run.is_accepted = True
             run.resolved_s = now_s
             run.started_s = run.progressed_s = now_s
+            found = self.state.find_task(run.task_id)
+            if found is not None:
+                run.worker.record_start(found[1], now_s)
 
     def _handle_unanswered_start(self, run: Run, now_s: float) -> None:
         worker = run.worker
@@ -422,4 +430,5 @@
         ]
         for job_id in removed:
             del self.state.jobs_by_id[job_id]
+        self._crashes.forget_ended_jobs()
         return removed
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -123,7 +123,15 @@
         """Return a worker for each task of a gang, None if not all tasks fit."""
         spec = step.spec
         fitting = [worker for worker in workers if self.fits(worker, step, now_s)]
-        fitting.sort(key=lambda worker: (self.score(worker, step), worker.id))
+        is_suspect = any(task.is_suspect for task in step.tasks)
+        fitting.sort(
+            key=lambda worker: (
+                now_s < worker.guarded_until_s,
+                is_suspect and worker.had_start_since(now_s),
+                self.score(worker, step),
+                worker.id,
+            )
+        )
         if spec.same_rack:
             for rack in sorted({worker.entry.rack for worker in fitting}):
                 inside = [worker for worker in fitting if worker.entry.rack == rack]
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from redwingplank.batch.entities import Job, Step
-from redwingplank.batch.model import JobSpec, JobState, StepKey
+from redwingplank.batch.model import Incarnation, JobSpec, JobState, StepKey
 
 __all__ = ["decode_submission", "encode_progress", "encode_submission", "restore_progress"]
 
@@ -12,11 +12,14 @@
     done: str
     """Bit set of the tasks that are done, as a hexadecimal number; bit 0 is the first task."""
     hosts: dict[str, str]
-    """Hexadecimal bit set, by worker id, of the tasks that it may have been told to run."""
+    """Hexadecimal bit set of the tasks that a process may have been told to run, by the process:
+    id, address and start of the worker, separated by spaces."""
     failures: dict[str, tuple[int, int]] = {}
     """Number of failures and the last failed attempt, by task index."""
     saved: dict[str, str] = {}
     """Last checkpoint of each task that is not done, by task index."""
+    crashes: dict[str, tuple[int, int, int]] = {}
+    """Numbers of crashes, of proven crashes and of suspicions, by task index."""
 
 
 class _Progress(msgspec.Struct, omit_defaults=True):
@@ -81,7 +84,7 @@
 
 def _encode_step(step: Step) -> _StepRecord:
     bits = 0
-    record = _StepRecord("", {worker: f"{bits:x}" for worker, bits in step.hosts.items()})
+    record = _StepRecord("", {_encode_host(host): f"{bits:x}" for host, bits in step.hosts.items()})
     for index, task in enumerate(step.tasks):
         if task.is_done:
             bits |= 1 << index
@@ -89,13 +92,21 @@
             record.saved[str(index)] = task.saved
         if task.failures:
             record.failures[str(index)] = (task.failures, task.last_failed_attempt)
+        if task.crashes and not task.is_done:
+            record.crashes[str(index)] = (
+                task.crashes,
+                task.proven_crashes,
+                task.suspicions,
+            )
     record.done = f"{bits:x}"
     return record
 
 
 def _restore_step(step: Step, record: _StepRecord) -> None:
     bits = int(record.done or "0", 16)
-    step.hosts.update((worker, int(hosted, 16)) for worker, hosted in record.hosts.items())
+    step.hosts.update(
+        (_decode_host(host), int(hosted, 16)) for host, hosted in record.hosts.items()
+    )
     for index, task in enumerate(step.tasks):
         if bits >> index & 1:
             task.is_done = True
@@ -104,3 +115,17 @@
         failures = record.failures.get(str(index))
         if failures is not None:
             task.failures, task.last_failed_attempt = failures
+        crashes = record.crashes.get(str(index), (0, 0, 0))
+        task.crashes, task.proven_crashes, task.suspicions = crashes
+
+
+def _encode_host(host: Incarnation) -> str:
+    return f"{host.worker_id} {host.address} {host.born_ms}"
+
+
+def _decode_host(text: str) -> Incarnation:
+    """Return the process of a record; earlier versions stored only the id of its worker."""
+    worker_id, *rest = text.rsplit(" ", 2)
+    if len(rest) != 2 or not rest[1].isdecimal():
+        return Incarnation(text, "", 0)
+    return Incarnation(worker_id, rest[0], int(rest[1]))
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -1,6 +1,7 @@
 """Updates the owner's state from the list of workers and from the reports of each worker."""
 
 from redwingplank.batch.completions import Completions
+from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import Amounts, PollReport, RunReport, WorkerEntry
 from redwingplank.batch.state import OwnerState
@@ -20,10 +21,13 @@
         Jobs and workers of the owner.
     completions : Completions
         Applies the reported completions.
+    crashes : Crashes
+        Counts the crashes of workers against their tasks.
     """
 
-    def __init__(self, state: OwnerState, completions: Completions) -> None:
+    def __init__(self, state: OwnerState, completions: Completions, crashes: Crashes) -> None:
         self._state = state
+        self._crashes = crashes
         self._completions = completions
 
     def list_workers(self, entries: list[WorkerEntry], now_s: float) -> None:
@@ -64,6 +68,7 @@
         other runs may have reached the new process, so these runs have to be confirmed again.
         """
         self._log_worker(worker, "worker_reborn")
+        self._crashes.count_end_of_process(worker, now_s)
         worker.born_ms = born_ms
         worker.clock_ms = None
         worker.lease_until_ms = 0
@@ -76,6 +81,7 @@
                 self._release_run(run, now_s, "worker_reborn")
             else:
                 self._mark_run_unconfirmed(run, now_s)
+        self._crashes.settle(worker, now_s)
         self._confirm_worker(worker, now_s)
 
     def apply_report(self, worker: Worker, report: PollReport, sent_s: float, now_s: float) -> None:
@@ -105,6 +111,7 @@
         worker.clock_at_s = now_s
         if worker.is_unreachable:
             self._log_worker(worker, "worker_answers")
+            self._crashes.settle(worker, now_s)
             self._state.needs_pass = True
         worker.is_unreachable = False
         worker.answered_s = now_s
@@ -176,7 +183,7 @@
         job, task = found
         step = job.steps_by_key[row.task.step_key]
         state.add_run(task, run)
-        if step.add_host(worker.id, row.task):
+        if step.add_host(worker.incarnation, row.task):
             state.mark_dirty(job)
         if row.saved:
             task.saved = row.saved
@@ -221,6 +228,7 @@
         if not worker.is_confirmed and now_s < worker.unconfirmed_until_s:
             return
         if worker.is_lease_expired(now_s, settings.max_clock_drift, margin_ms):
+            self._crashes.remember_lost_runs(worker, now_s)
             self._release_all_runs(worker, now_s, "lease_over")
 
     def _release_all_runs(self, worker: Worker, now_s: float, reason: str) -> None:
@@ -241,6 +249,7 @@
 
     def _mark_run_unconfirmed(self, run: Run, now_s: float) -> None:
         run.resolved_s = None
+        self._state.move_run(run)
         if run.state is RunState.RUNNING:
             run.state = RunState.UNCONFIRMED
             run.sent_s = now_s
@@ -250,6 +259,7 @@
             return
         worker.is_confirmed = True
         self._release_replaced_workers(worker, now_s)
+        self._crashes.settle(worker, now_s)
         self._state.unconfirmed_hosts.pop(worker.id, None)
         self._state.needs_pass = True
 
@@ -262,6 +272,7 @@
             if other is worker or not worker.has_replaced(other.incarnation):
                 continue
             self._log_worker(other, "worker_replaced", successor=worker.id)
+            self._crashes.count_end_of_process(other, now_s)
             self._release_all_runs(other, now_s, "worker_replaced")
             self.mark_unreachable(other, now_s)
 
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -66,17 +66,22 @@
         """Return the startable tasks that certainly do not run for an earlier owner.
 
         A task is left out if a worker that this owner has not confirmed yet may run it, unless the
-        step allows copies.
+        step allows copies and the task is not suspected of having crashed that worker.
         """
         startable = step.find_startable_tasks(now_s)
         unconfirmed = self._state.unconfirmed_hosts
-        if not unconfirmed or step.spec.may_copy:
+        if not unconfirmed:
             return startable
         unconfirmed_tasks = 0
         for host, hosted in step.hosts.items():
-            if host in unconfirmed:
+            if host.worker_id in unconfirmed:
                 unconfirmed_tasks |= hosted
-        return [task for task in startable if not unconfirmed_tasks >> task.id.position & 1]
+        return [
+            task
+            for task in startable
+            if (step.spec.may_copy and not task.is_suspect)
+            or not unconfirmed_tasks >> task.id.position & 1
+        ]
 
     def _plan_step_or_ask_advice(
         self, step: Step, queue: QueuePolicy, eligible: EligibleWorkers, now_s: float
@@ -106,6 +111,8 @@
         candidates = Candidates(self._placement, workers, step, now_s)
         for task in startable:
             worker = candidates.pop_best(task)
+            if worker is None and candidates.are_left:
+                continue
             if worker is None:
                 return False
             self._plan_run(step, task, worker, self._state.next_attempt(task), now_s)
@@ -126,9 +133,10 @@
     def _plan_run(self, step: Step, task: Task, worker: Worker, attempt: int, now_s: float) -> None:
         state = self._state
         run = Run(task.id, attempt, worker, step.spec, now_s, RunState.PLANNED)
+        worker.record_start(task, now_s)
         state.add_run(task, run)
         job = step.job
-        if step.add_host(worker.id, task.id) or not job.is_started:
+        if step.add_host(worker.incarnation, task.id) or not job.is_started:
             job.is_started = True
             if not job.state.is_final:
                 job.state = JobState.RUNNING
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -4,8 +4,16 @@
 from typing import Any
 
 from redwingplank.batch.commands import Commands
-from redwingplank.batch.entities import Job, Run, RunState, Step, Task, Worker
-from redwingplank.batch.model import CellConfig, JobState, QueuePolicy, StepKey, StepSpec, TaskId
+from redwingplank.batch.entities import Job, LostRun, Run, RunState, Step, Task, Worker
+from redwingplank.batch.model import (
+    CellConfig,
+    Incarnation,
+    JobState,
+    QueuePolicy,
+    StepKey,
+    StepSpec,
+    TaskId,
+)
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.speeds import Speeds
 
@@ -46,6 +54,8 @@
         """Ids of unconfirmed workers that may run tasks of earlier owners, with the time in seconds
         when every lease there has expired.
         """
+        self.lost_runs_by_process: dict[Incarnation, list[LostRun]] = {}
+        """Runs of processes of which nothing is known any more: they may have crashed."""
         self.dirty_jobs: dict[str, Job] = {}
         self.commands = Commands()
         self.speeds = Speeds(settings.remote_factor)
@@ -94,16 +104,29 @@
         if run in task.runs:
             task.runs.remove(run)
             task.last_end_s = now_s
-        self._forget_host(job, task, run.worker)
+        self.forget_host(job, task, run.incarnation)
         self.reopen_step(run.task_id.step_key)
         return task
 
-    def _forget_host(self, job: Job, task: Task, worker: Worker) -> None:
-        """Let a next owner know that a task no longer waits for what a worker may run."""
-        if job.state.is_final or any(other.worker is worker for other in task.runs):
+    def move_run(self, run: Run) -> None:
+        """Record that a run may be in the present process of its worker, not in an earlier one."""
+        found = self.find_task(run.task_id)
+        earlier, run.incarnation = run.incarnation, run.worker.incarnation
+        if found is None or found[0].state.is_final:
+            return
+        job = found[0]
+        step = job.steps_by_key[run.task_id.step_key]
+        step.remove_host(earlier, run.task_id)
+        step.add_host(run.incarnation, run.task_id)
+        self.mark_dirty(job)
+
+    def forget_host(self, job: Job, task: Task, process: Incarnation) -> None:
+        """Let a next owner know that a task no longer waits for what a process may run."""
+        is_host = any(run.incarnation == process for run in task.runs)
+        if job.state.is_final or is_host:
             return
         step = job.steps_by_key[task.id.step_key]
-        if step.remove_host(worker.id, task.id):
+        if step.remove_host(process, task.id):
             self.mark_dirty(job)
 
     def reopen_step(self, key: StepKey) -> None:
