Send no planned start to a worker whose capacity has shrunk meanwhile

Cause: room is checked when a start is planned; the start then waits for the write that names its worker, up to seconds while the store is slow or down, and was sent without another look. Evidence: four tasks planned while the store was away, capacity 8,000 -> 3,000 millicores before it came back: three starts over the capacity in the emulation. Change: a start that is due is dropped, and planned anew, while more is reserved than the worker has.

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -8,6 +8,7 @@
 from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import Job, Run, RunState, Step, Worker
 from redwingplank.batch.model import (
+    NO_AMOUNTS,
     CellConfig,
     JobSpec,
     JobState,
@@ -307,7 +308,9 @@
         is_removed = run.worker.runs_by_key.get(run.key) is not run
         if is_removed or run.state is not RunState.PLANNED:
             return False
-        if run.worker.clock_ms is None or run.worker.is_unreachable:
+        worker = run.worker
+        has_shrunk = not worker.free.holds(NO_AMOUNTS)
+        if worker.clock_ms is None or worker.is_unreachable or has_shrunk:
             self.state.remove_run(run, now_s)
             return False
         run.state = RunState.STARTING
