Let one stored job that cannot be read stop no owner

What callers would see: no job runs any more. Cause: reading the stored jobs caught errors of decoding only. A job whose step follows a step that it does not have (an older version, another writer) raised IndexError: the loop of the owner began again and met the same job, and so did each next owner. Evidence: the test failed before: with three malformed jobs in the store no owner had read the others after 15 s. Why it works: each job is read by itself; one that fails is logged with its error (job_unreadable).

--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -181,8 +181,9 @@
                 spec = decode_submission(item.value)
                 progress = self._progress_by_id.get(job_id)
                 self.owner.restore_job(spec, progress, now, unix)
-            except (msgspec.MsgspecError, ValueError) as error:
-                self._context.log("job_unreadable", job=job_id, error=error)
+            except Exception as error:
+                # One bad job must not keep this owner, and every next one, from all others.
+                self._context.log("job_unreadable", job=job_id, error=repr(error))
         self._apply_cancellations(items)
         self._wake()
 
@@ -192,8 +193,9 @@
                 continue
             try:
                 self.owner.submit(decode_submission(item.value), now_s(), now_unix_s())
-            except msgspec.MsgspecError as error:
-                self._context.log("job_unreadable", key=item.key, error=error)
+            except Exception as error:
+                job_id = item.key.removeprefix(JOBS_PREFIX)
+                self._context.log("job_unreadable", job=job_id, error=repr(error))
         self._apply_cancellations(items)
         self._wake()
 
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 
 from redwingplank.cell import membership, owner_watch, record_writer
 from redwingplank.cell.callers import SubmitOutcome
@@ -89,6 +90,28 @@
         run_site(scenario)
 
 
+class TestJobsThatCannotBeRead:
+    """Failure: one stored job stops the owner that reads it, and the next one, and so on."""
+
+    def test_do_not_keep_an_owner_from_the_others(self):
+        async def scenario(site):
+            unreadable = ([{"count": 1, "after": [7]}], [1], "steps")
+            for number, steps in enumerate(unreadable):
+                job_id = f"{number:016x}"
+                job = {"job_id": job_id, "queue": "proof", "payload": "x", "steps": steps}
+                site.store.put(f"redwing/intake/jobs/{job_id}", msgspec.json.encode(job))
+            await site.call("POST", f"/proof/{ID}", JOB)
+            await site.until_state(ID, "completed", node=1)
+            old = site.owner_node()
+            await old.stop()
+            site.nodes.remove(old)
+            await site.until(lambda: site.owner_node() is not None)
+            assert await site.state_of(ID, node=1) == "completed"
+            assert sum("event=job_unreadable" in line for line in site.events()) >= 6
+
+        run_site(scenario, nodes=2)
+
+
 class TestStoreTrouble:
     def test_a_refusal_names_a_time_to_come_back_and_is_true(self):
         async def scenario(site):
