Bound the tasks of a job that an owner holds in memory

What callers would see: no job runs any more, on owner after owner. Change: at most 10,000 tasks in a job, refused at once with 400; at most 100 occurrences open at a time, a next one as one is done. A new owner first adds the occurrences that the record tells of. The tests failed before: 5,000 steps at once; 200 for 10,002 tasks.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -330,6 +330,10 @@
         """Number of times that the steps run."""
         return max(1, self.spec.repeat_count)
 
+    def count_open_occurrences(self) -> int:
+        """Return the number of occurrences with tasks that are not done."""
+        return len({key.occurrence for key, step in self.steps_by_key.items() if step.undone_count})
+
     def increment_version(self) -> int:
         """Increment the version of the job and return it; the change has to be stored under it."""
         self.version += 1
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -20,7 +20,11 @@
 from redwingplank.batch.pacing import Pacing
 from redwingplank.batch.placement import Placement
 from redwingplank.batch.ranking import set_objective
-from redwingplank.batch.records import encode_progress, restore_progress
+from redwingplank.batch.records import (
+    count_recorded_occurrences,
+    encode_progress,
+    restore_progress,
+)
 from redwingplank.batch.reports import Reports
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.starter import Starter
@@ -37,6 +41,8 @@
 it is reachable ends within it."""
 CHECK_PERIOD_S = 0.05
 """Time between checks of all jobs and workers; what they find may be delayed by as much."""
+MAX_OPEN_OCCURRENCES = 100
+"""Largest number of occurrences of one job that are open at a time; further ones wait."""
 REFUSED_RETRY_S = 0.1
 """Delay before a refused task is started again, so that refusals do not cause a busy loop."""
 
@@ -98,9 +104,11 @@
     ) -> None:
         """Restore a job that was accepted before this epoch."""
         job = self._make_job(spec, now_s, now_unix_s)
-        self._add_due_steps(job, now_unix_s)
         if progress is not None:
+            for _ in range(count_recorded_occurrences(progress)):
+                _add_occurrence(job)
             restore_progress(job, progress)
+        self._add_due_steps(job, now_unix_s)
         if job.state.is_final:
             job.ended_s = now_s
             job.steps_by_key.clear()
@@ -160,20 +168,14 @@
             self._completions.open_step_if_ready(job, step, now_s)
 
     def _add_due_steps(self, job: Job, now_unix_s: float) -> list[Step]:
-        """Add the steps of all occurrences that are due, and return the added steps."""
-        spec = job.spec
+        """Add the steps of occurrences that are due, and return the added steps."""
         added: list[Step] = []
-        while job.due_count < job.occurrence_count and not job.state.is_final:
-            due_unix_s = spec.first_run_unix_s + job.due_count * spec.interval_s
-            if spec.repeat_count and due_unix_s > now_unix_s:
-                break
-            occurrence = job.due_count
-            job.due_count += 1
-            added.extend(
-                Step(job, StepKey(spec.job_id, occurrence, number), step)
-                for number, step in enumerate(spec.steps)
-            )
-        job.steps_by_key.update((step.key, step) for step in added)
+        if job.state.is_final or not _is_next_occurrence_due(job, now_unix_s):
+            return added
+        open_count = job.count_open_occurrences()
+        while open_count < MAX_OPEN_OCCURRENCES and _is_next_occurrence_due(job, now_unix_s):
+            added.extend(_add_occurrence(job))
+            open_count += 1
         return added
 
     def cancel(self, job_id: str, now_s: float) -> int | None:
@@ -435,3 +437,25 @@
             del self.state.jobs_by_id[job_id]
         self._crashes.forget_ended_jobs()
         return removed
+
+
+def _is_next_occurrence_due(job: Job, now_unix_s: float) -> bool:
+    """Return whether a job has an occurrence that is due and whose steps were not added yet."""
+    spec = job.spec
+    if job.due_count >= job.occurrence_count:
+        return False
+    return not spec.repeat_count or (
+        spec.first_run_unix_s + job.due_count * spec.interval_s <= now_unix_s
+    )
+
+
+def _add_occurrence(job: Job) -> list[Step]:
+    """Add the steps of the next occurrence of a job."""
+    spec = job.spec
+    added = [
+        Step(job, StepKey(spec.job_id, job.due_count, number), step)
+        for number, step in enumerate(spec.steps)
+    ]
+    job.due_count += 1
+    job.steps_by_key.update((step.key, step) for step in added)
+    return added
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -5,7 +5,13 @@
 from redwingplank.batch.entities import Job, Step
 from redwingplank.batch.model import Incarnation, JobSpec, JobState, StepKey
 
-__all__ = ["decode_submission", "encode_progress", "encode_submission", "restore_progress"]
+__all__ = [
+    "count_recorded_occurrences",
+    "decode_submission",
+    "encode_progress",
+    "encode_submission",
+    "restore_progress",
+]
 
 
 class _StepRecord(msgspec.Struct, array_like=True):
@@ -57,10 +63,22 @@
     return msgspec.json.encode(progress)
 
 
+def count_recorded_occurrences(value: bytes) -> int:
+    """Return the number of occurrences up to the last one that a record tells of.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If the value is not a progress record.
+    """
+    names = msgspec.json.decode(value, type=_Progress).steps
+    return max((int(name.partition(".")[0]) + 1 for name in names), default=0)
+
+
 def restore_progress(job: Job, value: bytes) -> None:
     """Restore the progress of a new job from a record.
 
-    The steps of the occurrences that are due must have been added to the job before.
+    The steps of the recorded occurrences must have been added to the job before.
 
     Raises
     ------
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -117,6 +117,32 @@
         assert cell.state("g") is JobState.COMPLETED
 
 
+class TestOccurrences:
+    """Failure: one job with many occurrences that are due takes all memory of owner after owner."""
+
+    def make_cell(self, repeat_count: int):
+        cell = make_cell()
+        job = make_job("a", step(1, cpu=100, estimate_s=0.05), at_s=cell.now_s)
+        cell.submit(replace(job, repeat_count=repeat_count, first_run_unix_s=1.0))
+        return cell
+
+    def test_only_some_are_opened_at_a_time(self):
+        cell = self.make_cell(repeat_count=5000)
+        assert len(cell.owner.state.jobs_by_id["a"].steps_by_key) <= 200
+        cell.replace_owner()
+        assert len(cell.owner.state.jobs_by_id["a"].steps_by_key) <= 200
+
+    def test_all_run_once_over_several_owners(self):
+        cell = self.make_cell(repeat_count=500)
+        for _ in range(8):
+            cell.run_for(1.0)
+            cell.replace_owner()
+        cell.run_for(20.0)
+        assert cell.state("a") is JobState.COMPLETED
+        assert cell.starts == 500
+        assert cell.violations == []
+
+
 class TestCancel:
     def test_everything_of_a_cancelled_job_stops(self):
         cell = make_cell()
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -75,6 +75,7 @@
                 ({"spec": "x" * 4001, "steps": [STEP]}, 400),
                 ({"spec": "x", "steps": [{**STEP, "after": [0]}]}, 400),
                 ({"spec": "x", "steps": [{**STEP, "count": "many"}]}, 400),
+                ({"spec": "x", "steps": [{**STEP, "count": 10_000}, STEP]}, 400),
                 (b" " * 20_001, 413),
             ]
             for body, expected in cases:
--- a/redwingplank/platform/site/jobs.py
+++ b/redwingplank/platform/site/jobs.py
@@ -9,6 +9,7 @@
 
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS = 10_000
+"""Largest number of tasks of a job: the owner holds all of them in memory."""
 MS_PER_S = 1000.0
 
 
@@ -79,12 +80,14 @@
     if not wire.steps:
         problems.append("steps: give at least one")
     for number, step in enumerate(wire.steps):
-        if not 1 <= step.count <= MAX_TASKS:
-            problems.append(f"steps[{number}].count: give 1 to {MAX_TASKS}")
+        if step.count < 1:
+            problems.append(f"steps[{number}].count: give at least 1")
         if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
             problems.append(f"steps[{number}]: amounts must not be negative")
         if any(not 0 <= earlier < number for earlier in step.after):
             problems.append(f"steps[{number}].after: name earlier steps only")
+    if sum(step.count for step in wire.steps) > MAX_TASKS:
+        problems.append(f"steps: give at most {MAX_TASKS} tasks in all")
     if wire.repeat_count < 0 or (wire.repeat_count > 1 and wire.interval_ms < 0):
         problems.append("repeat_count and interval_ms must not be negative")
     return problems
