Bound the crashes of a task on the product's own interface

What callers saw: a task that restarts the VM which starts it was started 21 times, with all tasks beside it; one of a service without an end, and without a pause (38 starts in a minute). Cause: losses of any kind were counted alike, with a generous bound, and not at all for services. Change: a restart of a worker counts against the attempts there that are younger than 2 s; from the second on they are placed one after the other; five end the task, and a service task waits with a growing backoff. The two tests failed before (21 of 5, 38 of 8 starts); a third holds that restarts during long runs count for nothing.

--- a/redwingplank/scheduling/attempt_completions.py
+++ b/redwingplank/scheduling/attempt_completions.py
@@ -1,6 +1,6 @@
 """Handling of completed and lost attempts."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from functools import partial
 
 from redwingplank.config import WorkloadKind
@@ -18,6 +18,10 @@
 __all__ = ["AttemptCompletions"]
 
 _FINAL_STOP_REASONS = frozenset({StopReason.CANCELLED, StopReason.COUNT_LOWERED, StopReason.MOVED})
+_PROBATION_S = 2.0
+"""An attempt that is younger than this when its worker restarts may have been the cause."""
+_MAX_DELAYED_SUSPECTS = 8
+"""Suspects beyond this number start again together with others."""
 _STEADY_RUN_TIME_S = 60.0
 """Run time from which a completed service task restarts with the shortest backoff again."""
 
@@ -204,8 +208,13 @@
             task.reason = str(stop_reason)
             self._lifecycle.requeue(task, 0.0, now_s)
 
-    def handle_lost_attempt(self, task: Task, now_s: float, reason: str) -> None:
-        """Handle an attempt that has certainly stopped but whose outcome is unknown."""
+    def handle_lost_attempt(
+        self, task: Task, now_s: float, reason: str, delay_s: float = 0.0
+    ) -> None:
+        """Handle an attempt that has certainly stopped but whose outcome is unknown.
+
+        A repetition is placed after `delay_s`.
+        """
         was_sent = task.phase not in (Phase.INTENDED, Phase.TO_SEND)
         if not was_sent:
             self._lifecycle.end_unstarted(task, now_s)
@@ -215,9 +224,24 @@
         if not task.job.service.is_idempotent or not self._finish_if_not_repeatable(
             task, stop_reason, now_s
         ):
-            self._repeat_lost(task, reason, now_s)
+            self._repeat_lost(task, reason, now_s, delay_s)
+
+    def handle_crash(self, tasks: Sequence[Task], now_s: float) -> None:
+        """Handle the running attempts of a worker that has restarted.
 
-    def _repeat_lost(self, task: Task, reason: str, now_s: float) -> None:
+        Tasks that had just started may be the cause. Those that were suspected before start again
+        one after the other, so that the next restart has one suspect.
+        """
+        delay_s = 0.0
+        for task in tasks:
+            is_suspect = now_s - task.placed_at_s < _PROBATION_S
+            task.crashes += is_suspect
+            is_delayed = is_suspect and task.crashes > 1
+            self.handle_lost_attempt(task, now_s, "the worker restarted", delay_s * is_delayed)
+            if is_delayed:
+                delay_s = min(delay_s + _PROBATION_S, _MAX_DELAYED_SUSPECTS * _PROBATION_S)
+
+    def _repeat_lost(self, task: Task, reason: str, now_s: float, delay_s: float = 0.0) -> None:
         is_service = task.job.service.kind is WorkloadKind.SERVICE
         was_rolled_back = task.stop_reason is StopReason.GANG_ROLLED_BACK
         task.losses += not is_service
@@ -229,10 +253,15 @@
         elif task.losses > self._state.settings.max_losses:
             detail = f"lost {task.losses} times: {reason}"
             self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=detail)
+        elif task.crashes >= self._state.settings.max_crashes and not is_service:
+            detail = f"{task.crashes} workers restarted just after they had started it"
+            self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=detail)
         elif was_rolled_back:
             requeue_if_stopped(self._lifecycle, task.job, now_s)
+        elif is_service and task.crashes:
+            self._lifecycle.requeue(task, self._backoff_s(task.crashes), now_s)
         else:
-            self._lifecycle.requeue(task, 0.0, now_s)
+            self._lifecycle.requeue(task, delay_s, now_s)
 
 
 def _acknowledge(worker: Worker, incarnation: int, sequence: int, now_s: float) -> None:
--- a/redwingplank/scheduling/entities.py
+++ b/redwingplank/scheduling/entities.py
@@ -92,6 +92,8 @@
     ----------
     losses : int
         Attempts that were lost, such as to an expired lease or a restart of the worker.
+    crashes : int
+        Restarts of workers that had just started the task.
     resends : int
         How often the start of the current attempt was sent again.
     is_restart_possible : bool
@@ -121,6 +123,7 @@
     not_before_s: float = 0.0
     failure_workers: tuple[str, ...] = ()
     losses: int = 0
+    crashes: int = 0
     preemptions: int = 0
     checkpoint: str = ""
     reason: str = ""
--- a/redwingplank/scheduling/exchanges.py
+++ b/redwingplank/scheduling/exchanges.py
@@ -314,11 +314,13 @@
 
         Unconfirmed starts may have reached either incarnation, so they stay unconfirmed.
         """
+        running = []
         for task in list(worker.tasks_by_id.values()):
             if task.phase in (Phase.SENT, Phase.UNCONFIRMED):
                 task.is_restart_possible = True
             elif task.phase is Phase.RUNNING and task.worker is worker:
-                self._completions.handle_lost_attempt(task, now_s, "the worker restarted")
+                running.append(task)
+        self._completions.handle_crash(running, now_s)
         self._release_unexpected_attempts(worker)
         worker.incarnation = incarnation
         worker.processed_end = worker.acknowledged_end = 0
--- a/redwingplank/scheduling/settings.py
+++ b/redwingplank/scheduling/settings.py
@@ -47,6 +47,8 @@
         Backoff before the second attempt, which doubles with each further one up to the maximum.
     max_losses : int
         Number of attempts that a task may lose to failing VMs; one more and the task fails.
+    max_crashes : int
+        Number of workers that may restart just after they started a task before the task fails.
     ageing_factor : float
         A job moves up one deadline class each time it has waited this many times the
         ``start_within_s`` of its service.
@@ -95,6 +97,7 @@
     retry_backoff_s: float = 0.5
     max_backoff_s: float = 60.0
     max_losses: int = 20
+    max_crashes: int = 5
     ageing_factor: float = 2.0
     reserve_after_s: float = 10.0
     max_reservations: int = 8
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -234,6 +234,47 @@
         assert shard.state_of() == "succeeded"
 
 
+SERVICE_TASK = "s.service:bureau:web/0"
+
+
+class TestTasksThatCrashTheirVms:
+    """Failure: a task restarts the VM that starts it, one after the other, and tasks beside it."""
+
+    def run(self, shard: Shard, deadly: str) -> None:
+        shard.add_workers(6)
+        for number in range(8):
+            shard.submit(f"j{number}", task_count=2, payload=payload(run_s=2.0))
+        for _ in range(1200):
+            shard.tick()
+            for name in shard.running_on().get(deadly, []):
+                shard.workers_by_name[name].restart()
+
+    def test_are_given_up_and_those_beside_them_complete(self):
+        shard = Shard()
+        shard.submit("deadly", task_count=2, payload=payload(run_s=3.0))
+        self.run(shard, "deadly/0")
+        assert shard.state_of("deadly") == "failed"
+        assert shard.starts_by_task()["deadly/0"] <= 5
+        assert {shard.state_of(f"j{number}") for number in range(8)} == {"succeeded"}
+
+    def test_of_services_start_again_ever_more_rarely(self):
+        service = make_service("web", kind=WorkloadKind.SERVICE, count=1)
+        shard = Shard(make_declarations(make_service(), service))
+        self.run(shard, SERVICE_TASK)
+        assert 2 <= shard.starts_by_task()[SERVICE_TASK] <= 8
+        assert {shard.state_of(f"j{number}") for number in range(8)} == {"succeeded"}
+
+    def test_a_vm_that_restarts_often_is_no_reason_to_give_up_what_ran_there_for_long(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.submit(payload=payload(run_s=500.0))
+        for _ in range(10):
+            shard.run(4.0)
+            shard.workers_by_name["w0"].restart()
+        shard.run(1.0)
+        assert shard.state_of() == "running"
+
+
 class TestRecovery:
     def run_then_take_over(self, declarations, unreachable: str = "", **fields) -> Shard:
         first = Shard(declarations)
