--- a/redwingplank/batch/crashes.py
+++ b/redwingplank/batch/crashes.py
@@ -31,18 +31,18 @@
 
     Notes
     -----
-    The counts are stored with the progress of a job, as are the processes that may run its tasks,
-    so that a new owner also counts crashes that happened around the change of owners.
+    The counts are stored with the progress of a job, as are the incarnations that may run its
+    tasks, so that a new owner also counts crashes that happened around the change of owners.
     """
 
     def __init__(self, state: OwnerState) -> None:
         self._state = state
 
-    def count_end_of_process(self, worker: Worker, now_s: float) -> None:
-        """Count the end of a worker's process against the tasks that ran there.
+    def count_crash(self, worker: Worker, now_s: float) -> None:
+        """Count the unplanned end of a worker's process against the tasks that ran there.
 
-        Call it while the runs of the process are still known. Workers that leave as planned do not
-        count.
+        Call it while the runs of that incarnation are still known. Workers that leave as planned
+        do not count.
         """
         if worker.entry.is_draining:
             return
@@ -54,33 +54,33 @@
         if not worker.entry.is_draining:
             self._lost_runs_of(worker.incarnation).extend(self._judge_runs(worker, now_s))
 
-    def remember_inherited_tasks(self, process: Incarnation, task_ids: list[TaskId]) -> None:
-        """Remember tasks that a process may have started for an earlier owner."""
-        self._lost_runs_of(process).extend(LostRun(task_id) for task_id in task_ids)
+    def remember_inherited_tasks(self, host: Incarnation, task_ids: list[TaskId]) -> None:
+        """Remember tasks that a host may have started for an earlier owner."""
+        self._lost_runs_of(host).extend(LostRun(task_id) for task_id in task_ids)
 
-    def _lost_runs_of(self, process: Incarnation) -> list[LostRun]:
-        return self._state.lost_runs_by_process.setdefault(process, [])
+    def _lost_runs_of(self, incarnation: Incarnation) -> list[LostRun]:
+        return self._state.lost_runs_by_incarnation.setdefault(incarnation, [])
 
     def settle(self, worker: Worker, now_s: float) -> None:
-        """Settle what became of earlier processes with the id or the address of a worker.
+        """Settle what became of earlier incarnations with the id or the address of a worker.
 
-        Call it when the process of the worker is known to run.
+        Call it when the present incarnation of the worker is known to run.
         """
-        by_process = self._state.lost_runs_by_process
-        self._forget_hosts(worker.incarnation, by_process.pop(worker.incarnation, []))
-        for process in [process for process in by_process if worker.has_replaced(process)]:
-            lost_runs = by_process.pop(process)
+        by_incarnation = self._state.lost_runs_by_incarnation
+        self._forget_hosts(worker.incarnation, by_incarnation.pop(worker.incarnation, []))
+        for earlier in [other for other in by_incarnation if worker.has_replaced(other)]:
+            lost_runs = by_incarnation.pop(earlier)
             for lost in self._judge_inherited(lost_runs):
-                self._count(lost, process.worker_id, now_s)
-            self._forget_hosts(process, lost_runs)
-            self._state.unconfirmed_hosts.pop(process.worker_id, None)
+                self._count(lost, earlier.worker_id, now_s)
+            self._forget_hosts(earlier, lost_runs)
+            self._state.unconfirmed_hosts.pop(earlier.worker_id, None)
 
-    def _forget_hosts(self, process: Incarnation, lost_runs: list[LostRun]) -> None:
-        """Let a next owner know that a process does not run these tasks, except those it listed."""
+    def _forget_hosts(self, host: Incarnation, lost_runs: list[LostRun]) -> None:
+        """Let a next owner know that a host does not run these tasks, except those it listed."""
         for lost in lost_runs:
             found = self._state.find_task(lost.task_id)
             if found is not None:
-                self._state.forget_host(*found, process)
+                self._state.forget_host(*found, host)
 
     def _judge_runs(self, worker: Worker, now_s: float) -> list[LostRun]:
         """Return the runs of a worker whose process ended, with those that may have caused it.
@@ -123,11 +123,11 @@
         return found is not None and found[1].suspicions > 0
 
     def forget_ended_jobs(self) -> None:
-        """Forget the processes whose tasks all belong to jobs that are not known any more."""
-        by_process = self._state.lost_runs_by_process
-        for process, lost_runs in list(by_process.items()):
+        """Forget the incarnations whose tasks all belong to jobs that are not known any more."""
+        by_incarnation = self._state.lost_runs_by_incarnation
+        for incarnation, lost_runs in list(by_incarnation.items()):
             if not any(lost.task_id.job_id in self._state.jobs_by_id for lost in lost_runs):
-                del by_process[process]
+                del by_incarnation[incarnation]
 
     def _count(self, lost: LostRun, worker_id: str, now_s: float) -> None:
         found = self._state.find_task(lost.task_id)
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -120,7 +120,7 @@
         self.attempt = attempt
         self.worker = worker
         self.incarnation = worker.incarnation
-        """The process that was told to start the run."""
+        """The incarnation that was commanded to start the run."""
         self.spec = spec
         self.state = state
         self.reserved = spec.reserved if spec else NO_AMOUNTS
@@ -238,7 +238,7 @@
         self.is_open = False
         self.opened_s = 0.0
         self.hosts: dict[Incarnation, int] = {}
-        """Bit set, by process, of the tasks that the process may have been told to run."""
+        """Bit set, by incarnation of a worker, of the tasks that it may have been told to run."""
         self.tickets_by_worker: dict[str, Ticket] = {}
         self.refused_workers: set[str] = set()
         """Workers for which the advice service issued no ticket."""
@@ -264,13 +264,13 @@
         return all(run.worker.is_unreachable for run in task.runs)
 
     def add_host(self, host: Incarnation, task_id: TaskId) -> bool:
-        """Record that a process may run a task; return whether this was not recorded before."""
+        """Record that a host may run a task; return whether this was not recorded before."""
         bits = self.hosts.get(host, 0)
         self.hosts[host] = bits | 1 << task_id.position
         return self.hosts[host] != bits
 
     def remove_host(self, host: Incarnation, task_id: TaskId) -> bool:
-        """Record that a process no longer runs a task; return whether this was not recorded."""
+        """Record that a host no longer runs a task; return whether this was not recorded."""
         bits = self.hosts.get(host, 0)
         left = bits & ~(1 << task_id.position)
         if left:
@@ -280,7 +280,7 @@
         return left != bits
 
     def hosted_tasks(self, host: Incarnation) -> list[Task]:
-        """Return the tasks that are not done and that a process may have been told to run."""
+        """Return the tasks that are not done and that a host may have been told to run."""
         bits = self.hosts.get(host, 0)
         return [task for task in self.tasks if bits >> task.id.position & 1 and not task.is_done]
 
@@ -419,13 +419,13 @@
 
     @property
     def incarnation(self) -> Incarnation:
-        """The process that the worker is known to have."""
+        """The incarnation that the worker is known to have."""
         return Incarnation(self.id, self.entry.address, self.born_ms)
 
-    def has_replaced(self, process: Incarnation) -> bool:
-        """Return whether the worker's process proves that an earlier one has ended."""
-        is_same_place = self.id == process.worker_id or self.entry.address == process.address
-        return is_same_place and 0 < process.born_ms < self.born_ms
+    def has_replaced(self, earlier: Incarnation) -> bool:
+        """Return whether the worker's incarnation proves that an earlier one has ended."""
+        is_same_place = self.id == earlier.worker_id or self.entry.address == earlier.address
+        return is_same_place and 0 < earlier.born_ms < self.born_ms
 
     def update_entry(self, entry: WorkerEntry) -> None:
         """Replace the published entry of the worker and recompute the free capacity."""
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -18,8 +18,8 @@
     done: str
     """Bit set of the tasks that are done, as a hexadecimal number; bit 0 is the first task."""
     hosts: dict[str, str]
-    """Hexadecimal bit set of the tasks that a process may have been told to run, by the process:
-    id, address and start of the worker, separated by spaces."""
+    """Hexadecimal bit set of the tasks that an incarnation of a worker may have been told to run,
+    by its worker id, address and start, separated by spaces."""
     failures: dict[str, tuple[int, int]] = {}
     """Number of failures and the last failed attempt, by task index."""
     saved: dict[str, str] = {}
@@ -142,7 +142,7 @@
 
 
 def _decode_host(text: str) -> Incarnation:
-    """Return the process of a record; earlier versions stored only the id of its worker."""
+    """Return the incarnation in a record; earlier versions stored only the id of its worker."""
     worker_id, *rest = text.rsplit(" ", 2)
     if len(rest) != 2 or not rest[1].isdecimal():
         return Incarnation(text, "", 0)
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -68,7 +68,7 @@
         other runs may have reached the new process, so these runs have to be confirmed again.
         """
         self._log_worker(worker, "worker_reborn")
-        self._crashes.count_end_of_process(worker, now_s)
+        self._crashes.count_crash(worker, now_s)
         worker.born_ms = born_ms
         worker.clock_ms = None
         worker.lease_until_ms = 0
@@ -272,7 +272,7 @@
             if other is worker or not worker.has_replaced(other.incarnation):
                 continue
             self._log_worker(other, "worker_replaced", successor=worker.id)
-            self._crashes.count_end_of_process(other, now_s)
+            self._crashes.count_crash(other, now_s)
             self._release_all_runs(other, now_s, "worker_replaced")
             self.mark_unreachable(other, now_s)
 
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -54,8 +54,8 @@
         """Ids of unconfirmed workers that may run tasks of earlier owners, with the time in seconds
         when every lease there has expired.
         """
-        self.lost_runs_by_process: dict[Incarnation, list[LostRun]] = {}
-        """Runs of processes of which nothing is known any more: they may have crashed."""
+        self.lost_runs_by_incarnation: dict[Incarnation, list[LostRun]] = {}
+        """Runs of incarnations of which nothing is known any more: they may have crashed."""
         self.dirty_jobs: dict[str, Job] = {}
         self.commands = Commands()
         self.speeds = Speeds(settings.remote_factor)
@@ -109,7 +109,7 @@
         return task
 
     def move_run(self, run: Run) -> None:
-        """Record that a run may be in the present process of its worker, not in an earlier one."""
+        """Record that a run may exist in the present incarnation of its worker."""
         found = self.find_task(run.task_id)
         earlier, run.incarnation = run.incarnation, run.worker.incarnation
         if found is None or found[0].state.is_final:
@@ -120,13 +120,13 @@
         step.add_host(run.incarnation, run.task_id)
         self.mark_dirty(job)
 
-    def forget_host(self, job: Job, task: Task, process: Incarnation) -> None:
-        """Let a next owner know that a task no longer waits for what a process may run."""
-        is_host = any(run.incarnation == process for run in task.runs)
+    def forget_host(self, job: Job, task: Task, host: Incarnation) -> None:
+        """Let a next owner know that a task no longer waits for what its host may run."""
+        is_host = any(run.incarnation == host for run in task.runs)
         if job.state.is_final or is_host:
             return
         step = job.steps_by_key[task.id.step_key]
-        if step.remove_host(process, task.id):
+        if step.remove_host(host, task.id):
             self.mark_dirty(job)
 
     def reopen_step(self, key: StepKey) -> None:
