--- /dev/null
+++ b/redwingplank/batch/occurrences.py
@@ -0,0 +1,43 @@
+"""Adds the occurrences of jobs that are due."""
+
+from redwingplank.batch.entities import Job, Step
+from redwingplank.batch.model import StepKey
+
+__all__ = ["MAX_OPEN_OCCURRENCES", "add_due_steps", "add_occurrence"]
+
+MAX_OPEN_OCCURRENCES = 100
+"""Largest number of occurrences of one job that are open at a time; further ones wait."""
+
+
+def add_due_steps(job: Job, now_unix_s: float) -> list[Step]:
+    """Add the steps of occurrences that are due to a job, and return the added steps."""
+    added: list[Step] = []
+    if job.state.is_final or not _is_next_occurrence_due(job, now_unix_s):
+        return added
+    open_count = job.count_open_occurrences()
+    while open_count < MAX_OPEN_OCCURRENCES and _is_next_occurrence_due(job, now_unix_s):
+        added.extend(add_occurrence(job))
+        open_count += 1
+    return added
+
+
+def add_occurrence(job: Job) -> list[Step]:
+    """Add the steps of the next occurrence to a job, and return them."""
+    spec = job.spec
+    added = [
+        Step(job, StepKey(spec.job_id, job.due_count, number), step)
+        for number, step in enumerate(spec.steps)
+    ]
+    job.due_count += 1
+    job.steps_by_key.update((step.key, step) for step in added)
+    return added
+
+
+def _is_next_occurrence_due(job: Job, now_unix_s: float) -> bool:
+    """Return whether a job has an occurrence that is due and whose steps were not added yet."""
+    spec = job.spec
+    if job.due_count >= job.occurrence_count:
+        return False
+    return not spec.repeat_count or (
+        spec.first_run_unix_s + job.due_count * spec.interval_s <= now_unix_s
+    )
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -3,20 +3,20 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from redwingplank.batch.command_outcomes import CommandOutcomes
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
-from redwingplank.batch.entities import Job, Run, RunState, Step, Worker
+from redwingplank.batch.entities import Job, Run, RunState, Worker
 from redwingplank.batch.model import (
-    NO_AMOUNTS,
     CellConfig,
     JobSpec,
     JobState,
     PollReport,
     StartOutcome,
-    StepKey,
     WorkerEntry,
 )
+from redwingplank.batch.occurrences import add_due_steps, add_occurrence
 from redwingplank.batch.pacing import Pacing
 from redwingplank.batch.placement import Placement
 from redwingplank.batch.ranking import set_objective
@@ -34,17 +34,8 @@
 
 __all__ = ["JobOwner", "PollRequest", "RecordToStore"]
 
-UNHEALTHY_BACKOFF_S = 0.5
-"""Time for which a worker that refused as unhealthy or could not be reached is avoided."""
-UNANSWERED_BACKOFF_S = 0.6
-"""Time for which a worker that left a start unanswered is avoided: the poll that then tells whether
-it is reachable ends within it."""
 CHECK_PERIOD_S = 0.05
 """Time between checks of all jobs and workers; what they find may be delayed by as much."""
-MAX_OPEN_OCCURRENCES = 100
-"""Largest number of occurrences of one job that are open at a time; further ones wait."""
-REFUSED_RETRY_S = 0.1
-"""Delay before a refused task is started again, so that refusals do not cause a busy loop."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +80,7 @@
         self.state = OwnerState(settings, epoch, config, log_decision)
         self._completions = Completions(self.state)
         self._crashes = Crashes(self.state)
+        self._outcomes = CommandOutcomes(self.state)
         self._reports = Reports(self.state, self._completions, self._crashes)
         self._placement = Placement(self.state)
         self._tickets = Tickets(self.state, self._placement)
@@ -106,9 +98,9 @@
         job = self._make_job(spec, now_s, now_unix_s)
         if progress is not None:
             for _ in range(count_recorded_occurrences(progress)):
-                _add_occurrence(job)
+                add_occurrence(job)
             restore_progress(job, progress)
-        self._add_due_steps(job, now_unix_s)
+        add_due_steps(job, now_unix_s)
         if job.state.is_final:
             job.ended_s = now_s
             job.steps_by_key.clear()
@@ -164,20 +156,9 @@
         return job
 
     def _open_due_steps(self, job: Job, now_s: float, now_unix_s: float) -> None:
-        for step in self._add_due_steps(job, now_unix_s):
+        for step in add_due_steps(job, now_unix_s):
             self._completions.open_step_if_ready(job, step, now_s)
 
-    def _add_due_steps(self, job: Job, now_unix_s: float) -> list[Step]:
-        """Add the steps of occurrences that are due, and return the added steps."""
-        added: list[Step] = []
-        if job.state.is_final or not _is_next_occurrence_due(job, now_unix_s):
-            return added
-        open_count = job.count_open_occurrences()
-        while open_count < MAX_OPEN_OCCURRENCES and _is_next_occurrence_due(job, now_unix_s):
-            added.extend(_add_occurrence(job))
-            open_count += 1
-        return added
-
     def cancel(self, job_id: str, now_s: float) -> int | None:
         """Cancel a job.
 
@@ -300,93 +281,16 @@
     # Start and stop commands.
 
     def mark_start_sent(self, run: Run, now_s: float) -> bool:
-        """Mark a planned run as starting before its start command is sent.
-
-        Returns
-        -------
-        bool
-            Whether to send the command; False if the run is no longer wanted.
-        """
-        is_removed = run.worker.runs_by_key.get(run.key) is not run
-        if is_removed or run.state is not RunState.PLANNED:
-            return False
-        worker = run.worker
-        has_shrunk = not worker.free.holds(NO_AMOUNTS)
-        if worker.clock_ms is None or worker.is_unreachable or has_shrunk:
-            self.state.remove_run(run, now_s)
-            return False
-        run.state = RunState.STARTING
-        run.sent_s = now_s
-        return True
+        """Mark a planned run as starting; return False if its command is no longer to be sent."""
+        return self._outcomes.mark_start_sent(run, now_s)
 
     def handle_start_outcome(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
         """Apply the outcome of a start command."""
-        if run.worker.runs_by_key.get(run.key) is not run:
-            return
-        self._log_start(run, outcome, now_s)
-        if outcome is StartOutcome.STARTED:
-            self._handle_accepted_start(run, now_s)
-        elif outcome is StartOutcome.UNKNOWN:
-            self._handle_unanswered_start(run, now_s)
-        else:
-            self._handle_refused_start(run, outcome, now_s)
-
-    def _handle_accepted_start(self, run: Run, now_s: float) -> None:
-        if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
-            run.state = RunState.RUNNING
-            run.is_accepted = True
-            run.resolved_s = now_s
-            run.started_s = run.progressed_s = now_s
-            found = self.state.find_task(run.task_id)
-            if found is not None:
-                run.worker.record_start(found[1], now_s)
-
-    def _handle_unanswered_start(self, run: Run, now_s: float) -> None:
-        worker = run.worker
-        worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNANSWERED_BACKOFF_S)
-        self.state.commands.polls.append(worker)
-        if run.state is RunState.STARTING:
-            run.state = RunState.UNCONFIRMED
-            self.state.order_stop(run, now_s, "start_not_answered")
-
-    def _handle_refused_start(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
-        task = self.state.remove_run(run, now_s)
-        worker = run.worker
-        if outcome is StartOutcome.UNHEALTHY:
-            worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNHEALTHY_BACKOFF_S)
-        if outcome is StartOutcome.NOT_SENT:
-            worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNHEALTHY_BACKOFF_S)
-        found = self.state.find_task(run.task_id)
-        if task is None or found is None:
-            return
-        step = found[0].steps_by_key[run.task_id.step_key]
-        if outcome is StartOutcome.BAD_TICKET:
-            step.tickets_by_worker.pop(worker.id, None)
-        task.not_before_s = now_s + REFUSED_RETRY_S
-        if step.spec.is_gang:
-            for member in step.tasks:
-                for other in list(member.runs):
-                    self.state.order_stop(other, now_s, "gang_member_refused")
-
-    def _log_start(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
-        self.state.log_decision(
-            "start_answered",
-            job=run.task_id.job_id,
-            task=run.task_id,
-            attempt=run.attempt,
-            worker=run.worker.id,
-            outcome=outcome.name.lower(),
-            took_s=now_s - run.sent_s,
-        )
+        self._outcomes.handle_start(run, outcome, now_s)
 
     def handle_stop_outcome(self, run: Run, *, is_taken: bool, now_s: float) -> None:
         """Apply the outcome of a stop command; `is_taken` is whether the worker accepted it."""
-        if not is_taken:
-            run.stop_sent_s = now_s
-        elif run.resolved_s is None:
-            run.resolved_s = now_s
-            if not run.is_listed:
-                self.state.commands.polls.append(run.worker)
+        self._outcomes.handle_stop(run, is_taken=is_taken, now_s=now_s)
 
     # Advice service.
 
@@ -437,25 +341,3 @@
             del self.state.jobs_by_id[job_id]
         self._crashes.forget_ended_jobs()
         return removed
-
-
-def _is_next_occurrence_due(job: Job, now_unix_s: float) -> bool:
-    """Return whether a job has an occurrence that is due and whose steps were not added yet."""
-    spec = job.spec
-    if job.due_count >= job.occurrence_count:
-        return False
-    return not spec.repeat_count or (
-        spec.first_run_unix_s + job.due_count * spec.interval_s <= now_unix_s
-    )
-
-
-def _add_occurrence(job: Job) -> list[Step]:
-    """Add the steps of the next occurrence of a job."""
-    spec = job.spec
-    added = [
-        Step(job, StepKey(spec.job_id, job.due_count, number), step)
-        for number, step in enumerate(spec.steps)
-    ]
-    job.due_count += 1
-    job.steps_by_key.update((step.key, step) for step in added)
-    return added
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -9,7 +9,7 @@
 from redwingplank.batch.model import Amounts, StepSpec
 from redwingplank.batch.state import OwnerState
 
-__all__ = ["EligibleWorkers", "Placement", "select_workers_for_advice"]
+__all__ = ["EligibleWorkers", "Placement"]
 
 DISTURBANCE_FACTOR = 1.5
 """Score factor against running filler tasks and serving tasks on the same worker."""
@@ -82,6 +82,32 @@
         limit = step.spec.max_per_worker
         return bool(limit) and worker.step_counts.get(step.key, 0) >= limit
 
+    def select_for_advice(
+        self, workers: list[Worker], step: Step, limit: int, now_s: float
+    ) -> tuple[str, ...]:
+        """Return the ids of at most `limit` workers to name in a call to the advice service.
+
+        Workers that could take a task now come first, among them those that are known to be
+        allowed, then those with the best score. Workers that the service refused are left out, and
+        so are those that can take no more tasks of the step: a wide step needs other ones.
+        """
+        candidates = [
+            worker
+            for worker in workers
+            if worker.id not in step.refused_workers and not self.is_at_step_limit(worker, step)
+        ]
+        best = heapq.nsmallest(
+            limit,
+            candidates,
+            key=lambda worker: (
+                not self.fits(worker, step, now_s),
+                worker.id not in step.tickets_by_worker,
+                self.score(worker, step),
+                worker.id,
+            ),
+        )
+        return tuple(worker.id for worker in best)
+
     def preferred_domain(self, fitting: Iterable[Worker], step: Step) -> str:
         """Return the preferred failure domain for the tasks of a step.
 
@@ -194,30 +220,3 @@
 
 def _used_share(used: Amounts, capacity: Amounts) -> float:
     return used.cpu_millicores / capacity.cpu_millicores if capacity.cpu_millicores else 0.0
-
-
-def select_workers_for_advice(
-    placement: Placement, workers: list[Worker], step: Step, limit: int, now_s: float
-) -> tuple[str, ...]:
-    """Return the ids of at most `limit` workers to name in a call to the advice service.
-
-    Workers that could take a task now come first, among them those that are known to be allowed,
-    then those with the best score. Workers that the service refused are left out, and so are those
-    that can take no more tasks of the step: a wide step needs other ones.
-    """
-    candidates = [
-        worker
-        for worker in workers
-        if worker.id not in step.refused_workers and not placement.is_at_step_limit(worker, step)
-    ]
-    best = heapq.nsmallest(
-        limit,
-        candidates,
-        key=lambda worker: (
-            not placement.fits(worker, step, now_s),
-            worker.id not in step.tickets_by_worker,
-            placement.score(worker, step),
-            worker.id,
-        ),
-    )
-    return tuple(worker.id for worker in best)
--- a/redwingplank/batch/tickets.py
+++ b/redwingplank/batch/tickets.py
@@ -3,7 +3,7 @@
 from redwingplank.batch.commands import AskAdvice
 from redwingplank.batch.entities import Step, Ticket, Worker
 from redwingplank.batch.model import AdvicePolicy
-from redwingplank.batch.placement import Placement, select_workers_for_advice
+from redwingplank.batch.placement import Placement
 from redwingplank.batch.state import OwnerState
 
 __all__ = ["Tickets"]
@@ -77,7 +77,7 @@
         ]
         if step.tickets_by_worker and not self._has_use_for_tickets(step, candidates, now_s):
             return
-        named = select_workers_for_advice(self._placement, candidates, step, MAX_NAMED, now_s)
+        named = self._placement.select_for_advice(candidates, step, MAX_NAMED, now_s)
         if not named:
             return
         step.is_advice_open = True
