--- a/redwingplank/batch/tests/test_crashes.py
+++ b/redwingplank/batch/tests/test_crashes.py
@@ -73,6 +73,26 @@
         assert tasks.crashes <= 5
         assert {cell.state(name) for name in innocents} == {JobState.COMPLETED}
 
+    def test_a_crash_counts_once_over_several_owners(self):
+        cell = make_cell(4)
+        cell.submit(make_job("a", step(1, estimate_s=60.0), at_s=cell.now_s))
+        cell.run_for(1.0)
+        (host,) = (worker for worker in cell.workers.values() if worker.runs)
+        cell.take_down(host)
+        cell.replace_owner()
+        cell.run_for(1.0)
+        cell.bring_back(host, keeps_id=False)
+        for _ in range(4):
+            cell.run_for(1.0)
+            (task,) = (
+                task
+                for job in cell.owner.state.jobs_by_id.values()
+                for step in job.steps_by_key.values()
+                for task in step.tasks
+            )
+            assert task.crashes == 1
+            cell.replace_owner()
+
     @pytest.mark.parametrize("seed", range(12))
     def test_many_at_once_in_a_busy_cell(self, seed):
         cell = make_cell(12, seed=seed)
