Count an accepted start for one incarnation of a worker only

What callers would see: a job given up after one crash. Cause: a worker that restarts under the same id before any report listed a run: the crash counted, and the run was kept for the new incarnation as accepted by it. A second restart counted as a second certain crash. Evidence: one of some thousand random examples of the model check beside crashing tasks; its log shows two restarts of w1 within 0.3 s. The test failed before (2 certain crashes for 1).

--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -73,6 +73,8 @@
     """
     ends: list[RunCompletion] = field(default_factory=list)
     end_count: int = 0
+    reported_count: int = 0
+    """Number of the last completion that a poll has reported."""
     ended_done: set[TaskId] = field(default_factory=set)
     """All tasks that ever completed successfully on this worker; it survives crashes."""
 
@@ -94,10 +96,15 @@
         self.runs.clear()
         self.blocked.clear()
         self.ends.clear()
-        self.end_count = 0
+        self.end_count = self.reported_count = 0
         self.token = 0
         self.lease_until_s = 0.0
 
+    def unsettled_tasks(self) -> list[TaskId]:
+        """Return the tasks that run, or whose end no poll has reported yet."""
+        unreported = [end.task for end in self.ends if end.number > self.reported_count]
+        return [run.task for run in self.runs.values()] + unreported
+
     @property
     def is_reachable(self) -> bool:
         """Whether commands and polls reach the process."""
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -107,7 +107,7 @@
         self.start_listeners: list[Callable[[EmulatedWorker, TaskId], None]] = []
         """Called with each start that a worker carries out."""
         self.crash_counts: Counter[TaskId] = Counter()
-        """Number of workers that crashed while they ran a task, by task."""
+        """Number of workers that crashed while they ran a task, as far as any owner can know."""
         self.lost_command_fraction = 0.0
         """Fraction of commands that get no answer; half of such starts are carried out late."""
         self.is_store_unavailable = False
@@ -141,7 +141,7 @@
     def crash(self, worker_id: str) -> None:
         """Restart a worker's process; the poll that was open fails immediately."""
         worker = self.workers[worker_id]
-        self.crash_counts.update(run.task for run in worker.runs.values())
+        self.crash_counts.update(worker.unsettled_tasks())
         worker.crash(worker.entry.born_ms + 1)
         known = self.owner.state.workers_by_id.get(worker_id)
         if known is not None:
@@ -149,7 +149,7 @@
 
     def take_down(self, worker: EmulatedWorker) -> None:
         """End a worker's process; the poll that was open fails immediately."""
-        self.crash_counts.update(run.task for run in worker.runs.values())
+        self.crash_counts.update(worker.unsettled_tasks())
         worker.lose_memory()
         worker.is_down = True
         known = self.owner.state.workers_by_id.get(worker.entry.worker_id)
@@ -432,6 +432,7 @@
         def answer() -> None:
             if worker.entry.born_ms != report.born_ms or worker.is_down:
                 return
+            worker.reported_count = max((end.number for end in report.completions), default=0)
             try:
                 owner.apply_report(known, report, sent_s, self.now_s)
             except Exception as error:  # As in the runtime, the next poll follows.
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -249,6 +249,7 @@
 
     def _mark_run_unconfirmed(self, run: Run, now_s: float) -> None:
         run.resolved_s = None
+        run.is_accepted = False
         self._state.move_run(run)
         if run.state is RunState.RUNNING:
             run.state = RunState.UNCONFIRMED
--- a/redwingplank/batch/tests/test_crashes.py
+++ b/redwingplank/batch/tests/test_crashes.py
@@ -93,6 +93,20 @@
             assert task.crashes == 1
             cell.replace_owner()
 
+    def test_a_worker_that_restarts_twice_crashed_once_under_a_start_that_was_accepted(self):
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(1, estimate_s=60.0), at_s=cell.now_s))
+        while not cell.starts:
+            cell.run_for(0.02)
+        cell.run_for(0.02)
+        (run,) = cell.owner.state.jobs_by_id["a"].runs()
+        assert run.is_accepted and not run.is_listed
+        for _ in range(2):
+            cell.crash("w0")
+            cell.owner.list_workers([cell.workers["w0"].entry], cell.now_s)
+        (task,) = next(iter(cell.owner.state.jobs_by_id["a"].steps_by_key.values())).tasks
+        assert task.proven_crashes == 1
+
     @pytest.mark.parametrize("seed", range(12))
     def test_many_at_once_in_a_busy_cell(self, seed):
         cell = make_cell(12, seed=seed)
