--- a/redwingplank/batch/candidates.py
+++ b/redwingplank/batch/candidates.py
@@ -84,7 +84,7 @@
 
     def _has_to_wait(self, task: Task, worker: Worker) -> bool:
         """Return whether a task that needs isolation is better not started on a worker now."""
-        if not task.needs_isolation or not worker.had_start_since(self._now_s):
+        if not task.needs_isolation or not worker.has_young_run(self._now_s):
             return False
         if task.isolation_wait_from_s is None:
             task.isolation_wait_from_s = self._now_s
@@ -92,7 +92,7 @@
 
     def _crash_rank(self, worker: Worker, task: Task) -> tuple[bool, bool, int, str]:
         return (
-            worker.had_start_since(self._now_s),
+            worker.has_young_run(self._now_s),
             worker.id in task.bad_workers,
             worker.reserved.cpu_millicores,
             worker.id,
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -440,8 +440,8 @@
         if task.needs_isolation:
             self.avoided_until_s = max(self.avoided_until_s, now_s + PROBATION_S)
 
-    def had_start_since(self, now_s: float) -> bool:
-        """Return whether a run on the worker is so young that it would be suspected of a crash."""
+    def has_young_run(self, now_s: float) -> bool:
+        """Return whether a run on the worker is so young that a crash would make it a suspect."""
         return now_s - self.last_start_s < PROBATION_S
 
     def add_run(self, run: Run) -> None:
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -153,7 +153,7 @@
         fitting.sort(
             key=lambda worker: (
                 now_s < worker.guarded_until_s,
-                is_suspect and worker.had_start_since(now_s),
+                is_suspect and worker.has_young_run(now_s),
                 self.score(worker, step),
                 worker.id,
             )
