Let a service's task back off only after restarts that it may have caused

What operators would see: on the product's own interface a task of a service that had once been suspected waited up to a minute after each later loss of its VM. The test failed before: not running 1.5 s after a VM restarted under a run of 10 s.

--- a/redwingplank/scheduling/attempt_completions.py
+++ b/redwingplank/scheduling/attempt_completions.py
@@ -230,16 +230,20 @@
         """Handle the running attempts of a worker that has restarted.
 
         Tasks that had just started may be the cause. Those that were suspected before start again
-        one after the other, so that the next restart has one suspect.
+        one after the other, so that the next restart has one suspect. A suspected task of a service
+        starts again after a backoff, because it is never given up.
         """
-        delay_s = 0.0
+        delayed_count = 0
         for task in tasks:
-            is_suspect = now_s - task.placed_at_s < _PROBATION_S
-            task.crashes += is_suspect
-            is_delayed = is_suspect and task.crashes > 1
-            self.handle_lost_attempt(task, now_s, "the worker restarted", delay_s * is_delayed)
-            if is_delayed:
-                delay_s = min(delay_s + _PROBATION_S, _MAX_DELAYED_SUSPECTS * _PROBATION_S)
+            delay_s = 0.0
+            if now_s - task.placed_at_s < _PROBATION_S:
+                task.crashes += 1
+                if task.job.service.kind is WorkloadKind.SERVICE:
+                    delay_s = self._backoff_s(task.crashes)
+                elif task.crashes > 1:
+                    delay_s = _PROBATION_S * min(delayed_count, _MAX_DELAYED_SUSPECTS)
+                    delayed_count += 1
+            self.handle_lost_attempt(task, now_s, "the worker restarted", delay_s)
 
     def _repeat_lost(self, task: Task, reason: str, now_s: float, delay_s: float = 0.0) -> None:
         is_service = task.job.service.kind is WorkloadKind.SERVICE
@@ -258,8 +262,6 @@
             self._lifecycle.finish(task, TaskState.FAILED, now_s, reason=detail)
         elif was_rolled_back:
             requeue_if_stopped(self._lifecycle, task.job, now_s)
-        elif is_service and task.crashes:
-            self._lifecycle.requeue(task, self._backoff_s(task.crashes), now_s)
         else:
             self._lifecycle.requeue(task, delay_s, now_s)
 
--- a/redwingplank/scheduling/tests/test_faults.py
+++ b/redwingplank/scheduling/tests/test_faults.py
@@ -264,6 +264,19 @@
         assert 2 <= shard.starts_by_task()[SERVICE_TASK] <= 8
         assert {shard.state_of(f"j{number}") for number in range(8)} == {"succeeded"}
 
+    def test_of_services_start_again_at_once_when_others_are_the_cause(self):
+        service = make_service("web", kind=WorkloadKind.SERVICE, count=1)
+        shard = Shard(make_declarations(make_service(), service))
+        shard.add_workers(2)
+        for uptime_s in (0.5, 0.5, 0.5, 10.0):
+            while SERVICE_TASK not in shard.running_on():
+                shard.tick()
+            shard.run(uptime_s)
+            (host,) = shard.running_on()[SERVICE_TASK]
+            shard.workers_by_name[host].restart()
+        shard.run(1.5)
+        assert SERVICE_TASK in shard.running_on()
+
     def test_a_vm_that_restarts_often_is_no_reason_to_give_up_what_ran_there_for_long(self):
         shard = Shard()
         shard.add_workers(1)
