--- a/redwingplank/batch/tests/test_crashes.py
+++ b/redwingplank/batch/tests/test_crashes.py
@@ -200,13 +200,16 @@
 class TestCapacityThatShrinks:
     """Failure: a start is sent to a worker whose capacity shrank after the start was planned."""
 
+    def shrink_worker(self, cell, cpu_millicores: int) -> None:
+        worker = cell.workers["w0"]
+        worker.entry = replace(worker.entry, capacity=Amounts(cpu_millicores, 16000, 0))
+
     def test_a_planned_start_that_waited_for_the_store_is_not_sent(self):
         cell = make_cell(1)
         cell.is_store_unavailable = True
         cell.submit(make_job("a", step(4, cpu=2000), at_s=cell.now_s))
         cell.run_for(0.2)
-        worker = cell.workers["w0"]
-        worker.entry = replace(worker.entry, capacity=Amounts(3000, 16000, 0))
+        self.shrink_worker(cell, 3000)
         cell.run_for(1.0)
         cell.is_store_unavailable = False
         cell.run_for(8.0)
@@ -217,8 +220,7 @@
         cell = make_cell(1)
         cell.submit(make_job("a", step(4, cpu=2000, estimate_s=3.0), at_s=cell.now_s))
         cell.run_for(0.5)
-        worker = cell.workers["w0"]
-        worker.entry = replace(worker.entry, capacity=Amounts(2500, 16000, 0))
+        self.shrink_worker(cell, 2500)
         cell.run_for(0.7)
         cell.submit(make_job("b", step(2, cpu=2000), at_s=cell.now_s))
         cell.run_for(8.0)
@@ -230,8 +232,7 @@
         cell = make_cell(1)
         cell.submit(make_job("a", step(3, cpu=2000, estimate_s=3.0), at_s=cell.now_s))
         cell.run_for(0.5)
-        worker = cell.workers["w0"]
-        worker.entry = replace(worker.entry, capacity=Amounts(4000, 16000, 0))
+        self.shrink_worker(cell, 4000)
         cell.submit(make_job("b", step(1, cpu=2000), at_s=cell.now_s))
         cell.replace_owner()
         cell.run_for(8.0)
--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -120,6 +120,14 @@
         await node._http.stop()
         await node._context.close()
 
+    async def hand_over(self) -> None:
+        """Stop the owner as planned, and wait for the next one."""
+        owner = self.owner_node()
+        assert owner is not None
+        await owner.stop()
+        self.nodes.remove(owner)
+        await self.until(lambda: self.owner_node() is not None)
+
     def owner_node(self) -> Node | None:
         for node in self.nodes:
             if node.owns_jobs:
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -103,10 +103,7 @@
                 site.store.put(f"redwing/intake/jobs/{job_id}", msgspec.json.encode(job))
             await site.call("POST", f"/proof/{ID}", JOB)
             await site.until_state(ID, "completed", node=1)
-            old = site.owner_node()
-            await old.stop()
-            site.nodes.remove(old)
-            await site.until(lambda: site.owner_node() is not None)
+            await site.hand_over()
             assert await site.state_of(ID, node=1) == "completed"
             assert sum("event=job_unreadable" in line for line in site.events()) >= 6
 
@@ -224,10 +221,7 @@
         async def scenario(site):
             await site.call("POST", f"/proof/{ID}", JOB)
             await site.until_state(ID, "completed", node=1)
-            old = site.owner_node()
-            await old.stop()
-            site.nodes.remove(old)
-            await site.until(lambda: site.owner_node() is not None)
+            await site.hand_over()
             loaded = [line for line in site.events() if "event=owner_loaded" in line]
             assert "workers_known=2" in loaded[-1]
 
@@ -236,10 +230,7 @@
     def test_learned_speeds_that_cannot_be_read_are_left_out(self):
         async def scenario(site):
             site.store.put(LEARNED_KEY, b"nonsense")
-            old = site.owner_node()
-            await old.stop()
-            site.nodes.remove(old)
-            await site.until(lambda: site.owner_node() is not None)
+            await site.hand_over()
             assert any("event=learned_unreadable" in line for line in site.events())
 
         run_site(scenario, nodes=2)
