Name organisations in the data of a cell: policy, keys of the configuration, owner of a job

Cause: neither the configuration nor a job's record can name an organisation, so no decision can depend on one. Change: OrganisationPolicy, keys by organisation in CellConfig (left out of its repr), is_public of a queue, organisation of a job. All have defaults, so that records and configurations without organisations read as before. Result: no decision uses the fields yet.

--- a/redwingplank/batch/model.py
+++ b/redwingplank/batch/model.py
@@ -1,7 +1,7 @@
 """The data that a cell works on: queues, jobs with their steps, workers, and worker reports."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 __all__ = [
@@ -13,6 +13,7 @@
     "Incarnation",
     "JobSpec",
     "JobState",
+    "OrganisationPolicy",
     "PollReport",
     "QueuePolicy",
     "RunCompletion",
@@ -156,6 +157,8 @@
         Number of occurrences of a scheduled job; 0 for a job that runs once, immediately.
     first_run_unix_s, interval_s : float
         Unix time at which the first occurrence is due, and the time between occurrences.
+    organisation : str
+        Name of the organisation that the job belongs to, empty if it belongs to none.
     """
 
     job_id: str
@@ -166,6 +169,7 @@
     repeat_count: int = 0
     first_run_unix_s: float = 0.0
     interval_s: float = 0.0
+    organisation: str = ""
 
 
 class JobState(enum.StrEnum):
@@ -220,6 +224,8 @@
         Time that is added to the objective of each job.
     advice : AdvicePolicy or None
         Policy of the advice service if starts need a ticket, None if they need no ticket.
+    is_public : bool
+        Whether callers need no key.
     """
 
     name: str
@@ -231,15 +237,54 @@
     stretch: float = 1.0
     target_s: float = 0.0
     advice: AdvicePolicy | None = None
+    is_public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationPolicy:
+    """Share and limit of an organisation.
+
+    Parameters
+    ----------
+    name : str
+        Name of the organisation.
+    weight : float
+        Jobs a second that the organisation is entitled to, and its share when capacity is short.
+    quota : Amounts
+        Largest amounts that its tasks may use on all workers together; 0 means no limit.
+    """
+
+    name: str
+    weight: float = 0.0
+    quota: Amounts = NO_AMOUNTS
 
 
 @dataclass(frozen=True, slots=True)
 class CellConfig:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration; a higher one replaces a lower one.
+    queues_by_name : dict of str to QueuePolicy
+        Queues of the cell.
+    max_body_bytes : int
+        Largest size of a request body.
+    organisations_by_name : dict of str to OrganisationPolicy
+        Organisations that share the cell.
+    organisation_by_key : dict of str to str
+        Name of the organisation that each key belongs to.
+    requires_keys : bool
+        Whether calls to queues that are not public need a key.
+    """
 
     version: int
     queues_by_name: dict[str, QueuePolicy]
     max_body_bytes: int = 262_144
+    organisations_by_name: dict[str, OrganisationPolicy] = field(default_factory=dict)
+    organisation_by_key: dict[str, str] = field(default_factory=dict, repr=False)
+    requires_keys: bool = False
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of `host` with the longest prefix of `path`, None if none matches."""
