--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from redwingplank.batch.model import QueuePolicy
-from redwingplank.cell.callers import Callers, SubmitOutcome
+from redwingplank.cell.callers import Callers
 from redwingplank.cell.clocks import now_s, now_unix_s
+from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.core import InvalidValueError
 from redwingplank.platform.site.ingress import (
     READINESS_PATH,
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -1,6 +1,5 @@
 """Requests of callers: submit a job, get its state, cancel it, and count the jobs that wait."""
 
-import enum
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,21 +12,18 @@
 from redwingplank.cell.keys import CANCELS_PREFIX, JOBS_PREFIX, PROGRESS_PREFIX
 from redwingplank.cell.membership import Membership
 from redwingplank.cell.owner import OwnerRuntime
-from redwingplank.core import choose_by_rendezvous
+from redwingplank.cell.peer_submission import PeerSubmission
+from redwingplank.cell.submission import MIN_CALL_TIME_S, SubmitOutcome
 from redwingplank.platform.site.http import NoAnswerError, NotSentError
 from redwingplank.platform.site.store import Put, StoreRefusedError, TransactionOutcome
 from redwingplank.rpc.cell_calls import CancelAnswer
-from redwingplank.rpc.errors import PeerUnreachableError, RpcError
+from redwingplank.rpc.errors import RpcError
 
-__all__ = ["Callers", "JobStateAnswer", "SubmitOutcome"]
+__all__ = ["Callers", "JobStateAnswer"]
 
 SUBMIT_TIMEOUT_S = 0.7
 """Time-out of storing a job from this node. The store answers in 0.01 s, a slow one in 0.25 s;
 callers wait 3 s, and peers are asked after this time-out."""
-PEER_TIMEOUT_S = 0.7
-"""Equal to `SUBMIT_TIMEOUT_S`, because the peer makes the same call."""
-MIN_TIME_S = 0.15
-"""No further call is made with less time left than this."""
 OWNER_TIMEOUT_S = 0.5
 """Time-out of asking the owner. A call to another node takes 0.005 s; after the time-out the state
 is read from the store instead."""
@@ -37,16 +33,6 @@
 """Two reads and a call of the owner fit into the 3 s that a caller waits."""
 
 
-class SubmitOutcome(enum.Enum):
-    """Result of a submission."""
-
-    ACCEPTED = enum.auto()
-    NOT_RUN = enum.auto()
-    """Confirmed not to be stored: the job never runs."""
-    UNKNOWN = enum.auto()
-    """The job may have been stored."""
-
-
 @dataclass(frozen=True, slots=True)
 class JobStateAnswer:
     """The state of a job, as far as it could be determined.
@@ -84,6 +70,7 @@
     ) -> None:
         self._context = context
         self._membership = membership
+        self._peer_submission = PeerSubmission(context, membership)
         self._find_owner = find_owner
         self.find_config = find_config
 
@@ -99,10 +86,10 @@
         """
         started_s = now_s()
         submission = encode_submission(spec)
-        timeout_s = max(MIN_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
+        timeout_s = max(MIN_CALL_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
         outcome, reason = await self.store_here(spec.job_id, submission, timeout_s)
         if outcome is not SubmitOutcome.ACCEPTED:
-            outcome, reason = await self._store_through_peer(
+            outcome, reason = await self._peer_submission.store(
                 spec.job_id, submission, deadline_s, outcome
             )
         self._log_submit(spec, outcome, reason, now_s() - started_s)
@@ -132,44 +119,6 @@
         is_new = result.outcome is TransactionOutcome.DONE
         return SubmitOutcome.ACCEPTED, "stored" if is_new else "already_stored"
 
-    async def _store_through_peer(
-        self, job_id: str, submission: bytes, deadline_s: float, outcome: SubmitOutcome
-    ) -> tuple[SubmitOutcome, str]:
-        """Ask peers to store a job; unless one accepts it, an unknown result stays unknown."""
-        for address in self._peers_to_try(job_id):
-            timeout_s = min(PEER_TIMEOUT_S, deadline_s - now_s() - MIN_TIME_S)
-            if timeout_s <= 0:
-                break
-            try:
-                name = await self._context.calls.submit(address, job_id, submission, timeout_s)
-            except PeerUnreachableError as error:
-                self._context.log("peer_unreachable", address=address, error=error)
-                continue
-            except RpcError as error:
-                self._context.log("peer_unreachable", address=address, error=error)
-                outcome = SubmitOutcome.UNKNOWN
-                continue
-            if SubmitOutcome[name] is SubmitOutcome.ACCEPTED:
-                return SubmitOutcome.ACCEPTED, "stored_by_peer"
-            if SubmitOutcome[name] is SubmitOutcome.UNKNOWN:
-                outcome = SubmitOutcome.UNKNOWN
-        return outcome, "no_peer_stored_it"
-
-    def _peers_to_try(self, job_id: str) -> list[str]:
-        """Return the address of the owner, which reached the store recently, and one more."""
-        owner = self._owner_address()
-        own = self._context.settings.peer_address
-        others = [
-            entry.address
-            for entry in self._membership.nodes_by_name.values()
-            if entry.address not in (owner, own)
-        ]
-        chosen = [owner] if owner else []
-        other = choose_by_rendezvous(job_id, others)
-        if other is not None:
-            chosen.append(other)
-        return chosen
-
     def _log_submit(self, spec: JobSpec, outcome: SubmitOutcome, reason: str, age_s: float) -> None:
         name = outcome.name.lower()
         self._context.log(
--- a/redwingplank/cell/service.py
+++ b/redwingplank/cell/service.py
@@ -4,9 +4,9 @@
 from typing import Any
 
 from redwingplank.batch.model import StepKey
-from redwingplank.cell.callers import SubmitOutcome
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.owner import OwnerRuntime
+from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.platform.site.advice import AdviceBusyError
 from redwingplank.platform.site.http import SiteError
 from redwingplank.rpc.peers import is_refused
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from redwingplank.cell import membership, owner_watch, record_writer
-from redwingplank.cell.callers import SubmitOutcome
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.keys import LEARNED_KEY
+from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.cell.tests.site_fixture import free_address, run_site
 from redwingplank.rpc.peers import is_refused
 
