--- a/redwingplank/batch/model.py
+++ b/redwingplank/batch/model.py
@@ -285,16 +285,47 @@
     organisations_by_name: dict[str, OrganisationPolicy] = field(default_factory=dict)
     organisation_by_key: dict[str, str] = field(default_factory=dict, repr=False)
     requires_keys: bool = False
+    _queues_by_host: "dict[str, _HostQueues]" = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "_queues_by_host", _index_queues(self.queues_by_name))
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of `host` with the longest prefix of `path`, None if none matches."""
-        found: QueuePolicy | None = None
-        for queue in self.queues_by_name.values():
-            if queue.host != host or not path.startswith(queue.prefix):
-                continue
-            if found is None or len(queue.prefix) > len(found.prefix):
-                found = queue
-        return found
+        queues = self._queues_by_host.get(host)
+        return queues.find(path) if queues is not None else None
+
+
+class _HostQueues:
+    """The queues of a host by prefix; a lookup costs one step for each length of a prefix."""
+
+    __slots__ = ("_by_prefix", "_lengths")
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, QueuePolicy] = {}
+        self._lengths: tuple[int, ...] = ()
+
+    def add(self, queue: QueuePolicy) -> None:
+        """Add a queue; of two queues with one prefix the first one stays."""
+        self._by_prefix.setdefault(queue.prefix, queue)
+        length = len(queue.prefix)
+        if length not in self._lengths:
+            self._lengths = tuple(sorted((*self._lengths, length), reverse=True))
+
+    def find(self, path: str) -> QueuePolicy | None:
+        """Return the queue with the longest prefix of `path`."""
+        for length in self._lengths:
+            queue = self._by_prefix.get(path[:length])
+            if queue is not None:
+                return queue
+        return None
+
+
+def _index_queues(queues_by_name: dict[str, QueuePolicy]) -> dict[str, _HostQueues]:
+    queues_by_host: dict[str, _HostQueues] = {}
+    for queue in queues_by_name.values():
+        queues_by_host.setdefault(queue.host, _HostQueues()).add(queue)
+    return queues_by_host
 
 
 class Incarnation(NamedTuple):
--- a/redwingplank/platform/site/settings.py
+++ b/redwingplank/platform/site/settings.py
@@ -46,6 +46,9 @@
         How long the state of an ended job remains available to callers.
     store_lease_s : float
         Shortest lease that the store grants.
+    revocation_limit_s : float or None
+        Time after the removal of a key from which no call with it may succeed, None if there is no
+        such limit.
     """
 
     name: str
@@ -63,6 +66,7 @@
     grace_s: float
     state_kept_s: float
     store_lease_s: float
+    revocation_limit_s: float | None = None
 
     @property
     def peer_address(self) -> str:
@@ -90,6 +94,8 @@
     remote_factor: float = 2
     grace_s: float = 6
     status_s: float = 120
+    strict_revoke: bool = False
+    revoke_ms: float = 5000
 
 
 class _WireSettings(msgspec.Struct):
@@ -177,4 +183,5 @@
         grace_s=bounds.grace_s,
         state_kept_s=bounds.status_s,
         store_lease_s=wire.platform.ttl_min_ms / MS_PER_S,
+        revocation_limit_s=bounds.revoke_ms / MS_PER_S if bounds.strict_revoke else None,
     )
--- a/redwingplank/platform/site/store.py
+++ b/redwingplank/platform/site/store.py
@@ -19,6 +19,7 @@
     "Page",
     "Put",
     "SiteStore",
+    "StoreInvalidCallError",
     "StoreRefusedError",
     "TransactionOutcome",
     "TransactionResult",
@@ -35,6 +36,10 @@
     """The store refused the call, which had no effect."""
 
 
+class StoreInvalidCallError(StoreRefusedError):
+    """The store refused the call as invalid."""
+
+
 class HistoryGoneError(RedwingError):
     """The store has discarded the history that a watch asked for."""
 
@@ -258,7 +263,9 @@
 def _raise_for_status(reply: Reply) -> Reply:
     if reply.is_ok:
         return reply
-    if reply.status in (400, 403, 404, 412, 429, 503):
+    if reply.status == 400:
+        raise StoreInvalidCallError("the store refused the call as invalid")
+    if reply.status in (403, 404, 412, 429, 503):
         raise StoreRefusedError(f"the store refused with status {reply.status}")
     raise NoAnswerError(f"the store answered with status {reply.status}")
 
