Authenticate callers by key, prove the configuration's age, and keep jobs to their organisation

Cause: every caller was served, and a node could not tell how old its view of the configuration is. Contradictory configurations are rejected as a whole.

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from redwingplank.batch.model import QueuePolicy
+from redwingplank.cell.authentication import AccessRefusal, Credentials
 from redwingplank.cell.callers import Callers, SubmitOutcome
 from redwingplank.cell.clocks import now_s, now_unix_s
 from redwingplank.core import InvalidValueError
@@ -75,17 +76,22 @@
         if queue is None:
             _answer(resp, HTTPStatus.NOT_FOUND, "no queue has this host and path")
             return
+        credentials = Credentials(queue, req.get_header("Authorization"))
+        access = self._callers.access.check(credentials, now_s())
+        if access.refusal is not None:
+            _answer_refused(resp, access.refusal)
+            return
         job_id = req.path[len(queue.prefix) :]
         if not job_id and req.method == "GET":
             await self._pending(queue, resp)
         elif not _is_job_id(job_id):
             _answer(resp, HTTPStatus.NOT_FOUND, "the path holds no job id")
         elif req.method == "POST":
-            await self._submit(req, resp, queue, job_id, config.max_body_bytes)
+            await self._submit(req, resp, credentials, job_id, config.max_body_bytes)
         elif req.method == "GET":
-            await self._state(resp, job_id)
+            await self._state(resp, job_id, access.visible_to)
         elif req.method == "DELETE":
-            await self._cancel(resp, job_id)
+            await self._cancel(resp, job_id, access.visible_to)
         else:
             _answer(resp, HTTPStatus.METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
             resp.set_header("Allow", "POST, GET, DELETE")
@@ -94,7 +100,7 @@
         self,
         req: falcon.asgi.Request,
         resp: falcon.asgi.Response,
-        queue: QueuePolicy,
+        credentials: Credentials,
         job_id: str,
         max_body_bytes: int,
     ) -> None:
@@ -105,20 +111,22 @@
             _answer(resp, HTTPStatus.REQUEST_ENTITY_TOO_LARGE, problem)
             return
         try:
-            spec = decode_job(body, job_id, queue.name, now_unix_s())
+            spec = decode_job(body, job_id, credentials.queue.name, now_unix_s())
         except InvalidValueError as error:
             _answer(resp, HTTPStatus.BAD_REQUEST, str(error))
             return
-        outcome = await self._callers.submit(spec, deadline_s)
-        if outcome is SubmitOutcome.ACCEPTED:
+        answer = await self._callers.submit(spec, credentials, deadline_s)
+        if answer.outcome is SubmitOutcome.ACCEPTED:
             resp.media = {}
-        elif outcome is SubmitOutcome.NOT_RUN:
+        elif answer.refusal is not None:
+            _answer_refused(resp, answer.refusal)
+        elif answer.outcome is SubmitOutcome.NOT_RUN:
             _answer_unavailable(resp, "the job was not stored and does not run")
         else:
             _answer(resp, HTTPStatus.GATEWAY_TIMEOUT, "the job may be stored: submit it again")
 
-    async def _state(self, resp: falcon.asgi.Response, job_id: str) -> None:
-        answer = await self._callers.state(job_id)
+    async def _state(self, resp: falcon.asgi.Response, job_id: str, visible_to: str | None) -> None:
+        answer = await self._callers.state(job_id, visible_to)
         if not answer.is_determined:
             _answer_unavailable(resp, "the state cannot be told now")
         elif answer.state is None:
@@ -127,8 +135,10 @@
             resp.data = write_state(answer.state)
             resp.content_type = falcon.MEDIA_JSON
 
-    async def _cancel(self, resp: falcon.asgi.Response, job_id: str) -> None:
-        answer = await self._callers.cancel(job_id)
+    async def _cancel(
+        self, resp: falcon.asgi.Response, job_id: str, visible_to: str | None
+    ) -> None:
+        answer = await self._callers.cancel(job_id, visible_to)
         if answer.is_stored:
             resp.media = {}
         elif answer.is_known:
@@ -156,6 +166,15 @@
     resp.set_header("Retry-After", str(RETRY_AFTER_S))
 
 
+def _answer_refused(resp: falcon.asgi.Response, refusal: AccessRefusal) -> None:
+    """Answer a request whose key does not admit it; nothing of it is carried out."""
+    if refusal is AccessRefusal.VIEW_TOO_OLD:
+        _answer_unavailable(resp, "this node cannot tell now whether the key is valid")
+        return
+    _answer(resp, HTTPStatus.UNAUTHORIZED, "send a valid key: Authorization: Bearer KEY")
+    resp.set_header("WWW-Authenticate", "Bearer")
+
+
 def make_app(callers: Callers, find_obstacle: Callable[[], str]) -> falcon.asgi.App:
     """Return the HTTP application.
 
--- /dev/null
+++ b/redwingplank/cell/authentication.py
@@ -0,0 +1,130 @@
+"""Decides by key whether a request of a caller is served, and for which organisation."""
+
+import enum
+from dataclasses import dataclass, field
+
+from redwingplank.batch.model import CellConfig, QueuePolicy
+
+__all__ = [
+    "AccessDecision",
+    "AccessRefusal",
+    "Credentials",
+    "authenticate",
+    "decide_access",
+    "is_visible",
+]
+
+SCHEME = "bearer"
+VIEW_AGE_SHARE = 0.9
+"""Share of the revocation limit for which a proof of the configuration is used; the rest is for the
+time between the check of a request and its effect."""
+
+
+class AccessRefusal(enum.StrEnum):
+    """Why a request is refused."""
+
+    UNKNOWN_KEY = "unknown_key"
+    """The request has no key that belongs to an organisation."""
+    VIEW_TOO_OLD = "view_too_old"
+    """The configuration may have been replaced for too long without this node knowing."""
+
+
+@dataclass(frozen=True, slots=True)
+class AccessDecision:
+    """Result of authenticating a request.
+
+    Parameters
+    ----------
+    refusal : AccessRefusal or None
+        Why the request is refused, None if it is served.
+    organisation : str
+        Organisation of the key, empty if there is none.
+    visible_to : str or None
+        Organisation whose jobs are visible to the request, besides those of no organisation; None
+        if all jobs are visible.
+    """
+
+    refusal: AccessRefusal | None = None
+    organisation: str = ""
+    visible_to: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Credentials:
+    """What a request is authenticated by.
+
+    Parameters
+    ----------
+    queue : QueuePolicy
+        Queue that the request names.
+    authorization : str or None
+        Value of the ``Authorization`` header; left out of the repr, because it holds a key.
+    """
+
+    queue: QueuePolicy
+    authorization: str | None = field(default=None, repr=False)
+
+
+def decide_access(
+    config: CellConfig, credentials: Credentials, age_s: float, limit_s: float | None
+) -> AccessDecision:
+    """Authenticate a request under a configuration, which may be newer than its queue.
+
+    Parameters
+    ----------
+    config : CellConfig
+        Configuration in force.
+    credentials : Credentials
+        Queue and key of the request.
+    age_s : float
+        Seconds since the configuration is known to have been the newest one.
+    limit_s : float or None
+        The revocation limit in seconds, None if there is none.
+    """
+    queue = config.queues_by_name.get(credentials.queue.name, credentials.queue)
+    return authenticate(config, credentials.authorization, queue, age_s, limit_s)
+
+
+def authenticate(
+    config: CellConfig,
+    authorization: str | None,
+    queue: QueuePolicy,
+    age_s: float,
+    limit_s: float | None,
+) -> AccessDecision:
+    """Decide on a request by the value of its ``Authorization`` header.
+
+    A header without a well-formed key is refused at any age, because no configuration could know
+    it. A public queue needs neither a key nor a proof.
+    """
+    if not config.requires_keys:
+        return AccessDecision()
+    key = _read_key(authorization)
+    organisation = config.organisation_by_key.get(key, "")
+    refusal = None
+    if not queue.is_public:
+        refusal = _find_refusal(key, organisation, age_s, limit_s)
+    return AccessDecision(refusal, organisation, organisation)
+
+
+def _find_refusal(
+    key: str, organisation: str, age_s: float, limit_s: float | None
+) -> AccessRefusal | None:
+    if not key:
+        return AccessRefusal.UNKNOWN_KEY
+    if limit_s is not None and age_s > VIEW_AGE_SHARE * limit_s:
+        return AccessRefusal.VIEW_TOO_OLD
+    return None if organisation else AccessRefusal.UNKNOWN_KEY
+
+
+def _read_key(authorization: str | None) -> str:
+    """Return the key of a header ``Bearer KEY``, an empty string if the header has another form."""
+    words = (authorization or "").split()
+    if len(words) != 2 or words[0].lower() != SCHEME:
+        return ""
+    return words[1]
+
+
+def is_visible(organisation: str, visible_to: str | None) -> bool:
+    """Return whether a job of `organisation` is visible to a request."""
+    return visible_to is None or organisation in ("", visible_to)
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -2,12 +2,14 @@
 
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
 from redwingplank.batch.model import CellConfig, JobSpec, JobState
 from redwingplank.batch.records import encode_submission
+from redwingplank.cell.access import AccessControl
+from redwingplank.cell.authentication import AccessRefusal, Credentials, is_visible
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.keys import CANCELS_PREFIX, JOBS_PREFIX, PROGRESS_PREFIX
@@ -19,7 +21,7 @@
 from redwingplank.rpc.cell_calls import CancelAnswer
 from redwingplank.rpc.errors import PeerUnreachableError, RpcError
 
-__all__ = ["Callers", "JobStateAnswer", "SubmitOutcome"]
+__all__ = ["Callers", "JobStateAnswer", "SubmitAnswer", "SubmitOutcome"]
 
 SUBMIT_TIMEOUT_S = 0.7
 """Time-out of storing a job from this node. The store answers in 0.01 s, a slow one in 0.25 s;
@@ -47,6 +49,14 @@
     """The job may have been stored."""
 
 
+@dataclass(frozen=True, slots=True)
+class SubmitAnswer:
+    """Outcome of a submission; `refusal` tells why a job was not stored for its key."""
+
+    outcome: SubmitOutcome
+    refusal: AccessRefusal | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class JobStateAnswer:
     """The state of a job, as far as it could be determined.
@@ -73,6 +83,8 @@
         read the stored jobs.
     find_config : callable
         Returns the configuration in force, or None before one has been received.
+    access : AccessControl
+        Authenticates requests.
     """
 
     def __init__(
@@ -81,23 +93,34 @@
         membership: Membership,
         find_owner: Callable[[], OwnerRuntime | None],
         find_config: Callable[[], CellConfig | None],
+        access: AccessControl,
     ) -> None:
         self._context = context
         self._membership = membership
         self._find_owner = find_owner
         self.find_config = find_config
+        self.access = access
 
-    async def submit(self, spec: JobSpec, deadline_s: float) -> SubmitOutcome:
+    async def submit(
+        self, spec: JobSpec, credentials: Credentials, deadline_s: float
+    ) -> SubmitAnswer:
         """Store a job, through a peer if this node's own attempt does not succeed.
 
         Parameters
         ----------
         spec : JobSpec
             The job to store.
+        credentials : Credentials
+            Authenticated once more here: the request may have taken long to arrive.
         deadline_s : float
             Time until which the caller waits, on the clock of `now_s`.
         """
         started_s = now_s()
+        decision = self.access.check(credentials, started_s)
+        if decision.refusal is not None:
+            self._log_submit(spec, SubmitOutcome.NOT_RUN, decision.refusal.value, 0.0)
+            return SubmitAnswer(SubmitOutcome.NOT_RUN, decision.refusal)
+        spec = replace(spec, organisation=decision.organisation)
         submission = encode_submission(spec)
         timeout_s = max(MIN_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
         outcome, reason = await self.store_here(spec.job_id, submission, timeout_s)
@@ -106,7 +129,7 @@
                 spec.job_id, submission, deadline_s, outcome
             )
         self._log_submit(spec, outcome, reason, now_s() - started_s)
-        return outcome
+        return SubmitAnswer(outcome)
 
     async def store_here(
         self, job_id: str, submission: bytes, timeout_s: float
@@ -176,25 +199,38 @@
             "submit", job=spec.job_id, queue=spec.queue, outcome=name, reason=reason, age_s=age_s
         )
 
-    async def state(self, job_id: str) -> JobStateAnswer:
-        """Return the state of a job, from the owner or else from the store."""
+    async def state(self, job_id: str, visible_to: str | None = None) -> JobStateAnswer:
+        """Return the state of a job, from the owner or else from the store.
+
+        Parameters
+        ----------
+        job_id : str
+            Identifier of the job.
+        visible_to : str or None
+            Organisation whose jobs are visible to the caller, None if all jobs are; a job of
+            another organisation is answered as unknown.
+        """
         owner = self._find_owner()
         if owner is not None:
-            state = owner.job_state(job_id)
+            state = owner.job_state(job_id, visible_to)
             if state is not None:
                 return JobStateAnswer(True, state)
         else:
-            answer = await self._ask_owner(job_id)
+            answer = await self._ask_owner(job_id, visible_to)
             if answer.state is not None:
                 return answer
-        return await self._state_in_store(job_id)
+        if visible_to is None:
+            return await self._state_in_store(job_id)
+        return await self._visible_state_in_store(job_id, visible_to)
 
-    async def _ask_owner(self, job_id: str) -> JobStateAnswer:
+    async def _ask_owner(self, job_id: str, visible_to: str | None) -> JobStateAnswer:
         address = self._owner_address()
         if not address:
             return JobStateAnswer(False)
         try:
-            is_owner, state = await self._context.calls.job_state(address, job_id, OWNER_TIMEOUT_S)
+            is_owner, state = await self._context.calls.job_state(
+                address, job_id, OWNER_TIMEOUT_S, visible_to
+            )
         except RpcError as error:
             self._context.log("owner_unreachable", address=address, error=error)
             return JobStateAnswer(False)
@@ -218,35 +254,50 @@
             return JobStateAnswer(False)
         return JobStateAnswer(True, JobState.QUEUED if job is not None else None)
 
-    async def cancel(self, job_id: str) -> CancelAnswer:
-        """Cancel a job through the owner, or in the store if the owner did not store that."""
+    async def _visible_state_in_store(self, job_id: str, visible_to: str) -> JobStateAnswer:
+        """Return the state of a job in the store if its record shows it to be visible."""
+        store = self._context.store
+        try:
+            job = await store.get(JOBS_PREFIX + job_id, READ_TIMEOUT_S)
+        except STORE_ERRORS as error:
+            self._context.health.record_failure(error)
+            return JobStateAnswer(False)
+        if job is None or not _is_record_visible(job.value, visible_to):
+            return JobStateAnswer(True, None)
+        return await self._state_in_store(job_id)
+
+    async def cancel(self, job_id: str, visible_to: str | None = None) -> CancelAnswer:
+        """Cancel a job through the owner, or in the store if the owner did not store that.
+
+        A job that is not visible to the caller, as in `state`, is answered as unknown.
+        """
         owner = self._find_owner()
         if owner is not None:
-            answer: CancelAnswer | None = await owner.cancel(job_id)
+            answer: CancelAnswer | None = await owner.cancel(job_id, visible_to)
         else:
-            answer = await self._cancel_at_owner(job_id)
+            answer = await self._cancel_at_owner(job_id, visible_to)
         if answer is None or not answer.is_known or not answer.is_stored:
-            answer = await self._cancel_in_store(job_id)
+            answer = await self._cancel_in_store(job_id, visible_to)
         self._context.log(
             "cancel", job=job_id, is_known=answer.is_known, is_stored=answer.is_stored
         )
         return answer
 
-    async def _cancel_at_owner(self, job_id: str) -> CancelAnswer | None:
+    async def _cancel_at_owner(self, job_id: str, visible_to: str | None) -> CancelAnswer | None:
         address = self._owner_address()
         if not address:
             return None
         try:
-            return await self._context.calls.cancel(address, job_id, CANCEL_TIMEOUT_S)
+            return await self._context.calls.cancel(address, job_id, CANCEL_TIMEOUT_S, visible_to)
         except RpcError as error:
             self._context.log("owner_unreachable", address=address, error=error)
             return None
 
-    async def _cancel_in_store(self, job_id: str) -> CancelAnswer:
+    async def _cancel_in_store(self, job_id: str, visible_to: str | None) -> CancelAnswer:
         store = self._context.store
         try:
             job = await store.get(JOBS_PREFIX + job_id, READ_TIMEOUT_S)
-            if job is None:
+            if job is None or not _is_record_visible(job.value, visible_to):
                 return CancelAnswer(is_known=False, is_stored=False)
             puts = [Put(CANCELS_PREFIX + job_id, b"1")]
             expected = {JOBS_PREFIX + job_id: job.revision}
@@ -271,6 +322,21 @@
         return count
 
 
+class _JobOrganisation(msgspec.Struct):
+    organisation: str = ""
+
+
+def _is_record_visible(value: bytes | None, visible_to: str | None) -> bool:
+    """Return whether the stored record of a job shows it to be visible to a caller."""
+    if visible_to is None:
+        return True
+    try:
+        record = msgspec.json.decode(value or b"", type=_JobOrganisation)
+    except msgspec.MsgspecError:
+        return False
+    return is_visible(record.organisation, visible_to)
+
+
 class _ProgressState(msgspec.Struct):
     state: str = ""
     is_started: bool = False
--- a/redwingplank/cell/config.py
+++ b/redwingplank/cell/config.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 
 from redwingplank.batch.model import CellConfig
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.follower import PrefixFollower
-from redwingplank.platform.site.config import CONFIG_KEY, decode_config
+from redwingplank.platform.site.config import CONFIG_KEY, ConfigRejectedError, decode_config
 from redwingplank.platform.site.store import Item
 
 __all__ = ["ConfigFollower"]
@@ -25,35 +26,106 @@
     ----------
     context : NodeContext
         Settings, clients, log and metrics of this node.
+
+    Attributes
+    ----------
+    current : CellConfig or None
+        Configuration in force.
+    revision : int
+        Newest revision of the store's key that `current` stands for.
+    newest_revision : int
+        Newest revision that this node has seen; higher than `revision` while the newest
+        configuration is rejected.
+    proven_s : float
+        Latest time, on the clock of `now_s`, at which nothing newer than `current` is known to
+        have been in the store.
     """
 
     def __init__(self, context: NodeContext) -> None:
         self._context = context
         self.current: CellConfig | None = None
+        self.revision = 0
+        self.newest_revision = 0
+        self.proven_s = float("-inf")
         self.is_known = asyncio.Event()
         self.listeners: list[Callable[[CellConfig], None]] = []
         self.follower = PrefixFollower(
             context, CONFIG_KEY, WATCH_WAIT_S, self._handle_items, self._handle_items
         )
 
+    def record_proof(self, revision: int, sent_s: float) -> None:
+        """Record that `revision` was the newest one when a call sent at `sent_s` was carried out.
+
+        An answer that arrives after that to a later call changes nothing.
+        """
+        if self.revision >= revision:
+            self.proven_s = max(self.proven_s, sent_s)
+
+    def age_s(self, now_s: float) -> float:
+        """Return the seconds since the configuration was last proven to be the newest one."""
+        return now_s - self.proven_s
+
     def _handle_items(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.key == CONFIG_KEY and item.value is not None:
-                self._apply(item.value, item.revision)
+                self.apply(item.value, item.revision)
 
-    def _apply(self, value: bytes, revision: int) -> None:
+    def apply(self, value: bytes, revision: int) -> None:
+        """Put the configuration of an item into force if it is valid and newer."""
+        if revision == self.newest_revision:
+            return
+        is_newest = revision > self.newest_revision
+        self.newest_revision = max(self.newest_revision, revision)
         try:
             config = decode_config(value)
         except msgspec.MsgspecError as error:
-            self._context.log("config_unreadable", revision=revision, error=error)
+            self._log_rejection("config_unreadable", revision, error)
             return
-        if self.current is not None and config.version <= self.current.version:
+        except ConfigRejectedError as error:
+            self._log_rejection("config_rejected", revision, error)
             return
+        if self.current is None or config.version > self.current.version:
+            self._put_into_force(config, revision)
+        elif is_newest:
+            self._keep_current(config, revision)
+
+    def _put_into_force(self, config: CellConfig, revision: int) -> None:
         was = self.current.version if self.current else 0
         self.current = config
+        self.revision = revision
+        self._update_gauge()
         self.is_known.set()
         self._context.log(
-            "config_in_force", version=config.version, was=was, queues=len(config.queues_by_name)
+            "config_in_force",
+            version=config.version,
+            was=was,
+            queues=len(config.queues_by_name),
+            organisations=len(config.organisations_by_name),
         )
         for listener in self.listeners:
             listener(config)
+
+    def _keep_current(self, stored: CellConfig, revision: int) -> None:
+        """Keep the current configuration, without keys that a newer revision no longer gives.
+
+        The newer revision has no higher version, so it does not come into force.
+        """
+        assert self.current is not None
+        self.revision = revision
+        self._update_gauge()
+        if self.current.requires_keys and stored.requires_keys:
+            given = stored.organisation_by_key
+            kept = {
+                key: name
+                for key, name in self.current.organisation_by_key.items()
+                if given.get(key) == name
+            }
+            self.current = replace(self.current, organisation_by_key=kept)
+
+    def _log_rejection(self, event: str, revision: int, error: Exception) -> None:
+        self._update_gauge()
+        self._context.log(event, revision=revision, error=error)
+
+    def _update_gauge(self) -> None:
+        is_behind = self.revision < self.newest_revision
+        self._context.metrics.is_config_rejected.set(is_behind)
--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -37,6 +37,17 @@
         self.log_lines_lost = Gauge(
             "redwing_log_lines_lost", "Lines that nobody read in time", registry=self.registry
         )
+        self.is_config_rejected = Gauge(
+            "redwing_config_rejected",
+            "1 while the newest configuration is not in force because it is invalid",
+            registry=self.registry,
+        )
+        self.refused_requests = Counter(
+            "redwing_refused_requests",
+            "Requests of callers that were refused for their key, by cause",
+            ["cause"],
+            registry=self.registry,
+        )
         self._store_calls = Histogram(
             "redwing_store_call_seconds",
             "From a call of the store to its answer",
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from redwingplank.batch.model import CellConfig
+from redwingplank.cell.access import AccessControl
 from redwingplank.cell.app import make_app
 from redwingplank.cell.callers import Callers
 from redwingplank.cell.config import ConfigFollower
+from redwingplank.cell.config_proof import ConfigProver
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.membership import Membership, Ownership
 from redwingplank.cell.metrics import make_metrics_app
@@ -40,6 +42,7 @@
         self._tasks = TaskSet(context)
         self._config = ConfigFollower(context)
         self._config.listeners.append(self._apply_config)
+        self._config_prover = ConfigProver(context, self._config, self._tasks)
         self._membership = Membership(
             context, self._handle_ownership_won, self._handle_ownership_lost
         )
@@ -48,8 +51,9 @@
         self._peer_server: NodeServer | None = None
         self._http: HttpServer | None = None
         self._metrics_server: HttpServer | None = None
+        access = AccessControl(context, lambda: self._config.current, self._config.age_s)
         self.callers = Callers(
-            context, self._membership, self._find_owner, lambda: self._config.current
+            context, self._membership, self._find_owner, lambda: self._config.current, access
         )
 
     async def start(self) -> None:
@@ -66,6 +70,7 @@
             metrics_app = make_metrics_app(self._context.metrics)
             self._metrics_server = await serve_http(metrics_app, [settings.metrics_address])
         self._tasks.start_loop(self._config.follower.run)
+        self._tasks.start_loop(self._config_prover.run)
         self._tasks.start_loop(self._membership.keep_lease)
         self._tasks.start_loop(self._membership.follow)
         self._tasks.start_loop(self._membership.contend_for_ownership)
@@ -119,6 +124,7 @@
         return self._owner if self._owner is not None and self._owner.is_loaded else None
 
     def _apply_config(self, config: CellConfig) -> None:
+        self._config_prover.wake()
         self._membership.may_own = True
         self._membership.wake()
         if self._owner is not None:
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -15,6 +15,7 @@
 from redwingplank.batch.records import decode_submission
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.cell.advisers import Advisers
+from redwingplank.cell.authentication import is_visible
 from redwingplank.cell.clocks import now_s, now_unix_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.follower import PrefixFollower
@@ -293,18 +294,35 @@
 
     # Requests of callers.
 
-    def job_state(self, job_id: str) -> JobState | None:
-        """Return the state of a job for its caller, None if the job is not known."""
+    def job_state(self, job_id: str, visible_to: str | None = None) -> JobState | None:
+        """Return the state of a job for its caller, None if the job is not known or not visible.
+
+        Parameters
+        ----------
+        job_id : str
+            Identifier of the job.
+        visible_to : str or None
+            Organisation whose jobs are visible to the caller, None if all jobs are.
+        """
+        if not self._is_visible(job_id, visible_to):
+            return None
         return self.owner.job_state(job_id)
 
+    def _is_visible(self, job_id: str, visible_to: str | None) -> bool:
+        job = self.owner.state.jobs_by_id.get(job_id)
+        return job is not None and is_visible(job.spec.organisation, visible_to)
+
     def pending(self, queue: str) -> int:
         """Return the number of jobs of a queue that wait for their first start."""
         return self.owner.pending_count(queue)
 
-    async def cancel(self, job_id: str) -> CancelAnswer:
-        """Cancel a job, and wait at most `CANCEL_WAIT_S` until the cancellation is stored."""
+    async def cancel(self, job_id: str, visible_to: str | None = None) -> CancelAnswer:
+        """Cancel a job, and wait at most `CANCEL_WAIT_S` until the cancellation is stored.
+
+        A job that is not visible to the caller, as in `job_state`, is answered as unknown.
+        """
         job = self.owner.state.jobs_by_id.get(job_id)
-        if job is None:
+        if job is None or not is_visible(job.spec.organisation, visible_to):
             return CancelAnswer(is_known=False, is_stored=False)
         version = self.owner.cancel(job_id, now_s())
         if version is None:
--- a/redwingplank/cell/service.py
+++ b/redwingplank/cell/service.py
@@ -56,6 +56,22 @@
         answer = await owner.cancel(jobId)
         return True, answer.is_known, answer.is_stored
 
+    async def jobStateFor(
+        self, jobId: str, organisation: str, _context: Any, **_: Any
+    ) -> tuple[bool, str]:
+        owner = self._find_owner()
+        state = owner.job_state(jobId, organisation) if owner else None
+        return owner is not None, state or ""
+
+    async def cancelFor(
+        self, jobId: str, organisation: str, _context: Any, **_: Any
+    ) -> tuple[bool, bool, bool]:
+        owner = self._find_owner()
+        if owner is None:
+            return False, False, False
+        answer = await owner.cancel(jobId, organisation)
+        return True, answer.is_known, answer.is_stored
+
     async def pending(self, queue: str, _context: Any, **_: Any) -> tuple[bool, int]:
         owner = self._find_owner()
         return owner is not None, owner.pending(queue) if owner else 0
--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -30,9 +30,10 @@
 class Site:
     """A store, workers and nodes of a cell in one process."""
 
-    def __init__(self, store_lease_s: float = 1.0) -> None:
+    def __init__(self, store_lease_s: float = 1.0, revocation_limit_s: float | None = None) -> None:
         self.store = SiteStoreModel()
         self.store_lease_s = store_lease_s
+        self.revocation_limit_s = revocation_limit_s
         self.workers: list[SiteWorkerModel] = []
         self.nodes: list[Node] = []
         self.contexts: list[NodeContext] = []
@@ -68,7 +69,9 @@
         }
         self.store.put(f"servers/w{number}", msgspec.json.encode(entry))
 
-    def configure(self, version: int, **route: object) -> None:
+    def configure(
+        self, version: int, tenants: list[dict[str, object]] | None = None, **route: object
+    ) -> None:
         values = {
             "name": "proof",
             "host": HOST,
@@ -79,7 +82,10 @@
             "target_duration_ms": 250,
             **route,
         }
+        public = {**values, "name": "open", "prefix": "/open/", "public": True}
         config = {"version": version, "routes": [values], "limits": {"max_body_bytes": 20_000}}
+        if tenants is not None:
+            config |= {"tenants": tenants, "routes": [values, public]}
         self.store.put("op/config", msgspec.json.encode(config))
 
     async def add_node(self, number: int, core_share: float = 1.0) -> Node:
@@ -100,6 +106,7 @@
             grace_s=0.2,
             state_kept_s=120.0,
             store_lease_s=self.store_lease_s,
+            revocation_limit_s=self.revocation_limit_s,
         )
         context = NodeContext(settings, EventLog(settings.name, self._log_write))
         node = Node(context)
@@ -142,13 +149,16 @@
             await asyncio.sleep(0.01)
         raise AssertionError("the condition did not become true")
 
-    async def call(self, method: str, path: str, body: object = None, node: int = 0):
+    async def call(
+        self, method: str, path: str, body: object = None, node: int = 0, key: str | None = None
+    ):
         """Send a caller's request to a node; return status, decoded body and headers."""
         data = body if isinstance(body, bytes | None) else msgspec.json.encode(body)
         url = f"http://{self.contexts[node].settings.callers_address}{path}"
+        headers = {"Host": HOST} | ({"Authorization": f"Bearer {key}"} if key else {})
         async with (
             aiohttp.ClientSession() as session,
-            session.request(method, url, data=data, headers={"Host": HOST}) as response,
+            session.request(method, url, data=data, headers=headers) as response,
         ):
             raw = await response.read()
             return response.status, msgspec.json.decode(raw) if raw else None, response.headers
@@ -181,11 +191,16 @@
             await server.stop()
 
 
-def run_site(scenario, store_lease_s: float = 1.0, **values) -> None:
+def run_site(
+    scenario,
+    store_lease_s: float = 1.0,
+    revocation_limit_s: float | None = None,
+    **values,
+) -> None:
     """Start a site, run a scenario against it within 40 s in all, and stop it."""
 
     async def start_run_stop() -> None:
-        site = Site(store_lease_s)
+        site = Site(store_lease_s, revocation_limit_s)
         try:
             await site.start(**values)
             await scenario(site)
--- a/redwingplank/rpc/cell.capnp
+++ b/redwingplank/rpc/cell.capnp
@@ -17,4 +17,10 @@
   # Stores a job for a peer that cannot reach the store; `end` names the outcome.
   isRefused @5 (address :Text) -> (isRefused :Bool);
   # Returns whether the address refuses connections from the called node.
+  jobStateFor @6 (jobId :Text, organisation :Text) -> (isOwner :Bool, state :Text);
+  cancelFor @7 (jobId :Text, organisation :Text)
+    -> (isOwner :Bool, isKnown :Bool, isStored :Bool);
+  # The same as `jobState` and `cancel`, but a job of another organisation is answered as unknown.
+  # They are methods of their own, so that a node which does not know them fails the call instead
+  # of serving it without the check.
 }
--- a/redwingplank/rpc/cell_calls.py
+++ b/redwingplank/rpc/cell_calls.py
@@ -43,18 +43,33 @@
         self._peers = peers
 
     async def job_state(
-        self, address: str, job_id: str, timeout_s: float
+        self, address: str, job_id: str, timeout_s: float, visible_to: str | None = None
     ) -> tuple[bool, JobState | None]:
         """Return whether the peer owns the jobs, and the state of the job.
 
-        The state is None if the owner does not know the job.
+        The state is None if the owner does not know the job, or if `visible_to` names an
+        organisation and the job belongs to another one.
         """
-        answer = await self._call(address, lambda peer: peer.jobState(job_id), timeout_s)
+
+        def call_job_state(peer: Any) -> Any:
+            if visible_to is None:
+                return peer.jobState(job_id)
+            return peer.jobStateFor(job_id, visible_to)
+
+        answer = await self._call(address, call_job_state, timeout_s)
         return answer.isOwner, JobState(answer.state) if answer.state else None
 
-    async def cancel(self, address: str, job_id: str, timeout_s: float) -> CancelAnswer | None:
-        """Cancel a job; return None if the peer does not own the jobs."""
-        answer = await self._call(address, lambda peer: peer.cancel(job_id), timeout_s)
+    async def cancel(
+        self, address: str, job_id: str, timeout_s: float, visible_to: str | None = None
+    ) -> CancelAnswer | None:
+        """Cancel a job visible to an organisation; return None if the peer owns no jobs."""
+
+        def call_cancel(peer: Any) -> Any:
+            if visible_to is None:
+                return peer.cancel(job_id)
+            return peer.cancelFor(job_id, visible_to)
+
+        answer = await self._call(address, call_cancel, timeout_s)
         return CancelAnswer(answer.isKnown, answer.isStored) if answer.isOwner else None
 
     async def pending(self, address: str, queue: str, timeout_s: float) -> int | None:
