Share one usage table between both schedulers

Cause: the usage, limits and weighted dominant share of an organisation were tied to the numpy rows of the VM table in redwingplank/scheduling/shares.py, so the cell could not use them. Change: core/shares.py has usage, limits, room and share on plain sequences; scheduling/shares.py keeps only what concerns its grants.

--- a/redwingplank/scheduling/adoption.py
+++ b/redwingplank/scheduling/adoption.py
@@ -77,7 +77,7 @@
             self._exchanges.handle_restart(worker, inventory.incarnation, now_s)
         self._state.table.resize(worker.row, inventory.capacity)
         self._state.set_capacity(vm.name, inventory.capacity)
-        self._state.shares.set_totals()
+        self._state.shares.refresh_totals()
         self._mark_adopted(worker, vm, inventory, now_s)
         self._reconcile_inventory(worker, inventory, now_s)
         self._recovered_tasks.worker_adopted(worker.name)
@@ -260,7 +260,7 @@
         del state.workers_by_name[worker.name]
         del state.workers_by_row[worker.row]
         state.set_capacity(worker.name, None)
-        state.shares.set_totals()
+        state.shares.refresh_totals()
         state.log_decision("worker_gone", worker=worker.name)
 
     def drain(self, message: DrainVm) -> None:
--- a/redwingplank/scheduling/blocked_lanes.py
+++ b/redwingplank/scheduling/blocked_lanes.py
@@ -9,7 +9,7 @@
 from redwingplank.core import Resources, sum_resources
 from redwingplank.scheduling.messages import GrantWanted
 from redwingplank.scheduling.queue import Lane
-from redwingplank.scheduling.shares import OrganisationUsage
+from redwingplank.scheduling.shares import GrantedUsage
 from redwingplank.scheduling.state import ShardState
 from redwingplank.scheduling.vm_table import Amounts
 
@@ -81,7 +81,7 @@
             due_s = max(now_s, usage.wanted_at_s + state.settings.grant_repeat_s)
             state.due.call_at(due_s, partial(self._request_grant, usage))
 
-    def _request_grant(self, usage: OrganisationUsage, now_s: float) -> None:
+    def _request_grant(self, usage: GrantedUsage, now_s: float) -> None:
         """Request a grant for an organisation's parked lanes, repeatedly while any is parked."""
         requests = self._requests_by_organisation.get(usage.name)
         usage.is_grant_request_due = bool(requests)
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -165,7 +165,7 @@
         if worker.is_probing:
             update_schedulability(state, worker)
         usage = state.shares.find(job.spec.organisation)
-        state.shares.charge(usage, amounts, 1)
+        usage.charge(amounts.tolist(), 1)
         state.changed_organisations[usage.name] = usage
         state.running_count += 1
 
@@ -196,7 +196,7 @@
         del worker.tasks_by_id[task.task_id]
         task.job.used_by_rack[worker.rack_number] -= 1
         usage = state.shares.find(task.job.spec.organisation)
-        state.shares.charge(usage, amounts, -1)
+        usage.charge(amounts.tolist(), -1)
         state.changed_organisations[usage.name] = usage
         state.running_count -= 1
         if worker.is_probing:
@@ -215,7 +215,7 @@
         self._count_reservation(task, task.worker, task.amounts, 1)
         task.reserved = state.resources(task.amounts)
         usage = state.shares.find(task.job.spec.organisation)
-        state.shares.charge(usage, extra, 1)
+        usage.charge(extra.tolist(), 1)
         state.changed_organisations[usage.name] = usage
 
     def send_start(self, task: Task) -> None:
--- a/redwingplank/scheduling/queue.py
+++ b/redwingplank/scheduling/queue.py
@@ -7,7 +7,7 @@
 
 from redwingplank.config import DeadlineClass, Service, WorkloadKind
 from redwingplank.scheduling.entities import Job, Phase, Task
-from redwingplank.scheduling.shares import OrganisationUsage
+from redwingplank.scheduling.shares import GrantedUsage
 from redwingplank.scheduling.vm_table import Amounts
 
 __all__ = ["Lane", "WaitingQueue"]
@@ -28,7 +28,7 @@
     ----------
     number : int
         Creation order, which breaks ties between equal deadlines.
-    usage : OrganisationUsage
+    usage : GrantedUsage
         Usage of the organisation that the jobs belong to.
     queue_class : int
         Deadline class after ageing, 0 for the most urgent.
@@ -51,7 +51,7 @@
     """
 
     number: int
-    usage: OrganisationUsage
+    usage: GrantedUsage
     queue_class: int
     declared: Amounts
     service: str
@@ -76,7 +76,7 @@
 
 @dataclass(slots=True, eq=False)
 class _OrganisationQueue:
-    usage: OrganisationUsage
+    usage: GrantedUsage
     version: int = 0
     ready_by_class: tuple[list[tuple[float, int, int, Lane]], ...] = field(
         default_factory=lambda: tuple([] for _ in DeadlineClass)
@@ -123,7 +123,7 @@
         """Number of waiting tasks in all classes."""
         return sum(self.waiting_by_class)
 
-    def push(self, task: Task, usage: OrganisationUsage, declared: Amounts) -> None:
+    def push(self, task: Task, usage: GrantedUsage, declared: Amounts) -> None:
         """Add a task to the waiting tasks of its job."""
         job = task.job
         task.phase = Phase.QUEUED
@@ -217,7 +217,7 @@
             (entry[0] for entry in self._ready_by_class[queue_class][1:3]), default=_INFINITY
         )
 
-    def reorder(self, usage: OrganisationUsage) -> None:
+    def reorder(self, usage: GrantedUsage) -> None:
         """Move an organisation to its place in the order after its share has changed."""
         queue = self._queues_by_organisation.get(usage.name)
         if queue is None:
@@ -249,7 +249,7 @@
         """Iterate over all lanes; too slow for use in every tick."""
         return iter(self._lanes_by_key.values())
 
-    def _add_to_lane(self, job: Job, usage: OrganisationUsage, declared: Amounts) -> None:
+    def _add_to_lane(self, job: Job, usage: GrantedUsage, declared: Amounts) -> None:
         gang_size = job.spec.task_count if job.service.kind is WorkloadKind.GANG else 0
         need = tuple(declared.tolist())
         key = (usage.name, job.queue_class, job.spec.service, need, gang_size, job.is_volatile)
--- a/redwingplank/scheduling/state.py
+++ b/redwingplank/scheduling/state.py
@@ -15,7 +15,7 @@
 from redwingplank.scheduling.placer import Placer
 from redwingplank.scheduling.queue import WaitingQueue
 from redwingplank.scheduling.settings import SchedulerSettings
-from redwingplank.scheduling.shares import OrganisationUsage, ShareTable
+from redwingplank.scheduling.shares import GrantedUsage, ShareTable
 from redwingplank.scheduling.vm_table import Amounts, VmTable
 
 __all__ = ["ShardState", "make_shard_state"]
@@ -49,7 +49,7 @@
         Rows whose capacity may now fit a blocked lane.
     changed_services : dict of str to Job
         Standing services that have lost a task since they were last adjusted.
-    changed_organisations : dict of str to OrganisationUsage
+    changed_organisations : dict of str to GrantedUsage
         Organisations whose usage has changed since the blocked lanes were last checked.
     intended : list of Task
         Durable non-idempotent tasks placed in the current tick, for its `StartIntended` record.
@@ -87,7 +87,7 @@
     undeclared_by_id: dict[str, Job] = field(default_factory=dict)
     freed_rows: dict[int, None] = field(default_factory=dict)
     changed_services: dict[str, Job] = field(default_factory=dict)
-    changed_organisations: dict[str, OrganisationUsage] = field(default_factory=dict)
+    changed_organisations: dict[str, GrantedUsage] = field(default_factory=dict)
     intended: list[Task] = field(default_factory=list)
     messages: list[OutboxMessage] = field(default_factory=list)
     decisions: list[str] = field(default_factory=list)
