Charge runs to organisations, keep their quotas, and rank their jobs by rate and share

Cause: the cell had no notion of what an organisation uses; one could fill all workers and delay all others. Change: batch/organisations.py charges each run where it is added and removed, and each task that the records name on a worker that has not reported yet. The starter asks before each run and each gang, and a planned run is dropped if the quota was lowered before its command was sent. A final state is reported once the version that made it final is stored, so that later changes of hosts do not take it back.

--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -40,6 +40,7 @@
             return False
         worker = run.worker
         has_shrunk = not worker.free.holds(NO_AMOUNTS)
+        has_shrunk |= not self._state.organisations.may_send(run)
         if worker.clock_ms is None or worker.is_unreachable or has_shrunk:
             self._state.remove_run(run, now_s)
             return False
--- a/redwingplank/batch/crashes.py
+++ b/redwingplank/batch/crashes.py
@@ -74,6 +74,8 @@
                 self._count(lost, earlier.worker_id, now_s)
             self._forget_hosts(earlier, lost_runs)
             self._state.unconfirmed_hosts.pop(earlier.worker_id, None)
+            if earlier.worker_id != worker.id:
+                self._state.organisations.release_host(earlier.worker_id)
 
     def _forget_hosts(self, host: Incarnation, lost_runs: list[LostRun]) -> None:
         """Let a next owner know that a host does not run these tasks, except those it listed."""
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -21,10 +21,12 @@
 )
 from redwingplank.batch.entities import Run
 from redwingplank.batch.model import (
+    Amounts,
     CellConfig,
     CompletionKind,
     JobSpec,
     JobState,
+    OrganisationPolicy,
     PollReport,
     RunReport,
     StartOutcome,
@@ -73,8 +75,8 @@
     -----
     `report_errors` collects the unexpected errors of applied reports.
     `violations` collects every broken guarantee: a worker over its capacity, two runs of a task at
-    the same time, a start of a task after its completion was acknowledged, and a start before the
-    steps that it depends on are done.
+    the same time, a start of a task after its completion was acknowledged, a start before the
+    steps that it depends on are done, and a start that brings an organisation above its quota.
     """
 
     def __init__(
@@ -97,6 +99,8 @@
         self._event_numbers = itertools.count()
         self.specs_by_id: dict[str, JobSpec] = {}
         self.records_by_id: dict[str, bytes] = {}
+        self.cancelled_ids: set[str] = set()
+        """Jobs whose cancellation is stored apart from their records, as nodes do."""
         self.stored_speeds = b""
         """Stored run time statistics of the last owner that wrote to the store."""
         self.acknowledged_done: set[TaskId] = set()
@@ -130,6 +134,8 @@
             owner.state.speeds.restore(self.stored_speeds)
         for job_id, spec in self.specs_by_id.items():
             owner.restore_job(spec, self.records_by_id.get(job_id), self.now_s, self.now_s)
+        for job_id in self.cancelled_ids:
+            owner.cancel(job_id, self.now_s)
         owner.list_workers(self._entries(), self.now_s)
         return owner
 
@@ -172,6 +178,34 @@
         self.specs_by_id[spec.job_id] = spec
         self.owner.submit(spec, self.now_s, self.now_s)
 
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job; the cancellation is stored by the owner, later ones repeat it."""
+        self.cancelled_ids.add(job_id)
+        self.owner.cancel(job_id, self.now_s)
+
+    def set_organisations(self, *policies: OrganisationPolicy) -> None:
+        """Put a new version of the configuration in force, with these organisations."""
+        by_name = {policy.name: policy for policy in policies}
+        self.config = replace(
+            self.config, version=self.config.version + 1, organisations_by_name=by_name
+        )
+        self.owner.set_config(self.config)
+
+    def used_by(self, organisation: str) -> Amounts:
+        """Return the amounts of all runs of an organisation, those being stopped included."""
+        total = Amounts()
+        for run in self._runs_of(organisation):
+            total = total.plus(run.spec.amounts)
+        return total
+
+    def _runs_of(self, organisation: str) -> list[EmulatedRun]:
+        return [
+            run
+            for worker in self.workers.values()
+            for run in worker.runs.values()
+            if self.specs_by_id[run.task.job_id].organisation == organisation
+        ]
+
     def state(self, job_id: str) -> JobState | None:
         """Return the state of a job as it is reported to callers."""
         return self.owner.job_state(job_id)
@@ -304,13 +338,18 @@
         assert run.spec is not None
         lease_ms = owner.start_lease_ms(run.worker, self.now_s)
         token, spec = owner.state.epoch, run.spec
+        config = self.config
         born_ms = worker.entry.born_ms
 
         def carry_out() -> StartOutcome:
             if worker.entry.born_ms != born_ms or worker.is_down:
                 # The command was sent to a process that no longer exists.
                 return StartOutcome.UNKNOWN
-            return self._start(worker, run.task_id, run.attempt, spec, lease_ms, token)
+            starts = self.starts
+            outcome = self._start(worker, run.task_id, run.attempt, spec, lease_ms, token)
+            if self.starts > starts:
+                self._check_quota(run.task_id, config)
+            return outcome
 
         if not worker.is_reachable:
             self.after(
@@ -370,6 +409,16 @@
                     self.violations.append(f"{task} started before step {earlier} was done")
                     return
 
+    def _check_quota(self, task: TaskId, config: CellConfig) -> None:
+        """Check a start against the configuration in force when its command was sent."""
+        name = self.specs_by_id[task.job_id].organisation
+        policy = config.organisations_by_name.get(name)
+        if policy is None or len(self._runs_of(name)) == 1:
+            return
+        used = self.used_by(name)
+        if any(limit and amount > limit for amount, limit in zip(used, policy.quota, strict=True)):
+            self.violations.append(f"{name} over its quota by {task} at {self.now_s:.2f}: {used}")
+
     def _has_ended(self, task: TaskId) -> bool:
         return any(task in worker.ended_done for worker in self.workers.values())
 
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -92,6 +92,7 @@
         "is_accepted",
         "is_listed",
         "load",
+        "organisation",
         "pace_percent",
         "percent",
         "progressed_s",
@@ -124,6 +125,8 @@
         self.spec = spec
         self.state = state
         self.reserved = spec.reserved if spec else NO_AMOUNTS
+        self.organisation = ""
+        """Organisation that the run is charged to, empty if it is not charged."""
         self.sent_s = now_s
         self.started_s = now_s
         self.progressed_s = now_s
@@ -227,6 +230,7 @@
         "tasks",
         "tickets_by_worker",
         "undone_count",
+        "waits_for_quota",
     )
 
     def __init__(self, job: "Job", key: StepKey, spec: StepSpec) -> None:
@@ -244,6 +248,8 @@
         """Workers for which the advice service issued no ticket."""
         self.is_advice_open = False
         self.advice_sent_s = 0.0
+        self.waits_for_quota = False
+        """Whether tasks could start but for the quota of the organisation."""
 
     def find_startable_tasks(self, now_s: float) -> list[Task]:
         """Return the tasks that could start now.
@@ -298,6 +304,8 @@
     __slots__ = (
         "due_count",
         "ended_s",
+        "final_version",
+        "is_beyond_rate",
         "is_started",
         "latest_end_s",
         "objective_s",
@@ -320,6 +328,10 @@
         self.version = 0
         self.stored_version = 0
         self.ended_s = 0.0
+        self.final_version = 0
+        """Version that has to be stored before the final state is reported."""
+        self.is_beyond_rate = False
+        """Whether the job was submitted beyond the rate of its organisation."""
         self.objective_s = 0.0
         """Time by which the job is to complete."""
         self.latest_end_s = 0.0
@@ -346,6 +358,20 @@
             return None
         return step.tasks[task_id.position]
 
+    @property
+    def keeps_hosts(self) -> bool:
+        """Whether the hosts of the job have to be stored while its runs may exist.
+
+        They are stored for all jobs that are not final, and for all jobs of an organisation, whose
+        quota they count against.
+        """
+        return bool(self.spec.organisation) or not self.state.is_final
+
+    @property
+    def hosts(self) -> list[Incarnation]:
+        """Incarnations of workers that may run tasks of the job, as they are stored."""
+        return [host for step in self.steps_by_key.values() for host in step.hosts]
+
     def runs(self) -> list[Run]:
         """Return all runs of the job that may exist."""
         return [
@@ -453,7 +479,7 @@
         self.step_counts[key] = self.step_counts.get(key, 0) + 1
 
     def remove_run(self, run: Run) -> None:
-        """Remove a run and release its capacity."""
+        """Remove a run and release its capacity; a run that is not known is ignored."""
         if self.runs_by_key.pop(run.key, None) is None:
             return
         self.reserved = self.reserved.minus(run.reserved)
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -103,15 +103,19 @@
         add_due_steps(job, now_unix_s)
         if job.state.is_final:
             job.ended_s = now_s
-            job.steps_by_key.clear()
-            return
+            if not job.hosts:
+                job.steps_by_key.clear()
+                return
         until_s = self._confirmation_deadline_s(now_s)
         for step in job.steps_by_key.values():
             for host in step.hosts:
                 self.state.unconfirmed_hosts.setdefault(host.worker_id, until_s)
                 task_ids = [task.id for task in step.hosted_tasks(host)]
+                task_count = step.hosts[host].bit_count()
+                self.state.organisations.charge_host(host.worker_id, step, task_count, until_s)
                 self._crashes.remember_inherited_tasks(host, task_ids)
-        self._open_ready_steps(job, now_s)
+        if not job.state.is_final:
+            self._open_ready_steps(job, now_s)
 
     def _confirmation_deadline_s(self, now_s: float) -> float:
         """Return the time by which all leases granted by earlier owners have certainly expired.
@@ -153,6 +157,7 @@
         job = Job(spec, now_s - age_s)
         set_objective(job, self.state.queue_of(job), self.state.speeds)
         self.state.jobs_by_id[spec.job_id] = job
+        self.state.organisations.add_job(job)
         return job
 
     def _open_due_steps(self, job: Job, now_s: float, now_unix_s: float) -> None:
@@ -173,7 +178,7 @@
             return None
         if job.state is not JobState.CANCELLED:
             self.state.finish_job(job, JobState.CANCELLED, now_s, "cancelled")
-        return job.version
+        return job.final_version
 
     def job_state(self, job_id: str) -> JobState | None:
         """Return the state to report to callers, None for an unknown job.
@@ -183,7 +188,7 @@
         job = self.state.jobs_by_id.get(job_id)
         if job is None:
             return None
-        if job.state.is_final and job.stored_version < job.version:
+        if job.state.is_final and job.stored_version < job.final_version:
             return JobState.RUNNING if job.is_started else JobState.QUEUED
         return job.state
 
@@ -215,7 +220,8 @@
     def is_write_urgent(self) -> bool:
         """Return whether a start or a caller waits for a record to be stored."""
         return any(
-            job.state.is_final or any(run.state is RunState.PLANNED for run in job.runs())
+            job.stored_version < job.final_version
+            or any(run.state is RunState.PLANNED for run in job.runs())
             for job in self.state.dirty_jobs.values()
         )
 
@@ -229,11 +235,17 @@
             for run in job.runs():
                 if run.state is RunState.PLANNED and run.version <= job.stored_version:
                     self.state.commands.starts.append(run)
-            if job.state.is_final and job.stored_version == job.version and not job.runs():
+            is_stored = job.state.is_final and job.stored_version == job.version
+            if is_stored and not job.runs() and not self._may_run_unconfirmed(job):
                 job.steps_by_key.clear()
         for worker in self.state.workers_by_id.values():
             worker.acknowledge_stored_completions()
 
+    def _may_run_unconfirmed(self, job: Job) -> bool:
+        """Return whether a worker that has not reported yet may run tasks of a final job."""
+        unconfirmed = self.state.unconfirmed_hosts
+        return any(host.worker_id in unconfirmed for host in job.hosts)
+
     # Workers.
 
     def list_workers(self, entries: list[WorkerEntry], now_s: float) -> None:
@@ -306,6 +318,7 @@
         """Apply a configuration if it is newer than the current one."""
         if config.version > self.state.config.version:
             self.state.config = config
+            self.state.organisations.set_config(config)
             self.state.needs_pass = True
 
     def tick(self, now_s: float, now_unix_s: float) -> Commands:
@@ -336,8 +349,9 @@
             and now_s - job.ended_s > kept_s
             and job.stored_version == job.version
             and not job.runs()
+            and not self._may_run_unconfirmed(job)
         ]
         for job_id in removed:
-            del self.state.jobs_by_id[job_id]
+            self.state.organisations.remove_job(self.state.jobs_by_id.pop(job_id))
         self._crashes.forget_ended_jobs()
         return removed
--- a/redwingplank/batch/ranking.py
+++ b/redwingplank/batch/ranking.py
@@ -4,7 +4,14 @@
 from redwingplank.batch.model import JobSpec, QueuePolicy
 from redwingplank.batch.speeds import Speeds
 
-__all__ = ["Rank", "chain_s", "rank_step", "set_objective"]
+__all__ = [
+    "BEYOND_RATE_TIER",
+    "LAST_TIER",
+    "Rank",
+    "chain_s",
+    "rank_step",
+    "set_objective",
+]
 
 LATE_FACTOR = 3.0
 """A job that completes within this multiple of its objective still counts, as late."""
@@ -14,7 +21,11 @@
 _LASTING_TIER = 0
 _IN_TIME_TIER = 1
 _LATE_TIER = 2
-_HOPELESS_TIER = 3
+BEYOND_RATE_TIER = 3
+"""Tier of jobs beyond the rate of their organisation that can still complete in time or late."""
+_HOPELESS_TIER = 4
+LAST_TIER = 5
+"""Tier of jobs whose organisation is not configured any more."""
 
 
 def chain_s(spec: JobSpec, speeds: Speeds, queue: str) -> list[float]:
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -52,7 +52,10 @@
 
 
 def encode_progress(job: Job) -> bytes:
-    """Return the progress of a job in its stored form; of a final job only its state is kept."""
+    """Return the progress of a job in its stored form.
+
+    Of a final job only its state is kept, and the hosts if the job belongs to an organisation.
+    """
     progress = _Progress(state=job.state if job.state.is_final else "", is_started=job.is_started)
     if not job.state.is_final:
         progress.steps = {
@@ -60,6 +63,12 @@
             for key, step in job.steps_by_key.items()
             if step.has_progress
         }
+    elif job.keeps_hosts:
+        progress.steps = {
+            f"{key.occurrence}.{key.step}": _StepRecord("", _encode_hosts(step))
+            for key, step in job.steps_by_key.items()
+            if step.hosts
+        }
     return msgspec.json.encode(progress)
 
 
@@ -89,8 +98,7 @@
     job.is_started = progress.is_started
     if progress.state:
         job.state = JobState(progress.state)
-        return
-    if job.is_started:
+    elif job.is_started:
         job.state = JobState.RUNNING
     for name, record in progress.steps.items():
         occurrence, _, number = name.partition(".")
@@ -102,7 +110,7 @@
 
 def _encode_step(step: Step) -> _StepRecord:
     bits = 0
-    record = _StepRecord("", {_encode_host(host): f"{bits:x}" for host, bits in step.hosts.items()})
+    record = _StepRecord("", _encode_hosts(step))
     for index, task in enumerate(step.tasks):
         if task.is_done:
             bits |= 1 << index
@@ -137,6 +145,10 @@
         task.crashes, task.proven_crashes, task.suspicions = crashes
 
 
+def _encode_hosts(step: Step) -> dict[str, str]:
+    return {_encode_host(host): f"{bits:x}" for host, bits in step.hosts.items()}
+
+
 def _encode_host(host: Incarnation) -> str:
     return f"{host.worker_id} {host.address} {host.born_ms}"
 
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -59,6 +59,9 @@
             worker.is_listed = False
             if worker.is_unreachable and not worker.runs_by_key:
                 del state.workers_by_id[worker.id]
+        state.organisations.set_capacity(
+            worker.entry.capacity for worker in state.workers_by_id.values()
+        )
         state.needs_pass = True
 
     def handle_restart(self, worker: Worker, born_ms: int, now_s: float) -> None:
@@ -118,6 +121,7 @@
         for completion in report.completions:
             self._completions.apply_completion(worker, completion, now_s)
         self._apply_listed_runs(worker, report, sent_s, now_s)
+        self._state.organisations.release_host(worker.id)
         self._confirm_worker(worker, now_s)
         worker.acknowledge_stored_completions()
 
@@ -177,7 +181,7 @@
             if run.spec is None:
                 # It takes room until it has ended, and how much is not known.
                 run.reserved = Amounts(*(max(0, free) for free in worker.free))
-            worker.add_run(run)
+            state.add_run_without_task(run)
             state.order_stop(run, now_s, "job_not_known")
             return
         job, task = found
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -3,8 +3,9 @@
 from redwingplank.batch.candidates import Candidates
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import JobState, QueuePolicy
+from redwingplank.batch.organisations import OrderedRank
 from redwingplank.batch.placement import EligibleWorkers, Placement
-from redwingplank.batch.ranking import Rank, chain_s, rank_step
+from redwingplank.batch.ranking import chain_s, rank_step
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
 
@@ -47,10 +48,14 @@
                     "step_failed", job=step.key.job_id, step=step.key.step, error=repr(error)
                 )
 
-    def _rank_open_steps(self, now_s: float) -> list[tuple[Rank, Step]]:
+    def _rank_open_steps(self, now_s: float) -> list[tuple[OrderedRank, Step]]:
         ranked = []
         speeds = self._state.speeds
+        organisations = self._state.organisations
+        organisations.begin_pass(self._state.open_steps.values())
         for step in list(self._state.open_steps.values()):
+            if organisations.is_waiting(step):
+                continue
             if not step.find_startable_tasks(now_s):
                 if all(task.is_done or task.runs for task in step.tasks):
                     # The step is reopened when a run is removed or its worker becomes unreachable.
@@ -58,7 +63,8 @@
                 continue
             spec = step.job.spec
             remaining_s = chain_s(spec, speeds, spec.queue)[step.key.step]
-            ranked.append((rank_step(step, remaining_s, now_s), step))
+            rank = rank_step(step, remaining_s, now_s)
+            ranked.append((organisations.order(step.job, rank), step))
         ranked.sort(key=lambda pair: (pair[0], pair[1].key))
         return ranked
 
@@ -106,7 +112,7 @@
 
     def _plan_tasks(self, step: Step, workers: list[Worker], now_s: float) -> bool:
         startable = self._confirmed_startable(step, now_s)
-        if not startable:
+        if not startable or not self._state.organisations.may_start(step):
             return True
         candidates = Candidates(self._placement, workers, step, now_s)
         for task in startable:
@@ -115,6 +121,8 @@
                 continue
             if worker is None:
                 return False
+            if not self._state.organisations.may_start(step):
+                return True
             self._plan_run(step, task, worker, self._state.next_attempt(task), now_s)
             candidates.reinsert(worker)
         return True
@@ -122,6 +130,8 @@
     def _plan_gang(self, step: Step, workers: list[Worker], now_s: float) -> bool:
         if len(self._confirmed_startable(step, now_s)) < step.spec.count:
             return True
+        if not self._state.organisations.may_start(step, step.spec.count):
+            return True
         chosen = self._placement.choose_gang(workers, step, now_s)
         if chosen is None:
             return False
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -14,6 +14,7 @@
     StepSpec,
     TaskId,
 )
+from redwingplank.batch.organisations import Organisations
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.speeds import Speeds
 
@@ -58,6 +59,7 @@
         """Runs of incarnations of which nothing is known any more: they may have crashed."""
         self.dirty_jobs: dict[str, Job] = {}
         self.commands = Commands()
+        self.organisations = Organisations(config, log_decision)
         self.speeds = Speeds(settings.remote_factor)
         self.needs_pass = True
 
@@ -91,11 +93,18 @@
         """Add a run to its task and its worker."""
         task.runs.append(run)
         task.attempt = max(task.attempt, run.attempt)
+        self.add_run_without_task(run)
+
+    def add_run_without_task(self, run: Run) -> None:
+        """Add a run whose task is not known any more to its worker; its job may be known."""
         run.worker.add_run(run)
+        job = self.jobs_by_id.get(run.task_id.job_id)
+        self.organisations.charge_run(run, job.spec.organisation if job else "")
 
     def remove_run(self, run: Run, now_s: float) -> Task | None:
         """Remove a run that certainly no longer exists; return its task, None if unknown."""
         run.worker.remove_run(run)
+        self.organisations.release_run(run)
         self.needs_pass = True
         found = self.find_task(run.task_id)
         if found is None:
@@ -112,7 +121,7 @@
         """Record that a run may exist in the present incarnation of its worker."""
         found = self.find_task(run.task_id)
         earlier, run.incarnation = run.incarnation, run.worker.incarnation
-        if found is None or found[0].state.is_final:
+        if found is None or not found[0].keeps_hosts:
             return
         job = found[0]
         step = job.steps_by_key[run.task_id.step_key]
@@ -123,12 +132,22 @@
     def forget_host(self, job: Job, task: Task, host: Incarnation) -> None:
         """Let a next owner know that a task no longer waits for what its host may run."""
         is_host = any(run.incarnation == host for run in task.runs)
-        if job.state.is_final or is_host:
+        if not job.keeps_hosts or is_host:
             return
         step = job.steps_by_key[task.id.step_key]
         if step.remove_host(host, task.id):
             self.mark_dirty(job)
 
+    def forget_hosts_of_final_jobs(self, worker_id: str) -> None:
+        """Let a next owner know that a worker, on which every lease expired, runs none of them."""
+        for job in self.jobs_by_id.values():
+            if not job.state.is_final:
+                continue
+            for step in job.steps_by_key.values():
+                hosts = [host for host in step.hosts if host.worker_id == worker_id]
+                for host, task in [(host, task) for host in hosts for task in step.tasks]:
+                    self.forget_host(job, task, host)
+
     def reopen_step(self, key: StepKey) -> None:
         """Add a step to the open steps again if it still has tasks that are not done."""
         job = self.jobs_by_id.get(key.job_id)
@@ -164,7 +183,7 @@
         """Set the final state of a job and stop its remaining runs."""
         job.state = state
         job.ended_s = now_s
-        self.mark_dirty(job)
+        job.final_version = self.mark_dirty(job)
         for key in job.steps_by_key:
             self.open_steps.pop(key, None)
         for run in job.runs():
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -32,9 +32,11 @@
         state = self._state
         for worker in list(state.workers_by_id.values()):
             self._reports.release_expired_runs(worker, now_s)
+        state.organisations.release_expired_hosts(now_s)
         for host, until_s in list(state.unconfirmed_hosts.items()):
             if now_s >= until_s:
                 del state.unconfirmed_hosts[host]
+                state.forget_hosts_of_final_jobs(host)
                 state.log_decision("host_free", worker=host, reason="every_lease_over")
 
     def _evacuate_draining_workers(self, now_s: float) -> None:
