Import the outcome of a submission from its module

Cause: a test took SubmitOutcome from callers, which no longer defines it. Change: the import names its module. Result: redwingplank/cell passes.

--- a/redwingplank/cell/tests/test_access.py
+++ b/redwingplank/cell/tests/test_access.py
@@ -3,9 +3,10 @@
 import msgspec
 
 from redwingplank.cell.authentication import AccessRefusal, Credentials
-from redwingplank.cell.callers import SubmitAnswer, SubmitOutcome
+from redwingplank.cell.callers import SubmitAnswer
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.service import CellService
+from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.cell.tests.site_fixture import run_site
 from redwingplank.cell.tests.test_node import ID, LASTING
 from redwingplank.platform.site.jobs import decode_job
