--- a/redwingplank/batch/organisations.py
+++ b/redwingplank/batch/organisations.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from redwingplank.batch.entities import Job, Run, Step
@@ -49,6 +49,13 @@
         """Return whether no resource is used beyond the quota."""
         return all(used <= limit for used, limit in zip(self.used, self.limits, strict=True))
 
+    def is_share_above(self, even_share: float) -> bool:
+        """Return whether half of one more task would bring the share above the even one.
+
+        The half rounds to whole tasks; without it, small shares would be exceeded by more.
+        """
+        return self.share * (self.charge_count + 0.5) > even_share * self.charge_count
+
     def may_start(self, amounts: Amounts, count: int) -> bool:
         """Return whether `count` tasks may start together.
 
@@ -83,6 +90,9 @@
         self._usages: UsageTable[BatchUsage] = UsageTable(_make_usage)
         self._rates = SubmissionRates()
         self._charges_by_host: dict[str, _HostCharge] = {}
+        self._even_share = math.inf
+        self.is_capacity_short = False
+        """Whether a step found no worker with enough free capacity in the present pass."""
         self.set_config(config)
 
     def set_config(self, config: CellConfig) -> None:
@@ -224,8 +234,10 @@
         """Determine which organisations use more than their share.
 
         Organisations that do not compete for capacity, because they have no open steps or wait for
-        their quota, are left out: what they leave unused is shared by weight as well.
+        their quota, are left out: what they leave unused is shared by weight as well. While every
+        step finds capacity, no organisation counts as above its share.
         """
+        is_short, self.is_capacity_short = self.is_capacity_short, False
         usages = list(self._usages)
         if not usages:
             return
@@ -237,8 +249,9 @@
         total_weight = sum(usage.weight for usage in competing)
         total_used = sum(self._usages.dominant(usage) for usage in competing)
         even_share = total_used / total_weight if total_weight else 0.0
+        self._even_share = even_share if is_short and len(competing) > 1 else math.inf
         for usage in usages:
-            usage.is_above_share = usage.share > even_share
+            usage.is_above_share = usage.is_share_above(self._even_share)
 
     def order(self, job: Job, rank: Rank) -> OrderedRank:
         """Return the sort key of a step of a job; the smallest key comes first.
@@ -261,6 +274,43 @@
             tier = max(tier, BEYOND_RATE_TIER)
         return tier, usage.is_above_share, rank
 
+    def reaches_share(self, step: Step) -> bool:
+        """Return whether the last start has brought an organisation above its share.
+
+        The rest of the step then has to wait for its turn at the end of its tier.
+        """
+        organisation = step.job.spec.organisation
+        if not organisation or self._even_share == math.inf:
+            return False
+        usage = self._usages.find(organisation)
+        if usage.is_above_share:
+            return False
+        self._usages.update(usage)
+        usage.is_above_share = usage.is_share_above(self._even_share)
+        return usage.is_above_share
+
+    def take_turns(self, ranked: Iterable[tuple[OrderedRank, Step]]) -> Iterator[Step]:
+        """Yield steps in order; those of organisations that exceed their share meanwhile come last.
+
+        They come at the end of their tier, once more if they were cut short by `reaches_share`.
+        """
+        deferred: list[Step] = []
+        current_tier = -1
+        for (tier, was_above_share, _), step in ranked:
+            if tier != current_tier:
+                yield from deferred
+                deferred.clear()
+                current_tier = tier
+            if was_above_share or not self._is_above_share(step):
+                yield step
+            if not was_above_share and self._is_above_share(step):
+                deferred.append(step)
+        yield from deferred
+
+    def _is_above_share(self, step: Step) -> bool:
+        organisation = step.job.spec.organisation
+        return bool(organisation) and self._usages.find(organisation).is_above_share
+
     def usages(self) -> list[BatchUsage]:
         """Return the usage of each organisation that is configured or uses anything."""
         return [usage for usage in self._usages if usage.is_configured or usage.charge_count]
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -1,5 +1,6 @@
 """The scheduling decisions of the owner of a cell's jobs, without input or output."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -200,6 +201,14 @@
             if job.spec.queue == queue and not job.is_started and not job.state.is_final
         )
 
+    def waiting_by_organisation(self) -> Counter[str]:
+        """Return the number of jobs of each organisation that have not been started yet."""
+        return Counter(
+            job.spec.organisation
+            for job in self.state.jobs_by_id.values()
+            if job.spec.organisation and not job.is_started and not job.state.is_final
+        )
+
     # Records of job progress.
 
     def pop_records(self, limit: int) -> list[RecordToStore]:
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -33,7 +33,8 @@
     def plan_starts(self, now_s: float) -> None:
         """Plan a run for each task that can start now, in one pass over the open steps."""
         eligible_by_service: dict[str, EligibleWorkers] = {}
-        for _, step in self._rank_open_steps(now_s):
+        ranked = self._rank_open_steps(now_s)
+        for step in self._state.organisations.take_turns(ranked):
             queue = self._state.queue_of(step.job)
             if queue is None:
                 continue
@@ -94,6 +95,8 @@
     ) -> None:
         may_fit = eligible.most_free.holds(step.spec.reserved)
         is_complete = may_fit and self._plan_step(step, queue, eligible.workers, now_s)
+        if not is_complete and (not may_fit or queue.advice is None or step.tickets_by_worker):
+            self._state.organisations.is_capacity_short = True
         if not is_complete and queue.advice is not None:
             self._tickets.request_tickets(
                 step, eligible.workers, queue.advice, now_s, may_fit=may_fit
@@ -124,6 +127,8 @@
             if not self._state.organisations.may_start(step):
                 return True
             self._plan_run(step, task, worker, self._state.next_attempt(task), now_s)
+            if self._state.organisations.reaches_share(step):
+                return True
             candidates.reinsert(worker)
         return True
 
--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -12,6 +12,8 @@
     generate_latest,
 )
 
+from redwingplank.cell.organisation_metrics import OrganisationMetrics
+
 __all__ = ["METRICS_PATH", "NodeMetrics", "make_metrics_app"]
 
 METRICS_PATH = "/metrics"
@@ -37,6 +39,7 @@
         self.log_lines_lost = Gauge(
             "redwing_log_lines_lost", "Lines that nobody read in time", registry=self.registry
         )
+        self.organisations = OrganisationMetrics(self.registry)
         self._store_calls = Histogram(
             "redwing_store_call_seconds",
             "From a call of the store to its answer",
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -240,6 +240,9 @@
         metrics.workers.set(
             sum(not worker.is_unreachable for worker in state.workers_by_id.values())
         )
+        metrics.organisations.update(
+            state.organisations.usages(), self.owner.waiting_by_organisation()
+        )
         metrics.log_lines_lost.set(self._context.events.dropped)
 
     # Ticks: decisions and the commands that follow from them.
