--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -12,6 +12,8 @@
     generate_latest,
 )
 
+from redwingplank.cell.organisation_metrics import OrganisationMetrics
+
 __all__ = ["METRICS_PATH", "NodeMetrics", "make_metrics_app"]
 
 METRICS_PATH = "/metrics"
@@ -48,6 +50,7 @@
             ["cause"],
             registry=self.registry,
         )
+        self.organisations = OrganisationMetrics(self.registry)
         self._store_calls = Histogram(
             "redwing_store_call_seconds",
             "From a call of the store to its answer",
