Examine only steps and workers that a pass can use; plan only after a change

A pass checked each of 176 workers for each waiting step, and each tick planned although nothing had changed. A pass now leaves out steps that fit nowhere before it looks at their tasks, examines only the workers with enough free CPU, and computes each score once for all steps that share it. A tick plans when something changed or a delay ended, and at least every 0.25 s.

--- a/redwingplank/batch/candidates.py
+++ b/redwingplank/batch/candidates.py
@@ -39,6 +39,7 @@
         self._placement = placement
         self._step = step
         self._now_s = now_s
+        self._base_score = placement.scores.scorer(step)
         fitting = [worker for worker in workers if placement.fits(worker, step, now_s)]
         self._preferred_domain = placement.preferred_domain(fitting, step)
         self._ranked = [self._rank(worker) for worker in fitting]
@@ -109,7 +110,7 @@
 
     def _score(self, worker: Worker) -> float:
         """Return the score of a worker, which is worse outside the preferred failure domain."""
-        score = self._placement.score(worker, self._step)
+        score = self._base_score(worker)
         is_remote = (
             bool(self._preferred_domain) and worker.entry.failure_domain != self._preferred_domain
         )
--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -67,11 +67,12 @@
             run.started_s = run.progressed_s = now_s
             found = self._state.find_task(run.task_id)
             if found is not None:
-                run.worker.record_start(found[1], now_s)
+                self._state.record_start(run.worker, found[1], now_s)
 
     def _handle_unanswered_start(self, run: Run, now_s: float) -> None:
         worker = run.worker
-        worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNANSWERED_BACKOFF_S)
+        until_s = max(worker.avoided_until_s, now_s + UNANSWERED_BACKOFF_S)
+        self._state.avoid_worker(worker, until_s)
         self._state.commands.polls.append(worker)
         if run.state is RunState.STARTING:
             run.state = RunState.UNCONFIRMED
@@ -80,17 +81,16 @@
     def _handle_refused_start(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
         task = self._state.remove_run(run, now_s)
         worker = run.worker
-        if outcome is StartOutcome.UNHEALTHY:
-            worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNHEALTHY_BACKOFF_S)
-        if outcome is StartOutcome.NOT_SENT:
-            worker.avoided_until_s = max(worker.avoided_until_s, now_s + UNHEALTHY_BACKOFF_S)
+        if outcome in (StartOutcome.UNHEALTHY, StartOutcome.NOT_SENT):
+            until_s = max(worker.avoided_until_s, now_s + UNHEALTHY_BACKOFF_S)
+            self._state.avoid_worker(worker, until_s)
         found = self._state.find_task(run.task_id)
         if task is None or found is None:
             return
         step = found[0].steps_by_key[run.task_id.step_key]
         if outcome is StartOutcome.BAD_TICKET:
             step.tickets_by_worker.pop(worker.id, None)
-        task.not_before_s = now_s + REFUSED_RETRY_S
+        self._state.delay_task(task, now_s + REFUSED_RETRY_S)
         if step.spec.is_gang:
             for member in step.tasks:
                 for other in list(member.runs):
--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -145,9 +145,8 @@
             return False
         subject.failures += 1
         subject.last_failed_attempt = attempt
-        task.not_before_s = now_s + (
-            LASTING_RETRY_S if step.spec.is_lasting else RETRY_AFTER_FAILURE_S
-        )
+        delay_s = LASTING_RETRY_S if step.spec.is_lasting else RETRY_AFTER_FAILURE_S
+        self._state.delay_task(task, now_s + delay_s)
         queue = self._state.queue_of(job)
         limit = queue.max_attempts if queue else 1
         if step.spec.is_lasting or job.state.is_final:
@@ -163,7 +162,7 @@
         if excess < 0:
             return
         avoid_s = min(settings.avoid_limit_s, settings.avoid_s * 2**excess)
-        worker.avoided_until_s = now_s + avoid_s
+        self._state.avoid_worker(worker, now_s + avoid_s)
         self._state.log_decision(
             "worker_avoided",
             worker=worker.id,
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -37,6 +37,9 @@
 CHECK_PERIOD_S = 0.05
 """Time between checks of all jobs and workers; what they find may be delayed by as much."""
 
+MAX_PASS_INTERVAL_S = 0.25
+"""Longest time between two passes if nothing changes, because ranks change with time."""
+
 
 @dataclass(frozen=True, slots=True)
 class PollRequest:
@@ -88,6 +91,7 @@
         self._pacing = Pacing(self.state)
         self._watchdog = Watchdog(self.state, self._reports)
         self._last_check_s = float("-inf")
+        self._last_pass_s = float("-inf")
 
     # Jobs.
 
@@ -313,8 +317,11 @@
         if now_s - self._last_check_s >= CHECK_PERIOD_S:
             self._last_check_s = now_s
             self._check(now_s, now_unix_s)
-        self._starter.plan_starts(now_s)
-        self.state.needs_pass = False
+        self.state.request_due_passes(now_s)
+        if self.state.needs_pass or now_s - self._last_pass_s >= MAX_PASS_INTERVAL_S:
+            self._last_pass_s = now_s
+            self.state.needs_pass = False
+            self._starter.plan_starts(now_s)
         commands = self.state.commands
         self.state.commands = Commands()
         return commands
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -1,12 +1,14 @@
 """Chooses workers for the tasks of a step."""
 
 import heapq
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from redwingplank.batch.entities import Step, Worker
 from redwingplank.batch.model import Amounts, StepSpec
+from redwingplank.batch.score_cache import ScoreCache
 from redwingplank.batch.state import OwnerState
 
 __all__ = ["EligibleWorkers", "Placement"]
@@ -22,14 +24,31 @@
 
 @dataclass(frozen=True, slots=True)
 class EligibleWorkers:
-    """The eligible workers of a service, and the largest free amount of each resource among them.
+    """The eligible workers of a service at the beginning of a pass.
 
-    Free capacity only shrinks during a pass, so a task that does not fit into `most_free` fits on
-    no worker.
+    Free capacity only shrinks during a pass, so a task that does not fit into `most_free`, the
+    largest free amount of each resource, fits on no worker.
+
+    Parameters
+    ----------
+    workers : list of Worker
+        All eligible workers, avoided ones included.
+    most_free : Amounts
+        Largest free amount of each resource on the workers that are not avoided.
+    by_free_cpu : list of Worker
+        The workers that are not avoided, by free CPU, smallest first.
+    free_cpu_millicores : list of int
+        Free CPU of each worker of `by_free_cpu`.
     """
 
     workers: list[Worker]
     most_free: Amounts
+    by_free_cpu: list[Worker]
+    free_cpu_millicores: list[int]
+
+    def select_with_free_cpu(self, need: Amounts) -> list[Worker]:
+        """Return the workers that may have room for `need`: all others have too little CPU."""
+        return self.by_free_cpu[bisect_left(self.free_cpu_millicores, need.cpu_millicores) :]
 
 
 class Placement:
@@ -43,6 +62,7 @@
 
     def __init__(self, state: OwnerState) -> None:
         self._state = state
+        self.scores = ScoreCache(lambda worker, step: self.score(worker, step))
 
     def find_eligible_workers(self, service: str, now_s: float) -> EligibleWorkers:
         """Return the workers of a service that may be given work now.
@@ -59,9 +79,12 @@
             and not worker.entry.is_draining
             and worker.clock_ms is not None
         ]
-        free_amounts = [worker.free for worker in workers if now_s >= worker.avoided_until_s]
+        usable = [worker for worker in workers if now_s >= worker.avoided_until_s]
+        usable.sort(key=lambda worker: worker.free.cpu_millicores)
+        free_amounts = [worker.free for worker in usable]
         most_free = Amounts(*(max(parts, default=0) for parts in zip(*free_amounts, strict=True)))
-        return EligibleWorkers(workers, most_free)
+        free_cpu_millicores = [free.cpu_millicores for free in free_amounts]
+        return EligibleWorkers(workers, most_free, usable, free_cpu_millicores)
 
     def meets_requirements(self, worker: Worker, step: Step) -> bool:
         """Return whether a worker could run a task of the step if no other task ran there."""
@@ -83,7 +106,7 @@
         return bool(limit) and worker.step_counts.get(step.key, 0) >= limit
 
     def select_for_advice(
-        self, workers: list[Worker], step: Step, limit: int, now_s: float
+        self, eligible: EligibleWorkers, step: Step, limit: int, now_s: float
     ) -> tuple[str, ...]:
         """Return the ids of at most `limit` workers to name in a call to the advice service.
 
@@ -91,22 +114,27 @@
         allowed, then those with the best score. Workers that the service refused are left out, and
         so are those that can take no more tasks of the step: a wide step needs other ones.
         """
-        candidates = [
-            worker
-            for worker in workers
-            if worker.id not in step.refused_workers and not self.is_at_step_limit(worker, step)
-        ]
-        best = heapq.nsmallest(
-            limit,
-            candidates,
-            key=lambda worker: (
-                not self.fits(worker, step, now_s),
-                worker.id not in step.tickets_by_worker,
-                self.score(worker, step),
-                worker.id,
-            ),
-        )
-        return tuple(worker.id for worker in best)
+        fitting_ids = {
+            worker.id
+            for worker in eligible.select_with_free_cpu(step.spec.reserved)
+            if self.fits(worker, step, now_s)
+        }
+        groups: dict[tuple[bool, bool], list[Worker]] = {}
+        for worker in eligible.workers:
+            if worker.id in step.refused_workers or self.is_at_step_limit(worker, step):
+                continue
+            if self.meets_requirements(worker, step):
+                group = worker.id not in fitting_ids, worker.id not in step.tickets_by_worker
+                groups.setdefault(group, []).append(worker)
+        score = self.scores.scorer(step)
+        chosen: list[str] = []
+        for group in sorted(groups):
+            scored = [(score(worker), worker.id) for worker in groups[group]]
+            best = heapq.nsmallest(limit - len(chosen), scored)
+            chosen.extend(worker_id for _, worker_id in best)
+            if len(chosen) >= limit:
+                break
+        return tuple(chosen)
 
     def preferred_domain(self, fitting: Iterable[Worker], step: Step) -> str:
         """Return the preferred failure domain for the tasks of a step.
@@ -139,9 +167,10 @@
         for the tasks that fit.
         """
         scores: list[float] = []
+        score = self.scores.scorer(step)
         for worker in workers:
             task_count = min(step.spec.count, self._count_fitting_tasks(worker, step))
-            scores.extend([self.score(worker, step)] * task_count)
+            scores.extend([score(worker)] * task_count)
         best = sorted(scores)[: step.spec.count]
         return step.spec.count - len(best), sum(best) / len(best)
 
@@ -150,11 +179,12 @@
         spec = step.spec
         fitting = [worker for worker in workers if self.fits(worker, step, now_s)]
         is_suspect = any(task.is_suspect for task in step.tasks)
+        score = self.scores.scorer(step)
         fitting.sort(
             key=lambda worker: (
                 now_s < worker.guarded_until_s,
                 is_suspect and worker.has_young_run(now_s),
-                self.score(worker, step),
+                score(worker),
                 worker.id,
             )
         )
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -68,6 +68,7 @@
         other runs may have reached the new process, so these runs have to be confirmed again.
         """
         self._log_worker(worker, "worker_reborn")
+        self._state.needs_pass = True
         self._crashes.count_crash(worker, now_s)
         worker.born_ms = born_ms
         worker.clock_ms = None
@@ -107,6 +108,7 @@
             # An earlier owner may have granted a lease of the longest duration just before.
             limit_ms = round(self._state.settings.lease_limit_s * 1000)
             worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + limit_ms)
+            self._state.needs_pass = True
         worker.clock_ms = report.clock_ms
         worker.clock_at_s = now_s
         if worker.is_unreachable:
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -1,8 +1,10 @@
 """Plans the starts of tasks in passes over the open steps, most urgent first."""
 
+from dataclasses import dataclass
+
 from redwingplank.batch.candidates import Candidates
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
-from redwingplank.batch.model import JobState, QueuePolicy
+from redwingplank.batch.model import JobState, QueuePolicy, StepKey
 from redwingplank.batch.placement import EligibleWorkers, Placement
 from redwingplank.batch.ranking import Rank, chain_s, rank_step
 from redwingplank.batch.state import OwnerState
@@ -11,6 +13,26 @@
 __all__ = ["Starter"]
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenStep:
+    """A step with tasks to start in the present pass.
+
+    `may_fit` is whether any worker may have room for one of its tasks.
+    """
+
+    rank: Rank
+    key: StepKey
+    step: Step
+    queue: QueuePolicy
+    eligible: EligibleWorkers
+    startable: list[Task]
+    may_fit: bool
+
+
+def _sort_key(open_step: _OpenStep) -> tuple[Rank, StepKey]:
+    return open_step.rank, open_step.key
+
+
 class Starter:
     """Plans the runs of tasks.
 
@@ -31,44 +53,59 @@
 
     def plan_starts(self, now_s: float) -> None:
         """Plan a run for each task that can start now, in one pass over the open steps."""
-        eligible_by_service: dict[str, EligibleWorkers] = {}
-        for _, step in self._rank_open_steps(now_s):
-            queue = self._state.queue_of(step.job)
-            if queue is None:
-                continue
-            service = queue.service
-            if service not in eligible_by_service:
-                eligible_by_service[service] = self._placement.find_eligible_workers(service, now_s)
+        self._placement.scores.begin_pass()
+        for open_step in self._rank_open_steps(now_s):
             try:
-                self._plan_step_or_ask_advice(step, queue, eligible_by_service[service], now_s)
+                self._plan_step_or_ask_advice(open_step, now_s)
             except Exception as error:
+                self._state.needs_pass = True
+                step = open_step.step
                 # The steps of other jobs are planned; this one is tried again in the next pass.
                 self._state.log_decision(
                     "step_failed", job=step.key.job_id, step=step.key.step, error=repr(error)
                 )
 
-    def _rank_open_steps(self, now_s: float) -> list[tuple[Rank, Step]]:
+    def _rank_open_steps(self, now_s: float) -> list[_OpenStep]:
+        """Return the steps with tasks to start, most urgent first.
+
+        Steps for which a pass can do nothing, whichever others it plans before, are left out before
+        their tasks are examined.
+        """
         ranked = []
-        speeds = self._state.speeds
+        eligible_by_service: dict[str, EligibleWorkers] = {}
         for step in list(self._state.open_steps.values()):
-            if not step.find_startable_tasks(now_s):
-                if all(task.is_done or task.runs for task in step.tasks):
-                    # The step is reopened when a run is removed or its worker becomes unreachable.
-                    del self._state.open_steps[step.key]
+            queue = self._state.queue_of(step.job)
+            if queue is None:
                 continue
-            spec = step.job.spec
-            remaining_s = chain_s(spec, speeds, spec.queue)[step.key.step]
-            ranked.append((rank_step(step, remaining_s, now_s), step))
-        ranked.sort(key=lambda pair: (pair[0], pair[1].key))
+            eligible = eligible_by_service.get(queue.service)
+            if eligible is None:
+                eligible = self._placement.find_eligible_workers(queue.service, now_s)
+                eligible_by_service[queue.service] = eligible
+            may_fit = eligible.most_free.holds(step.spec.reserved)
+            may_ask = queue.advice is not None and self._tickets.may_request(step, may_fit=may_fit)
+            if not may_fit and not may_ask:
+                continue
+            startable = step.find_startable_tasks(now_s)
+            if startable:
+                rank = self._rank(step, now_s)
+                ranked.append(_OpenStep(rank, step.key, step, queue, eligible, startable, may_fit))
+            elif all(task.is_done or task.runs for task in step.tasks):
+                # The step is reopened when a run is removed or its worker becomes unreachable.
+                del self._state.open_steps[step.key]
+        ranked.sort(key=_sort_key)
         return ranked
 
-    def _confirmed_startable(self, step: Step, now_s: float) -> list[Task]:
+    def _rank(self, step: Step, now_s: float) -> Rank:
+        spec = step.job.spec
+        remaining_s = chain_s(spec, self._state.speeds, spec.queue)[step.key.step]
+        return rank_step(step, remaining_s, now_s)
+
+    def _select_confirmed(self, step: Step, startable: list[Task]) -> list[Task]:
         """Return the startable tasks that certainly do not run for an earlier owner.
 
         A task is left out if a worker that this owner has not confirmed yet may run it, unless the
         step allows copies and the task is not suspected of having crashed that worker.
         """
-        startable = step.find_startable_tasks(now_s)
         unconfirmed = self._state.unconfirmed_hosts
         if not unconfirmed:
             return startable
@@ -83,35 +120,36 @@
             or not unconfirmed_tasks >> task.id.position & 1
         ]
 
-    def _plan_step_or_ask_advice(
-        self, step: Step, queue: QueuePolicy, eligible: EligibleWorkers, now_s: float
-    ) -> None:
-        may_fit = eligible.most_free.holds(step.spec.reserved)
-        is_complete = may_fit and self._plan_step(step, queue, eligible.workers, now_s)
-        if not is_complete and queue.advice is not None:
+    def _plan_step_or_ask_advice(self, open_step: _OpenStep, now_s: float) -> None:
+        advice = open_step.queue.advice
+        is_complete = open_step.may_fit and self._plan_step(open_step, now_s)
+        if not is_complete and advice is not None:
             self._tickets.request_tickets(
-                step, eligible.workers, queue.advice, now_s, may_fit=may_fit
+                open_step.step, open_step.eligible, advice, now_s, may_fit=open_step.may_fit
             )
 
-    def _plan_step(
-        self, step: Step, queue: QueuePolicy, eligible: list[Worker], now_s: float
-    ) -> bool:
+    def _plan_step(self, open_step: _OpenStep, now_s: float) -> bool:
         """Plan the runs of one step; return False if a startable task found no worker."""
-        workers = eligible
-        if queue.advice is not None:
-            workers = self._tickets.select_workers_with_ticket(step, eligible, now_s)
+        step = open_step.step
+        startable = self._select_confirmed(step, open_step.startable)
+        workers = open_step.eligible.select_with_free_cpu(step.spec.reserved)
+        if open_step.queue.advice is not None:
+            workers = self._tickets.select_workers_with_ticket(step, workers, now_s)
         if step.spec.is_gang:
-            return self._plan_gang(step, workers, now_s)
-        return self._plan_tasks(step, workers, now_s)
+            return self._plan_gang(step, startable, workers, now_s)
+        return self._plan_tasks(step, startable, workers, now_s)
 
-    def _plan_tasks(self, step: Step, workers: list[Worker], now_s: float) -> bool:
-        startable = self._confirmed_startable(step, now_s)
+    def _plan_tasks(
+        self, step: Step, startable: list[Task], workers: list[Worker], now_s: float
+    ) -> bool:
         if not startable:
             return True
         candidates = Candidates(self._placement, workers, step, now_s)
         for task in startable:
             worker = candidates.pop_best(task)
             if worker is None and candidates.are_left:
+                # The task waits for a worker without other starts, at most for a fixed time.
+                self._state.needs_pass = True
                 continue
             if worker is None:
                 return False
@@ -119,8 +157,10 @@
             candidates.reinsert(worker)
         return True
 
-    def _plan_gang(self, step: Step, workers: list[Worker], now_s: float) -> bool:
-        if len(self._confirmed_startable(step, now_s)) < step.spec.count:
+    def _plan_gang(
+        self, step: Step, startable: list[Task], workers: list[Worker], now_s: float
+    ) -> bool:
+        if len(startable) < step.spec.count:
             return True
         chosen = self._placement.choose_gang(workers, step, now_s)
         if chosen is None:
@@ -133,8 +173,9 @@
     def _plan_run(self, step: Step, task: Task, worker: Worker, attempt: int, now_s: float) -> None:
         state = self._state
         run = Run(task.id, attempt, worker, step.spec, now_s, RunState.PLANNED)
-        worker.record_start(task, now_s)
+        state.record_start(worker, task, now_s)
         state.add_run(task, run)
+        self._placement.scores.forget_worker(worker)
         job = step.job
         if step.add_host(worker.incarnation, task.id) or not job.is_started:
             job.is_started = True
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -1,5 +1,6 @@
 """The state that the parts of an owner share."""
 
+import heapq
 from collections.abc import Callable
 from typing import Any
 
@@ -60,6 +61,34 @@
         self.commands = Commands()
         self.speeds = Speeds(settings.remote_factor)
         self.needs_pass = True
+        """Whether something has changed since the last pass, so that more tasks may start."""
+        self._pass_times_s: list[float] = []
+
+    def request_pass_at(self, due_s: float) -> None:
+        """Request a pass at a time at which a task or a worker may be used again."""
+        heapq.heappush(self._pass_times_s, due_s)
+
+    def request_due_passes(self, now_s: float) -> None:
+        """Request a pass if one was requested for a time that has come."""
+        while self._pass_times_s and self._pass_times_s[0] <= now_s:
+            heapq.heappop(self._pass_times_s)
+            self.needs_pass = True
+
+    def avoid_worker(self, worker: Worker, until_s: float) -> None:
+        """Start no tasks on a worker until a time, after which a pass is made."""
+        worker.avoided_until_s = until_s
+        self.request_pass_at(until_s)
+
+    def delay_task(self, task: Task, until_s: float) -> None:
+        """Do not start a task before a time, at which a pass is made."""
+        task.not_before_s = until_s
+        self.request_pass_at(until_s)
+
+    def record_start(self, worker: Worker, task: Task, now_s: float) -> None:
+        """Record that a run of a task has been planned on a worker or has begun there."""
+        worker.record_start(task, now_s)
+        if task.needs_isolation:
+            self.request_pass_at(worker.avoided_until_s)
 
     def queue_of(self, job: Job) -> QueuePolicy | None:
         """Return the current configuration of the queue of a job, None if it has none."""
@@ -137,6 +166,7 @@
             return
         if step.is_open and step.undone_count:
             self.open_steps[key] = step
+            self.needs_pass = True
 
     def order_stop(self, run: Run, now_s: float, reason: str) -> None:
         """Command the stop of a run; a run whose start command was not sent is removed instead."""
--- /dev/null
+++ b/redwingplank/batch/tests/test_pass_cost.py
@@ -0,0 +1,170 @@
+"""Tests that passes cost little, and that they decide the same as the plain computation."""
+
+import heapq
+import random
+import zlib
+from typing import Any
+
+import pytest
+
+from redwingplank.batch import emulator, owner
+from redwingplank.batch.emulated_worker import Fault
+from redwingplank.batch.emulator import EmulatedCell
+from redwingplank.batch.model import AdvicePolicy, Amounts, JobSpec, QueuePolicy, StepKey, StepSpec
+from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.placement import EligibleWorkers, Placement
+from redwingplank.batch.score_cache import ScoreCache
+from redwingplank.batch.starter import Starter, _OpenStep, _sort_key
+from redwingplank.batch.tests.cells import make_config, make_job, make_worker, step
+
+ADVISED = QueuePolicy("a", "h", "/a/", "render", 0, 4, 1.5, 0.3, AdvicePolicy(0.03, 0.001, 0.6))
+PLAIN = QueuePolicy("p", "h", "/p/", "render", 2, 4, 2.2, 1.2)
+
+
+def rank_all_steps(starter: Starter, now_s: float) -> list[_OpenStep]:
+    """Rank all open steps with startable tasks, also those for which there is no room."""
+    ranked = []
+    for each in starter._state.open_steps.values():
+        queue = starter._state.queue_of(each.job)
+        startable = each.find_startable_tasks(now_s)
+        if queue is None or not startable:
+            continue
+        eligible = starter._placement.find_eligible_workers(queue.service, now_s)
+        rank = starter._rank(each, now_s)
+        may_fit = eligible.most_free.holds(each.spec.reserved)
+        ranked.append(_OpenStep(rank, each.key, each, queue, eligible, startable, may_fit))
+    return sorted(ranked, key=_sort_key)
+
+
+def select_among_all(
+    placement: Placement, eligible: EligibleWorkers, each: Any, limit: int, now_s: float
+) -> tuple[str, ...]:
+    """Return the workers to name in a call for advice, from the sort keys of all workers."""
+    best = heapq.nsmallest(
+        limit,
+        (
+            (
+                not placement.fits(worker, each, now_s),
+                worker.id not in each.tickets_by_worker,
+                placement.score(worker, each),
+                worker.id,
+            )
+            for worker in eligible.workers
+            if placement.meets_requirements(worker, each)
+            and worker.id not in each.refused_workers
+            and not placement.is_at_step_limit(worker, each)
+        ),
+    )
+    return tuple(key[-1] for key in best)
+
+
+def patch_plain(patch: pytest.MonkeyPatch) -> None:
+    """Plan in each tick, examine every step and worker, and compute each score anew."""
+    tick = JobOwner.tick
+
+    def tick_with_pass(self: JobOwner, now_s: float, now_unix_s: float) -> Any:
+        self.state.needs_pass = True
+        return tick(self, now_s, now_unix_s)
+
+    patch.setattr(JobOwner, "tick", tick_with_pass)
+    patch.setattr(Starter, "_rank_open_steps", rank_all_steps)
+    patch.setattr(Placement, "select_for_advice", select_among_all)
+    patch.setattr(EligibleWorkers, "select_with_free_cpu", lambda self, _: self.workers)
+    patch.setattr(ScoreCache, "scorer", lambda self, each: lambda worker: self._score(worker, each))
+
+
+def random_step(rng: random.Random, number: int) -> StepSpec:
+    # The emulator ends the tasks of a gang one by one, so no step may depend on a gang.
+    is_gang = number == 1 and rng.random() < 0.3
+    return StepSpec(
+        rng.randint(1, 4 if is_gang else 10),
+        Amounts(rng.choice((1000, 2500, 4000, 7000)), rng.choice((500, 6000)), rng.randint(0, 1)),
+        rng.uniform(0.1, 1.2),
+        (number - 1,) if number else (),
+        saves=rng.random() < 0.3,
+        is_gang=is_gang,
+        same_rack=rng.random() < 0.5,
+        required_label=rng.choice(("", "", "", "x")),
+        data_rack=rng.choice(("", "r1")),
+        max_per_worker=rng.choice((0, 0, 0, 1)),
+        may_copy=rng.random() < 0.3,
+        image=rng.choice(("", "i", "j")),
+        uses_spare_cpu=rng.random() < 0.1,
+    )
+
+
+def random_job(rng: random.Random, job_id: str, now_s: float) -> JobSpec:
+    if rng.random() < 0.05:
+        serving = step(2, is_lasting=True, image="s", target_ms=20.0)
+        return make_job(job_id, serving, queue="p", at_s=now_s)
+    steps = [random_step(rng, number) for number in range(rng.randint(1, 2))]
+    return make_job(job_id, *steps, queue=rng.choice(("a", "a", "p")), at_s=now_s)
+
+
+def disturb(rng: random.Random, cell: EmulatedCell) -> None:
+    """Let something fail that makes tasks or workers wait for a time."""
+    worker = rng.choice(list(cell.workers.values()))
+    kind = rng.randrange(8)
+    if kind < 2:
+        cell.crash(worker.entry.worker_id)
+    elif kind < 5:
+        worker.faults.add(rng.choice((Fault.CUT, Fault.HANG, Fault.FAIL_ALL)))
+    elif kind < 7:
+        for each in cell.workers.values():
+            each.faults.clear()
+    else:
+        cell.replace_owner()
+
+
+def run_random_cell(seed: int, patch: pytest.MonkeyPatch) -> list[Any]:
+    """Return all decisions that were made in a random cell, in order."""
+    rng = random.Random(seed)
+    decisions: list[Any] = []
+
+    def is_allowed(key: StepKey, worker_id: str) -> bool:
+        decisions.append((key, worker_id))
+        return zlib.crc32(f"{key}{worker_id}".encode()) % 3 != 0
+
+    def record(event: str, **fields: Any) -> None:
+        decisions.append((event, fields))
+
+    capacities = (Amounts(8000, 16000, 0), Amounts(16000, 32000, 2))
+    workers = [
+        make_worker(number, rng.choice(capacities), rng.choice("abc"), rng.choice("xyz"))
+        for number in range(rng.randint(4, 40))
+    ]
+    patch.setattr(emulator, "_ignore", record)
+    cell = EmulatedCell(make_config(ADVISED, PLAIN), workers, seed, is_allowed=is_allowed)
+    cell.lost_command_fraction = rng.choice((0.0, 0.05))
+    rate_per_s = rng.choice((0.1, 0.3, 0.8)) * len(workers)
+    for _ in range(100):
+        if rng.random() < rate_per_s * 0.05:
+            cell.submit(random_job(rng, f"j{len(cell.specs_by_id)}", cell.now_s))
+        if rng.random() < 0.05:
+            disturb(rng, cell)
+        cell.run_for(0.05)
+        decisions.append(("time", cell.now_s))
+    assert not cell.violations
+    return decisions
+
+
+class TestSameDecisions:
+    """Passes that are left out, and caches, must not change any decision.
+
+    Workers crash, are cut off, fail tasks and lose commands; owners change; tickets expire.
+    """
+
+    @pytest.mark.parametrize("seed", range(24))
+    def test_decisions_equal_those_of_the_plain_computation(
+        self, seed: int, monkeypatch: pytest.MonkeyPatch
+    ):
+        monkeypatch.setattr(owner, "MAX_PASS_INTERVAL_S", float("inf"))
+        with monkeypatch.context() as patch:
+            decisions = run_random_cell(seed, patch)
+        with monkeypatch.context() as patch:
+            patch_plain(patch)
+            plain = run_random_cell(seed, patch)
+        assert sum(each[0] == "start_planned" for each in plain) > 20
+        for made, expected in zip(decisions, plain, strict=False):
+            assert made == expected
+        assert len(decisions) == len(plain)
--- a/redwingplank/batch/tickets.py
+++ b/redwingplank/batch/tickets.py
@@ -3,7 +3,7 @@
 from redwingplank.batch.commands import AskAdvice
 from redwingplank.batch.entities import Step, Ticket, Worker
 from redwingplank.batch.model import AdvicePolicy
-from redwingplank.batch.placement import Placement
+from redwingplank.batch.placement import EligibleWorkers, Placement
 from redwingplank.batch.state import OwnerState
 
 __all__ = ["Tickets"]
@@ -35,19 +35,33 @@
     ) -> list[Worker]:
         """Return those of the given workers for which the step has a valid ticket."""
         limit_s = now_s + self._state.settings.ticket_margin_s
-        valid_ids = {
-            worker_id
-            for worker_id, ticket in step.tickets_by_worker.items()
-            if ticket.valid_until_s > limit_s
-        }
-        if not valid_ids:
+        tickets = step.tickets_by_worker
+        if not tickets:
             return []
-        return [worker for worker in workers if worker.id in valid_ids]
+        return [
+            worker
+            for worker in workers
+            if worker.id in tickets and tickets[worker.id].valid_until_s > limit_s
+        ]
+
+    def may_request(self, step: Step, *, may_fit: bool) -> bool:
+        """Return whether a call for the step is possible, apart from the state of each worker.
+
+        Parameters
+        ----------
+        step : Step
+            Step with tasks to start.
+        may_fit : bool
+            Whether any of the workers may have enough free capacity.
+        """
+        if step.is_advice_open or self._open_calls >= MAX_OPEN_CALLS:
+            return False
+        return may_fit or not step.tickets_by_worker
 
     def request_tickets(
         self,
         step: Step,
-        workers: list[Worker],
+        eligible: EligibleWorkers,
         policy: AdvicePolicy,
         now_s: float,
         *,
@@ -59,7 +73,7 @@
         ----------
         step : Step
             Step with tasks to start.
-        workers : list of Worker
+        eligible : EligibleWorkers
             Workers that are eligible for tasks of the queue.
         policy : AdvicePolicy
             Advice policy of the queue.
@@ -68,16 +82,11 @@
         may_fit : bool
             Whether any of the workers may have enough free capacity.
         """
-        if step.is_advice_open or self._open_calls >= MAX_OPEN_CALLS:
-            return
-        if step.tickets_by_worker and not may_fit:
+        if not self.may_request(step, may_fit=may_fit):
             return
-        candidates = [
-            worker for worker in workers if self._placement.meets_requirements(worker, step)
-        ]
-        if step.tickets_by_worker and not self._has_use_for_tickets(step, candidates, now_s):
+        if step.tickets_by_worker and not self._has_use_for_tickets(step, eligible, now_s):
             return
-        named = self._placement.select_for_advice(candidates, step, MAX_NAMED, now_s)
+        named = self._placement.select_for_advice(eligible, step, MAX_NAMED, now_s)
         if not named:
             return
         step.is_advice_open = True
@@ -86,10 +95,10 @@
         work_s = policy.decision_s + policy.per_worker_s * len(named)
         self._state.commands.advice.append(AskAdvice(step, named, work_s, policy.valid_s))
 
-    def _has_use_for_tickets(self, step: Step, workers: list[Worker], now_s: float) -> bool:
+    def _has_use_for_tickets(self, step: Step, eligible: EligibleWorkers, now_s: float) -> bool:
         return any(
             self._placement.fits(worker, step, now_s)
-            for worker in workers
+            for worker in eligible.select_with_free_cpu(step.spec.reserved)
             if worker.id not in step.refused_workers
         )
 
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -35,6 +35,7 @@
         for host, until_s in list(state.unconfirmed_hosts.items()):
             if now_s >= until_s:
                 del state.unconfirmed_hosts[host]
+                state.needs_pass = True
                 state.log_decision("host_free", worker=host, reason="every_lease_over")
 
     def _evacuate_draining_workers(self, now_s: float) -> None:
@@ -84,5 +85,5 @@
             is_overdue = now_s - run.started_s > 2 * expected_s + settings.stall_s
             if is_overdue and now_s - run.progressed_s > settings.stall_s:
                 task.bad_workers.add(worker.id)
-                worker.avoided_until_s = now_s + settings.avoid_s
+                self._state.avoid_worker(worker, now_s + settings.avoid_s)
                 self._state.order_stop(run, now_s, "no_progress")
