--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -132,6 +132,9 @@
         """Plan the runs of one step; return False if a startable task found no worker."""
         step = open_step.step
         startable = self._select_confirmed(step, open_step.startable)
+        if len(startable) < len(open_step.startable):
+            # Once no worker has room, the step may request tickets although its tasks wait.
+            self._state.needs_pass = True
         workers = open_step.eligible.select_with_free_cpu(step.spec.reserved)
         if open_step.queue.advice is not None:
             workers = self._tickets.select_workers_with_ticket(step, workers, now_s)
@@ -161,6 +164,7 @@
         self, step: Step, startable: list[Task], workers: list[Worker], now_s: float
     ) -> bool:
         if len(startable) < step.spec.count:
+            self._state.needs_pass = True
             return True
         chosen = self._placement.choose_gang(workers, step, now_s)
         if chosen is None:
--- a/redwingplank/batch/tests/test_pass_cost.py
+++ b/redwingplank/batch/tests/test_pass_cost.py
@@ -131,12 +131,12 @@
     capacities = (Amounts(8000, 16000, 0), Amounts(16000, 32000, 2))
     workers = [
         make_worker(number, rng.choice(capacities), rng.choice("abc"), rng.choice("xyz"))
-        for number in range(rng.randint(4, 40))
+        for number in range(rng.randint(6, 40))
     ]
     patch.setattr(emulator, "_ignore", record)
     cell = EmulatedCell(make_config(ADVISED, PLAIN), workers, seed, is_allowed=is_allowed)
     cell.lost_command_fraction = rng.choice((0.0, 0.05))
-    rate_per_s = rng.choice((0.1, 0.3, 0.8)) * len(workers)
+    rate_per_s = rng.choice((0.3, 0.5, 0.9)) * len(workers)
     for _ in range(100):
         if rng.random() < rate_per_s * 0.05:
             cell.submit(random_job(rng, f"j{len(cell.specs_by_id)}", cell.now_s))
@@ -154,7 +154,7 @@
     Workers crash, are cut off, fail tasks and lose commands; owners change; tickets expire.
     """
 
-    @pytest.mark.parametrize("seed", range(24))
+    @pytest.mark.parametrize("seed", range(32))
     def test_decisions_equal_those_of_the_plain_computation(
         self, seed: int, monkeypatch: pytest.MonkeyPatch
     ):
