Leave out steps that can neither start a task nor ask for tickets before ranking them

Full workers of the wrong kind, or without a ticket, still made a pass examine and rank each waiting step. The check stops at the first worker of use. Requirements are checked without a call for each worker when a call for advice is made.

--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -93,6 +93,18 @@
             return False
         return worker.entry.capacity.holds(spec.reserved)
 
+    def _select_meeting_requirements(self, workers: list[Worker], step: Step) -> list[Worker]:
+        """Return the workers for which `meets_requirements` holds."""
+        label, (cpu_millicores, memory_mib, gpus) = step.spec.required_label, step.spec.reserved
+        return [
+            worker
+            for worker in workers
+            if cpu_millicores <= worker.entry.capacity[0]
+            and memory_mib <= worker.entry.capacity[1]
+            and gpus <= worker.entry.capacity[2]
+            and (not label or label in worker.entry.labels)
+        ]
+
     def fits(self, worker: Worker, step: Step, now_s: float) -> bool:
         """Return whether a worker has free capacity for one more task of the step."""
         spec = step.spec
@@ -120,12 +132,14 @@
             if self.fits(worker, step, now_s)
         }
         groups: dict[tuple[bool, bool], list[Worker]] = {}
-        for worker in eligible.workers:
+        for worker in self._select_meeting_requirements(eligible.workers, step):
             if worker.id in step.refused_workers or self.is_at_step_limit(worker, step):
                 continue
-            if self.meets_requirements(worker, step):
-                group = worker.id not in fitting_ids, worker.id not in step.tickets_by_worker
-                groups.setdefault(group, []).append(worker)
+            group = worker.id not in fitting_ids, worker.id not in step.tickets_by_worker
+            if group in groups:
+                groups[group].append(worker)
+            else:
+                groups[group] = [worker]
         score = self.scores.scorer(step)
         chosen: list[str] = []
         for group in sorted(groups):
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -82,8 +82,7 @@
                 eligible = self._placement.find_eligible_workers(queue.service, now_s)
                 eligible_by_service[queue.service] = eligible
             may_fit = eligible.most_free.holds(step.spec.reserved)
-            may_ask = queue.advice is not None and self._tickets.may_request(step, may_fit=may_fit)
-            if not may_fit and not may_ask:
+            if not self._can_progress(step, queue, eligible, now_s, may_fit=may_fit):
                 continue
             startable = step.find_startable_tasks(now_s)
             if startable:
@@ -95,6 +94,26 @@
         ranked.sort(key=_sort_key)
         return ranked
 
+    def _can_progress(
+        self,
+        step: Step,
+        queue: QueuePolicy,
+        eligible: EligibleWorkers,
+        now_s: float,
+        *,
+        may_fit: bool,
+    ) -> bool:
+        """Return whether a task of a step fits on a worker now, or tickets may be requested."""
+        is_advised = queue.advice is not None
+        if is_advised and self._tickets.may_request(step, eligible, now_s, may_fit=may_fit):
+            return True
+        if not may_fit:
+            return False
+        workers = eligible.select_with_free_cpu(step.spec.reserved)
+        if is_advised:
+            workers = self._tickets.select_workers_with_ticket(step, workers, now_s)
+        return any(self._placement.fits(worker, step, now_s) for worker in workers)
+
     def _rank(self, step: Step, now_s: float) -> Rank:
         spec = step.job.spec
         remaining_s = chain_s(spec, self._state.speeds, spec.queue)[step.key.step]
--- a/redwingplank/batch/tickets.py
+++ b/redwingplank/batch/tickets.py
@@ -44,19 +44,27 @@
             if worker.id in tickets and tickets[worker.id].valid_until_s > limit_s
         ]
 
-    def may_request(self, step: Step, *, may_fit: bool) -> bool:
-        """Return whether a call for the step is possible, apart from the state of each worker.
+    def may_request(
+        self, step: Step, eligible: EligibleWorkers, now_s: float, *, may_fit: bool
+    ) -> bool:
+        """Return whether a call for a step with tasks to start may be made and be of use.
 
         Parameters
         ----------
         step : Step
             Step with tasks to start.
+        eligible : EligibleWorkers
+            Workers that are eligible for tasks of the queue.
+        now_s : float
+            Current time in seconds.
         may_fit : bool
             Whether any of the workers may have enough free capacity.
         """
         if step.is_advice_open or self._open_calls >= MAX_OPEN_CALLS:
             return False
-        return may_fit or not step.tickets_by_worker
+        if not step.tickets_by_worker:
+            return True
+        return may_fit and self._has_use_for_tickets(step, eligible, now_s)
 
     def request_tickets(
         self,
@@ -82,9 +90,7 @@
         may_fit : bool
             Whether any of the workers may have enough free capacity.
         """
-        if not self.may_request(step, may_fit=may_fit):
-            return
-        if step.tickets_by_worker and not self._has_use_for_tickets(step, eligible, now_s):
+        if not self.may_request(step, eligible, now_s, may_fit=may_fit):
             return
         named = self._placement.select_for_advice(eligible, step, MAX_NAMED, now_s)
         if not named:
