Guard the cost of a pass over a thousand waiting tasks by counts

TestManyWaitingTasks: no step is examined where nothing fits, one scoring of each worker after capacity is freed, no pass without a change. The groups of workers for a call for advice are built without a lookup for each worker.

--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -131,24 +131,21 @@
             for worker in eligible.select_with_free_cpu(step.spec.reserved)
             if self.fits(worker, step, now_s)
         }
-        groups: dict[tuple[bool, bool], list[Worker]] = {}
+        refused, tickets = step.refused_workers, step.tickets_by_worker
+        groups: tuple[list[Worker], ...] = ([], [], [], [])
         for worker in self._select_meeting_requirements(eligible.workers, step):
-            if worker.id in step.refused_workers or self.is_at_step_limit(worker, step):
+            if worker.id in refused or self.is_at_step_limit(worker, step):
                 continue
-            group = worker.id not in fitting_ids, worker.id not in step.tickets_by_worker
-            if group in groups:
-                groups[group].append(worker)
-            else:
-                groups[group] = [worker]
+            does_not_fit, has_no_ticket = worker.id not in fitting_ids, worker.id not in tickets
+            groups[2 * does_not_fit + has_no_ticket].append(worker)
         score = self.scores.scorer(step)
         chosen: list[str] = []
-        for group in sorted(groups):
-            scored = [(score(worker), worker.id) for worker in groups[group]]
-            best = heapq.nsmallest(limit - len(chosen), scored)
-            chosen.extend(worker_id for _, worker_id in best)
+        for group in groups:
+            scored = [(score(worker), worker.id) for worker in group]
+            chosen.extend(worker_id for _, worker_id in heapq.nsmallest(limit, scored))
             if len(chosen) >= limit:
                 break
-        return tuple(chosen)
+        return tuple(chosen[:limit])
 
     def preferred_domain(self, fitting: Iterable[Worker], step: Step) -> str:
         """Return the preferred failure domain for the tasks of a step.
--- a/redwingplank/batch/tests/test_pass_cost.py
+++ b/redwingplank/batch/tests/test_pass_cost.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 import zlib
+from collections import Counter
 from typing import Any
 
 import pytest
@@ -10,6 +11,7 @@
 from redwingplank.batch import emulator, owner
 from redwingplank.batch.emulated_worker import Fault
 from redwingplank.batch.emulator import EmulatedCell
+from redwingplank.batch.entities import Step
 from redwingplank.batch.model import AdvicePolicy, Amounts, JobSpec, QueuePolicy, StepKey, StepSpec
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.placement import EligibleWorkers, Placement
@@ -168,3 +170,67 @@
         for made, expected in zip(decisions, plain, strict=False):
             assert made == expected
         assert len(decisions) == len(plain)
+
+
+class TestManyWaitingTasks:
+    """A thousand waiting tasks at full workers must not cost a scoring for each of them.
+
+    The counts are bounded, not the times: each scoring takes some microseconds.
+    """
+
+    WORKERS = 100
+    STEPS = 50
+
+    def make_cell(self) -> EmulatedCell:
+        workers = [make_worker(number) for number in range(self.WORKERS)]
+        cell = EmulatedCell(make_config(ADVISED, PLAIN), workers)
+        cell.run_for(1.0)
+        full = step(4 * self.WORKERS, cpu=2000, estimate_s=60.0)
+        cell.submit(make_job("full", full, queue="p", at_s=cell.now_s))
+        cell.run_for(1.0)
+        for number in range(self.STEPS):
+            waits = step(20, cpu=2000 + number)
+            cell.submit(make_job(f"waits-{number}", waits, queue="a", at_s=cell.now_s))
+        cell.run_for(1.0)
+        return cell
+
+    def count_calls(self, cell: EmulatedCell, patch: pytest.MonkeyPatch) -> Counter[str]:
+        """Return how often one tick checks, scores and examines workers and steps."""
+        calls: Counter[str] = Counter()
+
+        def count(owner_type: type, name: str) -> None:
+            method = getattr(owner_type, name)
+
+            def counted(*arguments: Any, **named: Any) -> Any:
+                calls[name] += 1
+                return method(*arguments, **named)
+
+            patch.setattr(owner_type, name, counted)
+
+        count(Placement, "score")
+        count(Placement, "fits")
+        count(Step, "find_startable_tasks")
+        count(Starter, "plan_starts")
+        cell.owner.tick(cell.now_s, cell.now_s)
+        return calls
+
+    def test_a_pass_examines_no_step_where_nothing_fits(self, monkeypatch: pytest.MonkeyPatch):
+        cell = self.make_cell()
+        cell.owner.state.needs_pass = True
+        assert len(cell.owner.state.open_steps) >= self.STEPS
+        assert self.count_calls(cell, monkeypatch) == {"plan_starts": 1}
+
+    def test_freed_capacity_costs_one_scoring_of_each_worker(self, monkeypatch: pytest.MonkeyPatch):
+        cell = self.make_cell()
+        for worker in list(cell.owner.state.workers_by_id.values())[:3]:
+            for run in list(worker.runs_by_key.values()):
+                cell.owner.state.remove_run(run, cell.now_s)
+        calls = self.count_calls(cell, monkeypatch)
+        assert calls["score"] <= self.WORKERS + 3 * 4 * 2
+        assert calls["fits"] <= 20 * self.STEPS
+
+    def test_a_tick_without_a_change_plans_nothing(self, monkeypatch: pytest.MonkeyPatch):
+        cell = self.make_cell()
+        cell.owner.state.needs_pass = True
+        cell.owner.tick(cell.now_s, cell.now_s)
+        assert self.count_calls(cell, monkeypatch) == {}
