--- a/redwingplank/batch/organisations.py
+++ b/redwingplank/batch/organisations.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
 
 from redwingplank.batch.entities import Job, Run, Step
 from redwingplank.batch.model import NO_AMOUNTS, Amounts, CellConfig
@@ -14,12 +15,27 @@
 from redwingplank.batch.submission_rates import SubmissionRates
 from redwingplank.core.shares import OrganisationUsage, UsageTable
 
-__all__ = ["BatchUsage", "OrderedRank", "Organisations"]
+__all__ = ["BatchUsage", "OrderedRank", "Organisations", "RankedStep"]
 
-OrderedRank = tuple[int, bool, Rank]
+OrderedRank = tuple[float, bool, Rank]
 """Tier, whether the organisation is above its share, and the rank without organisations."""
 
 
+class RankedStep(Protocol):
+    """A step with its rank in a pass."""
+
+    @property
+    def rank(self) -> OrderedRank:
+        """Sort key of the step."""
+
+    @property
+    def step(self) -> Step:
+        """The step."""
+
+
+_Ranked = TypeVar("_Ranked", bound=RankedStep)
+
+
 @dataclass(slots=True, eq=False)
 class BatchUsage(OrganisationUsage):
     """What an organisation uses in the cell.
@@ -289,22 +305,23 @@
         usage.is_above_share = usage.is_share_above(self._even_share)
         return usage.is_above_share
 
-    def take_turns(self, ranked: Iterable[tuple[OrderedRank, Step]]) -> Iterator[Step]:
+    def take_turns(self, ranked: Iterable[_Ranked]) -> Iterator[_Ranked]:
         """Yield steps in order; those of organisations that exceed their share meanwhile come last.
 
         They come at the end of their tier, once more if they were cut short by `reaches_share`.
         """
-        deferred: list[Step] = []
-        current_tier = -1
-        for (tier, was_above_share, _), step in ranked:
+        deferred: list[_Ranked] = []
+        current_tier = -1.0
+        for entry in ranked:
+            tier, was_above_share, _ = entry.rank
             if tier != current_tier:
                 yield from deferred
                 deferred.clear()
                 current_tier = tier
-            if was_above_share or not self._is_above_share(step):
-                yield step
-            if not was_above_share and self._is_above_share(step):
-                deferred.append(step)
+            if was_above_share or not self._is_above_share(entry.step):
+                yield entry
+            if not was_above_share and self._is_above_share(entry.step):
+                deferred.append(entry)
         yield from deferred
 
     def _is_above_share(self, step: Step) -> bool:
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -1,17 +1,38 @@
 """Plans the starts of tasks in passes over the open steps, most urgent first."""
 
+from dataclasses import dataclass
+
 from redwingplank.batch.candidates import Candidates
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
-from redwingplank.batch.model import JobState, QueuePolicy
+from redwingplank.batch.model import JobState, QueuePolicy, StepKey
 from redwingplank.batch.organisations import OrderedRank
 from redwingplank.batch.placement import EligibleWorkers, Placement
-from redwingplank.batch.ranking import chain_s, rank_step
+from redwingplank.batch.ranking import Rank, chain_s, rank_step
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
 
 __all__ = ["Starter"]
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenStep:
+    """A step with tasks to start in the present pass.
+
+    `may_fit` is whether any worker may have room for one of its tasks.
+    """
+
+    rank: OrderedRank
+    key: StepKey
+    step: Step
+    queue: QueuePolicy
+    eligible: EligibleWorkers
+    may_fit: bool
+
+
+def _sort_key(open_step: _OpenStep) -> tuple[OrderedRank, StepKey]:
+    return open_step.rank, open_step.key
+
+
 class Starter:
     """Plans the runs of tasks.
 
@@ -32,50 +53,81 @@
 
     def plan_starts(self, now_s: float) -> None:
         """Plan a run for each task that can start now, in one pass over the open steps."""
-        eligible_by_service: dict[str, EligibleWorkers] = {}
+        self._placement.scores.begin_pass()
         ranked = self._rank_open_steps(now_s)
-        for step in self._state.organisations.take_turns(ranked):
-            queue = self._state.queue_of(step.job)
-            if queue is None:
-                continue
-            service = queue.service
-            if service not in eligible_by_service:
-                eligible_by_service[service] = self._placement.find_eligible_workers(service, now_s)
+        for open_step in self._state.organisations.take_turns(ranked):
             try:
-                self._plan_step_or_ask_advice(step, queue, eligible_by_service[service], now_s)
+                self._plan_step_or_ask_advice(open_step, now_s)
             except Exception as error:
+                self._state.needs_pass = True
+                step = open_step.step
                 # The steps of other jobs are planned; this one is tried again in the next pass.
                 self._state.log_decision(
                     "step_failed", job=step.key.job_id, step=step.key.step, error=repr(error)
                 )
 
-    def _rank_open_steps(self, now_s: float) -> list[tuple[OrderedRank, Step]]:
+    def _rank_open_steps(self, now_s: float) -> list[_OpenStep]:
+        """Return the steps with tasks to start, most urgent first.
+
+        Steps for which a pass can do nothing, whichever others it plans before, are left out before
+        their tasks are examined.
+        """
         ranked = []
-        speeds = self._state.speeds
+        eligible_by_service: dict[str, EligibleWorkers] = {}
         organisations = self._state.organisations
         organisations.begin_pass(self._state.open_steps.values())
         for step in list(self._state.open_steps.values()):
-            if organisations.is_waiting(step):
+            queue = self._state.queue_of(step.job)
+            if queue is None or organisations.is_waiting(step):
                 continue
-            if not step.find_startable_tasks(now_s):
-                if all(task.is_done or task.runs for task in step.tasks):
-                    # The step is reopened when a run is removed or its worker becomes unreachable.
-                    del self._state.open_steps[step.key]
+            eligible = eligible_by_service.get(queue.service)
+            if eligible is None:
+                eligible = self._placement.find_eligible_workers(queue.service, now_s)
+                eligible_by_service[queue.service] = eligible
+            may_fit = eligible.most_free.holds(step.spec.reserved)
+            if not self._can_progress(step, queue, eligible, now_s, may_fit=may_fit):
+                self._note_capacity(step, queue, now_s, may_fit=may_fit)
                 continue
-            spec = step.job.spec
-            remaining_s = chain_s(spec, speeds, spec.queue)[step.key.step]
-            rank = rank_step(step, remaining_s, now_s)
-            ranked.append((organisations.order(step.job, rank), step))
-        ranked.sort(key=lambda pair: (pair[0], pair[1].key))
+            if step.find_startable_tasks(now_s):
+                rank = organisations.order(step.job, self._rank(step, now_s))
+                ranked.append(_OpenStep(rank, step.key, step, queue, eligible, may_fit))
+            elif all(task.is_done or task.runs for task in step.tasks):
+                # The step is reopened when a run is removed or its worker becomes unreachable.
+                del self._state.open_steps[step.key]
+        ranked.sort(key=_sort_key)
         return ranked
 
-    def _confirmed_startable(self, step: Step, now_s: float) -> list[Task]:
+    def _can_progress(
+        self,
+        step: Step,
+        queue: QueuePolicy,
+        eligible: EligibleWorkers,
+        now_s: float,
+        *,
+        may_fit: bool,
+    ) -> bool:
+        """Return whether a task of a step fits on a worker now, or tickets may be requested."""
+        is_advised = queue.advice is not None
+        if is_advised and self._tickets.may_request(step, eligible, now_s, may_fit=may_fit):
+            return True
+        if not may_fit:
+            return False
+        workers = eligible.select_with_free_cpu(step.spec.reserved)
+        if is_advised:
+            workers = self._tickets.select_workers_with_ticket(step, workers, now_s)
+        return any(self._placement.fits(worker, step, now_s) for worker in workers)
+
+    def _rank(self, step: Step, now_s: float) -> Rank:
+        spec = step.job.spec
+        remaining_s = chain_s(spec, self._state.speeds, spec.queue)[step.key.step]
+        return rank_step(step, remaining_s, now_s)
+
+    def _select_confirmed(self, step: Step, startable: list[Task]) -> list[Task]:
         """Return the startable tasks that certainly do not run for an earlier owner.
 
         A task is left out if a worker that this owner has not confirmed yet may run it, unless the
         step allows copies and the task is not suspected of having crashed that worker.
         """
-        startable = step.find_startable_tasks(now_s)
         unconfirmed = self._state.unconfirmed_hosts
         if not unconfirmed:
             return startable
@@ -90,37 +142,53 @@
             or not unconfirmed_tasks >> task.id.position & 1
         ]
 
-    def _plan_step_or_ask_advice(
-        self, step: Step, queue: QueuePolicy, eligible: EligibleWorkers, now_s: float
+    def _note_capacity(
+        self, step: Step, queue: QueuePolicy, now_s: float, *, may_fit: bool
     ) -> None:
-        may_fit = eligible.most_free.holds(step.spec.reserved)
-        is_complete = may_fit and self._plan_step(step, queue, eligible.workers, now_s)
-        if not is_complete and (not may_fit or queue.advice is None or step.tickets_by_worker):
-            self._state.organisations.is_capacity_short = True
-        if not is_complete and queue.advice is not None:
+        """Record that capacity is short if an organisation's tasks wait for more than a ticket."""
+        organisations = self._state.organisations
+        if organisations.is_capacity_short or not step.job.spec.organisation:
+            return
+        if may_fit and queue.advice is not None and not step.tickets_by_worker:
+            return
+        organisations.is_capacity_short = bool(step.find_startable_tasks(now_s))
+
+    def _plan_step_or_ask_advice(self, open_step: _OpenStep, now_s: float) -> None:
+        step, advice = open_step.step, open_step.queue.advice
+        is_complete = open_step.may_fit and self._plan_step(open_step, now_s)
+        if not is_complete:
+            self._note_capacity(step, open_step.queue, now_s, may_fit=open_step.may_fit)
+        if not is_complete and advice is not None:
             self._tickets.request_tickets(
-                step, eligible.workers, queue.advice, now_s, may_fit=may_fit
+                open_step.step, open_step.eligible, advice, now_s, may_fit=open_step.may_fit
             )
 
-    def _plan_step(
-        self, step: Step, queue: QueuePolicy, eligible: list[Worker], now_s: float
-    ) -> bool:
+    def _plan_step(self, open_step: _OpenStep, now_s: float) -> bool:
         """Plan the runs of one step; return False if a startable task found no worker."""
-        workers = eligible
-        if queue.advice is not None:
-            workers = self._tickets.select_workers_with_ticket(step, eligible, now_s)
+        step = open_step.step
+        all_startable = step.find_startable_tasks(now_s)
+        startable = self._select_confirmed(step, all_startable)
+        if len(startable) < len(all_startable):
+            # Once no worker has room, the step may request tickets although its tasks wait.
+            self._state.needs_pass = True
+        workers = open_step.eligible.select_with_free_cpu(step.spec.reserved)
+        if open_step.queue.advice is not None:
+            workers = self._tickets.select_workers_with_ticket(step, workers, now_s)
         if step.spec.is_gang:
-            return self._plan_gang(step, workers, now_s)
-        return self._plan_tasks(step, workers, now_s)
+            return self._plan_gang(step, startable, workers, now_s)
+        return self._plan_tasks(step, startable, workers, now_s)
 
-    def _plan_tasks(self, step: Step, workers: list[Worker], now_s: float) -> bool:
-        startable = self._confirmed_startable(step, now_s)
+    def _plan_tasks(
+        self, step: Step, startable: list[Task], workers: list[Worker], now_s: float
+    ) -> bool:
         if not startable or not self._state.organisations.may_start(step):
             return True
         candidates = Candidates(self._placement, workers, step, now_s)
         for task in startable:
             worker = candidates.pop_best(task)
             if worker is None and candidates.are_left:
+                # The task waits for a worker without other starts, at most for a fixed time.
+                self._state.needs_pass = True
                 continue
             if worker is None:
                 return False
@@ -132,8 +200,11 @@
             candidates.reinsert(worker)
         return True
 
-    def _plan_gang(self, step: Step, workers: list[Worker], now_s: float) -> bool:
-        if len(self._confirmed_startable(step, now_s)) < step.spec.count:
+    def _plan_gang(
+        self, step: Step, startable: list[Task], workers: list[Worker], now_s: float
+    ) -> bool:
+        if len(startable) < step.spec.count:
+            self._state.needs_pass = True
             return True
         if not self._state.organisations.may_start(step, step.spec.count):
             return True
@@ -148,8 +219,9 @@
     def _plan_run(self, step: Step, task: Task, worker: Worker, attempt: int, now_s: float) -> None:
         state = self._state
         run = Run(task.id, attempt, worker, step.spec, now_s, RunState.PLANNED)
-        worker.record_start(task, now_s)
+        state.record_start(worker, task, now_s)
         state.add_run(task, run)
+        self._placement.scores.forget_worker(worker)
         job = step.job
         if step.add_host(worker.incarnation, task.id) or not job.is_started:
             job.is_started = True
--- a/redwingplank/batch/tests/test_promises.py
+++ b/redwingplank/batch/tests/test_promises.py
@@ -214,6 +214,7 @@
     def order_and_release(state: OwnerState, run: Run, now_s: float, reason: str) -> None:
         order_stop(state, run, now_s, reason)
         state.organisations.release_run(run)
+        state.needs_pass = True
 
     monkeypatch.setattr(OwnerState, "order_stop", order_and_release)
 
