Fewer operations of the owner's runtime per start and per poll

Names of tasks are parsed once and not in each poll, the counter of an event is looked up without its label, and a tick is followed by a pause of at least 5 ms, so that changes which arrive together are taken up by one pass.

--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -133,8 +133,9 @@
         }
         refused, tickets = step.refused_workers, step.tickets_by_worker
         groups: tuple[list[Worker], ...] = ([], [], [], [])
+        has_limit = bool(step.spec.max_per_worker)
         for worker in self._select_meeting_requirements(eligible.workers, step):
-            if worker.id in refused or self.is_at_step_limit(worker, step):
+            if worker.id in refused or (has_limit and self.is_at_step_limit(worker, step)):
                 continue
             does_not_fit, has_no_ticket = worker.id not in fitting_ids, worker.id not in tickets
             groups[2 * does_not_fit + has_no_ticket].append(worker)
--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -26,6 +26,7 @@
         self._events = Counter(
             "redwing_events", "Events of the log by name", ["event"], registry=self.registry
         )
+        self._counters_by_event: dict[str, Counter] = {}
         self.is_owner = Gauge(
             "redwing_is_owner", "1 while this node owns the jobs", registry=self.registry
         )
@@ -72,7 +73,10 @@
 
     def record_event(self, event: str, fields: dict[str, Any]) -> None:
         """Count a log event, and observe its duration if the event has a histogram."""
-        self._events.labels(event).inc()
+        counter = self._counters_by_event.get(event)
+        if counter is None:
+            counter = self._counters_by_event[event] = self._events.labels(event)
+        counter.inc()
         histogram_and_field = self._histograms_by_event.get(event)
         if histogram_and_field is not None and histogram_and_field[1] in fields:
             histogram_and_field[0].observe(fields[histogram_and_field[1]])
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -52,6 +52,9 @@
 """A page of 1 MB from a slow store takes less than 1 s."""
 TICK_S = 0.1
 """Longest wait for an event between two ticks."""
+MIN_PAUSE_S = 0.005
+"""Shortest pause after a tick: changes that arrive within it, such as answers to starts, are taken
+up by one pass. A start waits for up to three ticks, so that it adds some 0.01 s at most."""
 MAX_PAUSE_S = 0.05
 """Upper bound of the pause after a tick, so that a process that was suspended during a tick does
 not pause for as long again."""
@@ -273,7 +276,7 @@
             # however many workers and steps there are, up to the bound of the pause.
             took_s = now_s() - started_s
             self._context.metrics.passes.observe(took_s)
-            await asyncio.sleep(min(took_s, MAX_PAUSE_S))
+            await asyncio.sleep(min(max(took_s, MIN_PAUSE_S), MAX_PAUSE_S))
 
     def _execute(self, commands: Commands) -> None:
         for run in commands.starts:
--- a/redwingplank/platform/site/workers.py
+++ b/redwingplank/platform/site/workers.py
@@ -1,6 +1,7 @@
 """Client of the workers: commands, polls, and the entries that workers publish in the store."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 import msgspec
 
@@ -29,6 +30,8 @@
 WORKER_ENTRIES_PREFIX = "servers/"
 POLL_SLACK_S = 0.5
 """Added to the wait of a poll for the time-out of its call."""
+MAX_CACHED_TASKS = 8192
+"""Parsed names of tasks that are kept: each poll lists all tasks that run on a worker again."""
 
 _COMPLETION_KINDS = {
     "done": CompletionKind.DONE,
@@ -292,6 +295,7 @@
     return f"{task.job_id}.{task.occurrence}.{task.step}.{task.position}"
 
 
+@lru_cache(MAX_CACHED_TASKS)
 def parse_task(name: str) -> TaskId | None:
     """Return the task with a name from the wire, None if the name is not valid."""
     parts = name.split(".")
