--- a/redwingplank/batch/tests/test_pass_cost.py
+++ b/redwingplank/batch/tests/test_pass_cost.py
@@ -245,15 +245,36 @@
         assert self.count_calls(cell, monkeypatch) == {}
 
 
-class TestRestartSeenInTheList:
-    """Tasks must not wait for the next change once a restarted worker has reported its clock."""
+class TestRequestsOfPasses:
+    """Tasks must not wait for the next change when a worker or a task can be used again."""
 
-    def test_the_report_with_the_clock_requests_a_pass(self):
+    def make_idle_cell(self) -> EmulatedCell:
         cell = EmulatedCell(make_config(), [make_worker(0)])
         cell.run_for(1.0)
-        job_owner, worker = cell.owner, cell.owner.state.workers_by_id["w0"]
-        job_owner.list_workers([replace(worker.entry, born_ms=2)], cell.now_s)
-        job_owner.tick(cell.now_s, cell.now_s)
-        assert not job_owner.state.needs_pass
-        job_owner.apply_report(worker, PollReport(1, 2, (), ()), cell.now_s, cell.now_s)
-        assert job_owner.state.needs_pass
+        cell.owner.tick(cell.now_s, cell.now_s)
+        cell.owner.state.needs_pass = False
+        return cell
+
+    def test_a_restart_that_was_seen_in_the_list_first(self):
+        cell = self.make_idle_cell()
+        state, worker = cell.owner.state, cell.owner.state.workers_by_id["w0"]
+        cell.owner.list_workers([replace(worker.entry, born_ms=2)], cell.now_s)
+        cell.owner.tick(cell.now_s, cell.now_s)
+        assert not state.needs_pass
+        cell.owner.apply_report(worker, PollReport(1, 2, (), ()), cell.now_s, cell.now_s)
+        assert state.needs_pass
+
+    def test_every_lease_of_an_unconfirmed_host_has_expired(self):
+        cell = self.make_idle_cell()
+        cell.owner.state.unconfirmed_hosts["gone"] = cell.now_s
+        cell.owner._watchdog.check(cell.now_s)
+        assert cell.owner.state.needs_pass
+
+    def test_a_suspect_that_waits_for_a_worker_without_other_starts(self):
+        cell = self.make_idle_cell()
+        cell.owner.submit(make_job("j", step(1)), cell.now_s, cell.now_s)
+        (waiting,) = cell.owner.state.open_steps.values()
+        waiting.tasks[0].suspicions = 2
+        cell.owner.state.workers_by_id["w0"].last_start_s = cell.now_s
+        assert not cell.owner.tick(cell.now_s, cell.now_s).starts
+        assert cell.owner.state.needs_pass
