Order steps by benefit while a service is overloaded

With more work than capacity, the order by slack spends capacity on jobs that are about to miss their objective: many large jobs end just too late.

A service whose queues have different priorities measures its load: what runs reserve, and the work of steps that can still be in time divided by the time left for it, relative to capacity. Above 1.05, until below 0.95, steps rank within their tier by priority, then by benefit for the work that remains, then by slack. Once every 10 s the step of each queue that has waited longest ranks first. Services with equal priorities, and all others below that load, keep the order of rank_step.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -296,6 +296,7 @@
     """A job and its progress."""
 
     __slots__ = (
+        "core_s",
         "due_count",
         "ended_s",
         "is_started",
@@ -324,6 +325,8 @@
         """Time by which the job is to complete."""
         self.latest_end_s = 0.0
         """Time after which the completion of the job no longer counts."""
+        self.core_s = 0.0
+        """Estimated work of all tasks in core-seconds."""
 
     @property
     def occurrence_count(self) -> int:
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -17,6 +17,7 @@
     WorkerEntry,
 )
 from redwingplank.batch.occurrences import add_due_steps, add_occurrence
+from redwingplank.batch.overload import Overload
 from redwingplank.batch.pacing import Pacing
 from redwingplank.batch.placement import Placement
 from redwingplank.batch.ranking import set_objective
@@ -84,7 +85,8 @@
         self._reports = Reports(self.state, self._completions, self._crashes)
         self._placement = Placement(self.state)
         self._tickets = Tickets(self.state, self._placement)
-        self._starter = Starter(self.state, self._placement, self._tickets)
+        self._overload = Overload(self.state)
+        self._starter = Starter(self.state, self._placement, self._tickets, self._overload)
         self._pacing = Pacing(self.state)
         self._watchdog = Watchdog(self.state, self._reports)
         self._last_check_s = float("-inf")
@@ -152,6 +154,7 @@
         age_s = max(0.0, now_unix_s - spec.submitted_unix_s) if spec.submitted_unix_s else 0.0
         job = Job(spec, now_s - age_s)
         set_objective(job, self.state.queue_of(job), self.state.speeds)
+        self._overload.record_job(job)
         self.state.jobs_by_id[spec.job_id] = job
         return job
 
--- a/redwingplank/batch/ranking.py
+++ b/redwingplank/batch/ranking.py
@@ -4,17 +4,25 @@
 from redwingplank.batch.model import JobSpec, QueuePolicy
 from redwingplank.batch.speeds import Speeds
 
-__all__ = ["Rank", "chain_s", "rank_step", "set_objective"]
+__all__ = [
+    "Rank",
+    "chain_s",
+    "rank_by_benefit",
+    "rank_step",
+    "rank_turn",
+    "set_objective",
+]
 
 LATE_FACTOR = 3.0
 """A job that completes within this multiple of its objective still counts, as late."""
 
-Rank = tuple[int, float, float]
+Rank = tuple[float, ...]
 
 _LASTING_TIER = 0
-_IN_TIME_TIER = 1
-_LATE_TIER = 2
-_HOPELESS_TIER = 3
+_TURN_TIER = 1
+_IN_TIME_TIER = 2
+_LATE_TIER = 3
+_HOPELESS_TIER = 4
 
 
 def chain_s(spec: JobSpec, speeds: Speeds, queue: str) -> list[float]:
@@ -59,11 +67,55 @@
     """
     if step.spec.is_lasting:
         return _LASTING_TIER, step.opened_s, 0.0
+    tier, slack_s = _find_tier(step, remaining_s, now_s)
+    if tier == _HOPELESS_TIER:
+        return tier, step.job.submitted_s, 0.0
+    return tier, slack_s, step.job.submitted_s
+
+
+def _find_tier(step: Step, remaining_s: float, now_s: float) -> tuple[int, float]:
+    """Return the tier of a step that is not lasting, and its slack in seconds.
+
+    The slack is the time for which the step can still wait without falling into the next tier; it
+    is negative in the last one.
+    """
     job = step.job
     slack_s = job.objective_s - now_s - remaining_s
     if slack_s >= 0:
-        return _IN_TIME_TIER, slack_s, job.submitted_s
+        return _IN_TIME_TIER, slack_s
     late_slack_s = job.latest_end_s - now_s - remaining_s
     if late_slack_s >= 0:
-        return _LATE_TIER, late_slack_s, job.submitted_s
-    return _HOPELESS_TIER, job.submitted_s, 0.0
+        return _LATE_TIER, late_slack_s
+    return _HOPELESS_TIER, late_slack_s
+
+
+def rank_by_benefit(
+    step: Step, remaining_s: float, priority: int, density: float, now_s: float
+) -> Rank:
+    """Return the sort key of a step of an overloaded service; the smallest key comes first.
+
+    The tiers are those of `rank_step`. Within the tiers of jobs that still count, the priority of
+    the queue comes first, then the benefit for the work that remains, then the slack.
+
+    Parameters
+    ----------
+    step : Step
+        Step with tasks to start, not a lasting one.
+    remaining_s : float
+        Expected time of the longest chain that starts with the step, from `chain_s`.
+    priority : int
+        Priority of the queue; 0 is the highest.
+    density : float
+        Benefit of the job for each unit of work that it still needs.
+    now_s : float
+        Current time in seconds.
+    """
+    tier, slack_s = _find_tier(step, remaining_s, now_s)
+    if tier == _HOPELESS_TIER:
+        return tier, step.job.submitted_s, 0.0
+    return tier, priority, -density, slack_s
+
+
+def rank_turn(step: Step) -> Rank:
+    """Return the sort key of a step that comes next because it has waited longest."""
+    return _TURN_TIER, step.opened_s, 0.0
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -3,8 +3,9 @@
 from redwingplank.batch.candidates import Candidates
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import JobState, QueuePolicy
+from redwingplank.batch.overload import Overload, WaitingStep
 from redwingplank.batch.placement import EligibleWorkers, Placement
-from redwingplank.batch.ranking import Rank, chain_s, rank_step
+from redwingplank.batch.ranking import Rank, chain_s
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
 
@@ -22,9 +23,14 @@
         Chooses workers for tasks.
     tickets : Tickets
         Determines the workers for which a step has tickets.
+    overload : Overload
+        Determines the order of the steps.
     """
 
-    def __init__(self, state: OwnerState, placement: Placement, tickets: Tickets) -> None:
+    def __init__(
+        self, state: OwnerState, placement: Placement, tickets: Tickets, overload: Overload
+    ) -> None:
+        self._overload = overload
         self._state = state
         self._placement = placement
         self._tickets = tickets
@@ -48,17 +54,20 @@
                 )
 
     def _rank_open_steps(self, now_s: float) -> list[tuple[Rank, Step]]:
-        ranked = []
+        waiting_steps = []
         speeds = self._state.speeds
         for step in list(self._state.open_steps.values()):
-            if not step.find_startable_tasks(now_s):
+            startable = step.find_startable_tasks(now_s)
+            if not startable:
                 if all(task.is_done or task.runs for task in step.tasks):
                     # The step is reopened when a run is removed or its worker becomes unreachable.
                     del self._state.open_steps[step.key]
                 continue
             spec = step.job.spec
             remaining_s = chain_s(spec, speeds, spec.queue)[step.key.step]
-            ranked.append((rank_step(step, remaining_s, now_s), step))
+            waiting_steps.append(WaitingStep(step, len(startable), remaining_s))
+        self._overload.update(waiting_steps, now_s)
+        ranked = [(self._overload.rank(each, now_s), each.step) for each in waiting_steps]
         ranked.sort(key=lambda pair: (pair[0], pair[1].key))
         return ranked
 
