--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -326,7 +326,7 @@
         self.latest_end_s = 0.0
         """Time after which the completion of the job no longer counts."""
         self.core_s = 0.0
-        """Estimated work of all tasks in core-seconds."""
+        """Estimated work of the tasks of one occurrence in core-seconds."""
 
     @property
     def occurrence_count(self) -> int:
--- a/redwingplank/batch/overload.py
+++ b/redwingplank/batch/overload.py
@@ -106,9 +106,7 @@
 
     def record_job(self, job: Job) -> None:
         """Determine the work of a job, and add it to the mean of its queue."""
-        job.core_s = job.occurrence_count * sum(
-            spec.count * _task_core_s(spec) for spec in job.spec.steps
-        )
+        job.core_s = sum(spec.count * _task_core_s(spec) for spec in job.spec.steps)
         mean, count = self._mean_core_s_by_queue.get(job.spec.queue, (job.core_s, 0))
         weight = max(MIN_SAMPLE_WEIGHT, 1.0 / (count + 1))
         mean += weight * (job.core_s - mean)
