--- a/redwingplank/batch/overload.py
+++ b/redwingplank/batch/overload.py
@@ -25,6 +25,11 @@
 """
 LEAVE_LOAD = 1.0
 """Load below which an overload ends."""
+MIN_USED_SHARE = 0.5
+"""Capacity is not short while less than this share of every resource is reserved.
+
+Steps then wait for something else, such as a ticket, a label or a quota.
+"""
 TURN_S = 10.0
 """Time after which the step of a queue that has waited longest ranks first in an overload."""
 BASE_BENEFIT = 0.3
@@ -198,8 +203,11 @@
             self._update_turns(service, waiting if is_overloaded else [], now_s)
 
     def _measure_load(self, service: str, waiting: list[WaitingStep], now_s: float) -> float:
-        capacity, needed = self._sum_workers(service)
-        totals: list[float] = list(needed)
+        capacity, reserved = self._sum_workers(service)
+        used_share = _largest_share(reserved, capacity)
+        if used_share < MIN_USED_SHARE:
+            return used_share
+        totals: list[float] = list(reserved)
         for step, startable_count, remaining_s in waiting:
             slack_s = step.job.objective_s - now_s - remaining_s
             if step.spec.is_lasting or slack_s < 0:
@@ -208,10 +216,7 @@
             share = startable_count * own_s / (own_s + slack_s)
             for resource, amount in enumerate(step.spec.reserved):
                 totals[resource] += share * amount
-        return max(
-            (total / limit for total, limit in zip(totals, capacity, strict=True) if limit > 0),
-            default=0.0,
-        )
+        return _largest_share(totals, capacity)
 
     def _sum_workers(self, service: str) -> tuple[Amounts, Amounts]:
         """Return the capacity of the workers that a service can use, and what is reserved there."""
@@ -239,6 +244,14 @@
                 turns.update(steps_by_queue.get(queue.name, []), now_s)
 
 
+def _largest_share(totals: Iterable[float], capacity: Amounts) -> float:
+    """Return the largest ratio, over the resources, of a total to the capacity."""
+    return max(
+        (total / limit for total, limit in zip(totals, capacity, strict=True) if limit > 0),
+        default=0.0,
+    )
+
+
 def _sum_amounts(amounts: Iterable[Amounts]) -> Amounts:
     """Return the sum of many amounts; faster than adding them one by one."""
     return Amounts(*(sum(parts) for parts in zip(NO_AMOUNTS, *amounts, strict=True)))
--- a/redwingplank/batch/tests/test_overload.py
+++ b/redwingplank/batch/tests/test_overload.py
@@ -132,6 +132,14 @@
             seen.append(order.is_overloaded("render"))
         assert seen == [False, True, True, True, True, False, False]
 
+    def test_waiting_for_something_else_than_capacity_is_no_overload(self):
+        cell = make_loaded_cell()
+        for number in range(40):
+            nowhere = step(20, 4000, 4.0, required_label="none")
+            cell.submit(make_job(f"{number}", nowhere, queue="large", at_s=cell.now_s))
+        cell.run_for(1.0)
+        assert not cell.owner._overload.is_overloaded("render")
+
 
 class TestOrder:
     """Capacity must not go to jobs that are late, nor to new ones before those half done."""
