--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -285,6 +285,12 @@
             self.hosts.pop(host, None)
         return left != bits
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of tasks that are neither done nor may be running."""
+        hosted_count = sum(bits.bit_count() for bits in self.hosts.values())
+        return max(0, self.undone_count - hosted_count)
+
     def hosted_tasks(self, host: Incarnation) -> list[Task]:
         """Return the tasks that are not done and that a host may have been told to run."""
         bits = self.hosts.get(host, 0)
@@ -302,6 +308,7 @@
     """A job and its progress."""
 
     __slots__ = (
+        "core_s",
         "due_count",
         "ended_s",
         "final_version",
@@ -336,6 +343,8 @@
         """Time by which the job is to complete."""
         self.latest_end_s = 0.0
         """Time after which the completion of the job no longer counts."""
+        self.core_s = 0.0
+        """Estimated work of the tasks of one occurrence in core-seconds."""
 
     @property
     def occurrence_count(self) -> int:
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -6,8 +6,8 @@
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import JobState, QueuePolicy, StepKey
 from redwingplank.batch.organisations import OrderedRank
+from redwingplank.batch.overload import Overload
 from redwingplank.batch.placement import EligibleWorkers, Placement
-from redwingplank.batch.ranking import Rank, chain_s, rank_step
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
 
@@ -44,9 +44,14 @@
         Chooses workers for tasks.
     tickets : Tickets
         Determines the workers for which a step has tickets.
+    overload : Overload
+        Determines the order of the steps.
     """
 
-    def __init__(self, state: OwnerState, placement: Placement, tickets: Tickets) -> None:
+    def __init__(
+        self, state: OwnerState, placement: Placement, tickets: Tickets, overload: Overload
+    ) -> None:
+        self._overload = overload
         self._state = state
         self._placement = placement
         self._tickets = tickets
@@ -89,7 +94,7 @@
                 self._note_capacity(step, queue, now_s, may_fit=may_fit)
                 continue
             if step.find_startable_tasks(now_s):
-                rank = organisations.order(step.job, self._rank(step, now_s))
+                rank = self._rank(step, now_s)
                 ranked.append(_OpenStep(rank, step.key, step, queue, eligible, may_fit))
             elif all(task.is_done or task.runs for task in step.tasks):
                 # The step is reopened when a run is removed or its worker becomes unreachable.
@@ -117,10 +122,9 @@
             workers = self._tickets.select_workers_with_ticket(step, workers, now_s)
         return any(self._placement.fits(worker, step, now_s) for worker in workers)
 
-    def _rank(self, step: Step, now_s: float) -> Rank:
-        spec = step.job.spec
-        remaining_s = chain_s(spec, self._state.speeds, spec.queue)[step.key.step]
-        return rank_step(step, remaining_s, now_s)
+    def _rank(self, step: Step, now_s: float) -> OrderedRank:
+        rank = self._overload.rank(step, now_s)
+        return self._state.organisations.order(step.job, rank)
 
     def _select_confirmed(self, step: Step, startable: list[Task]) -> list[Task]:
         """Return the startable tasks that certainly do not run for an earlier owner.
--- a/redwingplank/batch/tests/test_pass_cost.py
+++ b/redwingplank/batch/tests/test_pass_cost.py
@@ -40,7 +40,7 @@
         if queue is None or not each.find_startable_tasks(now_s):
             continue
         eligible = starter._placement.find_eligible_workers(queue.service, now_s)
-        rank = starter._state.organisations.order(each.job, starter._rank(each, now_s))
+        rank = starter._rank(each, now_s)
         may_fit = eligible.most_free.holds(each.spec.reserved)
         ranked.append(_OpenStep(rank, each.key, each, queue, eligible, may_fit))
     return sorted(ranked, key=_sort_key)
