Find subjects that slow each other down, and place them apart where workers have room

Cause: tasks on one worker share more than its declared capacity shows; the score of a worker knew only of its load and of serving tasks.

Change: batch/neighbours.py integrates the load by subject on each worker, batch/slowdown.py compares the tasks of a step by what ran beside them, batch/interference.py judges pairs. Placement.score takes the product of what a task suffers and what it does to those present. Judged pairs are stored with the speeds, as a field that earlier versions ignore.

--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -65,6 +65,7 @@
             run.is_accepted = True
             run.resolved_s = now_s
             run.started_s = run.progressed_s = now_s
+            self._state.interference.neighbours.mark_started(run, now_s)
             found = self._state.find_task(run.task_id)
             if found is not None:
                 run.worker.record_start(found[1], now_s)
--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -95,8 +95,7 @@
         if task.is_done or step.spec.is_lasting:
             return False
         if run is not None and run.state is not RunState.STOPPING and not task.saved:
-            measured_s = now_s - run.started_s
-            self._state.speeds.record_run_time(step.spec, job.spec.queue, worker.entry, measured_s)
+            self._record_run_time(job, step, run, now_s)
         finished = step.tasks if step.spec.is_gang else [task]
         for completed in finished:
             if not completed.is_done:
@@ -109,6 +108,20 @@
             self._complete_step(job, step, now_s)
         return True
 
+    def _record_run_time(self, job: Job, step: Step, run: Run, now_s: float) -> None:
+        """Record the run time of a task, and what it ran beside.
+
+        The members of a gang wait for each other on several workers, so that what one of them ran
+        beside says little about its run time.
+        """
+        speeds, spec, queue, entry = self._state.speeds, step.spec, job.spec.queue, run.worker.entry
+        measured_s = now_s - run.started_s
+        expected_s = speeds.expected_s(spec, queue, entry)
+        speeds.record_run_time(spec, queue, entry, measured_s)
+        if not spec.is_gang:
+            subject = spec.image or queue
+            self._state.interference.record(run, subject, measured_s / expected_s, now_s)
+
     def _complete_step(self, job: Job, step: Step, now_s: float) -> None:
         self._state.open_steps.pop(step.key, None)
         if job.state.is_final:
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -68,6 +68,8 @@
         Settings of the scheduling decisions.
     is_allowed : callable, optional
         Whether the advice service allows a worker, by its id, for a step; by default it allows all.
+    slowdown : callable, optional
+        Factor by which what else runs on a worker slows down a run; by default nothing does.
 
     Notes
     -----
@@ -85,6 +87,7 @@
         work_s: Callable[[TaskId, StepSpec], float] | None = None,
         settings: BatchSettings | None = None,
         is_allowed: Callable[[StepKey, str], bool] | None = None,
+        slowdown: Callable[[EmulatedWorker, EmulatedRun], float] | None = None,
     ) -> None:
         self.config = config
         self.workers = {worker.entry.worker_id: worker for worker in workers}
@@ -93,6 +96,7 @@
         self.settings = settings or BatchSettings()
         self._work_s = work_s or (lambda _, spec: spec.estimate_s)
         self._is_allowed = is_allowed or (lambda _key, _worker_id: True)
+        self._slowdown = slowdown or (lambda _worker, _run: 1.0)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self.specs_by_id: dict[str, JobSpec] = {}
@@ -225,7 +229,7 @@
         if Fault.HANG in worker.faults:
             return
         slowness = worker.slowness * (6.0 if Fault.SLOW in worker.faults else 1.0)
-        run.done_s += TICK_S / slowness * run.pace
+        run.done_s += TICK_S / slowness / self._slowdown(worker, run) * run.pace
         if not run.spec.is_lasting and run.done_s >= run.work_s:
             worker.end(run, CompletionKind.DONE)
 
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -7,6 +7,7 @@
 
 from redwingplank.batch.entities import Step, Worker
 from redwingplank.batch.model import Amounts, StepSpec
+from redwingplank.batch.neighbours import processor_share
 from redwingplank.batch.state import OwnerState
 
 __all__ = ["EligibleWorkers", "Placement"]
@@ -184,8 +185,9 @@
     def score(self, worker: Worker, step: Step) -> float:
         """Return the score of a worker for a step; smaller is better.
 
-        It is the expected run time relative to other workers, increased by the load of the worker
-        and if filler tasks and serving tasks would disturb each other.
+        It is the expected run time relative to other workers, increased by the load of the worker,
+        if filler tasks and serving tasks would disturb each other, and by the slowdown that the
+        task and those present are known to cause each other.
         """
         spec = step.spec
         entry = worker.entry
@@ -199,6 +201,11 @@
             score *= DISTURBANCE_FACTOR
         if worker.filler_percent < 100 and not spec.is_lasting:
             score *= DISTURBANCE_FACTOR
+        interference = self._state.interference
+        if interference.pair_count:
+            subject = spec.image or step.job.spec.queue
+            share = processor_share(spec.amounts.cpu_millicores, entry.capacity.cpu_millicores)
+            score *= interference.slowdown(worker.id, subject, share)
         return score
 
     def _would_disturb(self, worker: Worker, spec: StepSpec) -> bool:
--- a/redwingplank/batch/speeds.py
+++ b/redwingplank/batch/speeds.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from redwingplank.batch.interference import Interference, StoredPair
 from redwingplank.batch.model import StepSpec, WorkerEntry
 
 __all__ = ["Speeds"]
@@ -33,6 +34,8 @@
     by_kind: dict[str, tuple[float, int]] = {}
     by_subject: dict[str, tuple[float, int]] = {}
     by_worker: dict[str, tuple[float, int]] = {}
+    pairs: list[StoredPair] = []
+    """Pairs of subjects that slow each other down; earlier versions neither write nor read them."""
 
 
 class _Mean:
@@ -56,6 +59,8 @@
     ----------
     remote_factor : float
         Factor on the run time of a task that runs in another rack than its data.
+    interference : Interference, optional
+        What is learned of pairs of subjects; it is stored with the means.
 
     Notes
     -----
@@ -64,11 +69,12 @@
     kept at an average of 1; otherwise they and those of the subjects drift apart without bound.
     """
 
-    def __init__(self, remote_factor: float) -> None:
+    def __init__(self, remote_factor: float, interference: Interference | None = None) -> None:
         self._remote_factor = remote_factor
         self._by_kind: dict[str, _Mean] = {}
         self._by_subject: dict[str, _Mean] = {}
         self._by_worker: dict[str, _Mean] = {}
+        self._interference = interference
 
     def record_run_time(
         self, spec: StepSpec, queue: str, entry: WorkerEntry, measured_s: float
@@ -116,6 +122,7 @@
                 _encode_means(self._by_kind),
                 _encode_means(self._by_subject),
                 _encode_means(self._by_worker),
+                self._interference.encode_pairs() if self._interference else [],
             )
         )
 
@@ -131,6 +138,8 @@
         self._by_kind = _decode_means(learned.by_kind)
         self._by_subject = _decode_means(learned.by_subject)
         self._by_worker = _decode_means(learned.by_worker)
+        if self._interference is not None:
+            self._interference.restore_pairs(learned.pairs)
 
     def worker_factor(self, entry: WorkerEntry) -> float:
         """Return the expected run time on a worker relative to an average worker."""
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -5,6 +5,7 @@
 
 from redwingplank.batch.commands import Commands
 from redwingplank.batch.entities import Job, LostRun, Run, RunState, Step, Task, Worker
+from redwingplank.batch.interference import Interference
 from redwingplank.batch.model import (
     CellConfig,
     Incarnation,
@@ -58,7 +59,8 @@
         """Runs of incarnations of which nothing is known any more: they may have crashed."""
         self.dirty_jobs: dict[str, Job] = {}
         self.commands = Commands()
-        self.speeds = Speeds(settings.remote_factor)
+        self.interference = Interference(log_decision)
+        self.speeds = Speeds(settings.remote_factor, self.interference)
         self.needs_pass = True
 
     def queue_of(self, job: Job) -> QueuePolicy | None:
@@ -92,10 +94,15 @@
         task.runs.append(run)
         task.attempt = max(task.attempt, run.attempt)
         run.worker.add_run(run)
+        job = self.jobs_by_id.get(run.task_id.job_id)
+        if job is not None and run.spec is not None:
+            subject = run.spec.image or job.spec.queue
+            self.interference.neighbours.add(run, subject, run.sent_s)
 
     def remove_run(self, run: Run, now_s: float) -> Task | None:
         """Remove a run that certainly no longer exists; return its task, None if unknown."""
         run.worker.remove_run(run)
+        self.interference.neighbours.remove(run, now_s)
         self.needs_pass = True
         found = self.find_task(run.task_id)
         if found is None:
--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -33,6 +33,11 @@
         self.open_steps = Gauge(
             "redwing_open_steps", "Steps with tasks to start", registry=self.registry
         )
+        self.interfering_pairs = Gauge(
+            "redwing_interfering_pairs",
+            "Pairs of a subject and a neighbour that slows it down",
+            registry=self.registry,
+        )
         self.workers = Gauge("redwing_workers", "Workers that answer", registry=self.registry)
         self.log_lines_lost = Gauge(
             "redwing_log_lines_lost", "Lines that nobody read in time", registry=self.registry
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -237,6 +237,7 @@
         metrics, state = self._context.metrics, self.owner.state
         metrics.jobs.set(len(state.jobs_by_id))
         metrics.open_steps.set(len(state.open_steps))
+        metrics.interfering_pairs.set(state.interference.pair_count)
         metrics.workers.set(
             sum(not worker.is_unreachable for worker in state.workers_by_id.values())
         )
