Let steps that wait for a quota cost next to nothing in a pass

Cause: 1,000 steps of an organisation at its quota took 4.6 ms in each pass on 100 workers; and the nested rank took 1.5 ms more per 1,000 steps in a cell without organisations. Change: a step that waits is looked at again only after a release or a new quota; the order of organisations is one number in the rank, and a cell without organisations keeps its ranks.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -225,12 +225,12 @@
         "job",
         "key",
         "opened_s",
+        "quota_release",
         "refused_workers",
         "spec",
         "tasks",
         "tickets_by_worker",
         "undone_count",
-        "waits_for_quota",
     )
 
     def __init__(self, job: "Job", key: StepKey, spec: StepSpec) -> None:
@@ -248,8 +248,10 @@
         """Workers for which the advice service issued no ticket."""
         self.is_advice_open = False
         self.advice_sent_s = 0.0
-        self.waits_for_quota = False
-        """Whether tasks could start but for the quota of the organisation."""
+        self.quota_release = -1
+        """Number of releases of its organisation when the step last had to wait for the quota, -1 if
+        it does not wait.
+        """
 
     def find_startable_tasks(self, now_s: float) -> list[Task]:
         """Return the tasks that could start now.
--- a/redwingplank/batch/organisations.py
+++ b/redwingplank/batch/organisations.py
@@ -14,10 +14,9 @@
 from redwingplank.batch.submission_rates import SubmissionRates
 from redwingplank.core.shares import OrganisationUsage, UsageTable
 
-__all__ = ["BatchUsage", "OrderedRank", "Organisations"]
+__all__ = ["BatchUsage", "Organisations"]
 
-OrderedRank = tuple[int, bool, Rank]
-"""Tier, whether the organisation is above its share, and the rank without organisations."""
+_TIER_COUNT = LAST_TIER + 1
 
 
 @dataclass(slots=True, eq=False)
@@ -32,6 +31,9 @@
         Whether the present configuration has the organisation.
     charge_count : int
         Number of runs, and of tasks on unconfirmed workers, that are charged.
+    release_count : int
+        Number of times that charges were released or the quota was set; between two of them, no
+        step that waits for the quota can start.
     is_above_share : bool
         Whether the organisation used more than its weighted share when the pass began.
     is_held_back, was_held_back : bool
@@ -41,13 +43,15 @@
     quota: Amounts = NO_AMOUNTS
     is_configured: bool = False
     charge_count: int = 0
+    release_count: int = 0
     is_above_share: bool = False
     is_held_back: bool = False
     was_held_back: bool = False
 
     def is_within_quota(self) -> bool:
         """Return whether no resource is used beyond the quota."""
-        return all(used <= limit for used, limit in zip(self.used, self.limits, strict=True))
+        used, limits = self.used, self.limits
+        return used[0] <= limits[0] and used[1] <= limits[1] and used[2] <= limits[2]
 
     def is_share_above(self, even_share: float) -> bool:
         """Return whether half of one more task would bring the share above the even one.
@@ -90,6 +94,7 @@
         self._usages: UsageTable[BatchUsage] = UsageTable(_make_usage)
         self._rates = SubmissionRates()
         self._charges_by_host: dict[str, _HostCharge] = {}
+        self._has_organisations = False
         self._even_share = math.inf
         self.is_capacity_short = False
         """Whether a step found no worker with enough free capacity in the present pass."""
@@ -166,6 +171,7 @@
         usage = self._usages.find(organisation)
         usage.charge(amounts, sign)
         usage.charge_count += sign
+        usage.release_count += sign < 0
 
     # Quotas.
 
@@ -179,9 +185,9 @@
             return True
         usage = self._usages.find(organisation)
         if usage.may_start(step.spec.amounts, count):
-            step.waits_for_quota = False
+            step.quota_release = -1
             return True
-        step.waits_for_quota = True
+        step.quota_release = usage.release_count
         self._hold_back(usage, step)
         return False
 
@@ -190,8 +196,12 @@
 
         Its tasks need not be looked at then.
         """
-        if not step.waits_for_quota:
+        if step.quota_release < 0:
             return False
+        usage = self._usages.find(step.job.spec.organisation)
+        if step.quota_release == usage.release_count:
+            usage.is_held_back = True
+            return True
         return not self.may_start(step, step.spec.count if step.spec.is_gang else 1)
 
     def may_send(self, run: Run) -> bool:
@@ -239,6 +249,7 @@
         """
         is_short, self.is_capacity_short = self.is_capacity_short, False
         usages = list(self._usages)
+        self._has_organisations = bool(usages)
         if not usages:
             return
         waiting = {step.job.spec.organisation for step in open_steps}
@@ -253,8 +264,11 @@
         for usage in usages:
             usage.is_above_share = usage.is_share_above(self._even_share)
 
-    def order(self, job: Job, rank: Rank) -> OrderedRank:
-        """Return the sort key of a step of a job; the smallest key comes first.
+    def order(self, job: Job, rank: Rank) -> Rank:
+        """Return the rank of a step of a job among those of all organisations.
+
+        Without organisations the rank stays as it is. Otherwise its first part becomes a position
+        that combines the tier, whether the organisation is above its share, and the original tier.
 
         Parameters
         ----------
@@ -263,16 +277,18 @@
         rank : tuple
             Rank of the step without regard to organisations, from `rank_step`.
         """
-        tier = rank[0]
-        organisation = job.spec.organisation
-        if not organisation:
-            return tier, False, rank
-        usage = self._usages.find(organisation)
-        if not usage.is_configured:
-            return LAST_TIER, True, rank
-        if job.is_beyond_rate:
-            tier = max(tier, BEYOND_RATE_TIER)
-        return tier, usage.is_above_share, rank
+        if not self._has_organisations:
+            return rank
+        tier = own_tier = rank[0]
+        is_above_share = False
+        if job.spec.organisation:
+            usage = self._usages.find(job.spec.organisation)
+            is_above_share = usage.is_above_share
+            if not usage.is_configured:
+                tier = LAST_TIER
+            elif job.is_beyond_rate:
+                tier = max(tier, BEYOND_RATE_TIER)
+        return _join_position(tier, is_above_share, own_tier), *rank[1:]
 
     def reaches_share(self, step: Step) -> bool:
         """Return whether the last start has brought an organisation above its share.
@@ -289,14 +305,18 @@
         usage.is_above_share = usage.is_share_above(self._even_share)
         return usage.is_above_share
 
-    def take_turns(self, ranked: Iterable[tuple[OrderedRank, Step]]) -> Iterator[Step]:
+    def take_turns(self, ranked: Iterable[tuple[Rank, Step]]) -> Iterator[Step]:
         """Yield steps in order; those of organisations that exceed their share meanwhile come last.
 
         They come at the end of their tier, once more if they were cut short by `reaches_share`.
         """
+        if not self._has_organisations:
+            yield from (step for _, step in ranked)
+            return
         deferred: list[Step] = []
         current_tier = -1
-        for (tier, was_above_share, _), step in ranked:
+        for (position, *_), step in ranked:
+            tier, was_above_share = _split_position(position)
             if tier != current_tier:
                 yield from deferred
                 deferred.clear()
@@ -316,6 +336,16 @@
         return [usage for usage in self._usages if usage.is_configured or usage.charge_count]
 
 
+def _join_position(tier: int, is_above_share: bool, own_tier: int) -> int:
+    return (2 * tier + is_above_share) * _TIER_COUNT + own_tier
+
+
+def _split_position(position: int) -> tuple[int, bool]:
+    """Return the tier in a position, and whether the organisation was above its share."""
+    tier, is_above_share = divmod(position // _TIER_COUNT, 2)
+    return tier, bool(is_above_share)
+
+
 def _make_usage(name: str) -> BatchUsage:
     usage = BatchUsage(name, used=[0, 0, 0])
     _set_policy(usage, 0.0, NO_AMOUNTS)
@@ -325,4 +355,5 @@
 def _set_policy(usage: BatchUsage, weight: float, quota: Amounts) -> None:
     usage.weight = weight
     usage.quota = quota
+    usage.release_count += 1
     usage.limits = [limit or math.inf for limit in quota]
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -3,9 +3,8 @@
 from redwingplank.batch.candidates import Candidates
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import JobState, QueuePolicy
-from redwingplank.batch.organisations import OrderedRank
 from redwingplank.batch.placement import EligibleWorkers, Placement
-from redwingplank.batch.ranking import chain_s, rank_step
+from redwingplank.batch.ranking import Rank, chain_s, rank_step
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
 
@@ -49,7 +48,7 @@
                     "step_failed", job=step.key.job_id, step=step.key.step, error=repr(error)
                 )
 
-    def _rank_open_steps(self, now_s: float) -> list[tuple[OrderedRank, Step]]:
+    def _rank_open_steps(self, now_s: float) -> list[tuple[Rank, Step]]:
         ranked = []
         speeds = self._state.speeds
         organisations = self._state.organisations
