--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -249,8 +249,9 @@
         self.is_advice_open = False
         self.advice_sent_s = 0.0
         self.quota_release = -1
-        """Number of releases of its organisation when the step last had to wait for the quota, -1 if
-        it does not wait.
+        """Number of releases of its organisation when the step last had to wait for the quota.
+
+        It is -1 while the step does not wait.
         """
 
     def find_startable_tasks(self, now_s: float) -> list[Task]:
--- a/redwingplank/batch/tests/test_organisations.py
+++ b/redwingplank/batch/tests/test_organisations.py
@@ -10,7 +10,7 @@
 from redwingplank.batch.emulated_worker import Fault
 from redwingplank.batch.emulator import EmulatedCell
 from redwingplank.batch.entities import Job
-from redwingplank.batch.model import Amounts, JobState, OrganisationPolicy
+from redwingplank.batch.model import Amounts, JobState, OrganisationPolicy, StepSpec
 from redwingplank.batch.occurrences import add_occurrence
 from redwingplank.batch.submission_rates import SubmissionRates
 from redwingplank.batch.tests.cells import make_cell, make_job, step
@@ -78,7 +78,7 @@
     # Failure: a lowered quota stops tasks, or more start while the usage is still above it.
     def test_a_quota_lowered_below_the_usage_lets_nothing_start(self):
         cell = make_quota_cell(8000)
-        submit(cell, "a", step(4, estimate_s=4.0), step(0 + 1, cpu=1000, after=(0,)))
+        submit(cell, "a", step(4, estimate_s=4.0), step(1, cpu=1000, after=(0,)))
         cell.run_for(1.0)
         submit(cell, "b", step(4, cpu=1000, estimate_s=0.5))
         cell.set_organisations(OrganisationPolicy("acme", 5.0, Amounts(4000)))
@@ -88,6 +88,31 @@
         assert cell.state("b") is JobState.COMPLETED
         assert cell.violations == []
 
+    # Failure: tasks that do not use the resource that is beyond its lowered quota still start.
+    def test_nothing_starts_while_any_resource_is_beyond_the_quota(self):
+        cell = make_quota_cell(8000)
+        submit(cell, "a", step(2, estimate_s=3.0))
+        cell.run_for(1.0)
+        cell.set_organisations(OrganisationPolicy("acme", 5.0, Amounts(8000, 1500)))
+        submit(cell, "b", StepSpec(1, Amounts(1000)))
+        cell.run_for(1.5)
+        assert cell.starts == 2
+        cell.run_for(3.0)
+        assert cell.state("b") is JobState.COMPLETED
+
+    # Failure: a run that was planned before the quota was lowered is still started after it.
+    def test_a_planned_run_is_dropped_when_the_quota_is_lowered(self):
+        cell = make_quota_cell(8000)
+        submit(cell, "a", step(2, estimate_s=3.0))
+        cell.run_for(1.0)
+        cell.is_store_unavailable = True
+        submit(cell, "b", step(2))
+        cell.run_for(0.1)
+        cell.set_organisations(OrganisationPolicy("acme", 5.0, Amounts(4000)))
+        cell.is_store_unavailable = False
+        cell.run_for(1.0)
+        assert (cell.starts, cell.violations) == (2, [])
+
     # Failure: a log line for each start that waits, or none when the quota is reached again.
     def test_reaching_the_quota_is_logged_once_each_time(self):
         cell = make_quota_cell(4000)
