Check that every charge of an organisation is released in the end

Cause: a charge that is never released would lower the quota for good, and no check looked for it. Change: the model check with quotas compares the charges with zero once everything has settled.

--- a/redwingplank/batch/tests/test_promises.py
+++ b/redwingplank/batch/tests/test_promises.py
@@ -196,6 +196,8 @@
     def teardown(self) -> None:
         self.set_quota(0)
         super().teardown()
+        for usage in self.cell.owner.state.organisations.usages():
+            assert (usage.charge_count, usage.used) == (0, [0, 0, 0]), "a charge was not released"
 
 
 class UnconditionalStoreMachine(PromisesMachine):
