--- a/redwingplank/batch/ranking.py
+++ b/redwingplank/batch/ranking.py
@@ -18,7 +18,7 @@
 LATE_FACTOR = 3.0
 """A job that completes within this multiple of its objective still counts, as late."""
 
-Rank = tuple[float, ...]
+Rank = tuple[int, *tuple[float, ...]]
 
 _LASTING_TIER = 0
 _TURN_TIER = 1
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -5,9 +5,9 @@
 from redwingplank.batch.candidates import Candidates
 from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import JobState, QueuePolicy, StepKey
-from redwingplank.batch.organisations import OrderedRank
 from redwingplank.batch.overload import Overload
 from redwingplank.batch.placement import EligibleWorkers, Placement
+from redwingplank.batch.ranking import Rank
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
 
@@ -21,7 +21,7 @@
     `may_fit` is whether any worker may have room for one of its tasks.
     """
 
-    rank: OrderedRank
+    rank: Rank
     key: StepKey
     step: Step
     queue: QueuePolicy
@@ -29,7 +29,7 @@
     may_fit: bool
 
 
-def _sort_key(open_step: _OpenStep) -> tuple[OrderedRank, StepKey]:
+def _sort_key(open_step: _OpenStep) -> tuple[Rank, StepKey]:
     return open_step.rank, open_step.key
 
 
@@ -140,7 +140,7 @@
         reserved = step.spec.reserved
         return any(worker.free.holds(reserved) for worker in workers)
 
-    def _rank(self, step: Step, now_s: float) -> OrderedRank:
+    def _rank(self, step: Step, now_s: float) -> Rank:
         rank = self._overload.rank(step, now_s)
         return self._state.organisations.order(step.job, rank)
 
