--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -183,7 +183,7 @@
         self.owner.submit(spec, self.now_s, self.now_s)
 
     def cancel(self, job_id: str) -> None:
-        """Cancel a job; the cancellation is stored by the owner, later ones repeat it."""
+        """Cancel a job at the owner; each later owner cancels it again when it begins."""
         self.cancelled_ids.add(job_id)
         self.owner.cancel(job_id, self.now_s)
 
--- a/redwingplank/batch/interference.py
+++ b/redwingplank/batch/interference.py
@@ -30,7 +30,8 @@
 MAX_PAIRS = 64
 """Largest number of judged pairs."""
 MAX_NAME_LENGTH = 200
-"""Pairs with longer names are not stored. All pairs together take at most 30 kB in the store."""
+"""Largest length of a name in bytes; pairs with longer names are not stored. All pairs together
+take at most 30 kB in the store."""
 JUDGE_INTERVAL = 8
 """Number of samples of a subject between two judgements."""
 LATER_JUDGE_INTERVAL = 16
--- a/redwingplank/batch/organisations.py
+++ b/redwingplank/batch/organisations.py
@@ -309,7 +309,7 @@
     def reaches_share(self, step: Step) -> bool:
         """Return whether the last start has brought an organisation above its share.
 
-        The rest of the step then has to wait for its turn at the end of its tier.
+        The rest of the step is then planned at the end of its tier, see `take_turns`.
         """
         organisation = step.job.spec.organisation
         if not organisation or self._even_share == math.inf:
@@ -322,9 +322,10 @@
         return usage.is_above_share
 
     def take_turns(self, ranked: Iterable[_Ranked]) -> Iterator[_Ranked]:
-        """Yield steps in order; those of organisations that exceed their share meanwhile come last.
+        """Yield steps in order, except those of organisations that exceed their share meanwhile.
 
-        They come at the end of their tier, once more if they were cut short by `reaches_share`.
+        They come at the end of their tier, where a step that `reaches_share` has interrupted is
+        yielded once more.
         """
         if not self._has_organisations:
             yield from ranked
--- a/redwingplank/batch/overload.py
+++ b/redwingplank/batch/overload.py
@@ -92,7 +92,8 @@
     -----
     The load of a service is the largest ratio, over the resources, of what is needed to what its
     workers have. Needed are the amounts that runs reserve, and for each step that can still be in
-    time its work divided by the time that is left for it.
+    time its work divided by the time that is left for it. Steps that wait for the quota of their
+    organisation, and lasting ones, do not count.
 
     Services whose queues all have the same priority always keep the order of `rank_step`. Nothing
     is stored: a new owner measures the load of the jobs and workers that it finds.
@@ -138,10 +139,11 @@
         return rank_by_benefit(step, waiting.remaining_s, queue.priority, density, now_s)
 
     def _benefit_density(self, waiting: _WaitingStep) -> float:
-        """Return the benefit of a job divided by the work of its tasks that have not started.
+        """Return the benefit of a job divided by the work that remains.
 
-        Both are relative to an average job of the queue. Work that is done or under way does not
-        count, so jobs that have begun come before others.
+        Both are relative to an average job of the queue. Work that is done does not count, nor does
+        work of the step itself that is under way, so jobs that have begun come before others. Of
+        other steps of the job all tasks that are not done count.
         """
         step, job = waiting.step, waiting.step.job
         mean, _ = self._mean_core_s_by_queue[job.spec.queue]
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -63,6 +63,7 @@
 
     def __init__(self, state: OwnerState) -> None:
         self._state = state
+        # The method is looked up at each call, so that `benchmarks/owner_cost.py` can count calls.
         self.scores = ScoreCache(
             lambda worker, step: self.score(worker, step),
             lambda: state.interference.pair_count > 0,
@@ -98,7 +99,10 @@
         return worker.entry.capacity.holds(spec.reserved)
 
     def _select_meeting_requirements(self, workers: list[Worker], step: Step) -> list[Worker]:
-        """Return the workers for which `meets_requirements` holds."""
+        """Return the workers for which `meets_requirements` holds.
+
+        The conditions are repeated here because a call for each worker takes longer.
+        """
         label, (cpu_millicores, memory_mib, gpus) = step.spec.required_label, step.spec.reserved
         return [
             worker
--- a/redwingplank/batch/slowdown.py
+++ b/redwingplank/batch/slowdown.py
@@ -306,7 +306,7 @@
             Kind of the worker.
         """
         self.sample_count += 1
-        self._forget()
+        self._age_samples()
         for name in shares:
             self._touch(name)
         is_first = not sample.is_difference
@@ -379,7 +379,8 @@
             for other, value in entries:
                 row[other] += weighted * value
 
-    def _forget(self) -> None:
+    def _age_samples(self) -> None:
+        """Give the next sample more weight than all earlier ones, which ages these."""
         self._weight /= FORGETTING
         if self._weight < MAX_SCALE:
             return
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -182,7 +182,7 @@
             self._note_capacity(step, open_step.queue, now_s, may_fit=open_step.may_fit)
         if not is_complete and advice is not None:
             self._tickets.request_tickets(
-                open_step.step, open_step.eligible, advice, now_s, may_fit=open_step.may_fit
+                step, open_step.eligible, advice, now_s, may_fit=open_step.may_fit
             )
 
     def _plan_step(self, open_step: _OpenStep, now_s: float) -> bool:
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -174,7 +174,10 @@
             self.mark_dirty(job)
 
     def forget_hosts_of_final_jobs(self, worker_id: str) -> None:
-        """Let a next owner know that a worker, on which every lease expired, runs none of them."""
+        """Let a next owner know that no task of a final job runs on a worker.
+
+        Call it when every lease on the worker has expired.
+        """
         for job in self.jobs_by_id.values():
             if not job.state.is_final:
                 continue
--- a/redwingplank/cell/config.py
+++ b/redwingplank/cell/config.py
@@ -20,7 +20,7 @@
 
 
 class ConfigFollower:
-    """Keeps the newest readable configuration and notifies listeners of each change.
+    """Keeps the newest valid configuration and notifies listeners of each change.
 
     Parameters
     ----------
@@ -56,7 +56,8 @@
     def record_proof(self, revision: int, sent_s: float) -> None:
         """Record that `revision` was the newest one when a call sent at `sent_s` was carried out.
 
-        An answer that arrives after that to a later call changes nothing.
+        Answers may arrive in another order than their calls were sent; the call sent last counts.
+        While a newer revision is rejected, a proof of that revision is ignored.
         """
         if self.revision >= revision:
             self.proven_s = max(self.proven_s, sent_s)
@@ -71,7 +72,10 @@
                 self.apply(item.value, item.revision)
 
     def apply(self, value: bytes, revision: int) -> None:
-        """Put the configuration of an item into force if it is valid and newer."""
+        """Put the configuration of an item into force if it is valid and its version is higher.
+
+        A newer revision without a higher version only withdraws keys, see `_keep_current`.
+        """
         if revision == self.newest_revision:
             return
         is_newest = revision > self.newest_revision
--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -64,7 +64,7 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
-        self.passes = self._histogram("redwing_pass_seconds", "One pass over all open steps")
+        self.passes = self._histogram("redwing_pass_seconds", "One tick of the owner")
         self._histograms_by_event = {
             event: (self._histogram(name, text), field)
             for event, name, text, field in (
--- a/redwingplank/cell/tests/test_access.py
+++ b/redwingplank/cell/tests/test_access.py
@@ -16,9 +16,9 @@
 JOB_KEY = f"redwing/intake/jobs/{ID}"
 
 
-async def configure(site, version, *tenants):
+async def configure(site, version, *organisations):
     """Write a configuration, and wait until every node has it and has proven it if it has to."""
-    site.configure(version, list(tenants))
+    site.configure(version, list(organisations))
     followers = [node._config for node in site.nodes]
     await site.until(lambda: all(each.current.version == version for each in followers))
     if site.revocation_limit_s is not None:
--- a/redwingplank/rpc/cell_calls.py
+++ b/redwingplank/rpc/cell_calls.py
@@ -62,7 +62,10 @@
     async def cancel(
         self, address: str, job_id: str, timeout_s: float, visible_to: str | None = None
     ) -> CancelAnswer | None:
-        """Cancel a job visible to an organisation; return None if the peer owns no jobs."""
+        """Cancel a job; return None if the peer does not own the jobs.
+
+        If `visible_to` names an organisation, a job of another one is answered as unknown.
+        """
 
         def call_cancel(peer: Any) -> Any:
             if visible_to is None:
