Log failed reads and watches of the store, whole reads of a prefix, and failed proofs

The three hypotheses of the incident could not be told apart: a follower wrote nothing when a read or a watch had no answer, store_lost names no prefix and is left out while any other call succeeds, and no line showed the size of what was read. follow_failed, prefix_read and proof_failed say which call, how long it took, and from which revision the next watch begins; config_in_force names the revision of the store. No decision changes. pytest redwingplank/cell passes.

--- a/redwingplank/cell/config.py
+++ b/redwingplank/cell/config.py
@@ -102,6 +102,7 @@
         self._context.log(
             "config_in_force",
             version=config.version,
+            revision=revision,
             was=was,
             queues=len(config.queues_by_name),
             organisations=len(config.organisations_by_name),
--- a/redwingplank/cell/config_proof.py
+++ b/redwingplank/cell/config_proof.py
@@ -83,6 +83,8 @@
                 self._take(result.found, sent_s)
         except STORE_ERRORS as error:
             self._context.health.record_failure(error)
+            took_s = now_s() - sent_s
+            self._context.log("proof_failed", revision=revision, took_s=took_s, error=repr(error))
             return
         self._context.health.record_success()
 
--- a/redwingplank/cell/follower.py
+++ b/redwingplank/cell/follower.py
@@ -71,6 +71,7 @@
         """Follow the prefix until cancelled."""
         retry_s = RETRY_S
         while True:
+            started_s = now_s()
             try:
                 if not self.revision:
                     await self.read()
@@ -81,6 +82,7 @@
                 continue
             except STORE_ERRORS as error:
                 self._context.health.record_failure(error)
+                self._log_failure(error, now_s() - started_s)
                 if not self._is_lossy():
                     await asyncio.sleep(retry_s)
                     retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
@@ -91,6 +93,16 @@
             if page.events:
                 self._on_events(page.events)
 
+    def _log_failure(self, error: Exception, took_s: float) -> None:
+        """Log a failed read or watch; a revision of 0 means that no read has succeeded since."""
+        self._context.log(
+            "follow_failed",
+            prefix=self._prefix,
+            revision=self.revision,
+            took_s=took_s,
+            error=repr(error),
+        )
+
     def _is_lossy(self) -> bool:
         """Return whether changes are urgent and answers of the store were lost a short time ago."""
         return self._is_urgent and now_s() - self._context.store.last_lost_s < LOSSY_S
@@ -117,7 +129,16 @@
         ------
         NotSentError, NoAnswerError, StoreRefusedError
         """
+        started_s = now_s()
         page = await self._context.store.read_range(self._prefix, READ_TIMEOUT_S)
+        self._context.log(
+            "prefix_read",
+            prefix=self._prefix,
+            revision=page.revision,
+            items=len(page.items),
+            value_bytes=sum(len(item.value or b"") for item in page.items),
+            took_s=now_s() - started_s,
+        )
         self._on_items(page.items)
         self.revision = page.revision
         self.is_current.set()
