Pass over odd entries of other writers under every prefix that is read

What users saw elsewhere: one entry nested very deeply, with a number too large or with a port out of range among those of the workers, and the machines that read the list ended again and again, or stopped following it.

Cause: msgspec raises RecursionError for deep nesting, also in fields that are not read, and the readers caught MsgspecError only. The owner's loop that reads the workers, the followers of the system keys and of the configuration ended with it and were restarted at the same place every 0.2 s: no worker was added, none was seen to drain, no configuration came into force. A port of 99999 ended the watch of the owner's process (OverflowError), so that its end was noticed only by its lease. A start of 400 digits, an amount of 1e300 and a task whose name is a number were taken or ended a poll. Unreadable keys of the ownership kept every later election from succeeding.

All values of others are decoded by one function with one error; addresses, amounts and numbers have bounds; an unreadable owner key counts as no owner, and an unreadable epoch is replaced by the next one that the node knows of.

The checks that expected MsgspecError expect the one new error now.

--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -4,6 +4,7 @@
 
 from redwingplank.batch.entities import Job, Step
 from redwingplank.batch.model import Incarnation, JobSpec, JobState, StepKey
+from redwingplank.core import decode_json
 
 __all__ = [
     "count_recorded_occurrences",
@@ -45,10 +46,10 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    UndecodableError
         If the value is not a submission.
     """
-    return msgspec.json.decode(value, type=JobSpec)
+    return decode_json(value, JobSpec)
 
 
 def encode_progress(job: Job) -> bytes:
@@ -77,10 +78,10 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    UndecodableError
         If the value is not a progress record.
     """
-    names = msgspec.json.decode(value, type=_Progress).steps
+    names = decode_json(value, _Progress).steps
     return max((int(name.partition(".")[0]) + 1 for name in names), default=0)
 
 
@@ -91,10 +92,10 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    UndecodableError
         If the value is not a progress record.
     """
-    progress = msgspec.json.decode(value, type=_Progress)
+    progress = decode_json(value, _Progress)
     job.is_started = progress.is_started
     if progress.state:
         job.state = JobState(progress.state)
--- a/redwingplank/batch/speeds.py
+++ b/redwingplank/batch/speeds.py
@@ -6,6 +6,7 @@
 
 from redwingplank.batch.interference import Interference, StoredPair
 from redwingplank.batch.model import StepSpec, WorkerEntry
+from redwingplank.core import decode_json
 
 __all__ = ["Speeds"]
 
@@ -131,10 +132,10 @@
 
         Raises
         ------
-        msgspec.MsgspecError
+        UndecodableError
             If the value is not from `encode`; the means are left unchanged then.
         """
-        learned = msgspec.json.decode(value, type=_Learned)
+        learned = decode_json(value, _Learned)
         self._by_kind = _decode_means(learned.by_kind)
         self._by_subject = _decode_means(learned.by_subject)
         self._by_worker = _decode_means(learned.by_worker)
--- a/redwingplank/batch/tests/test_speeds.py
+++ b/redwingplank/batch/tests/test_speeds.py
@@ -8,6 +8,7 @@
 
 from redwingplank.batch.speeds import Speeds
 from redwingplank.batch.tests.cells import make_worker, step
+from redwingplank.core import UndecodableError
 
 
 def make_speeds() -> Speeds:
@@ -52,7 +53,7 @@
 
     def test_takes_nothing_that_it_cannot_read(self):
         speeds = make_speeds()
-        with pytest.raises(msgspec.MsgspecError):
+        with pytest.raises(UndecodableError):
             speeds.restore(b"nonsense")
         assert speeds.workers_known == 0
 
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -16,6 +16,7 @@
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.peer_submission import PeerSubmission
 from redwingplank.cell.submission import MIN_CALL_TIME_S, SubmitOutcome
+from redwingplank.core import UndecodableError, decode_json
 from redwingplank.platform.site.http import NoAnswerError, NotSentError
 from redwingplank.platform.site.store import Put, StoreRefusedError, TransactionOutcome
 from redwingplank.rpc.cell_calls import CancelAnswer
@@ -280,8 +281,8 @@
     if visible_to is None:
         return True
     try:
-        record = msgspec.json.decode(value or b"", type=_JobOrganisation)
-    except msgspec.MsgspecError:
+        record = decode_json(value or b"", _JobOrganisation)
+    except UndecodableError:
         return False
     return is_visible(record.organisation, visible_to)
 
@@ -292,7 +293,7 @@
 
 
 def _read_state(value: bytes) -> JobState:
-    record = msgspec.json.decode(value, type=_ProgressState)
+    record = decode_json(value, _ProgressState)
     if record.state:
         return JobState(record.state)
     return JobState.RUNNING if record.is_started else JobState.QUEUED
--- a/redwingplank/cell/config.py
+++ b/redwingplank/cell/config.py
@@ -4,11 +4,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-import msgspec
-
 from redwingplank.batch.model import CellConfig
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.follower import PrefixFollower
+from redwingplank.core import UndecodableError
 from redwingplank.platform.site.config import CONFIG_KEY, ConfigRejectedError, decode_config
 from redwingplank.platform.site.store import Item
 
@@ -82,7 +81,7 @@
         self.newest_revision = max(self.newest_revision, revision)
         try:
             config = decode_config(value)
-        except msgspec.MsgspecError as error:
+        except UndecodableError as error:
             self._log_rejection("config_unreadable", revision, error)
             return
         except ConfigRejectedError as error:
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 import xxhash
@@ -18,6 +19,7 @@
     SEQUENCE_KEY,
     SYSTEM_PREFIX,
 )
+from redwingplank.core import InvalidValueError, check_address, decode_json
 from redwingplank.platform.site.store import Item, Put, TransactionOutcome
 
 __all__ = ["EpochEntry", "Membership", "NodeEntry", "Ownership"]
@@ -43,12 +45,17 @@
 then found at most this much later."""
 
 
+MAX_CORE_SHARE = 1000.0
+MAX_EPOCH = 2**40
+"""Larger numbers are not believed; one epoch a second would reach it after 30,000 years."""
+
+
 class NodeEntry(msgspec.Struct, frozen=True):
     """A live node: address for peers, failure domain, and the part of a core that a thread gets."""
 
     address: str
     failure_domain: str
-    core_share: float = 1.0
+    core_share: Annotated[float, msgspec.Meta(ge=0, le=MAX_CORE_SHARE)] = 1.0
 
 
 class EpochEntry(msgspec.Struct, frozen=True):
@@ -57,7 +64,7 @@
     Value of the owner key and of the epoch key; the latter is stored as "term".
     """
 
-    number: int
+    number: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
     owner: str
     address: str
     incarnation: str = ""
@@ -189,39 +196,50 @@
         for item in items:
             try:
                 self._apply_change(item)
-            except msgspec.MsgspecError as error:
+            except InvalidValueError as error:
                 self._context.log("key_unreadable", key=item.key, error=error)
         self._is_changed.set()
 
     def _apply_change(self, item: Item) -> None:
         if item.key.startswith(NODES_PREFIX):
-            name = item.key.removeprefix(NODES_PREFIX)
-            if item.value is None:
-                self.nodes_by_name.pop(name, None)
-            else:
-                self.nodes_by_name[name] = msgspec.json.decode(item.value, type=NodeEntry)
+            self._apply_node(item)
         elif item.key == OWNER_KEY:
             self._apply_owner(item)
         elif item.key == EPOCH_KEY and item.value is not None:
-            self._apply_epoch(item)
+            self._apply_epoch(item.value, item.revision)
+
+    def _apply_node(self, item: Item) -> None:
+        name = item.key.removeprefix(NODES_PREFIX)
+        self.nodes_by_name.pop(name, None)
+        if item.value is not None:
+            entry = decode_json(item.value, NodeEntry)
+            check_address(entry.address)
+            self.nodes_by_name[name] = entry
 
     def _apply_owner(self, item: Item) -> None:
-        owner = None if item.value is None else msgspec.json.decode(item.value, type=EpochEntry)
-        if owner != self.owner:
-            name = owner.owner if owner else "none"
-            self._context.log("owner_seen", owner=name, term=owner.number if owner else 0)
-        self.owner = owner
-        self._owner_revision = item.revision if owner else 0
-
-    def _apply_epoch(self, item: Item) -> None:
-        assert item.value is not None
-        if item.revision <= self.epoch_revision:
+        """Take the owner of the key; one that cannot be read is none, and may be replaced."""
+        previous, self.owner = self.owner, None
+        self._owner_revision = item.revision if item.value is not None else 0
+        try:
+            self.owner = None if item.value is None else _decode_epoch(item.value)
+        finally:
+            if self.owner != previous:
+                name = self.owner.owner if self.owner else "none"
+                number = self.owner.number if self.owner else 0
+                self._context.log("owner_seen", owner=name, term=number)
+
+    def _apply_epoch(self, value: bytes, revision: int) -> None:
+        """Take the newest epoch; one that cannot be read ends the ownership but keeps the number.
+
+        The workers refuse an owner whose number is too low, so that it takes the next one.
+        """
+        if revision <= self.epoch_revision:
             return
-        self.latest_epoch = msgspec.json.decode(item.value, type=EpochEntry)
-        self.epoch_revision = item.revision
+        self.epoch_revision = revision
         ownership = self.ownership
-        if ownership is not None and item.revision > ownership.epoch_revision:
+        if ownership is not None and revision > ownership.epoch_revision:
             self.give_up_ownership("another_term")
+        self.latest_epoch = _decode_epoch(value)
 
     def give_up_ownership(self, reason: str) -> None:
         """Give up this node's ownership, if it has one; nothing is written to the store."""
@@ -352,7 +370,7 @@
             self._context.log("election_lost", term=epoch, end=result.outcome.name.lower())
             await self._follower.read()
             return
-        self.latest_epoch = msgspec.json.decode(value, type=EpochEntry)
+        self.latest_epoch = _decode_epoch(value)
         self.epoch_revision = result.revision
         if self.ownership is None:
             self._become_owner(epoch, result.revision, started_s)
@@ -370,3 +388,9 @@
         """End the lease, which removes this node's keys from the store."""
         if self.lease:
             await self._context.store.end_lease(self.lease, CALL_TIMEOUT_S)
+
+
+def _decode_epoch(value: bytes) -> EpochEntry:
+    entry = decode_json(value, EpochEntry)
+    check_address(entry.address)
+    return entry
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -7,8 +7,6 @@
 import asyncio
 from typing import Any
 
-import msgspec
-
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.model import CellConfig, JobState, WorkerEntry
 from redwingplank.batch.owner import JobOwner
@@ -31,6 +29,7 @@
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.worker_commands import WorkerCommands
 from redwingplank.cell.worker_poller import WorkerPoller
+from redwingplank.core import UndecodableError
 from redwingplank.platform.site.store import Item
 from redwingplank.platform.site.workers import (
     WORKER_ENTRIES_PREFIX,
@@ -170,7 +169,7 @@
             return
         try:
             self.owner.state.speeds.restore(item.value)
-        except msgspec.MsgspecError as error:
+        except UndecodableError as error:
             self._context.log("learned_unreadable", error=error)
 
     def _restore_jobs(self, items: tuple[Item, ...]) -> None:
--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -47,13 +47,14 @@
         store_app = make_site_store_app(self.store, time.monotonic)
         self._servers.append(await serve_http(store_app, [self.store_address], 0))
         for number in range(workers):
-            await self._start_worker(number)
+            await self.add_worker(number)
         self.configure(1)
         for number in range(nodes):
             await self.add_node(number)
         await self.until(lambda: self.owner_node() is not None)
 
-    async def _start_worker(self, number: int) -> None:
+    async def add_worker(self, number: int) -> None:
+        """Start a worker and list it in the store."""
         model, address = SiteWorkerModel(), free_address()
         self.workers.append(model)
         app = make_site_worker_app(model, time.monotonic)
--- a/redwingplank/core/__init__.py
+++ b/redwingplank/core/__init__.py
@@ -1,7 +1,9 @@
 """Types and functions on which all other packages build."""
 
+from redwingplank.core.addresses import check_address
 from redwingplank.core.clock import Clock, FakeClock, MonotonicClock, UnixClock
 from redwingplank.core.collector import tune_collector
+from redwingplank.core.decoding import UndecodableError, decode_json
 from redwingplank.core.errors import InvalidValueError, RedwingError
 from redwingplank.core.findings import Finding, FindingsError, SourceLocation, raise_findings
 from redwingplank.core.logs import (
@@ -27,8 +29,11 @@
     "RedwingError",
     "Resources",
     "SourceLocation",
+    "UndecodableError",
     "UnixClock",
+    "check_address",
     "choose_by_rendezvous",
+    "decode_json",
     "format_event",
     "format_value",
     "log_event",
--- a/redwingplank/platform/site/advice.py
+++ b/redwingplank/platform/site/advice.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from redwingplank.batch.model import StepKey
+from redwingplank.core import UndecodableError, decode_json
 from redwingplank.platform.site.http import NoAnswerError, SiteClient
 
 __all__ = ["AdviceBusyError", "SiteAdvice"]
@@ -53,6 +54,6 @@
         if not reply.is_ok:
             raise NoAnswerError(f"the advice service answered {reply.status}")
         try:
-            return dict(msgspec.json.decode(reply.body, type=_WireAdvice).allowed)
-        except msgspec.MsgspecError as error:
+            return dict(decode_json(reply.body, _WireAdvice).allowed)
+        except UndecodableError as error:
             raise NoAnswerError(f"unreadable advice: {error}") from error
--- a/redwingplank/platform/site/config.py
+++ b/redwingplank/platform/site/config.py
@@ -12,7 +12,7 @@
     OrganisationPolicy,
     QueuePolicy,
 )
-from redwingplank.core import InvalidValueError
+from redwingplank.core import InvalidValueError, decode_json
 
 __all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "ConfigRejectedError", "decode_config"]
 
@@ -81,16 +81,12 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    UndecodableError
         If the value is not a configuration.
     ConfigRejectedError
-        If it is not UTF-8, or its organisations contradict each other.
+        If its organisations contradict each other.
     """
-    try:
-        wire = msgspec.json.decode(value, type=_WireConfig)
-    except UnicodeDecodeError:
-        # The original error holds the whole value, and with it the keys.
-        raise ConfigRejectedError("the configuration is not UTF-8 text: write it again") from None
+    wire = decode_json(value, _WireConfig)
     queues = {route.name: _read_queue(route) for route in wire.routes}
     requires_keys = wire.tenants is not msgspec.UNSET
     organisations = _Organisations()
--- a/redwingplank/platform/site/jobs.py
+++ b/redwingplank/platform/site/jobs.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from redwingplank.batch.model import Amounts, JobSpec, StepSpec
-from redwingplank.core import InvalidValueError
+from redwingplank.core import InvalidValueError, UndecodableError, decode_json
 
 __all__ = ["MAX_PAYLOAD_BYTES", "decode_job"]
 
@@ -55,8 +55,8 @@
         The body is not JSON of a job, or a value is invalid; the message names all invalid values.
     """
     try:
-        wire = msgspec.json.decode(body, type=_WireJob)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        wire = decode_json(body, _WireJob)
+    except UndecodableError as error:
         raise InvalidValueError(f"the body is not a job: {error}") from error
     problems = _find_problems(wire)
     if problems:
--- a/redwingplank/platform/site/store.py
+++ b/redwingplank/platform/site/store.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from redwingplank.core import RedwingError
+from redwingplank.core import RedwingError, UndecodableError, decode_json
 from redwingplank.platform.site.http import NoAnswerError, Reply, SiteClient
 
 __all__ = [
@@ -272,8 +272,8 @@
 
 def _decode(reply: Reply, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(reply.body, kind)
+    except UndecodableError as error:
         raise NoAnswerError(f"unreadable answer of the store: {error}") from error
 
 
--- a/redwingplank/platform/site/tests/test_config.py
+++ b/redwingplank/platform/site/tests/test_config.py
@@ -6,6 +6,7 @@
 import pytest
 
 from redwingplank.batch.model import Amounts
+from redwingplank.core import UndecodableError
 from redwingplank.platform.site.config import ConfigRejectedError, decode_config
 
 KEY = "key-7f3a"
@@ -48,7 +49,7 @@
         """Guards against half a configuration in force, and against keys in logged errors."""
         value = msgspec.json.encode({"version": 1, "tenants": tenants})
         for each in (value, value.replace(b'"a"', b'"\xff"')):
-            with pytest.raises((ConfigRejectedError, msgspec.MsgspecError)) as caught:
+            with pytest.raises((ConfigRejectedError, UndecodableError)) as caught:
                 decode_config(each)
             assert KEY not in repr(caught.value)
 
--- a/redwingplank/platform/site/tests/test_formats.py
+++ b/redwingplank/platform/site/tests/test_formats.py
@@ -4,7 +4,7 @@
 import pytest
 
 from redwingplank.batch.model import Amounts, TaskId
-from redwingplank.core import FindingsError, InvalidValueError
+from redwingplank.core import FindingsError, InvalidValueError, UndecodableError
 from redwingplank.platform.site.config import decode_config
 from redwingplank.platform.site.jobs import decode_job
 from redwingplank.platform.site.settings import read_site_settings
@@ -84,7 +84,7 @@
         assert config.queues_by_name["b"].max_attempts == 1
 
     def test_of_another_type_is_an_error(self):
-        with pytest.raises(msgspec.MsgspecError):
+        with pytest.raises(UndecodableError):
             decode_config(b'{"version":"three"}')
 
 
--- a/redwingplank/platform/site/workers.py
+++ b/redwingplank/platform/site/workers.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import Annotated
 
 import msgspec
 
@@ -15,6 +16,7 @@
     TaskId,
     WorkerEntry,
 )
+from redwingplank.core import InvalidValueError, UndecodableError, check_address, decode_json
 from redwingplank.platform.site.http import NoAnswerError, NotSentError, SiteClient
 
 __all__ = [
@@ -33,6 +35,11 @@
 MAX_CACHED_TASKS = 8192
 """Parsed names of tasks that are kept: each poll lists all tasks that run on a worker again."""
 
+MAX_AMOUNT = 10**12
+"""Largest amount of a resource, and largest remaining time in milliseconds, that is believed."""
+MAX_TIME_MS = 2**53
+"""Largest time in milliseconds since 1970 that is believed; it is exact as a float."""
+
 _COMPLETION_KINDS = {
     "done": CompletionKind.DONE,
     "failed": CompletionKind.FAILED,
@@ -71,16 +78,26 @@
     ticket: str
 
 
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+
+
+class _WireCapacity(msgspec.Struct):
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+
+
 class _WireEntry(msgspec.Struct):
     service: str
     address: str
     state: str
     zone: str = ""
-    capacity: dict[str, float] = {}
+    capacity: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
     labels: list[str] = []
     # Unix time in ms of the start of the worker's process, which identifies its incarnation.
-    born: int = 0
-    remaining_ms: float = 0
+    born: _TimeMs = 0
+    remaining_ms: _Amount = 0
 
 
 class _WirePoll(msgspec.Struct):
@@ -261,26 +278,19 @@
         None if the entry cannot be read, has no valid address, or is neither ready nor draining.
     """
     try:
-        wire = msgspec.json.decode(value, type=_WireEntry)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    host, _, port = wire.address.rpartition(":")
-    if wire.state not in ("ready", "draining") or not host or not port.isdecimal():
+        wire = decode_json(value, _WireEntry)
+        check_address(wire.address)
+    except InvalidValueError:
         return None
-    try:
-        capacity = Amounts(
-            int(wire.capacity.get("cpu", 0)),
-            int(wire.capacity.get("mem_mb", 0)),
-            int(wire.capacity.get("gpu", 0)),
-        )
-    except (TypeError, ValueError):
+    if wire.state not in ("ready", "draining"):
         return None
+    capacity = wire.capacity
     return WorkerEntry(
         worker_id=key.removeprefix(WORKER_ENTRIES_PREFIX),
         address=wire.address,
         failure_domain=wire.zone,
         service=wire.service,
-        capacity=capacity,
+        capacity=Amounts(int(capacity.cpu), int(capacity.mem_mb), int(capacity.gpu)),
         kind=wire.labels[0] if wire.labels else "",
         rack=wire.labels[1] if len(wire.labels) > 1 else "",
         labels=tuple(wire.labels),
@@ -306,17 +316,17 @@
 
 def _read_reason(body: bytes) -> str:
     try:
-        return msgspec.json.decode(body, type=_WireRefusal).reason
-    except msgspec.MsgspecError:
+        return decode_json(body, _WireRefusal).reason
+    except UndecodableError:
         return ""
 
 
 def _read_report(body: bytes) -> PollReport:
     try:
-        wire = msgspec.json.decode(body, type=_WirePoll)
+        wire = decode_json(body, _WirePoll)
         running = tuple(_read_run(row) for row in wire.running)
         completions = tuple(_read_completion(row) for row in wire.finished)
-    except (msgspec.MsgspecError, TypeError, ValueError, IndexError, KeyError) as error:
+    except (TypeError, ValueError, OverflowError, IndexError, KeyError) as error:
         raise NoAnswerError(f"unreadable report of a worker: {error!r}") from error
     return PollReport(int(wire.clock_ms), wire.born, running, completions)
 
@@ -334,8 +344,8 @@
     )
 
 
-def _require_task(name: str) -> TaskId:
-    task = parse_task(name)
+def _require_task(name: str | float | None) -> TaskId:
+    task = parse_task(name) if isinstance(name, str) else None
     if task is None:
         raise ValueError(f"{name!r} is not the name of a task")
     return task
