Do not cut off or repeat answers of the store that have begun

What callers saw: 404 for routes that had been added long before, at VMs with narrow links, for good.

Cause: a time-out held for a whole call, transfer included, and a copy was sent whenever an answer was not complete after 0.12 to 0.6 s. A retry that is the load that makes it fail.

A time-out now holds until an answer begins, and after that for each part of it. The first answer that begins is received; copies under way are cancelled and none is sent meanwhile.

--- a/redwingplank/cell/follower.py
+++ b/redwingplank/cell/follower.py
@@ -1,21 +1,20 @@
-"""Follows all store keys that begin with a prefix."""
+"""Follows changes in the store: catches up once, then watches, and catches up again after a gap."""
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.platform.site.store import HistoryGoneError, Item, WatchPage
 
-__all__ = ["PrefixFollower"]
+__all__ = ["Follower", "PrefixFollower"]
 
 READ_TIMEOUT_S = 1.5
-"""A page of 1 MB from a slow store takes less than 1 s."""
+"""A slow store answers in 0.25 s; the transfer of the answer does not count."""
 RETRY_S = 0.25
 """Backoff after the first failed call; it doubles with each further failure."""
 LONGEST_RETRY_S = 1.0
-"""Upper bound of the backoff: a configuration change has to be in force within 2 s after the store
-is reachable again."""
 
 LOSSY_S = 3.0
 """After a lost answer of the store, further ones are likely to be lost for this long."""
@@ -27,8 +26,8 @@
 """Period of checking, during a longer wait, whether answers have begun to be lost."""
 
 
-class PrefixFollower:
-    """Reads a prefix and then watches it; reads it again when the store has discarded its history.
+class Follower(ABC):
+    """Watches the keys under a prefix after catching up with what the store holds.
 
     Parameters
     ----------
@@ -36,65 +35,68 @@
         Settings, clients, log and metrics of this node.
     prefix : str
         Common prefix of the followed keys.
-    wait_s : float
-        Seconds that one watch call waits for changes. This also bounds how long changes missed by
-        a watch, or a connection that stopped answering, remain unnoticed.
-    on_items : callable
-        Called with all items after each read of the whole prefix.
-    on_events : callable
-        Called with the changed items of each watch that returned changes.
-    is_urgent : bool
-        Whether changes are to be seen soon also while answers of the store are lost, which takes
-        more calls.
+    longest_retry_s : float
+        Upper bound in seconds of the backoff after failed calls.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store from which the next watch begins, 0 before the first one.
     """
 
     def __init__(
-        self,
-        context: NodeContext,
-        prefix: str,
-        wait_s: float,
-        on_items: Callable[[tuple[Item, ...]], None],
-        on_events: Callable[[tuple[Item, ...]], None],
-        *,
-        is_urgent: bool = False,
+        self, context: NodeContext, prefix: str, longest_retry_s: float = LONGEST_RETRY_S
     ) -> None:
         self._context = context
         self._prefix = prefix
-        self._wait_s = wait_s
-        self._on_items = on_items
-        self._on_events = on_events
-        self._is_urgent = is_urgent
+        self._longest_retry_s = longest_retry_s
         self.revision = 0
-        self.is_current = asyncio.Event()
 
     async def run(self) -> None:
-        """Follow the prefix until cancelled."""
+        """Follow until cancelled."""
         retry_s = RETRY_S
         while True:
             started_s = now_s()
             try:
-                if not self.revision:
-                    await self.read()
-                page = await self._watch()
+                await self.catch_up()
+                page = await self.watch()
             except HistoryGoneError as error:
                 self._context.log("history_gone", prefix=self._prefix, error=error)
-                self.revision = 0
+                self.handle_gap()
                 continue
             except STORE_ERRORS as error:
                 self._context.health.record_failure(error)
                 self._log_failure(error, now_s() - started_s)
-                if not self._is_lossy():
+                if self.handle_failure():
                     await asyncio.sleep(retry_s)
-                    retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+                    retry_s = min(self._longest_retry_s, 2 * retry_s)
                 continue
             self._context.health.record_success()
             retry_s = RETRY_S
-            self.revision = max(self.revision, page.revision)
-            if page.events:
-                self._on_events(page.events)
+            self.handle_page(page)
+
+    @abstractmethod
+    async def catch_up(self) -> None:
+        """Read what a watch from `revision` would not return; does nothing if that is nothing."""
+
+    @abstractmethod
+    async def watch(self) -> WatchPage:
+        """Watch once for changes after `revision`."""
+
+    @abstractmethod
+    def handle_page(self, page: WatchPage) -> None:
+        """Apply changes, and only then move `revision` past them."""
+
+    @abstractmethod
+    def handle_gap(self) -> None:
+        """Prepare to catch up, because the store has discarded changes after `revision`."""
+
+    def handle_failure(self) -> bool:
+        """Handle a failed call; return whether to back off before the next one."""
+        return True
 
     def _log_failure(self, error: Exception, took_s: float) -> None:
-        """Log a failed read or watch; a revision of 0 means that no read has succeeded since."""
+        """Log a failed call; a revision of 0 means that the prefix is read anew."""
         self._context.log(
             "follow_failed",
             prefix=self._prefix,
@@ -103,20 +105,80 @@
             error=repr(error),
         )
 
+
+class PrefixFollower(Follower):
+    """Follows all keys under a prefix; catches up by reading all of them.
+
+    Parameters
+    ----------
+    context : NodeContext
+        Settings, clients, log and metrics of this node.
+    prefix : str
+        Common prefix of the followed keys.
+    wait_s : float
+        Seconds that one watch call waits for changes. This also bounds how long changes missed by
+        a watch, or a connection that stopped answering, remain unnoticed.
+    on_items : callable
+        Called with all items after each read of the whole prefix.
+    on_events : callable
+        Called with the changed items of each watch that returned changes.
+    is_urgent : bool
+        Whether changes are to be seen soon also while answers of the store are lost, which takes
+        more calls.
+    """
+
+    def __init__(
+        self,
+        context: NodeContext,
+        prefix: str,
+        wait_s: float,
+        on_items: Callable[[tuple[Item, ...]], None],
+        on_events: Callable[[tuple[Item, ...]], None],
+        *,
+        is_urgent: bool = False,
+    ) -> None:
+        super().__init__(context, prefix)
+        self._wait_s = wait_s
+        self._on_items = on_items
+        self._on_events = on_events
+        self._is_urgent = is_urgent
+
+    async def catch_up(self) -> None:
+        """Read the whole prefix, unless the next watch continues from an earlier read."""
+        if not self.revision:
+            await self.read()
+
+    def handle_page(self, page: WatchPage) -> None:
+        """Pass changes to `on_events`."""
+        if page.events:
+            self._on_events(page.events)
+        self.revision = max(self.revision, page.revision)
+
+    def handle_gap(self) -> None:
+        """Read the whole prefix next."""
+        self.revision = 0
+
+    def handle_failure(self) -> bool:
+        """Back off, unless the next call is urgent."""
+        return not self._is_lossy()
+
     def _is_lossy(self) -> bool:
         """Return whether changes are urgent and answers of the store were lost a short time ago."""
         return self._is_urgent and now_s() - self._context.store.last_lost_s < LOSSY_S
 
-    async def _watch(self) -> WatchPage:
+    async def watch(self) -> WatchPage:
         """Watch once; a wait that began before answers were lost is begun again."""
         store = self._context.store
         if self._is_lossy():
             return await store.watch(self._prefix, self.revision, LOSSY_WAIT_S, LOSSY_SLACK_S)
-        call = asyncio.ensure_future(store.watch(self._prefix, self.revision, self._wait_s))
+        begun = asyncio.Event()
+        call = asyncio.ensure_future(
+            store.watch(self._prefix, self.revision, self._wait_s, on_begun=begun.set)
+        )
         try:
             while not call.done():
                 await asyncio.wait([call], timeout=LOSS_CHECK_S if self._is_urgent else None)
-                if not call.done() and self._is_lossy():
+                if not call.done() and not begun.is_set() and self._is_lossy():
                     return WatchPage((), self.revision)
             return call.result()
         finally:
@@ -141,4 +203,3 @@
         )
         self._on_items(page.items)
         self.revision = page.revision
-        self.is_current.set()
--- a/redwingplank/cell/tests/link_fixture.py
+++ b/redwingplank/cell/tests/link_fixture.py
@@ -1,7 +1,6 @@
 """A store behind a link of limited bandwidth, in virtual time, and a node's view of it."""
 
 import asyncio
-import inspect
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -10,7 +9,7 @@
 import msgspec
 import pytest
 
-from redwingplank.cell import config_proof, context, follower, hedged_store
+from redwingplank.cell import config_proof, context, follower, hedged_call, hedged_store
 from redwingplank.cell.config import ConfigFollower
 from redwingplank.cell.config_proof import ConfigProver
 from redwingplank.cell.context import StoreHealth
@@ -146,9 +145,8 @@
         revocation_limit_s: float | None = 5.0,
     ) -> None:
         loop = asyncio.get_running_loop()
-        for module in (config_proof, context, follower, hedged_store, _config_module()):
-            if hasattr(module, "now_s"):
-                monkeypatch.setattr(module, "now_s", loop.time)
+        for module in (config_proof, context, follower, hedged_call, hedged_store):
+            monkeypatch.setattr(module, "now_s", loop.time)
         self.events: list[tuple[str, dict[str, Any]]] = []
         self.model = SiteStoreModel()
         self.link = Link(bytes_per_s)
@@ -198,7 +196,3 @@
                 )
             await asyncio.sleep(0.01)
         return loop.time() - started_s
-
-
-def _config_module() -> Any:
-    return inspect.getmodule(ConfigFollower)
--- /dev/null
+++ b/redwingplank/cell/tests/test_hedged_call.py
@@ -0,0 +1,120 @@
+"""Copies of a call whose answers take their time, in virtual time."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pytest
+
+from redwingplank.cell import hedged_call
+from redwingplank.cell.hedged_call import MAX_COPIES, HedgedCall
+from redwingplank.platform.site.http import NoAnswerError
+from redwingplank.standin.virtual_time import run_virtual
+
+DELAY_S = 0.12
+
+
+@dataclass(frozen=True)
+class Plan:
+    """When the answer to a copy begins and ends, in seconds after it was sent."""
+
+    begins_s: float
+    ends_s: float
+    is_lost: bool = False
+    """Whether the transfer breaks off at its end."""
+
+
+class Store:
+    """Answers each copy as planned; copies beyond the plans get no answer."""
+
+    def __init__(self, *plans: Plan) -> None:
+        self._plans = plans
+        self.sent = 0
+        self.cancelled: list[int] = []
+        self.begun: list[tuple[float, bool]] = []
+
+    async def send(self, timeout_s: float, on_headers: Callable[[], None]) -> int:
+        number = self.sent
+        self.sent += 1
+        try:
+            if number >= len(self._plans):
+                await asyncio.sleep(timeout_s)
+                raise NoAnswerError("no answer")
+            plan = self._plans[number]
+            await asyncio.sleep(plan.begins_s)
+            on_headers()
+            await asyncio.sleep(plan.ends_s - plan.begins_s)
+            if plan.is_lost:
+                raise NoAnswerError("the transfer broke off")
+        except asyncio.CancelledError:
+            self.cancelled.append(number)
+            raise
+        return number
+
+    async def call(self, timeout_s: float) -> int:
+        return await HedgedCall(self.send, timeout_s, DELAY_S, self._record).run()
+
+    def _record(self, took_s: float, is_overtaking: bool) -> None:
+        self.begun.append((took_s, is_overtaking))
+
+
+@pytest.fixture(autouse=True)
+def virtual_clock(monkeypatch):
+    monkeypatch.setattr(hedged_call, "now_s", lambda: asyncio.get_running_loop().time())
+
+
+def run(store: Store, timeout_s: float = 1.5) -> tuple[int, float]:
+    """Return the number of the copy that was answered, and the time that it took."""
+
+    async def call() -> tuple[int, float]:
+        answered = await store.call(timeout_s)
+        return answered, asyncio.get_running_loop().time()
+
+    return run_virtual(call())
+
+
+class TestLongTransfer:
+    """Pattern: an answer that is large for its link."""
+
+    # Guards against copies of an answer that is on its way, which share its link and delay it.
+    def test_no_copy_is_sent_while_an_answer_is_received(self):
+        store = Store(Plan(0.1, 9.0))
+        answered, took_s = run(store)
+        assert (answered, store.sent, took_s) == (0, 1, pytest.approx(9.0))
+
+    # Guards against a time-out that cuts a transfer off, to begin it again from nothing.
+    def test_the_time_out_ends_with_the_begin_of_the_answer(self):
+        store = Store(Plan(1.4, 60.0))
+        assert run(store)[0] == 0
+        assert store.cancelled == list(range(1, store.sent))
+
+    # Guards against several copies that are received side by side.
+    def test_the_other_copies_are_cancelled_when_one_begins(self):
+        store = Store(Plan(5.0, 5.1), Plan(5.0, 5.1), Plan(0.3, 8.0))
+        answered, _ = run(store, timeout_s=10.0)
+        assert answered == 2
+        assert sorted(store.cancelled) == [number for number in range(store.sent) if number != 2]
+        assert store.begun == [(pytest.approx(0.3), True)]
+
+    # Guards against a broken transfer that is taken for an answer, or that is waited for.
+    def test_a_transfer_that_breaks_off_is_no_answer(self):
+        store = Store(Plan(0.1, 0.5, is_lost=True))
+        with pytest.raises(NoAnswerError, match="broke off"):
+            run(store)
+        assert store.sent == 1
+
+
+class TestNoAnswer:
+    """Pattern: a store that does not answer."""
+
+    # Guards against a call that outlives its time-out, or sends copies without a bound.
+    def test_copies_and_time_are_bounded(self):
+        store = Store()
+
+        async def call() -> float:
+            with pytest.raises(NoAnswerError):
+                await store.call(1.5)
+            return asyncio.get_running_loop().time()
+
+        assert run_virtual(call()) == pytest.approx(1.5)
+        assert store.sent == MAX_COPIES
--- a/redwingplank/cell/tests/test_hedged_store.py
+++ b/redwingplank/cell/tests/test_hedged_store.py
@@ -6,6 +6,7 @@
 import pytest
 
 from redwingplank.cell import hedged_store
+from redwingplank.cell.hedged_call import MAX_COPIES
 from redwingplank.cell.hedged_store import HedgedStore
 from redwingplank.platform.site.http import NoAnswerError, NotSentError
 from redwingplank.platform.site.store import (
@@ -26,7 +27,7 @@
         self._results = list(results)
         self.calls = 0
 
-    async def transact(self, _expected, _puts, _removes, timeout_s):
+    async def transact(self, _expected, _puts, _removes, timeout_s, _on_headers):
         self.calls += 1
         result = self._results.pop(0)
         if result is LOST:
@@ -78,7 +79,7 @@
         store = ScriptedStore(*[LOST] * 10)
         with pytest.raises(NoAnswerError):
             transact(store, timeout_s=0.05)
-        assert store.calls == hedged_store.MAX_COPIES
+        assert store.calls == MAX_COPIES
 
     def test_only_an_answer_that_overtakes_another_tells_of_a_loss(self):
         for results, is_lost in (([DONE], False), ([LOST, DONE], True)):
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -1,7 +1,7 @@
 """HTTP client for all services of the platform; each kind of failure has an exception type."""
 
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -73,6 +73,7 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        on_headers: Callable[[], None] | None = None,
     ) -> Reply:
         """Send a request and return the response.
 
@@ -81,26 +82,37 @@
         method, address, target : str
             HTTP method such as ``"POST"``, ``"IP:PORT"``, and the path with its query.
         timeout_s : float
-            Time-out of the whole call in seconds.
+            Time-out in seconds: of the whole call, or with `on_headers` of connecting, of the wait
+            for the headers, and of each wait for a further part of the body.
         body : bytes, optional
             Request body, JSON.
         headers : mapping, optional
             Headers in addition to the content type.
+        on_headers : callable, optional
+            Called when the headers of the response have arrived. For responses whose size has no
+            small bound: a slow link takes its time, and only a transfer that stops has failed.
 
         Raises
         ------
         NotSentError
             The connection could not be established.
         NoAnswerError
-            The connection broke, or the time-out of the call expired.
+            The connection broke, or a time-out expired.
         """
         sent_headers = {"Content-Type": "application/json", **(headers or {})}
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        if on_headers is None:
+            timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        else:
+            timeout = aiohttp.ClientTimeout(
+                connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=timeout_s
+            )
         url = f"http://{address}{target}"
         try:
             async with self._session.request(
                 method, url, data=body, headers=sent_headers, timeout=timeout
             ) as response:
+                if on_headers is not None:
+                    on_headers()
                 return Reply(response.status, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(f"cannot reach {address}: {error}") from error
--- a/redwingplank/platform/site/store.py
+++ b/redwingplank/platform/site/store.py
@@ -66,10 +66,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """All items of a range, and the store's revision at which its first part was read."""
+    """Items of a range, and the store's revision at which they were read.
+
+    With `has_more`, the range holds further items, which begin after the last one of these.
+    """
 
     items: tuple[Item, ...]
     revision: int
+    has_more: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +154,9 @@
     -----
     Every method raises `NotSentError` or `NoAnswerError` if it gets no usable answer, and
     `StoreRefusedError` if the store refused the call, which then had no effect.
+
+    Calls whose answers may be large take a function `on_headers`, which is called when the answer
+    begins. From then on the time-out only limits how long the transfer may make no progress.
     """
 
     def __init__(
@@ -159,36 +166,42 @@
         self._address = address
         self._observe = observe
 
-    async def get(self, key: str, timeout_s: float) -> Item | None:
+    async def get(
+        self, key: str, timeout_s: float, on_headers: Callable[[], None] | None = None
+    ) -> Item | None:
         """Return the item of a key, None if the key does not exist."""
-        reply = await self._call("get", "GET", f"/-/kv-key?key={quote(key, safe='')}", timeout_s)
+        target = f"/-/kv-key?key={quote(key, safe='')}"
+        reply = await self._call("get", "GET", target, timeout_s, on_headers=on_headers)
         if reply.status == 404:
             return None
         return _read_item(_decode(_raise_for_status(reply), _WireItem))
 
-    async def read_range(self, prefix: str, timeout_s: float, *, stale: bool = False) -> Page:
-        """Return all items under a prefix; a stale read costs less and may be seconds old."""
-        items: list[Item] = []
-        revision = 0
-        after = ""
-        while True:
-            target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
-            target += f"&after={quote(after, safe='')}" if after else ""
-            target += "&serializable=1" if stale else ""
-            reply = await self._call("range", "GET", target, timeout_s)
-            page = _decode(_raise_for_status(reply), _WireRange)
-            items.extend(_read_item(item) for item in page.items)
-            revision = revision or page.at_rev
-            if not page.has_more or not page.items:
-                return Page(tuple(items), revision)
-            after = page.items[-1].key
+    async def read_page(
+        self,
+        prefix: str,
+        after: str,
+        timeout_s: float,
+        on_headers: Callable[[], None] | None = None,
+    ) -> Page:
+        """Return the first items under a prefix whose keys come after `after` (empty for all)."""
+        target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
+        target += f"&after={quote(after, safe='')}" if after else ""
+        reply = await self._call("range", "GET", target, timeout_s, on_headers=on_headers)
+        page = _decode(_raise_for_status(reply), _WireRange)
+        items = tuple(_read_item(item) for item in page.items)
+        return Page(items, page.at_rev, page.has_more)
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float, slack_s: float | None = None
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        slack_s: float | None = None,
+        on_headers: Callable[[], None] | None = None,
     ) -> WatchPage:
         """Wait up to `wait_s` for changes under a prefix after a revision.
 
-        The call fails if it is not answered `slack_s` after the wait, by default `WATCH_SLACK_S`.
+        The call fails if no answer has begun `slack_s` after the wait, by default `WATCH_SLACK_S`.
 
         Raises
         ------
@@ -198,7 +211,9 @@
         target = f"/-/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
         target += f"&wait_ms={round(wait_s * 1000)}"
         timeout_s = wait_s + (WATCH_SLACK_S if slack_s is None else slack_s)
-        reply = await self._client.call("GET", self._address, target, timeout_s)
+        reply = await self._client.call(
+            "GET", self._address, target, timeout_s, on_headers=on_headers or _ignore_headers
+        )
         if reply.status == 410:
             raise HistoryGoneError(f"changes of {prefix} after {after} are gone")
         page = _decode(_raise_for_status(reply), _WireEvents)
@@ -211,6 +226,7 @@
         puts: list[Put],
         removes: list[str],
         timeout_s: float,
+        on_headers: Callable[[], None] | None = None,
     ) -> TransactionResult:
         """Change keys atomically if each key of `expected` has its given revision (0 if absent)."""
         body = {
@@ -219,7 +235,7 @@
             "remove": removes,
         }
         reply = await self._call(
-            "transact", "POST", "/-/kv-txn", timeout_s, msgspec.json.encode(body)
+            "transact", "POST", "/-/kv-txn", timeout_s, msgspec.json.encode(body), on_headers
         )
         if reply.status == 404:
             return TransactionResult(TransactionOutcome.LEASE_GONE)
@@ -251,15 +267,27 @@
             _raise_for_status(reply)
 
     async def _call(
-        self, name: str, method: str, target: str, timeout_s: float, body: bytes | None = None
+        self,
+        name: str,
+        method: str,
+        target: str,
+        timeout_s: float,
+        body: bytes | None = None,
+        on_headers: Callable[[], None] | None = None,
     ) -> Reply:
         started_s = time.monotonic()
         try:
-            return await self._client.call(method, self._address, target, timeout_s, body)
+            return await self._client.call(
+                method, self._address, target, timeout_s, body, on_headers=on_headers
+            )
         finally:
             self._observe(name, time.monotonic() - started_s)
 
 
+def _ignore_headers() -> None:
+    """Stand for a caller that need not know when its answer begins."""
+
+
 def _raise_for_status(reply: Reply) -> Reply:
     if reply.is_ok:
         return reply
