Read the newest configuration alone after failures and long transfers

What callers saw: 404 for routes that had been added seconds before, on deployments with keys and without.

Cause: three ways to fall behind. A watch returns every version since its position, which on a narrow link takes longer than the operator takes to write the next ones; a proof was sent each second whether or not one was being answered, each with the whole configuration while the node was behind. And the position of the watch moved to that of an empty answer, so that a change which a watch had left out stayed unseen until the next one.

The configuration is followed on its own now. After a failure or a long transfer a node reads the key, which returns one version; only the newest valid one of several is decoded and put into force. Reads and proofs wait for each other, and none is sent while a change arrives. Its position moves on only as far as a proof reaches.

One test of late proofs now checks the times at which they were sent, because proofs no longer overlap.

--- a/redwingplank/cell/config.py
+++ b/redwingplank/cell/config.py
@@ -1,4 +1,4 @@
-"""Follows the operator's configuration; a lower version never replaces a higher one."""
+"""The operator's configuration that is in force at a node; a lower version never replaces it."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,25 +6,20 @@
 
 from redwingplank.batch.model import CellConfig
 from redwingplank.cell.context import NodeContext
-from redwingplank.cell.follower import PrefixFollower
 from redwingplank.core import UndecodableError
 from redwingplank.platform.site.config import CONFIG_KEY, ConfigRejectedError, decode_config
 from redwingplank.platform.site.store import Item
 
-__all__ = ["ConfigFollower"]
+__all__ = ["ActiveConfig"]
 
-WATCH_WAIT_S = 1.2
-"""A watch can miss changes without an error, so it is repeated well within the time in which a
-change has to be in force (2 s)."""
 
-
-class ConfigFollower:
+class ActiveConfig:
     """Keeps the newest valid configuration and notifies listeners of each change.
 
     Parameters
     ----------
     context : NodeContext
-        Settings, clients, log and metrics of this node.
+        Log and metrics of this node.
 
     Attributes
     ----------
@@ -48,9 +43,6 @@
         self.proven_s = float("-inf")
         self.is_known = asyncio.Event()
         self.listeners: list[Callable[[CellConfig], None]] = []
-        self.follower = PrefixFollower(
-            context, CONFIG_KEY, WATCH_WAIT_S, self._handle_items, self._handle_items
-        )
 
     def record_proof(self, revision: int, sent_s: float) -> None:
         """Record that `revision` was the newest one when a call sent at `sent_s` was carried out.
@@ -65,32 +57,40 @@
         """Return the seconds since the configuration was last proven to be the newest one."""
         return now_s - self.proven_s
 
-    def _handle_items(self, items: tuple[Item, ...]) -> None:
-        for item in items:
-            if item.key == CONFIG_KEY and item.value is not None:
-                self.apply(item.value, item.revision)
+    def apply_newest(self, items: tuple[Item, ...]) -> None:
+        """Put the newest valid configuration among `items` into force.
+
+        Older ones are not even decoded: none of them may come into force after it.
+        """
+        for item in sorted(items, key=lambda item: item.revision, reverse=True):
+            is_config = item.key == CONFIG_KEY and item.value is not None
+            if is_config and self._apply(item):
+                return
 
-    def apply(self, value: bytes, revision: int) -> None:
-        """Put the configuration of an item into force if it is valid and its version is higher.
+    def _apply(self, item: Item) -> bool:
+        """Apply one configuration and return whether it is valid.
 
         A newer revision without a higher version only withdraws keys, see `_keep_current`.
         """
+        assert item.value is not None
+        revision = item.revision
         if revision == self.newest_revision:
-            return
+            return self.revision == revision
         is_newest = revision > self.newest_revision
         self.newest_revision = max(self.newest_revision, revision)
         try:
-            config = decode_config(value)
+            config = decode_config(item.value)
         except UndecodableError as error:
             self._log_rejection("config_unreadable", revision, error)
-            return
+            return False
         except ConfigRejectedError as error:
             self._log_rejection("config_rejected", revision, error)
-            return
+            return False
         if self.current is None or config.version > self.current.version:
             self._put_into_force(config, revision)
         elif is_newest:
             self._keep_current(config, revision)
+        return True
 
     def _put_into_force(self, config: CellConfig, revision: int) -> None:
         was = self.current.version if self.current else 0
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -6,8 +6,10 @@
 from redwingplank.cell.access import AccessControl
 from redwingplank.cell.app import make_app
 from redwingplank.cell.callers import Callers
-from redwingplank.cell.config import ConfigFollower
+from redwingplank.cell.config import ActiveConfig
 from redwingplank.cell.config_proof import ConfigProver
+from redwingplank.cell.config_reader import ConfigReader
+from redwingplank.cell.config_watch import ConfigWatch
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.membership import Membership, Ownership
 from redwingplank.cell.metrics import make_metrics_app
@@ -40,9 +42,11 @@
     def __init__(self, context: NodeContext) -> None:
         self._context = context
         self._tasks = TaskSet(context)
-        self._config = ConfigFollower(context)
+        self._config = ActiveConfig(context)
         self._config.listeners.append(self._apply_config)
-        self._config_prover = ConfigProver(context, self._config, self._tasks)
+        reader = ConfigReader(context, self._config)
+        self._config_watch = ConfigWatch(context, self._config, reader)
+        self._config_prover = ConfigProver(context, self._config, reader, self._config_watch)
         self._membership = Membership(
             context, self._handle_ownership_won, self._handle_ownership_lost
         )
@@ -69,7 +73,7 @@
         if settings.metrics_address:
             metrics_app = make_metrics_app(self._context.metrics)
             self._metrics_server = await serve_http(metrics_app, [settings.metrics_address])
-        self._tasks.start_loop(self._config.follower.run)
+        self._tasks.start_loop(self._config_watch.run)
         self._tasks.start_loop(self._config_prover.run)
         self._tasks.start_loop(self._membership.keep_lease)
         self._tasks.start_loop(self._membership.follow)
--- a/redwingplank/cell/tests/link_fixture.py
+++ b/redwingplank/cell/tests/link_fixture.py
@@ -9,9 +9,19 @@
 import msgspec
 import pytest
 
-from redwingplank.cell import config_proof, context, follower, hedged_call, hedged_store
-from redwingplank.cell.config import ConfigFollower
+from redwingplank.cell import (
+    config_proof,
+    config_reader,
+    config_watch,
+    context,
+    follower,
+    hedged_call,
+    hedged_store,
+)
+from redwingplank.cell.config import ActiveConfig
 from redwingplank.cell.config_proof import ConfigProver
+from redwingplank.cell.config_reader import ConfigReader
+from redwingplank.cell.config_watch import ConfigWatch
 from redwingplank.cell.context import StoreHealth
 from redwingplank.cell.hedged_store import HedgedStore
 from redwingplank.cell.metrics import NodeMetrics
@@ -20,6 +30,15 @@
 from redwingplank.platform.site.store import SiteStore
 from redwingplank.standin.site_store import SiteStoreModel
 
+_MODULES_WITH_CLOCK = (
+    config_proof,
+    config_reader,
+    config_watch,
+    context,
+    follower,
+    hedged_call,
+    hedged_store,
+)
 CONFIG_KEY = "op/config"
 CHUNK_BYTES = 8192
 WATCH_CHECK_S = 0.02
@@ -63,6 +82,13 @@
         Carries the bodies of the answers.
     latency_s : float
         Time from a call to the first byte of its answer.
+
+    Attributes
+    ----------
+    is_silent : bool
+        Whether calls get no answer.
+    is_deaf : bool
+        Whether watches return no changes, and the store's revision nevertheless.
     """
 
     def __init__(self, model: SiteStoreModel, link: Link, latency_s: float) -> None:
@@ -70,6 +96,7 @@
         self.link = link
         self.latency_s = latency_s
         self.is_silent = False
+        self.is_deaf = False
         self.targets: list[str] = []
 
     async def call(
@@ -128,7 +155,7 @@
             if after < self.model.forgotten:
                 return 410, {}
             events = self.model.events_after(query["prefix"], after)
-            if events:
+            if events and not self.is_deaf:
                 return 200, {"events": events, "at_rev": self.model.revision}
             await asyncio.sleep(WATCH_CHECK_S)
         return 200, {"events": [], "at_rev": self.model.revision}
@@ -145,7 +172,7 @@
         revocation_limit_s: float | None = 5.0,
     ) -> None:
         loop = asyncio.get_running_loop()
-        for module in (config_proof, context, follower, hedged_call, hedged_store):
+        for module in _MODULES_WITH_CLOCK:
             monkeypatch.setattr(module, "now_s", loop.time)
         self.events: list[tuple[str, dict[str, Any]]] = []
         self.model = SiteStoreModel()
@@ -161,12 +188,13 @@
         node_context.store = self.store = HedgedStore(site_store)
         node_context.health = self.health = StoreHealth(node_context)
         self.tasks = TaskSet(node_context)
-        self.config = ConfigFollower(node_context)
-        self.prover = ConfigProver(node_context, self.config, self.tasks)
+        self.config = ActiveConfig(node_context)
+        reader = ConfigReader(node_context, self.config)
+        self.watch = ConfigWatch(node_context, self.config, reader)
+        self.prover = ConfigProver(node_context, self.config, reader, self.watch)
 
     def start(self) -> None:
-        run = getattr(self.config, "run", None) or self.config.follower.run
-        self.tasks.start_loop(run)
+        self.tasks.start_loop(self.watch.run)
         self.tasks.start_loop(self.prover.run)
 
     def configure(self, version: int, routes: int = 1, keys: bool = True) -> None:
--- a/redwingplank/cell/tests/test_config_delay.py
+++ b/redwingplank/cell/tests/test_config_delay.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from redwingplank.cell.tests.link_fixture import LinkedNode
+from redwingplank.cell.tests.link_fixture import CONFIG_KEY, LinkedNode
 from redwingplank.standin.virtual_time import run_virtual
 
 LIMIT_S = 3.0
@@ -77,3 +77,60 @@
             await node.tasks.stop()
 
         run_virtual(scenario())
+
+
+class TestMissedChanges:
+    """Pattern: a watch returns nothing although there was a change, and a position past it."""
+
+    # Guards against a change that nobody sees, because an empty answer was taken for a proof.
+    @pytest.mark.parametrize("has_keys", [True, False])
+    def test_a_change_that_a_watch_left_out_is_found_by_the_next_one(self, monkeypatch, has_keys):
+        async def scenario() -> None:
+            node = LinkedNode(monkeypatch, bytes_per_s=1e8)
+            node.configure(1, keys=has_keys)
+            node.start()
+            await node.until_version(1, LIMIT_S)
+            await asyncio.sleep(7.3)
+            node.client.is_deaf = True
+            node.configure(2, keys=has_keys)
+            await asyncio.sleep(1.5)
+            node.client.is_deaf = False
+            await node.until_version(2, LIMIT_S)
+            await node.tasks.stop()
+
+        run_virtual(scenario())
+
+    # Guards against a position that stays behind for ever, so that watches ask for lost history.
+    def test_a_position_that_is_proven_moves_on(self, monkeypatch):
+        async def scenario() -> None:
+            node = LinkedNode(monkeypatch, bytes_per_s=1e8)
+            node.configure(1)
+            node.start()
+            await node.until_version(1, LIMIT_S)
+            for _ in range(20):
+                node.model.put("redwing/other", b"")
+                await asyncio.sleep(1.0)
+            assert node.watch.revision >= node.model.revision - 5
+            node.model.forget_history()
+            node.configure(2)
+            await node.until_version(2, LIMIT_S)
+            await node.tasks.stop()
+
+        run_virtual(scenario())
+
+    # Guards against an old version that comes into force because a newer one cannot be read.
+    def test_the_newest_valid_version_of_several_is_in_force(self, monkeypatch):
+        async def scenario() -> None:
+            node = LinkedNode(monkeypatch, bytes_per_s=1e8)
+            node.configure(1)
+            node.start()
+            await node.until_version(1, LIMIT_S)
+            node.configure(2)
+            node.configure(3)
+            node.model.put(CONFIG_KEY, b'{"version":4,"routes":{}}')
+            await node.until_version(3, LIMIT_S)
+            in_force = [fields for event, fields in node.events if event == "config_in_force"]
+            assert [fields["version"] for fields in in_force] == [1, 3]
+            await node.tasks.stop()
+
+        run_virtual(scenario())
--- a/redwingplank/cell/tests/test_config_proof.py
+++ b/redwingplank/cell/tests/test_config_proof.py
@@ -7,16 +7,18 @@
 import msgspec
 import pytest
 
-from redwingplank.cell import config_proof
+from redwingplank.cell import config_proof, config_reader
 from redwingplank.cell.access import AccessControl
 from redwingplank.cell.authentication import AccessRefusal, Credentials
-from redwingplank.cell.config import ConfigFollower
+from redwingplank.cell.config import ActiveConfig
 from redwingplank.cell.config_proof import ConfigProver
+from redwingplank.cell.config_reader import ConfigReader
+from redwingplank.cell.config_watch import ConfigWatch
 from redwingplank.cell.metrics import NodeMetrics
-from redwingplank.cell.tasks import TaskSet
 from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.store import (
     Item,
+    Page,
     StoreInvalidCallError,
     TransactionOutcome,
     TransactionResult,
@@ -54,10 +56,13 @@
             store=self,
         )
         self.metrics = context.metrics
-        self.config = ConfigFollower(context)
-        self.prover = ConfigProver(context, self.config, TaskSet(context))
+        self.config = ActiveConfig(context)
+        reader = ConfigReader(context, self.config)
+        self.watcher = ConfigWatch(context, self.config, reader)
+        self.prover = ConfigProver(context, self.config, reader, self.watcher)
         self.access = AccessControl(context, lambda: self.config.current, self.config.age_s)
-        monkeypatch.setattr(config_proof, "now_s", lambda: self.now_s)
+        for module in (config_proof, config_reader):
+            monkeypatch.setattr(module, "now_s", lambda: self.now_s)
         self.watch()
 
     async def transact(self, expected, puts, removes, timeout_s):
@@ -75,17 +80,17 @@
             await answered.wait()
         return result
 
-    async def get(self, key, timeout_s):
-        return self.item
+    async def read_page(self, prefix, after, timeout_s):
+        return Page((self.item,), self.item.revision)
 
     def write(self, value: bytes) -> None:
         self.item = Item("op/config", value, self.item.revision + 1)
 
     def watch(self) -> None:
-        self.config._handle_items((self.item,))
+        self.config.apply_newest((self.item,))
 
     def prove(self) -> None:
-        asyncio.run(self.prover.prove(1.0))
+        asyncio.run(self.prover.prove())
 
     def refusal(self, key: str | None = KEY, path: str = "/c/") -> AccessRefusal | None:
         assert self.config.current is not None
@@ -190,16 +195,29 @@
 
         async def overlap() -> None:
             node.answered = answered = asyncio.Event()
-            early = asyncio.ensure_future(node.prover.prove(3.0))
+            record_proof = node.config.record_proof
+
+            def record(revision: int, sent_s: float) -> None:
+                sent_times_s.append(sent_s)
+                record_proof(revision, sent_s)
+
+            node.config.record_proof = record
+            early = asyncio.ensure_future(node.prover.prove())
             await asyncio.sleep(0)
             node.now_s += 1.0
-            await node.prover.prove(3.0)
+            late = asyncio.ensure_future(node.prover.prove())
+            await asyncio.sleep(0)
+            assert node.compared == 1
             node.now_s += 1.0
             answered.set()
-            await early
+            await asyncio.gather(early, late)
 
+        sent_times_s: list[float] = []
         asyncio.run(overlap())
-        assert node.config.age_s(node.now_s) == 1.0
+        assert sent_times_s == [100.0, 102.0]
+        assert node.config.age_s(node.now_s) == 0.0
+        node.config.record_proof(node.item.revision, node.now_s - 1.0)
+        assert node.config.age_s(node.now_s) == 0.0
 
     def test_a_rejected_configuration_stops_the_proof_of_the_last_valid_one(self, node):
         """Guards against a key that a configuration removed which this node could not read."""
