Reject jobs whose numbers are too large, and pass over stored ones

What callers would see: no task of any job starts any more. One request with a cpu of 400 digits was accepted and stored; where the queues of a service have different priorities, each pass of the owner ended with OverflowError while it computed the work of that job, and so did each pass of every next owner. Found while looking for the cause of the odd entries elsewhere.

Numbers of a job have to lie between 0 and 10^12, in a request (400 otherwise) and in a stored record (job_unreadable); amounts in the quota of an organisation have the same bound.

--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from redwingplank.batch.entities import Job, Step
+from redwingplank.batch.job_limits import check_job_limits
 from redwingplank.batch.model import Incarnation, JobSpec, JobState, StepKey
 from redwingplank.core import decode_json
 
@@ -48,8 +49,12 @@
     ------
     UndecodableError
         If the value is not a submission.
+    InvalidValueError
+        If a number in it is out of range.
     """
-    return decode_json(value, JobSpec)
+    spec = decode_json(value, JobSpec)
+    check_job_limits(spec)
+    return spec
 
 
 def encode_progress(job: Job) -> bytes:
--- a/redwingplank/cell/tests/test_odd_entries.py
+++ b/redwingplank/cell/tests/test_odd_entries.py
@@ -5,6 +5,8 @@
 import msgspec
 import pytest
 
+from redwingplank.batch.model import Amounts, JobSpec, StepSpec
+from redwingplank.batch.records import encode_submission
 from redwingplank.cell.tests.site_fixture import Site, free_address, run_site
 from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.workers import _read_report
@@ -136,3 +138,32 @@
     def test_it_counts_as_none(self, body):
         with pytest.raises(NoAnswerError):
             _read_report(body)
+
+
+class TestOddJobs:
+    """Pattern: a job with a number too large, from a caller or from another writer of the store."""
+
+    # Guards against one job that ends every pass of this owner and of every next one.
+    @pytest.mark.parametrize("field", ["cpu", "mem_mb", "gpu", "max_per_server"])
+    def test_a_job_of_a_caller_is_rejected(self, field):
+        async def scenario(site):
+            steps = b'{"spec":"","steps":[{"count":1,"%s":%s}]}' % (field.encode(), LARGE)
+            status, body, _ = await site.call("POST", "/proof/large", steps)
+            assert (status, "steps[0]" in body["problem"]) == (400, True)
+            assert (await site.call("POST", "/proof/job1", JOB))[0] == 200
+            await site.until_state("job1", "completed")
+            assert not has_failed(site)
+
+        run_site(scenario)
+
+    # Guards against the same job if another writer has stored it.
+    def test_a_stored_job_is_passed_over(self):
+        async def scenario(site):
+            spec = JobSpec("large", "proof", "", (StepSpec(1, Amounts(int(LARGE), 1)),))
+            site.store.put("redwing/intake/jobs/large", encode_submission(spec))
+            assert (await site.call("POST", "/proof/job1", JOB))[0] == 200
+            await site.until_state("job1", "completed")
+            assert any("event=job_unreadable job=large" in line for line in site.events())
+            assert not has_failed(site)
+
+        run_site(scenario)
--- a/redwingplank/platform/site/config.py
+++ b/redwingplank/platform/site/config.py
@@ -2,9 +2,11 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 
+from redwingplank.batch.job_limits import MAX_NUMBER
 from redwingplank.batch.model import (
     AdvicePolicy,
     Amounts,
@@ -50,10 +52,13 @@
     max_body_bytes: int = 262_144
 
 
+_Amount = Annotated[int, msgspec.Meta(le=MAX_NUMBER)]
+
+
 class _WireCap(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
 
 class _WireTenant(msgspec.Struct):
--- a/redwingplank/platform/site/jobs.py
+++ b/redwingplank/platform/site/jobs.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from redwingplank.batch.job_limits import check_job_limits
 from redwingplank.batch.model import Amounts, JobSpec, StepSpec
 from redwingplank.core import InvalidValueError, UndecodableError, decode_json
 
@@ -61,7 +62,7 @@
     problems = _find_problems(wire)
     if problems:
         raise InvalidValueError("; ".join(problems))
-    return JobSpec(
+    spec = JobSpec(
         job_id=job_id,
         queue=queue,
         payload=wire.spec,
@@ -71,6 +72,8 @@
         first_run_unix_s=wire.first_run_ms / MS_PER_S,
         interval_s=wire.interval_ms / MS_PER_S,
     )
+    check_job_limits(spec)
+    return spec
 
 
 def _find_problems(wire: _WireJob) -> list[str]:
--- a/redwingplank/platform/site/workers.py
+++ b/redwingplank/platform/site/workers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from redwingplank.batch.job_limits import MAX_NUMBER
 from redwingplank.batch.model import (
     Amounts,
     CompletionKind,
@@ -35,8 +36,6 @@
 MAX_CACHED_TASKS = 8192
 """Parsed names of tasks that are kept: each poll lists all tasks that run on a worker again."""
 
-MAX_AMOUNT = 10**12
-"""Largest amount of a resource, and largest remaining time in milliseconds, that is believed."""
 MAX_TIME_MS = 2**53
 """Largest time in milliseconds since 1970 that is believed; it is exact as a float."""
 
@@ -78,7 +77,7 @@
     ticket: str
 
 
-_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
 
 
