Take deep nesting for an invalid value in stored declarations and in bodies of jobs

Callers of our own interface got 500 for a job whose payload is nested deeply, and a node's loop that follows the declarations would have ended at such an entry: both caught msgspec's errors, and RecursionError is none of them.

Both use the common function now.

--- a/redwingplank/api/jobs.py
+++ b/redwingplank/api/jobs.py
@@ -8,7 +8,7 @@
 
 from redwingplank.api.headers import read_body, read_idempotency_key
 from redwingplank.api.problems import ProblemDetails, send_problem
-from redwingplank.core import InvalidValueError, make_resources
+from redwingplank.core import InvalidValueError, decode_json, make_resources
 from redwingplank.runtime.jobs import (
     JobGateway,
     JobRefusedError,
@@ -159,12 +159,12 @@
 async def _read_job(req: falcon.asgi.Request, organisation: str) -> JobRequest:
     body_bytes = await read_body(req, MAX_JOB_BYTES)
     try:
-        body = msgspec.json.decode(body_bytes, type=JobBody)
+        body = decode_json(body_bytes, JobBody)
         _check_job(body)
         resources = None
         if body.millicores is not None and body.memory_mib is not None:
             resources = make_resources(body.millicores, body.memory_mib, body.accelerators)
-    except (msgspec.MsgspecError, InvalidValueError, UnicodeDecodeError) as error:
+    except InvalidValueError as error:
         raise falcon.HTTPBadRequest(title="job is not valid", description=str(error)) from error
     payload = b"" if body.payload is None else msgspec.json.encode(body.payload)
     return JobRequest(
--- a/redwingplank/api/tests/test_api.py
+++ b/redwingplank/api/tests/test_api.py
@@ -196,6 +196,7 @@
             b'{"service": "parts", "millicores": 5}',
             b'{"service": "parts", "millicores": -5, "memory_mib": 1}',
             b'{"service": "parts", "run_time_s": 0}',
+            b'{"service": "parts", "payload": ' + b"[" * 9000 + b"]" * 9000 + b"}",
         ],
     )
     def test_bad_bodies_reach_no_scheduler(self, body):
--- a/redwingplank/config/stored.py
+++ b/redwingplank/config/stored.py
@@ -19,7 +19,7 @@
 from redwingplank.config.model import Declarations
 from redwingplank.config.resolve import resolve_declarations
 from redwingplank.config.schema import SCHEMA_VERSION
-from redwingplank.core import RedwingError
+from redwingplank.core import RedwingError, UndecodableError, decode_json
 from redwingplank.platform import KeyValue
 
 __all__ = [
@@ -251,6 +251,6 @@
 
 def _decode(key: str, value: bytes, kind: type[Stored]) -> Stored:
     try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(value, kind)
+    except UndecodableError as error:
         raise StoredFormatError(f"{key} is not readable: {error}; roll back or apply it") from error
