--- a/redwingplank/platform/site/config.py
+++ b/redwingplank/platform/site/config.py
@@ -2,9 +2,11 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 
+from redwingplank.batch.job_limits import MAX_NUMBER
 from redwingplank.batch.model import (
     AdvicePolicy,
     Amounts,
@@ -12,7 +14,7 @@
     OrganisationPolicy,
     QueuePolicy,
 )
-from redwingplank.core import InvalidValueError
+from redwingplank.core import InvalidValueError, decode_json
 
 __all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "ConfigRejectedError", "decode_config"]
 
@@ -50,10 +52,13 @@
     max_body_bytes: int = 262_144
 
 
+_Amount = Annotated[int, msgspec.Meta(le=MAX_NUMBER)]
+
+
 class _WireCap(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
 
 class _WireTenant(msgspec.Struct):
@@ -81,16 +86,12 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    UndecodableError
         If the value is not a configuration.
     ConfigRejectedError
-        If it is not UTF-8, or its organisations contradict each other.
+        If its organisations contradict each other.
     """
-    try:
-        wire = msgspec.json.decode(value, type=_WireConfig)
-    except UnicodeDecodeError:
-        # The original error holds the whole value, and with it the keys.
-        raise ConfigRejectedError("the configuration is not UTF-8 text: write it again") from None
+    wire = decode_json(value, _WireConfig)
     queues = {route.name: _read_queue(route) for route in wire.routes}
     requires_keys = wire.tenants is not msgspec.UNSET
     organisations = _Organisations()
--- a/redwingplank/platform/site/jobs.py
+++ b/redwingplank/platform/site/jobs.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
+from redwingplank.batch.job_limits import check_job_limits
 from redwingplank.batch.model import Amounts, JobSpec, StepSpec
-from redwingplank.core import InvalidValueError
+from redwingplank.core import InvalidValueError, UndecodableError, decode_json
 
 __all__ = ["MAX_PAYLOAD_BYTES", "decode_job"]
 
@@ -55,13 +56,13 @@
         The body is not JSON of a job, or a value is invalid; the message names all invalid values.
     """
     try:
-        wire = msgspec.json.decode(body, type=_WireJob)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        wire = decode_json(body, _WireJob)
+    except UndecodableError as error:
         raise InvalidValueError(f"the body is not a job: {error}") from error
     problems = _find_problems(wire)
     if problems:
         raise InvalidValueError("; ".join(problems))
-    return JobSpec(
+    spec = JobSpec(
         job_id=job_id,
         queue=queue,
         payload=wire.spec,
@@ -71,6 +72,8 @@
         first_run_unix_s=wire.first_run_ms / MS_PER_S,
         interval_s=wire.interval_ms / MS_PER_S,
     )
+    check_job_limits(spec)
+    return spec
 
 
 def _find_problems(wire: _WireJob) -> list[str]:
