Tests: large prefixes on narrow links, slow transfers over sockets, errors in followers

The cause of the configuration incident stood in two more readers, which use the same calls: a new owner's read of the stored jobs never ended on a link that carries them in 4 s, and the watch of new jobs was begun anew while they arrived, as long as answers were being lost. An error while changes were applied lost them.

test_http.py plays an answer of 2.25 s with a time-out of 2 s over real sockets, and one that stops.

--- a/redwingplank/cell/tests/link_fixture.py
+++ b/redwingplank/cell/tests/link_fixture.py
@@ -41,6 +41,7 @@
 )
 CONFIG_KEY = "op/config"
 CHUNK_BYTES = 8192
+PAGE_ITEMS = 500
 WATCH_CHECK_S = 0.02
 
 
@@ -145,8 +146,9 @@
             for key in self.model.items
             if key.startswith(query["prefix"]) and key > query.get("after", "")
         )
-        items = [self.model.show(key) for key in keys]
-        return {"items": items, "has_more": False, "at_rev": self.model.revision}
+        items = [self.model.show(key) for key in keys[:PAGE_ITEMS]]
+        has_more = len(keys) > PAGE_ITEMS
+        return {"items": items, "has_more": has_more, "at_rev": self.model.revision}
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
@@ -185,13 +187,14 @@
         )
         client: Any = self.client
         site_store = SiteStore(client, "store", lambda name, took_s: None)
-        node_context.store = self.store = HedgedStore(site_store)
-        node_context.health = self.health = StoreHealth(node_context)
+        node_context.store = HedgedStore(site_store)
+        node_context.health = StoreHealth(node_context)
         self.tasks = TaskSet(node_context)
         self.config = ActiveConfig(node_context)
         reader = ConfigReader(node_context, self.config)
         self.watch = ConfigWatch(node_context, self.config, reader)
         self.prover = ConfigProver(node_context, self.config, reader, self.watch)
+        self.context = node_context
 
     def start(self) -> None:
         self.tasks.start_loop(self.watch.run)
--- /dev/null
+++ b/redwingplank/platform/site/tests/test_http.py
@@ -0,0 +1,69 @@
+"""Time-outs of calls whose answers take long to transfer, over the loopback interface."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from redwingplank.platform.site.http import NoAnswerError, Reply, SiteClient
+
+PARTS = 9
+PART_INTERVAL_S = 0.25
+TIMEOUT_S = 2.0
+"""Shorter than the transfer of all parts, and much longer than the interval between two."""
+
+Writer = asyncio.StreamWriter
+
+
+async def call(
+    send_body: Callable[[Writer], Awaitable[None]], timeout_s: float, on_headers
+) -> Reply:
+    """Call a server that sends its headers at once and then the body as `send_body` does."""
+
+    async def serve(reader: asyncio.StreamReader, writer: Writer) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % PARTS)
+            await send_body(writer)
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = SiteClient()
+    try:
+        return await client.call("GET", f"{host}:{port}", "/", timeout_s, on_headers=on_headers)
+    finally:
+        await client.close()
+        server.close()
+
+
+async def send_slowly(writer: Writer) -> None:
+    for _ in range(PARTS):
+        await asyncio.sleep(PART_INTERVAL_S)
+        writer.write(b"x")
+
+
+async def send_half(writer: Writer) -> None:
+    writer.write(b"x" * (PARTS // 2))
+    await asyncio.sleep(30.0)
+
+
+class TestTransfer:
+    # Guards against a time-out that cuts off an answer which a slow link is still transferring.
+    def test_an_answer_that_makes_progress_is_received_whole(self):
+        begun = []
+        reply = asyncio.run(call(send_slowly, TIMEOUT_S, lambda: begun.append(True)))
+        assert (reply.body, begun) == (b"x" * PARTS, [True])
+
+    # Guards against a call that waits for ever for the rest of an answer.
+    def test_an_answer_that_stops_has_failed(self):
+        begun = []
+        with pytest.raises(NoAnswerError):
+            asyncio.run(call(send_half, 0.2, lambda: begun.append(True)))
+        assert begun == [True]
+
+    # Guards against calls of workers that take longer than their time-out.
+    def test_without_interest_in_the_headers_the_whole_call_is_bounded(self):
+        with pytest.raises(NoAnswerError):
+            asyncio.run(call(send_slowly, 0.4, None))
