redwingctl organisations: usage against quota and fair share, waiting jobs, refusals

The command reads the metrics of the nodes that it is given, shows the lines of the owner, sums the refusals of all nodes, and tells by its exit code when a node or the owner is missing. Refusals have no organisation, because a refused key belongs to none.

--- a/redwingplank/batch/organisations.py
+++ b/redwingplank/batch/organisations.py
@@ -352,6 +352,10 @@
         """Return the usage of each organisation that is configured or uses anything."""
         return [usage for usage in self._usages if usage.is_configured or usage.charge_count]
 
+    def shares(self) -> dict[str, float]:
+        """Return the largest fraction of the capacity that each organisation uses, by its name."""
+        return {usage.name: self._usages.dominant(usage) for usage in self._usages}
+
 
 def _join_position(tier: int, is_above_share: bool, own_tier: int) -> int:
     return (2 * tier + is_above_share) * _TIER_COUNT + own_tier
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -245,7 +245,9 @@
             sum(not worker.is_unreachable for worker in state.workers_by_id.values())
         )
         metrics.organisations.update(
-            state.organisations.usages(), self.owner.waiting_by_organisation()
+            state.organisations.usages(),
+            self.owner.waiting_by_organisation(),
+            state.organisations.shares(),
         )
         metrics.log_lines_lost.set(self._context.events.dropped)
 
--- a/redwingplank/cli/ctl.py
+++ b/redwingplank/cli/ctl.py
@@ -26,6 +26,7 @@
     OutputFlags,
 )
 from redwingplank.cli.ctl_get import list_documents, print_document, show_effective
+from redwingplank.cli.ctl_organisations import CellReading, organisation_rows, read_cell
 from redwingplank.cli.ctl_output import (
     Printer,
     change_rows,
@@ -71,6 +72,8 @@
     ApplyOutcome.UNKNOWN: EXIT_UNKNOWN,
 }
 
+METRICS_TIMEOUT_S = 2.0
+
 Command = Callable[[OperatorSession, Printer], Awaitable[int]]
 
 
@@ -94,6 +97,7 @@
         status,
         drain,
         explain,
+        organisations,
         schema,
     ):
         app.command(command)
@@ -333,6 +337,51 @@
     return _run(cell, execute)
 
 
+def organisations(
+    addresses: tuple[str, ...],
+    /,
+    *,
+    timeout_s: float = METRICS_TIMEOUT_S,
+    flags: OutputFlags = DEFAULT_OUTPUT,
+) -> int:
+    """Show what the organisations of a cell of `redwing-node` use, and the refused requests.
+
+    Usage is as of the owner's last report, which is at most 10 s old.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        IP:PORT of the metrics of all nodes.
+    timeout_s : float
+        Timeout of a single call, in seconds.
+    """
+    printer = Printer(flags.output)
+
+    def show() -> int:
+        reading = asyncio.run(read_cell(addresses, timeout_s))
+        rows = organisation_rows(reading.lines)
+        refused = [
+            {"cause": cause, "requests": count}
+            for cause, count in sorted(reading.refused_by_cause.items())
+        ]
+        printer.show(
+            _organisations_headline(reading),
+            {"owners": reading.owners, "silent": reading.silent},
+            organisations=rows,
+            refused=refused,
+        )
+        is_complete = bool(reading.owners) and not reading.silent
+        return EXIT_DONE if is_complete else EXIT_LAGGING
+
+    return _report_findings(show, printer)
+
+
+def _organisations_headline(reading: CellReading) -> str:
+    owner = f"owner {reading.owners[0]}" if reading.owners else "no node owns the jobs"
+    silent = f"; no answer from {', '.join(reading.silent)}" if reading.silent else ""
+    return f"{len(reading.lines)} organisations; {owner}{silent}"
+
+
 def schema() -> int:
     """Print the JSON Schema of declaration files."""
     print(json.dumps(make_schema(), indent=2))
