Keep the limits of an organisation once, for both schedulers

The usage table was common, but limits were not: the shards' scheduler kept a grant as an array beside the list of limits, with two flags for none declared and none arrived, and the cell compared its three dimensions by hand. No limits are now None, a grant that has not arrived is an empty list, and both schedulers ask the same three questions: is there room, is the usage within the limits, and would the amounts ever be. A need with a resource that the grant does not name is not allowed any more when amounts are learned; before, such a dimension was left out of the comparison.

--- a/redwingplank/batch/organisations.py
+++ b/redwingplank/batch/organisations.py
@@ -64,11 +64,6 @@
     is_held_back: bool = False
     was_held_back: bool = False
 
-    def is_within_quota(self) -> bool:
-        """Return whether no resource is used beyond the quota."""
-        used, limits = self.used, self.limits
-        return used[0] <= limits[0] and used[1] <= limits[1] and used[2] <= limits[2]
-
     def is_share_above(self, even_share: float) -> bool:
         """Return whether half of one more task would bring the share above the even one.
 
@@ -83,7 +78,7 @@
         """
         if count == 1 and self.charge_count == 0:
             return True
-        return self.is_within_quota() and self.has_room(amounts, count)
+        return self.is_within_limits() and self.has_room(amounts, count)
 
 
 @dataclass(slots=True)
@@ -228,7 +223,7 @@
         if not run.organisation:
             return True
         usage = self._usages.find(run.organisation)
-        return usage.charge_count == 1 or usage.is_within_quota()
+        return usage.charge_count == 1 or usage.is_within_limits()
 
     def _hold_back(self, usage: BatchUsage, step: Step) -> None:
         usage.is_held_back = True
--- a/redwingplank/core/shares.py
+++ b/redwingplank/core/shares.py
@@ -18,8 +18,9 @@
         Name of the organisation.
     weight : float
         Share of the organisation relative to others.
-    limits : list of float
-        Largest amount in each dimension; a dimension beyond the end of the list has the limit 0.
+    limits : list of float or None
+        Largest amount in each dimension, None without limits; a dimension beyond the end of the
+        list has the limit 0.
     used : list of int
         Amount in use in each dimension.
     share : float
@@ -28,7 +29,7 @@
 
     name: str
     weight: float = 100
-    limits: list[float] = field(default_factory=list)
+    limits: list[float] | None = None
     used: list[int] = field(default_factory=list)
     share: float = 0.0
 
@@ -44,6 +45,8 @@
     def has_room(self, amounts: Sequence[int], count: int = 1) -> bool:
         """Return whether another `count` times `amounts` stay within the limits."""
         used, limits = self.used, self.limits
+        if limits is None:
+            return True
         for dimension, amount in enumerate(amounts):
             if not amount:
                 continue
@@ -53,6 +56,23 @@
                 return False
         return True
 
+    def is_within_limits(self) -> bool:
+        """Return whether no dimension is used beyond its limit."""
+        return self._are_allowed(self.used)
+
+    def may_ever_use(self, amounts: Sequence[int]) -> bool:
+        """Return whether `amounts` would be within the limits if nothing else was in use."""
+        return self._are_allowed(amounts)
+
+    def _are_allowed(self, amounts: Sequence[int]) -> bool:
+        limits = self.limits
+        if limits is None:
+            return True
+        return all(
+            not amount or (dimension < len(limits) and amount <= limits[dimension])
+            for dimension, amount in enumerate(amounts)
+        )
+
 
 Usage = TypeVar("Usage", bound=OrganisationUsage)
 
--- a/redwingplank/scheduling/learning.py
+++ b/redwingplank/scheduling/learning.py
@@ -85,9 +85,7 @@
         table = self._state.table
         fits = (table.capacity[: len(need)] >= need[:, None]).all(axis=0)
         usage = self._state.shares.find(organisation)
-        is_granted = usage.grant is None or bool(
-            (usage.grant[: len(need)] >= need[: len(usage.grant)]).all()
-        )
+        is_granted = not usage.has_grant or usage.may_ever_use(need.tolist())
         return is_granted and bool(fits.any())
 
     def record_usage(self, task: Task, millicores: int, memory_mib: int) -> None:
