Give each copy of a call the same time for its parts; remove what nobody calls

A copy that was sent late passed on the little time that was left of the call as the time for each part of its answer, so that a transfer with a pause of 50 ms could fail although it had begun in time. The deadline of the call is kept by HedgedCall alone.

Removed: an event in the configuration, two methods of the own interface's membership and of the tools that nothing called.

--- a/redwingplank/cell/authentication.py
+++ b/redwingplank/cell/authentication.py
@@ -76,8 +76,8 @@
     revocation_limit_s : float or None
         Time after which removed keys have to be refused, None if there is none.
     is_outdated : bool
-        Whether so long no word has come from the store that a change may have been missed which
-        has to be in force.
+        Whether the store has not answered for so long that a change which has to be in force may
+        be missing here.
     """
 
     proof_age_s: float
--- a/redwingplank/cell/config.py
+++ b/redwingplank/cell/config.py
@@ -1,6 +1,5 @@
 """The operator's configuration that is in force at a node; a lower version never replaces it."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -42,7 +41,6 @@
         self.newest_revision = 0
         self.proven_s = float("-inf")
         self._heard_s = float("-inf")
-        self.is_known = asyncio.Event()
         self.listeners: list[Callable[[CellConfig], None]] = []
 
     def record_proof(self, revision: int, sent_s: float) -> None:
@@ -109,7 +107,6 @@
         self.current = config
         self.revision = revision
         self._update_gauge()
-        self.is_known.set()
         self._context.log(
             "config_in_force",
             version=config.version,
--- a/redwingplank/cell/hedged_call.py
+++ b/redwingplank/cell/hedged_call.py
@@ -37,7 +37,8 @@
     Parameters
     ----------
     send_copy : callable
-        Sends one copy. It ends by itself if the transfer of its answer makes no progress.
+        Sends one copy. It ends by itself if the transfer of its answer makes no progress for
+        `timeout_s`, also for a copy that is sent late.
     timeout_s : float
         Seconds within which an answer has to begin.
     delay_s : float
@@ -55,6 +56,7 @@
         on_begun: Callable[[float, bool], None],
     ) -> None:
         self._send_copy = send_copy
+        self._timeout_s = timeout_s
         self._deadline_s = now_s() + timeout_s
         self._delay_s = delay_s
         self._on_begun = on_begun
@@ -94,7 +96,7 @@
         def handle_begun() -> None:
             self._handle_begun(copy)
 
-        call = self._send_copy(self._deadline_s - sent_s, handle_begun)
+        call = self._send_copy(self._timeout_s, handle_begun)
         copy = _Copy(asyncio.ensure_future(call), sent_s)
         self._copies.append(copy)
         return sent_s
--- a/redwingplank/cell/hedged_store.py
+++ b/redwingplank/cell/hedged_store.py
@@ -56,7 +56,7 @@
     async def get(self, key: str, timeout_s: float) -> Item | None:
         """Return the item of a key, None if the key does not exist."""
         return await self._hedge(
-            lambda left_s, on_headers: self._store.get(key, left_s, on_headers), timeout_s
+            lambda limit_s, on_headers: self._store.get(key, limit_s, on_headers), timeout_s
         )
 
     async def read_range(self, prefix: str, timeout_s: float) -> Page:
@@ -75,7 +75,7 @@
     async def read_page(self, prefix: str, after: str, timeout_s: float) -> Page:
         """Return the first items under a prefix whose keys come after `after` (empty for all)."""
         return await self._hedge(
-            lambda left_s, on_headers: self._store.read_page(prefix, after, left_s, on_headers),
+            lambda limit_s, on_headers: self._store.read_page(prefix, after, limit_s, on_headers),
             timeout_s,
         )
 
@@ -89,8 +89,8 @@
         """Change keys atomically if each key of `expected` has its given revision (0 if absent)."""
         upload_s = sum(len(put.value) for put in puts) / SLOW_LINK_BYTES_PER_S
         return await self._hedge(
-            lambda left_s, on_headers: self._store.transact(
-                expected, puts, removes, left_s, on_headers
+            lambda limit_s, on_headers: self._store.transact(
+                expected, puts, removes, limit_s, on_headers
             ),
             timeout_s + upload_s,
             upload_s,
@@ -99,7 +99,7 @@
     async def renew_lease(self, lease: int, timeout_s: float) -> bool:
         """Renew a lease; return False if it has expired."""
         return await self._hedge(
-            lambda left_s, _: self._store.renew_lease(lease, left_s), timeout_s
+            lambda limit_s, _: self._store.renew_lease(lease, limit_s), timeout_s
         )
 
     async def open_lease(self, ttl_s: float, timeout_s: float) -> int:
--- a/redwingplank/cell/tests/test_hedged_call.py
+++ b/redwingplank/cell/tests/test_hedged_call.py
@@ -32,10 +32,12 @@
         self.sent = 0
         self.cancelled: list[int] = []
         self.begun: list[tuple[float, bool]] = []
+        self.timeouts_s: list[float] = []
 
     async def send(self, timeout_s: float, on_headers: Callable[[], None]) -> int:
         number = self.sent
         self.sent += 1
+        self.timeouts_s.append(timeout_s)
         try:
             if number >= len(self._plans):
                 await asyncio.sleep(timeout_s)
@@ -96,6 +98,13 @@
         assert sorted(store.cancelled) == [number for number in range(store.sent) if number != 2]
         assert store.begun == [(pytest.approx(0.3), True)]
 
+    # Guards against a late copy whose transfer may not pause, because little time was left.
+    def test_a_late_copy_has_the_same_time_for_each_part(self):
+        lost = Plan(99.0, 99.0)
+        store = Store(lost, lost, lost, Plan(1.0, 9.0))
+        assert run(store)[0] == 3
+        assert set(store.timeouts_s) == {1.5}
+
     # Guards against a broken transfer that is taken for an answer, or that is waited for.
     def test_a_transfer_that_breaks_off_is_no_answer(self):
         store = Store(Plan(0.1, 0.5, is_lost=True))
--- a/redwingplank/runtime/membership.py
+++ b/redwingplank/runtime/membership.py
@@ -123,10 +123,6 @@
         """Record a VM's own statement that it leaves, and notify the failure domain at once."""
         self.on_word(VmWord(vm, VmWordKind.LEAVING))
 
-    def mark_dead(self, vm: str) -> None:
-        """Record that a VM is certainly dead, and notify the failure domain at once."""
-        self.on_word(VmWord(vm, VmWordKind.DEAD))
-
     def live_upstreams(self, now_s: float) -> tuple[ListedVm, ...]:
         """Return the upstreams of this failure domain that may be given new requests."""
         return self._state.live_upstreams()
--- a/tools/local_cell.py
+++ b/tools/local_cell.py
@@ -251,10 +251,6 @@
         """Cut or restore a failure domain's connection to the platform's store and VM list."""
         self.relays_by_domain[failure_domain].set_cut(is_cut)
 
-    def read_log(self, name: str) -> str:
-        """Return the log output of a process."""
-        return (self.log_folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
-
     def _peers(self, role: str, is_http: bool = False) -> str:
         return ",".join(
             f"{node.failure_domain}/{node.name}="
