--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -338,7 +339,9 @@
         self.is_unhealthy = False
         """Whether every start is refused with 503, which has then done nothing."""
         self.starts = []
-        """Rows of seconds, task and attempt, of all processes at this place."""
+        """Rows of seconds, task, attempt and worker id, of all processes at this place."""
+        self.noted = []
+        """Rows of seconds, task, attempt and kind of the ends that were taken note of."""
         self._loops = []
 
     async def boot(self, name=None, cpu=None):
@@ -470,7 +473,7 @@
             "how": how,
             "cpu": spec.get("cpu", 1000),
         }
-        self.starts.append((self._record.now_s(), task, attempt))
+        self.starts.append((round(self._record.now_s(), 3), task, attempt, self.id))
         self._record.write(
             f"worker {self.id}: start {task} attempt {attempt} token {wanted['fencing_token']};"
             f" in use {self.used_cpu} of {self.cpu}"
@@ -491,6 +494,10 @@
 
     async def _hold(self, wanted):
         self._extend(wanted)
+        for number, task, attempt, how, _ in self.ends:
+            if number <= wanted["last_seen"]:
+                self.noted.append((self._record.now_s(), task, attempt, how))
+                self._record.write(f"worker {self.id}: end of {task} {attempt} is taken note of")
         self.ends = [end for end in self.ends if end[0] > wanted["last_seen"]]
         if not self.ends and wanted.get("wait_ms"):
             try:
@@ -518,7 +525,7 @@
     def __init__(self, cell, number, core_share):
         self._cell = cell
         self.name = f"edge-{number}"
-        self.ip = f"127.0.0.{10 + number}"
+        self.ip = f"127.{cell.subnet}.{10 + number}"
         self.frontend = free_address(self.ip)
         self.ready = free_address(self.ip)
         peer_port = int(free_address(self.ip).rpartition(":")[2])
@@ -648,6 +655,8 @@
         self.store = Store(record)
         self.workers = []
         self.nodes = []
+        # The port of a node's metrics is fixed, so that each node has an address of its own.
+        self.subnet = f"{random.randint(1, 254)}.{random.randint(0, 254)}"
 
     async def start(self, workers, nodes=3, core_shares=(), routes=None):
         """Start everything; `workers` is a list of pairs of cpu and labels."""
@@ -737,10 +746,10 @@
     def starts_of(self, job_id):
         """Return the starts of a job's tasks on all workers, by time."""
         return sorted(
-            (at_s, task, attempt, worker.id)
+            row
             for worker in self.workers
-            for at_s, task, attempt in worker.starts
-            if task.startswith(f"{job_id}.")
+            for row in worker.starts
+            if row[1].startswith(f"{job_id}.")
         )
 
     def runs_now(self, job_id):
