Refusals: a refused copy of a store call settles only itself (REFUSED)

Cause: a call of the store without an answer is sent again. When the headers of any answer arrived, also of a 503 or 429, all other copies were cancelled and dropped. The refusal of the second copy was then taken for the outcome of all, although the first had been sent and not answered.

Change: the begin of an answer is reported only for a result, so a refused copy ends neither the other copies nor the wait for them; a copy that is dropped, or fails at the same moment, counts as possibly carried out. A 404 to the write of a key without a lease is no answer.

--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -16,6 +16,7 @@
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.peer_submission import PeerSubmission
 from redwingplank.cell.submission import MIN_CALL_TIME_S, SubmitOutcome
+from redwingplank.cell.unresolved_submissions import UnresolvedSubmissions
 from redwingplank.core import UndecodableError, decode_json
 from redwingplank.platform.site.http import NoAnswerError, NotSentError
 from redwingplank.platform.site.store import Put, StoreRefusedError, TransactionOutcome
@@ -85,6 +86,7 @@
         self._context = context
         self._membership = membership
         self._peer_submission = PeerSubmission(context, membership)
+        self._unresolved = UnresolvedSubmissions()
         self._find_owner = find_owner
         self.find_config = find_config
         self.access = access
@@ -116,6 +118,7 @@
             outcome, reason = await self._peer_submission.store(
                 spec.job_id, submission, deadline_s, outcome
             )
+            outcome = self._unresolved.settle(spec.job_id, outcome, now_s())
         self._log_submit(spec, outcome, reason, now_s() - started_s)
         return SubmitAnswer(outcome)
 
@@ -125,8 +128,16 @@
         """Store a job unless it is stored already; return the result and its reason.
 
         While the store is known to be unreachable, no call is made, so that `NOT_RUN` is certain:
-        a call that fails midway may have been carried out.
+        a call that fails midway may have been carried out. `NOT_RUN` also covers all earlier
+        attempts through this node.
         """
+        outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
+        settled = self._unresolved.settle(job_id, outcome, now_s())
+        return settled, reason if settled is outcome else "earlier_attempt_unknown"
+
+    async def _try_to_store(
+        self, job_id: str, submission: bytes, timeout_s: float
+    ) -> tuple[SubmitOutcome, str]:
         if self._context.health.is_unreachable:
             return SubmitOutcome.NOT_RUN, "store_away"
         key = JOBS_PREFIX + job_id
@@ -140,6 +151,9 @@
             self._context.health.record_failure(error)
             return SubmitOutcome.NOT_RUN, "refused_by_store"
         self._context.health.record_success()
+        if result.outcome is TransactionOutcome.LEASE_GONE:
+            # The key has no lease, so this is no answer to the call.
+            return SubmitOutcome.UNKNOWN, "no_answer"
         is_new = result.outcome is TransactionOutcome.DONE
         return SubmitOutcome.ACCEPTED, "stored" if is_new else "already_stored"
 
--- a/redwingplank/cell/hedged_call.py
+++ b/redwingplank/cell/hedged_call.py
@@ -27,18 +27,28 @@
     sent_s: float
     has_begun: bool = False
 
+    @property
+    def has_no_effect(self) -> bool:
+        """Whether the copy certainly was not carried out and never will be."""
+        future = self.future
+        if not future.done() or future.cancelled():
+            return False
+        return isinstance(future.exception(), (NotSentError, StoreRefusedError))
+
 
 class HedgedCall(Generic[_Result]):
     """A call and its copies; the first answer that begins is received, however long that takes.
 
     Copies that are under way when an answer begins are cancelled, and none is sent while it is
-    received: on a slow link they would only delay it.
+    received: on a slow link they would only delay it. A refusal is no answer: it says what became
+    of its own copy, and an earlier one may have been carried out.
 
     Parameters
     ----------
     send_copy : callable
         Sends one copy. It ends by itself if the transfer of its answer makes no progress for
-        `timeout_s`, also for a copy that is sent late.
+        `timeout_s`, also for a copy that is sent late. It reports the begin of an answer, but not
+        that of a refusal.
     timeout_s : float
         Seconds within which an answer has to begin.
     delay_s : float
@@ -72,7 +82,7 @@
         NoAnswerError
             No copy was answered, and at least one may have been carried out.
         NotSentError, StoreRefusedError
-            Every copy failed without effect.
+            Every copy that was sent failed without effect.
         """
         try:
             while True:
@@ -110,6 +120,8 @@
         is_overtaking = any(
             other.sent_s < copy.sent_s and not other.future.done() for other in others
         )
+        if not all(other.has_no_effect for other in others):
+            self._failure = NoAnswerError("copies of the call were dropped without an answer")
         self._copies = [copy]
         self._cancel(others)
         self._on_begun(now_s() - copy.sent_s, is_overtaking)
--- a/redwingplank/cell/tests/test_hedged_call.py
+++ b/redwingplank/cell/tests/test_hedged_call.py
@@ -9,6 +9,7 @@
 from redwingplank.cell import hedged_call
 from redwingplank.cell.hedged_call import MAX_COPIES, HedgedCall
 from redwingplank.platform.site.http import NoAnswerError
+from redwingplank.platform.site.store import StoreRefusedError
 from redwingplank.standin.virtual_time import run_virtual
 
 DELAY_S = 0.12
@@ -22,6 +23,8 @@
     ends_s: float
     is_lost: bool = False
     """Whether the transfer breaks off at its end."""
+    is_refusal: bool = False
+    is_begin_reported: bool = True
 
 
 class Store:
@@ -44,8 +47,11 @@
                 raise NoAnswerError("no answer")
             plan = self._plans[number]
             await asyncio.sleep(plan.begins_s)
-            on_headers()
+            if plan.is_begin_reported:
+                on_headers()
             await asyncio.sleep(plan.ends_s - plan.begins_s)
+            if plan.is_refusal:
+                raise StoreRefusedError("refused")
             if plan.is_lost:
                 raise NoAnswerError("the transfer broke off")
         except asyncio.CancelledError:
@@ -113,6 +119,30 @@
         assert store.sent == 1
 
 
+class TestRefusedCopy:
+    """Pattern: the answer to a call is lost or late, and copies of the call are refused."""
+
+    # Guards against a refusal of one copy that is taken for the outcome of all: the first copy may
+    # have been carried out.
+    @pytest.mark.parametrize("first", [Plan(99.0, 99.0), Plan(0.12, 0.12, is_lost=True)])
+    @pytest.mark.parametrize("is_begin_reported", [True, False])
+    def test_a_refusal_does_not_settle_a_copy_without_an_answer(self, first, is_begin_reported):
+        refused = Plan(0.0, 0.01, is_refusal=True, is_begin_reported=is_begin_reported)
+        with pytest.raises(NoAnswerError):
+            run(Store(first, *[refused] * MAX_COPIES))
+
+    # Guards against dropping the answer of a slow store because a copy exceeded its rate limit.
+    def test_an_answer_that_comes_after_the_refusal_of_a_copy_is_received(self):
+        refused = Plan(0.01, 0.01, is_refusal=True, is_begin_reported=False)
+        assert run(Store(Plan(0.3, 0.3), refused, refused)) == (0, pytest.approx(0.3))
+
+    # Guards against an unknown outcome where each copy was refused, so that callers have to wait.
+    def test_copies_that_were_all_refused_had_no_effect(self):
+        refused = Plan(0.2, 0.2, is_refusal=True, is_begin_reported=False)
+        with pytest.raises(StoreRefusedError):
+            run(Store(*[refused] * MAX_COPIES))
+
+
 class TestNoAnswer:
     """Pattern: a store that does not answer."""
 
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -6,10 +6,11 @@
 
 import aiohttp
 import msgspec
+import pytest
 
 from redwingplank.cell import membership, owner_watch, record_writer
 from redwingplank.cell.clocks import now_s
-from redwingplank.cell.keys import LEARNED_KEY
+from redwingplank.cell.keys import JOBS_PREFIX, LEARNED_KEY
 from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.cell.tests.site_fixture import free_address, run_site
 from redwingplank.rpc.peers import is_refused
@@ -146,6 +147,37 @@
 
         run_site(scenario)
 
+    # Guards against 503 for a job that the store has taken: its caller would submit it anew under
+    # another id, and it would run twice.
+    @pytest.mark.parametrize("refusal_status", [429, 503])
+    def test_a_refusal_after_a_lost_answer_never_reads_as_not_run(self, refusal_status):
+        async def scenario(site):
+            site.store.lose_answers, site.store.lost_prefix = 1, JOBS_PREFIX
+            site.store.is_down_after_loss = True
+            site.store.refusal_status = refusal_status
+            for node in (0, 0, 0):
+                status, _, _ = await site.call("POST", f"/proof/{ID}", JOB, node=node)
+                assert status == 504
+            site.store.is_down = False
+            await site.until_state(ID, "completed")
+
+        run_site(scenario)
+
+    # Guards against the same answer where the lost call was one that a peer made for this node.
+    def test_a_refusal_after_a_lost_answer_to_a_peer_never_reads_as_not_run(self):
+        async def scenario(site):
+            await site.until(lambda: len(site.nodes[0]._membership.nodes_by_name) == 2)
+            site.contexts[0].health.is_unreachable = True
+            site.store.lose_answers, site.store.lost_prefix = 1, JOBS_PREFIX
+            site.store.is_down_after_loss = True
+            outcome, _ = await site.nodes[0].callers._peer_submission.store(
+                ID, b"{}", now_s() + 3.0, SubmitOutcome.NOT_RUN
+            )
+            assert f"{JOBS_PREFIX}{ID}" in site.store.items
+            assert outcome is SubmitOutcome.UNKNOWN
+
+        run_site(scenario, nodes=2)
+
     def test_forgotten_history_is_read_anew(self):
         async def scenario(site):
             site.store.forget_history()
--- /dev/null
+++ b/redwingplank/cell/tests/test_unresolved_submissions.py
@@ -0,0 +1,32 @@
+"""Outcomes of repeated submissions, without a store."""
+
+import pytest
+
+from redwingplank.cell.submission import SubmitOutcome
+from redwingplank.cell.unresolved_submissions import KEPT_S, UnresolvedSubmissions
+
+ACCEPTED, NOT_RUN, UNKNOWN = SubmitOutcome.ACCEPTED, SubmitOutcome.NOT_RUN, SubmitOutcome.UNKNOWN
+
+
+class TestUnresolvedSubmissions:
+    # Guards against telling a caller that a job never runs although an earlier attempt may have
+    # stored it.
+    def test_a_refusal_does_not_settle_an_earlier_attempt(self):
+        unresolved = UnresolvedSubmissions()
+        outcomes = [unresolved.settle("a", each, 1.0) for each in (NOT_RUN, UNKNOWN, NOT_RUN)]
+        assert outcomes == [NOT_RUN, UNKNOWN, UNKNOWN]
+        assert unresolved.settle("b", NOT_RUN, 1.0) is NOT_RUN
+
+    @pytest.mark.parametrize("after_s, outcome", [(KEPT_S - 1, UNKNOWN), (KEPT_S, NOT_RUN)])
+    def test_an_attempt_is_remembered_for_a_time(self, after_s, outcome):
+        unresolved = UnresolvedSubmissions()
+        unresolved.settle("a", UNKNOWN, 0.0)
+        unresolved.settle("b", UNKNOWN, 1.0)
+        unresolved.settle("b", UNKNOWN, 2.0)
+        assert unresolved.settle("a", NOT_RUN, after_s) is outcome
+        assert unresolved.settle("b", NOT_RUN, after_s) is UNKNOWN
+
+    def test_an_accepted_job_is_settled(self):
+        unresolved = UnresolvedSubmissions()
+        outcomes = [unresolved.settle("a", each, 1.0) for each in (UNKNOWN, ACCEPTED, NOT_RUN)]
+        assert outcomes == [UNKNOWN, ACCEPTED, NOT_RUN]
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -89,8 +90,9 @@
         headers : mapping, optional
             Headers in addition to the content type.
         on_headers : callable, optional
-            Called when the headers of the response have arrived. For responses whose size has no
-            small bound: a slow link takes its time, and only a transfer that stops has failed.
+            Called when the headers of the response have arrived, unless it is a refusal or an error
+            of the service. For responses whose size has no small bound: a slow link takes its time,
+            and only a transfer that stops has failed.
 
         Raises
         ------
@@ -111,7 +113,7 @@
             async with self._session.request(
                 method, url, data=body, headers=sent_headers, timeout=timeout
             ) as response:
-                if on_headers is not None:
+                if on_headers is not None and _is_answer(response.status):
                     on_headers()
                 return Reply(response.status, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -124,6 +126,11 @@
         await self._session.close()
 
 
+def _is_answer(status: int) -> bool:
+    """Return whether a service has handled the call, whatever the result."""
+    return status < HTTPStatus.INTERNAL_SERVER_ERROR and status != HTTPStatus.TOO_MANY_REQUESTS
+
+
 def _make_socket(address_info: Any) -> socket.socket:
     family, kind, protocol, _, _ = address_info
     new_socket = socket.socket(family, kind, protocol)
--- a/redwingplank/platform/site/store.py
+++ b/redwingplank/platform/site/store.py
@@ -156,7 +156,8 @@
     `StoreRefusedError` if the store refused the call, which then had no effect.
 
     Calls whose answers may be large take a function `on_headers`, which is called when the answer
-    begins. From then on the time-out only limits how long the transfer may make no progress.
+    begins, but not for a refusal. From then on the time-out only limits how long the transfer may
+    make no progress.
     """
 
     def __init__(
--- a/redwingplank/platform/site/tests/test_http.py
+++ b/redwingplank/platform/site/tests/test_http.py
@@ -16,14 +16,14 @@
 
 
 async def call(
-    send_body: Callable[[Writer], Awaitable[None]], timeout_s: float, on_headers
+    send_body: Callable[[Writer], Awaitable[None]], timeout_s: float, on_headers, status: int = 200
 ) -> Reply:
     """Call a server that sends its headers at once and then the body as `send_body` does."""
 
     async def serve(reader: asyncio.StreamReader, writer: Writer) -> None:
         try:
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % PARTS)
+            writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, PARTS))
             await send_body(writer)
         finally:
             writer.close()
@@ -44,6 +44,10 @@
         writer.write(b"x")
 
 
+async def send_at_once(writer: Writer) -> None:
+    writer.write(b"x" * PARTS)
+
+
 async def send_half(writer: Writer) -> None:
     writer.write(b"x" * (PARTS // 2))
     await asyncio.sleep(30.0)
@@ -67,3 +71,19 @@
     def test_without_interest_in_the_headers_the_whole_call_is_bounded(self):
         with pytest.raises(NoAnswerError):
             asyncio.run(call(send_slowly, 0.4, None))
+
+
+class TestBeginOfAnAnswer:
+    # Guards against a refusal that ends the wait for the answers to other copies of the call.
+    @pytest.mark.parametrize("status", [429, 500, 503])
+    def test_is_not_reported_for_a_refusal(self, status):
+        begun = []
+        asyncio.run(call(send_at_once, TIMEOUT_S, lambda: begun.append(True), status))
+        assert begun == []
+
+    # Guards against copies of a call whose result is on its way.
+    @pytest.mark.parametrize("status", [200, 404, 410, 412])
+    def test_is_reported_for_a_result(self, status):
+        begun = []
+        asyncio.run(call(send_at_once, TIMEOUT_S, lambda: begun.append(True), status))
+        assert begun == [True]
--- a/redwingplank/standin/site_store.py
+++ b/redwingplank/standin/site_store.py
@@ -33,8 +33,14 @@
         Whether calls get no answer and have no effect.
     writes_seen : int
         Number of transactions received, including those without effect.
+    refusal_status : int
+        Status of refused calls.
     lose_answers : int
         Number of further successful transactions that take effect but get no answer.
+    lost_prefix : str
+        Only transactions that write or remove a key with this prefix lose their answers.
+    is_down_after_loss : bool
+        Whether the store is down from the next lost answer on.
     """
 
     def __init__(self) -> None:
@@ -45,8 +51,11 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.is_down = False
         self.is_silent = False
+        self.refusal_status = 503
         self.writes_seen = 0
         self.lose_answers = 0
+        self.lost_prefix = ""
+        self.is_down_after_loss = False
         self.changed = asyncio.Event()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
@@ -117,6 +126,15 @@
         self._notify()
         return 200, {"revision": self.revision}
 
+    def loses_answer(self, body: dict[str, Any]) -> bool:
+        """Return whether the answer to a transaction that took effect is lost, and count it."""
+        keys = [row["key"] for row in body.get("puts", ())] + body.get("remove", [])
+        if not self.lose_answers or not any(key.startswith(self.lost_prefix) for key in keys):
+            return False
+        self.lose_answers -= 1
+        self.is_down = self.is_down or self.is_down_after_loss
+        return True
+
     def show(self, key: str) -> dict[str, Any]:
         """Return the JSON value of an item."""
         item = self.items[key]
@@ -164,7 +182,7 @@
         if model.is_silent:
             await asyncio.Event().wait()
         if model.is_down:
-            resp.status = 503
+            resp.status = model.refusal_status
             return
         name = req.path.removeprefix("/-/")
         if name == "kv-key":
@@ -203,9 +221,9 @@
     async def _write(self, req: falcon.asgi.Request, resp: Any, name: str) -> None:
         model, now_s = self._model, self._now_s()
         if name == "kv-txn":
-            status, media = model.transact(msgspec.json.decode(await req.stream.read()))
-            if model.lose_answers and status == 200:
-                model.lose_answers -= 1
+            body = msgspec.json.decode(await req.stream.read())
+            status, media = model.transact(body)
+            if status == 200 and model.loses_answer(body):
                 await asyncio.Event().wait()
             resp.status, resp.media = status, media
         elif name == "kv-lease":
