Jobs: an owner that failed while it handled a call may have carried it out

Our own interface took an error raised by a shard's owner for a certain refusal: a job that the owner may have accepted was submitted to the next shard under another id and could run twice, and a cancellation was answered with "ran: no".

Cause: JobGateway told only CallOutcomeUnknownError from a refusal, but CallFailedError also comes from a call that was delivered.

Change: both end as JobUnsettledError. Calls that were not sent, or that the process refused as not the owner, still go to the next shard.

--- a/redwingplank/rpc/errors.py
+++ b/redwingplank/rpc/errors.py
@@ -24,7 +24,10 @@
 
 
 class CallFailedError(RpcError):
-    """The peer answered with an error, whose message this exception carries."""
+    """The peer answered with an error, whose message this exception carries.
+
+    The call may have taken effect before the peer failed.
+    """
 
 
 class NotOwnerError(RpcError):
--- a/redwingplank/runtime/jobs.py
+++ b/redwingplank/runtime/jobs.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from redwingplank.core import RedwingError, Resources, choose_by_rendezvous, log_event, make_logger
-from redwingplank.rpc import CallOutcomeUnknownError, RpcError
+from redwingplank.rpc import CallFailedError, CallOutcomeUnknownError, RpcError
 from redwingplank.rpc.scheduler_calls import SchedulerCalls
 from redwingplank.runtime.shards import ShardDirectory
 from redwingplank.scheduling.messages import JobSpec, JobStatus, SubmitAnswer, SubmitOutcome
@@ -149,7 +149,7 @@
         address = self._find_owner(shard, job_id)
         try:
             answer = await self._calls.cancel(address, shard, job_id, CALL_TIMEOUT_S)
-        except CallOutcomeUnknownError as error:
+        except (CallOutcomeUnknownError, CallFailedError) as error:
             raise JobUnsettledError(str(error), job_id) from error
         except RpcError as error:
             self._directory.discard_owner(shard)
@@ -178,7 +178,8 @@
             answer = await self._calls.submit(
                 address, shard, _make_spec(request, job_id), CALL_TIMEOUT_S
             )
-        except CallOutcomeUnknownError as error:
+        except (CallOutcomeUnknownError, CallFailedError) as error:
+            # An owner that failed while it handled the call may have accepted the job before.
             self._directory.discard_owner(shard)
             message = f"shard {shard} gave no answer; read the job's state before repeating"
             raise JobUnsettledError(message, job_id) from error
