--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -73,8 +73,13 @@
     """
     ends: list[RunCompletion] = field(default_factory=list)
     end_count: int = 0
+    list_limit: int = 500
+    """Largest number of completions in one report; further ones follow once these are
+    acknowledged."""
     reported_count: int = 0
     """Number of the last completion that a poll has reported."""
+    lapsed_count: int = 0
+    """Number of the last completion before the lease last expired."""
     ended_done: set[TaskId] = field(default_factory=set)
     """All tasks that ever completed successfully on this worker; it survives crashes."""
 
@@ -96,7 +101,7 @@
         self.runs.clear()
         self.blocked.clear()
         self.ends.clear()
-        self.end_count = self.reported_count = 0
+        self.end_count = self.reported_count = self.lapsed_count = 0
         self.token = 0
         self.lease_until_s = 0.0
 
@@ -105,6 +110,13 @@
         unreported = [end.task for end in self.ends if end.number > self.reported_count]
         return [run.task for run in self.runs.values()] + unreported
 
+    def find_done(self, task: TaskId) -> RunCompletion | None:
+        """Return the listed successful completion of a task, if the lease has lasted since."""
+        for end in self.ends:
+            if end.task == task and end.kind is CompletionKind.DONE:
+                return end if end.number > self.lapsed_count else None
+        return None
+
     @property
     def is_reachable(self) -> bool:
         """Whether commands and polls reach the process."""
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -28,6 +28,7 @@
     JobState,
     OrganisationPolicy,
     PollReport,
+    RunCompletion,
     RunReport,
     StartOutcome,
     StepKey,
@@ -77,8 +78,9 @@
     -----
     `report_errors` collects the unexpected errors of applied reports.
     `violations` collects every broken guarantee: a worker over its capacity, two runs of a task at
-    the same time, a start of a task after its completion was acknowledged, a start before the
-    steps that it depends on are done, and a start that brings an organisation above its quota.
+    the same time, a start of a task after its completion was acknowledged, a start of a task whose
+    earlier completion is acknowledged later, a start before the steps that it depends on are done,
+    and a start that brings an organisation above its quota.
     """
 
     def __init__(
@@ -108,6 +110,8 @@
         self.stored_speeds = b""
         """Stored run time statistics of the last owner that wrote to the store."""
         self.acknowledged_done: set[TaskId] = set()
+        self._repeated_ends: set[tuple[str, int, int]] = set()
+        """Completions of tasks that were started again, by worker id, birth and number."""
         self.completed_s_by_id: dict[str, float] = {}
         self.violations: list[str] = []
         self.report_errors: list[Exception] = []
@@ -248,6 +252,8 @@
         for worker in self.workers.values():
             for run in list(worker.runs.values()):
                 self._advance_run(worker, run)
+            if self.now_s > worker.lease_until_s:
+                worker.lapsed_count = worker.end_count
 
     def _advance_run(self, worker: EmulatedWorker, run: EmulatedRun) -> None:
         if self.now_s > worker.lease_until_s:
@@ -406,6 +412,8 @@
             self.violations.append(f"{task} runs in {run_count} places at {self.now_s:.2f}")
         if task in self.acknowledged_done and not spec.may_copy:
             self.violations.append(f"{task} started after its completion was acknowledged")
+        if not spec.may_copy:
+            self._note_repeated_ends(task)
         steps = self.specs_by_id[task.job_id].steps
         for earlier in steps[task.step].after:
             for position in range(steps[earlier].count):
@@ -413,6 +421,14 @@
                     self.violations.append(f"{task} started before step {earlier} was done")
                     return
 
+    def _note_repeated_ends(self, task: TaskId) -> None:
+        """Note the listed completions of a task that is started again."""
+        for worker in self.workers.values():
+            end = worker.find_done(task)
+            if end is not None:
+                key = (worker.entry.worker_id, worker.entry.born_ms, end.number)
+                self._repeated_ends.add(key)
+
     def _check_quota(self, task: TaskId, config: CellConfig) -> None:
         """Check a start against the configuration in force when its command was sent."""
         name = self.specs_by_id[task.job_id].organisation
@@ -479,7 +495,10 @@
             for run in worker.runs.values()
         )
         report = PollReport(
-            round(self.now_s * 1000), worker.entry.born_ms, running, tuple(worker.ends)
+            round(self.now_s * 1000),
+            worker.entry.born_ms,
+            running,
+            tuple(worker.ends[: worker.list_limit]),
         )
 
         def answer() -> None:
@@ -497,8 +516,14 @@
         for completion in worker.ends:
             if completion.number <= last_number and completion.kind is CompletionKind.DONE:
                 self.acknowledged_done.add(completion.task)
+                self._check_repeated(worker, completion)
         worker.ends = [completion for completion in worker.ends if completion.number > last_number]
 
+    def _check_repeated(self, worker: EmulatedWorker, completion: RunCompletion) -> None:
+        key = (worker.entry.worker_id, worker.entry.born_ms, completion.number)
+        if key in self._repeated_ends and completion.number > worker.lapsed_count:
+            self.violations.append(f"{completion.task} was done when it started again")
+
 
 def _ignore(event: str, **fields: Any) -> None:
     """Discard the log of decisions."""
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -403,6 +403,7 @@
         "acknowledged_completion_number",
         "answered_s",
         "avoided_until_s",
+        "awaits_whole_report",
         "born_ms",
         "clock_at_s",
         "clock_ms",
@@ -433,6 +434,9 @@
         self.born_ms = entry.born_ms
         self.is_listed = True
         self.is_confirmed = False
+        """Whether a report has listed all that may have run there for earlier owners."""
+        self.awaits_whole_report = True
+        """Whether no report has listed all completions since the worker last began to answer."""
         self.unconfirmed_until_s = unconfirmed_until_s
         self.is_unreachable = False
         self.silent_s = 0.0
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -85,8 +85,9 @@
                 self._release_run(run, now_s, "worker_reborn")
             else:
                 self._mark_run_unconfirmed(run, now_s)
-        self._crashes.settle(worker, now_s)
-        self._confirm_worker(worker, now_s)
+        if worker.is_confirmed:
+            self._crashes.settle(worker, now_s)
+        # Otherwise an earlier owner may have started tasks in the new process already.
 
     def apply_report(self, worker: Worker, report: PollReport, sent_s: float, now_s: float) -> None:
         """Apply the report that a worker returned to a poll.
@@ -116,34 +117,39 @@
         worker.clock_at_s = now_s
         if worker.is_unreachable:
             self._log_worker(worker, "worker_answers")
-            self._crashes.settle(worker, now_s)
             self._state.needs_pass = True
         worker.is_unreachable = False
         worker.answered_s = now_s
+        handled_before = worker.handled_completion_number
         for completion in report.completions:
             self._completions.apply_completion(worker, completion, now_s)
-        self._apply_listed_runs(worker, report, sent_s, now_s)
+        self._apply_listed_runs(worker, report, now_s)
         self._state.organisations.release_host(worker.id)
-        self._confirm_worker(worker, now_s)
+        if len(report.completions) < MAX_LISTED_COMPLETIONS:
+            self._apply_whole_report(worker, report, sent_s, now_s)
+        elif worker.awaits_whole_report and worker.handled_completion_number > handled_before:
+            self._log_worker(worker, "report_cut", completions=len(report.completions))
         worker.acknowledge_stored_completions()
 
-    def _apply_listed_runs(
-        self, worker: Worker, report: PollReport, sent_s: float, now_s: float
-    ) -> None:
-        listed = set()
+    def _apply_listed_runs(self, worker: Worker, report: PollReport, now_s: float) -> None:
         for row in report.running:
-            key = (row.task, row.attempt)
-            listed.add(key)
-            run = worker.runs_by_key.get(key)
+            run = worker.runs_by_key.get((row.task, row.attempt))
             if run is None:
                 self._adopt_run(worker, row, now_s)
             else:
                 self._update_run(run, row, now_s)
-        if len(report.completions) >= MAX_LISTED_COMPLETIONS:
-            return
+
+    def _apply_whole_report(
+        self, worker: Worker, report: PollReport, sent_s: float, now_s: float
+    ) -> None:
+        """Conclude from what a report does not list, which only one with all completions allows."""
+        listed = {(row.task, row.attempt) for row in report.running}
         for run in list(worker.runs_by_key.values()):
             if run.key not in listed:
                 self._handle_unlisted_run(run, sent_s, now_s)
+        if worker.awaits_whole_report:
+            worker.awaits_whole_report = False
+            self._confirm_worker(worker, now_s)
 
     def _update_run(self, run: Run, row: RunReport, now_s: float) -> None:
         run.is_listed = True
@@ -221,6 +227,7 @@
         if not worker.is_unreachable:
             self._log_worker(worker, "worker_silent", age_s=now_s - worker.answered_s)
             worker.is_unreachable = True
+            worker.awaits_whole_report = True
             worker.silent_s = now_s
             for task_id, _ in worker.runs_by_key:
                 self._state.reopen_step(task_id.step_key)
@@ -262,10 +269,10 @@
             run.sent_s = now_s
 
     def _confirm_worker(self, worker: Worker, now_s: float) -> None:
-        if worker.is_confirmed:
-            return
-        worker.is_confirmed = True
-        self._release_replaced_workers(worker, now_s)
+        """Settle what ran on a worker for earlier owners, and in earlier processes."""
+        if not worker.is_confirmed:
+            worker.is_confirmed = True
+            self._release_replaced_workers(worker, now_s)
         self._crashes.settle(worker, now_s)
         self._state.unconfirmed_hosts.pop(worker.id, None)
         self._state.needs_pass = True
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -34,12 +34,21 @@
             self._reports.release_expired_runs(worker, now_s)
         state.organisations.release_expired_hosts(now_s)
         for host, until_s in list(state.unconfirmed_hosts.items()):
-            if now_s >= until_s:
+            if now_s >= until_s and not self._is_lease_renewed(host, now_s):
                 del state.unconfirmed_hosts[host]
                 state.forget_hosts_of_final_jobs(host)
                 state.needs_pass = True
                 state.log_decision("host_free", worker=host, reason="every_lease_over")
 
+    def _is_lease_renewed(self, worker_id: str, now_s: float) -> bool:
+        """Return whether this owner has granted a lease that may not have expired yet."""
+        worker = self._state.workers_by_id.get(worker_id)
+        if worker is None or worker.clock_ms is None:
+            return False
+        settings = self._state.settings
+        margin_ms = settings.lease_margin_s * 1000
+        return not worker.is_lease_expired(now_s, settings.max_clock_drift, margin_ms)
+
     def _evacuate_draining_workers(self, now_s: float) -> None:
         """Stop tasks that may not complete before a draining worker leaves.
 
--- a/redwingplank/cell/hedged_store.py
+++ b/redwingplank/cell/hedged_store.py
@@ -5,6 +5,7 @@
 
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.hedged_call import HedgedCall, SendCopy
+from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.store import (
     Item,
     Page,
@@ -68,8 +69,10 @@
             page = await self.read_page(prefix, after, timeout_s)
             items.extend(page.items)
             revision = revision or page.revision
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return Page(tuple(items), revision)
+            if not page.items:
+                raise NoAnswerError(f"a page under {prefix} is empty although more follow")
             after = page.items[-1].key
 
     async def read_page(self, prefix: str, after: str, timeout_s: float) -> Page:
