--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -63,6 +63,8 @@
     faults: set[str] = field(default_factory=set)
     is_down: bool = False
     """Whether the process has ended; nothing reaches it and it is not listed."""
+    is_listed: bool = True
+    """Whether the platform lists the process, which it may not do while it cannot be reached."""
     token: int = 0
     lease_until_s: float = 0.0
     runs: dict[tuple[TaskId, int], EmulatedRun] = field(default_factory=dict)
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -233,7 +233,11 @@
             self._tick_owner()
 
     def _entries(self) -> list[WorkerEntry]:
-        return [worker.entry for worker in self.workers.values() if not worker.is_down]
+        return [
+            worker.entry
+            for worker in self.workers.values()
+            if worker.is_listed and not worker.is_down
+        ]
 
     def _schedule_polls(self) -> None:
         for worker_id in self.workers:
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -57,7 +57,8 @@
             if worker.is_listed:
                 self._log_worker(worker, "worker_unlisted")
             worker.is_listed = False
-            if worker.is_unreachable and not worker.runs_by_key:
+            is_awaited = worker.id in state.unconfirmed_hosts
+            if worker.is_unreachable and not worker.runs_by_key and not is_awaited:
                 del state.workers_by_id[worker.id]
         state.organisations.set_capacity(
             worker.entry.capacity for worker in state.workers_by_id.values()
--- a/redwingplank/batch/tests/test_cut_lists.py
+++ b/redwingplank/batch/tests/test_cut_lists.py
@@ -162,3 +162,25 @@
         cell.run_for(AFTER_LEASES_END_S + 10.0)
         assert cell.state("a") is JobState.COMPLETED
         assert cell.violations == []
+
+    # Guards against forgetting the lease that this owner has granted, together with the worker.
+    def test_is_waited_for_while_its_lease_lasts_although_it_is_not_listed(self):
+        cell = make_cell_with_completions(750)
+        full_workers = list(cell.workers.values())
+        cell.workers["w9"] = make_worker(9, Amounts(20 * SMALL_MILLICORES, 10**9, 0))
+        cell._poll("w9")
+        reconnect(cell)
+        cell.is_store_unavailable = True
+        cell.replace_owner()
+        cell.run_for(9.0)
+        for worker in full_workers:
+            worker.faults.add(Fault.CUT)
+            worker.is_listed = False
+        cell.run_for(2.0)
+        cell.is_store_unavailable = False
+        cell.run_for(1.0)
+        for worker in full_workers:
+            worker.is_listed = True
+        reconnect(cell)
+        cell.run_for(BEFORE_LEASES_END_S)
+        assert_ran_once(cell, 1500)
