--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -359,10 +359,14 @@
             if job.due_count < job.occurrence_count and not job.state.is_final:
                 self._open_due_steps(job, now_s, now_unix_s)
 
-    def remove_ended_jobs(self, now_s: float) -> list[str]:
-        """Remove jobs that ended long ago; return their ids, to be removed from the store."""
+    def find_removable_jobs(self, now_s: float) -> list[str]:
+        """Return the ids of jobs that ended long ago, to be removed from the store.
+
+        They stay known until `forget_ended_job` is called: what the store holds must not be taken
+        for a new job.
+        """
         kept_s = self.state.settings.state_kept_s
-        removed = [
+        return [
             job_id
             for job_id, job in self.state.jobs_by_id.items()
             if job.state.is_final
@@ -371,7 +375,22 @@
             and not job.runs()
             and not self._may_run_unconfirmed(job)
         ]
-        for job_id in removed:
-            self.state.organisations.remove_job(self.state.jobs_by_id.pop(job_id))
+
+    def forget_ended_job(self, job_id: str) -> bool:
+        """Forget a job that is not in the store any more.
+
+        Returns
+        -------
+        bool
+            False for a job that has not ended, which stays known.
+        """
+        job = self.state.jobs_by_id.get(job_id)
+        if job is None:
+            return True
+        if not job.state.is_final:
+            return False
+        del self.state.jobs_by_id[job_id]
+        self.state.dirty_jobs.pop(job_id, None)
+        self.state.organisations.remove_job(job)
         self._crashes.forget_ended_jobs()
-        return removed
+        return True
--- /dev/null
+++ b/redwingplank/cell/job_intake.py
@@ -0,0 +1,134 @@
+"""Follows the submitted jobs and the stored cancellations for the owner of a cell's jobs."""
+
+from collections.abc import Callable, Mapping
+
+from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.records import decode_submission
+from redwingplank.cell.clocks import now_s, now_unix_s
+from redwingplank.cell.context import NodeContext
+from redwingplank.cell.follower import PrefixFollower
+from redwingplank.cell.keys import CANCELS_PREFIX, INTAKE_PREFIX, JOBS_PREFIX
+from redwingplank.platform.site.store import Item
+
+__all__ = ["JobIntake"]
+
+INTAKE_WAIT_S = 1.5
+"""Longest wait of one watch call. A watch can miss changes without an error; a new job is then
+delayed by at most this time."""
+
+
+class JobIntake:
+    """Passes jobs and cancellations from the store to the owner, and forgets removed jobs.
+
+    Parameters
+    ----------
+    context : NodeContext
+        Settings, clients, log and metrics of this node.
+    owner : JobOwner
+        Receives the jobs.
+    wake : callable
+        Called after each change.
+
+    Notes
+    -----
+    A job is known for as long as its key exists, by the revision of that key, which is written
+    once. The owner forgets a job when the store is seen without the key, and not when the removal
+    is sent: a removal may fail, and a read that began before it still shows the job.
+    """
+
+    def __init__(self, context: NodeContext, owner: JobOwner, wake: Callable[[], None]) -> None:
+        self._context = context
+        self._owner = owner
+        self._wake = wake
+        self._revisions_by_id: dict[str, int] = {}
+        self._progress_by_id: Mapping[str, bytes] | None = None
+        """Stored progress while the jobs of earlier owners are read, None after that."""
+        self._follower = PrefixFollower(
+            context,
+            INTAKE_PREFIX,
+            INTAKE_WAIT_S,
+            self._handle_read,
+            self._handle_changes,
+            is_urgent=True,
+        )
+
+    async def load(self, progress_by_id: Mapping[str, bytes]) -> None:
+        """Read all jobs once and restore those that are not known yet.
+
+        Parameters
+        ----------
+        progress_by_id : mapping of str to bytes
+            Stored progress of jobs at the beginning of the epoch. It holds for this read only: a
+            job that a later read shows for the first time was submitted meanwhile.
+
+        Raises
+        ------
+        NotSentError, NoAnswerError, StoreRefusedError
+        """
+        self._progress_by_id = progress_by_id
+        try:
+            await self._follower.read()
+        finally:
+            self._progress_by_id = None
+
+    async def run(self) -> None:
+        """Follow the jobs and cancellations until cancelled."""
+        await self._follower.run()
+
+    def revisions_of(self, job_ids: list[str]) -> dict[str, int]:
+        """Return the revisions of the stored keys of jobs; jobs without a key are left out."""
+        revisions = self._revisions_by_id
+        return {job_id: revisions[job_id] for job_id in job_ids if job_id in revisions}
+
+    def _handle_read(self, items: tuple[Item, ...]) -> None:
+        """Apply all items under the prefix; cancellations refer to jobs, so they come last."""
+        read_ids = {item.key.removeprefix(JOBS_PREFIX) for item in items if _is_job(item)}
+        for job_id in [known for known in self._revisions_by_id if known not in read_ids]:
+            self._forget_job(job_id)
+        self._handle_changes(tuple(sorted(items, key=_is_cancellation)))
+
+    def _handle_changes(self, items: tuple[Item, ...]) -> None:
+        """Apply changed items in the order of their changes."""
+        for item in items:
+            if _is_job(item):
+                self._apply_job(item)
+            elif _is_cancellation(item) and item.value is not None:
+                self._owner.cancel(item.key.removeprefix(CANCELS_PREFIX), now_s())
+        self._wake()
+
+    def _apply_job(self, item: Item) -> None:
+        job_id = item.key.removeprefix(JOBS_PREFIX)
+        known_revision = self._revisions_by_id.get(job_id)
+        if known_revision is not None and (item.value is None or item.revision > known_revision):
+            # A greater revision is that of a new job: the earlier one was removed before.
+            self._forget_job(job_id)
+            known_revision = None
+        if item.value is None or known_revision is not None:
+            return
+        self._revisions_by_id[job_id] = item.revision
+        try:
+            self._add_job(job_id, item.value)
+        except Exception as error:
+            # One bad job must not keep this owner, and every next one, from all others.
+            self._context.log("job_unreadable", job=job_id, error=repr(error))
+
+    def _add_job(self, job_id: str, value: bytes) -> None:
+        spec = decode_submission(value)
+        if self._progress_by_id is None:
+            self._owner.submit(spec, now_s(), now_unix_s())
+        else:
+            progress = self._progress_by_id.get(job_id)
+            self._owner.restore_job(spec, progress, now_s(), now_unix_s())
+
+    def _forget_job(self, job_id: str) -> None:
+        del self._revisions_by_id[job_id]
+        if not self._owner.forget_ended_job(job_id):
+            self._context.log("job_key_missing", job=job_id)
+
+
+def _is_job(item: Item) -> bool:
+    return item.key.startswith(JOBS_PREFIX)
+
+
+def _is_cancellation(item: Item) -> bool:
+    return item.key.startswith(CANCELS_PREFIX)
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -10,20 +10,13 @@
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.model import CellConfig, JobState, WorkerEntry
 from redwingplank.batch.owner import JobOwner
-from redwingplank.batch.records import decode_submission
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.cell.advisers import Advisers
 from redwingplank.cell.authentication import is_visible
 from redwingplank.cell.clocks import now_s, now_unix_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
-from redwingplank.cell.follower import PrefixFollower
-from redwingplank.cell.keys import (
-    CANCELS_PREFIX,
-    INTAKE_PREFIX,
-    JOBS_PREFIX,
-    LEARNED_KEY,
-    PROGRESS_PREFIX,
-)
+from redwingplank.cell.job_intake import JobIntake
+from redwingplank.cell.keys import LEARNED_KEY, PROGRESS_PREFIX
 from redwingplank.cell.membership import Membership, Ownership
 from redwingplank.cell.record_writer import RecordWriter
 from redwingplank.cell.tasks import TaskSet
@@ -42,9 +35,6 @@
 MAX_LEASE_S = 6.5
 """Upper bound of a worker's lease: long enough for runs to survive a network cut of 5 s. Longer
 leases would delay the restart of tasks on lost workers."""
-INTAKE_WAIT_S = 1.5
-"""Longest wait of one watch call. A watch can miss changes without an error; a new job is then
-delayed by at most this time."""
 WORKER_LIST_PERIOD_S = 0.6
 """Period of reading the list of workers: well below the 2 s within which starts on a draining
 worker have to stop."""
@@ -99,15 +89,7 @@
         self._orders = WorkerCommands(context, membership, self.owner, self._wake)
         self._poller = WorkerPoller(context, self.owner, self._orders, self._tasks, self._wake)
         self._advisers = Advisers(context, membership, self._handle_advice)
-        self._intake = PrefixFollower(
-            context,
-            INTAKE_PREFIX,
-            INTAKE_WAIT_S,
-            self._restore_jobs,
-            self._apply_intake,
-            is_urgent=True,
-        )
-        self._progress_by_id: dict[str, bytes] = {}
+        self._intake = JobIntake(context, self.owner, self._wake)
         self._wakeup = asyncio.Event()
         self._stored = asyncio.Event()
         self.is_loaded = False
@@ -151,18 +133,18 @@
                     store.get(LEARNED_KEY, READ_TIMEOUT_S),
                 )
                 self._restore_learned_speeds(learned)
-                self._progress_by_id = {
+                progress_by_id = {
                     item.key.removeprefix(PROGRESS_PREFIX): item.value or b""
                     for item in progress.items
                 }
-                await self._intake.read()
+                await self._intake.load(progress_by_id)
                 await self._read_workers()
                 return
             except STORE_ERRORS as error:
                 self._context.health.record_failure(error)
                 await asyncio.sleep(0.1)
 
-    # Stored state: jobs, cancellations, workers and learned speeds.
+    # Stored state: workers and learned speeds.
 
     def _restore_learned_speeds(self, item: Item | None) -> None:
         if item is None or item.value is None:
@@ -172,41 +154,6 @@
         except UndecodableError as error:
             self._context.log("learned_unreadable", error=error)
 
-    def _restore_jobs(self, items: tuple[Item, ...]) -> None:
-        now, unix = now_s(), now_unix_s()
-        for item in items:
-            if not item.key.startswith(JOBS_PREFIX) or item.value is None:
-                continue
-            job_id = item.key.removeprefix(JOBS_PREFIX)
-            if job_id in self.owner.state.jobs_by_id:
-                continue
-            try:
-                spec = decode_submission(item.value)
-                progress = self._progress_by_id.get(job_id)
-                self.owner.restore_job(spec, progress, now, unix)
-            except Exception as error:
-                # One bad job must not keep this owner, and every next one, from all others.
-                self._context.log("job_unreadable", job=job_id, error=repr(error))
-        self._apply_cancellations(items)
-        self._wake()
-
-    def _apply_intake(self, items: tuple[Item, ...]) -> None:
-        for item in items:
-            if not item.key.startswith(JOBS_PREFIX) or item.value is None:
-                continue
-            try:
-                self.owner.submit(decode_submission(item.value), now_s(), now_unix_s())
-            except Exception as error:
-                job_id = item.key.removeprefix(JOBS_PREFIX)
-                self._context.log("job_unreadable", job=job_id, error=repr(error))
-        self._apply_cancellations(items)
-        self._wake()
-
-    def _apply_cancellations(self, items: tuple[Item, ...]) -> None:
-        for item in items:
-            if item.key.startswith(CANCELS_PREFIX) and item.value is not None:
-                self.owner.cancel(item.key.removeprefix(CANCELS_PREFIX), now_s())
-
     async def _follow_worker_list(self) -> None:
         while True:
             await asyncio.sleep(WORKER_LIST_PERIOD_S)
@@ -232,9 +179,8 @@
         while True:
             await asyncio.sleep(REMOVAL_PERIOD_S)
             self._update_gauges()
-            removed_ids = self.owner.remove_ended_jobs(now_s())
-            if removed_ids:
-                await self._writer.remove(removed_ids)
+            removable_ids = self.owner.find_removable_jobs(now_s())
+            await self._writer.remove(self._intake.revisions_of(removable_ids))
 
     def _update_gauges(self) -> None:
         metrics, state = self._context.metrics, self.owner.state
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -1,7 +1,7 @@
 """Writes the progress of jobs to the store, one transaction at a time."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -28,8 +28,8 @@
 LEARNED_PERIOD_S = 2.0
 """Shortest time between two writes of the learned speeds, which change over tens of tasks. They
 are added to a write of records."""
-JOBS_PER_REMOVAL = 9
-"""Each job has three keys; a transaction has at most 32 entries."""
+JOBS_PER_REMOVAL = 7
+"""Each job has three keys, one of which is compared; a transaction has at most 32 entries."""
 WRITE_TIMEOUT_S = 1.2
 """A slow store answers in 0.25 s; a transaction with all entries takes longer."""
 RETRY_S = 0.15
@@ -116,19 +116,39 @@
         self._learned_written_s = now
         return [Put(LEARNED_KEY, self._owner.state.speeds.encode())]
 
-    async def remove(self, job_ids: list[str]) -> None:
-        """Remove all keys of the given jobs from the store."""
+    async def remove(self, revisions_by_id: Mapping[str, int]) -> None:
+        """Remove all keys of jobs from the store.
+
+        Parameters
+        ----------
+        revisions_by_id : mapping of str to int
+            Revision of the key of each job. A key with another revision belongs to a new job with
+            the same id, and stays.
+
+        Notes
+        -----
+        A removal that failed is not repeated here: its jobs stay known until the store is seen
+        without them, and are removed again in the next period.
+        """
+        job_ids = list(revisions_by_id)
         for start in range(0, len(job_ids), JOBS_PER_REMOVAL):
+            batch = job_ids[start : start + JOBS_PER_REMOVAL]
+            expected = {EPOCH_KEY: self._ownership.epoch_revision}
+            expected.update((JOBS_PREFIX + job_id, revisions_by_id[job_id]) for job_id in batch)
             removes = [
                 prefix + job_id
-                for job_id in job_ids[start : start + JOBS_PER_REMOVAL]
+                for job_id in batch
                 for prefix in (JOBS_PREFIX, PROGRESS_PREFIX, CANCELS_PREFIX)
             ]
-            expected = {EPOCH_KEY: self._ownership.epoch_revision}
+            problem: object = ""
             try:
-                await self._context.store.transact(expected, [], removes, WRITE_TIMEOUT_S)
+                result = await self._context.store.transact(expected, [], removes, WRITE_TIMEOUT_S)
+                if result.outcome is not TransactionOutcome.DONE:
+                    problem = result.outcome.name.lower()
             except STORE_ERRORS as error:
-                self._context.log("removal_failed", jobs=len(job_ids), error=error)
+                problem = error
+            if problem:
+                self._context.log("removal_failed", jobs=len(batch), error=problem)
 
     async def _write(self, puts: list[Put], records: list[RecordToStore]) -> bool:
         """Write until carried out and return True; return False if another owner has written."""
