Completions: without its queue a failed run is counted and not judged (LOST)

Callers saw a job as `failed` after one failed run of four allowed.

Cause: the limit of attempts belongs to the queue and was taken as one where the configuration had no such queue. Nothing starts for such a job, so that it waits; only a failure was final.

Change: without a queue a failure is counted and stored. A configuration in which the job's queue is new or changed, and an owner that restores the job, judge it by the limit in force before anything starts. The objective of a job is set again with its queue, which it lacked before when the queue came back. JobOwner.set_config gets the present time, as other decisions do.

--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -160,13 +160,30 @@
         subject.last_failed_attempt = attempt
         delay_s = LASTING_RETRY_S if step.spec.is_lasting else RETRY_AFTER_FAILURE_S
         self._state.delay_task(task, now_s + delay_s)
+        self._fail_if_used_up(job, step, subject, now_s)
+        return not step.spec.is_lasting
+
+    def fail_if_attempts_used_up(self, job: Job, now_s: float) -> None:
+        """Fail a job if a task of it has failed as often as its queue allows now."""
+        for step in job.steps_by_key.values():
+            for task in step.tasks:
+                if task.failures:
+                    self._fail_if_used_up(job, step, task, now_s)
+
+    def _fail_if_used_up(self, job: Job, step: Step, task: Task, now_s: float) -> None:
+        """Fail a job whose task, or the first of a gang, has used up its attempts.
+
+        While its queue is not configured the limit is not known, and the job waits.
+        """
         queue = self._state.queue_of(job)
-        limit = queue.max_attempts if queue else 1
-        if step.spec.is_lasting or job.state.is_final:
-            return not step.spec.is_lasting
-        if subject.failures >= limit and not subject.is_done:
+        if job.state.is_final or step.spec.is_lasting or task.is_done:
+            return
+        if queue is None:
+            self._state.log_decision(
+                "limit_unknown", job=job.spec.job_id, task=task.id, failures=task.failures
+            )
+        elif task.failures >= queue.max_attempts:
             self._state.finish_job(job, JobState.FAILED, now_s, "attempts_used_up")
-        return True
 
     def _record_worker_failure(self, worker: Worker, task_id: TaskId, now_s: float) -> None:
         settings = self._state.settings
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -28,6 +28,7 @@
     JobState,
     OrganisationPolicy,
     PollReport,
+    QueuePolicy,
     RunCompletion,
     RunReport,
     StartOutcome,
@@ -194,10 +195,16 @@
     def set_organisations(self, *policies: OrganisationPolicy) -> None:
         """Put a new version of the configuration in force, with these organisations."""
         by_name = {policy.name: policy for policy in policies}
-        self.config = replace(
-            self.config, version=self.config.version + 1, organisations_by_name=by_name
-        )
-        self.owner.set_config(self.config)
+        self._set_config(replace(self.config, organisations_by_name=by_name))
+
+    def set_queues(self, *queues: QueuePolicy) -> None:
+        """Put a new version of the configuration in force, with these queues."""
+        by_name = {queue.name: queue for queue in queues}
+        self._set_config(replace(self.config, queues_by_name=by_name))
+
+    def _set_config(self, config: CellConfig) -> None:
+        self.config = replace(config, version=self.config.version + 1)
+        self.owner.set_config(self.config, self.now_s)
 
     def used_by(self, organisation: str) -> Amounts:
         """Return the amounts of all runs of an organisation, those being stopped included."""
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -121,6 +121,7 @@
                 task_count = step.hosts[host].bit_count()
                 self.state.organisations.charge_host(host.worker_id, step, task_count, until_s)
                 self._crashes.remember_inherited_tasks(host, task_ids)
+        self._completions.fail_if_attempts_used_up(job, now_s)
         if not job.state.is_final:
             self._open_ready_steps(job, now_s)
 
@@ -156,7 +157,7 @@
             tasks=sum(step.count for step in spec.steps),
             age_s=now_s - job.submitted_s,
         )
-        if not any(queue == spec.queue for queue in self.state.config.queues_by_name):
+        if self.state.queue_of(job) is None:
             self.state.log_decision("queue_not_configured", job=spec.job_id, queue=spec.queue)
 
     def _make_job(self, spec: JobSpec, now_s: float, now_unix_s: float) -> Job:
@@ -330,12 +331,29 @@
 
     # Configuration, periodic decisions and cleanup.
 
-    def set_config(self, config: CellConfig) -> None:
+    def set_config(self, config: CellConfig, now_s: float) -> None:
         """Apply a configuration if it is newer than the current one."""
-        if config.version > self.state.config.version:
-            self.state.config = config
-            self.state.organisations.set_config(config)
-            self.state.needs_pass = True
+        previous = self.state.config
+        if config.version <= previous.version:
+            return
+        self.state.config = config
+        self.state.organisations.set_config(config)
+        self.state.needs_pass = True
+        for job in list(self.state.jobs_by_id.values()):
+            earlier_policy = previous.queues_by_name.get(job.spec.queue)
+            if not job.state.is_final and self.state.queue_of(job) != earlier_policy:
+                self._apply_queue_policy(job, now_s)
+
+    def _apply_queue_policy(self, job: Job, now_s: float) -> None:
+        """Apply a queue that is new or changed to a job; without a queue the job waits."""
+        queue = self.state.queue_of(job)
+        if queue is None:
+            self.state.log_decision(
+                "queue_not_configured", job=job.spec.job_id, queue=job.spec.queue
+            )
+            return
+        set_objective(job, queue, self.state.speeds)
+        self._completions.fail_if_attempts_used_up(job, now_s)
 
     def tick(self, now_s: float, now_unix_s: float) -> Commands:
         """Make all decisions that are due, and return the commands to carry out."""
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -201,7 +201,7 @@
 
     def set_config(self, config: CellConfig) -> None:
         """Apply a newer configuration."""
-        self.owner.set_config(config)
+        self.owner.set_config(config, now_s())
         self._wake()
 
     def _log_decision(self, event: str, **fields: Any) -> None:
