Membership: a node whose hand-over failed contends again (LOST)

Cause: the ownership was given up before the owner key was removed. The key stayed, attached to a lease that was renewed on and on, so that other nodes saw an owner, and the node did not contend, as its epoch was given up.

Change: a node that the store shows as owner in an epoch that it has given up contends again, unless it has removed the key. It waits while the removal is under way, and wins only the next epoch.

--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -115,10 +115,14 @@
         self.may_own = False
         self._lost_epoch = 0
         """Last epoch that this node gave up; the store may still show this node as its owner."""
+        self._handed_over_epoch = 0
+        """Last epoch whose owner key this node has removed."""
         self._ended_owner: EpochEntry | None = None
         """An owner whose process is known to have ended although its lease has not expired."""
         self.incarnation = secrets.token_hex(8)
         self.lease = 0
+        self._is_resigning = False
+        """Whether the removal of the owner key is under way."""
         self._resigned_for: set[str] = set()
         """Faster nodes for which this one has resigned, or tried to; it does so once for each."""
         self.renewed_s = 0.0
@@ -303,9 +307,11 @@
             and (
                 self.owner is None
                 or self._is_own_earlier_process()
+                or self._is_given_up()
                 or self.owner == self._ended_owner
             )
             and self.ownership is None
+            and not self._is_resigning
             and self.lease != 0
             and self._follower.revision != 0
             and not self._context.is_stopping
@@ -325,6 +331,19 @@
             and owner.incarnation != self.incarnation
         )
 
+    def _is_given_up(self) -> bool:
+        """Return whether the stored owner is this node, in an epoch that it has given up.
+
+        Unless its key was removed, the key stays for as long as the lease is renewed, and no other
+        node may take over.
+        """
+        owner = self.owner
+        return (
+            owner is not None
+            and owner.incarnation == self.incarnation
+            and self._handed_over_epoch < owner.number <= self._lost_epoch
+        )
+
     def _count_better_candidates(self) -> int:
         """Return the number of live nodes that are better candidates, by their processor share.
 
@@ -376,13 +395,24 @@
             self._become_owner(epoch, result.revision, started_s)
 
     async def resign(self, reason: str) -> None:
-        """Give up the ownership and remove the owner key, so that another node can take over."""
+        """Give up the ownership and remove the owner key, so that another node can take over.
+
+        If the key is not removed, this node contends for the ownership again.
+        """
         if self.ownership is None:
             return
-        epoch_revision = self.ownership.epoch_revision
-        self.give_up_ownership(reason)
-        expected = {EPOCH_KEY: epoch_revision}
-        await self._context.store.transact(expected, [], [OWNER_KEY], CALL_TIMEOUT_S)
+        epoch = self.ownership.epoch
+        expected = {EPOCH_KEY: self.ownership.epoch_revision}
+        self._is_resigning = True
+        try:
+            self.give_up_ownership(reason)
+            store = self._context.store
+            result = await store.transact(expected, [], [OWNER_KEY], CALL_TIMEOUT_S)
+            if result.outcome is TransactionOutcome.DONE:
+                self._handed_over_epoch = epoch
+        finally:
+            self._is_resigning = False
+            self._is_changed.set()
 
     async def leave(self) -> None:
         """End the lease, which removes this node's keys from the store."""
