Membership: a registration that failed is repeated

Not reported by callers: a node that had opened a lease, and whose next write was refused or dropped, renewed that lease on and on without the key that makes it known. Its peers did not ask it, and it was no candidate in anyone's count; an owner in that state had no owner key.

Cause: the lease was remembered as soon as it was open, and only a lost lease led to the writes that belong to it.

Change: the keys are written with each renewal until that has succeeded.

--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -121,6 +121,8 @@
         """An owner whose process is known to have ended although its lease has not expired."""
         self.incarnation = secrets.token_hex(8)
         self.lease = 0
+        self._is_registered = False
+        """Whether the node's keys are attached to its lease."""
         self._is_resigning = False
         """Whether the removal of the owner key is under way."""
         self._resigned_for: set[str] = set()
@@ -152,18 +154,26 @@
 
     async def _renew(self, started_s: float) -> None:
         store = self._context.store
-        if self.lease and await store.renew_lease(self.lease, RENEW_TIMEOUT_S):
-            self.renewed_s = started_s
-            return
+        if not self.lease or not await store.renew_lease(self.lease, RENEW_TIMEOUT_S):
+            await self._replace_lease(started_s)
+        self.renewed_s = started_s
+        if not self._is_registered:
+            await self._register()
+
+    async def _replace_lease(self, started_s: float) -> None:
         if self.lease:
             self._context.log("lease_lost", lease=self.lease, age_s=started_s - self.renewed_s)
         self.lease = 0
+        self._is_registered = False
         ttl_s = max(LEASE_S, self._context.settings.store_lease_s)
-        self.lease = await store.open_lease(ttl_s, CALL_TIMEOUT_S)
-        self.renewed_s = started_s
+        self.lease = await self._context.store.open_lease(ttl_s, CALL_TIMEOUT_S)
+
+    async def _register(self) -> None:
+        """Attach the node's keys to its lease; repeated with each renewal until it succeeds."""
         await self._put_own_key()
         if self.ownership is not None:
             await self._put_owner_key(self.ownership)
+        self._is_registered = True
         self._is_changed.set()
 
     async def _put_own_key(self) -> None:
--- a/redwingplank/cell/tests/test_membership.py
+++ b/redwingplank/cell/tests/test_membership.py
@@ -195,6 +195,25 @@
 
         run_virtual(scenario())
 
+    # Guards against a node that renews a lease to which its key was never attached.
+    @pytest.mark.parametrize("outage_s", [0.0, 0.4, OUTAGE_S])
+    def test_a_registration_that_fails_is_repeated(self, monkeypatch, fault, outage_s):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            cell.add_node(FAST)
+            await cell.until_owned()
+            _, client = cell.add_node(SLOW)
+            await cell.fail(client, fault, 1)
+            assert await cell.until_down(client)
+            await asyncio.sleep(outage_s)
+            client.is_down = False
+            client.faulty_transaction = None
+            await asyncio.sleep(OWNED_WITHIN_S)
+            assert len(cell.members[0].nodes_by_name) == 2
+            await cell.stop()
+
+        run_virtual(scenario())
+
 
 class TestGivenUpOwnership:
     # Guards against the same after an owner gave up for another reason, such as a worker that has
