--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -69,6 +69,7 @@
             self._state.interference.neighbours.mark_started(run, now_s)
             found = self._state.find_task(run.task_id)
             if found is not None:
+                found[0].has_begun = True
                 self._state.record_start(run.worker, found[1], now_s)
 
     def _handle_unanswered_start(self, run: Run, now_s: float) -> None:
--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -66,6 +66,7 @@
             Version of the job that has to be stored before the completion is acknowledged: the
             current one if nothing changed, so that earlier changes are stored too.
         """
+        job.has_begun = True
         task.attempt = max(task.attempt, completion.attempt)
         self._state.log_decision(
             "run_ended",
--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -35,13 +35,14 @@
     """Names of the faults of an emulated worker.
 
     CUT: no start, stop or poll reaches it. HANG: runs make no progress. FAIL_ALL: all runs fail.
-    SLOW: runs take longer.
+    SLOW: runs take longer. REFUSE: it refuses all starts.
     """
 
     CUT = "cut"
     HANG = "hang"
     FAIL_ALL = "fail_all"
     SLOW = "slow"
+    REFUSE = "refuse"
 
 
 @dataclass
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -366,6 +366,8 @@
             if worker.entry.born_ms != born_ms or worker.is_down:
                 # The command was sent to a process that no longer exists.
                 return StartOutcome.UNKNOWN
+            if Fault.REFUSE in worker.faults:
+                return StartOutcome.UNHEALTHY
             starts = self.starts
             outcome = self._start(worker, run.task_id, run.attempt, spec, lease_ms, token)
             if self.starts > starts:
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -320,6 +320,7 @@
         "due_count",
         "ended_s",
         "final_version",
+        "has_begun",
         "is_beyond_rate",
         "is_started",
         "latest_end_s",
@@ -337,6 +338,9 @@
         self.submitted_s = submitted_s
         self.state = JobState.QUEUED
         self.is_started = False
+        """Whether a start of a task was planned."""
+        self.has_begun = False
+        """Whether a worker is known to have begun with a task."""
         self.due_count = 0
         """Number of occurrences whose steps were added."""
         self.steps_by_key: dict[StepKey, Step] = {}
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -202,19 +202,19 @@
         return job.state
 
     def pending_count(self, queue: str) -> int:
-        """Return the number of jobs of a queue that have not been started yet."""
+        """Return the number of jobs of a queue of which no task is known to have begun."""
         return sum(
             1
             for job in self.state.jobs_by_id.values()
-            if job.spec.queue == queue and not job.is_started and not job.state.is_final
+            if job.spec.queue == queue and not job.has_begun and not job.state.is_final
         )
 
     def waiting_by_organisation(self) -> Counter[str]:
-        """Return the number of jobs of each organisation that have not been started yet."""
+        """Return the number of jobs of each organisation that have not begun yet."""
         return Counter(
             job.spec.organisation
             for job in self.state.jobs_by_id.values()
-            if job.spec.organisation and not job.is_started and not job.state.is_final
+            if job.spec.organisation and not job.has_begun and not job.state.is_final
         )
 
     # Records of job progress.
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -112,6 +112,7 @@
         step = job.steps_by_key.get(key)
         if step is not None:
             _restore_step(step, record)
+            job.has_begun |= any(task.is_done or task.failures or task.saved for task in step.tasks)
 
 
 def _encode_step(step: Step) -> _StepRecord:
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -158,13 +158,15 @@
             run.percent = row.percent
             run.progressed_s = now_s
         run.load = row.load
-        if run.state in (RunState.UNCONFIRMED, RunState.STARTING):
+        is_begin = run.state in (RunState.UNCONFIRMED, RunState.STARTING)
+        if is_begin:
             run.state = RunState.RUNNING
             run.resolved_s = now_s
-        if row.saved:
-            found = self._state.find_task(row.task)
-            if found is not None:
-                found[1].saved = row.saved
+        found = self._state.find_task(row.task) if is_begin or row.saved else None
+        if found is not None:
+            job, task = found
+            job.has_begun = True
+            task.saved = row.saved or task.saved
 
     def _handle_unlisted_run(self, run: Run, sent_s: float, now_s: float) -> None:
         """Handle a run that a report lists neither as running nor as completed."""
@@ -194,6 +196,7 @@
             state.order_stop(run, now_s, "job_not_known")
             return
         job, task = found
+        job.has_begun = True
         step = job.steps_by_key[row.task.step_key]
         state.add_run(task, run)
         if step.add_host(worker.incarnation, row.task):
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -54,6 +54,31 @@
         cell.run_for(0.5)
         assert cell.owner.pending_count("proof") == 1
 
+    # Guards against a count of waiting jobs that leaves out those whose starts are refused.
+    @pytest.mark.parametrize("is_owner_replaced", [False, True])
+    def test_pending_counts_jobs_whose_starts_are_refused(self, is_owner_replaced):
+        cell = make_cell(1)
+        cell.workers["w0"].faults.add(Fault.REFUSE)
+        cell.submit(make_job("a", step(2, estimate_s=5.0), at_s=cell.now_s))
+        cell.run_for(5.0)
+        if is_owner_replaced:
+            cell.replace_owner()
+            cell.run_for(1.0)
+        assert cell.owner.pending_count("proof") == 1
+        cell.workers["w0"].faults.clear()
+        cell.run_for(2.0)
+        assert cell.owner.pending_count("proof") == 0
+
+    # Guards against counting a job as waiting that an earlier owner has let begin.
+    def test_pending_leaves_out_jobs_that_began_before_this_owner(self):
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(1, estimate_s=0.5), step(1, after=(0,)), at_s=cell.now_s))
+        cell.submit(make_job("b", step(1, estimate_s=9.0), at_s=cell.now_s))
+        cell.run_for(1.5)
+        cell.replace_owner()
+        cell.run_for(1.0)
+        assert cell.owner.pending_count("proof") == 0
+
     def test_a_ticket_is_asked_for_where_the_queue_is_advised(self):
         queue = QueuePolicy("q", "h", "/q/", "render", advice=AdvicePolicy(0.1, 0.01, 2.5))
         cell = make_cell(config=make_config(queue))
