Workers: nothing starts in a new process before its capacity is known (LIMIT)

Cause: a poll shows the new process up to 0.6 s before its entry is read, and starts went by the capacity in the entry of the old one.

Change: a worker whose entry is older than its process is not eligible, and a planned start is dropped there. The entry's birth tells which is newer.

Not repeated with real processes.

--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -39,9 +39,9 @@
         if is_removed or run.state is not RunState.PLANNED:
             return False
         worker = run.worker
-        has_shrunk = not worker.free.holds(NO_AMOUNTS)
-        has_shrunk |= not self._state.organisations.may_send(run)
-        if worker.clock_ms is None or worker.is_unreachable or has_shrunk:
+        has_room = worker.is_capacity_known and worker.free.holds(NO_AMOUNTS)
+        has_room &= self._state.organisations.may_send(run)
+        if worker.clock_ms is None or worker.is_unreachable or not has_room:
             self._state.remove_run(run, now_s)
             return False
         run.state = RunState.STARTING
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -473,6 +473,11 @@
         """The incarnation that the worker is known to have."""
         return Incarnation(self.id, self.entry.address, self.born_ms)
 
+    @property
+    def is_capacity_known(self) -> bool:
+        """Whether the published entry is that of the present process, or of a later one."""
+        return self.entry.born_ms >= self.born_ms
+
     def has_replaced(self, earlier: Incarnation) -> bool:
         """Return whether the worker's incarnation proves that an earlier one has ended."""
         is_same_place = self.id == earlier.worker_id or self.entry.address == earlier.address
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -83,6 +83,7 @@
             and not worker.is_unreachable
             and not worker.entry.is_draining
             and worker.clock_ms is not None
+            and worker.is_capacity_known
         ]
         usable = [worker for worker in workers if now_s >= worker.avoided_until_s]
         usable.sort(key=lambda worker: worker.free.cpu_millicores)
--- a/redwingplank/batch/tests/test_crashes.py
+++ b/redwingplank/batch/tests/test_crashes.py
@@ -216,6 +216,18 @@
         assert cell.violations == []
         assert cell.state("a") is JobState.COMPLETED
 
+    # Guards against starts by the capacity of the process before, until the new entry is read.
+    @pytest.mark.parametrize("restart_after_s", [0.5, 0.6, 0.7, 0.8, 0.9])
+    def test_a_worker_that_is_back_with_less_is_not_filled_by_its_old_entry(self, restart_after_s):
+        cell = make_cell(1)
+        cell.run_for(restart_after_s)
+        cell.crash("w0")
+        self.shrink_worker(cell, 3000)
+        cell.submit(make_job("a", step(4, cpu=2000), at_s=cell.now_s))
+        cell.run_for(8.0)
+        assert cell.violations == []
+        assert cell.state("a") is JobState.COMPLETED
+
     def test_what_runs_goes_on_and_nothing_starts_until_it_fits(self):
         cell = make_cell(1)
         cell.submit(make_job("a", step(4, cpu=2000, estimate_s=3.0), at_s=cell.now_s))
