Refusals: a node tells the others of a submission that may be stored

Callers that got 504 from one node could get 503 ("the job was not stored and does not run") from the next one, while the first attempt had been carried out.

Cause: an outcome is unknown to the node that made the call, and known to no other one.

Change: a node that answers 504 tells all live nodes, in the background and at most 0.3 s each. A node that cannot be told answers for its own attempt, as before.

Evidence: the new test, three nodes over loopback, fails on the code before (the others do not know of the attempt) and passes now; another job is still refused with 503.

--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -16,6 +16,7 @@
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.peer_submission import PeerSubmission
 from redwingplank.cell.submission import MIN_CALL_TIME_S, SubmitOutcome
+from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.unresolved_submissions import UnresolvedSubmissions
 from redwingplank.core import UndecodableError, decode_json
 from redwingplank.platform.site.http import NoAnswerError, NotSentError
@@ -73,6 +74,8 @@
         Returns the configuration in force, or None before one has been received.
     access : AccessControl
         Authenticates requests.
+    tasks : TaskSet
+        Runs calls of peers that no answer waits for.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         find_owner: Callable[[], OwnerRuntime | None],
         find_config: Callable[[], CellConfig | None],
         access: AccessControl,
+        tasks: TaskSet,
     ) -> None:
         self._context = context
         self._membership = membership
@@ -90,6 +94,7 @@
         self._find_owner = find_owner
         self.find_config = find_config
         self.access = access
+        self._tasks = tasks
 
     async def submit(
         self, spec: JobSpec, credentials: Credentials, deadline_s: float
@@ -119,17 +124,23 @@
                 spec.job_id, submission, deadline_s, outcome
             )
             outcome = self._unresolved.settle(spec.job_id, outcome, now_s())
+            if outcome is SubmitOutcome.UNKNOWN:
+                self._tasks.start(self._peer_submission.report_unresolved(spec.job_id))
         self._log_submit(spec, outcome, reason, now_s() - started_s)
         return SubmitAnswer(outcome)
 
+    def note_unresolved(self, job_id: str) -> None:
+        """Remember that a submission through another node has an unknown outcome."""
+        self._unresolved.settle(job_id, SubmitOutcome.UNKNOWN, now_s())
+
     async def store_here(
         self, job_id: str, submission: bytes, timeout_s: float
     ) -> tuple[SubmitOutcome, str]:
         """Store a job unless it is stored already; return the result and its reason.
 
         While the store is known to be unreachable, no call is made, so that `NOT_RUN` is certain:
-        a call that fails midway may have been carried out. `NOT_RUN` also covers all earlier
-        attempts through this node.
+        a call that fails midway may have been carried out. `NOT_RUN` also covers the earlier
+        attempts that this node knows of.
         """
         outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
         settled = self._unresolved.settle(job_id, outcome, now_s())
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -57,15 +57,24 @@
         self._metrics_server: HttpServer | None = None
         access = AccessControl(context, self._config)
         self.callers = Callers(
-            context, self._membership, self._find_owner, lambda: self._config.current, access
+            context,
+            self._membership,
+            self._find_owner,
+            lambda: self._config.current,
+            access,
+            self._tasks,
         )
 
     async def start(self) -> None:
         """Start all parts, and return once callers are served."""
         settings = self._context.settings
-        self._peer_server = NodeServer(
-            {CELL_SERVICE: CellService(self._context, self._find_owner, self.callers.store_here)}
+        service = CellService(
+            self._context,
+            self._find_owner,
+            self.callers.store_here,
+            self.callers.note_unresolved,
         )
+        self._peer_server = NodeServer({CELL_SERVICE: service})
         await self._peer_server.start(settings.peer_address)
         app = make_app(self.callers, self._find_obstacle)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
--- a/redwingplank/cell/peer_submission.py
+++ b/redwingplank/cell/peer_submission.py
@@ -1,5 +1,7 @@
 """Stores a job through a peer, for a node that cannot store it itself."""
 
+import asyncio
+
 from redwingplank.cell.circuit_breaker import CircuitBreaker
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import NodeContext
@@ -12,6 +14,8 @@
 
 PEER_TIMEOUT_S = 0.7
 """Equal to the time-out of this node's own attempt, because the peer makes the same call."""
+REPORT_TIMEOUT_S = 0.3
+"""Nodes answer each other within milliseconds; callers come back no sooner."""
 DOMAIN_OPEN_S = 0.5
 """Time for which the nodes of a failure domain are not asked after one of them has failed. A store
 that comes back is used again after at most this time."""
@@ -71,6 +75,24 @@
                 outcome = SubmitOutcome.UNKNOWN
         return outcome, reason
 
+    async def report_unresolved(self, job_id: str) -> None:
+        """Tell all live nodes that the outcome of a submission is unknown.
+
+        The caller may come to any of them next, and a refusal would tell it that the job never
+        runs. Nodes that do not answer are not told.
+        """
+        own_address = self._context.settings.peer_address
+        addresses = {entry.address for entry in self._membership.nodes_by_name.values()}
+        await asyncio.gather(
+            *(self._report_to(address, job_id) for address in addresses - {own_address})
+        )
+
+    async def _report_to(self, address: str, job_id: str) -> None:
+        try:
+            await self._context.calls.note_unresolved(address, job_id, REPORT_TIMEOUT_S)
+        except RpcError as error:
+            self._context.log("peer_unreachable", address=address, error=error)
+
     async def _ask(
         self,
         peer: NodeEntry,
--- a/redwingplank/cell/service.py
+++ b/redwingplank/cell/service.py
@@ -32,6 +32,8 @@
     store_job : callable
         Stores a job on behalf of another node; called with job id, encoded submission and
         timeout in seconds.
+    note_unresolved : callable
+        Called with the id of a job whose submission through another node has an unknown outcome.
     """
 
     def __init__(
@@ -39,8 +41,10 @@
         context: NodeContext,
         find_owner: Callable[[], OwnerRuntime | None],
         store_job: Callable[[str, bytes, float], Awaitable[tuple[SubmitOutcome, str]]],
+        note_unresolved: Callable[[str], None],
     ) -> None:
         self._store_job = store_job
+        self._note_unresolved = note_unresolved
         self._context = context
         self._find_owner = find_owner
 
@@ -94,6 +98,9 @@
             return False, []
         return True, [{"worker": worker, "text": text} for worker, text in tickets.items()]
 
+    async def noteUnresolved(self, jobId: str, _context: Any, **_: Any) -> None:
+        self._note_unresolved(jobId)
+
     async def isRefused(self, address: str, _context: Any, **_: Any) -> bool:
         return await is_refused(address)
 
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -163,6 +163,24 @@
 
         run_site(scenario)
 
+    # Guards against a refusal by the node to which the caller comes next.
+    def test_other_nodes_do_not_refuse_what_may_be_stored(self):
+        async def scenario(site):
+            await site.until(lambda: len(site.nodes[0]._membership.nodes_by_name) == 3)
+            site.store.lose_answers, site.store.lost_prefix = 1, JOBS_PREFIX
+            site.store.is_down_after_loss = True
+            assert (await site.call("POST", f"/proof/{ID}", JOB))[0] == 504
+            unresolved = [node.callers._unresolved for node in site.nodes]
+            await site.until(lambda: all(each.is_known(ID) for each in unresolved))
+            for node in (1, 2, 0):
+                assert (await site.call("POST", f"/proof/{ID}", JOB, node=node))[0] == 504
+            other_id = ID[::-1]
+            assert (await site.call("POST", f"/proof/{other_id}", JOB, node=1))[0] == 503
+            site.store.is_down = False
+            await site.until_state(ID, "completed")
+
+        run_site(scenario, nodes=3)
+
     # Guards against the same answer where the lost call was one that a peer made for this node.
     def test_a_refusal_after_a_lost_answer_to_a_peer_never_reads_as_not_run(self):
         async def scenario(site):
--- a/redwingplank/cell/unresolved_submissions.py
+++ b/redwingplank/cell/unresolved_submissions.py
@@ -1,4 +1,4 @@
-"""Remembers the submissions of which this node does not know whether they were carried out."""
+"""Remembers the submissions of which no node knows whether they were carried out."""
 
 from redwingplank.cell.submission import SubmitOutcome
 
@@ -9,7 +9,9 @@
 
 
 class UnresolvedSubmissions:
-    """Submissions through this node with an unknown outcome, which a later refusal does not settle.
+    """Submissions with an unknown outcome, which a later refusal does not settle.
+
+    They came through this node, or through another one that has told of them.
 
     A refusal tells callers that their job never runs. That a repeated attempt had no effect says
     nothing of the attempt before it.
@@ -40,6 +42,10 @@
             self._since_s_by_job_id[job_id] = now_s
         return SubmitOutcome.UNKNOWN if job_id in self._since_s_by_job_id else outcome
 
+    def is_known(self, job_id: str) -> bool:
+        """Return whether an attempt to submit a job is remembered."""
+        return job_id in self._since_s_by_job_id
+
     def _forget_old(self, now_s: float) -> None:
         since_s_by_job_id = self._since_s_by_job_id
         while since_s_by_job_id:
--- a/redwingplank/rpc/cell.capnp
+++ b/redwingplank/rpc/cell.capnp
@@ -23,4 +23,6 @@
   # The same as `jobState` and `cancel`, but a job of another organisation is answered as unknown.
   # They are methods of their own, so that a node which does not know them fails the call instead
   # of serving it without the check.
+  noteUnresolved @8 (jobId :Text) -> ();
+  # Tells a node that a submission through another one has an unknown outcome.
 }
--- a/redwingplank/rpc/cell_calls.py
+++ b/redwingplank/rpc/cell_calls.py
@@ -108,6 +108,10 @@
         answer = await self._call(address, call_submit, timeout_s + SUBMIT_SLACK_S)
         return answer.end
 
+    async def note_unresolved(self, address: str, job_id: str, timeout_s: float) -> None:
+        """Tell a node that the submission of a job through this one has an unknown outcome."""
+        await self._call(address, lambda peer: peer.noteUnresolved(job_id), timeout_s)
+
     async def is_refused(self, address: str, of_address: str, timeout_s: float) -> bool:
         """Return whether `of_address` refuses connections from the peer at `address`."""
         answer = await self._call(address, lambda peer: peer.isRefused(of_address), timeout_s)
