--- a/redwingplank/cell/context.py
+++ b/redwingplank/cell/context.py
@@ -6,6 +6,7 @@
 from redwingplank.cell.eventlog import EventLog
 from redwingplank.cell.hedged_store import HedgedStore
 from redwingplank.cell.metrics import NodeMetrics
+from redwingplank.cell.worker_slots import CONNECTIONS_PER_OWNER
 from redwingplank.platform.site.advice import SiteAdvice
 from redwingplank.platform.site.http import NoAnswerError, NotSentError, SiteClient
 from redwingplank.platform.site.settings import SiteSettings
@@ -70,7 +71,8 @@
         self.store = HedgedStore(
             SiteStore(self.client, settings.store_address, self.metrics.record_store_call)
         )
-        self.workers = SiteWorkers(self.client)
+        self.worker_client = SiteClient(CONNECTIONS_PER_OWNER)
+        self.workers = SiteWorkers(self.worker_client)
         self.advice = SiteAdvice(self.client, settings.advice_address)
         self.peers = PeerConnections()
         self.calls = CellCalls(self.peers)
@@ -85,4 +87,5 @@
     async def close(self) -> None:
         """Close all connections to peers and to the platform."""
         self.peers.close()
+        await self.worker_client.close()
         await self.client.close()
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -9,6 +9,7 @@
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.membership import Membership
+from redwingplank.cell.worker_slots import WorkerSlots
 from redwingplank.platform.site.http import SiteError
 from redwingplank.platform.site.workers import FencedError, StartCommand
 
@@ -51,6 +52,10 @@
         self._owner = owner
         self._wake = wake
         self._is_stopped = False
+        self.slots = WorkerSlots()
+        self._stops_under_way: set[Run] = set()
+        self._unanswered_s_by_worker: dict[str, float] = {}
+        """Time in seconds at which a start on a worker was last found unanswered, by its id."""
         self.last_unanswered_start_s = float("-inf")
         """Time at which a start was last found unanswered."""
 
@@ -69,7 +74,21 @@
         self._membership.give_up_ownership("fenced_by_worker")
 
     async def start(self, run: Run) -> None:
-        """Send the command to start a planned run, unless the run was dropped meanwhile."""
+        """Send the command to start a planned run, unless the run was dropped meanwhile.
+
+        A start that waits while the worker leaves another one unanswered is not sent: its task is
+        better planned elsewhere.
+        """
+        queued_s = now_s()
+        async with self.slots.of_worker(run.worker.id):
+            unanswered_s = self._unanswered_s_by_worker.get(run.worker.id, float("-inf"))
+            if unanswered_s < queued_s:
+                await self._send_start(run)
+                return
+        self._owner.handle_start_outcome(run, StartOutcome.NOT_SENT, now_s())
+        self._wake()
+
+    async def _send_start(self, run: Run) -> None:
         if not self._owner.mark_start_sent(run, now_s()):
             return
         outcome = StartOutcome.NOT_SENT
@@ -81,6 +100,7 @@
             return
         if outcome is StartOutcome.UNKNOWN:
             self.last_unanswered_start_s = now_s()
+            self._unanswered_s_by_worker[run.worker.id] = now_s()
         self._owner.handle_start_outcome(run, outcome, now_s())
         self._wake()
 
@@ -101,7 +121,17 @@
         )
 
     async def stop(self, run: Run) -> None:
-        """Send the command to stop a run."""
+        """Send the command to stop a run, unless one is under way already."""
+        if run in self._stops_under_way:
+            return
+        self._stops_under_way.add(run)
+        try:
+            async with self.slots.of_worker(run.worker.id):
+                await self._send_stop(run)
+        finally:
+            self._stops_under_way.discard(run)
+
+    async def _send_stop(self, run: Run) -> None:
         if not self.may_send_commands():
             return
         is_accepted = False
@@ -119,6 +149,10 @@
 
     async def pace(self, pace: PaceRun) -> None:
         """Send the command to run at a percentage of full speed."""
+        async with self.slots.of_worker(pace.run.worker.id):
+            await self._send_pace(pace)
+
+    async def _send_pace(self, pace: PaceRun) -> None:
         run = pace.run
         if not self.may_send_commands():
             return
--- a/redwingplank/cell/worker_poller.py
+++ b/redwingplank/cell/worker_poller.py
@@ -64,6 +64,8 @@
         self._tasks = tasks
         self._wake = wake
         self._polled_ids: set[str] = set()
+        self._queued_ids: set[str] = set()
+        """Workers for which a poll at once has not been sent yet."""
 
     def start_polling(self, worker: Worker) -> None:
         """Poll a worker in a loop for as long as the owner knows it."""
@@ -73,7 +75,14 @@
 
     def poll_now(self, worker: Worker) -> None:
         """Poll a worker at once, in addition to the poll that waits there."""
-        self._tasks.start(self._poll(worker, FIRST_POLL_WAIT_MS))
+        if worker.id not in self._queued_ids:
+            self._queued_ids.add(worker.id)
+            self._tasks.start(self._poll_at_once(worker))
+
+    async def _poll_at_once(self, worker: Worker) -> None:
+        async with self._orders.slots.of_worker(worker.id):
+            self._queued_ids.discard(worker.id)
+            await self._poll(worker, FIRST_POLL_WAIT_MS)
 
     async def _poll_while_known(self, worker: Worker) -> None:
         wait_ms = FIRST_POLL_WAIT_MS
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -15,7 +15,7 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time for one SYN packet: it is sent again only after 1 s."""
 CONNECTIONS_PER_HOST = 24
-"""A worker accepts 64 connections from all nodes together."""
+"""Largest number of connections to one service, unless a client is made for fewer."""
 IDLE_S = 20.0
 """How long an idle connection is kept open. The platform charges for new connections."""
 KEEP_ALIVE_IDLE_S = 1
@@ -52,12 +52,18 @@
 
 
 class SiteClient:
-    """Sends calls over persistent connections, which are closed when the peer stops answering."""
+    """Sends calls over persistent connections, which are closed when the peer stops answering.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    connections_per_host : int
+        Largest number of connections to one address; further calls wait.
+    """
+
+    def __init__(self, connections_per_host: int = CONNECTIONS_PER_HOST) -> None:
         connector = aiohttp.TCPConnector(
             limit=0,
-            limit_per_host=CONNECTIONS_PER_HOST,
+            limit_per_host=connections_per_host,
             keepalive_timeout=IDLE_S,
             use_dns_cache=False,
             socket_factory=_make_socket,
