--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -121,6 +121,8 @@
         """Called with each start that a worker carries out."""
         self.crash_counts: Counter[TaskId] = Counter()
         """Number of workers that crashed while they ran a task, as far as any owner can know."""
+        self.failure_counts: Counter[TaskId] = Counter()
+        """Number of runs of a task that have ended as failed."""
         self.lost_command_fraction = 0.0
         """Fraction of commands that get no answer; half of such starts are carried out late."""
         self.is_store_unavailable = False
@@ -276,6 +278,7 @@
             return
         if Fault.FAIL_ALL in worker.faults:
             worker.end(run, CompletionKind.FAILED)
+            self.failure_counts[run.task] += 1
             return
         if Fault.HANG in worker.faults:
             return
--- a/redwingplank/batch/tests/test_promises.py
+++ b/redwingplank/batch/tests/test_promises.py
@@ -116,14 +116,23 @@
             worker.faults.clear()
         cell.run_for(self.settle_s)
         assert cell.violations == []
+        self.check_states()
+
+    def check_states(self) -> None:
+        """Check the state of each job after the time to settle."""
+        cell = self.cell
         states = {job_id: cell.state(job_id) for job_id in cell.specs_by_id}
-        crashed_ids = {task.job_id for task, crashes in cell.crash_counts.items() if crashes > 1}
         for job_id, state in states.items():
-            is_given_up = state is JobState.FAILED and job_id in crashed_ids
+            is_given_up = state is JobState.FAILED and self.has_crashed(job_id)
             is_done = state is JobState.COMPLETED and not job_id.startswith("crashing")
             is_cancelled = state is JobState.CANCELLED and job_id in cell.cancelled_ids
             assert is_done or is_given_up or is_cancelled, states
 
+    def has_crashed(self, job_id: str) -> bool:
+        """Return whether more than one worker crashed under a task of a job."""
+        counts = self.cell.crash_counts
+        return any(crashes > 1 for task, crashes in counts.items() if task.job_id == job_id)
+
 
 class CrashingTasksMachine(PromisesMachine):
     """The same with some tasks that crash the workers that start them.
