Emulator: the checks of promises in a module of their own

Change: batch/emulated_checks.py holds the checks and what they remember; their conditions are as they were, moved line for line. Tests and one benchmark name the new place. Nothing that a node runs is touched.

--- a/benchmarks/owner_cost.py
+++ b/benchmarks/owner_cost.py
@@ -66,7 +66,7 @@
         config = CellConfig(1, {QUICK.name: QUICK, LARGE.name: LARGE})
         self.cell = EmulatedCell(config, workers, SEED, is_allowed=self._is_allowed)
         # The checks of the emulator take most of the time at this size, and other tests run them.
-        self.cell._check_start = lambda *_: None  # type: ignore[method-assign]
+        self.cell.checks.check_start = lambda *_: None  # type: ignore[method-assign]
         self.case = case
         self.counts: Counter[str] = Counter()
         self.seconds: defaultdict[str, float] = defaultdict(float)
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from redwingplank.batch.commands import AskAdvice, PaceRun
+from redwingplank.batch.emulated_checks import PromiseChecks
 from redwingplank.batch.emulated_worker import (
     EmulatedRun,
     EmulatedWorker,
@@ -21,7 +22,6 @@
 )
 from redwingplank.batch.entities import Run
 from redwingplank.batch.model import (
-    Amounts,
     CellConfig,
     CompletionKind,
     JobSpec,
@@ -29,7 +29,6 @@
     OrganisationPolicy,
     PollReport,
     QueuePolicy,
-    RunCompletion,
     RunReport,
     StartOutcome,
     StepKey,
@@ -110,11 +109,8 @@
         """Jobs whose cancellation is stored apart from their records, as nodes do."""
         self.stored_speeds = b""
         """Stored run time statistics of the last owner that wrote to the store."""
-        self.acknowledged_done: set[TaskId] = set()
-        self._repeated_ends: set[tuple[str, int, int]] = set()
-        """Completions of tasks that were started again, by worker id, birth and number."""
         self.completed_s_by_id: dict[str, float] = {}
-        self.violations: list[str] = []
+        self.checks = PromiseChecks(self.workers, self.specs_by_id)
         self.report_errors: list[Exception] = []
         self.starts = 0
         self.start_listeners: list[Callable[[EmulatedWorker, TaskId], None]] = []
@@ -208,20 +204,10 @@
         self.config = replace(config, version=self.config.version + 1)
         self.owner.set_config(self.config, self.now_s)
 
-    def used_by(self, organisation: str) -> Amounts:
-        """Return the amounts of all runs of an organisation, those being stopped included."""
-        total = Amounts()
-        for run in self._runs_of(organisation):
-            total = total.plus(run.spec.amounts)
-        return total
-
-    def _runs_of(self, organisation: str) -> list[EmulatedRun]:
-        return [
-            run
-            for worker in self.workers.values()
-            for run in worker.runs.values()
-            if self.specs_by_id[run.task.job_id].organisation == organisation
-        ]
+    @property
+    def violations(self) -> list[str]:
+        """All broken promises so far."""
+        return self.checks.violations
 
     def state(self, job_id: str) -> JobState | None:
         """Return the state of a job as it is reported to callers."""
@@ -374,7 +360,7 @@
             starts = self.starts
             outcome = self._start(worker, run.task_id, run.attempt, spec, lease_ms, token)
             if self.starts > starts:
-                self._check_quota(run.task_id, config)
+                self.checks.check_quota(run.task_id, config, self.now_s)
             return outcome
 
         if not worker.is_reachable:
@@ -413,51 +399,11 @@
             return StartOutcome.OLD_ATTEMPT
         worker.runs[(task, attempt)] = EmulatedRun(task, attempt, spec, self._work_s(task, spec))
         self.starts += 1
-        self._check_start(worker, task, spec)
+        self.checks.check_start(worker, task, spec, self.now_s)
         for listener in self.start_listeners:
             listener(worker, task)
         return StartOutcome.STARTED
 
-    def _check_start(self, worker: EmulatedWorker, task: TaskId, spec: StepSpec) -> None:
-        if not worker.entry.capacity.holds(worker.used):
-            self.violations.append(f"{worker.entry.worker_id} over its capacity by {task}")
-        run_count = sum(
-            1 for other in self.workers.values() for run in other.runs.values() if run.task == task
-        )
-        if run_count > 1 and not spec.may_copy:
-            self.violations.append(f"{task} runs in {run_count} places at {self.now_s:.2f}")
-        if task in self.acknowledged_done and not spec.may_copy:
-            self.violations.append(f"{task} started after its completion was acknowledged")
-        if not spec.may_copy:
-            self._note_repeated_ends(task)
-        steps = self.specs_by_id[task.job_id].steps
-        for earlier in steps[task.step].after:
-            for position in range(steps[earlier].count):
-                if not self._has_ended(task._replace(step=earlier, position=position)):
-                    self.violations.append(f"{task} started before step {earlier} was done")
-                    return
-
-    def _note_repeated_ends(self, task: TaskId) -> None:
-        """Note the listed completions of a task that is started again."""
-        for worker in self.workers.values():
-            end = worker.find_done(task)
-            if end is not None:
-                key = (worker.entry.worker_id, worker.entry.born_ms, end.number)
-                self._repeated_ends.add(key)
-
-    def _check_quota(self, task: TaskId, config: CellConfig) -> None:
-        """Check a start against the configuration in force when its command was sent."""
-        name = self.specs_by_id[task.job_id].organisation
-        policy = config.organisations_by_name.get(name)
-        if policy is None or len(self._runs_of(name)) == 1:
-            return
-        used = self.used_by(name)
-        if any(limit and amount > limit for amount, limit in zip(used, policy.quota, strict=True)):
-            self.violations.append(f"{name} over its quota by {task} at {self.now_s:.2f}: {used}")
-
-    def _has_ended(self, task: TaskId) -> bool:
-        return any(task in worker.ended_done for worker in self.workers.values())
-
     def _send_stop(self, owner: JobOwner, run: Run) -> None:
         worker = self.workers[run.worker.id]
         token = owner.state.epoch
@@ -530,16 +476,10 @@
 
     def _acknowledge(self, worker: EmulatedWorker, last_number: int) -> None:
         for completion in worker.ends:
-            if completion.number <= last_number and completion.kind is CompletionKind.DONE:
-                self.acknowledged_done.add(completion.task)
-                self._check_repeated(worker, completion)
+            if completion.number <= last_number:
+                self.checks.check_acknowledged(worker, completion)
         worker.ends = [completion for completion in worker.ends if completion.number > last_number]
 
-    def _check_repeated(self, worker: EmulatedWorker, completion: RunCompletion) -> None:
-        key = (worker.entry.worker_id, worker.entry.born_ms, completion.number)
-        if key in self._repeated_ends and completion.number > worker.lapsed_count:
-            self.violations.append(f"{completion.task} was done when it started again")
-
 
 def _ignore(event: str, **fields: Any) -> None:
     """Discard the log of decisions."""
--- a/redwingplank/batch/tests/test_organisations.py
+++ b/redwingplank/batch/tests/test_organisations.py
@@ -29,7 +29,7 @@
 
 
 def used_cpu(cell: EmulatedCell) -> int:
-    return cell.used_by("acme").cpu_millicores
+    return cell.checks.used_by("acme").cpu_millicores
 
 
 class TestQuotas:
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -354,7 +354,7 @@
         cell.workers["w0"].faults.add(Fault.CUT)
         cell.replace_owner()
         cell.run_for(5.0)
-        done = [task for task in cell.acknowledged_done if task.job_id == "a"]
+        done = [task for task in cell.checks.acknowledged_done if task.job_id == "a"]
         assert len(done) >= 4
         assert cell.violations == []
 
--- a/redwingplank/batch/tests/test_promises.py
+++ b/redwingplank/batch/tests/test_promises.py
@@ -99,7 +99,7 @@
 
     @invariant()
     def acknowledges_only_what_is_stored(self) -> None:
-        for task in self.cell.acknowledged_done:
+        for task in self.cell.checks.acknowledged_done:
             assert self._is_stored_as_done(task), f"{task} was acknowledged before it was stored"
 
     def _is_stored_as_done(self, task: TaskId) -> bool:
