Submissions: a handler that fails or is cancelled answers 504, not 500

Callers saw 500 for a job that is stored: falcon's answer to any unexpected exception, and uvicorn's to a request that is cancelled at the end of its graceful shutdown.

Change: a submission counts as unresolved from before its first call until its outcome is known (`UnresolvedSubmissions.begin`, `end`), also for a peer that stores on behalf of another node. A handler that ends otherwise leaves it unresolved, and the other nodes are told; a stopping node waits for these reports beside the end of its lease, and the server gives cancelled handlers 0.1 s to send their answers. `AnswerGuard` wraps the application: requests that may have had an effect (POST and DELETE from their call on) get 504, others 503 with Retry-After. Each is logged as `request_failed`.

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -15,6 +15,12 @@
 from redwingplank.cell.clocks import now_s, now_unix_s
 from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.core import InvalidValueError
+from redwingplank.platform.http.guard import (
+    AnswerGuard,
+    FailureAnswer,
+    ReportFailure,
+    note_effect,
+)
 from redwingplank.platform.site.ingress import (
     READINESS_PATH,
     read_deadline_s,
@@ -28,6 +34,7 @@
 RETRY_AFTER_S = 1
 """Sent as ``Retry-After``. Callers wait about 3 s in all, which leaves time for two more attempts
 after a short outage of the store."""
+JSON_HEADERS = {"Content-Type": falcon.MEDIA_JSON}
 _is_job_id = re.compile(r"[0-9A-Za-z_-]{1,64}").fullmatch
 
 
@@ -92,7 +99,7 @@
         elif req.method == "GET":
             await self._state(resp, job_id, access.visible_to)
         elif req.method == "DELETE":
-            await self._cancel(resp, job_id, access.visible_to)
+            await self._cancel(req, resp, job_id, access.visible_to)
         else:
             _answer(resp, HTTPStatus.METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
             resp.set_header("Allow", "POST, GET, DELETE")
@@ -122,6 +129,7 @@
         except InvalidValueError as error:
             _answer(resp, HTTPStatus.BAD_REQUEST, str(error))
             return
+        note_effect(req.scope)
         answer = await self._callers.submit(spec, credentials, deadline_s)
         if answer.outcome is SubmitOutcome.ACCEPTED:
             resp.media = {}
@@ -143,8 +151,13 @@
             resp.content_type = falcon.MEDIA_JSON
 
     async def _cancel(
-        self, resp: falcon.asgi.Response, job_id: str, visible_to: str | None
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        job_id: str,
+        visible_to: str | None,
     ) -> None:
+        note_effect(req.scope)
         answer = await self._callers.cancel(job_id, visible_to)
         if answer.is_stored:
             resp.media = {}
@@ -164,10 +177,14 @@
 
 def _answer(resp: falcon.asgi.Response, status: HTTPStatus, problem: str) -> None:
     resp.status = status
-    resp.data = msgspec.json.encode({"problem": problem})
+    resp.data = _encode_problem(problem)
     resp.content_type = falcon.MEDIA_JSON
 
 
+def _encode_problem(problem: str) -> bytes:
+    return msgspec.json.encode({"problem": problem})
+
+
 def _answer_unavailable(resp: falcon.asgi.Response, problem: str) -> None:
     _answer(resp, HTTPStatus.SERVICE_UNAVAILABLE, problem)
     resp.set_header("Retry-After", str(RETRY_AFTER_S))
@@ -182,7 +199,25 @@
     resp.set_header("WWW-Authenticate", "Bearer")
 
 
-def make_app(callers: Callers, find_obstacle: Callable[[], str]) -> falcon.asgi.App:
+def _make_failure_answer(may_have_effect: bool) -> FailureAnswer:
+    if may_have_effect:
+        problem = "the request may have been carried out: send it again"
+        return FailureAnswer(HTTPStatus.GATEWAY_TIMEOUT, _encode_problem(problem), JSON_HEADERS)
+    problem = "the request was not carried out"
+    headers = {**JSON_HEADERS, "Retry-After": str(RETRY_AFTER_S)}
+    return FailureAnswer(HTTPStatus.SERVICE_UNAVAILABLE, _encode_problem(problem), headers)
+
+
+async def _pass_on(
+    req: falcon.asgi.Request, resp: falcon.asgi.Response, error: Exception, params: dict[str, Any]
+) -> None:
+    """Leave an unexpected error to the guard, in place of the framework's own answer."""
+    raise error
+
+
+def make_app(
+    callers: Callers, find_obstacle: Callable[[], str], report_failure: ReportFailure
+) -> AnswerGuard:
     """Return the HTTP application.
 
     Parameters
@@ -191,9 +226,12 @@
         Handles requests for jobs.
     find_obstacle : callable
         Returns the reason why the node is not ready, or an empty string.
+    report_failure : callable
+        Told of each request whose handler failed or was cancelled.
     """
     app = falcon.asgi.App(middleware=[_CloseWhenNotReady(find_obstacle)])
     app.add_route(READINESS_PATH, _ReadinessResource(find_obstacle))
     jobs = _JobsSink(callers)
     app.add_sink(jobs.handle, prefix="/")
-    return app
+    app.add_error_handler(Exception, _pass_on)
+    return AnswerGuard(app, _make_failure_answer, report_failure)
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -1,5 +1,6 @@
 """Requests of callers: submit a job, get its state, cancel it, and count the jobs that wait."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -91,6 +92,7 @@
         self._membership = membership
         self._peer_submission = PeerSubmission(context, membership)
         self._unresolved = UnresolvedSubmissions()
+        self._reports: set[asyncio.Task] = set()
         self._find_owner = find_owner
         self.find_config = find_config
         self.access = access
@@ -117,18 +119,37 @@
             return SubmitAnswer(SubmitOutcome.NOT_RUN, decision.refusal)
         spec = replace(spec, organisation=decision.organisation)
         submission = encode_submission(spec)
-        timeout_s = max(MIN_CALL_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
-        outcome, reason = await self.store_here(spec.job_id, submission, timeout_s)
-        if outcome is not SubmitOutcome.ACCEPTED:
-            outcome, reason = await self._peer_submission.store(
-                spec.job_id, submission, deadline_s, outcome
-            )
-            outcome = self._unresolved.settle(spec.job_id, outcome, now_s())
+        outcome, reason = SubmitOutcome.UNKNOWN, "handler_failed"
+        self._unresolved.begin(spec.job_id)
+        try:
+            outcome, reason = await self._store_anywhere(spec.job_id, submission, deadline_s)
+        finally:
+            # Also where the handler fails or is cancelled, as the store may carry out its call.
+            outcome = self._unresolved.end(spec.job_id, outcome, now_s())
             if outcome is SubmitOutcome.UNKNOWN:
-                self._tasks.start(self._peer_submission.report_unresolved(spec.job_id))
-        self._log_submit(spec, outcome, reason, now_s() - started_s)
+                self._report_unresolved(spec.job_id)
+            self._log_submit(spec, outcome, reason, now_s() - started_s)
         return SubmitAnswer(outcome)
 
+    async def _store_anywhere(
+        self, job_id: str, submission: bytes, deadline_s: float
+    ) -> tuple[SubmitOutcome, str]:
+        """Store a job from here or through a peer; earlier attempts do not count."""
+        timeout_s = max(MIN_CALL_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
+        outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
+        if outcome is SubmitOutcome.ACCEPTED:
+            return outcome, reason
+        return await self._peer_submission.store(job_id, submission, deadline_s, outcome)
+
+    def _report_unresolved(self, job_id: str) -> None:
+        report = self._tasks.start(self._peer_submission.report_unresolved(job_id))
+        self._reports.add(report)
+        report.add_done_callback(self._reports.discard)
+
+    async def finish_reports(self) -> None:
+        """Wait until the other nodes have been told of unresolved submissions."""
+        await asyncio.gather(*self._reports, return_exceptions=True)
+
     def note_unresolved(self, job_id: str) -> None:
         """Remember that a submission through another node has an unknown outcome."""
         self._unresolved.settle(job_id, SubmitOutcome.UNKNOWN, now_s())
@@ -142,8 +163,12 @@
         a call that fails midway may have been carried out. `NOT_RUN` also covers the earlier
         attempts that this node knows of.
         """
-        outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
-        settled = self._unresolved.settle(job_id, outcome, now_s())
+        outcome = SubmitOutcome.UNKNOWN
+        self._unresolved.begin(job_id)
+        try:
+            outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
+        finally:
+            settled = self._unresolved.end(job_id, outcome, now_s())
         return settled, reason if settled is outcome else "earlier_attempt_unknown"
 
     async def _try_to_store(
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -76,7 +76,7 @@
         )
         self._peer_server = NodeServer({CELL_SERVICE: service})
         await self._peer_server.start(settings.peer_address)
-        app = make_app(self.callers, self._find_obstacle)
+        app = make_app(self.callers, self._find_obstacle, self._report_failure)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
         self._http = await serve_http(app, addresses, FINISH_S)
         if settings.metrics_address:
@@ -98,10 +98,7 @@
         await resigning
         if self._http is not None:
             await self._http.stop()
-        try:
-            await self._membership.leave()
-        except STORE_ERRORS as error:
-            self._context.log("leave_failed", error=error)
+        await asyncio.gather(self._leave(), self.callers.finish_reports())
         if self._metrics_server is not None:
             await self._metrics_server.stop()
         if self._owner is not None:
@@ -118,6 +115,17 @@
         except STORE_ERRORS as error:
             self._context.log("resign_failed", error=error)
 
+    async def _leave(self) -> None:
+        try:
+            await self._membership.leave()
+        except STORE_ERRORS as error:
+            self._context.log("leave_failed", error=error)
+
+    def _report_failure(self, path: str, may_have_effect: bool, error: BaseException) -> None:
+        self._context.log(
+            "request_failed", path=path, may_have_effect=may_have_effect, error=repr(error)
+        )
+
     @property
     def owns_jobs(self) -> bool:
         """Whether this node has won the ownership and read the stored jobs."""
--- a/redwingplank/cell/tests/test_unresolved_submissions.py
+++ b/redwingplank/cell/tests/test_unresolved_submissions.py
@@ -30,3 +30,24 @@
         unresolved = UnresolvedSubmissions()
         outcomes = [unresolved.settle("a", each, 1.0) for each in (UNKNOWN, ACCEPTED, NOT_RUN)]
         assert outcomes == [UNKNOWN, ACCEPTED, NOT_RUN]
+
+
+class TestAttemptUnderWay:
+    # Guards against refusing a job that an attempt which has not ended yet may store.
+    def test_a_refusal_does_not_settle_it(self):
+        unresolved = UnresolvedSubmissions()
+        unresolved.begin("a")
+        unresolved.begin("a")
+        assert unresolved.end("a", NOT_RUN, 1.0) is UNKNOWN
+        assert unresolved.end("a", NOT_RUN, 1.0) is NOT_RUN
+
+    def test_one_that_ends_unknown_is_remembered(self):
+        unresolved = UnresolvedSubmissions()
+        unresolved.begin("a")
+        unresolved.begin("a")
+        assert unresolved.end("a", UNKNOWN, 1.0) is UNKNOWN
+        assert unresolved.end("a", NOT_RUN, 1.0) is UNKNOWN
+        unresolved.begin("a")
+        assert unresolved.end("a", ACCEPTED, 2.0) is ACCEPTED
+        unresolved.begin("a")
+        assert unresolved.end("a", NOT_RUN, 3.0) is NOT_RUN
--- a/redwingplank/cell/unresolved_submissions.py
+++ b/redwingplank/cell/unresolved_submissions.py
@@ -1,5 +1,7 @@
 """Remembers the submissions of which no node knows whether they were carried out."""
 
+from collections import Counter
+
 from redwingplank.cell.submission import SubmitOutcome
 
 __all__ = ["UnresolvedSubmissions"]
@@ -20,6 +22,29 @@
     def __init__(self) -> None:
         self._since_s_by_job_id: dict[str, float] = {}
         """Time in seconds of the last attempt with an unknown outcome, earliest first."""
+        self._under_way_by_job_id: Counter[str] = Counter()
+        """Number of attempts that have begun and not ended."""
+
+    def begin(self, job_id: str) -> None:
+        """Record that an attempt, which `end` will follow, may have an effect from now on."""
+        self._under_way_by_job_id[job_id] += 1
+
+    def end(self, job_id: str, outcome: SubmitOutcome, now_s: float) -> SubmitOutcome:
+        """Record the outcome of an attempt that has begun; return that of all attempts.
+
+        Parameters
+        ----------
+        job_id, outcome, now_s
+            As in `settle`.
+        """
+        self._under_way_by_job_id[job_id] -= 1
+        is_another_under_way = self._under_way_by_job_id[job_id] > 0
+        if not is_another_under_way:
+            del self._under_way_by_job_id[job_id]
+        settled = self.settle(job_id, outcome, now_s)
+        if settled is SubmitOutcome.NOT_RUN and is_another_under_way:
+            return SubmitOutcome.UNKNOWN
+        return settled
 
     def settle(self, job_id: str, outcome: SubmitOutcome, now_s: float) -> SubmitOutcome:
         """Record the outcome of an attempt; return that of all attempts to submit the job.
--- a/redwingplank/platform/http/server.py
+++ b/redwingplank/platform/http/server.py
@@ -12,6 +12,8 @@
 
 LISTEN_BACKLOG = 1024
 KEEP_ALIVE_S = 75
+CANCELLED_S = 0.1
+"""Longest time for which a cancelled handler is waited for; it only has to send its answer."""
 
 
 class _Server(uvicorn.Server):
@@ -74,9 +76,16 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+        await self._finish_cancelled()
         for listening in self._sockets:
             listening.close()
 
+    async def _finish_cancelled(self) -> None:
+        """Let handlers that were cancelled at the end of the graceful time send their answers."""
+        handlers = list(self._server.server_state.tasks)
+        if handlers and not self._server.force_exit:
+            await asyncio.wait(handlers, timeout=CANCELLED_S)
+
     def abort(self) -> None:
         """End a running `stop` at once, without waiting for the requests in flight."""
         self._server.force_exit = True
