Requests: a body that breaks off has no effect

Callers were told 400 ("Invalid HTTP request received.") or nothing, and the job was stored and ran. Cause: falcon's stream ends a body that is cut off as if it were whole. Where the text of the job had arrived, in a chunk before an invalid one or before the last byte of Content-Length, it was submitted while uvicorn's parser answered 400 and closed the connection.

Change: `AnswerGuard` raises `RequestCutOffError` in the handler when the connection ends before the body, so that no handler acts on it.

--- a/redwingplank/cell/tests/test_answers.py
+++ b/redwingplank/cell/tests/test_answers.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 import msgspec
+import pytest
 
 from redwingplank.cell import app
 from redwingplank.cell import node as node_module
@@ -25,6 +26,10 @@
     return request_head(f"Content-Length: {len(BODY)}") + BODY
 
 
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
 @asynccontextmanager
 async def connection(site, node=0):
     host, _, port = site.contexts[node].settings.callers_address.rpartition(":")
@@ -137,6 +142,39 @@
 
 
 class TestBrokenConnection:
+    # Guards against storing a job of which the caller is told that its request is invalid.
+    def test_a_body_that_breaks_off_is_not_stored(self):
+        async def scenario(site):
+            requests = [
+                request_head("Transfer-Encoding: chunked") + chunk(BODY),
+                request_head(f"Content-Length: {len(BODY) + 1}") + BODY,
+            ]
+            server = site.nodes[0]._http._server
+            for request in requests:
+                async with connection(site) as (_, writer):
+                    writer.write(request)
+                    await site.until(lambda: server.server_state.tasks)
+                    writer.close()
+                    await site.until(lambda: not server.server_state.tasks)
+                assert KEY not in site.store.items
+
+        run_site(scenario)
+
+    @pytest.mark.parametrize("is_at_once", [True, False])
+    def test_a_body_with_an_invalid_chunk_is_not_stored(self, is_at_once):
+        async def scenario(site):
+            async with connection(site) as (reader, writer):
+                writer.write(request_head("Transfer-Encoding: chunked") + chunk(BODY))
+                server = site.nodes[0]._http._server
+                if not is_at_once:
+                    await site.until(lambda: server.server_state.tasks)
+                writer.write(b"nonsense\r\n")
+                await read_to_end(reader)
+                await site.until(lambda: not server.server_state.tasks)
+            assert KEY not in site.store.items
+
+        run_site(scenario)
+
     # Guards against a refusal after a caller has closed its connection.
     def test_a_caller_that_goes_leaves_an_unresolved_submission(self):
         async def scenario(site):
--- a/redwingplank/platform/http/guard.py
+++ b/redwingplank/platform/http/guard.py
@@ -6,7 +6,9 @@
 from http import HTTPStatus
 from typing import Any
 
-__all__ = ["AnswerGuard", "FailureAnswer", "ReportFailure", "note_effect"]
+from redwingplank.core import RedwingError
+
+__all__ = ["AnswerGuard", "FailureAnswer", "ReportFailure", "RequestCutOffError", "note_effect"]
 
 EFFECT_KEY = "redwingplank.may_have_effect"
 """Key of an ASGI scope, set once the request may have an effect."""
@@ -16,6 +18,10 @@
 _Send = Callable[[_Message], Awaitable[None]]
 
 
+class RequestCutOffError(RedwingError):
+    """The connection ended before the whole body of a request had arrived."""
+
+
 @dataclass(frozen=True, slots=True)
 class FailureAnswer:
     """Answer to a request whose handler ended without one."""
@@ -39,9 +45,9 @@
 class AnswerGuard:
     """Wraps an ASGI application, so that no request is answered by the server in its place.
 
-    If a handler fails or is cancelled before its answer has begun, the request is answered by what
-    is known of its effect. Otherwise the error is passed on to the server, which closes the
-    connection.
+    A handler gets no body that was cut off. If it fails or is cancelled before its answer has
+    begun, the request is answered by what is known of its effect. Otherwise the error is passed on
+    to the server, which closes the connection.
 
     Parameters
     ----------
@@ -50,7 +56,7 @@
     make_answer : callable
         Makes the answer to a failed request.
     report : callable
-        Told of each failed request.
+        Told of each failed request, except those that their callers cut off.
     """
 
     def __init__(
@@ -62,9 +68,12 @@
 
     async def __call__(self, scope: _Message, receive: _Receive, send: _Send) -> None:
         """Handle one request; the interface is that of ASGI."""
-        exchange = _Exchange(send)
+        exchange = _Exchange(receive, send)
         try:
-            await self._application(scope, receive, exchange.send)
+            await self._application(scope, exchange.receive, exchange.send)
+        except RequestCutOffError:
+            # Nobody is left to get an answer, and the server sends none.
+            return
         except (Exception, asyncio.CancelledError) as error:
             may_have_effect = scope.get(EFFECT_KEY, False)
             self._report(scope["path"], may_have_effect, error)
@@ -74,12 +83,21 @@
 
 
 class _Exchange:
-    """One response, as far as it has been sent."""
+    """One request and its response, as far as they have been received and sent."""
 
-    def __init__(self, send: _Send) -> None:
+    def __init__(self, receive: _Receive, send: _Send) -> None:
+        self._receive = receive
         self._send = send
+        self._is_whole = False
         self.has_begun = False
 
+    async def receive(self) -> _Message:
+        message = await self._receive()
+        if message["type"] == "http.disconnect" and not self._is_whole:
+            raise RequestCutOffError("the connection ended within the request")
+        self._is_whole = self._is_whole or not message.get("more_body", False)
+        return message
+
     async def send(self, message: _Message) -> None:
         self.has_begun = True
         await self._send(message)
