HTTP server: no 400 in place of the answer to an earlier request

A caller could be told 400 for a job that was being stored, and that ran. Cause: uvicorn answers bytes that it cannot parse with 400 on the connection, also while the whole request before them is in its handler or waits in the pipeline; the 400 is then the first answer that the caller gets.

Change: in that case the connection is closed without an answer. Where no request is under way, or only one whose body has not arrived (it has no effect), 400 is answered as before.

Evidence, test on the code before, on real connections: TestBrokenConnection, bytes after a submission: AssertionError: assert b'HTTP/1.1 40...est received.' == b'' With the change it passes, as do the tests of platform and test_node.py.

--- a/redwingplank/cell/tests/test_answers.py
+++ b/redwingplank/cell/tests/test_answers.py
@@ -142,6 +142,22 @@
 
 
 class TestBrokenConnection:
+    # Guards against 400 for a job that is being stored: the server's answer to bytes that are no
+    # request reads as that to the request before them.
+    def test_bytes_after_a_submission_are_not_answered_in_its_place(self):
+        async def scenario(site):
+            lose_answer_then_refuse(site)
+            async with connection(site) as (reader, writer):
+                writer.write(whole_request())
+                await site.until(lambda: KEY in site.store.items)
+                writer.write(b"nonsense\r\n\r\n")
+                answer = await read_to_end(reader)
+            assert answer == b""
+            await until_all_know(site)
+            site.store.is_down = False
+
+        run_site(scenario)
+
     # Guards against storing a job of which the caller is told that its request is invalid.
     def test_a_body_that_breaks_off_is_not_stored(self):
         async def scenario(site):
--- a/redwingplank/platform/http/server.py
+++ b/redwingplank/platform/http/server.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 __all__ = ["HttpServer", "serve_http"]
 
@@ -16,6 +17,21 @@
 """Longest time for which a cancelled handler is waited for; it only has to send its answer."""
 
 
+class _HttpProtocol(HttpToolsProtocol):
+    def send_400_response(self, msg: str) -> None:
+        """Close the connection, after an answer only if it can be taken for no other request's."""
+        cycle = self.cycle
+        is_handled = (
+            cycle is not None
+            and not cycle.response_complete
+            and (cycle.response_started or not cycle.more_body)
+        )
+        if is_handled or self.pipeline:
+            self.transport.close()
+        else:
+            super().send_400_response(msg)
+
+
 class _Server(uvicorn.Server):
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
@@ -49,7 +65,7 @@
     ) -> None:
         config = uvicorn.Config(
             application,
-            http="httptools",
+            http=_HttpProtocol,
             ws="none",
             lifespan="off",
             log_config=None,
