GET and DELETE: no 410 for a job whose submission is unresolved

Callers could be told 410, no such job exists, for a job whose submission was answered 504 or is under way; the store may carry such a call out seconds later, and the job then ran although its DELETE had been answered. Cause: the answer was that of one read of the store; `UnresolvedSubmissions.is_known` was called by a test only.

Change: where the store has no such job, the node answers 503 with Retry-After while it knows of an unresolved submission (its own or a told one, at most 60 s), and 410 otherwise. A job that the store has but that is not visible to the caller stays 410. Another organisation can tell by the 503 that somebody has submitted that id; ids are chosen by callers at random.

Changed tests: `is_known` takes the time, so that it does not answer by what is older than 60 s; its call in test_node.py passes it, the condition is the same.

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -162,7 +162,7 @@
         if answer.is_stored:
             resp.media = {}
         elif answer.is_known:
-            _answer_unavailable(resp, "the cancellation is not stored yet: try again")
+            _answer_unavailable(resp, "the cancellation may not be stored: try again")
         else:
             _answer(resp, HTTPStatus.GONE, "no such job")
 
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -52,7 +52,7 @@
     """The state of a job, as far as it could be determined.
 
     With `is_determined`, a `state` of None means that the job does not exist; without it, neither
-    the owner nor the store gave an answer.
+    the owner nor the store gave an answer, or a submission is unresolved that may yet store it.
     """
 
     is_determined: bool
@@ -252,7 +252,13 @@
         except STORE_ERRORS as error:
             self._context.health.record_failure(error)
             return JobStateAnswer(False)
-        return JobStateAnswer(True, JobState.QUEUED if job is not None else None)
+        if job is None:
+            return self._state_of_absent(job_id)
+        return JobStateAnswer(True, JobState.QUEUED)
+
+    def _state_of_absent(self, job_id: str) -> JobStateAnswer:
+        """Return what is known of a job that the store does not have."""
+        return JobStateAnswer(not self._unresolved.is_known(job_id, now_s()))
 
     async def _visible_state_in_store(self, job_id: str, visible_to: str) -> JobStateAnswer:
         """Return the state of a job in the store if its record shows it to be visible."""
@@ -262,14 +268,17 @@
         except STORE_ERRORS as error:
             self._context.health.record_failure(error)
             return JobStateAnswer(False)
-        if job is None or not _is_record_visible(job.value, visible_to):
+        if job is None:
+            return self._state_of_absent(job_id)
+        if not _is_record_visible(job.value, visible_to):
             return JobStateAnswer(True, None)
         return await self._state_in_store(job_id)
 
     async def cancel(self, job_id: str, visible_to: str | None = None) -> CancelAnswer:
         """Cancel a job through the owner, or in the store if the owner did not store that.
 
-        A job that is not visible to the caller, as in `state`, is answered as unknown.
+        A job that is not visible to the caller, as in `state`, is answered as unknown. One that the
+        store does not have is known while a submission of it is unresolved.
         """
         owner = self._find_owner()
         if owner is not None:
@@ -297,7 +306,9 @@
         store = self._context.store
         try:
             job = await store.get(JOBS_PREFIX + job_id, READ_TIMEOUT_S)
-            if job is None or not _is_record_visible(job.value, visible_to):
+            if job is None:
+                return CancelAnswer(self._unresolved.is_known(job_id, now_s()), is_stored=False)
+            if not _is_record_visible(job.value, visible_to):
                 return CancelAnswer(is_known=False, is_stored=False)
             puts = [Put(CANCELS_PREFIX + job_id, b"1")]
             expected = {JOBS_PREFIX + job_id: job.revision}
--- a/redwingplank/cell/tests/test_answers.py
+++ b/redwingplank/cell/tests/test_answers.py
@@ -8,6 +8,7 @@
 
 from redwingplank.cell import app
 from redwingplank.cell import node as node_module
+from redwingplank.cell.clocks import now_s
 from redwingplank.cell.keys import JOBS_PREFIX
 from redwingplank.cell.tests.site_fixture import HOST, run_site
 
@@ -54,7 +55,9 @@
 
 
 async def until_all_know(site, job_id=ID):
-    await site.until(lambda: all(node.callers._unresolved.is_known(job_id) for node in site.nodes))
+    await site.until(
+        lambda: all(node.callers._unresolved.is_known(job_id, now_s()) for node in site.nodes)
+    )
 
 
 class TestFailedHandler:
@@ -116,7 +119,7 @@
             await asyncio.gather(site.nodes[0].stop(), call)
             site.nodes.pop(0)
             assert call.result()[0] == 504
-            assert site.nodes[0].callers._unresolved.is_known(ID)
+            assert site.nodes[0].callers._unresolved.is_known(ID, now_s())
             site.store.is_down = False
 
         run_site(scenario, nodes=2)
@@ -213,3 +216,19 @@
             assert KEY in site.store.items
 
         run_site(scenario)
+
+
+class TestUnresolvedJob:
+    # Guards against 410 for a job that the store carries out seconds later.
+    @pytest.mark.parametrize("method", ["GET", "DELETE"])
+    def test_is_not_said_not_to_exist(self, method):
+        async def scenario(site):
+            site.nodes[0].callers.note_unresolved(ID)
+            status, _, headers = await site.call(method, f"/proof/{ID}")
+            assert status == 503
+            assert int(headers["Retry-After"]) >= 1
+            assert (await site.call(method, f"/proof/{ID[::-1]}"))[0] == 410
+            assert (await site.call("POST", f"/proof/{ID}", JOB))[0] == 200
+            assert (await site.call(method, f"/proof/{ID}"))[0] == 200
+
+        run_site(scenario)
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -171,7 +171,7 @@
             site.store.is_down_after_loss = True
             assert (await site.call("POST", f"/proof/{ID}", JOB))[0] == 504
             unresolved = [node.callers._unresolved for node in site.nodes]
-            await site.until(lambda: all(each.is_known(ID) for each in unresolved))
+            await site.until(lambda: all(each.is_known(ID, now_s()) for each in unresolved))
             for node in (1, 2, 0):
                 assert (await site.call("POST", f"/proof/{ID}", JOB, node=node))[0] == 504
             other_id = ID[::-1]
--- a/redwingplank/cell/tests/test_unresolved_submissions.py
+++ b/redwingplank/cell/tests/test_unresolved_submissions.py
@@ -51,3 +51,16 @@
         assert unresolved.end("a", ACCEPTED, 2.0) is ACCEPTED
         unresolved.begin("a")
         assert unresolved.end("a", NOT_RUN, 3.0) is NOT_RUN
+
+
+class TestIsKnown:
+    # Guards against telling that a job exists or may exist longer than that is so.
+    def test_until_it_is_settled_or_old(self):
+        unresolved = UnresolvedSubmissions()
+        unresolved.begin("a")
+        assert unresolved.is_known("a", 0.0)
+        unresolved.end("a", NOT_RUN, 0.0)
+        assert not unresolved.is_known("a", 0.0)
+        unresolved.settle("b", UNKNOWN, 0.0)
+        assert unresolved.is_known("b", KEPT_S - 1)
+        assert not unresolved.is_known("b", KEPT_S)
--- a/redwingplank/cell/unresolved_submissions.py
+++ b/redwingplank/cell/unresolved_submissions.py
@@ -67,9 +67,10 @@
             self._since_s_by_job_id[job_id] = now_s
         return SubmitOutcome.UNKNOWN if job_id in self._since_s_by_job_id else outcome
 
-    def is_known(self, job_id: str) -> bool:
-        """Return whether an attempt to submit a job is remembered."""
-        return job_id in self._since_s_by_job_id
+    def is_known(self, job_id: str, now_s: float) -> bool:
+        """Return whether a job may be stored by an attempt that is unresolved or under way."""
+        self._forget_old(now_s)
+        return job_id in self._since_s_by_job_id or job_id in self._under_way_by_job_id
 
     def _forget_old(self, now_s: float) -> None:
         since_s_by_job_id = self._since_s_by_job_id
