Entry: a request cancelled at the stop says whether it ran

Callers of redwing-entry got a bare 500 "Internal Server Error" of uvicorn for a request that was cancelled when the drain limit was over. docs/callers.md promises a problem document with `ran` for every error. An HTTP error of the framework said `ran: no` whenever it was raised.

Change: the entry's application is wrapped by `AnswerGuard` as a node's is. A cancelled request is answered 504 with `ran: unknown` from the moment at which it may be sent on, before that 503 with `ran: no` and Retry-After. An HTTP error after that moment says `unknown`. A body that breaks off is not run.

--- a/redwingplank/api/__init__.py
+++ b/redwingplank/api/__init__.py
@@ -1,6 +1,6 @@
 """The HTTP interface that entries offer to callers."""
 
-from redwingplank.api.core import make_entry_app, read_openapi
+from redwingplank.api.core import guard_entry_app, make_entry_app, read_openapi
 from redwingplank.api.problems import ProblemDetails
 
-__all__ = ["ProblemDetails", "make_entry_app", "read_openapi"]
+__all__ = ["ProblemDetails", "guard_entry_app", "make_entry_app", "read_openapi"]
--- a/redwingplank/api/core.py
+++ b/redwingplank/api/core.py
@@ -8,13 +8,14 @@
 
 from redwingplank.api.health import HealthResource, ReadinessResource
 from redwingplank.api.jobs import JobResource, JobsResource
-from redwingplank.api.problems import add_problem_handlers
+from redwingplank.api.problems import add_problem_handlers, make_failure_answer, report_failure
 from redwingplank.api.requests import RequestsResource
+from redwingplank.platform.http.guard import AnswerGuard
 from redwingplank.runtime.entry import EntryRuntime
 from redwingplank.runtime.jobs import JobGateway
 from redwingplank.runtime.requests import RequestProxy
 
-__all__ = ["make_entry_app", "read_openapi"]
+__all__ = ["guard_entry_app", "make_entry_app", "read_openapi"]
 
 
 class _CloseWhenLeaving:
@@ -44,6 +45,11 @@
     return json.loads(Path(__file__).with_name("openapi.json").read_text(encoding="utf-8"))
 
 
+def guard_entry_app(app: falcon.asgi.App) -> AnswerGuard:
+    """Wrap the application of an entry, so that it answers what is cancelled when it stops."""
+    return AnswerGuard(app, make_failure_answer, report_failure)
+
+
 def make_entry_app(
     proxy: RequestProxy,
     gateway: JobGateway,
--- a/redwingplank/api/jobs.py
+++ b/redwingplank/api/jobs.py
@@ -9,6 +9,7 @@
 from redwingplank.api.headers import read_body, read_idempotency_key
 from redwingplank.api.problems import ProblemDetails, send_problem
 from redwingplank.core import InvalidValueError, decode_json, make_resources
+from redwingplank.platform.http.guard import note_effect
 from redwingplank.runtime.jobs import (
     JobGateway,
     JobRefusedError,
@@ -64,6 +65,7 @@
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response, organisation: str
     ) -> None:
         request = await _read_job(req, organisation)
+        note_effect(req.scope)
         try:
             job_id = await self._gateway.submit(request)
         except JobRefusedError as error:
@@ -112,6 +114,7 @@
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response, organisation: str, job_id: str
     ) -> None:
         """Cancel the job; answer once the cancellation is durable."""
+        note_effect(req.scope)
         try:
             await self._gateway.cancel(organisation, job_id)
         except JobUnknownError as error:
--- a/redwingplank/api/problems.py
+++ b/redwingplank/api/problems.py
@@ -15,8 +15,16 @@
 import msgspec
 
 from redwingplank.core import log_event, make_logger
+from redwingplank.platform.http.guard import FailureAnswer, RequestCutOffError, may_have_effect
 
-__all__ = ["PROBLEM_MEDIA_TYPE", "ProblemDetails", "add_problem_handlers", "send_problem"]
+__all__ = [
+    "PROBLEM_MEDIA_TYPE",
+    "ProblemDetails",
+    "add_problem_handlers",
+    "make_failure_answer",
+    "report_failure",
+    "send_problem",
+]
 
 PROBLEM_MEDIA_TYPE = "application/problem+json"
 
@@ -71,13 +79,43 @@
 def add_problem_handlers(app: falcon.asgi.App) -> None:
     """Answer every exception with problem details.
 
-    An HTTP error of the framework means that the work was not run. Any other exception leaves
-    that unknown and is logged.
+    An HTTP error of the framework means that the work was not run, unless the request may have had
+    an effect before. Any other exception leaves that unknown and is logged.
     """
+    app.add_error_handler(RequestCutOffError, _pass_on)
     app.add_error_handler(Exception, _answer_unexpected_error)
     app.add_error_handler(falcon.HTTPError, _answer_http_error)
 
 
+def make_failure_answer(has_effect: bool) -> FailureAnswer:
+    """Return the answer to a request that is cancelled because the entry stops."""
+    if has_effect:
+        detail = "the entry stopped before the outcome was known"
+        problem = ProblemDetails(HTTPStatus.GATEWAY_TIMEOUT, "outcome unknown", detail, "unknown")
+        headers = {"X-Redwing-Ran": problem.ran}
+    else:
+        detail = "this entry is stopping; open a new connection"
+        problem = ProblemDetails(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", detail, "no")
+        headers = {"X-Redwing-Ran": problem.ran, "Retry-After": "1"}
+    body = msgspec.json.encode(problem)
+    headers["Content-Type"] = PROBLEM_MEDIA_TYPE
+    return FailureAnswer(HTTPStatus(problem.status), body, headers)
+
+
+def report_failure(path: str, has_effect: bool, error: BaseException) -> None:
+    """Log a request that was answered in place of its handler."""
+    kind = type(error).__name__
+    log_event(
+        _logger, "request_failed", level=logbook.ERROR, path=path, kind=kind, effect=has_effect
+    )
+
+
+async def _pass_on(
+    req: falcon.asgi.Request, resp: falcon.asgi.Response, error: Exception, params: dict[str, Any]
+) -> None:
+    raise error
+
+
 async def _answer_http_error(
     req: falcon.asgi.Request,
     resp: falcon.asgi.Response,
@@ -87,7 +125,8 @@
     resp.set_headers(error.headers or {})
     title = error.title or "error"
     detail = error.description or title
-    send_problem(resp, ProblemDetails(error.status_code, title, detail, "no"))
+    ran = "unknown" if may_have_effect(req.scope) else "no"
+    send_problem(resp, ProblemDetails(error.status_code, title, detail, ran))
 
 
 async def _answer_unexpected_error(
--- a/redwingplank/api/requests.py
+++ b/redwingplank/api/requests.py
@@ -12,6 +12,7 @@
     read_idempotency_key,
 )
 from redwingplank.api.problems import ProblemDetails, send_problem
+from redwingplank.platform.http.guard import note_effect
 from redwingplank.runtime.requests import CallerAnswer, CallerRequest, RequestProxy
 
 __all__ = ["RequestsResource"]
@@ -36,6 +37,7 @@
     ) -> None:
         call = _read_call(req, organisation, service)
         body = await read_body(req)
+        note_effect(req.scope)
         answer = await self._proxy.handle(call, body)
         _send_answer(resp, call, answer)
 
--- a/redwingplank/cli/entry.py
+++ b/redwingplank/cli/entry.py
@@ -4,7 +4,7 @@
 import sys
 import uuid
 
-from redwingplank.api import make_entry_app
+from redwingplank.api import guard_entry_app, make_entry_app
 from redwingplank.cli.node import UPSTREAM_CONNECTIONS, NodeConnections
 from redwingplank.cli.program import Program, read_settings, run_program
 from redwingplank.cli.settings import EntrySettings
@@ -76,7 +76,9 @@
         )
         app = make_entry_app(runtime.parts.proxy, runtime.parts.gateway, runtime)
         settings = self._settings
-        self._server = await serve_http(app, [settings.http_address], settings.drain_limit_s)
+        self._server = await serve_http(
+            guard_entry_app(app), [settings.http_address], settings.drain_limit_s
+        )
 
     async def wait(self) -> None:
         await self.runtime.wait()
--- a/redwingplank/platform/http/guard.py
+++ b/redwingplank/platform/http/guard.py
@@ -8,7 +8,14 @@
 
 from redwingplank.core import RedwingError
 
-__all__ = ["AnswerGuard", "FailureAnswer", "ReportFailure", "RequestCutOffError", "note_effect"]
+__all__ = [
+    "AnswerGuard",
+    "FailureAnswer",
+    "ReportFailure",
+    "RequestCutOffError",
+    "may_have_effect",
+    "note_effect",
+]
 
 EFFECT_KEY = "redwingplank.may_have_effect"
 """Key of an ASGI scope, set once the request may have an effect."""
@@ -42,6 +49,11 @@
     scope[EFFECT_KEY] = True
 
 
+def may_have_effect(scope: MutableMapping[str, Any]) -> bool:
+    """Return whether a request may have had an effect."""
+    return scope.get(EFFECT_KEY, False)
+
+
 class AnswerGuard:
     """Wraps an ASGI application, so that no request is answered by the server in its place.
 
@@ -75,11 +87,11 @@
             # Nobody is left to get an answer, and the server sends none.
             return
         except (Exception, asyncio.CancelledError) as error:
-            may_have_effect = scope.get(EFFECT_KEY, False)
-            self._report(scope["path"], may_have_effect, error)
+            has_effect = may_have_effect(scope)
+            self._report(scope["path"], has_effect, error)
             if exchange.has_begun:
                 raise
-            await exchange.answer(self._make_answer(may_have_effect))
+            await exchange.answer(self._make_answer(has_effect))
 
 
 class _Exchange:
