--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -1,5 +1,6 @@
 """Requests of callers: submit a job, get its state, cancel it, and count the jobs that wait."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -51,7 +52,7 @@
     """The state of a job, as far as it could be determined.
 
     With `is_determined`, a `state` of None means that the job does not exist; without it, neither
-    the owner nor the store gave an answer.
+    the owner nor the store gave an answer, or a submission is unresolved that may yet store it.
     """
 
     is_determined: bool
@@ -91,6 +92,7 @@
         self._membership = membership
         self._peer_submission = PeerSubmission(context, membership)
         self._unresolved = UnresolvedSubmissions()
+        self._reports: set[asyncio.Task] = set()
         self._find_owner = find_owner
         self.find_config = find_config
         self.access = access
@@ -117,18 +119,37 @@
             return SubmitAnswer(SubmitOutcome.NOT_RUN, decision.refusal)
         spec = replace(spec, organisation=decision.organisation)
         submission = encode_submission(spec)
-        timeout_s = max(MIN_CALL_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
-        outcome, reason = await self.store_here(spec.job_id, submission, timeout_s)
-        if outcome is not SubmitOutcome.ACCEPTED:
-            outcome, reason = await self._peer_submission.store(
-                spec.job_id, submission, deadline_s, outcome
-            )
-            outcome = self._unresolved.settle(spec.job_id, outcome, now_s())
+        outcome, reason = SubmitOutcome.UNKNOWN, "handler_failed"
+        self._unresolved.begin(spec.job_id)
+        try:
+            outcome, reason = await self._store_anywhere(spec.job_id, submission, deadline_s)
+        finally:
+            # Also where the handler fails or is cancelled, as the store may carry out its call.
+            outcome = self._unresolved.end(spec.job_id, outcome, now_s())
             if outcome is SubmitOutcome.UNKNOWN:
-                self._tasks.start(self._peer_submission.report_unresolved(spec.job_id))
-        self._log_submit(spec, outcome, reason, now_s() - started_s)
+                self._report_unresolved(spec.job_id)
+            self._log_submit(spec, outcome, reason, now_s() - started_s)
         return SubmitAnswer(outcome)
 
+    async def _store_anywhere(
+        self, job_id: str, submission: bytes, deadline_s: float
+    ) -> tuple[SubmitOutcome, str]:
+        """Store a job from here or through a peer; earlier attempts do not count."""
+        timeout_s = max(MIN_CALL_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
+        outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
+        if outcome is SubmitOutcome.ACCEPTED:
+            return outcome, reason
+        return await self._peer_submission.store(job_id, submission, deadline_s, outcome)
+
+    def _report_unresolved(self, job_id: str) -> None:
+        report = self._tasks.start(self._peer_submission.report_unresolved(job_id))
+        self._reports.add(report)
+        report.add_done_callback(self._reports.discard)
+
+    async def finish_reports(self) -> None:
+        """Wait until the other nodes have been told of unresolved submissions."""
+        await asyncio.gather(*self._reports, return_exceptions=True)
+
     def note_unresolved(self, job_id: str) -> None:
         """Remember that a submission through another node has an unknown outcome."""
         self._unresolved.settle(job_id, SubmitOutcome.UNKNOWN, now_s())
@@ -142,8 +163,12 @@
         a call that fails midway may have been carried out. `NOT_RUN` also covers the earlier
         attempts that this node knows of.
         """
-        outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
-        settled = self._unresolved.settle(job_id, outcome, now_s())
+        outcome = SubmitOutcome.UNKNOWN
+        self._unresolved.begin(job_id)
+        try:
+            outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
+        finally:
+            settled = self._unresolved.end(job_id, outcome, now_s())
         return settled, reason if settled is outcome else "earlier_attempt_unknown"
 
     async def _try_to_store(
@@ -227,7 +252,13 @@
         except STORE_ERRORS as error:
             self._context.health.record_failure(error)
             return JobStateAnswer(False)
-        return JobStateAnswer(True, JobState.QUEUED if job is not None else None)
+        if job is None:
+            return self._state_of_absent(job_id)
+        return JobStateAnswer(True, JobState.QUEUED)
+
+    def _state_of_absent(self, job_id: str) -> JobStateAnswer:
+        """Return what is known of a job that the store does not have."""
+        return JobStateAnswer(not self._unresolved.is_known(job_id, now_s()))
 
     async def _visible_state_in_store(self, job_id: str, visible_to: str) -> JobStateAnswer:
         """Return the state of a job in the store if its record shows it to be visible."""
@@ -237,14 +268,17 @@
         except STORE_ERRORS as error:
             self._context.health.record_failure(error)
             return JobStateAnswer(False)
-        if job is None or not _is_record_visible(job.value, visible_to):
+        if job is None:
+            return self._state_of_absent(job_id)
+        if not _is_record_visible(job.value, visible_to):
             return JobStateAnswer(True, None)
         return await self._state_in_store(job_id)
 
     async def cancel(self, job_id: str, visible_to: str | None = None) -> CancelAnswer:
         """Cancel a job through the owner, or in the store if the owner did not store that.
 
-        A job that is not visible to the caller, as in `state`, is answered as unknown.
+        A job that is not visible to the caller, as in `state`, is answered as unknown. One that the
+        store does not have is known while a submission of it is unresolved.
         """
         owner = self._find_owner()
         if owner is not None:
@@ -272,7 +306,9 @@
         store = self._context.store
         try:
             job = await store.get(JOBS_PREFIX + job_id, READ_TIMEOUT_S)
-            if job is None or not _is_record_visible(job.value, visible_to):
+            if job is None:
+                return CancelAnswer(self._unresolved.is_known(job_id, now_s()), is_stored=False)
+            if not _is_record_visible(job.value, visible_to):
                 return CancelAnswer(is_known=False, is_stored=False)
             puts = [Put(CANCELS_PREFIX + job_id, b"1")]
             expected = {JOBS_PREFIX + job_id: job.revision}
--- a/redwingplank/platform/http/server.py
+++ b/redwingplank/platform/http/server.py
@@ -7,11 +7,29 @@
 from typing import Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 __all__ = ["HttpServer", "serve_http"]
 
 LISTEN_BACKLOG = 1024
 KEEP_ALIVE_S = 75
+CANCELLED_S = 0.1
+"""Longest time for which a cancelled handler is waited for; it only has to send its answer."""
+
+
+class _HttpProtocol(HttpToolsProtocol):
+    def send_400_response(self, msg: str) -> None:
+        """Close the connection, after an answer only if it can be taken for no other request's."""
+        cycle = self.cycle
+        is_handled = (
+            cycle is not None
+            and not cycle.response_complete
+            and (cycle.response_started or not cycle.more_body)
+        )
+        if is_handled or self.pipeline:
+            self.transport.close()
+        else:
+            super().send_400_response(msg)
 
 
 class _Server(uvicorn.Server):
@@ -47,7 +65,7 @@
     ) -> None:
         config = uvicorn.Config(
             application,
-            http="httptools",
+            http=_HttpProtocol,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -74,9 +92,16 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+        await self._finish_cancelled()
         for listening in self._sockets:
             listening.close()
 
+    async def _finish_cancelled(self) -> None:
+        """Let handlers that were cancelled at the end of the graceful time send their answers."""
+        handlers = list(self._server.server_state.tasks)
+        if handlers and not self._server.force_exit:
+            await asyncio.wait(handlers, timeout=CANCELLED_S)
+
     def abort(self) -> None:
         """End a running `stop` at once, without waiting for the requests in flight."""
         self._server.force_exit = True
