Log lines that tell what became of each copy of a submission

Cause: a submit line names the last reason only; copies, connections, answers and interrupted handlers leave no trace, and refusals share 60 lines a second with accepted submissions.

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -13,6 +13,8 @@
 from redwingplank.cell.authentication import AccessRefusal, Credentials
 from redwingplank.cell.callers import Callers
 from redwingplank.cell.clocks import now_s, now_unix_s
+from redwingplank.cell.context import NodeContext
+from redwingplank.cell.request_log import RequestLog, note_submitted
 from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.core import InvalidValueError
 from redwingplank.platform.site.ingress import (
@@ -122,6 +124,7 @@
         except InvalidValueError as error:
             _answer(resp, HTTPStatus.BAD_REQUEST, str(error))
             return
+        note_submitted(req)
         answer = await self._callers.submit(spec, credentials, deadline_s)
         if answer.outcome is SubmitOutcome.ACCEPTED:
             resp.media = {}
@@ -182,7 +185,9 @@
     resp.set_header("WWW-Authenticate", "Bearer")
 
 
-def make_app(callers: Callers, find_obstacle: Callable[[], str]) -> falcon.asgi.App:
+def make_app(
+    callers: Callers, find_obstacle: Callable[[], str], context: NodeContext
+) -> falcon.asgi.App:
     """Return the HTTP application.
 
     Parameters
@@ -191,9 +196,11 @@
         Handles requests for jobs.
     find_obstacle : callable
         Returns the reason why the node is not ready, or an empty string.
+    context : NodeContext
+        Provides the log.
     """
     app = falcon.asgi.App(middleware=[_CloseWhenNotReady(find_obstacle)])
     app.add_route(READINESS_PATH, _ReadinessResource(find_obstacle))
     jobs = _JobsSink(callers)
-    app.add_sink(jobs.handle, prefix="/")
+    app.add_sink(RequestLog(jobs.handle, context).handle, prefix="/")
     return app
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -16,6 +16,8 @@
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.peer_submission import PeerSubmission
 from redwingplank.cell.submission import MIN_CALL_TIME_S, SubmitOutcome
+from redwingplank.cell.submission_lines import log_interrupted, log_submission
+from redwingplank.cell.submission_trace import DecidingCause, SubmissionTrace
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.unresolved_submissions import UnresolvedSubmissions
 from redwingplank.core import UndecodableError, decode_json
@@ -110,23 +112,33 @@
         deadline_s : float
             Time until which the caller waits, on the clock of `now_s`.
         """
-        started_s = now_s()
-        decision = self.access.check(credentials, started_s)
+        trace = SubmissionTrace(now_s())
+        try:
+            return await self._submit(spec, credentials, deadline_s, trace)
+        except BaseException as error:
+            self._log_interrupted(spec, error, trace)
+            raise
+
+    async def _submit(
+        self, spec: JobSpec, credentials: Credentials, deadline_s: float, trace: SubmissionTrace
+    ) -> SubmitAnswer:
+        decision = self.access.check(credentials, trace.started_s)
         if decision.refusal is not None:
-            self._log_submit(spec, SubmitOutcome.NOT_RUN, decision.refusal.value, 0.0)
+            trace.decide(DecidingCause.KEY)
+            self._log_submit(spec, SubmitOutcome.NOT_RUN, decision.refusal.value, trace)
             return SubmitAnswer(SubmitOutcome.NOT_RUN, decision.refusal)
         spec = replace(spec, organisation=decision.organisation)
         submission = encode_submission(spec)
         timeout_s = max(MIN_CALL_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
-        outcome, reason = await self.store_here(spec.job_id, submission, timeout_s)
+        outcome, reason = await self.store_here(spec.job_id, submission, timeout_s, trace)
         if outcome is not SubmitOutcome.ACCEPTED:
             outcome, reason = await self._peer_submission.store(
-                spec.job_id, submission, deadline_s, outcome
+                spec.job_id, submission, deadline_s, outcome, trace
             )
-            outcome = self._unresolved.settle(spec.job_id, outcome, now_s())
+            outcome = self._settle(spec.job_id, outcome, trace)
             if outcome is SubmitOutcome.UNKNOWN:
                 self._tasks.start(self._peer_submission.report_unresolved(spec.job_id))
-        self._log_submit(spec, outcome, reason, now_s() - started_s)
+        self._log_submit(spec, outcome, reason, trace)
         return SubmitAnswer(outcome)
 
     def note_unresolved(self, job_id: str) -> None:
@@ -134,27 +146,42 @@
         self._unresolved.settle(job_id, SubmitOutcome.UNKNOWN, now_s())
 
     async def store_here(
-        self, job_id: str, submission: bytes, timeout_s: float
+        self,
+        job_id: str,
+        submission: bytes,
+        timeout_s: float,
+        trace: SubmissionTrace | None = None,
     ) -> tuple[SubmitOutcome, str]:
         """Store a job unless it is stored already; return the result and its reason.
 
         While the store is known to be unreachable, no call is made, so that `NOT_RUN` is certain:
         a call that fails midway may have been carried out. `NOT_RUN` also covers the earlier
-        attempts that this node knows of.
+        attempts that this node knows of. The course of the call is recorded in `trace`.
         """
-        outcome, reason = await self._try_to_store(job_id, submission, timeout_s)
-        settled = self._unresolved.settle(job_id, outcome, now_s())
+        if trace is None:
+            trace = SubmissionTrace(now_s())
+        outcome, reason = await self._try_to_store(job_id, submission, timeout_s, trace)
+        settled = self._settle(job_id, outcome, trace)
         return settled, reason if settled is outcome else "earlier_attempt_unknown"
 
+    def _settle(self, job_id: str, outcome: SubmitOutcome, trace: SubmissionTrace) -> SubmitOutcome:
+        settled = self._unresolved.settle(job_id, outcome, now_s())
+        if settled is not outcome:
+            trace.decide(DecidingCause.EARLIER_ATTEMPT)
+        return settled
+
     async def _try_to_store(
-        self, job_id: str, submission: bytes, timeout_s: float
+        self, job_id: str, submission: bytes, timeout_s: float, trace: SubmissionTrace
     ) -> tuple[SubmitOutcome, str]:
         if self._context.health.is_unreachable:
+            trace.decide(DecidingCause.STORE_AWAY)
             return SubmitOutcome.NOT_RUN, "store_away"
         key = JOBS_PREFIX + job_id
         puts = [Put(key, submission)]
         try:
-            result = await self._context.store.transact({key: 0}, puts, [], timeout_s)
+            result = await self._context.store.transact(
+                {key: 0}, puts, [], timeout_s, trace.record_call
+            )
         except NoAnswerError as error:
             self._context.health.record_failure(error)
             return SubmitOutcome.UNKNOWN, "no_answer"
@@ -168,11 +195,18 @@
         is_new = result.outcome is TransactionOutcome.DONE
         return SubmitOutcome.ACCEPTED, "stored" if is_new else "already_stored"
 
-    def _log_submit(self, spec: JobSpec, outcome: SubmitOutcome, reason: str, age_s: float) -> None:
+    def _log_submit(
+        self, spec: JobSpec, outcome: SubmitOutcome, reason: str, trace: SubmissionTrace
+    ) -> None:
+        fields = {"job": spec.job_id, "queue": spec.queue}
         name = outcome.name.lower()
-        self._context.log(
-            "submit", job=spec.job_id, queue=spec.queue, outcome=name, reason=reason, age_s=age_s
-        )
+        self._context.metrics.record_submission(name, trace.cause.name.lower())
+        log_submission(self._context, "submit", fields, name, reason, trace)
+
+    def _log_interrupted(self, spec: JobSpec, error: BaseException, trace: SubmissionTrace) -> None:
+        fields = {"job": spec.job_id, "queue": spec.queue}
+        outcome = log_interrupted(self._context, "submit", fields, error, trace)
+        self._context.metrics.record_submission(outcome, trace.cause.name.lower())
 
     async def state(self, job_id: str, visible_to: str | None = None) -> JobStateAnswer:
         """Return the state of a job, from the owner or else from the store.
--- a/redwingplank/cell/hedged_call.py
+++ b/redwingplank/cell/hedged_call.py
@@ -6,10 +6,12 @@
 from typing import Generic, TypeVar
 
 from redwingplank.cell.clocks import now_s
+from redwingplank.cell.copy_record import CallEnd, CallRecord, CopyRecord, CopyResult
+from redwingplank.platform.site.call_trace import CallFailure, CallTrace, follow_calls
 from redwingplank.platform.site.http import NoAnswerError, NotSentError
 from redwingplank.platform.site.store import StoreRefusedError
 
-__all__ = ["MAX_COPIES", "HedgedCall", "SendCopy"]
+__all__ = ["MAX_COPIES", "CallObserver", "HedgedCall", "SendCopy"]
 
 MAX_COPIES = 6
 """Largest number of copies of one call."""
@@ -20,12 +22,71 @@
 SendCopy = Callable[[float, Callable[[], None]], Awaitable[_Result]]
 """Sends a copy with a time-out in seconds, and calls a function when its answer begins."""
 
+CallObserver = Callable[[CallRecord], None]
+"""Called once, when a call has ended."""
+
+_RESULTS_BY_FAILURE = {
+    CallFailure.BROKEN: CopyResult.BROKEN,
+    CallFailure.TIMED_OUT: CopyResult.NO_ANSWER,
+}
+
 
 @dataclass(slots=True, eq=False)
 class _Copy(Generic[_Result]):
     future: asyncio.Future[_Result]
     sent_s: float
+    trace: CallTrace | None = None
     has_begun: bool = False
+    ended_s: float | None = None
+    ended_as: CopyResult | None = None
+    """Why the copy was cancelled, None if it ended by itself."""
+
+    def note_end(self, _: asyncio.Future[_Result]) -> None:
+        """Note the time at which the copy ended by itself."""
+        if self.ended_s is None:
+            self.ended_s = now_s()
+
+    def abandon(self, result: CopyResult) -> None:
+        """Cancel the copy, which has no result yet unless it has ended by itself."""
+        if not self.future.done() and self.ended_as is None:
+            self.ended_as = result
+            self.ended_s = now_s()
+        self.future.cancel()
+        self.future.add_done_callback(_retrieve_error)
+
+    def result(self) -> CopyResult:
+        """Return what became of the copy, which has ended or was abandoned."""
+        if self.ended_as is not None:
+            return self.ended_as
+        if self.future.cancelled():
+            return CopyResult.CANCELLED
+        error = self.future.exception()
+        if error is None:
+            return CopyResult.ANSWERED
+        if isinstance(error, NotSentError):
+            return CopyResult.NOT_SENT
+        if isinstance(error, StoreRefusedError):
+            return CopyResult.REFUSED
+        if not isinstance(error, NoAnswerError):
+            return CopyResult.FAILED
+        failure = self.trace.failure if self.trace is not None else None
+        return CopyResult.UNUSABLE if failure is None else _RESULTS_BY_FAILURE[failure]
+
+    def record(self, is_deciding: bool, ended_s: float) -> CopyRecord:
+        """Return the record of the copy."""
+        assert self.trace is not None
+        return CopyRecord(
+            sent_s=self.sent_s,
+            ended_s=ended_s if self.ended_s is None else self.ended_s,
+            result=self.result(),
+            is_deciding=is_deciding,
+            status=self.trace.status,
+            error=self.trace.error,
+            local_port=self.trace.local_port,
+            is_kept=self.trace.is_kept,
+            is_writing=self.trace.is_writing,
+            body_bytes=self.trace.body_bytes,
+        )
 
     @property
     def has_no_effect(self) -> bool:
@@ -56,6 +117,9 @@
     on_begun : callable
         Called when an answer begins, with the seconds since its copy was sent, and with whether it
         overtook an earlier copy.
+    observe : callable, optional
+        Called with the record of the call when it has ended, also when it was cancelled. Without
+        it no records are made.
     """
 
     def __init__(
@@ -64,6 +128,7 @@
         timeout_s: float,
         delay_s: float,
         on_begun: Callable[[float, bool], None],
+        observe: CallObserver | None = None,
     ) -> None:
         self._send_copy = send_copy
         self._timeout_s = timeout_s
@@ -71,8 +136,11 @@
         self._delay_s = delay_s
         self._on_begun = on_begun
         self._copies: list[_Copy[_Result]] = []
-        self._sent_count = 0
+        self._observe = observe
+        self._sent: list[_Copy[_Result]] = []
         self._failure: Exception | None = None
+        self._deciding: _Copy[_Result] | None = None
+        self._end = CallEnd.DEADLINE
 
     async def run(self) -> _Result:
         """Return the first answer.
@@ -85,32 +153,63 @@
             Every copy that was sent failed without effect.
         """
         try:
-            while True:
-                sent_s = self._send()
-                is_last = self._sent_count == MAX_COPIES
-                until_s = self._deadline_s if is_last else sent_s + self._delay_s
-                answered = await self._wait_for_answer(min(until_s, self._deadline_s))
-                if answered is not None:
-                    return answered.future.result()
-                if self._failure is not None and not self._pending():
-                    raise self._failure
-                if is_last or now_s() >= self._deadline_s:
-                    raise NoAnswerError("no copy of the call was answered in time")
+            return await self._run()
+        except asyncio.CancelledError:
+            self._settle(CallEnd.CANCELLED)
+            self._cancel(self._copies, CopyResult.CANCELLED)
+            raise
         finally:
-            self._cancel(self._copies)
+            self._cancel(self._copies, CopyResult.NO_ANSWER)
+            self._report()
+
+    async def _run(self) -> _Result:
+        while True:
+            sent_s = self._send()
+            is_last = len(self._sent) == MAX_COPIES
+            until_s = self._deadline_s if is_last else sent_s + self._delay_s
+            answered = await self._wait_for_answer(min(until_s, self._deadline_s))
+            if answered is not None:
+                self._settle(CallEnd.COPY, answered)
+                return answered.future.result()
+            if self._failure is not None and not self._pending():
+                raise self._failure
+            if is_last or now_s() >= self._deadline_s:
+                self._settle(CallEnd.DEADLINE)
+                raise NoAnswerError("no copy of the call was answered in time")
+
+    def _settle(self, end: CallEnd, deciding: _Copy[_Result] | None = None) -> None:
+        """Note what decides the call as far as is known."""
+        self._end = end
+        self._deciding = deciding
+
+    def _report(self) -> None:
+        if self._observe is None:
+            return
+        ended_s = now_s()
+        copies = tuple(copy.record(copy is self._deciding, ended_s) for copy in self._sent)
+        self._observe(CallRecord(copies, self._end))
 
     def _send(self) -> float:
         sent_s = now_s()
-        self._sent_count += 1
 
         def handle_begun() -> None:
             self._handle_begun(copy)
 
         call = self._send_copy(self._timeout_s, handle_begun)
-        copy = _Copy(asyncio.ensure_future(call), sent_s)
+        copy = self._start(call, sent_s)
+        self._sent.append(copy)
         self._copies.append(copy)
         return sent_s
 
+    def _start(self, call: Awaitable[_Result], sent_s: float) -> _Copy[_Result]:
+        if self._observe is None:
+            return _Copy(asyncio.ensure_future(call), sent_s)
+        trace = CallTrace()
+        with follow_calls(trace):
+            copy = _Copy(asyncio.ensure_future(call), sent_s, trace)
+        copy.future.add_done_callback(copy.note_end)
+        return copy
+
     def _handle_begun(self, copy: _Copy[_Result]) -> None:
         """Cancel all other copies, because the answer to this one is being received."""
         if copy.has_begun or copy not in self._copies:
@@ -122,8 +221,9 @@
         )
         if not all(other.has_no_effect for other in others):
             self._failure = NoAnswerError("copies of the call were dropped without an answer")
+            self._settle(CallEnd.DROPPED)
         self._copies = [copy]
-        self._cancel(others)
+        self._cancel(others, CopyResult.DROPPED)
         self._on_begun(now_s() - copy.sent_s, is_overtaking)
 
     def _pending(self) -> list[asyncio.Future[_Result]]:
@@ -155,16 +255,17 @@
             self._handle_begun(copy)
             return True
         if not isinstance(error, _STORE_ERRORS):
+            self._settle(CallEnd.COPY, copy)
             raise error
         if not isinstance(self._failure, NoAnswerError):
             self._failure = error
+            self._settle(CallEnd.COPY, copy)
         return False
 
     @staticmethod
-    def _cancel(copies: list[_Copy[_Result]]) -> None:
+    def _cancel(copies: list[_Copy[_Result]], result: CopyResult) -> None:
         for copy in copies:
-            copy.future.cancel()
-            copy.future.add_done_callback(_retrieve_error)
+            copy.abandon(result)
 
 
 def _retrieve_error(future: asyncio.Future) -> None:
--- a/redwingplank/cell/hedged_store.py
+++ b/redwingplank/cell/hedged_store.py
@@ -4,7 +4,7 @@
 from typing import TypeVar
 
 from redwingplank.cell.clocks import now_s
-from redwingplank.cell.hedged_call import HedgedCall, SendCopy
+from redwingplank.cell.hedged_call import CallObserver, HedgedCall, SendCopy
 from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.store import (
     Item,
@@ -88,8 +88,12 @@
         puts: list[Put],
         removes: list[str],
         timeout_s: float,
+        observe: CallObserver | None = None,
     ) -> TransactionResult:
-        """Change keys atomically if each key of `expected` has its given revision (0 if absent)."""
+        """Change keys atomically if each key of `expected` has its given revision (0 if absent).
+
+        `observe` is called with the record of the copies when the call has ended.
+        """
         upload_s = sum(len(put.value) for put in puts) / SLOW_LINK_BYTES_PER_S
         return await self._hedge(
             lambda limit_s, on_headers: self._store.transact(
@@ -97,6 +101,7 @@
             ),
             timeout_s + upload_s,
             upload_s,
+            observe,
         )
 
     async def renew_lease(self, lease: int, timeout_s: float) -> bool:
@@ -129,9 +134,11 @@
         send_copy: SendCopy[_Result],
         timeout_s: float,
         upload_s: float = 0.0,
+        observe: CallObserver | None = None,
     ) -> _Result:
         delay_s = max(MIN_HEDGE_DELAY_S, self._hedge_delay_s()) + upload_s
-        return await HedgedCall(send_copy, timeout_s, delay_s, self._record_begun).run()
+        call = HedgedCall(send_copy, timeout_s, delay_s, self._record_begun, observe)
+        return await call.run()
 
     def _record_begun(self, took_s: float, is_overtaking: bool) -> None:
         self._mean_answer_s += MEAN_WEIGHT * (took_s - self._mean_answer_s)
--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -56,6 +56,12 @@
             ["cause"],
             registry=self.registry,
         )
+        self._submissions = Counter(
+            "redwing_submissions",
+            "Submissions by outcome and what decided it",
+            ["outcome", "cause"],
+            registry=self.registry,
+        )
         self.organisations = OrganisationMetrics(self.registry)
         self._store_calls = Histogram(
             "redwing_store_call_seconds",
@@ -100,6 +106,10 @@
         if histogram_and_field is not None and histogram_and_field[1] in fields:
             histogram_and_field[0].observe(fields[histogram_and_field[1]])
 
+    def record_submission(self, outcome: str, cause: str) -> None:
+        """Count a submission by its outcome and what decided that."""
+        self._submissions.labels(outcome, cause).inc()
+
     def record_store_call(self, call: str, took_s: float) -> None:
         """Observe the duration of a store call; one without an answer counts with its time-out."""
         self._store_calls.labels(call).observe(took_s)
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -76,7 +76,7 @@
         )
         self._peer_server = NodeServer({CELL_SERVICE: service})
         await self._peer_server.start(settings.peer_address)
-        app = make_app(self.callers, self._find_obstacle)
+        app = make_app(self.callers, self._find_obstacle, self._context)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
         self._http = await serve_http(app, addresses, FINISH_S)
         if settings.metrics_address:
--- a/redwingplank/cell/peer_submission.py
+++ b/redwingplank/cell/peer_submission.py
@@ -7,6 +7,7 @@
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.membership import Membership, NodeEntry
 from redwingplank.cell.submission import MIN_CALL_TIME_S, SubmitOutcome
+from redwingplank.cell.submission_trace import PeerRecord, PeerResult, SubmissionTrace
 from redwingplank.core import choose_by_rendezvous
 from redwingplank.rpc.errors import PeerUnreachableError, RpcError
 
@@ -41,7 +42,12 @@
         self._breakers_by_domain: dict[str, CircuitBreaker] = {}
 
     async def store(
-        self, job_id: str, submission: bytes, deadline_s: float, outcome: SubmitOutcome
+        self,
+        job_id: str,
+        submission: bytes,
+        deadline_s: float,
+        outcome: SubmitOutcome,
+        trace: SubmissionTrace | None = None,
     ) -> tuple[SubmitOutcome, str]:
         """Ask peers to store a job; return the result and its reason.
 
@@ -56,22 +62,31 @@
         outcome : SubmitOutcome
             Result of this node's own attempt. Unless a peer stores the job, an unknown result
             stays unknown.
+        trace : SubmissionTrace, optional
+            Records what each peer was asked and answered.
         """
+        if trace is None:
+            trace = SubmissionTrace(now_s())
         reason = "no_peer_to_ask"
         for peer in self._peers_to_try(job_id):
             timeout_s = min(PEER_TIMEOUT_S, deadline_s - now_s() - MIN_CALL_TIME_S)
             if timeout_s <= 0:
+                trace.record_peer(_make_unasked(peer, PeerResult.NO_TIME_LEFT))
                 break
             breaker = self._breakers_by_domain.setdefault(
                 peer.failure_domain, CircuitBreaker(DOMAIN_OPEN_S)
             )
             if not breaker.allow(now_s()):
+                trace.record_peer(_make_unasked(peer, PeerResult.BREAKER_OPEN))
                 continue
             reason = "no_peer_stored_it"
-            peer_outcome = await self._ask(peer, breaker, job_id, submission, timeout_s)
+            peer_outcome = await self._ask(peer, breaker, job_id, submission, timeout_s, trace)
             if peer_outcome is SubmitOutcome.ACCEPTED:
+                trace.decide_by_peer()
                 return SubmitOutcome.ACCEPTED, "stored_by_peer"
             if peer_outcome is SubmitOutcome.UNKNOWN:
+                if outcome is not SubmitOutcome.UNKNOWN:
+                    trace.decide_by_peer()
                 outcome = SubmitOutcome.UNKNOWN
         return outcome, reason
 
@@ -100,17 +115,23 @@
         job_id: str,
         submission: bytes,
         timeout_s: float,
+        trace: SubmissionTrace,
     ) -> SubmitOutcome:
         outcome = SubmitOutcome.UNKNOWN
+        result, detail, asked_s = PeerResult.CANCELLED, "", now_s()
         try:
             name = await self._context.calls.submit(peer.address, job_id, submission, timeout_s)
             outcome = SubmitOutcome[name]
+            result = PeerResult[name]
         except PeerUnreachableError as error:
             self._context.log("peer_unreachable", address=peer.address, error=error)
             outcome = SubmitOutcome.NOT_RUN
+            result, detail = PeerResult.UNREACHABLE, type(error).__name__
         except RpcError as error:
             self._context.log("peer_unreachable", address=peer.address, error=error)
+            result, detail = PeerResult.NO_ANSWER, type(error).__name__
         finally:
+            trace.record_peer(PeerRecord(peer.address, asked_s, now_s(), result, detail))
             if outcome is SubmitOutcome.ACCEPTED:
                 breaker.record_success()
             else:
@@ -139,3 +160,7 @@
         if other is not None:
             chosen.append(by_address[other])
         return chosen
+
+
+def _make_unasked(peer: NodeEntry, result: PeerResult) -> PeerRecord:
+    return PeerRecord(peer.address, now_s(), now_s(), result)
--- a/redwingplank/cell/service.py
+++ b/redwingplank/cell/service.py
@@ -4,9 +4,12 @@
 from typing import Any
 
 from redwingplank.batch.model import StepKey
+from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.submission import SubmitOutcome
+from redwingplank.cell.submission_lines import log_interrupted, log_submission
+from redwingplank.cell.submission_trace import SubmissionTrace
 from redwingplank.platform.site.advice import AdviceBusyError
 from redwingplank.platform.site.http import SiteError
 from redwingplank.rpc.peers import is_refused
@@ -14,6 +17,8 @@
 
 __all__ = ["CellService"]
 
+StoreJob = Callable[[str, bytes, float, SubmissionTrace], Awaitable[tuple[SubmitOutcome, str]]]
+
 _CellServer: Any = load_schema("cell").Cell.Server
 
 
@@ -30,8 +35,8 @@
         Returns the owner that runs in this process, or None if there is none or it has not yet
         read the stored jobs.
     store_job : callable
-        Stores a job on behalf of another node; called with job id, encoded submission and
-        timeout in seconds.
+        Stores a job on behalf of another node; called with job id, encoded submission, timeout in
+        seconds, and the trace that records the course of the call.
     note_unresolved : callable
         Called with the id of a job whose submission through another node has an unknown outcome.
     """
@@ -40,7 +45,7 @@
         self,
         context: NodeContext,
         find_owner: Callable[[], OwnerRuntime | None],
-        store_job: Callable[[str, bytes, float], Awaitable[tuple[SubmitOutcome, str]]],
+        store_job: StoreJob,
         note_unresolved: Callable[[str], None],
     ) -> None:
         self._store_job = store_job
@@ -112,6 +117,13 @@
         _context: Any,
         **_: Any,
     ) -> str:
-        outcome, reason = await self._store_job(jobId, bytes(submission), timeoutS)
-        self._context.log("submit_for_peer", job=jobId, outcome=outcome.name.lower(), reason=reason)
+        trace = SubmissionTrace(now_s())
+        fields = {"job": jobId}
+        try:
+            outcome, reason = await self._store_job(jobId, bytes(submission), timeoutS, trace)
+        except BaseException as error:
+            log_interrupted(self._context, "submit_for_peer", fields, error, trace)
+            raise
+        name = outcome.name.lower()
+        log_submission(self._context, "submit_for_peer", fields, name, reason, trace)
         return outcome.name
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -9,6 +9,13 @@
 import aiohttp
 
 from redwingplank.core import RedwingError
+from redwingplank.platform.site.call_trace import (
+    CallFailure,
+    CallTrace,
+    TracedConnector,
+    current_trace,
+    make_trace_config,
+)
 
 __all__ = ["NoAnswerError", "NotSentError", "Reply", "SiteClient", "SiteError"]
 
@@ -61,7 +68,7 @@
     """
 
     def __init__(self, connections_per_host: int = CONNECTIONS_PER_HOST) -> None:
-        connector = aiohttp.TCPConnector(
+        connector = TracedConnector(
             limit=0,
             limit_per_host=connections_per_host,
             keepalive_timeout=IDLE_S,
@@ -71,6 +78,14 @@
         self._session = aiohttp.ClientSession(
             connector=connector, auto_decompress=False, raise_for_status=False
         )
+        self._traced_session = aiohttp.ClientSession(
+            connector=connector,
+            connector_owner=False,
+            auto_decompress=False,
+            raise_for_status=False,
+            trace_configs=[make_trace_config()],
+        )
+        """Shares the connections; apart, so that only calls that are followed pay for it."""
 
     async def call(
         self,
@@ -115,20 +130,32 @@
                 connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=timeout_s
             )
         url = f"http://{address}{target}"
+        trace = current_trace()
+        session = self._session if trace is None else self._traced_session
         try:
-            async with self._session.request(
-                method, url, data=body, headers=sent_headers, timeout=timeout
+            async with session.request(
+                method,
+                url,
+                data=body,
+                headers=sent_headers,
+                timeout=timeout,
+                trace_request_ctx=trace,
             ) as response:
+                if trace is not None:
+                    trace.status = response.status
                 if on_headers is not None and _is_answer(response.status):
                     on_headers()
                 return Reply(response.status, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            _record(trace, CallFailure.NOT_CONNECTED, error)
             raise NotSentError(f"cannot reach {address}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            _record(trace, _kind_of(error), error)
             raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
 
     async def close(self) -> None:
         """Close all connections."""
+        await self._traced_session.close()
         await self._session.close()
 
 
@@ -137,6 +164,17 @@
     return status < HTTPStatus.INTERNAL_SERVER_ERROR and status != HTTPStatus.TOO_MANY_REQUESTS
 
 
+def _record(trace: CallTrace | None, failure: CallFailure, error: Exception) -> None:
+    if trace is not None:
+        trace.record_failure(failure, error)
+
+
+def _kind_of(error: Exception) -> CallFailure:
+    """Tell a time-out of the call from an error of the socket, which has a number."""
+    is_timeout = isinstance(error, TimeoutError) and error.errno is None
+    return CallFailure.TIMED_OUT if is_timeout else CallFailure.BROKEN
+
+
 def _make_socket(address_info: Any) -> socket.socket:
     family, kind, protocol, _, _ = address_info
     new_socket = socket.socket(family, kind, protocol)
