--- a/redwingplank/cell/eventlog.py
+++ b/redwingplank/cell/eventlog.py
@@ -133,7 +133,7 @@
         if self.dropped:
             fields["n_lines_lost"] = self.dropped
             self.dropped = 0
-        self._append(self._format(now_s, "events_left_out", fields), MAX_WAITING_LINES)
+        self._append(self._format(now_s, "events_left_out", fields), MAX_USUAL_WAITING_LINES)
 
     def _format(self, now_s: float, event: str, fields: dict[str, Any]) -> bytes:
         text = f"t={now_s:.3f} node={self._node} {format_event(event, fields)}\n"
