--- a/redwingplank/cell/tests/test_hedged_call.py
+++ b/redwingplank/cell/tests/test_hedged_call.py
@@ -7,6 +7,7 @@
 import pytest
 
 from redwingplank.cell import hedged_call
+from redwingplank.cell.copy_record import CallEnd, CallRecord, CopyResult
 from redwingplank.cell.hedged_call import MAX_COPIES, HedgedCall
 from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.store import StoreRefusedError
@@ -157,3 +158,69 @@
 
         assert run_virtual(call()) == pytest.approx(1.5)
         assert store.sent == MAX_COPIES
+
+
+def record(store: Store, timeout_s: float = 1.5, cancelled_after_s: float = 99.0) -> CallRecord:
+    """Return the record of a call that is cancelled after some time."""
+    records: list[CallRecord] = []
+
+    async def call() -> None:
+        hedged = HedgedCall(store.send, timeout_s, DELAY_S, lambda *_: None, records.append)
+        task = asyncio.ensure_future(hedged.run())
+        await asyncio.wait([task], timeout=cancelled_after_s)
+        task.cancel()
+        await asyncio.wait([task])
+
+    run_virtual(call())
+    (only,) = records
+    return only
+
+
+class TestRecord:
+    """What the observer of a call is told of its copies."""
+
+    # Guards against an answer that is attributed to the wrong copy.
+    def test_names_the_copy_that_was_answered_and_those_that_were_dropped(self):
+        told = record(Store(Plan(99.0, 99.0), Plan(0.05, 0.06)))
+        assert [copy.result for copy in told.copies] == [CopyResult.DROPPED, CopyResult.ANSWERED]
+        assert [copy.is_deciding for copy in told.copies] == [False, True]
+        assert [copy.sent_s for copy in told.copies] == [0.0, pytest.approx(DELAY_S)]
+        assert [copy.ended_s for copy in told.copies] == [
+            pytest.approx(DELAY_S + 0.05),
+            pytest.approx(DELAY_S + 0.06),
+        ]
+        assert told.end is CallEnd.COPY
+
+    # Guards against a refusal that is shown as what decided where a lost copy did.
+    def test_of_a_lost_copy_and_refused_ones_names_the_deadline(self):
+        refused = Plan(0.0, 0.01, is_refusal=True, is_begin_reported=False)
+        told = record(Store(Plan(99.0, 99.0), *[refused] * MAX_COPIES))
+        results = [copy.result for copy in told.copies]
+        assert results == [CopyResult.NO_ANSWER, *[CopyResult.REFUSED] * (MAX_COPIES - 1)]
+        assert told.end is CallEnd.DEADLINE
+        assert not any(copy.is_deciding for copy in told.copies)
+
+    # Guards against copies that were dropped for a refusal and are not shown as what decided.
+    def test_of_copies_dropped_for_an_answer_that_was_none_names_the_drop(self):
+        told = record(Store(Plan(99.0, 99.0), Plan(0.01, 0.02, is_refusal=True)))
+        assert told.end is CallEnd.DROPPED
+        results = [copy.result for copy in told.copies]
+        assert results[:2] == [CopyResult.DROPPED, CopyResult.REFUSED]
+
+    # Guards against a call that is cancelled before its copies are recorded.
+    def test_of_a_cancelled_call_shows_what_was_under_way(self):
+        told = record(Store(), cancelled_after_s=0.2)
+        assert [copy.result for copy in told.copies] == [CopyResult.CANCELLED] * 2
+        assert [copy.ended_s for copy in told.copies] == [pytest.approx(0.2)] * 2
+        assert told.end is CallEnd.CANCELLED
+
+    # Guards against an error of this program that ends a call without a record.
+    def test_of_an_unexpected_error_names_its_copy(self):
+        class Failing(Store):
+            async def send(self, timeout_s, on_headers):
+                raise KeyError("unexpected")
+
+        told = record(Failing())
+        assert [(copy.result, copy.is_deciding) for copy in told.copies] == [
+            (CopyResult.FAILED, True)
+        ]
