--- a/redwingplank/cell/hedged_call.py
+++ b/redwingplank/cell/hedged_call.py
@@ -48,7 +48,9 @@
 
     def abandon(self, result: CopyResult) -> None:
         """Cancel the copy, which has no result yet unless it has ended by itself."""
-        if not self.future.done() and self.ended_as is None:
+        if self.ended_as is not None:
+            return
+        if not self.future.done():
             self.ended_as = result
             self.ended_s = now_s()
         self.future.cancel()
--- a/redwingplank/cell/tests/test_submission_log.py
+++ b/redwingplank/cell/tests/test_submission_log.py
@@ -226,8 +226,9 @@
         await site.until(lambda: len(site.nodes[0]._membership.nodes_by_name) == len(site.nodes))
         health = site.contexts[0].health
         health.is_unreachable = True
-        health.record_success = lambda: None
-        status, _, _ = await site.call("POST", f"/proof/{ID}", JOB)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(health, "record_success", lambda: None)
+            status, _, _ = await site.call("POST", f"/proof/{ID}", JOB)
         return status, await line_of(site, "submit")
 
     @staticmethod
@@ -277,6 +278,8 @@
             assert "unreachable PeerUnreachableError" in field_of(line, "peers")
             assert field_of(line, "cause") == "store_away"
             other_id = ID[::-1]
+            site.contexts[0].health.is_unreachable = True
+            monkeypatch.setattr(site.contexts[0].health, "record_success", lambda: None)
             await site.call("POST", f"/proof/{other_id}", JOB)
             assert "breaker_open" in field_of(await line_of(site, "submit", other_id), "peers")
 
