--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -13,6 +13,8 @@
 from redwingplank.cell.authentication import AccessRefusal, Credentials
 from redwingplank.cell.callers import Callers
 from redwingplank.cell.clocks import now_s, now_unix_s
+from redwingplank.cell.context import NodeContext
+from redwingplank.cell.request_log import RequestLog, note_submitted
 from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.core import InvalidValueError
 from redwingplank.platform.http.guard import (
@@ -129,6 +131,7 @@
         except InvalidValueError as error:
             _answer(resp, HTTPStatus.BAD_REQUEST, str(error))
             return
+        note_submitted(req)
         note_effect(req.scope)
         answer = await self._callers.submit(spec, credentials, deadline_s)
         if answer.outcome is SubmitOutcome.ACCEPTED:
@@ -216,7 +219,10 @@
 
 
 def make_app(
-    callers: Callers, find_obstacle: Callable[[], str], report_failure: ReportFailure
+    callers: Callers,
+    find_obstacle: Callable[[], str],
+    context: NodeContext,
+    report_failure: ReportFailure,
 ) -> AnswerGuard:
     """Return the HTTP application.
 
@@ -226,12 +232,14 @@
         Handles requests for jobs.
     find_obstacle : callable
         Returns the reason why the node is not ready, or an empty string.
+    context : NodeContext
+        Provides the log.
     report_failure : callable
         Told of each request whose handler failed or was cancelled.
     """
     app = falcon.asgi.App(middleware=[_CloseWhenNotReady(find_obstacle)])
     app.add_route(READINESS_PATH, _ReadinessResource(find_obstacle))
     jobs = _JobsSink(callers)
-    app.add_sink(jobs.handle, prefix="/")
+    app.add_sink(RequestLog(jobs.handle, context).handle, prefix="/")
     app.add_error_handler(Exception, _pass_on)
     return AnswerGuard(app, _make_failure_answer, report_failure)
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -15,6 +15,7 @@
 from redwingplank.cell.metrics import make_metrics_app
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.owner_watch import OwnerWatch
+from redwingplank.cell.request_log import log_failed_request
 from redwingplank.cell.service import CellService
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.platform.http.server import HttpServer, serve_http
@@ -76,7 +77,7 @@
         )
         self._peer_server = NodeServer({CELL_SERVICE: service})
         await self._peer_server.start(settings.peer_address)
-        app = make_app(self.callers, self._find_obstacle, self._report_failure)
+        app = make_app(self.callers, self._find_obstacle, self._context, self._report_failure)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
         self._http = await serve_http(app, addresses, FINISH_S)
         if settings.metrics_address:
@@ -122,9 +123,7 @@
             self._context.log("leave_failed", error=error)
 
     def _report_failure(self, path: str, may_have_effect: bool, error: BaseException) -> None:
-        self._context.log(
-            "request_failed", path=path, may_have_effect=may_have_effect, error=repr(error)
-        )
+        log_failed_request(self._context, path, may_have_effect, error)
 
     @property
     def owns_jobs(self) -> bool:
