--- /dev/null
+++ b/redwingplank/cell/tests/store_fault_fixture.py
@@ -0,0 +1,179 @@
+"""Runs one call of the store against a scripted one, and compares its outcome with the effects."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any, TypeVar
+
+import pytest
+
+from redwingplank.cell import hedged_store
+from redwingplank.cell.callers import Callers
+from redwingplank.cell.context import StoreHealth
+from redwingplank.cell.hedged_store import HedgedStore
+from redwingplank.cell.submission import SubmitOutcome
+from redwingplank.platform.site.http import NoAnswerError, NotSentError, SiteClient
+from redwingplank.platform.site.store import Put, SiteStore, StoreRefusedError
+from redwingplank.standin.exchange_script import AnswerPlan, Exchange, Step, StopListening
+from redwingplank.standin.fault_rows import FAULTS_BY_NAME, WAIT_S
+from redwingplank.standin.scripted_site import ScriptedSite, make_scripted_store
+from redwingplank.standin.site_store import SiteStoreModel
+
+HEDGE_DELAY_S = 0.05
+"""A sixth of the time that a call waits, so that all copies are sent."""
+CASES_AT_ONCE = 48
+JOB_KEY = "jobs/one"
+VALUE = b"v" * 400
+_WARM_UP = Exchange(answer=AnswerPlan(delay_s=0.1))
+
+_Result = TypeVar("_Result")
+
+
+@dataclass(frozen=True)
+class Case:
+    """A call whose copies meet the steps of a script.
+
+    `kept` is the number of idle connections that are open before the call, and `then` the step of
+    the copies beyond the script.
+    """
+
+    name: str
+    script: tuple[Step, ...]
+    then: Exchange
+    kept: int = 0
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Outcome of a call, and whether a copy of it took effect until the store had settled."""
+
+    case: Case
+    outcome: str
+    is_certain: bool
+    """Whether the outcome says that no copy has or will have an effect."""
+    has_effect: bool
+    trace: str
+
+    @property
+    def is_wrong(self) -> bool:
+        return self.is_certain and self.has_effect
+
+
+def shorten_hedge_delay(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(hedged_store, "MIN_HEDGE_DELAY_S", HEDGE_DELAY_S)
+    monkeypatch.setattr(hedged_store, "MAX_HEDGE_DELAY_S", HEDGE_DELAY_S)
+
+
+def make_case(first: str, later: str, kept: int) -> Case:
+    """Return the case of a fault of the first copy and another one of all further copies."""
+    first_step, later_step = FAULTS_BY_NAME[first].step, FAULTS_BY_NAME[later].step
+    name = f"{first} / then {later} / {kept} kept"
+    if isinstance(later_step, StopListening):
+        return Case(name, (first_step, later_step), Exchange(), kept)
+    return Case(name, (first_step,), later_step, kept)
+
+
+class Caller:
+    """A node's clients of a scripted store.
+
+    Parameters
+    ----------
+    site : ScriptedSite
+        The store, which has been started.
+    """
+
+    def __init__(self, site: ScriptedSite) -> None:
+        self.client = SiteClient()
+        self.site_store = SiteStore(self.client, site.address, lambda name, took_s: None)
+        self.store = HedgedStore(self.site_store)
+
+    async def open_connections(self, count: int) -> None:
+        """Leave `count` connections idle."""
+        await asyncio.gather(
+            *(
+                self.site_store.transact({}, [Put(f"warm/{number}", b"")], [], 5.0)
+                for number in range(count)
+            )
+        )
+
+    def make_callers(self) -> Callers:
+        """Return the part of a node that stores jobs."""
+        context: Any = SimpleNamespace(store=self.store, log=lambda event, **fields: None)
+        context.health = StoreHealth(context)
+        unused: Any = None
+        return Callers(context, unused, unused, unused, unused, unused)
+
+
+Send = Callable[[Caller], Awaitable[tuple[str, bool]]]
+"""Makes the call; returns its outcome, and whether that says that it certainly has no effect."""
+
+
+async def send_single(caller: Caller) -> tuple[str, bool]:
+    return await _transact(caller.site_store.transact, WAIT_S)
+
+
+async def send_hedged(caller: Caller) -> tuple[str, bool]:
+    return await _transact(caller.store.transact, WAIT_S)
+
+
+async def send_submission(caller: Caller) -> tuple[str, bool]:
+    job_id = JOB_KEY.removeprefix("jobs/")
+    outcome, reason = await caller.make_callers().store_here(job_id, VALUE, WAIT_S)
+    return f"{outcome.name} {reason}", outcome is SubmitOutcome.NOT_RUN
+
+
+async def _transact(transact: Callable[..., Awaitable[Any]], timeout_s: float) -> tuple[str, bool]:
+    try:
+        result = await transact({JOB_KEY: 0}, [Put(JOB_KEY, VALUE)], [], timeout_s)
+    except (NotSentError, StoreRefusedError) as error:
+        return f"{type(error).__name__}: {error}", True
+    except NoAnswerError as error:
+        return f"NoAnswerError: {error}", False
+    return result.outcome.name, False
+
+
+async def play(case: Case, send: Send) -> Verdict:
+    """Make a call as a case says, and wait until its copies can have no further effect."""
+    model = SiteStoreModel()
+    script = [*[_WARM_UP] * case.kept, *case.script]
+    site = make_scripted_store(model, script, case.then)
+    site.start()
+    caller = Caller(site)
+    await caller.open_connections(case.kept)
+    outcome, is_certain = await send(caller)
+    await caller.client.close()
+    await site.settle()
+    has_effect = any(request.has_effect for request in site.requests[case.kept :])
+    assert has_effect == (JOB_KEY in model.items)
+    return Verdict(case, outcome, is_certain, has_effect, describe(site, case.kept))
+
+
+def describe(site: ScriptedSite, skipped: int = 0) -> str:
+    """Return what became of each request to a site."""
+    lines = []
+    for treated in site.requests[skipped:]:
+        is_whole = "read whole" if treated.request is not None else "not read whole"
+        status = treated.result.answer.status if treated.result is not None else "not carried out"
+        lines.append(f"copy {treated.number - skipped}: {is_whole}, {status}, {treated.step}")
+    return "\n    ".join(lines)
+
+
+async def play_all(cases: Sequence[Case], send: Send) -> list[Verdict]:
+    """Play cases concurrently; return the verdicts in their order."""
+    turn = asyncio.Semaphore(CASES_AT_ONCE)
+
+    async def play_in_turn(case: Case) -> Verdict:
+        async with turn:
+            return await play(case, send)
+
+    return await asyncio.gather(*(play_in_turn(case) for case in cases))
+
+
+def report_wrong(verdicts: Sequence[Verdict]) -> str:
+    """Return the cases whose outcome says more than is true, empty if there are none."""
+    return "\n".join(
+        f"{verdict.case.name}: {verdict.outcome}\n    {verdict.trace}"
+        for verdict in verdicts
+        if verdict.is_wrong
+    )
