--- a/redwingplank/cell/tests/store_fault_fixture.py
+++ b/redwingplank/cell/tests/store_fault_fixture.py
@@ -12,6 +12,7 @@
 from redwingplank.cell.callers import Callers
 from redwingplank.cell.context import StoreHealth
 from redwingplank.cell.hedged_store import HedgedStore
+from redwingplank.cell.keys import JOBS_PREFIX
 from redwingplank.cell.submission import SubmitOutcome
 from redwingplank.platform.site.http import NoAnswerError, NotSentError, SiteClient
 from redwingplank.platform.site.store import Put, SiteStore, StoreRefusedError
@@ -23,7 +24,8 @@
 HEDGE_DELAY_S = 0.05
 """A sixth of the time that a call waits, so that all copies are sent."""
 CASES_AT_ONCE = 48
-JOB_KEY = "jobs/one"
+JOB_ID = "one"
+JOB_KEY = JOBS_PREFIX + JOB_ID
 VALUE = b"v" * 400
 _WARM_UP = Exchange(answer=AnswerPlan(delay_s=0.1))
 
@@ -118,8 +120,7 @@
 
 
 async def send_submission(caller: Caller) -> tuple[str, bool]:
-    job_id = JOB_KEY.removeprefix("jobs/")
-    outcome, reason = await caller.make_callers().store_here(job_id, VALUE, WAIT_S)
+    outcome, reason = await caller.make_callers().store_here(JOB_ID, VALUE, WAIT_S)
     return f"{outcome.name} {reason}", outcome is SubmitOutcome.NOT_RUN
 
 
--- a/redwingplank/standin/exchange_script.py
+++ b/redwingplank/standin/exchange_script.py
@@ -21,10 +21,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Status and body of an answer."""
+    """Status and body of an answer, and where it redirects to unless that is empty."""
 
     status: int
     body: bytes = b"{}"
+    location: str = ""
 
 
 class Cut(enum.Enum):
--- a/redwingplank/standin/raw_http.py
+++ b/redwingplank/standin/raw_http.py
@@ -89,6 +89,7 @@
 async def send_answer(connection: socket.socket, answer: Answer, plan: AnswerPlan) -> None:
     """Send an answer as planned, up to its cut."""
     head = f"HTTP/1.1 {answer.status} X\r\nContent-Type: application/json\r\n"
+    head += f"Location: {answer.location}\r\n" if answer.location else ""
     head += f"Content-Length: {len(answer.body)}\r\n\r\n"
     text = head.encode("latin-1") + answer.body
     if plan.cut is Cut.IN_HEAD:
