A call that was sent once is never reported as not sent

Cause: aiohttp repeats idempotent calls (DELETE, GET) whose kept connection broke, and follows redirects; if the last connect is refused, its `ClientConnectorError` says nothing of the request sent before. `SiteClient.call` took it for `NotSentError`.

Change: a trace of the library (`on_request_headers_sent`, run before the first byte) records that sending has begun; then a failed connect is `NoAnswerError`.

--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
@@ -51,6 +52,13 @@
         return 200 <= self.status < 300
 
 
+@dataclass(slots=True)
+class _Sending:
+    """Whether the client library has begun to send a call, on any connection."""
+
+    has_begun: bool = False
+
+
 class SiteClient:
     """Sends calls over persistent connections, which are closed when the peer stops answering.
 
@@ -69,7 +77,10 @@
             socket_factory=_make_socket,
         )
         self._session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False, raise_for_status=False
+            connector=connector,
+            auto_decompress=False,
+            raise_for_status=False,
+            trace_configs=[_make_trace_of_sending()],
         )
 
     async def call(
@@ -103,7 +114,7 @@
         Raises
         ------
         NotSentError
-            The connection could not be established.
+            The connection could not be established, and nothing was sent on another one before.
         NoAnswerError
             The connection broke, or a time-out expired.
         """
@@ -115,14 +126,22 @@
                 connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=timeout_s
             )
         url = f"http://{address}{target}"
+        sending = _Sending()
         try:
             async with self._session.request(
-                method, url, data=body, headers=sent_headers, timeout=timeout
+                method,
+                url,
+                data=body,
+                headers=sent_headers,
+                timeout=timeout,
+                trace_request_ctx=sending,
             ) as response:
                 if on_headers is not None and _is_answer(response.status):
                     on_headers()
                 return Reply(response.status, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            if sending.has_begun:
+                raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
             raise NotSentError(f"cannot reach {address}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
@@ -137,6 +156,20 @@
     return status < HTTPStatus.INTERNAL_SERVER_ERROR and status != HTTPStatus.TOO_MANY_REQUESTS
 
 
+def _make_trace_of_sending() -> aiohttp.TraceConfig:
+    """Return a trace that records in the `_Sending` of each call that its first bytes are sent.
+
+    The library repeats idempotent calls whose kept connection broke, and follows redirects.
+    """
+
+    async def record(_session: object, context: SimpleNamespace, _parameters: object) -> None:
+        context.trace_request_ctx.has_begun = True
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(record)
+    return trace
+
+
 def _make_socket(address_info: Any) -> socket.socket:
     family, kind, protocol, _, _ = address_info
     new_socket = socket.socket(family, kind, protocol)
