--- a/redwingplank/standin/raw_http.py
+++ b/redwingplank/standin/raw_http.py
@@ -8,7 +8,7 @@
 
 from redwingplank.standin.exchange_script import Answer, AnswerPlan, Cut
 
-__all__ = ["Request", "RequestReader", "close_with_reset", "send_answer", "wait_for_bytes"]
+__all__ = ["Request", "RequestReader", "reset_when_closed", "send_answer", "wait_for_bytes"]
 
 HEAD_END = b"\r\n\r\n"
 CHUNK_BYTES = 65536
@@ -74,10 +74,10 @@
 async def wait_for_bytes(connection: socket.socket) -> bool:
     """Wait until bytes arrive, without reading them; return False if the connection ends."""
     loop = asyncio.get_running_loop()
-    arrived = loop.create_future()
-    loop.add_reader(connection, lambda: arrived.done() or arrived.set_result(None))
+    has_arrived = asyncio.Event()
+    loop.add_reader(connection, has_arrived.set)
     try:
-        await arrived
+        await has_arrived.wait()
     finally:
         loop.remove_reader(connection)
     try:
@@ -103,7 +103,6 @@
         await asyncio.get_running_loop().sock_sendall(connection, text[begin : begin + size])
 
 
-def close_with_reset(connection: socket.socket) -> None:
-    """Close a connection so that its peer gets a reset."""
+def reset_when_closed(connection: socket.socket) -> None:
+    """Make the close of a connection a reset."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    connection.close()
--- a/redwingplank/standin/scripted_site.py
+++ b/redwingplank/standin/scripted_site.py
@@ -22,7 +22,7 @@
 from redwingplank.standin.raw_http import (
     Request,
     RequestReader,
-    close_with_reset,
+    reset_when_closed,
     send_answer,
     wait_for_bytes,
 )
@@ -223,8 +223,7 @@
         if ending is Ending.SILENT:
             await self._is_ending.wait()
         elif ending is Ending.RESET:
-            self._connections.discard(connection)
-            close_with_reset(connection)
+            reset_when_closed(connection)
         return ending is Ending.KEEP
 
 
