Commands to workers over the scripted site

Cause: `NOT_SENT` and the refusals of a start let a task be started elsewhere; no test showed them true on sockets.

--- a/redwingplank/standin/scripted_site.py
+++ b/redwingplank/standin/scripted_site.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -27,8 +28,16 @@
     wait_for_bytes,
 )
 from redwingplank.standin.site_store import SiteStoreModel
+from redwingplank.standin.site_workers import SiteWorkerModel
 
-__all__ = ["Result", "ScriptedService", "ScriptedSite", "Treated", "make_scripted_store"]
+__all__ = [
+    "Result",
+    "ScriptedService",
+    "ScriptedSite",
+    "Treated",
+    "make_scripted_store",
+    "make_scripted_worker",
+]
 
 BACKLOG = 64
 
@@ -242,6 +251,24 @@
         return Answer(200 if is_ended else 404)
 
 
+class _WorkerService(ScriptedService):
+    def __init__(self, model: SiteWorkerModel) -> None:
+        self._model = model
+
+    def carry_out(self, request: Request) -> Result:
+        model = self._model
+        commands = {
+            "/-/run-start": lambda body: model.start(body, time.time()),
+            "/-/run-stop": model.stop,
+        }
+        command = commands.get(request.target)
+        if command is None:
+            return Result(Answer(200), False)
+        status, reason = command(msgspec.json.decode(request.body))
+        answer = Answer(status, msgspec.json.encode({"reason": reason}))
+        return Result(answer, status == 200)
+
+
 def make_scripted_store(
     model: SiteStoreModel, script: Sequence[Step], then: Exchange
 ) -> ScriptedSite:
@@ -255,3 +282,18 @@
         As for `ScriptedSite`.
     """
     return ScriptedSite(_StoreService(model), script, then)
+
+
+def make_scripted_worker(
+    model: SiteWorkerModel, script: Sequence[Step], then: Exchange
+) -> ScriptedSite:
+    """Return a worker, as far as it carries out starts and stops.
+
+    Parameters
+    ----------
+    model : SiteWorkerModel
+        State of the worker, whose clock is that of this machine.
+    script, then
+        As for `ScriptedSite`.
+    """
+    return ScriptedSite(_WorkerService(model), script, then)
