--- a/redwingplank/standin/exchange_script.py
+++ b/redwingplank/standin/exchange_script.py
@@ -106,6 +106,10 @@
     answer: AnswerPlan | None = AnswerPlan()
     ending: Ending = Ending.KEEP
 
+    def __post_init__(self) -> None:
+        if isinstance(self.reading, ReadPart) and self.ending is Ending.KEEP:
+            raise ValueError("the rest of the request would be read as the next one; end otherwise")
+
 
 @dataclass(frozen=True, slots=True)
 class StopListening:
