--- a/redwingplank/standin/tcp_proxy.py
+++ b/redwingplank/standin/tcp_proxy.py
@@ -163,7 +163,8 @@
         except OSError:
             pass
         finally:
-            _shut_down(flow.sink, socket.SHUT_WR)
+            if not pair.is_ended:
+                _shut_down(flow.sink, socket.SHUT_WR)
 
 
 @dataclass(slots=True)
@@ -172,9 +173,11 @@
 
     caller: socket.socket
     service: socket.socket
+    is_ended: bool = False
 
     def end(self, is_reset: bool) -> None:
         """End both flows; the sockets are closed once both have noticed."""
+        self.is_ended = True
         _shut_down(self.service, socket.SHUT_RDWR)
         if is_reset:
             reset_when_closed(self.caller)
