Searches for scripts of faults, also over several calls of one client

Cause: sequences of faults that nobody thought of, and answers that a connection carries over from one call to the next.

--- a/redwingplank/cell/tests/store_fault_fixture.py
+++ b/redwingplank/cell/tests/store_fault_fixture.py
@@ -24,8 +24,6 @@
 HEDGE_DELAY_S = 0.05
 """A sixth of the time that a call waits, so that all copies are sent."""
 CASES_AT_ONCE = 48
-JOB_ID = "one"
-JOB_KEY = JOBS_PREFIX + JOB_ID
 VALUE = b"v" * 400
 _WARM_UP = Exchange(answer=AnswerPlan(delay_s=0.1))
 
@@ -34,32 +32,47 @@
 
 @dataclass(frozen=True)
 class Case:
-    """A call whose copies meet the steps of a script.
+    """Calls whose copies meet the steps of a script.
 
-    `kept` is the number of idle connections that are open before the call, and `then` the step of
-    the copies beyond the script.
+    `kept` is the number of idle connections that are open before the calls, and `then` the step of
+    the copies beyond the script. Each call writes a job of its own.
     """
 
     name: str
     script: tuple[Step, ...]
     then: Exchange
     kept: int = 0
+    calls: int = 1
+    is_concurrent: bool = False
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Outcome of a call; `is_certain` if it says that no copy has or will have an effect."""
+
+    text: str
+    is_certain: bool
 
 
 @dataclass(frozen=True)
 class Verdict:
-    """Outcome of a call, and whether a copy of it took effect until the store had settled."""
+    """Outcomes of the calls of a case, and which took effect until the store had settled."""
 
     case: Case
-    outcome: str
-    is_certain: bool
-    """Whether the outcome says that no copy has or will have an effect."""
-    has_effect: bool
+    outcomes: tuple[Outcome, ...]
+    effects: tuple[bool, ...]
     trace: str
 
+    @property
+    def first(self) -> Outcome:
+        return self.outcomes[0]
+
     @property
     def is_wrong(self) -> bool:
-        return self.is_certain and self.has_effect
+        return any(
+            outcome.is_certain and has_effect
+            for outcome, has_effect in zip(self.outcomes, self.effects, strict=True)
+        )
 
 
 def shorten_hedge_delay(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -89,6 +102,7 @@
         self.client = SiteClient()
         self.site_store = SiteStore(self.client, site.address, lambda name, took_s: None)
         self.store = HedgedStore(self.site_store)
+        self.callers = self._make_callers()
 
     async def open_connections(self, count: int) -> None:
         """Leave `count` connections idle."""
@@ -99,7 +113,7 @@
             )
         )
 
-    def make_callers(self) -> Callers:
+    def _make_callers(self) -> Callers:
         """Return the part of a node that stores jobs."""
         context: Any = SimpleNamespace(store=self.store, log=lambda event, **fields: None)
         context.health = StoreHealth(context)
@@ -107,47 +121,56 @@
         return Callers(context, unused, unused, unused, unused, unused)
 
 
-Send = Callable[[Caller], Awaitable[tuple[str, bool]]]
-"""Makes the call; returns its outcome, and whether that says that it certainly has no effect."""
+Send = Callable[[Caller, str], Awaitable[Outcome]]
+"""Makes a call that stores the job with an id."""
 
 
-async def send_single(caller: Caller) -> tuple[str, bool]:
-    return await _transact(caller.site_store.transact, WAIT_S)
+async def send_single(caller: Caller, job_id: str) -> Outcome:
+    return await _transact(caller.site_store.transact, job_id)
 
 
-async def send_hedged(caller: Caller) -> tuple[str, bool]:
-    return await _transact(caller.store.transact, WAIT_S)
+async def send_hedged(caller: Caller, job_id: str) -> Outcome:
+    return await _transact(caller.store.transact, job_id)
 
 
-async def send_submission(caller: Caller) -> tuple[str, bool]:
-    outcome, reason = await caller.make_callers().store_here(JOB_ID, VALUE, WAIT_S)
-    return f"{outcome.name} {reason}", outcome is SubmitOutcome.NOT_RUN
+async def send_submission(caller: Caller, job_id: str) -> Outcome:
+    outcome, reason = await caller.callers.store_here(job_id, VALUE, WAIT_S)
+    return Outcome(f"{outcome.name} {reason}", outcome is SubmitOutcome.NOT_RUN)
 
 
-async def _transact(transact: Callable[..., Awaitable[Any]], timeout_s: float) -> tuple[str, bool]:
+async def _transact(transact: Callable[..., Awaitable[Any]], job_id: str) -> Outcome:
+    key = JOBS_PREFIX + job_id
     try:
-        result = await transact({JOB_KEY: 0}, [Put(JOB_KEY, VALUE)], [], timeout_s)
+        result = await transact({key: 0}, [Put(key, VALUE)], [], WAIT_S)
     except (NotSentError, StoreRefusedError) as error:
-        return f"{type(error).__name__}: {error}", True
+        return Outcome(f"{type(error).__name__}: {error}", True)
     except NoAnswerError as error:
-        return f"NoAnswerError: {error}", False
-    return result.outcome.name, False
+        return Outcome(f"NoAnswerError: {error}", False)
+    return Outcome(result.outcome.name, False)
 
 
 async def play(case: Case, send: Send) -> Verdict:
-    """Make a call as a case says, and wait until its copies can have no further effect."""
+    """Make the calls of a case, and wait until their copies can have no further effect."""
     model = SiteStoreModel()
     script = [*[_WARM_UP] * case.kept, *case.script]
     site = make_scripted_store(model, script, case.then)
     site.start()
     caller = Caller(site)
     await caller.open_connections(case.kept)
-    outcome, is_certain = await send(caller)
+    outcomes = await _make_calls(case, caller, send)
     await caller.client.close()
     await site.settle()
+    effects = tuple(f"{JOBS_PREFIX}{number}" in model.items for number in range(case.calls))
     has_effect = any(request.has_effect for request in site.requests[case.kept :])
-    assert has_effect == (JOB_KEY in model.items)
-    return Verdict(case, outcome, is_certain, has_effect, describe(site, case.kept))
+    assert has_effect == any(effects)
+    return Verdict(case, tuple(outcomes), effects, describe(site, case.kept))
+
+
+async def _make_calls(case: Case, caller: Caller, send: Send) -> list[Outcome]:
+    calls = [send(caller, str(number)) for number in range(case.calls)]
+    if case.is_concurrent:
+        return await asyncio.gather(*calls)
+    return [await call for call in calls]
 
 
 def describe(site: ScriptedSite, skipped: int = 0) -> str:
@@ -174,7 +197,7 @@
 def report_wrong(verdicts: Sequence[Verdict]) -> str:
     """Return the cases whose outcome says more than is true, empty if there are none."""
     return "\n".join(
-        f"{verdict.case.name}: {verdict.outcome}\n    {verdict.trace}"
+        f"{verdict.case.name}: {verdict.outcomes}, {verdict.effects}\n    {verdict.trace}"
         for verdict in verdicts
         if verdict.is_wrong
     )
--- a/redwingplank/cell/tests/test_random_store_faults.py
+++ b/redwingplank/cell/tests/test_random_store_faults.py
@@ -21,9 +21,11 @@
 cases = st.builds(
     Case,
     st.just("random"),
-    st.lists(steps, min_size=1, max_size=7).map(tuple),
+    st.lists(steps, min_size=1, max_size=12).map(tuple),
     exchanges,
     st.integers(0, 3),
+    st.sampled_from([1, 1, 2, 4]),
+    st.booleans(),
 )
 
 
--- a/redwingplank/cell/tests/test_store_faults.py
+++ b/redwingplank/cell/tests/test_store_faults.py
@@ -13,6 +13,7 @@
 
 from redwingplank.cell.tests.store_fault_fixture import (
     Caller,
+    Outcome,
     Send,
     Verdict,
     make_case,
@@ -98,17 +99,17 @@
         verdicts = play_table(send_single, ["answered"], [0, 1])
         assert report_wrong(verdicts.values()) == ""
         for name in REFUSED:
-            assert verdicts[f"{name} / then answered / 0 kept"].is_certain
-        assert verdicts["connect refused / then answered / 0 kept"].is_certain
+            assert verdicts[f"{name} / then answered / 0 kept"].first.is_certain
+        assert verdicts["connect refused / then answered / 0 kept"].first.is_certain
 
     # Guards against all failures that `FAULTS_BY_NAME` lists, with copies that get other answers.
     def test_of_a_repeated_call_say_no_more_than_is_true(self):
         verdicts = play_table(send_hedged, LATER, [0, ALL_KEPT])
         assert report_wrong(verdicts.values()) == ""
-        assert verdicts["answered / then 503 / 0 kept"].outcome == "DONE"
-        assert verdicts["connect refused / then 503 / 0 kept"].is_certain
+        assert verdicts["answered / then 503 / 0 kept"].first.text == "DONE"
+        assert verdicts["connect refused / then 503 / 0 kept"].first.is_certain
         for name in CARRIED_OUT_ONLY:
-            assert verdicts[f"{name} / then 503 / 0 kept"].has_effect
+            assert verdicts[f"{name} / then 503 / 0 kept"].effects == (True,)
 
 
 class TestOutcomesOfSubmissions:
@@ -116,34 +117,34 @@
     def test_say_no_more_than_is_true(self):
         verdicts = play_table(send_submission, LATER, [1])
         assert report_wrong(verdicts.values()) == ""
-        assert verdicts["429 / then 429 / 1 kept"].outcome == "NOT_RUN refused_by_store"
+        assert verdicts["429 / then 429 / 1 kept"].first.text == "NOT_RUN refused_by_store"
 
 
 class TestKeptConnections:
     # Guards against a connection that ended before the call and counts as a refused connect.
     def test_a_connection_that_closed_unnoticed_is_no_refusal(self):
-        async def scenario() -> tuple[str, bool]:
+        async def scenario() -> Outcome:
             async with open_site(SiteStoreModel(), []) as (site, caller):
                 await caller.open_connections(1)
                 site.close_connections()
-                return await send_single(caller)
+                return await send_single(caller, "one")
 
-        outcome, is_certain = asyncio.run(scenario())
-        assert (outcome.partition(":")[0], is_certain) == ("NoAnswerError", False)
+        outcome = asyncio.run(scenario())
+        assert (outcome.text.partition(":")[0], outcome.is_certain) == ("NoAnswerError", False)
 
     # Guards against the notice of a proxy that it closes an idle connection, taken for a refusal.
     @pytest.mark.parametrize("is_noticed_before", [True, False])
     def test_a_notice_that_nobody_asked_for_refuses_no_later_call(self, is_noticed_before):
-        async def scenario() -> tuple[str, bool]:
+        async def scenario() -> Outcome:
             async with open_site(SiteStoreModel(), []) as (site, caller):
                 await caller.open_connections(1)
                 site.send_unasked(NOTICE)
                 if is_noticed_before:
                     await asyncio.sleep(0.05)
-                return await send_single(caller)
+                return await send_single(caller, "one")
 
-        outcome, is_certain = asyncio.run(scenario())
-        assert not is_certain, outcome
+        outcome = asyncio.run(scenario())
+        assert not outcome.is_certain, outcome.text
 
 
 class TestRepeatedByTheLibrary:
@@ -164,15 +165,15 @@
 
     # Guards against a redirect that is followed to nobody after the call was carried out.
     def test_a_redirected_call_that_then_finds_nobody_is_not_taken_for_not_sent(self):
-        async def scenario() -> tuple[str, bool, bool]:
+        async def scenario() -> tuple[Outcome, bool]:
             with socket.socket() as nobody:
                 nobody.bind(("127.0.0.1", 0))
                 location = f"http://127.0.0.1:{nobody.getsockname()[1]}/"
                 answer = AnswerPlan(Answer(307, location=location))
                 async with open_site(SiteStoreModel(), [Exchange(answer=answer)]) as (site, caller):
-                    outcome, is_certain = await send_single(caller)
-                return outcome, is_certain, site.has_effect
+                    outcome = await send_single(caller, "one")
+                return outcome, site.has_effect
 
-        outcome, is_certain, has_effect = asyncio.run(scenario())
+        outcome, has_effect = asyncio.run(scenario())
         assert has_effect
-        assert not is_certain, outcome
+        assert not outcome.is_certain, outcome.text
