--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
 """With the two settings above, a connection whose peer does not answer is closed after 3 s."""
+REPEATED_METHODS = frozenset({"DELETE", "GET"})
+"""Methods of calls that aiohttp sends once more if their kept connection broke."""
 UNACKNOWLEDGED_MS = 3000
 """A connection is closed if sent bytes are not acknowledged within this time."""
 
@@ -118,7 +120,8 @@
         Raises
         ------
         NotSentError
-            The connection could not be established.
+            The connection could not be established. Never raised for the methods in
+            `REPEATED_METHODS`: the call may have been sent on an earlier connection.
         NoAnswerError
             The connection broke, or a time-out expired.
         """
@@ -139,6 +142,7 @@
                 data=body,
                 headers=sent_headers,
                 timeout=timeout,
+                allow_redirects=False,
                 trace_request_ctx=trace,
             ) as response:
                 if trace is not None:
@@ -148,6 +152,8 @@
                 return Reply(response.status, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             _record(trace, CallFailure.NOT_CONNECTED, error)
+            if method in REPEATED_METHODS:
+                raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
             raise NotSentError(f"cannot reach {address}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             _record(trace, _kind_of(error), error)
