--- a/redwingplank/standin/site_store.py
+++ b/redwingplank/standin/site_store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import base64
+import bisect
+import operator
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -12,6 +14,8 @@
 __all__ = ["SiteStoreModel", "make_site_store_app"]
 
 MAX_ENTRIES = 32
+FOREIGN_PREFIXES = ("op/", "servers/")
+"""Prefixes of keys that nodes may not write."""
 
 
 @dataclass
@@ -109,6 +113,9 @@
         entries = [*body.get("expect", ()), *body.get("puts", ()), *body.get("remove", ())]
         if len(entries) > MAX_ENTRIES:
             return 400, {}
+        written = [row["key"] for row in body.get("puts", ())] + body.get("remove", [])
+        if any(key.startswith(FOREIGN_PREFIXES) for key in written):
+            return 403, {}
         for row in body.get("expect", ()):
             item = self.items.get(row["key"])
             if (item.revision if item else 0) != row["revision"]:
@@ -148,11 +155,8 @@
 
     def events_after(self, prefix: str, after: int) -> list[dict[str, Any]]:
         """Return the events of keys with a prefix after a revision."""
-        return [
-            event
-            for revision, event in self.events
-            if revision > after and event["key"].startswith(prefix)
-        ]
+        first = bisect.bisect_right(self.events, after, key=operator.itemgetter(0))
+        return [event for _, event in self.events[first:] if event["key"].startswith(prefix)]
 
     def _put(self, key: str, value: bytes, lease: int) -> None:
         old = self.items.get(key)
--- /dev/null
+++ b/tools/soak/plan.py
@@ -0,0 +1,142 @@
+"""Draws the faults of a run from its seed."""
+
+import enum
+import random
+from dataclasses import dataclass
+
+__all__ = ["Fault", "FaultKind", "make_plan"]
+
+QUIET_S = 1.0
+"""Time without faults at the beginning of a run."""
+SLOW_ANSWER_S = 0.24
+"""The store's usual answer of 4 ms, 60 times slower."""
+MAX_BUSY = 6
+
+
+class FaultKind(enum.Enum):
+    """What is disturbed."""
+
+    LOST = "lost"
+    """The store's answers to a share of the calls are lost after their effect."""
+    LATE = "late"
+    """A share of the calls takes effect later, without an answer."""
+    REFUSE = "refuse"
+    SLOW = "slow"
+    LIMIT = "limit"
+    """More writes than so many per second are refused."""
+    RESET = "reset"
+    UNREAD = "unread"
+    """The store accepts connections and does not read from them."""
+    PAUSE = "pause"
+    TERM = "term"
+    KILL = "kill"
+    BUSY = "busy"
+    CONFIG = "config"
+    REVOKE = "revoke"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault of a plan.
+
+    Parameters
+    ----------
+    kind : FaultKind
+        What is disturbed.
+    at_s, for_s : float
+        Time from the start of traffic, and length, in seconds.
+    nodes : frozenset of int
+        The nodes that it concerns.
+    amount : float
+        Share of calls, status, delay in seconds, calls per second or number of processes.
+    delay_s : float
+        With `LATE`, seconds until the effect.
+    """
+
+    kind: FaultKind
+    at_s: float
+    for_s: float
+    nodes: frozenset[int] = frozenset()
+    amount: float = 0.0
+    delay_s: float = 0.0
+
+    def __str__(self) -> str:
+        nodes = ",".join(map(str, sorted(self.nodes)))
+        text = f"{self.at_s:.2f}+{self.for_s:.2f} {self.kind.value} {self.amount:.3g}"
+        return f"{text} late {self.delay_s:.2f} nodes {nodes}"
+
+
+def make_plan(seed: int, length_s: float, nodes: int) -> list[Fault]:
+    """Return the faults of a run, in the order of their times.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the run.
+    length_s : float
+        Seconds of traffic.
+    nodes : int
+        Number of nodes.
+    """
+    return _Draw(random.Random(seed), nodes).plan(length_s)
+
+
+class _Draw:
+    def __init__(self, rng: random.Random, nodes: int) -> None:
+        self._rng = rng
+        self._nodes = nodes
+
+    def plan(self, length_s: float) -> list[Fault]:
+        faults: list[Fault] = []
+        at_s = QUIET_S
+        while at_s < length_s - 1.0:
+            episode = self._episode(at_s)
+            faults.extend(episode)
+            at_s = max(each.at_s + each.for_s for each in episode) + self._rng.uniform(0.0, 1.5)
+        return sorted(faults, key=lambda each: each.at_s)
+
+    def _episode(self, at_s: float) -> list[Fault]:
+        """Return faults in series or overlapping."""
+        draw = self._rng.random()
+        if draw < 0.45:
+            return self._unanswered_then_refused(at_s)
+        kinds = self._rng.choices(list(FaultKind), k=self._rng.randint(1, 4))
+        return [self._fault(kind, at_s + self._rng.uniform(0.0, 1.5)) for kind in kinds]
+
+    def _unanswered_then_refused(self, at_s: float) -> list[Fault]:
+        """Return a fault that leaves calls unanswered, and refusals that begin during it."""
+        rng = self._rng
+        silent = (FaultKind.LOST, FaultKind.LATE, FaultKind.UNREAD, FaultKind.SLOW, FaultKind.RESET)
+        first = self._fault(rng.choice(silent), at_s)
+        second = self._fault(
+            rng.choice((FaultKind.REFUSE, FaultKind.REFUSE, FaultKind.LIMIT)),
+            at_s + rng.uniform(0.1, 1.5),
+        )
+        extra = rng.choice((FaultKind.PAUSE, FaultKind.TERM, FaultKind.KILL, FaultKind.BUSY, None))
+        if extra is None:
+            return [first, second]
+        return [first, second, self._fault(extra, at_s + rng.uniform(0.0, 2.0))]
+
+    def _fault(self, kind: FaultKind, at_s: float) -> Fault:
+        rng = self._rng
+        for_s = rng.uniform(0.5, 4.5)
+        some = frozenset(rng.sample(range(self._nodes), rng.randint(1, self._nodes)))
+        nodes = some if rng.random() < 0.5 else frozenset(range(self._nodes))
+        if kind in (FaultKind.LOST, FaultKind.LATE):
+            share = rng.choice((0.1, 0.35, 0.6, 0.9))
+            return Fault(kind, at_s, for_s, nodes, share, rng.uniform(0.1, 3.0))
+        if kind is FaultKind.REFUSE:
+            return Fault(kind, at_s, for_s, nodes, rng.choice((503, 503, 429)))
+        if kind is FaultKind.SLOW:
+            return Fault(kind, at_s, for_s, nodes, rng.choice((SLOW_ANSWER_S, 0.5, 0.8)))
+        if kind is FaultKind.LIMIT:
+            return Fault(kind, at_s, for_s, nodes, rng.choice((5.0, 20.0, 60.0)))
+        if kind in (FaultKind.RESET, FaultKind.CONFIG, FaultKind.REVOKE):
+            return Fault(kind, at_s, 0.0, nodes)
+        if kind is FaultKind.UNREAD:
+            return Fault(kind, at_s, rng.uniform(0.2, 2.5), nodes)
+        if kind is FaultKind.BUSY:
+            return Fault(kind, at_s, for_s, amount=rng.randint(2, MAX_BUSY))
+        few = frozenset(rng.sample(range(self._nodes), min(self._nodes, rng.randint(1, 2))))
+        pause_s = rng.uniform(0.1, 3.0)
+        return Fault(kind, at_s, pause_s, few)
--- /dev/null
+++ b/tools/soak/run.py
@@ -0,0 +1,279 @@
+"""Plays one seed: starts everything, applies the plan, lets it settle, and checks."""
+
+import asyncio
+import json
+import os
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from redwingplank.standin.site_store import make_site_store_app
+from redwingplank.standin.site_workers import make_site_worker_app
+from tools.soak.callers import HOST, PREFIX, Callers, Organisations
+from tools.soak.checks import Violation, count_observations, find_violations
+from tools.soak.history import History
+from tools.soak.nodes import BusyProcesses, NodeAddress, NodeProcess
+from tools.soak.plan import Fault, FaultKind, make_plan
+from tools.soak.platform import FaultyStore, RecordingStore, SoakServer
+from tools.soak.workers import RecordingWorker
+
+__all__ = ["Result", "Soak", "SoakOptions"]
+
+WORKERS = 4
+ORGANISATIONS = 6
+STORE_PORT = 9000
+WORKER_PORT = 9100
+RUN_S = 0.15
+JOBS_PER_S = 10.0
+TICK_S = 0.02
+SETTLE_S = 150.0
+"""Limit of the wait for the end of all stored jobs; a job takes 0.2 s, a recovery some seconds."""
+STORE_FAULTS = frozenset(
+    {FaultKind.LOST, FaultKind.LATE, FaultKind.REFUSE, FaultKind.SLOW, FaultKind.LIMIT}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SoakOptions:
+    """What is played.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of faults, jobs and choices of nodes.
+    length_s : float
+        Seconds of traffic.
+    nodes : int
+        Number of nodes.
+    tree : Path
+        The checkout whose ``redwing-node`` is run.
+    folder : Path
+        Folder for logs and records.
+    """
+
+    seed: int
+    length_s: float
+    nodes: int
+    tree: Path
+    folder: Path
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """Outcome of a run."""
+
+    seed: int
+    jobs: int
+    answers: Counter[str]
+    observations: Counter[str]
+    violations: tuple[Violation, ...]
+
+    def __str__(self) -> str:
+        answers = ", ".join(f"{name}: {count}" for name, count in sorted(self.answers.items()))
+        seen = ", ".join(f"{name}: {count}" for name, count in sorted(self.observations.items()))
+        count = len(self.violations)
+        return f"seed {self.seed}: {self.jobs} jobs; {answers}; {count} violations; {seen or '-'}"
+
+
+class Soak:
+    """One run.
+
+    Parameters
+    ----------
+    options : SoakOptions
+        What is played.
+    plan : list of Fault, optional
+        Faults in place of those of the seed.
+    """
+
+    def __init__(self, options: SoakOptions, plan: list[Fault] | None = None) -> None:
+        self._options = options
+        self._plan = (
+            make_plan(options.seed, options.length_s, options.nodes) if plan is None else plan
+        )
+        self._started_s = time.monotonic()
+        self._history = History()
+        self._store = RecordingStore(self._history, self._now_s)
+        self._organisations = Organisations(ORGANISATIONS)
+        self._version = 0
+        subnet = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
+        self._platform_ip = f"{subnet}.1"
+        app = make_site_store_app(self._store, self._now_s)
+        self._faulty = FaultyStore(app, STORE_PORT, random.Random(options.seed + 1))
+        addresses = [(self._platform_ip, STORE_PORT + number) for number in range(options.nodes)]
+        self._store_server = SoakServer(self._faulty, addresses)
+        self._servers = [self._store_server]
+        self._nodes = [self._make_node(subnet, number) for number in range(options.nodes)]
+        self._workers: list[RecordingWorker] = []
+        self._busy = BusyProcesses()
+        self._rng = random.Random(options.seed + 2)
+
+    async def run(self) -> Result:
+        """Play the seed and return its outcome."""
+        self._callers = Callers(
+            self._rng, self._nodes, self._organisations, self._history, self._now_s
+        )
+        ticker = asyncio.create_task(self._tick())
+        try:
+            await self._start()
+            await self._play()
+            await self._settle()
+        finally:
+            ticker.cancel()
+            await self._stop()
+        result = self._judge()
+        self._write_record(result)
+        return result
+
+    def _now_s(self) -> float:
+        return time.monotonic() - self._started_s
+
+    def _make_node(self, subnet: str, number: int) -> NodeProcess:
+        store = f"{self._platform_ip}:{STORE_PORT + number}"
+        address = NodeAddress(f"n{number}", f"{subnet}.{10 + number}", store)
+        return NodeProcess(address, self._options.tree, self._options.folder)
+
+    async def _start(self) -> None:
+        await self._store_server.start()
+        self._configure()
+        for number in range(WORKERS):
+            await self._add_worker(number)
+        for node in self._nodes:
+            await node.start()
+        await asyncio.gather(*(node.wait_ready(self._callers.session) for node in self._nodes))
+
+    async def _add_worker(self, number: int) -> None:
+        name = f"w{number}"
+        worker = RecordingWorker(name, self._history, RUN_S)
+        self._workers.append(worker)
+        server = SoakServer(
+            make_site_worker_app(worker, self._now_s), [(self._platform_ip, WORKER_PORT + number)]
+        )
+        self._servers.append(server)
+        await server.start()
+        entry = {
+            "service": "render",
+            "address": f"{self._platform_ip}:{WORKER_PORT + number}",
+            "zone": "a",
+            "state": "ready",
+            "capacity": {"cpu": 64_000, "mem_mb": 64_000},
+            "labels": ["k", f"r{number}"],
+            "born": 1,
+        }
+        self._store.put(f"servers/{name}", msgspec.json.encode(entry))
+
+    def _configure(self) -> None:
+        self._version += 1
+        route = {
+            "name": "proof",
+            "host": HOST,
+            "prefix": PREFIX,
+            "service": "render",
+            "max_attempts": 50,
+            "stretch_factor": 1.5,
+            "target_duration_ms": 250 + self._version,
+        }
+        config = {
+            "version": self._version,
+            "routes": [route],
+            "limits": {"max_body_bytes": 20_000},
+            "tenants": self._organisations.tenants(),
+        }
+        self._store.put("op/config", msgspec.json.encode(config))
+
+    async def _tick(self) -> None:
+        while True:
+            for worker in self._workers:
+                worker.advance(self._now_s())
+            self._store.expire(self._now_s())
+            await asyncio.sleep(TICK_S)
+
+    async def _play(self) -> None:
+        began_s = self._now_s()
+        jobs, faults = [], []
+        for fault in self._plan:
+            faults.append(asyncio.create_task(self._apply(fault)))
+        while self._now_s() < began_s + self._options.length_s:
+            jobs.append(asyncio.create_task(self._callers.submit_one()))
+            await asyncio.sleep(self._rng.expovariate(JOBS_PER_S))
+        await asyncio.gather(*faults)
+        await asyncio.gather(*jobs)
+
+    async def _apply(self, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        ports = {STORE_PORT + number for number in fault.nodes}
+        nodes = [self._nodes[number] for number in sorted(fault.nodes)]
+        if fault.kind in STORE_FAULTS:
+            self._faulty.active.add(fault)
+            await asyncio.sleep(fault.for_s)
+            self._faulty.active.discard(fault)
+        elif fault.kind is FaultKind.RESET:
+            self._store_server.reset(ports)
+        elif fault.kind is FaultKind.UNREAD:
+            self._store_server.stop_reading(ports)
+            await asyncio.sleep(fault.for_s)
+            self._store_server.read_again(ports)
+        elif fault.kind is FaultKind.PAUSE:
+            for node in nodes:
+                node.pause()
+            await asyncio.sleep(fault.for_s)
+            for node in nodes:
+                node.resume()
+        elif fault.kind is FaultKind.BUSY:
+            self._busy.start(int(fault.amount), fault.for_s)
+            await asyncio.sleep(fault.for_s)
+        elif fault.kind is FaultKind.CONFIG:
+            self._configure()
+        elif fault.kind is FaultKind.REVOKE:
+            self._organisations.revoke(self._rng.choice(self._organisations.names))
+            self._configure()
+        else:
+            await asyncio.gather(*(self._restart(node, fault) for node in nodes))
+
+    async def _restart(self, node: NodeProcess, fault: Fault) -> None:
+        await (node.terminate() if fault.kind is FaultKind.TERM else node.kill())
+        await asyncio.sleep(fault.for_s)
+        await node.start()
+        await node.wait_ready(self._callers.session)
+
+    async def _settle(self) -> None:
+        for node in self._nodes:
+            node.resume()
+            await node.start()
+        await asyncio.gather(*(node.wait_ready(self._callers.session) for node in self._nodes))
+        while self._faulty.late_calls:
+            await asyncio.sleep(TICK_S)
+        await self._callers.settle(SETTLE_S)
+
+    async def _stop(self) -> None:
+        self._busy.stop()
+        for node in self._nodes:
+            await node.kill()
+        await self._callers.close()
+        for server in self._servers:
+            await server.stop()
+
+    def _judge(self) -> Result:
+        attempts = [each for rows in self._history.attempts_by_job.values() for each in rows]
+        answers = Counter(str(each.status or "none") for each in attempts if each.method == "POST")
+        return Result(
+            self._options.seed,
+            len(self._history.attempts_by_job),
+            answers,
+            count_observations(self._history),
+            tuple(find_violations(self._history)),
+        )
+
+    def _write_record(self, result: Result) -> None:
+        lines = [str(result), *map(str, result.violations), *map(str, self._plan)]
+        for job_id in self._history.attempts_by_job:
+            stored_s = self._history.stored_s_by_job.get(job_id)
+            rows = [*map(str, self._history.attempts_by_job[job_id])]
+            rows += map(str, self._history.starts_by_job.get(job_id, ()))
+            lines.append(json.dumps({"job": job_id, "stored_s": stored_s, "events": rows}))
+        path = self._options.folder / "record.txt"
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
