Soak: tests, untrue refusals, nodes in three zones

Cause: a refused attempt that stored its job is hidden from REFUSED when a later attempt is accepted; nodes of one zone skip every peer after one failure.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the soak: ``python -m tools.soak --seeds 1-10 --for 20``."""
 
 import asyncio
+import logging
 import shutil
 import sys
 import tempfile
@@ -52,11 +53,12 @@
     is_broken = False
     for number in range(int(first), int(last or first) + 1):
         folder = _make_folder(keep, number)
+        _log_to(folder)
         options = SoakOptions(number, length_s, nodes, tree.resolve(), folder)
         result = asyncio.run(Soak(options).run())
         _show(result, options)
         is_broken |= bool(result.violations)
-        if keep is None and not result.violations:
+        if keep is None and not result.violations and not result.untrue:
             shutil.rmtree(folder)
     return int(is_broken)
 
@@ -69,12 +71,17 @@
     return folder
 
 
+def _log_to(folder: Path) -> None:
+    """Write what the stand-ins log to a file: calls that are cut at the end of a run, too."""
+    logging.basicConfig(filename=folder / "standins.log", force=True)
+
+
 def _show(result: Result, options: SoakOptions) -> None:
     print(result, flush=True)
+    for found in (*result.violations, *result.untrue):
+        print(f"  {found}")
     if not result.violations:
         return
-    for violation in result.violations:
-        print(f"  {violation}")
     print(f"  logs: {options.folder}")
     print(
         f"  again: python -m tools.soak --seed {options.seed} --for {options.length_s:g}"
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -1,11 +1,18 @@
 """Rules that a history of callers, workers and store can break, and what is only counted."""
 
+import itertools
 from collections import Counter
 from dataclasses import dataclass
 
 from tools.soak.history import Attempt, History, RunStart
 
-__all__ = ["Violation", "count_observations", "find_violations", "is_accepted"]
+__all__ = [
+    "Violation",
+    "count_observations",
+    "find_untrue_refusals",
+    "find_violations",
+    "is_accepted",
+]
 
 REFUSALS = frozenset({400, 401, 404, 429, 503})
 """Statuses that say that a job was not accepted and never runs."""
@@ -35,6 +42,22 @@
     return [*_find_refused(history), *_find_twice(history), *_find_lost(history)]
 
 
+def find_untrue_refusals(history: History) -> list[Violation]:
+    """Return jobs that were stored when all attempts sent so far were, or came to be, refused.
+
+    One of these attempts had the effect, whatever came of later ones: what `REFUSED` would be if
+    the caller had not tried again. No rule is broken.
+    """
+    untrue = []
+    for job_id, stored_s in history.stored_s_by_job.items():
+        submissions = history.submissions_of(job_id)
+        before = [each for each in submissions if each.sent_s <= stored_s]
+        if before and all(each.status in REFUSALS for each in before):
+            trace = (f"stored at {stored_s:.3f}", *map(str, submissions))
+            untrue.append(Violation("UNTRUE", job_id, trace))
+    return untrue
+
+
 def count_observations(history: History) -> Counter[str]:
     """Count what a caller may find odd, but what breaks none of the checked rules."""
     counts: Counter[str] = Counter()
@@ -43,6 +66,7 @@
         starts = history.starts_by_job.get(job_id, [])
         counts["answers 500"] += sum(each.status == 500 for each in attempts)
         counts["ran, 503 after unknown"] += bool(starts) and _has_refusal_after_unknown(submissions)
+        counts["ran, none accepted"] += bool(starts) and not any(map(is_accepted, submissions))
         counts["ran after 410"] += _ran_after_gone(attempts, starts)
         counts["ran after 500"] += bool(starts) and any(each.status == 500 for each in submissions)
     return +counts
@@ -51,7 +75,7 @@
 def _has_refusal_after_unknown(submissions: list[Attempt]) -> bool:
     if any(is_accepted(each) for each in submissions):
         return False
-    for earlier, later in zip(submissions, submissions[1:], strict=False):
+    for earlier, later in itertools.pairwise(submissions):
         if earlier.status in UNKNOWNS and later.status in REFUSALS:
             return True
     return False
--- a/tools/soak/nodes.py
+++ b/tools/soak/nodes.py
@@ -13,8 +13,9 @@
 
 import aiohttp
 
-__all__ = ["BusyProcesses", "NodeAddress", "NodeProcess"]
+__all__ = ["ZONES", "BusyProcesses", "NodeAddress", "NodeProcess"]
 
+ZONES = ("a", "b", "c")
 CALLERS_PORT = 8080
 READY_PORT = 8081
 PEER_PORT = 8082
@@ -30,14 +31,15 @@
 
     Parameters
     ----------
-    name, ip : str
-        Its name and its own loopback address.
+    name, ip, zone : str
+        Its name, its own loopback address and its zone.
     store : str
         ``"IP:PORT"`` at which the store serves this node.
     """
 
     name: str
     ip: str
+    zone: str
     store: str
 
     @property
@@ -56,9 +58,9 @@
             "node_name": self.name,
             "role": "node",
             "ip": self.ip,
-            "zone": "a",
+            "zone": self.zone,
             "region": "r",
-            "zones": {"a": "r"},
+            "zones": dict.fromkeys(ZONES, "r"),
             "listen": {"frontend": self.callers, "ready": self.ready},
             "port_range": [PEER_PORT, PEER_PORT],
             "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": 300},
@@ -96,6 +98,7 @@
         self.is_serving = False
         """Whether the node has been ready since its last start, and has not been ended."""
         self._tree = tree
+        self._folder = folder
         self._log = folder / f"{address.name}.log"
         self._settings = folder / f"{address.name}.json"
         self._settings.write_text(json.dumps(address.settings()), encoding="utf-8")
@@ -105,29 +108,13 @@
         """Start the process unless it runs."""
         if self._process is not None and self._process.returncode is None:
             return
-        environment = {
-            "PATH": os.environ.get("PATH", ""),
-            "HOME": str(self._log.parent),
-            "PYTHONPATH": str(self._tree),
-            "PYTHONDONTWRITEBYTECODE": "1",
-            "REDWINGPLANK_SETTINGS": str(self._settings),
-        }
-        command = [sys.executable, "-m", "redwingplank.cli.cell"]
-        with open(self._log, "ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                *command,
-                cwd=self._tree,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
+        self._process = await self._spawn()
 
     async def wait_ready(self, session: aiohttp.ClientSession) -> None:
         """Wait until the node is ready; raise TimeoutError if it is not for `READY_TIMEOUT_S`."""
         url = f"http://{self.address.ready}/-/readyz"
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await _is_ok(session, url):
+            while not await _is_ok(session, url):  # noqa: ASYNC110
                 await asyncio.sleep(READY_POLL_S)
         self.is_serving = True
 
@@ -158,6 +145,27 @@
         if self._process is not None:
             await self._process.wait()
 
+    async def _spawn(self) -> asyncio.subprocess.Process:
+        environment = {
+            "PATH": os.environ.get("PATH", ""),
+            "HOME": str(self._folder),
+            "PYTHONPATH": str(self._tree),
+            "PYTHONDONTWRITEBYTECODE": "1",
+            "REDWINGPLANK_SETTINGS": str(self._settings),
+        }
+        log = os.open(self._log, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        try:
+            return await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "redwingplank.cli.cell"),
+                cwd=self._tree,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        finally:
+            os.close(log)
+
     def _signal(self, number: int) -> None:
         if self._process is not None and self._process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["Fault", "FaultKind", "make_plan"]
 
@@ -11,6 +11,8 @@
 SLOW_ANSWER_S = 0.24
 """The store's usual answer of 4 ms, 60 times slower."""
 MAX_BUSY = 6
+UNANSWERED_SHARE = 0.6
+"""Share of episodes in which refusals follow calls without an answer."""
 
 
 class FaultKind(enum.Enum):
@@ -35,6 +37,18 @@
     REVOKE = "revoke"
 
 
+SILENT_KINDS = (
+    FaultKind.LOST,
+    FaultKind.LOST,
+    FaultKind.LATE,
+    FaultKind.SLOW,
+    FaultKind.UNREAD,
+    FaultKind.RESET,
+)
+REFUSING_KINDS = (FaultKind.REFUSE, FaultKind.REFUSE, FaultKind.REFUSE, FaultKind.LIMIT)
+EXTRA_KINDS = (FaultKind.PAUSE, FaultKind.TERM, FaultKind.KILL, FaultKind.BUSY, None, None)
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """A fault of a plan.
@@ -98,30 +112,34 @@
     def _episode(self, at_s: float) -> list[Fault]:
         """Return faults in series or overlapping."""
         draw = self._rng.random()
-        if draw < 0.45:
+        if draw < UNANSWERED_SHARE:
             return self._unanswered_then_refused(at_s)
         kinds = self._rng.choices(list(FaultKind), k=self._rng.randint(1, 4))
         return [self._fault(kind, at_s + self._rng.uniform(0.0, 1.5)) for kind in kinds]
 
     def _unanswered_then_refused(self, at_s: float) -> list[Fault]:
-        """Return a fault that leaves calls unanswered, and refusals that begin during it."""
+        """Return calls that stay unanswered, and refusals that begin while some of them wait.
+
+        The refusals last longer than callers try.
+        """
         rng = self._rng
-        silent = (FaultKind.LOST, FaultKind.LATE, FaultKind.UNREAD, FaultKind.SLOW, FaultKind.RESET)
-        first = self._fault(rng.choice(silent), at_s)
-        second = self._fault(
-            rng.choice((FaultKind.REFUSE, FaultKind.REFUSE, FaultKind.LIMIT)),
-            at_s + rng.uniform(0.1, 1.5),
+        silent = self._fault(rng.choice(SILENT_KINDS), at_s)
+        silent = replace(silent, for_s=rng.uniform(1.0, 3.0))
+        refused_s = at_s + silent.for_s - rng.uniform(0.05, 0.8)
+        refusing = replace(
+            self._fault(rng.choice(REFUSING_KINDS), refused_s),
+            for_s=rng.uniform(3.0, 5.0),
         )
-        extra = rng.choice((FaultKind.PAUSE, FaultKind.TERM, FaultKind.KILL, FaultKind.BUSY, None))
+        extra = rng.choice(EXTRA_KINDS)
         if extra is None:
-            return [first, second]
-        return [first, second, self._fault(extra, at_s + rng.uniform(0.0, 2.0))]
+            return [silent, refusing]
+        return [silent, refusing, self._fault(extra, at_s + rng.uniform(0.0, 3.0))]
 
     def _fault(self, kind: FaultKind, at_s: float) -> Fault:
         rng = self._rng
         for_s = rng.uniform(0.5, 4.5)
         some = frozenset(rng.sample(range(self._nodes), rng.randint(1, self._nodes)))
-        nodes = some if rng.random() < 0.5 else frozenset(range(self._nodes))
+        nodes = some if rng.random() < 0.35 else frozenset(range(self._nodes))
         if kind in (FaultKind.LOST, FaultKind.LATE):
             share = rng.choice((0.1, 0.35, 0.6, 0.9))
             return Fault(kind, at_s, for_s, nodes, share, rng.uniform(0.1, 3.0))
@@ -130,7 +148,7 @@
         if kind is FaultKind.SLOW:
             return Fault(kind, at_s, for_s, nodes, rng.choice((SLOW_ANSWER_S, 0.5, 0.8)))
         if kind is FaultKind.LIMIT:
-            return Fault(kind, at_s, for_s, nodes, rng.choice((5.0, 20.0, 60.0)))
+            return Fault(kind, at_s, for_s, nodes, rng.choice((2.0, 5.0, 20.0)))
         if kind in (FaultKind.RESET, FaultKind.CONFIG, FaultKind.REVOKE):
             return Fault(kind, at_s, 0.0, nodes)
         if kind is FaultKind.UNREAD:
--- a/tools/soak/platform.py
+++ b/tools/soak/platform.py
@@ -161,7 +161,7 @@
         """Start to serve."""
         # `serve` would install signal handlers, and the program has its own.
         self._task = asyncio.create_task(self._server._serve(self._sockets))
-        while not self._server.started and not self._task.done():
+        while not self._server.started and not self._task.done():  # noqa: ASYNC110
             await asyncio.sleep(0.01)
 
     async def stop(self) -> None:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -4,19 +4,26 @@
 import json
 import os
 import random
+import signal
 import time
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 from redwingplank.standin.site_store import make_site_store_app
 from redwingplank.standin.site_workers import make_site_worker_app
 from tools.soak.callers import HOST, PREFIX, Callers, Organisations
-from tools.soak.checks import Violation, count_observations, find_violations
+from tools.soak.checks import (
+    Violation,
+    count_observations,
+    find_untrue_refusals,
+    find_violations,
+)
 from tools.soak.history import History
-from tools.soak.nodes import BusyProcesses, NodeAddress, NodeProcess
+from tools.soak.nodes import ZONES, BusyProcesses, NodeAddress, NodeProcess
 from tools.soak.plan import Fault, FaultKind, make_plan
 from tools.soak.platform import FaultyStore, RecordingStore, SoakServer
 from tools.soak.workers import RecordingWorker
@@ -28,7 +35,7 @@
 STORE_PORT = 9000
 WORKER_PORT = 9100
 RUN_S = 0.15
-JOBS_PER_S = 10.0
+JOBS_PER_S = 15.0
 TICK_S = 0.02
 SETTLE_S = 150.0
 """Limit of the wait for the end of all stored jobs; a job takes 0.2 s, a recovery some seconds."""
@@ -64,19 +71,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """Outcome of a run."""
+    """Outcome of a run.
+
+    Parameters
+    ----------
+    seed, jobs : int
+        Seed, and number of jobs that were submitted.
+    answers : Counter
+        Number of submissions by status, ``"none"`` without an answer.
+    observations : Counter
+        What breaks no rule.
+    violations, untrue : tuple of Violation
+        Broken rules, and refusals of attempts that had an effect.
+    """
 
     seed: int
     jobs: int
     answers: Counter[str]
     observations: Counter[str]
     violations: tuple[Violation, ...]
+    untrue: tuple[Violation, ...]
 
     def __str__(self) -> str:
         answers = ", ".join(f"{name}: {count}" for name, count in sorted(self.answers.items()))
         seen = ", ".join(f"{name}: {count}" for name, count in sorted(self.observations.items()))
-        count = len(self.violations)
-        return f"seed {self.seed}: {self.jobs} jobs; {answers}; {count} violations; {seen or '-'}"
+        found = f"{len(self.violations)} violations, {len(self.untrue)} untrue refusals"
+        return f"seed {self.seed}: {self.jobs} jobs; {answers}; {found}; {seen or '-'}"
 
 
 class Soak:
@@ -102,8 +122,9 @@
         self._version = 0
         subnet = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
         self._platform_ip = f"{subnet}.1"
-        app = make_site_store_app(self._store, self._now_s)
-        self._faulty = FaultyStore(app, STORE_PORT, random.Random(options.seed + 1))
+        self._faulty = FaultyStore(
+            self._make_store_app(), STORE_PORT, random.Random(options.seed + 1)
+        )
         addresses = [(self._platform_ip, STORE_PORT + number) for number in range(options.nodes)]
         self._store_server = SoakServer(self._faulty, addresses)
         self._servers = [self._store_server]
@@ -113,10 +134,11 @@
         self._rng = random.Random(options.seed + 2)
 
     async def run(self) -> Result:
-        """Play the seed and return its outcome."""
-        self._callers = Callers(
-            self._rng, self._nodes, self._organisations, self._history, self._now_s
-        )
+        """Play the seed and return its outcome; SIGTERM ends the run and its processes."""
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        self._callers = self._make_callers()
         ticker = asyncio.create_task(self._tick())
         try:
             await self._start()
@@ -129,12 +151,22 @@
         self._write_record(result)
         return result
 
+    def _make_store_app(self) -> Any:
+        return make_site_store_app(self._store, self._now_s)
+
+    def _make_worker(self, name: str) -> RecordingWorker:
+        return RecordingWorker(name, self._history, RUN_S)
+
+    def _make_callers(self) -> Callers:
+        return Callers(self._rng, self._nodes, self._organisations, self._history, self._now_s)
+
     def _now_s(self) -> float:
         return time.monotonic() - self._started_s
 
     def _make_node(self, subnet: str, number: int) -> NodeProcess:
         store = f"{self._platform_ip}:{STORE_PORT + number}"
-        address = NodeAddress(f"n{number}", f"{subnet}.{10 + number}", store)
+        zone = ZONES[number % len(ZONES)]
+        address = NodeAddress(f"n{number}", f"{subnet}.{10 + number}", zone, store)
         return NodeProcess(address, self._options.tree, self._options.folder)
 
     async def _start(self) -> None:
@@ -148,7 +180,7 @@
 
     async def _add_worker(self, number: int) -> None:
         name = f"w{number}"
-        worker = RecordingWorker(name, self._history, RUN_S)
+        worker = self._make_worker(name)
         self._workers.append(worker)
         server = SoakServer(
             make_site_worker_app(worker, self._now_s), [(self._platform_ip, WORKER_PORT + number)]
@@ -158,7 +190,7 @@
         entry = {
             "service": "render",
             "address": f"{self._platform_ip}:{WORKER_PORT + number}",
-            "zone": "a",
+            "zone": ZONES[number % len(ZONES)],
             "state": "ready",
             "capacity": {"cpu": 64_000, "mem_mb": 64_000},
             "labels": ["k", f"r{number}"],
@@ -194,9 +226,8 @@
 
     async def _play(self) -> None:
         began_s = self._now_s()
-        jobs, faults = [], []
-        for fault in self._plan:
-            faults.append(asyncio.create_task(self._apply(fault)))
+        faults = [asyncio.create_task(self._apply(fault)) for fault in self._plan]
+        jobs = []
         while self._now_s() < began_s + self._options.length_s:
             jobs.append(asyncio.create_task(self._callers.submit_one()))
             await asyncio.sleep(self._rng.expovariate(JOBS_PER_S))
@@ -245,7 +276,7 @@
             node.resume()
             await node.start()
         await asyncio.gather(*(node.wait_ready(self._callers.session) for node in self._nodes))
-        while self._faulty.late_calls:
+        while self._faulty.late_calls:  # noqa: ASYNC110
             await asyncio.sleep(TICK_S)
         await self._callers.settle(SETTLE_S)
 
@@ -266,10 +297,12 @@
             answers,
             count_observations(self._history),
             tuple(find_violations(self._history)),
+            tuple(find_untrue_refusals(self._history)),
         )
 
     def _write_record(self, result: Result) -> None:
-        lines = [str(result), *map(str, result.violations), *map(str, self._plan)]
+        lines = [str(result), *map(str, result.violations), *map(str, result.untrue)]
+        lines += map(str, self._plan)
         for job_id in self._history.attempts_by_job:
             stored_s = self._history.stored_s_by_job.get(job_id)
             rows = [*map(str, self._history.attempts_by_job[job_id])]
