--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -14,6 +14,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 MAX_NODES = 32
+EXIT_COULD_NOT_RUN = 2
 
 app = cyclopts.App(name="soak", help=__doc__, result_action="return_value")
 
@@ -48,21 +49,32 @@
     """
     if not 1 <= nodes <= MAX_NODES:
         print(f"soak: --nodes has to be from 1 to {MAX_NODES}", file=sys.stderr)
-        return 2
+        return EXIT_COULD_NOT_RUN
     first, _, last = (seeds or str(seed)).partition("-")
     is_broken = False
     for number in range(int(first), int(last or first) + 1):
         folder = _make_folder(keep, number)
-        _log_to(folder)
-        options = SoakOptions(number, length_s, nodes, tree.resolve(), folder)
-        result = asyncio.run(Soak(options).run())
-        _show(result, options)
+        result = _play(SoakOptions(number, length_s, nodes, tree.resolve(), folder))
+        if result is None:
+            return EXIT_COULD_NOT_RUN
         is_broken |= bool(result.violations)
         if keep is None and not result.violations and not result.untrue:
             shutil.rmtree(folder)
     return int(is_broken)
 
 
+def _play(options: SoakOptions) -> Result | None:
+    """Play a seed and print its outcome; return None if it was ended by a signal."""
+    _log_to(options.folder)
+    try:
+        result = asyncio.run(Soak(options).run())
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        print(f"seed {options.seed}: ended by a signal", file=sys.stderr)
+        return None
+    _show(result, options)
+    return result
+
+
 def _make_folder(keep: Path | None, seed: int) -> Path:
     if keep is None:
         return Path(tempfile.mkdtemp(prefix=f"redwing-soak-{seed}-"))
--- a/tools/soak/nodes.py
+++ b/tools/soak/nodes.py
@@ -16,9 +16,9 @@
 __all__ = ["ZONES", "BusyProcesses", "NodeAddress", "NodeProcess"]
 
 ZONES = ("a", "b", "c")
-CALLERS_PORT = 8080
-READY_PORT = 8081
-PEER_PORT = 8082
+CALLERS_PORT = 17080
+READY_PORT = 17081
+PEER_PORT = 17082
 READY_POLL_S = 0.1
 READY_TIMEOUT_S = 120.0
 """Far beyond what a starved node needs."""
