Soak: a test that a stopped soak ends its processes

Cause: a soak that is ended by a signal must leave no node process behind. Change: test of the command line with SIGTERM, and of its bounds.

--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import random
+import subprocess
+import sys
+import time
 from pathlib import Path
 
 import aiohttp
 import msgspec
+import psutil
 import pytest
 
 from redwingplank.cell.keys import JOBS_PREFIX
 from redwingplank.standin.site_store import SiteStoreModel, make_site_store_app
+from tools.soak.__main__ import EXIT_COULD_NOT_RUN, main
 from tools.soak.callers import Callers
 from tools.soak.checks import count_observations, find_untrue_refusals, find_violations
 from tools.soak.history import Attempt, History, RunEnd, RunStart
@@ -351,3 +356,29 @@
         result = asyncio.run(PlantedSoak(options, plan=[]).run())
         assert {each.rule for each in result.violations} == {"REFUSED", "TWICE", "LOST"}
         assert {each.rule for each in result.untrue} == {"UNTRUE"}
+
+
+class TestCommandLine:
+    # Guards against node processes that outlive a soak which is told to stop.
+    def test_sigterm_ends_all_processes(self, tmp_path):
+        command = [sys.executable, "-m", "tools.soak", "--nodes", "1", "--for", "60"]
+        soak = subprocess.Popen([*command, "--keep", str(tmp_path)], cwd=ROOT)
+        nodes = wait_for_children(soak.pid)
+        soak.terminate()
+        assert soak.wait(60.0) == EXIT_COULD_NOT_RUN
+        assert nodes
+        assert not any(node.is_running() for node in nodes)
+
+    def test_too_many_nodes_are_refused(self, capsys):
+        assert main(nodes=33) == EXIT_COULD_NOT_RUN
+        assert "--nodes" in capsys.readouterr().err
+
+
+def wait_for_children(pid: int) -> list[psutil.Process]:
+    deadline_s = time.monotonic() + 60.0
+    while time.monotonic() < deadline_s:
+        children = psutil.Process(pid).children()
+        if children:
+            return children
+        time.sleep(0.05)
+    return []
