Tests: free addresses that no other test or connection gets

Cause: tests took a port from the kernel, closed it, and started a server there a moment later. Another such search, in the same process or in one beside it, or an outgoing connection may get the port in between. Two tests failed once each with OSError: [Errno 98] Address already in use, while several runs of tests and a soak shared the machine (TestFailedHandler, TestOddEntries). That this is their cause is by reading; neither failure was repeated.

Change: one function in place of three; ports below those of outgoing connections, never the same twice in a process, apart for each process.

--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import socket
 import time
 from collections.abc import Callable
 
@@ -15,18 +14,13 @@
 from redwingplank.cell.node import Node
 from redwingplank.platform.http.server import HttpServer, serve_http
 from redwingplank.platform.site.settings import SiteSettings
+from redwingplank.standin.loopback import find_free_address
 from redwingplank.standin.site_store import SiteStoreModel, make_site_store_app
 from redwingplank.standin.site_workers import SiteWorkerModel, make_site_worker_app
 
 HOST = "queue.example"
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class Site:
     """A store, workers and nodes of a cell in one process."""
 
@@ -38,7 +32,7 @@
         self.nodes: list[Node] = []
         self.contexts: list[NodeContext] = []
         self.lines: list[str] = []
-        self.store_address = free_address()
+        self.store_address = find_free_address()
         self._servers: list[HttpServer] = []
         self._log_read, self._log_write = os.pipe()
         os.set_blocking(self._log_read, False)
@@ -55,7 +49,7 @@
 
     async def add_worker(self, number: int) -> None:
         """Start a worker and list it in the store."""
-        model, address = SiteWorkerModel(), free_address()
+        model, address = SiteWorkerModel(), find_free_address()
         self.workers.append(model)
         app = make_site_worker_app(model, time.monotonic)
         self._servers.append(await serve_http(app, [address], 0))
@@ -90,7 +84,7 @@
         self.store.put("op/config", msgspec.json.encode(config))
 
     async def add_node(self, number: int, core_share: float = 1.0) -> Node:
-        callers, peer = free_address(), free_address()
+        callers, peer = find_free_address(), find_free_address()
         settings = SiteSettings(
             name=f"n{number}",
             failure_domain="a",
@@ -99,7 +93,7 @@
             callers_address=callers,
             readiness_address=callers,
             peer_port=int(peer.rpartition(":")[2]),
-            metrics_address=free_address(),
+            metrics_address=find_free_address(),
             store_address=self.store_address,
             advice_address="",
             lease_limit_s=6.0,
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -12,8 +12,9 @@
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.keys import JOBS_PREFIX, LEARNED_KEY
 from redwingplank.cell.submission import SubmitOutcome
-from redwingplank.cell.tests.site_fixture import free_address, run_site
+from redwingplank.cell.tests.site_fixture import run_site
 from redwingplank.rpc.peers import is_refused
+from redwingplank.standin.loopback import find_free_address
 
 STEP = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 50}
 JOB = {"spec": "payload", "steps": [STEP, {**STEP, "after": [0]}]}
@@ -346,7 +347,7 @@
     def test_an_address_that_answers_is_not_refused(self):
         async def scenario(site):
             assert not await is_refused(site.contexts[0].settings.peer_address)
-            assert await is_refused(free_address())
+            assert await is_refused(find_free_address())
 
         run_site(scenario)
 
--- a/redwingplank/cell/tests/test_odd_entries.py
+++ b/redwingplank/cell/tests/test_odd_entries.py
@@ -7,9 +7,10 @@
 
 from redwingplank.batch.model import Amounts, JobSpec, StepSpec
 from redwingplank.batch.records import encode_submission
-from redwingplank.cell.tests.site_fixture import Site, free_address, run_site
+from redwingplank.cell.tests.site_fixture import Site, run_site
 from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.workers import _read_report
+from redwingplank.standin.loopback import find_free_address
 
 PREFIXES = [
     "servers/",
@@ -47,7 +48,7 @@
 
 
 def put_odd_entries(site: Site) -> None:
-    for name, value in odd_values(free_address()).items():
+    for name, value in odd_values(find_free_address()).items():
         for prefix in PREFIXES:
             site.store.put(f"{prefix}odd-{name}", value)
     site.store.put("op/config", b'{"version":9,"other":' + DEEP + b"}")
--- a/redwingplank/cell/tests/test_submission_log.py
+++ b/redwingplank/cell/tests/test_submission_log.py
@@ -15,11 +15,12 @@
 from redwingplank.cell.hedged_store import HedgedStore
 from redwingplank.cell.keys import JOBS_PREFIX
 from redwingplank.cell.service import CellService
-from redwingplank.cell.tests.site_fixture import Site, free_address, run_site
+from redwingplank.cell.tests.site_fixture import Site, run_site
 from redwingplank.platform.site.store import SiteStore
 from redwingplank.platform.site.tests.service_fixture import ScriptedService
 from redwingplank.rpc import cell_calls
 from redwingplank.rpc.errors import CallOutcomeUnknownError, PeerUnreachableError
+from redwingplank.standin.loopback import find_free_address
 
 STEP = {"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 50}
 PAYLOAD = "payload-that-is-nobodys-business"
@@ -142,7 +143,7 @@
     # Guards against a call that was never sent being shown as one whose connection broke.
     def test_a_connect_that_was_refused(self):
         async def scenario(site):
-            StoreOfSubmissions(site, free_address())
+            StoreOfSubmissions(site, find_free_address())
             status, _, _ = await site.call("POST", f"/proof/{ID}", JOB)
             line = await line_of(site, "submit")
             copy = copies_of(line)[0]
--- a/redwingplank/cli/tests/test_ctl_organisations.py
+++ b/redwingplank/cli/tests/test_ctl_organisations.py
@@ -9,7 +9,6 @@
 from redwingplank.batch.model import Amounts
 from redwingplank.batch.organisations import BatchUsage
 from redwingplank.cell.metrics import NodeMetrics, make_metrics_app
-from redwingplank.cell.tests.site_fixture import free_address
 from redwingplank.cli import ctl
 from redwingplank.cli.ctl_organisations import (
     NodeReading,
@@ -21,6 +20,7 @@
 )
 from redwingplank.core import InvalidValueError
 from redwingplank.platform.http.server import serve_http
+from redwingplank.standin.loopback import find_free_address
 
 
 def make_metrics(is_owner: bool, refused: int = 0) -> NodeMetrics:
@@ -87,10 +87,10 @@
                 await server.stop()
             return code
 
-        nodes = [free_address(), free_address()]
+        nodes = [find_free_address(), find_free_address()]
         assert asyncio.run(serve_and_run(nodes, [])) == ctl.EXIT_DONE
         shown = json.loads(capsys.readouterr().out)
         assert (shown["owners"], len(shown["organisations"])) == (nodes[:1], 2)
-        assert asyncio.run(serve_and_run(nodes, [free_address()])) == ctl.EXIT_LAGGING
-        assert asyncio.run(serve_and_run([], [free_address()])) == ctl.EXIT_NOT_DONE
+        assert asyncio.run(serve_and_run(nodes, [find_free_address()])) == ctl.EXIT_LAGGING
+        assert asyncio.run(serve_and_run([], [find_free_address()])) == ctl.EXIT_NOT_DONE
         assert asyncio.run(serve_and_run([], ["nowhere"])) == ctl.EXIT_FINDINGS
--- a/redwingplank/rpc/tests/recording_peer.py
+++ b/redwingplank/rpc/tests/recording_peer.py
@@ -1,7 +1,6 @@
 """A peer that records the calls that it receives, in this process or in one of its own."""
 
 import asyncio
-import socket
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -30,12 +29,6 @@
         return version, self
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 async def serve_until_killed(address: str) -> None:
     await serve_node(address, {SERVICE: Recorder(lambda name: print(name, flush=True))})
     print("ready", flush=True)
--- a/redwingplank/rpc/tests/test_peer_faults.py
+++ b/redwingplank/rpc/tests/test_peer_faults.py
@@ -20,7 +20,8 @@
     serve_node,
 )
 from redwingplank.rpc.errors import RpcError
-from redwingplank.rpc.tests.recording_peer import SERVICE, Recorder, free_address
+from redwingplank.rpc.tests.recording_peer import SERVICE, Recorder
+from redwingplank.standin.loopback import find_free_address
 from redwingplank.standin.tcp_proxy import ConnectionPlan, Fault, FlowPlan, TcpFaultProxy
 
 CASES_AT_ONCE = 24
@@ -81,7 +82,7 @@
     """A recorder in this process."""
 
     def __init__(self) -> None:
-        self.address = free_address()
+        self.address = find_free_address()
         self.received: list[str] = []
         self._has_arrived = asyncio.Event()
 
@@ -206,7 +207,7 @@
     # Guards against a refused connect that counts as a call with an unknown outcome.
     def test_refused_is_certain(self):
         async def scenario() -> str:
-            return await call(PeerConnections(), free_address(), "one")
+            return await call(PeerConnections(), find_free_address(), "one")
 
         assert run(scenario()) == UNREACHABLE
 
@@ -276,7 +277,7 @@
     @pytest.mark.parametrize(("is_shared", "expected"), [(False, UNREACHABLE), (True, UNKNOWN)])
     def test_is_not_called_late_by_a_call_that_was_never_sent(self, is_shared, expected):
         async def scenario() -> tuple[str, set[str]]:
-            address, peers = free_address(), PeerConnections()
+            address, peers = find_free_address(), PeerConnections()
             async with paused_peer(address) as process:
                 if is_shared:
                     process.send_signal(signal.SIGCONT)
--- a/redwingplank/runtime/tests/test_membership.py
+++ b/redwingplank/runtime/tests/test_membership.py
@@ -1,6 +1,4 @@
 import asyncio
-import socket
-from contextlib import ExitStack
 
 import capnp
 
@@ -13,6 +11,7 @@
 from redwingplank.runtime.declarations import DeclarationsFollower
 from redwingplank.runtime.membership import MembershipNode
 from redwingplank.standin.faults import Faults
+from redwingplank.standin.loopback import find_free_address
 from redwingplank.standin.store import MemoryStore, MemoryStoreClient
 from redwingplank.standin.vms import LaggingVmList, MemoryVmList
 
@@ -20,11 +19,7 @@
 
 
 def find_free_addresses(count):
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+    return [find_free_address() for _ in range(count)]
 
 
 class Cell:
