Refusals: a repeat of a stored job is accepted, not told that it never runs

Cause: the node forgot a submission as soon as it was accepted, so that the next refused attempt stood alone; nobody asked the owner, who has read the job from the store; and the check of the keys refused with 503 without asking whether an earlier attempt is unresolved. Class: an answer that says more than is known.

Change: accepted submissions are remembered for as long as unresolved ones (60 s; jobs are stored for longer). Before a refusal the owner is asked, at most 0.3 s, and not for 0.5 s after it failed to answer. A view that is too old is answered 504 for an unresolved job. A deadline of more than nine digits counts as none (400 digits were answered 503).

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -36,6 +36,7 @@
 RETRY_AFTER_S = 1
 """Sent as ``Retry-After``. Callers wait about 3 s in all, which leaves time for two more attempts
 after a short outage of the store."""
+MAY_BE_STORED = "the job may be stored: submit it again"
 JSON_HEADERS = {"Content-Type": falcon.MEDIA_JSON}
 _is_job_id = re.compile(r"[0-9A-Za-z_-]{1,64}").fullmatch
 
@@ -87,11 +88,11 @@
             self._answer_unknown_queue(resp)
             return
         credentials = Credentials(queue, req.get_header("Authorization"))
+        job_id = req.path[len(queue.prefix) :]
         access = self._callers.access.check(credentials, now_s())
         if access.refusal is not None:
-            _answer_refused(resp, access.refusal)
+            self._answer_refused(req, resp, job_id, access.refusal)
             return
-        job_id = req.path[len(queue.prefix) :]
         if not job_id and req.method == "GET":
             await self._pending(queue, resp)
         elif not _is_job_id(job_id):
@@ -112,6 +113,25 @@
         else:
             _answer(resp, HTTPStatus.NOT_FOUND, "no queue has this host and path")
 
+    def _answer_refused(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        job_id: str,
+        refusal: AccessRefusal,
+    ) -> None:
+        """Answer a request whose key does not admit it; nothing of it is carried out."""
+        if refusal is not AccessRefusal.VIEW_TOO_OLD:
+            _answer(resp, HTTPStatus.UNAUTHORIZED, "send a valid key: Authorization: Bearer KEY")
+            resp.set_header("WWW-Authenticate", "Bearer")
+        elif req.method == "POST" and not self._is_settled_by_refusal(job_id):
+            _answer(resp, HTTPStatus.GATEWAY_TIMEOUT, MAY_BE_STORED)
+        else:
+            _answer_unavailable(resp, "this node cannot tell now whether the key is valid")
+
+    def _is_settled_by_refusal(self, job_id: str) -> bool:
+        return self._callers.settle_refusal(job_id) is SubmitOutcome.NOT_RUN
+
     async def _submit(
         self,
         req: falcon.asgi.Request,
@@ -134,14 +154,14 @@
         note_submitted(req)
         note_effect(req.scope)
         answer = await self._callers.submit(spec, credentials, deadline_s)
-        if answer.outcome is SubmitOutcome.ACCEPTED:
+        if answer.refusal is not None:
+            self._answer_refused(req, resp, job_id, answer.refusal)
+        elif answer.outcome is SubmitOutcome.ACCEPTED:
             resp.media = {}
-        elif answer.refusal is not None:
-            _answer_refused(resp, answer.refusal)
         elif answer.outcome is SubmitOutcome.NOT_RUN:
             _answer_unavailable(resp, "the job was not stored and does not run")
         else:
-            _answer(resp, HTTPStatus.GATEWAY_TIMEOUT, "the job may be stored: submit it again")
+            _answer(resp, HTTPStatus.GATEWAY_TIMEOUT, MAY_BE_STORED)
 
     async def _state(self, resp: falcon.asgi.Response, job_id: str, visible_to: str | None) -> None:
         answer = await self._callers.state(job_id, visible_to)
@@ -193,15 +213,6 @@
     resp.set_header("Retry-After", str(RETRY_AFTER_S))
 
 
-def _answer_refused(resp: falcon.asgi.Response, refusal: AccessRefusal) -> None:
-    """Answer a request whose key does not admit it; nothing of it is carried out."""
-    if refusal is AccessRefusal.VIEW_TOO_OLD:
-        _answer_unavailable(resp, "this node cannot tell now whether the key is valid")
-        return
-    _answer(resp, HTTPStatus.UNAUTHORIZED, "send a valid key: Authorization: Bearer KEY")
-    resp.set_header("WWW-Authenticate", "Bearer")
-
-
 def _make_failure_answer(may_have_effect: bool) -> FailureAnswer:
     if may_have_effect:
         problem = "the request may have been carried out: send it again"
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -10,6 +10,7 @@
 from redwingplank.batch.records import encode_submission
 from redwingplank.cell.access import AccessControl
 from redwingplank.cell.authentication import AccessRefusal, Credentials, is_visible
+from redwingplank.cell.circuit_breaker import CircuitBreaker
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.keys import CANCELS_PREFIX, JOBS_PREFIX, PROGRESS_PREFIX
@@ -35,6 +36,10 @@
 OWNER_TIMEOUT_S = 0.5
 """Time-out of asking the owner. A call to another node takes 0.005 s; after the time-out the state
 is read from the store instead."""
+KNOWN_TIMEOUT_S = 0.3
+"""Time-out of asking the owner whether it has a job that would be refused."""
+OWNER_OPEN_S = 0.5
+"""Time for which an owner that did not answer is not asked whether it has a job."""
 CANCEL_TIMEOUT_S = 2.0
 """Longer than the time that the owner waits for the store (1.5 s)."""
 READ_TIMEOUT_S = 0.8
@@ -95,6 +100,7 @@
         self._peer_submission = PeerSubmission(context, membership)
         self._unresolved = UnresolvedSubmissions()
         self._reports: set[asyncio.Task] = set()
+        self._owner_breaker = CircuitBreaker(OWNER_OPEN_S)
         self._find_owner = find_owner
         self.find_config = find_config
         self.access = access
@@ -127,8 +133,9 @@
         decision = self.access.check(credentials, trace.started_s)
         if decision.refusal is not None:
             trace.decide(DecidingCause.KEY)
-            self._log_submit(spec, SubmitOutcome.NOT_RUN, decision.refusal.value, trace)
-            return SubmitAnswer(SubmitOutcome.NOT_RUN, decision.refusal)
+            outcome = self.settle_refusal(spec.job_id)
+            self._log_submit(spec, outcome, decision.refusal.value, trace)
+            return SubmitAnswer(outcome, decision.refusal)
         spec = replace(spec, organisation=decision.organisation)
         submission = encode_submission(spec)
         outcome, reason = SubmitOutcome.UNKNOWN, ""
@@ -146,12 +153,40 @@
     async def _store_anywhere(
         self, job_id: str, submission: bytes, deadline_s: float, trace: SubmissionTrace
     ) -> tuple[SubmitOutcome, str]:
-        """Store a job from here or through a peer; earlier attempts do not count."""
+        """Store a job from here or through a peer, unless the owner has it already."""
         timeout_s = max(MIN_CALL_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
         outcome, reason = await self._try_to_store(job_id, submission, timeout_s, trace)
-        if outcome is SubmitOutcome.ACCEPTED:
-            return outcome, reason
-        return await self._peer_submission.store(job_id, submission, deadline_s, outcome, trace)
+        if outcome is not SubmitOutcome.ACCEPTED:
+            outcome, reason = await self._peer_submission.store(
+                job_id, submission, deadline_s, outcome, trace
+            )
+        if outcome is SubmitOutcome.NOT_RUN and await self._is_known_to_owner(job_id, deadline_s):
+            trace.decide(DecidingCause.KNOWN_TO_OWNER)
+            return SubmitOutcome.ACCEPTED, "known_to_owner"
+        return outcome, reason
+
+    async def _is_known_to_owner(self, job_id: str, deadline_s: float) -> bool:
+        """Return whether the owner has a job, which shows that an earlier attempt stored it."""
+        owner = self._find_owner()
+        if owner is not None:
+            return owner.job_state(job_id) is not None
+        address = self._owner_address()
+        timeout_s = min(KNOWN_TIMEOUT_S, deadline_s - now_s())
+        if not address or timeout_s <= 0 or not self._owner_breaker.allow(now_s()):
+            return False
+        is_answered = False
+        try:
+            _, state = await self._context.calls.job_state(address, job_id, timeout_s)
+            is_answered = True
+            return state is not None
+        except RpcError as error:
+            self._context.log("owner_unreachable", address=address, error=error)
+            return False
+        finally:
+            if is_answered:
+                self._owner_breaker.record_success()
+            else:
+                self._owner_breaker.record_failure(now_s())
 
     def _report_unresolved(self, job_id: str) -> None:
         report = self._tasks.start(self._peer_submission.report_unresolved(job_id))
@@ -162,6 +197,10 @@
         """Wait until the other nodes have been told of unresolved submissions."""
         await asyncio.gather(*self._reports, return_exceptions=True)
 
+    def settle_refusal(self, job_id: str) -> SubmitOutcome:
+        """Return the outcome of all attempts to submit a job, the last of which is refused."""
+        return self._unresolved.settle(job_id, SubmitOutcome.NOT_RUN, now_s())
+
     def note_unresolved(self, job_id: str) -> None:
         """Remember that a submission through another node has an unknown outcome."""
         self._unresolved.settle(job_id, SubmitOutcome.UNKNOWN, now_s())
--- a/redwingplank/cell/hedged_call.py
+++ b/redwingplank/cell/hedged_call.py
@@ -27,6 +27,7 @@
 
 _RESULTS_BY_FAILURE = {
     CallFailure.BROKEN: CopyResult.BROKEN,
+    CallFailure.NOT_CONNECTED: CopyResult.BROKEN,
     CallFailure.TIMED_OUT: CopyResult.NO_ANSWER,
 }
 
--- a/redwingplank/cell/submission_trace.py
+++ b/redwingplank/cell/submission_trace.py
@@ -27,7 +27,9 @@
     DEADLINE = enum.auto()
     PEER = enum.auto()
     EARLIER_ATTEMPT = enum.auto()
-    """An earlier attempt to submit the job has an unknown outcome."""
+    """An earlier attempt to submit the job was accepted, or has an unknown outcome."""
+    KNOWN_TO_OWNER = enum.auto()
+    """The owner has the job, so that an earlier attempt has stored it."""
 
 
 _CAUSES_BY_END = {
--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -136,6 +136,12 @@
                 return node
         return None
 
+    def hide_jobs_of_owner(self) -> None:
+        """Let the owner know no state of any job, as one that the store does not tell of them."""
+        owner = self.owner_node()
+        assert owner is not None and owner._owner is not None
+        owner._owner.job_state = lambda *_: None
+
     async def until(self, condition: Callable[[], object], attempts: int = 1500) -> None:
         """Wait until a condition holds; fail after `attempts` checks at intervals of 10 ms."""
         for _ in range(attempts):
--- a/redwingplank/cell/tests/test_answers.py
+++ b/redwingplank/cell/tests/test_answers.py
@@ -198,6 +198,7 @@
     def test_a_caller_that_goes_leaves_an_unresolved_submission(self):
         async def scenario(site):
             lose_answer_then_refuse(site)
+            site.hide_jobs_of_owner()
             async with connection(site) as (_, writer):
                 writer.write(whole_request())
                 await site.until(lambda: KEY in site.store.items)
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -156,6 +156,7 @@
             site.store.lose_answers, site.store.lost_prefix = 1, JOBS_PREFIX
             site.store.is_down_after_loss = True
             site.store.refusal_status = refusal_status
+            site.hide_jobs_of_owner()
             for node in (0, 0, 0):
                 status, _, _ = await site.call("POST", f"/proof/{ID}", JOB, node=node)
                 assert status == 504
@@ -170,6 +171,7 @@
             await site.until(lambda: len(site.nodes[0]._membership.nodes_by_name) == 3)
             site.store.lose_answers, site.store.lost_prefix = 1, JOBS_PREFIX
             site.store.is_down_after_loss = True
+            site.hide_jobs_of_owner()
             assert (await site.call("POST", f"/proof/{ID}", JOB))[0] == 504
             unresolved = [node.callers._unresolved for node in site.nodes]
             await site.until(lambda: all(each.is_known(ID, now_s()) for each in unresolved))
--- a/redwingplank/cell/unresolved_submissions.py
+++ b/redwingplank/cell/unresolved_submissions.py
@@ -1,4 +1,4 @@
-"""Remembers the submissions of which no node knows whether they were carried out."""
+"""Remembers the submissions whose earlier attempts a later refusal does not settle."""
 
 from collections import Counter
 
@@ -7,13 +7,15 @@
 __all__ = ["UnresolvedSubmissions"]
 
 KEPT_S = 60.0
-"""Longer than callers repeat a submission, and than the store may take to carry out a late call."""
+"""Longer than callers repeat a submission, and than the store may take to carry out a late call.
+Jobs are stored for longer, so that an accepted one is still there."""
 
 
 class UnresolvedSubmissions:
-    """Submissions with an unknown outcome, which a later refusal does not settle.
+    """Submissions with an unknown outcome, and accepted ones whose answer may have been lost.
 
-    They came through this node, or through another one that has told of them.
+    They came through this node; those with an unknown outcome also through others that have told
+    of them.
 
     A refusal tells callers that their job never runs. That a repeated attempt had no effect says
     nothing of the attempt before it.
@@ -22,6 +24,8 @@
     def __init__(self) -> None:
         self._since_s_by_job_id: dict[str, float] = {}
         """Time in seconds of the last attempt with an unknown outcome, earliest first."""
+        self._accepted_s_by_job_id: dict[str, float] = {}
+        """Time in seconds at which the store was last known to have the job, earliest first."""
         self._under_way_by_job_id: Counter[str] = Counter()
         """Number of attempts that have begun and not ended."""
 
@@ -61,10 +65,11 @@
         self._forget_old(now_s)
         if outcome is SubmitOutcome.ACCEPTED:
             self._since_s_by_job_id.pop(job_id, None)
-            return outcome
+            _set_last(self._accepted_s_by_job_id, job_id, now_s)
+        if job_id in self._accepted_s_by_job_id:
+            return SubmitOutcome.ACCEPTED
         if outcome is SubmitOutcome.UNKNOWN:
-            self._since_s_by_job_id.pop(job_id, None)
-            self._since_s_by_job_id[job_id] = now_s
+            _set_last(self._since_s_by_job_id, job_id, now_s)
         return SubmitOutcome.UNKNOWN if job_id in self._since_s_by_job_id else outcome
 
     def is_known(self, job_id: str, now_s: float) -> bool:
@@ -73,9 +78,18 @@
         return job_id in self._since_s_by_job_id or job_id in self._under_way_by_job_id
 
     def _forget_old(self, now_s: float) -> None:
-        since_s_by_job_id = self._since_s_by_job_id
-        while since_s_by_job_id:
-            oldest_id, since_s = next(iter(since_s_by_job_id.items()))
-            if now_s - since_s < KEPT_S:
-                return
-            del since_s_by_job_id[oldest_id]
+        _remove_old(self._since_s_by_job_id, now_s)
+        _remove_old(self._accepted_s_by_job_id, now_s)
+
+
+def _set_last(time_s_by_job_id: dict[str, float], job_id: str, now_s: float) -> None:
+    time_s_by_job_id.pop(job_id, None)
+    time_s_by_job_id[job_id] = now_s
+
+
+def _remove_old(time_s_by_job_id: dict[str, float], now_s: float) -> None:
+    while time_s_by_job_id:
+        oldest_id, time_s = next(iter(time_s_by_job_id.items()))
+        if now_s - time_s < KEPT_S:
+            return
+        del time_s_by_job_id[oldest_id]
--- a/redwingplank/platform/site/ingress.py
+++ b/redwingplank/platform/site/ingress.py
@@ -16,6 +16,8 @@
 
 READINESS_PATH = "/-/readyz"
 DEADLINE_HEADER = "X-Redwingplank-Deadline-Ms"
+MAX_DEADLINE_DIGITS = 9
+"""Longer numbers of milliseconds are taken for no deadline."""
 DEFAULT_DEADLINE_S = 3.0
 """Time that a caller waits if its request has no valid deadline header."""
 MS_PER_S = 1000.0
@@ -24,7 +26,8 @@
 def read_deadline_s(get_header: Callable[[str], str | None]) -> float:
     """Return how many seconds the caller waits, from the deadline header."""
     text = get_header(DEADLINE_HEADER) or ""
-    return int(text) / MS_PER_S if text.isdecimal() else DEFAULT_DEADLINE_S
+    is_valid = text.isdecimal() and len(text) <= MAX_DEADLINE_DIGITS
+    return int(text) / MS_PER_S if is_valid else DEFAULT_DEADLINE_S
 
 
 def write_state(state: JobState) -> bytes:
