A large prefix of the store passes a narrow link

Cause: `BoundedStore` bounded each call by 1 s (`store-timeout-s`), and `post_bytes` once more, by `ClientTimeout(total=...)`, the transfer of the answer included.

Change: `post_bytes` bounds connecting, the wait for the headers (and, as it is all sent before them, the upload, by its size) and each wait for a further part of the body. The bound of the whole call in `BoundedStore` goes: only the client of the connection sees progress, and one bound is enough. What is left counts calls: `CountedStore`. Calls of workers keep the time-out of the whole exchange that `worker_exchanges.py` sets, since the reach of leases is derived from it.

Weighed: `SiteClient.call(on_headers=...)` could carry these calls without a change of platform/site. Left, because watches, upstreams and other entries need a session for streams beside it, so each process would hold two pools of connections to the same addresses; its addresses are "IP:PORT", ours URLs that may have a path; and it does not bound an upload that stops but by the socket options of its own connections. The scheme of time-outs is the same (`connect`, `sock_read`). A callback `on_begin` through `KeyValueStore`, so that `BoundedStore` could stop its clock, would change each implementation for a second bound that adds nothing.

Measured: on the code before (`BoundedStore` under the new name), three tests of `runtime/tests/test_counted_store.py` failed with redwingplank.platform.errors.OutcomeUnknownError: no whole answer from http://127.0.0.1:39667/v3/kv/range: TimeoutError redwingplank.platform.errors.OutcomeUnknownError: no whole answer from http://127.0.0.1:37523/v3/kv/txn: TimeoutError redwingplank.platform.errors.OutcomeUnknownError: no whole answer from http://127.0.0.1:33091/v3/kv/txn: TimeoutError (a range, a large write, and a connect that timed out, which was said to be in doubt and is now known to be without effect). Now they pass. The others guard what held before and holds now: a stop before the begin, within the answer and within the upload; that for the upload fails when its bound is taken away. Tests of platform, runtime, cli and standin pass.

--- a/redwingplank/cli/node.py
+++ b/redwingplank/cli/node.py
@@ -14,7 +14,7 @@
 from redwingplank.platform.http import HttpKeyValueStore, HttpVmList, open_session
 from redwingplank.rpc import NodeServer, PeerConnections
 from redwingplank.rpc.membership_calls import MEMBERSHIP_SERVICE, MembershipCalls
-from redwingplank.runtime.bounded_store import BoundedStore
+from redwingplank.runtime.counted_store import CountedStore
 from redwingplank.runtime.counters import ProcessCounters
 from redwingplank.runtime.declarations import DeclarationsFollower
 from redwingplank.runtime.membership import MembershipNode
@@ -105,7 +105,7 @@
     def _make_store(self) -> KeyValueStore:
         settings = self.settings
         client = HttpKeyValueStore(self.session, settings.store_url, settings.store_timeout_s)
-        return BoundedStore(client, self._counters, settings.store_timeout_s)
+        return CountedStore(client, self._counters)
 
     def _make_membership(self) -> MembershipNode:
         settings = self.settings
--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -1,5 +1,6 @@
 """HTTP calls whose exceptions tell whether a failed call may have taken effect."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from http import HTTPStatus
@@ -11,6 +12,8 @@
 __all__ = ["open_session", "post_bytes", "raise_for_status", "translate_errors"]
 
 CONNECT_TIMEOUT_S = 1.0
+SLOW_LINK_BYTES_PER_S = 500_000
+"""Rate at which an upload is expected to progress at least."""
 
 
 def open_session(connections_per_host: int = 64) -> aiohttp.ClientSession:
@@ -32,21 +35,35 @@
 ) -> bytes:
     """Post a JSON body and return the answer's body.
 
+    Parameters
+    ----------
+    timeout_s : float
+        Time-out in seconds of connecting, of the wait for the headers of the answer, and of each
+        wait for a further part of its body; that for the headers grows with the time of the upload
+        over a slow link. A link takes its time for a large answer, and only a transfer that stops
+        has failed.
+
     Raises
     ------
     UnavailableError
         No connection could be established, so the call had no effect.
     OutcomeUnknownError
-        The connection broke, the call timed out, or the server answered with a 5xx status.
+        The connection broke, a time-out expired, or the server answered with a 5xx status.
     PlatformError
         The server rejected the call with a 4xx status, so the call had no effect.
     """
-    timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+    answer_s = timeout_s + len(body) / SLOW_LINK_BYTES_PER_S
+    timeout = aiohttp.ClientTimeout(
+        connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=answer_s
+    )
     headers = {"Content-Type": "application/json"}
     async with (
         translate_errors(url),
+        # `sock_read` does not bound an upload that stops.
+        asyncio.timeout(timeout_s + answer_s) as until_headers,
         session.post(url, data=body, headers=headers, timeout=timeout) as response,
     ):
+        until_headers.reschedule(None)
         answer = await response.read()
         raise_for_status(response.status, answer, url)
         return answer
--- a/redwingplank/platform/http/clients.py
+++ b/redwingplank/platform/http/clients.py
@@ -105,7 +105,7 @@
     session : aiohttp.ClientSession
         Session returned by `open_session`.
     timeout_s : float
-        Time limit in seconds for each call.
+        Time-out in seconds as for `post_bytes`.
     """
 
     def __init__(self, session: aiohttp.ClientSession, timeout_s: float = 1.0) -> None:
--- a/redwingplank/platform/http/kv.py
+++ b/redwingplank/platform/http/kv.py
@@ -86,7 +86,7 @@
     base_url : str
         URL of the gateway, such as ``"http://127.0.0.1:2379"``.
     timeout_s : float
-        Time limit in seconds for each call; for a watch, only for connecting.
+        Time-out in seconds as for `post_bytes`; for a watch, only of connecting.
     """
 
     def __init__(
--- a/redwingplank/platform/kv.py
+++ b/redwingplank/platform/kv.py
@@ -114,7 +114,8 @@
     Notes
     -----
     Every method raises `UnavailableError` if the call certainly had no effect and
-    `OutcomeUnknownError` if it may have had one. Every call counts against the platform's rate
+    `OutcomeUnknownError` if it may have had one. A client bounds the wait for the begin of an
+    answer and for its progress, not its transfer. Every call counts against the platform's rate
     limits; an open watch counts as one call.
     """
 
--- a/redwingplank/runtime/scheduler.py
+++ b/redwingplank/runtime/scheduler.py
@@ -10,7 +10,7 @@
 from redwingplank.config import NO_DECLARATIONS, DeadlineClass, Declarations
 from redwingplank.core import Clock, log_event, make_logger
 from redwingplank.platform import KeyValueStore, ListedVm, VmList, WorkerClient
-from redwingplank.runtime.bounded_store import BoundedStore
+from redwingplank.runtime.counted_store import CountedStore
 from redwingplank.runtime.counters import ProcessCounters
 from redwingplank.runtime.ownership_runner import ShardContext
 from redwingplank.runtime.scheduler_core import SchedulerCore, SchedulerFactory
@@ -170,7 +170,7 @@
         processes.
     """
     counters = ProcessCounters()
-    bounded_store = BoundedStore(store, counters, settings.store_timeout_s)
+    counted_store = CountedStore(store, counters)
     address_seed = xxhash.xxh64_intdigest(settings.address.encode())
     generator = np.random.default_rng((settings.seed, address_seed))
     shards = shard_names((settings.failure_domain,), settings.shard_count)
@@ -180,7 +180,7 @@
         context = ShardContext(
             shard,
             settings,
-            bounded_store,
+            counted_store,
             workers,
             clock,
             unix_clock,
