A large list of VMs passes a narrow link

Cause: `HttpVmList` bounded a read of the whole list by `ClientTimeout(total=...)`, and `VmPoller` once more by 1 s: the fault of the store's ranges, at the list (768 KB/s are its share in docs/CAPACITY.md). A list that takes longer than a second to transfer never arrived at schedulers, nor at membership.

Change: `post_bytes` becomes `request_bytes`, which serves the list's GET too, with its time-outs; the second one in `VmPoller` goes, and with it the setting of the library that only it used (the program's `store-timeout-s` stays and is the client's). `test_takeover.py`: `Cell(store_timeout_s=60.0)` becomes `Cell()`, since there is no such bound any more; the call of 10 s that the test is about is waited for as before.

--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -163,7 +163,6 @@
         task_lease_s=settings.task_lease_s,
         renew_every_s=settings.renew_every_s,
         clock_margin_s=settings.clock_margin_s,
-        store_timeout_s=settings.store_timeout_s,
         tick_every_s=settings.tick_ms / MILLISECONDS_PER_SECOND,
     )
 
--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -1,7 +1,7 @@
 """HTTP calls whose exceptions tell whether a failed call may have taken effect."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 
@@ -9,7 +9,7 @@
 
 from redwingplank.platform import OutcomeUnknownError, PlatformError, UnavailableError
 
-__all__ = ["open_session", "post_bytes", "raise_for_status", "translate_errors"]
+__all__ = ["open_session", "raise_for_status", "request_bytes", "translate_errors"]
 
 CONNECT_TIMEOUT_S = 1.0
 SLOW_LINK_BYTES_PER_S = 500_000
@@ -30,18 +30,31 @@
     return aiohttp.ClientSession(connector=connector, auto_decompress=False)
 
 
-async def post_bytes(
-    session: aiohttp.ClientSession, url: str, body: bytes, timeout_s: float
+async def request_bytes(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout_s: float,
+    body: bytes | None = None,
+    params: Mapping[str, str] | None = None,
 ) -> bytes:
-    """Post a JSON body and return the answer's body.
+    """Send a request and return the answer's body.
 
     Parameters
     ----------
+    session : aiohttp.ClientSession
+        Session returned by `open_session`.
+    method, url : str
+        HTTP method and address.
     timeout_s : float
         Time-out in seconds of connecting, of the wait for the headers of the answer, and of each
         wait for a further part of its body; that for the headers grows with the time of the upload
         over a slow link. A link takes its time for a large answer, and only a transfer that stops
         has failed.
+    body : bytes, optional
+        Body of the request, JSON.
+    params : mapping of str to str, optional
+        Query of the address.
 
     Raises
     ------
@@ -52,7 +65,7 @@
     PlatformError
         The server rejected the call with a 4xx status, so the call had no effect.
     """
-    answer_s = timeout_s + len(body) / SLOW_LINK_BYTES_PER_S
+    answer_s = timeout_s + len(body or b"") / SLOW_LINK_BYTES_PER_S
     timeout = aiohttp.ClientTimeout(
         connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=answer_s
     )
@@ -61,7 +74,9 @@
         translate_errors(url),
         # `sock_read` does not bound an upload that stops.
         asyncio.timeout(timeout_s + answer_s) as until_headers,
-        session.post(url, data=body, headers=headers, timeout=timeout) as response,
+        session.request(
+            method, url, params=params, data=body, headers=headers, timeout=timeout
+        ) as response,
     ):
         until_headers.reschedule(None)
         answer = await response.read()
--- a/redwingplank/platform/http/clients.py
+++ b/redwingplank/platform/http/clients.py
@@ -24,8 +24,7 @@
 )
 from redwingplank.platform.http.calls import (
     CONNECT_TIMEOUT_S,
-    post_bytes,
-    raise_for_status,
+    request_bytes,
     translate_errors,
 )
 
@@ -76,7 +75,7 @@
     base_url : str
         URL of the platform.
     timeout_s : float
-        Time limit in seconds for each call.
+        Time-out in seconds as for `request_bytes`.
     """
 
     def __init__(
@@ -84,16 +83,11 @@
     ) -> None:
         self._session = session
         self._url = f"{base_url.rstrip('/')}/vms"
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        self._timeout_s = timeout_s
 
     async def read(self, failure_domain: str = "") -> VmListing:
         params = {"failure_domain": failure_domain} if failure_domain else {}
-        async with (
-            translate_errors(self._url),
-            self._session.get(self._url, params=params, timeout=self._timeout) as response,
-        ):
-            body = await response.read()
-        raise_for_status(response.status, body, self._url)
+        body = await request_bytes(self._session, "GET", self._url, self._timeout_s, params=params)
         return msgspec.json.decode(body, type=VmListing)
 
 
@@ -105,7 +99,7 @@
     session : aiohttp.ClientSession
         Session returned by `open_session`.
     timeout_s : float
-        Time-out in seconds as for `post_bytes`.
+        Time-out in seconds as for `request_bytes`.
     """
 
     def __init__(self, session: aiohttp.ClientSession, timeout_s: float = 1.0) -> None:
@@ -123,7 +117,7 @@
     async def _post(self, address: str, path: str, body: bytes) -> bytes:
         url = f"http://{address}/{path}"
         try:
-            return await post_bytes(self._session, url, body, self._timeout_s)
+            return await request_bytes(self._session, "POST", url, self._timeout_s, body)
         except (UnavailableError, OutcomeUnknownError):
             raise
         except PlatformError as error:
--- a/redwingplank/platform/http/kv.py
+++ b/redwingplank/platform/http/kv.py
@@ -24,7 +24,7 @@
     WatchBatch,
     WatchEvent,
 )
-from redwingplank.platform.http.calls import post_bytes, raise_for_status, translate_errors
+from redwingplank.platform.http.calls import raise_for_status, request_bytes, translate_errors
 
 __all__ = [
     "HttpKeyValueStore",
@@ -86,7 +86,7 @@
     base_url : str
         URL of the gateway, such as ``"http://127.0.0.1:2379"``.
     timeout_s : float
-        Time-out in seconds as for `post_bytes`; for a watch, only of connecting.
+        Time-out in seconds as for `request_bytes`; for a watch, only of connecting.
     """
 
     def __init__(
@@ -145,7 +145,7 @@
     async def _call(self, path: str, request: dict[str, Any]) -> dict[str, Any]:
         url = f"{self._base_url}{path}"
         body = json.dumps(request).encode()
-        return json.loads(await post_bytes(self._session, url, body, self._timeout_s))
+        return json.loads(await request_bytes(self._session, "POST", url, self._timeout_s, body))
 
 
 def _key_range(key: str, is_prefix: bool) -> dict[str, str]:
--- a/redwingplank/platform/vms.py
+++ b/redwingplank/platform/vms.py
@@ -75,6 +75,8 @@
     async def read(self, failure_domain: str = "") -> VmListing:
         """Return the VMs of one failure domain, or of all if it is empty.
 
+        A client bounds the wait for the begin of the list and for its progress, not its transfer.
+
         Raises
         ------
         PlatformError
--- a/redwingplank/runtime/scheduler.py
+++ b/redwingplank/runtime/scheduler.py
@@ -200,7 +200,6 @@
         vm_list,
         settings.failure_domain,
         settings.list_poll_every_s,
-        settings.store_timeout_s,
         counters,
         on_listed,
     )
--- a/redwingplank/runtime/settings.py
+++ b/redwingplank/runtime/settings.py
@@ -35,8 +35,8 @@
         a check and the use of its result.
     workers_know_epochs, workers_have_inventory : bool
         Whether the platform's workers check epochs, and whether they return an inventory.
-    store_timeout_s, worker_timeout_s : float
-        Time-outs of one call to the store and to a worker, in seconds.
+    worker_timeout_s : float
+        Time-out of one call to a worker, in seconds.
     tick_every_s : float
         Minimum seconds between two ticks of a busy shard.
     idle_tick_s : float
@@ -64,7 +64,6 @@
     clock_margin_s: float = 0.1
     workers_know_epochs: bool = True
     workers_have_inventory: bool = True
-    store_timeout_s: float = 1.0
     worker_timeout_s: float = 1.0
     tick_every_s: float = 0.02
     idle_tick_s: float = 0.25
--- a/redwingplank/runtime/tests/test_takeover.py
+++ b/redwingplank/runtime/tests/test_takeover.py
@@ -170,7 +170,7 @@
 
     def test_is_fenced_in_the_journal(self):
         async def scenario():
-            cell = Cell(store_timeout_s=60.0)
+            cell = Cell()
             first = cell.add_candidate("a")
             await until(lambda: first.is_ready)
             first.store_faults.delay_s = 10.0
--- a/redwingplank/runtime/vm_poller.py
+++ b/redwingplank/runtime/vm_poller.py
@@ -19,8 +19,8 @@
         Client of the platform's list of VMs.
     failure_domain : str
         Failure domain whose VMs are read.
-    interval_s, timeout_s : float
-        Seconds between two reads and time-out of one read.
+    interval_s : float
+        Seconds between two reads.
     counters : ProcessCounters
         Counts the reads.
     on_listed : callable
@@ -32,7 +32,6 @@
         vm_list: VmList,
         failure_domain: str,
         interval_s: float,
-        timeout_s: float,
         counters: ProcessCounters,
         on_listed: Callable[[tuple[ListedVm, ...]], None],
     ) -> None:
@@ -40,7 +39,6 @@
         self._vm_list = vm_list
         self._failure_domain = failure_domain
         self._interval_s = interval_s
-        self._timeout_s = timeout_s
         self._counters = counters
         self._on_listed = on_listed
         self._logger = make_logger("vms")
@@ -54,9 +52,8 @@
     async def _read(self) -> None:
         self._counters.increment("vm_list.reads")
         try:
-            async with asyncio.timeout(self._timeout_s):
-                listing = await self._vm_list.read(self._failure_domain)
-        except (PlatformError, TimeoutError) as error:
+            listing = await self._vm_list.read(self._failure_domain)
+        except PlatformError as error:
             log_event(self._logger, "list_read_failed", reason=error)
             return
         self.workers = tuple(vm for vm in listing.vms if vm.role is VmRole.WORKER)
