A redirect is an answer: "not sent" is no longer said of a request that ran

Class: an answer that says more than is known.

Cause: the sessions of entries and schedulers followed redirects, and `translate_errors` takes a failed connect for "the call had no effect". An upstream, worker, store or entry that carried a POST out and redirected to an address at which nothing listens made `UnavailableError` of it: the entry recorded `ran: no` and sent the request to the next upstream, also of a service that is not idempotent; a forwarding entry served it once more itself; the owner of a shard reported "no effect possible" of a worker's commands; a store's write was repeated without reading back. A redirect that could be followed made a GET of the POST, whose answer was then delivered as that of the request.

Change: `open_call` sends requests, and does not follow. An upstream's redirect is delivered. For the store, workers and the list, a 3xx status raises `OutcomeUnknownError`.

That an entry then runs the request again was read, not played.

--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -4,12 +4,13 @@
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
+from typing import Any
 
 import aiohttp
 
 from redwingplank.platform import OutcomeUnknownError, PlatformError, UnavailableError
 
-__all__ = ["open_session", "raise_for_status", "request_bytes", "translate_errors"]
+__all__ = ["open_call", "open_session", "raise_for_status", "request_bytes", "translate_errors"]
 
 CONNECT_TIMEOUT_S = 1.0
 SLOW_LINK_BYTES_PER_S = 500_000
@@ -61,7 +62,7 @@
     UnavailableError
         No connection could be established, so the call had no effect.
     OutcomeUnknownError
-        The connection broke, a time-out expired, or the server answered with a 5xx status.
+        The connection broke, a time-out expired, or the server answered with a 3xx or 5xx status.
     PlatformError
         The server rejected the call with a 4xx status, so the call had no effect.
     """
@@ -70,18 +71,55 @@
         connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=answer_s
     )
     headers = {"Content-Type": "application/json"}
+    # `sock_read` does not bound an upload that stops.
+    headers_s = timeout_s + answer_s
+    async with open_call(
+        session, method, url, timeout, headers_s, params=params, data=body, headers=headers
+    ) as response:
+        answer = await response.read()
+        raise_for_status(response.status, answer, url)
+        return answer
+
+
+@asynccontextmanager
+async def open_call(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout: aiohttp.ClientTimeout,
+    headers_s: float | None = None,
+    **options: Any,
+) -> AsyncIterator[aiohttp.ClientResponse]:
+    """Send a request and yield the response, whose body may be read within the context.
+
+    A redirect is an answer and is not followed: whoever gave it may have carried out the request,
+    of which a failure to connect elsewhere says nothing.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session returned by `open_session`.
+    method, url : str
+        HTTP method and address.
+    timeout : aiohttp.ClientTimeout
+        Time-outs of the call.
+    headers_s : float or None
+        Time-out in seconds until the headers of the response have arrived; None for no limit.
+    **options
+        Passed to `aiohttp.ClientSession.request`.
+
+    Raises
+    ------
+    UnavailableError, OutcomeUnknownError
+        As from `translate_errors`.
+    """
     async with (
         translate_errors(url),
-        # `sock_read` does not bound an upload that stops.
-        asyncio.timeout(timeout_s + answer_s) as until_headers,
-        session.request(
-            method, url, params=params, data=body, headers=headers, timeout=timeout
-        ) as response,
+        asyncio.timeout(headers_s) as until_headers,
+        session.request(method, url, timeout=timeout, allow_redirects=False, **options) as response,
     ):
         until_headers.reschedule(None)
-        answer = await response.read()
-        raise_for_status(response.status, answer, url)
-        return answer
+        yield response
 
 
 @asynccontextmanager
@@ -102,13 +140,14 @@
     Raises
     ------
     OutcomeUnknownError
-        For a 5xx status: the server failed, and the call may have had an effect.
+        For a 5xx status: the server failed, and the call may have had an effect. For a 3xx status:
+        it does not say whether the call had one.
     PlatformError
         For a 4xx status: the server rejected the call, which had no effect.
     """
-    if status < HTTPStatus.BAD_REQUEST:
+    if status < HTTPStatus.MULTIPLE_CHOICES:
         return
     text = answer[:200].decode("utf-8", "replace")
-    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+    if not HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR:
         raise OutcomeUnknownError(f"{url} failed with status {status}: {text}")
     raise PlatformError(f"{url} refused the call with status {status}: {text}")
--- a/redwingplank/platform/http/clients.py
+++ b/redwingplank/platform/http/clients.py
@@ -148,7 +148,7 @@
         headers = _forwarded_headers(request)
         async with translate_errors(url):
             response = await self._session.post(
-                url, data=request.body, headers=headers, timeout=timeout
+                url, data=request.body, headers=headers, timeout=timeout, allow_redirects=False
             )
         try:
             yield _read_head(response, url)
--- a/redwingplank/platform/http/kv.py
+++ b/redwingplank/platform/http/kv.py
@@ -24,7 +24,7 @@
     WatchBatch,
     WatchEvent,
 )
-from redwingplank.platform.http.calls import raise_for_status, request_bytes, translate_errors
+from redwingplank.platform.http.calls import open_call, raise_for_status, request_bytes
 
 __all__ = [
     "HttpKeyValueStore",
@@ -127,16 +127,15 @@
         create = {**_key_range(prefix, True), "start_revision": str(after_revision + 1)}
         body = json.dumps({"create_request": create}).encode()
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
-        async with (
-            translate_errors(url),
-            self._session.post(
-                url,
-                data=body,
-                headers={"Content-Type": "application/json"},
-                timeout=timeout,
-                read_bufsize=MAX_WATCH_LINE_BYTES,
-            ) as response,
-        ):
+        async with open_call(
+            self._session,
+            "POST",
+            url,
+            timeout,
+            data=body,
+            headers={"Content-Type": "application/json"},
+            read_bufsize=MAX_WATCH_LINE_BYTES,
+        ) as response:
             raise_for_status(response.status, b"", url)
             async for line in response.content:
                 if line.strip():
--- a/redwingplank/runtime/entry_client.py
+++ b/redwingplank/runtime/entry_client.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from redwingplank.platform import UnavailableError
-from redwingplank.platform.http.calls import CONNECT_TIMEOUT_S, translate_errors
+from redwingplank.platform.http.calls import CONNECT_TIMEOUT_S, open_call
 from redwingplank.routing import CallerAnswer, CallerRequest, Problem, Ran
 from redwingplank.runtime.requests_entries import EntryClient
 
@@ -47,12 +47,9 @@
         path = f"/v1/organisations/{call.organisation}/services/{call.service}/requests"
         url = f"http://{address}{path}"
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        async with (
-            translate_errors(url),
-            self._session.post(
-                url, data=body, headers=_make_headers(call), timeout=timeout
-            ) as response,
-        ):
+        async with open_call(
+            self._session, "POST", url, timeout, data=body, headers=_make_headers(call)
+        ) as response:
             answer = await response.read()
             return _read_answer(response, answer)
 
--- /dev/null
+++ b/redwingplank/runtime/tests/test_entry_client.py
@@ -0,0 +1,26 @@
+"""What an entry says of a request that it forwarded, on real sockets."""
+
+import asyncio
+
+import pytest
+
+from redwingplank.platform.http import open_session
+from redwingplank.platform.tests.service_fixture import REDIRECTS, redirect_to_nowhere, service
+from redwingplank.routing import CallerRequest, Ran
+from redwingplank.runtime.entry_client import HttpEntryClient
+
+
+class TestRedirects:
+    # Guards against a request that ran behind another entry and is then served here once more.
+    @pytest.mark.parametrize("status", REDIRECTS)
+    def test_the_answer_of_the_other_entry_is_delivered(self, status):
+        async def scenario():
+            async with service(redirect_to_nowhere(status, ran="yes")) as (address, carried_out):
+                async with open_session() as session:
+                    client = HttpEntryClient(session, {"e2": address})
+                    call = CallerRequest("o", "s", "r1")
+                    answer = await client.forward_request("e2", call, b"{}", 2.0)
+                    assert (answer.status, answer.ran) == (status, Ran.YES)
+                assert carried_out == [b"POST"]
+
+        asyncio.run(scenario())
