A GET that the library repeated is not said to have never arrived

Class: an answer that says more than is known.

Cause: aiohttp sends idempotent methods once more when a kept connection breaks. If the second connect fails, `translate_errors` raised `UnavailableError` ("never reached the other side") of the first one. Here only the list of VMs is read by GET, so that no effect could be denied; the next client with a DELETE would have had the fault of the end of a lease.

Change: `translate_errors` knows the method, and uses the set that platform/site has for the same fact about aiohttp.

Looked at: every other call of `calls.py`, `clients.py`, `kv.py` and `entry_client.py` is a POST, which aiohttp does not send again (a test holds that); its errors of connecting come from the connector alone, before a byte is sent.

Measured: before, `test_a_read_whose_repetition_cannot_connect_may_have_arrived` failed with redwingplank.platform.errors.UnavailableError: cannot connect to http://127.0.0.1:36927/vms: Cannot connect to host 127.0.0.1:36927

--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from redwingplank.platform import OutcomeUnknownError, PlatformError, UnavailableError
+from redwingplank.platform.site.http import REPEATED_METHODS
 
 __all__ = ["open_call", "open_session", "raise_for_status", "request_bytes", "translate_errors"]
 
@@ -60,7 +61,7 @@
     Raises
     ------
     UnavailableError
-        No connection could be established, so the call had no effect.
+        As from `translate_errors`.
     OutcomeUnknownError
         The connection broke, a time-out expired, or the server answered with a 3xx or 5xx status.
     PlatformError
@@ -114,7 +115,7 @@
         As from `translate_errors`.
     """
     async with (
-        translate_errors(url),
+        translate_errors(method, url),
         asyncio.timeout(headers_s) as until_headers,
         session.request(method, url, timeout=timeout, allow_redirects=False, **options) as response,
     ):
@@ -123,11 +124,22 @@
 
 
 @asynccontextmanager
-async def translate_errors(url: str) -> AsyncIterator[None]:
-    """Convert the exceptions of aiohttp into those of `redwingplank.platform`."""
+async def translate_errors(method: str, url: str) -> AsyncIterator[None]:
+    """Convert the exceptions of aiohttp into those of `redwingplank.platform`.
+
+    Raises
+    ------
+    UnavailableError
+        No connection could be established, so the call had no effect. Never raised for the methods
+        in `REPEATED_METHODS`: the call may have been sent on an earlier connection.
+    OutcomeUnknownError
+        The connection broke, or a time-out expired.
+    """
     try:
         yield
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        if method in REPEATED_METHODS:
+            raise OutcomeUnknownError(f"no answer from {url}: {error}") from error
         raise UnavailableError(f"cannot connect to {url}: {error}; try again later") from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         reason = str(error) or type(error).__name__
--- a/redwingplank/platform/http/clients.py
+++ b/redwingplank/platform/http/clients.py
@@ -146,7 +146,7 @@
         url = f"http://{address}/{request.service}"
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         headers = _forwarded_headers(request)
-        async with translate_errors(url):
+        async with translate_errors("POST", url):
             response = await self._session.post(
                 url, data=request.body, headers=headers, timeout=timeout, allow_redirects=False
             )
@@ -187,6 +187,6 @@
 
 
 async def _stream_body(response: aiohttp.ClientResponse, url: str) -> AsyncIterator[bytes]:
-    async with translate_errors(url):
+    async with translate_errors("POST", url):
         async for chunk in response.content.iter_any():
             yield chunk
--- a/redwingplank/platform/tests/test_http_effects.py
+++ b/redwingplank/platform/tests/test_http_effects.py
@@ -7,16 +7,19 @@
 from redwingplank.platform import (
     OutcomeUnknownError,
     Put,
+    UnavailableError,
     UpstreamRequest,
 )
 from redwingplank.platform.http import (
     HttpKeyValueStore,
     HttpUpstreamClient,
+    HttpVmList,
     HttpWorkerClient,
     open_session,
 )
 from redwingplank.platform.tests.service_fixture import (
     REDIRECTS,
+    make_answer,
     redirect_to_nowhere,
     service,
 )
@@ -77,3 +80,44 @@
                 assert carried_out == [b"POST"]
 
         asyncio.run(scenario())
+
+
+class TestRepeatedCalls:
+    # Guards against "never reached" of a call that the library sent on a connection that broke.
+    def test_a_read_whose_repetition_cannot_connect_may_have_arrived(self):
+        async def scenario():
+            listing = make_answer(200, b'{"vms": [], "version": 1}')
+            async with service(listing, None) as (address, carried_out):
+                async with open_session() as session:
+                    vm_list = HttpVmList(session, f"http://{address}", TIMEOUT_S)
+                    await vm_list.read()
+                    with pytest.raises(OutcomeUnknownError):
+                        await vm_list.read()
+                assert carried_out == [b"GET", b"GET"]
+
+        asyncio.run(scenario())
+
+    # Guards against a write that the library sends again by itself.
+    def test_a_write_is_sent_once(self):
+        async def scenario():
+            async with service(make_answer(200), None) as (address, carried_out):
+                async with open_session() as session:
+                    store = HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
+                    await store.revoke_lease(1)
+                    with pytest.raises(OutcomeUnknownError):
+                        await store.revoke_lease(2)
+                assert carried_out == [b"POST", b"POST"]
+
+        asyncio.run(scenario())
+
+    # Guards against a refused connect that is no longer known to be without effect.
+    def test_a_write_that_cannot_connect_had_no_effect(self):
+        async def scenario():
+            async with service() as (address, _):
+                pass
+            async with open_session() as session:
+                store = HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
+                with pytest.raises(UnavailableError):
+                    await store.revoke_lease(1)
+
+        asyncio.run(scenario())
