408, 429 and 499 do not say that a call had no effect

Class: an answer that says more than is known.

Cause: `raise_for_status` took each 4xx for "rejected, no effect". A proxy gives 408 and 429 of itself, and the gateway of etcd answers 408 or 499 when the call behind it was cancelled, which may have been carried out.

Change: these raise `OutcomeUnknownError`: callers read back and repeat. docs/callers.md lets "not run" be concluded only from an answer that says so; a 429 of the store's own limit costs one read more that way, and is repeated with a backoff. Other 4xx (400, 401, 403, 404, 409, 412) stay rejections: each is the store's or worker's word on the request's content, and repeating them would never end.

Looked at: upstreams (`ran: no` only for 503 with their own header), entries (`X-Redwing-Ran`, else unknown: four new cases hold it, which passed before too), workers (each refusal but a stale epoch counts as "may have had an effect").

Measured: before, three cases failed with redwingplank.platform.errors.PlatformError: http://127.0.0.1:35929/v3/kv/txn refused the call with status 429: {} (and 408, 499). Now they pass.

--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -14,6 +14,8 @@
 __all__ = ["open_call", "open_session", "raise_for_status", "request_bytes", "translate_errors"]
 
 CONNECT_TIMEOUT_S = 1.0
+INCONCLUSIVE_STATUSES = frozenset({HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS, 499})
+"""Statuses below 500 that a proxy gives of itself, or a gateway whose call was cancelled."""
 SLOW_LINK_BYTES_PER_S = 500_000
 """Rate at which an upload is expected to progress at least."""
 
@@ -63,9 +65,9 @@
     UnavailableError
         As from `translate_errors`.
     OutcomeUnknownError
-        The connection broke, a time-out expired, or the server answered with a 3xx or 5xx status.
+        The connection broke, a time-out expired, or as from `raise_for_status`.
     PlatformError
-        The server rejected the call with a 4xx status, so the call had no effect.
+        As from `raise_for_status`.
     """
     answer_s = timeout_s + len(body or b"") / SLOW_LINK_BYTES_PER_S
     timeout = aiohttp.ClientTimeout(
@@ -152,14 +154,15 @@
     Raises
     ------
     OutcomeUnknownError
-        For a 5xx status: the server failed, and the call may have had an effect. For a 3xx status:
-        it does not say whether the call had one.
+        For a 5xx status: the server failed, and the call may have had an effect. For a 3xx status
+        and those in `INCONCLUSIVE_STATUSES`: it does not say whether the call had one.
     PlatformError
-        For a 4xx status: the server rejected the call, which had no effect.
+        For any other 4xx status: the server rejected the call, which had no effect.
     """
     if status < HTTPStatus.MULTIPLE_CHOICES:
         return
     text = answer[:200].decode("utf-8", "replace")
-    if not HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR:
-        raise OutcomeUnknownError(f"{url} failed with status {status}: {text}")
-    raise PlatformError(f"{url} refused the call with status {status}: {text}")
+    is_rejection = HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR
+    if is_rejection and status not in INCONCLUSIVE_STATUSES:
+        raise PlatformError(f"{url} refused the call with status {status}: {text}")
+    raise OutcomeUnknownError(f"{url} failed with status {status}: {text}")
--- a/redwingplank/platform/tests/test_http_effects.py
+++ b/redwingplank/platform/tests/test_http_effects.py
@@ -6,6 +6,7 @@
 
 from redwingplank.platform import (
     OutcomeUnknownError,
+    PlatformError,
     Put,
     UnavailableError,
     UpstreamRequest,
@@ -121,3 +122,30 @@
                     await store.revoke_lease(1)
 
         asyncio.run(scenario())
+
+
+class TestRefusals:
+    # Guards against "no effect" by the word of a proxy, or of a gateway whose own caller went away.
+    @pytest.mark.parametrize("status", [408, 429, 499])
+    def test_a_status_that_others_give_leaves_the_outcome_open(self, status):
+        async def scenario():
+            async with service(make_answer(status)) as (address, _):
+                async with open_session() as session:
+                    store = HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
+                    with pytest.raises(OutcomeUnknownError):
+                        await store.transact((), (Put("k", b"v"),))
+
+        asyncio.run(scenario())
+
+    # Guards against a rejected call that is repeated for ever.
+    @pytest.mark.parametrize("status", [400, 401, 403, 404, 409, 412])
+    def test_a_rejection_had_no_effect(self, status):
+        async def scenario():
+            async with service(make_answer(status)) as (address, _):
+                async with open_session() as session:
+                    store = HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
+                    with pytest.raises(PlatformError) as raised:
+                        await store.transact((), (Put("k", b"v"),))
+                    assert raised.type is PlatformError
+
+        asyncio.run(scenario())
--- a/redwingplank/runtime/tests/test_entry_client.py
+++ b/redwingplank/runtime/tests/test_entry_client.py
@@ -5,7 +5,12 @@
 import pytest
 
 from redwingplank.platform.http import open_session
-from redwingplank.platform.tests.service_fixture import REDIRECTS, redirect_to_nowhere, service
+from redwingplank.platform.tests.service_fixture import (
+    REDIRECTS,
+    make_answer,
+    redirect_to_nowhere,
+    service,
+)
 from redwingplank.routing import CallerRequest, Ran
 from redwingplank.runtime.entry_client import HttpEntryClient
 
@@ -24,3 +29,18 @@
                 assert carried_out == [b"POST"]
 
         asyncio.run(scenario())
+
+
+class TestAnswersOfOthers:
+    # Guards against "not run" by the status of a proxy, which does not know it.
+    @pytest.mark.parametrize("status", [408, 429, 502, 503])
+    def test_an_answer_that_does_not_say_whether_it_ran_leaves_it_open(self, status):
+        async def scenario():
+            async with service(make_answer(status)) as (address, _):
+                async with open_session() as session:
+                    client = HttpEntryClient(session, {"e2": address})
+                    call = CallerRequest("o", "s", "r1")
+                    answer = await client.forward_request("e2", call, b"{}", 2.0)
+                    assert (answer.status, answer.ran) == (status, Ran.UNKNOWN)
+
+        asyncio.run(scenario())
