An answer that cannot be read counts as none

Cause: answers were decoded outside every handler of errors. HTML of a proxy, a list in place of an object, bytes that are no text or deep nesting raised errors of the decoders, which callers of the interface don't catch: they handle `PlatformError`. So a follower's read, the poll of the list, a worker's queue or a lease's renewal ended in an unexpected error (by reading; what each did then was not run).

Change: `reading` makes `OutcomeUnknownError` of them, since such an answer does not say what the call did. The store's client decodes within `_call`, the worker's within `_post`.

Left: one entry with an unreadable key still makes the range that holds it unreadable as a whole. To pass over it would take a list for whole that is not; the readers would have to say what it means for them.

--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -1,21 +1,38 @@
 """HTTP calls whose exceptions tell whether a failed call may have taken effect."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import asynccontextmanager, contextmanager
 from http import HTTPStatus
 from typing import Any
 
 import aiohttp
+import msgspec
 
 from redwingplank.platform import OutcomeUnknownError, PlatformError, UnavailableError
 from redwingplank.platform.site.http import REPEATED_METHODS
 
-__all__ = ["open_call", "open_session", "raise_for_status", "request_bytes", "translate_errors"]
+__all__ = [
+    "open_call",
+    "open_session",
+    "raise_for_status",
+    "reading",
+    "request_bytes",
+    "translate_errors",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 INCONCLUSIVE_STATUSES = frozenset({HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS, 499})
 """Statuses below 500 that a proxy gives of itself, or a gateway whose call was cancelled."""
+_READ_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    msgspec.MsgspecError,
+)
 SLOW_LINK_BYTES_PER_S = 500_000
 """Rate at which an upload is expected to progress at least."""
 
@@ -148,6 +165,21 @@
         raise OutcomeUnknownError(f"no whole answer from {url}: {reason}") from error
 
 
+@contextmanager
+def reading(url: str) -> Iterator[None]:
+    """Convert the exceptions of code that reads an answer.
+
+    Raises
+    ------
+    OutcomeUnknownError
+        The answer cannot be read, so it does not say what the call did.
+    """
+    try:
+        yield
+    except _READ_ERRORS as error:
+        raise OutcomeUnknownError(f"cannot read the answer of {url}: {error!r}") from error
+
+
 def raise_for_status(status: int, answer: bytes, url: str) -> None:
     """Raise an exception for an answer with an error status; `answer` is its body.
 
--- a/redwingplank/platform/http/clients.py
+++ b/redwingplank/platform/http/clients.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -24,6 +25,7 @@
 )
 from redwingplank.platform.http.calls import (
     CONNECT_TIMEOUT_S,
+    reading,
     request_bytes,
     translate_errors,
 )
@@ -35,6 +37,8 @@
     "HttpWorkerClient",
 ]
 
+Answer = TypeVar("Answer")
+
 # Part of the error message with which a worker rejects a stale epoch.
 STALE_EPOCH_MARK = "stale epoch"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -88,7 +92,8 @@
     async def read(self, failure_domain: str = "") -> VmListing:
         params = {"failure_domain": failure_domain} if failure_domain else {}
         body = await request_bytes(self._session, "GET", self._url, self._timeout_s, params=params)
-        return msgspec.json.decode(body, type=VmListing)
+        with reading(self._url):
+            return msgspec.json.decode(body, type=VmListing)
 
 
 class HttpWorkerClient(WorkerClient):
@@ -107,23 +112,26 @@
         self._timeout_s = timeout_s
 
     async def adopt(self, address: str, epoch: int, lease_s: float) -> WorkerInventory:
-        answer = await self._post(address, "adopt", msgspec.json.encode(Adoption(epoch, lease_s)))
-        return msgspec.json.decode(answer, type=WorkerInventory)
+        return await self._post(address, "adopt", Adoption(epoch, lease_s), WorkerInventory)
 
     async def exchange(self, address: str, request: WorkerRequest) -> WorkerReport:
-        answer = await self._post(address, "exchange", msgspec.json.encode(request))
-        return msgspec.json.decode(answer, type=WorkerReport)
+        return await self._post(address, "exchange", request, WorkerReport)
 
-    async def _post(self, address: str, path: str, body: bytes) -> bytes:
+    async def _post(
+        self, address: str, path: str, request: object, answer_type: type[Answer]
+    ) -> Answer:
         url = f"http://{address}/{path}"
+        body = msgspec.json.encode(request)
         try:
-            return await request_bytes(self._session, "POST", url, self._timeout_s, body)
+            answer = await request_bytes(self._session, "POST", url, self._timeout_s, body)
         except (UnavailableError, OutcomeUnknownError):
             raise
         except PlatformError as error:
             if STALE_EPOCH_MARK in str(error):
                 raise StaleEpochError(str(error)) from error
             raise
+        with reading(url):
+            return msgspec.json.decode(answer, type=answer_type)
 
 
 class HttpUpstreamClient(UpstreamClient):
--- a/redwingplank/platform/http/kv.py
+++ b/redwingplank/platform/http/kv.py
@@ -8,8 +8,8 @@
 import json
 import math
 from base64 import b64decode, b64encode
-from collections.abc import AsyncIterator
-from typing import Any
+from collections.abc import AsyncIterator, Callable
+from typing import Any, TypeVar
 
 import aiohttp
 
@@ -24,7 +24,7 @@
     WatchBatch,
     WatchEvent,
 )
-from redwingplank.platform.http.calls import open_call, raise_for_status, request_bytes
+from redwingplank.platform.http.calls import open_call, raise_for_status, reading, request_bytes
 
 __all__ = [
     "HttpKeyValueStore",
@@ -34,6 +34,8 @@
     "prefix_end",
 ]
 
+Result = TypeVar("Result")
+
 # Size of the read buffer for a watch, whose batches are one line of JSON each.
 MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
 
@@ -97,9 +99,7 @@
         self._timeout_s = timeout_s
 
     async def range(self, prefix: str, *, is_prefix: bool = True) -> RangeResult:
-        answer = await self._call("/v3/kv/range", _key_range(prefix, is_prefix))
-        entries = tuple(decode_entry(values) for values in answer.get("kvs", ()))
-        return RangeResult(entries, _revision(answer))
+        return await self._call("/v3/kv/range", _key_range(prefix, is_prefix), _decode_range)
 
     async def transact(
         self, compares: tuple[Compare, ...], operations: tuple[Put | Delete, ...]
@@ -108,19 +108,17 @@
             "compare": [_encode_compare(compare) for compare in compares],
             "success": [_encode_operation(operation) for operation in operations],
         }
-        answer = await self._call("/v3/kv/txn", request)
-        return TransactionResult(bool(answer.get("succeeded", False)), _revision(answer))
+        return await self._call("/v3/kv/txn", request, _decode_transaction)
 
     async def grant_lease(self, ttl_s: float) -> int:
-        answer = await self._call("/v3/lease/grant", {"TTL": str(math.ceil(ttl_s)), "ID": "0"})
-        return int(answer["ID"])
+        request = {"TTL": str(math.ceil(ttl_s)), "ID": "0"}
+        return await self._call("/v3/lease/grant", request, lambda answer: int(answer["ID"]))
 
     async def keep_alive(self, lease_id: int) -> float:
-        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
-        return float(answer.get("result", {}).get("TTL", 0))
+        return await self._call("/v3/lease/keepalive", {"ID": str(lease_id)}, _decode_remaining_s)
 
     async def revoke_lease(self, lease_id: int) -> None:
-        await self._call("/v3/lease/revoke", {"ID": str(lease_id)})
+        await self._call("/v3/lease/revoke", {"ID": str(lease_id)}, lambda _: None)
 
     async def watch(self, prefix: str, after_revision: int) -> AsyncIterator[WatchBatch]:
         url = f"{self._base_url}/v3/watch"
@@ -139,12 +137,18 @@
             raise_for_status(response.status, b"", url)
             async for line in response.content:
                 if line.strip():
-                    yield _decode_watch(json.loads(line))
+                    with reading(url):
+                        batch = _decode_watch(json.loads(line))
+                    yield batch
 
-    async def _call(self, path: str, request: dict[str, Any]) -> dict[str, Any]:
+    async def _call(
+        self, path: str, request: dict[str, Any], decode: Callable[[dict[str, Any]], Result]
+    ) -> Result:
         url = f"{self._base_url}{path}"
         body = json.dumps(request).encode()
-        return json.loads(await request_bytes(self._session, "POST", url, self._timeout_s, body))
+        answer = await request_bytes(self._session, "POST", url, self._timeout_s, body)
+        with reading(url):
+            return decode(json.loads(answer))
 
 
 def _key_range(key: str, is_prefix: bool) -> dict[str, str]:
@@ -175,6 +179,19 @@
     }
 
 
+def _decode_range(answer: dict[str, Any]) -> RangeResult:
+    entries = tuple(decode_entry(values) for values in answer.get("kvs", ()))
+    return RangeResult(entries, _revision(answer))
+
+
+def _decode_transaction(answer: dict[str, Any]) -> TransactionResult:
+    return TransactionResult(bool(answer.get("succeeded", False)), _revision(answer))
+
+
+def _decode_remaining_s(answer: dict[str, Any]) -> float:
+    return float(answer.get("result", {}).get("TTL", 0))
+
+
 def _decode_watch(answer: dict[str, Any]) -> WatchBatch:
     result = answer.get("result", {})
     events = tuple(_decode_event(values) for values in result.get("events", ()))
--- a/redwingplank/platform/tests/test_http_effects.py
+++ b/redwingplank/platform/tests/test_http_effects.py
@@ -10,6 +10,7 @@
     Put,
     UnavailableError,
     UpstreamRequest,
+    WorkerRequest,
 )
 from redwingplank.platform.http import (
     HttpKeyValueStore,
@@ -26,6 +27,28 @@
 )
 
 TIMEOUT_S = 2.0
+UNREADABLE_BODIES = (b"<html>", b"[1]", b'"text"', b"\xff", b"[" * 100_000)
+
+
+def store_at(session, address):
+    return HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
+
+
+async def watch_once(session, address):
+    async for _ in store_at(session, address).watch("k", 1):
+        pass
+
+
+CALLS_BY_NAME = {
+    "adopt": lambda *at: HttpWorkerClient(at[0]).adopt(at[1], 1, 10.0),
+    "exchange": lambda *at: HttpWorkerClient(at[0]).exchange(at[1], WorkerRequest(1, 10.0)),
+    "grant_lease": lambda *at: store_at(*at).grant_lease(1.0),
+    "keep_alive": lambda *at: store_at(*at).keep_alive(1),
+    "list": lambda *at: HttpVmList(at[0], f"http://{at[1]}", TIMEOUT_S).read(),
+    "range": lambda *at: store_at(*at).range("k"),
+    "transact": lambda *at: store_at(*at).transact((), ()),
+    "watch": watch_once,
+}
 
 
 class TestRedirects:
@@ -129,11 +152,10 @@
     @pytest.mark.parametrize("status", [408, 429, 499])
     def test_a_status_that_others_give_leaves_the_outcome_open(self, status):
         async def scenario():
-            async with service(make_answer(status)) as (address, _):
-                async with open_session() as session:
-                    store = HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
-                    with pytest.raises(OutcomeUnknownError):
-                        await store.transact((), (Put("k", b"v"),))
+            async with service(make_answer(status)) as (address, _), open_session() as session:
+                store = HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
+                with pytest.raises(OutcomeUnknownError):
+                    await store.transact((), (Put("k", b"v"),))
 
         asyncio.run(scenario())
 
@@ -141,11 +163,23 @@
     @pytest.mark.parametrize("status", [400, 401, 403, 404, 409, 412])
     def test_a_rejection_had_no_effect(self, status):
         async def scenario():
-            async with service(make_answer(status)) as (address, _):
-                async with open_session() as session:
-                    store = HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
-                    with pytest.raises(PlatformError) as raised:
-                        await store.transact((), (Put("k", b"v"),))
-                    assert raised.type is PlatformError
+            async with service(make_answer(status)) as (address, _), open_session() as session:
+                store = HttpKeyValueStore(session, f"http://{address}", TIMEOUT_S)
+                with pytest.raises(PlatformError) as raised:
+                    await store.transact((), (Put("k", b"v"),))
+                assert raised.type is PlatformError
+
+        asyncio.run(scenario())
+
+
+class TestUnreadableAnswers:
+    # Guards against an error that no caller expects, which ends the loop that made the call.
+    @pytest.mark.parametrize("body", UNREADABLE_BODIES)
+    @pytest.mark.parametrize("name", sorted(CALLS_BY_NAME))
+    def test_an_answer_that_cannot_be_read_leaves_the_outcome_open(self, name, body):
+        async def scenario():
+            async with service(make_answer(200, body)) as (address, _), open_session() as session:
+                with pytest.raises(OutcomeUnknownError):
+                    await CALLS_BY_NAME[name](session, address)
 
         asyncio.run(scenario())
--- a/redwingplank/runtime/entry_client.py
+++ b/redwingplank/runtime/entry_client.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from redwingplank.platform import UnavailableError
-from redwingplank.platform.http.calls import CONNECT_TIMEOUT_S, open_call
+from redwingplank.platform.http.calls import CONNECT_TIMEOUT_S, open_call, reading
 from redwingplank.routing import CallerAnswer, CallerRequest, Problem, Ran
 from redwingplank.runtime.requests_entries import EntryClient
 
@@ -51,7 +51,8 @@
             self._session, "POST", url, timeout, data=body, headers=_make_headers(call)
         ) as response:
             answer = await response.read()
-            return _read_answer(response, answer)
+            with reading(url):
+                return _read_answer(response, answer)
 
 
 def _make_headers(call: CallerRequest) -> dict[str, str]:
--- a/redwingplank/runtime/tests/test_entry_client.py
+++ b/redwingplank/runtime/tests/test_entry_client.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from redwingplank.platform import OutcomeUnknownError
 from redwingplank.platform.http import open_session
 from redwingplank.platform.tests.service_fixture import (
     REDIRECTS,
@@ -36,11 +37,23 @@
     @pytest.mark.parametrize("status", [408, 429, 502, 503])
     def test_an_answer_that_does_not_say_whether_it_ran_leaves_it_open(self, status):
         async def scenario():
-            async with service(make_answer(status)) as (address, _):
-                async with open_session() as session:
-                    client = HttpEntryClient(session, {"e2": address})
-                    call = CallerRequest("o", "s", "r1")
-                    answer = await client.forward_request("e2", call, b"{}", 2.0)
-                    assert (answer.status, answer.ran) == (status, Ran.UNKNOWN)
+            async with service(make_answer(status)) as (address, _), open_session() as session:
+                client = HttpEntryClient(session, {"e2": address})
+                call = CallerRequest("o", "s", "r1")
+                answer = await client.forward_request("e2", call, b"{}", 2.0)
+                assert (answer.status, answer.ran) == (status, Ran.UNKNOWN)
+
+        asyncio.run(scenario())
+
+    # Guards against an unexpected error in place of an answer to the caller.
+    def test_a_problem_that_cannot_be_read_leaves_it_open(self):
+        async def scenario():
+            media_type = b"Content-Type: application/problem+json\r\n"
+            answer = make_answer(502, b"<html>", media_type)
+            async with service(answer) as (address, _), open_session() as session:
+                client = HttpEntryClient(session, {"e2": address})
+                call = CallerRequest("o", "s", "r1")
+                with pytest.raises(OutcomeUnknownError):
+                    await client.forward_request("e2", call, b"{}", 2.0)
 
         asyncio.run(scenario())
