A watch that the store ended is not one without changes

Class: an answer that says more than is known.

Cause: `_decode_watch` read a line `{"error": ...}` and one with `canceled` (a compacted history) as a batch without events at revision 0. Such a batch "shows that the watch works"; a store that leaves the connection open would never have been watched again.

Change: both raise `OutcomeUnknownError`, so that the watch ends as failed and its reader starts over. Both lines are from the published interface of etcd's gateway; our stand-in sends neither.

Measured: before, both cases of `test_a_watch_that_the_store_ended_fails` failed with Failed: DID NOT RAISE OutcomeUnknownError Now they pass, with the tests of platform.

--- a/redwingplank/platform/http/kv.py
+++ b/redwingplank/platform/http/kv.py
@@ -18,6 +18,7 @@
     Delete,
     KeyValue,
     KeyValueStore,
+    OutcomeUnknownError,
     Put,
     RangeResult,
     TransactionResult,
@@ -138,7 +139,7 @@
             async for line in response.content:
                 if line.strip():
                     with reading(url):
-                        batch = _decode_watch(json.loads(line))
+                        batch = _decode_watch(json.loads(line), url)
                     yield batch
 
     async def _call(
@@ -192,8 +193,10 @@
     return float(answer.get("result", {}).get("TTL", 0))
 
 
-def _decode_watch(answer: dict[str, Any]) -> WatchBatch:
+def _decode_watch(answer: dict[str, Any], url: str) -> WatchBatch:
     result = answer.get("result", {})
+    if "error" in answer or result.get("canceled", False):
+        raise OutcomeUnknownError(f"{url} ended the watch: {str(answer)[:200]}")
     events = tuple(_decode_event(values) for values in result.get("events", ()))
     return WatchBatch(events, _revision(result))
 
--- a/redwingplank/platform/tests/test_http_effects.py
+++ b/redwingplank/platform/tests/test_http_effects.py
@@ -183,3 +183,21 @@
                     await CALLS_BY_NAME[name](session, address)
 
         asyncio.run(scenario())
+
+
+class TestWatch:
+    # Guards against a watch that the store ended and that is taken for one without changes.
+    @pytest.mark.parametrize(
+        "line",
+        [
+            b'{"error": {"grpc_code": 14, "message": "no leader"}}',
+            b'{"result": {"canceled": true, "compact_revision": "9"}}',
+        ],
+    )
+    def test_a_watch_that_the_store_ended_fails(self, line):
+        async def scenario():
+            async with service(make_answer(200, line)) as (address, _), open_session() as session:
+                with pytest.raises(OutcomeUnknownError):
+                    await watch_once(session, address)
+
+        asyncio.run(scenario())
