A ready answer is delivered although its transfer takes long

Class: a bound of the whole call where only a stop is a failure, as at the store's ranges.

Cause: `Attempt` lets a long answer that has begun go on while it makes progress (`timeout.reschedule`, twice the stall time-out), but `HttpUpstreamClient.send` bounded the transfer too, by `ClientTimeout(total=...)`. An answer of an upstream that a link carries in past the request's deadline was cut off in the middle, with its head already delivered.

Change: `send` bounds the time until the head; the body is bounded by its reader. The attempt's own time-out was begun before and still decides, so that the kinds of failures stay.

The forwarding entry (`entry_client.py`) reads whole answers within the request's deadline as before: it has no stream to deliver in parts.

--- a/redwingplank/platform/http/clients.py
+++ b/redwingplank/platform/http/clients.py
@@ -1,5 +1,6 @@
 """Clients of the workers, the upstreams and the VM list over HTTP; bodies are JSON."""
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
@@ -152,9 +153,9 @@
         self, address: str, request: UpstreamRequest, timeout_s: float
     ) -> AsyncIterator[UpstreamAnswer]:
         url = f"http://{address}/{request.service}"
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         headers = _forwarded_headers(request)
-        async with translate_errors("POST", url):
+        async with translate_errors("POST", url), asyncio.timeout(timeout_s):
             response = await self._session.post(
                 url, data=request.body, headers=headers, timeout=timeout, allow_redirects=False
             )
--- a/redwingplank/platform/upstreams.py
+++ b/redwingplank/platform/upstreams.py
@@ -71,6 +71,15 @@
     ) -> AbstractAsyncContextManager[UpstreamAnswer]:
         """Send a request; exiting the context before the end of the body closes the connection.
 
+        Parameters
+        ----------
+        address : str
+            ``"IP:PORT"`` of the upstream.
+        request : UpstreamRequest
+            Request to send.
+        timeout_s : float
+            Time-out in seconds until the head of the answer; whoever reads the body bounds that.
+
         Raises
         ------
         UnavailableError
