--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -1,16 +1,40 @@
 """HTTP calls whose exceptions tell whether a failed call may have taken effect."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+import asyncio
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import asynccontextmanager, contextmanager
 from http import HTTPStatus
+from typing import Any
 
 import aiohttp
+import msgspec
 
 from redwingplank.platform import OutcomeUnknownError, PlatformError, UnavailableError
+from redwingplank.platform.site.http import REPEATED_METHODS
 
-__all__ = ["open_session", "post_bytes", "raise_for_status", "translate_errors"]
+__all__ = [
+    "open_call",
+    "open_session",
+    "raise_for_status",
+    "reading",
+    "request_bytes",
+    "translate_errors",
+]
 
 CONNECT_TIMEOUT_S = 1.0
+INCONCLUSIVE_STATUSES = frozenset({HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS, 499})
+"""Statuses below 500 that a proxy gives of itself, or a gateway whose call was cancelled."""
+_READ_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    msgspec.MsgspecError,
+)
+SLOW_LINK_BYTES_PER_S = 500_000
+"""Rate at which an upload is expected to progress at least."""
 
 
 def open_session(connections_per_host: int = 64) -> aiohttp.ClientSession:
@@ -27,56 +51,150 @@
     return aiohttp.ClientSession(connector=connector, auto_decompress=False)
 
 
-async def post_bytes(
-    session: aiohttp.ClientSession, url: str, body: bytes, timeout_s: float
+async def request_bytes(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout_s: float,
+    body: bytes | None = None,
+    params: Mapping[str, str] | None = None,
 ) -> bytes:
-    """Post a JSON body and return the answer's body.
+    """Send a request and return the answer's body.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session returned by `open_session`.
+    method, url : str
+        HTTP method and address.
+    timeout_s : float
+        Time-out in seconds of connecting, of the wait for the headers of the answer, and of each
+        wait for a further part of its body; that for the headers grows with the time of the upload
+        over a slow link. A link takes its time for a large answer, and only a transfer that stops
+        has failed.
+    body : bytes, optional
+        Body of the request, JSON.
+    params : mapping of str to str, optional
+        Query of the address.
 
     Raises
     ------
     UnavailableError
-        No connection could be established, so the call had no effect.
+        As from `translate_errors`.
     OutcomeUnknownError
-        The connection broke, the call timed out, or the server answered with a 5xx status.
+        The connection broke, a time-out expired, or as from `raise_for_status`.
     PlatformError
-        The server rejected the call with a 4xx status, so the call had no effect.
+        As from `raise_for_status`.
     """
-    timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+    answer_s = timeout_s + len(body or b"") / SLOW_LINK_BYTES_PER_S
+    timeout = aiohttp.ClientTimeout(
+        connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=answer_s
+    )
     headers = {"Content-Type": "application/json"}
-    async with (
-        translate_errors(url),
-        session.post(url, data=body, headers=headers, timeout=timeout) as response,
-    ):
+    # `sock_read` does not bound an upload that stops.
+    headers_s = timeout_s + answer_s
+    async with open_call(
+        session, method, url, timeout, headers_s, params=params, data=body, headers=headers
+    ) as response:
         answer = await response.read()
         raise_for_status(response.status, answer, url)
         return answer
 
 
 @asynccontextmanager
-async def translate_errors(url: str) -> AsyncIterator[None]:
-    """Convert the exceptions of aiohttp into those of `redwingplank.platform`."""
+async def open_call(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout: aiohttp.ClientTimeout,
+    headers_s: float | None = None,
+    **options: Any,
+) -> AsyncIterator[aiohttp.ClientResponse]:
+    """Send a request and yield the response, whose body may be read within the context.
+
+    A redirect is an answer and is not followed: whoever gave it may have carried out the request,
+    of which a failure to connect elsewhere says nothing.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session returned by `open_session`.
+    method, url : str
+        HTTP method and address.
+    timeout : aiohttp.ClientTimeout
+        Time-outs of the call.
+    headers_s : float or None
+        Time-out in seconds until the headers of the response have arrived; None for no limit.
+    **options
+        Passed to `aiohttp.ClientSession.request`.
+
+    Raises
+    ------
+    UnavailableError, OutcomeUnknownError
+        As from `translate_errors`.
+    """
+    async with (
+        translate_errors(method, url),
+        asyncio.timeout(headers_s) as until_headers,
+        session.request(method, url, timeout=timeout, allow_redirects=False, **options) as response,
+    ):
+        until_headers.reschedule(None)
+        yield response
+
+
+@asynccontextmanager
+async def translate_errors(method: str, url: str) -> AsyncIterator[None]:
+    """Convert the exceptions of aiohttp into those of `redwingplank.platform`.
+
+    Raises
+    ------
+    UnavailableError
+        No connection could be established, so the call had no effect. Never raised for the methods
+        in `REPEATED_METHODS`: the call may have been sent on an earlier connection.
+    OutcomeUnknownError
+        The connection broke, or a time-out expired.
+    """
     try:
         yield
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        if method in REPEATED_METHODS:
+            raise OutcomeUnknownError(f"no answer from {url}: {error}") from error
         raise UnavailableError(f"cannot connect to {url}: {error}; try again later") from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         reason = str(error) or type(error).__name__
         raise OutcomeUnknownError(f"no whole answer from {url}: {reason}") from error
 
 
+@contextmanager
+def reading(url: str) -> Iterator[None]:
+    """Convert the exceptions of code that reads an answer.
+
+    Raises
+    ------
+    OutcomeUnknownError
+        The answer cannot be read, so it does not say what the call did.
+    """
+    try:
+        yield
+    except _READ_ERRORS as error:
+        raise OutcomeUnknownError(f"cannot read the answer of {url}: {error!r}") from error
+
+
 def raise_for_status(status: int, answer: bytes, url: str) -> None:
     """Raise an exception for an answer with an error status; `answer` is its body.
 
     Raises
     ------
     OutcomeUnknownError
-        For a 5xx status: the server failed, and the call may have had an effect.
+        For a 5xx status: the server failed, and the call may have had an effect. For a 3xx status
+        and those in `INCONCLUSIVE_STATUSES`: it does not say whether the call had one.
     PlatformError
-        For a 4xx status: the server rejected the call, which had no effect.
+        For any other 4xx status: the server rejected the call, which had no effect.
     """
-    if status < HTTPStatus.BAD_REQUEST:
+    if status < HTTPStatus.MULTIPLE_CHOICES:
         return
     text = answer[:200].decode("utf-8", "replace")
-    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-        raise OutcomeUnknownError(f"{url} failed with status {status}: {text}")
-    raise PlatformError(f"{url} refused the call with status {status}: {text}")
+    is_rejection = HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR
+    if is_rejection and status not in INCONCLUSIVE_STATUSES:
+        raise PlatformError(f"{url} refused the call with status {status}: {text}")
+    raise OutcomeUnknownError(f"{url} failed with status {status}: {text}")
--- a/redwingplank/platform/http/clients.py
+++ b/redwingplank/platform/http/clients.py
@@ -1,8 +1,10 @@
 """Clients of the workers, the upstreams and the VM list over HTTP; bodies are JSON."""
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -24,8 +26,8 @@
 )
 from redwingplank.platform.http.calls import (
     CONNECT_TIMEOUT_S,
-    post_bytes,
-    raise_for_status,
+    reading,
+    request_bytes,
     translate_errors,
 )
 
@@ -36,6 +38,8 @@
     "HttpWorkerClient",
 ]
 
+Answer = TypeVar("Answer")
+
 # Part of the error message with which a worker rejects a stale epoch.
 STALE_EPOCH_MARK = "stale epoch"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -76,7 +80,7 @@
     base_url : str
         URL of the platform.
     timeout_s : float
-        Time limit in seconds for each call.
+        Time-out in seconds as for `request_bytes`.
     """
 
     def __init__(
@@ -84,17 +88,13 @@
     ) -> None:
         self._session = session
         self._url = f"{base_url.rstrip('/')}/vms"
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        self._timeout_s = timeout_s
 
     async def read(self, failure_domain: str = "") -> VmListing:
         params = {"failure_domain": failure_domain} if failure_domain else {}
-        async with (
-            translate_errors(self._url),
-            self._session.get(self._url, params=params, timeout=self._timeout) as response,
-        ):
-            body = await response.read()
-        raise_for_status(response.status, body, self._url)
-        return msgspec.json.decode(body, type=VmListing)
+        body = await request_bytes(self._session, "GET", self._url, self._timeout_s, params=params)
+        with reading(self._url):
+            return msgspec.json.decode(body, type=VmListing)
 
 
 class HttpWorkerClient(WorkerClient):
@@ -105,7 +105,7 @@
     session : aiohttp.ClientSession
         Session returned by `open_session`.
     timeout_s : float
-        Time limit in seconds for each call.
+        Time-out in seconds as for `request_bytes`.
     """
 
     def __init__(self, session: aiohttp.ClientSession, timeout_s: float = 1.0) -> None:
@@ -113,23 +113,26 @@
         self._timeout_s = timeout_s
 
     async def adopt(self, address: str, epoch: int, lease_s: float) -> WorkerInventory:
-        answer = await self._post(address, "adopt", msgspec.json.encode(Adoption(epoch, lease_s)))
-        return msgspec.json.decode(answer, type=WorkerInventory)
+        return await self._post(address, "adopt", Adoption(epoch, lease_s), WorkerInventory)
 
     async def exchange(self, address: str, request: WorkerRequest) -> WorkerReport:
-        answer = await self._post(address, "exchange", msgspec.json.encode(request))
-        return msgspec.json.decode(answer, type=WorkerReport)
+        return await self._post(address, "exchange", request, WorkerReport)
 
-    async def _post(self, address: str, path: str, body: bytes) -> bytes:
+    async def _post(
+        self, address: str, path: str, request: object, answer_type: type[Answer]
+    ) -> Answer:
         url = f"http://{address}/{path}"
+        body = msgspec.json.encode(request)
         try:
-            return await post_bytes(self._session, url, body, self._timeout_s)
+            answer = await request_bytes(self._session, "POST", url, self._timeout_s, body)
         except (UnavailableError, OutcomeUnknownError):
             raise
         except PlatformError as error:
             if STALE_EPOCH_MARK in str(error):
                 raise StaleEpochError(str(error)) from error
             raise
+        with reading(url):
+            return msgspec.json.decode(answer, type=answer_type)
 
 
 class HttpUpstreamClient(UpstreamClient):
@@ -150,11 +153,11 @@
         self, address: str, request: UpstreamRequest, timeout_s: float
     ) -> AsyncIterator[UpstreamAnswer]:
         url = f"http://{address}/{request.service}"
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         headers = _forwarded_headers(request)
-        async with translate_errors(url):
+        async with translate_errors("POST", url), asyncio.timeout(timeout_s):
             response = await self._session.post(
-                url, data=request.body, headers=headers, timeout=timeout
+                url, data=request.body, headers=headers, timeout=timeout, allow_redirects=False
             )
         try:
             yield _read_head(response, url)
@@ -193,6 +196,6 @@
 
 
 async def _stream_body(response: aiohttp.ClientResponse, url: str) -> AsyncIterator[bytes]:
-    async with translate_errors(url):
+    async with translate_errors("POST", url):
         async for chunk in response.content.iter_any():
             yield chunk
--- a/redwingplank/platform/http/kv.py
+++ b/redwingplank/platform/http/kv.py
@@ -8,8 +8,8 @@
 import json
 import math
 from base64 import b64decode, b64encode
-from collections.abc import AsyncIterator
-from typing import Any
+from collections.abc import AsyncIterator, Callable
+from typing import Any, TypeVar
 
 import aiohttp
 
@@ -18,13 +18,14 @@
     Delete,
     KeyValue,
     KeyValueStore,
+    OutcomeUnknownError,
     Put,
     RangeResult,
     TransactionResult,
     WatchBatch,
     WatchEvent,
 )
-from redwingplank.platform.http.calls import post_bytes, raise_for_status, translate_errors
+from redwingplank.platform.http.calls import open_call, raise_for_status, reading, request_bytes
 
 __all__ = [
     "HttpKeyValueStore",
@@ -34,6 +35,8 @@
     "prefix_end",
 ]
 
+Result = TypeVar("Result")
+
 # Size of the read buffer for a watch, whose batches are one line of JSON each.
 MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
 
@@ -86,7 +89,7 @@
     base_url : str
         URL of the gateway, such as ``"http://127.0.0.1:2379"``.
     timeout_s : float
-        Time limit in seconds for each call; for a watch, only for connecting.
+        Time-out in seconds as for `request_bytes`; for a watch, only of connecting.
     """
 
     def __init__(
@@ -97,9 +100,7 @@
         self._timeout_s = timeout_s
 
     async def range(self, prefix: str, *, is_prefix: bool = True) -> RangeResult:
-        answer = await self._call("/v3/kv/range", _key_range(prefix, is_prefix))
-        entries = tuple(decode_entry(values) for values in answer.get("kvs", ()))
-        return RangeResult(entries, _revision(answer))
+        return await self._call("/v3/kv/range", _key_range(prefix, is_prefix), _decode_range)
 
     async def transact(
         self, compares: tuple[Compare, ...], operations: tuple[Put | Delete, ...]
@@ -108,44 +109,47 @@
             "compare": [_encode_compare(compare) for compare in compares],
             "success": [_encode_operation(operation) for operation in operations],
         }
-        answer = await self._call("/v3/kv/txn", request)
-        return TransactionResult(bool(answer.get("succeeded", False)), _revision(answer))
+        return await self._call("/v3/kv/txn", request, _decode_transaction)
 
     async def grant_lease(self, ttl_s: float) -> int:
-        answer = await self._call("/v3/lease/grant", {"TTL": str(math.ceil(ttl_s)), "ID": "0"})
-        return int(answer["ID"])
+        request = {"TTL": str(math.ceil(ttl_s)), "ID": "0"}
+        return await self._call("/v3/lease/grant", request, lambda answer: int(answer["ID"]))
 
     async def keep_alive(self, lease_id: int) -> float:
-        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
-        return float(answer.get("result", {}).get("TTL", 0))
+        return await self._call("/v3/lease/keepalive", {"ID": str(lease_id)}, _decode_remaining_s)
 
     async def revoke_lease(self, lease_id: int) -> None:
-        await self._call("/v3/lease/revoke", {"ID": str(lease_id)})
+        await self._call("/v3/lease/revoke", {"ID": str(lease_id)}, lambda _: None)
 
     async def watch(self, prefix: str, after_revision: int) -> AsyncIterator[WatchBatch]:
         url = f"{self._base_url}/v3/watch"
         create = {**_key_range(prefix, True), "start_revision": str(after_revision + 1)}
         body = json.dumps({"create_request": create}).encode()
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
-        async with (
-            translate_errors(url),
-            self._session.post(
-                url,
-                data=body,
-                headers={"Content-Type": "application/json"},
-                timeout=timeout,
-                read_bufsize=MAX_WATCH_LINE_BYTES,
-            ) as response,
-        ):
+        async with open_call(
+            self._session,
+            "POST",
+            url,
+            timeout,
+            data=body,
+            headers={"Content-Type": "application/json"},
+            read_bufsize=MAX_WATCH_LINE_BYTES,
+        ) as response:
             raise_for_status(response.status, b"", url)
             async for line in response.content:
                 if line.strip():
-                    yield _decode_watch(json.loads(line))
+                    with reading(url):
+                        batch = _decode_watch(json.loads(line), url)
+                    yield batch
 
-    async def _call(self, path: str, request: dict[str, Any]) -> dict[str, Any]:
+    async def _call(
+        self, path: str, request: dict[str, Any], decode: Callable[[dict[str, Any]], Result]
+    ) -> Result:
         url = f"{self._base_url}{path}"
         body = json.dumps(request).encode()
-        return json.loads(await post_bytes(self._session, url, body, self._timeout_s))
+        answer = await request_bytes(self._session, "POST", url, self._timeout_s, body)
+        with reading(url):
+            return decode(json.loads(answer))
 
 
 def _key_range(key: str, is_prefix: bool) -> dict[str, str]:
@@ -176,8 +180,23 @@
     }
 
 
-def _decode_watch(answer: dict[str, Any]) -> WatchBatch:
+def _decode_range(answer: dict[str, Any]) -> RangeResult:
+    entries = tuple(decode_entry(values) for values in answer.get("kvs", ()))
+    return RangeResult(entries, _revision(answer))
+
+
+def _decode_transaction(answer: dict[str, Any]) -> TransactionResult:
+    return TransactionResult(bool(answer.get("succeeded", False)), _revision(answer))
+
+
+def _decode_remaining_s(answer: dict[str, Any]) -> float:
+    return float(answer.get("result", {}).get("TTL", 0))
+
+
+def _decode_watch(answer: dict[str, Any], url: str) -> WatchBatch:
     result = answer.get("result", {})
+    if "error" in answer or result.get("canceled", False):
+        raise OutcomeUnknownError(f"{url} ended the watch: {str(answer)[:200]}")
     events = tuple(_decode_event(values) for values in result.get("events", ()))
     return WatchBatch(events, _revision(result))
 
