Log of cancellations and starts: on whose word, under which term, on which view

Change: `cancel` tells status, deciding side, owner, its term, the job's state there and the revision of the store; `cancel_at_owner` the versions; `job_restored` and `job_started` what a new owner found and on which view (revision, age) it started a job; `job_taken` and `job_ended` carry the same. These lines have limits of their own (250 an event, 1,000 and 400 KB a second). Tasks are written as ID.K.STEP.INDEX. The handling of DELETE moved from callers.py to cancellation.py; no decision has changed.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -321,6 +321,7 @@
         "ended_s",
         "final_version",
         "has_begun",
+        "has_planned_start",
         "is_beyond_rate",
         "is_started",
         "latest_end_s",
@@ -341,6 +342,8 @@
         """Whether a start of a task was planned."""
         self.has_begun = False
         """Whether a worker is known to have begun with a task."""
+        self.has_planned_start = False
+        """Whether the present owner has planned a start of a task."""
         self.due_count = 0
         """Number of occurrences whose steps were added."""
         self.steps_by_key: dict[StepKey, Step] = {}
--- a/redwingplank/batch/model.py
+++ b/redwingplank/batch/model.py
@@ -58,13 +58,16 @@
 
 
 class TaskId(NamedTuple):
-    """One task of a step."""
+    """One task of a step; its text joins the fields by dots."""
 
     job_id: str
     occurrence: int
     step: int
     position: int
 
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.position}"
+
     @property
     def step_key(self) -> StepKey:
         """The step that the task belongs to."""
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -123,8 +123,19 @@
                 self._crashes.remember_inherited_tasks(host, task_ids)
         self._completions.fail_if_attempts_used_up(job, now_s)
         if not job.state.is_final:
+            self._log_restored(job, has_record=progress is not None)
             self._open_ready_steps(job, now_s)
 
+    def _log_restored(self, job: Job, *, has_record: bool) -> None:
+        self.state.log_decision(
+            "job_restored",
+            job=job.spec.job_id,
+            state=job.state,
+            has_record=has_record,
+            done=sum(len(step.tasks) - step.undone_count for step in job.steps_by_key.values()),
+            hosts=len(set(job.hosts)),
+        )
+
     def _confirmation_deadline_s(self, now_s: float) -> float:
         """Return the time by which all leases granted by earlier owners have certainly expired.
 
@@ -173,8 +184,8 @@
         for step in add_due_steps(job, now_unix_s):
             self._completions.open_step_if_ready(job, step, now_s)
 
-    def cancel(self, job_id: str, now_s: float) -> int | None:
-        """Cancel a job.
+    def cancel(self, job_id: str, now_s: float, reason: str = "cancelled") -> int | None:
+        """Cancel a job, for a reason that is written to the log.
 
         Returns
         -------
@@ -186,7 +197,7 @@
         if job is None or (job.state.is_final and job.state is not JobState.CANCELLED):
             return None
         if job.state is not JobState.CANCELLED:
-            self.state.finish_job(job, JobState.CANCELLED, now_s, "cancelled")
+            self.state.finish_job(job, JobState.CANCELLED, now_s, reason)
         return job.final_version
 
     def job_state(self, job_id: str) -> JobState | None:
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -1,9 +1,10 @@
 """Plans the starts of tasks in passes over the open steps, most urgent first."""
 
 from dataclasses import dataclass
+from typing import Any
 
 from redwingplank.batch.candidates import Candidates
-from redwingplank.batch.entities import Run, RunState, Step, Task, Worker
+from redwingplank.batch.entities import Job, Run, RunState, Step, Task, Worker
 from redwingplank.batch.model import JobState, QueuePolicy, StepKey
 from redwingplank.batch.overload import Overload
 from redwingplank.batch.placement import EligibleWorkers, Placement
@@ -251,14 +252,24 @@
                 job.state = JobState.RUNNING
             state.mark_dirty(job)
         run.version = job.version
-        state.log_decision(
+        self._log_planned_run(run, job, now_s - step.opened_s)
+        if job.stored_version >= run.version:
+            state.commands.starts.append(run)
+
+    def _log_planned_run(self, run: Run, job: Job, waited_s: float) -> None:
+        worker = run.worker
+        fields: dict[str, Any] = {
+            "job": job.spec.job_id,
+            "task": run.task_id,
+            "attempt": run.attempt,
+            "worker": worker.id,
+        }
+        if not job.has_planned_start:
+            job.has_planned_start = True
+            self._state.log_decision("job_started", **fields)
+        self._state.log_decision(
             "start_planned",
-            job=job.spec.job_id,
-            task=task.id,
-            attempt=attempt,
-            worker=worker.id,
+            **fields,
             free_millicores=worker.free.cpu_millicores,
-            waited_s=now_s - step.opened_s,
+            waited_s=waited_s,
         )
-        if job.stored_version >= run.version:
-            state.commands.starts.append(run)
--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -12,6 +12,7 @@
 from redwingplank.batch.model import QueuePolicy
 from redwingplank.cell.authentication import AccessRefusal, Credentials
 from redwingplank.cell.callers import Callers
+from redwingplank.cell.cancellation import cancel_status
 from redwingplank.cell.clocks import now_s, now_unix_s
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.request_log import RequestLog, note_submitted
@@ -181,13 +182,13 @@
         visible_to: str | None,
     ) -> None:
         note_effect(req.scope)
-        answer = await self._callers.cancel(job_id, visible_to)
-        if answer.is_stored:
+        status = cancel_status(await self._callers.cancel(job_id, visible_to))
+        if status is HTTPStatus.OK:
             resp.media = {}
-        elif answer.is_known:
+        elif status is HTTPStatus.SERVICE_UNAVAILABLE:
             _answer_unavailable(resp, "the cancellation may not be stored: try again")
         else:
-            _answer(resp, HTTPStatus.GONE, "no such job")
+            _answer(resp, status, "no such job")
 
     async def _pending(self, queue: QueuePolicy, resp: falcon.asgi.Response) -> None:
         count = await self._callers.pending(queue.name)
--- a/redwingplank/cell/authentication.py
+++ b/redwingplank/cell/authentication.py
@@ -3,7 +3,10 @@
 import enum
 from dataclasses import dataclass, field
 
+import msgspec
+
 from redwingplank.batch.model import CellConfig, QueuePolicy
+from redwingplank.core import UndecodableError, decode_json
 
 __all__ = [
     "AccessDecision",
@@ -11,6 +14,7 @@
     "Credentials",
     "ViewAge",
     "decide_access",
+    "is_record_visible",
     "is_visible",
 ]
 
@@ -135,6 +139,21 @@
     return words[1]
 
 
+class _JobOrganisation(msgspec.Struct):
+    organisation: str = ""
+
+
+def is_record_visible(value: bytes | None, visible_to: str | None) -> bool:
+    """Return whether the stored record of a job shows it to be visible to a request."""
+    if visible_to is None:
+        return True
+    try:
+        record = decode_json(value or b"", _JobOrganisation)
+    except UndecodableError:
+        return False
+    return is_visible(record.organisation, visible_to)
+
+
 def is_visible(organisation: str, visible_to: str | None) -> bool:
     """Return whether a job of `organisation` is visible to a request."""
     return visible_to is None or organisation in ("", visible_to)
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -9,11 +9,12 @@
 from redwingplank.batch.model import CellConfig, JobSpec, JobState
 from redwingplank.batch.records import encode_submission
 from redwingplank.cell.access import AccessControl
-from redwingplank.cell.authentication import AccessRefusal, Credentials, is_visible
+from redwingplank.cell.authentication import AccessRefusal, Credentials, is_record_visible
+from redwingplank.cell.cancellation import Cancellation
 from redwingplank.cell.circuit_breaker import CircuitBreaker
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
-from redwingplank.cell.keys import CANCELS_PREFIX, JOBS_PREFIX, PROGRESS_PREFIX
+from redwingplank.cell.keys import JOBS_PREFIX, PROGRESS_PREFIX
 from redwingplank.cell.membership import Membership
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.peer_submission import PeerSubmission
@@ -22,7 +23,7 @@
 from redwingplank.cell.submission_trace import DecidingCause, SubmissionTrace
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.unresolved_submissions import UnresolvedSubmissions
-from redwingplank.core import UndecodableError, decode_json
+from redwingplank.core import decode_json
 from redwingplank.platform.site.http import NoAnswerError, NotSentError
 from redwingplank.platform.site.store import Put, StoreRefusedError, TransactionOutcome
 from redwingplank.rpc.cell_calls import CancelAnswer
@@ -40,8 +41,6 @@
 """Time-out of asking the owner whether it has a job that would be refused."""
 OWNER_OPEN_S = 0.5
 """Time for which an owner that did not answer is not asked whether it has a job."""
-CANCEL_TIMEOUT_S = 2.0
-"""Longer than the time that the owner waits for the store (1.5 s)."""
 READ_TIMEOUT_S = 0.8
 """Two reads and a call of the owner fit into the 3 s that a caller waits."""
 
@@ -102,6 +101,7 @@
         self._reports: set[asyncio.Task] = set()
         self._owner_breaker = CircuitBreaker(OWNER_OPEN_S)
         self._find_owner = find_owner
+        self._cancellation = Cancellation(context, membership, find_owner, self._unresolved)
         self.find_config = find_config
         self.access = access
         self._tasks = tasks
@@ -170,7 +170,7 @@
         owner = self._find_owner()
         if owner is not None:
             return owner.job_state(job_id) is not None
-        address = self._owner_address()
+        address = self._membership.remote_owner_address
         timeout_s = min(KNOWN_TIMEOUT_S, deadline_s - now_s())
         if not address or timeout_s <= 0 or not self._owner_breaker.allow(now_s()):
             return False
@@ -297,7 +297,7 @@
         return await self._visible_state_in_store(job_id, visible_to)
 
     async def _ask_owner(self, job_id: str, visible_to: str | None) -> JobStateAnswer:
-        address = self._owner_address()
+        address = self._membership.remote_owner_address
         if not address:
             return JobStateAnswer(False)
         try:
@@ -309,12 +309,6 @@
             return JobStateAnswer(False)
         return JobStateAnswer(is_owner, state)
 
-    def _owner_address(self) -> str:
-        owner = self._membership.owner
-        if owner is None or owner.incarnation == self._membership.incarnation:
-            return ""
-        return owner.address
-
     async def _state_in_store(self, job_id: str) -> JobStateAnswer:
         store = self._context.store
         try:
@@ -343,60 +337,20 @@
             return JobStateAnswer(False)
         if job is None:
             return self._state_of_absent(job_id)
-        if not _is_record_visible(job.value, visible_to):
+        if not is_record_visible(job.value, visible_to):
             return JobStateAnswer(True, None)
         return await self._state_in_store(job_id)
 
     async def cancel(self, job_id: str, visible_to: str | None = None) -> CancelAnswer:
-        """Cancel a job through the owner, or in the store if the owner did not store that.
-
-        A job that is not visible to the caller, as in `state`, is answered as unknown. One that the
-        store does not have is known while a submission of it is unresolved.
-        """
-        owner = self._find_owner()
-        if owner is not None:
-            answer: CancelAnswer | None = await owner.cancel(job_id, visible_to)
-        else:
-            answer = await self._cancel_at_owner(job_id, visible_to)
-        if answer is None or not answer.is_known or not answer.is_stored:
-            answer = await self._cancel_in_store(job_id, visible_to)
-        self._context.log(
-            "cancel", job=job_id, is_known=answer.is_known, is_stored=answer.is_stored
-        )
-        return answer
-
-    async def _cancel_at_owner(self, job_id: str, visible_to: str | None) -> CancelAnswer | None:
-        address = self._owner_address()
-        if not address:
-            return None
-        try:
-            return await self._context.calls.cancel(address, job_id, CANCEL_TIMEOUT_S, visible_to)
-        except RpcError as error:
-            self._context.log("owner_unreachable", address=address, error=error)
-            return None
-
-    async def _cancel_in_store(self, job_id: str, visible_to: str | None) -> CancelAnswer:
-        store = self._context.store
-        try:
-            job = await store.get(JOBS_PREFIX + job_id, READ_TIMEOUT_S)
-            if job is None:
-                return CancelAnswer(self._unresolved.is_known(job_id, now_s()), is_stored=False)
-            if not _is_record_visible(job.value, visible_to):
-                return CancelAnswer(is_known=False, is_stored=False)
-            puts = [Put(CANCELS_PREFIX + job_id, b"1")]
-            expected = {JOBS_PREFIX + job_id: job.revision}
-            result = await store.transact(expected, puts, [], READ_TIMEOUT_S)
-        except STORE_ERRORS as error:
-            self._context.health.record_failure(error)
-            return CancelAnswer(is_known=True, is_stored=False)
-        return CancelAnswer(True, result.outcome is TransactionOutcome.DONE)
+        """Cancel a job, as described at `Cancellation.cancel`."""
+        return await self._cancellation.cancel(job_id, visible_to)
 
     async def pending(self, queue: str) -> int | None:
         """Return the number of jobs of a queue that wait, None if the owner does not answer."""
         owner = self._find_owner()
         if owner is not None:
             return owner.pending(queue)
-        address = self._owner_address()
+        address = self._membership.remote_owner_address
         count: int | None = None
         if address:
             try:
@@ -406,21 +360,6 @@
         return count
 
 
-class _JobOrganisation(msgspec.Struct):
-    organisation: str = ""
-
-
-def _is_record_visible(value: bytes | None, visible_to: str | None) -> bool:
-    """Return whether the stored record of a job shows it to be visible to a caller."""
-    if visible_to is None:
-        return True
-    try:
-        record = decode_json(value or b"", _JobOrganisation)
-    except UndecodableError:
-        return False
-    return is_visible(record.organisation, visible_to)
-
-
 class _ProgressState(msgspec.Struct):
     state: str = ""
     is_started: bool = False
--- a/redwingplank/cell/context.py
+++ b/redwingplank/cell/context.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from redwingplank.cell.clocks import now_s
-from redwingplank.cell.eventlog import REFUSALS, EventLog
+from redwingplank.cell.eventlog import JOBS, REFUSALS, EventLog
 from redwingplank.cell.hedged_store import HedgedStore
 from redwingplank.cell.metrics import NodeMetrics
 from redwingplank.cell.worker_slots import CONNECTIONS_PER_OWNER
@@ -89,6 +89,11 @@
         self.metrics.record_event(event, fields)
         self.events.write(now_s(), event, fields, REFUSALS)
 
+    def log_job(self, event: str, **fields: Any) -> None:
+        """Log an event that tells the course of a job; it keeps its place beside others."""
+        self.metrics.record_event(event, fields)
+        self.events.write(now_s(), event, fields, JOBS)
+
     async def close(self) -> None:
         """Close all connections to peers and to the platform."""
         self.peers.close()
--- a/redwingplank/cell/eventlog.py
+++ b/redwingplank/cell/eventlog.py
@@ -7,7 +7,7 @@
 
 from redwingplank.core import format_event
 
-__all__ = ["REFUSALS", "USUAL", "EventLog", "LineLimits"]
+__all__ = ["JOBS", "REFUSALS", "USUAL", "EventLog", "LineLimits"]
 
 MAX_WAITING_LINES = 2000
 """Lines kept while the reader does not read; further lines are dropped and counted."""
@@ -17,6 +17,8 @@
 """Usual lines for each event name within one second; further events are only counted."""
 MAX_REFUSALS_PER_EVENT = 250
 """The same for requests that were not accepted, which are looked for one by one."""
+MAX_JOB_LINES_PER_EVENT = 250
+"""The same for events that each node or owner writes once for a job."""
 MAX_LINE_BYTES = 4000
 """Longer lines are cut."""
 _CUT_MARK = b"...cut\n"
@@ -46,6 +48,8 @@
 USUAL = LineLimits("", MAX_LINES_PER_EVENT, 1_500, 500_000, MAX_USUAL_WAITING_LINES)
 REFUSALS = LineLimits("refused_", MAX_REFUSALS_PER_EVENT, 500, 300_000, MAX_WAITING_LINES)
 """Limits of their own, so that no number of other lines takes the place of a refusal."""
+JOBS = LineLimits("job_", MAX_JOB_LINES_PER_EVENT, 1_000, 400_000, MAX_WAITING_LINES)
+"""Limits of their own, so that the course of a job can be told in a burst."""
 
 
 class _Use:
--- a/redwingplank/cell/follower.py
+++ b/redwingplank/cell/follower.py
@@ -42,6 +42,8 @@
     ----------
     revision : int
         Revision of the store from which the next watch begins, 0 before the first one.
+    answered_s : float
+        Time in seconds at which the store last answered, minus infinity before that.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self._prefix = prefix
         self._longest_retry_s = longest_retry_s
         self.revision = 0
+        self.answered_s = float("-inf")
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -72,6 +75,7 @@
                     retry_s = min(self._longest_retry_s, 2 * retry_s)
                 continue
             self._context.health.record_success()
+            self.answered_s = now_s()
             retry_s = RETRY_S
             self.handle_page(page)
 
@@ -193,6 +197,7 @@
         """
         started_s = now_s()
         page = await self._context.store.read_range(self._prefix, READ_TIMEOUT_S)
+        self.answered_s = now_s()
         self._context.log(
             "prefix_read",
             prefix=self._prefix,
--- a/redwingplank/cell/job_intake.py
+++ b/redwingplank/cell/job_intake.py
@@ -1,6 +1,7 @@
 """Follows the submitted jobs and the stored cancellations for the owner of a cell's jobs."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.records import decode_submission
@@ -10,13 +11,29 @@
 from redwingplank.cell.keys import CANCELS_PREFIX, INTAKE_PREFIX, JOBS_PREFIX
 from redwingplank.platform.site.store import Item
 
-__all__ = ["JobIntake"]
+__all__ = ["IntakeView", "JobIntake"]
 
 INTAKE_WAIT_S = 1.5
 """Longest wait of one watch call. A watch can miss changes without an error; a new job is then
 delayed by at most this time."""
 
 
+@dataclass(frozen=True, slots=True)
+class IntakeView:
+    """How recent an owner's view of the stored jobs and cancellations is.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store up to which changes were taken in, 0 before the first read.
+    age_s : float
+        Seconds since the store last answered; infinite before that.
+    """
+
+    revision: int
+    age_s: float
+
+
 class JobIntake:
     """Passes jobs and cancellations from the store to the owner, and forgets removed jobs.
 
@@ -75,6 +92,10 @@
         """Follow the jobs and cancellations until cancelled."""
         await self._follower.run()
 
+    def view(self, now_s: float) -> IntakeView:
+        """Return how recent the view of the stored jobs and cancellations is."""
+        return IntakeView(self._follower.revision, now_s - self._follower.answered_s)
+
     def revisions_of(self, job_ids: list[str]) -> dict[str, int]:
         """Return the revisions of the stored keys of jobs; jobs without a key are left out."""
         revisions = self._revisions_by_id
@@ -93,7 +114,8 @@
             if _is_job(item):
                 self._apply_job(item)
             elif _is_cancellation(item) and item.value is not None:
-                self._owner.cancel(item.key.removeprefix(CANCELS_PREFIX), now_s())
+                job_id = item.key.removeprefix(CANCELS_PREFIX)
+                self._owner.cancel(job_id, now_s(), "cancellation_stored")
         self._wake()
 
     def _apply_job(self, item: Item) -> None:
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -134,6 +134,14 @@
             context, SYSTEM_PREFIX, WATCH_WAIT_S, self._handle_read, self._handle_changes
         )
 
+    @property
+    def remote_owner_address(self) -> str:
+        """Address of the owner for peers; empty if there is none, or if it is this process."""
+        owner = self.owner
+        if owner is None or owner.incarnation == self.incarnation:
+            return ""
+        return owner.address
+
     async def follow(self) -> None:
         """Follow the cell's system keys in the store until cancelled."""
         await self._follower.run()
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from redwingplank.batch.commands import AskAdvice, Commands
+from redwingplank.batch.entities import Job
 from redwingplank.batch.model import CellConfig, JobState, WorkerEntry
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.settings import BatchSettings
@@ -53,6 +54,8 @@
 CANCEL_WAIT_S = 1.5
 """Longest wait for a cancellation to be stored; after it the node that serves the caller writes
 the cancellation itself."""
+JOB_EVENTS = frozenset({"cancel_at_owner", "job_ended", "job_restored", "job_started", "job_taken"})
+"""Events that an owner logs once for a job or a request, with the view on which it acted."""
 
 
 class OwnerRuntime:
@@ -205,7 +208,13 @@
         self._wake()
 
     def _log_decision(self, event: str, **fields: Any) -> None:
-        self._context.log(event, term=self._epoch, **fields)
+        if event not in JOB_EVENTS:
+            self._context.log(event, term=self._epoch, **fields)
+            return
+        view = self._intake.view(now_s())
+        self._context.log_job(
+            event, term=self._epoch, view=view.revision, view_age_s=view.age_s, **fields
+        )
 
     def _wake(self) -> None:
         self._wakeup.set()
@@ -275,12 +284,25 @@
 
         A job that is not visible to the caller, as in `job_state`, is answered as unknown.
         """
+        started_s = now_s()
         job = self.owner.state.jobs_by_id.get(job_id)
         if job is None or not is_visible(job.spec.organisation, visible_to):
-            return CancelAnswer(is_known=False, is_stored=False)
-        version = self.owner.cancel(job_id, now_s())
-        if version is None:
-            return CancelAnswer(is_known=True, is_stored=True)
+            return CancelAnswer(is_known=False, is_stored=False, term=self._epoch)
+        version = self.owner.cancel(job_id, started_s)
+        is_stored = version is None or await self._wait_until_stored(job, version)
+        self._log_decision(
+            "cancel_at_owner",
+            job=job_id,
+            state=job.state,
+            is_stored=is_stored,
+            version=version,
+            stored_version=job.stored_version,
+            waited_s=now_s() - started_s,
+        )
+        return CancelAnswer(True, is_stored, self._epoch, job.state)
+
+    async def _wait_until_stored(self, job: Job, version: int) -> bool:
+        """Wait at most `CANCEL_WAIT_S` until a version of a job is stored; return whether it is."""
         self._wake()
         deadline_s = now_s() + CANCEL_WAIT_S
         while job.stored_version < version and now_s() < deadline_s:
@@ -290,7 +312,7 @@
                     await self._stored.wait()
             except TimeoutError:
                 break
-        return CancelAnswer(is_known=True, is_stored=job.stored_version >= version)
+        return job.stored_version >= version
 
 
 def _make_settings(context: NodeContext) -> BatchSettings:
--- a/redwingplank/cell/service.py
+++ b/redwingplank/cell/service.py
@@ -58,12 +58,19 @@
         state = owner.job_state(jobId) if owner else None
         return owner is not None, state or ""
 
-    async def cancel(self, jobId: str, _context: Any, **_: Any) -> tuple[bool, bool, bool]:
+    async def cancel(
+        self, jobId: str, _context: Any, **_: Any
+    ) -> tuple[bool, bool, bool, int, str]:
+        return await self._cancel(jobId, None)
+
+    async def _cancel(
+        self, job_id: str, visible_to: str | None
+    ) -> tuple[bool, bool, bool, int, str]:
         owner = self._find_owner()
         if owner is None:
-            return False, False, False
-        answer = await owner.cancel(jobId)
-        return True, answer.is_known, answer.is_stored
+            return False, False, False, 0, ""
+        answer = await owner.cancel(job_id, visible_to)
+        return True, answer.is_known, answer.is_stored, answer.term, answer.state
 
     async def jobStateFor(
         self, jobId: str, organisation: str, _context: Any, **_: Any
@@ -74,12 +81,8 @@
 
     async def cancelFor(
         self, jobId: str, organisation: str, _context: Any, **_: Any
-    ) -> tuple[bool, bool, bool]:
-        owner = self._find_owner()
-        if owner is None:
-            return False, False, False
-        answer = await owner.cancel(jobId, organisation)
-        return True, answer.is_known, answer.is_stored
+    ) -> tuple[bool, bool, bool, int, str]:
+        return await self._cancel(jobId, organisation)
 
     async def pending(self, queue: str, _context: Any, **_: Any) -> tuple[bool, int]:
         owner = self._find_owner()
--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -29,6 +29,7 @@
         self.store_lease_s = store_lease_s
         self.revocation_limit_s = revocation_limit_s
         self.workers: list[SiteWorkerModel] = []
+        self._worker_addresses: list[str] = []
         self.nodes: list[Node] = []
         self.contexts: list[NodeContext] = []
         self.lines: list[str] = []
@@ -51,19 +52,29 @@
         """Start a worker and list it in the store."""
         model, address = SiteWorkerModel(), find_free_address()
         self.workers.append(model)
+        self._worker_addresses.append(address)
         app = make_site_worker_app(model, time.monotonic)
         self._servers.append(await serve_http(app, [address], 0))
+        self._list_worker(number)
+
+    def _list_worker(self, number: int) -> None:
         entry = {
             "service": "render",
-            "address": address,
+            "address": self._worker_addresses[number],
             "zone": "a",
             "state": "ready",
             "capacity": {"cpu": 8000, "mem_mb": 16000},
             "labels": ["k", f"r{number}"],
-            "born": 1,
+            "born": self.workers[number].born_ms,
         }
         self.store.put(f"servers/w{number}", msgspec.json.encode(entry))
 
+    def crash_workers(self) -> None:
+        """Restart the processes of all workers, which lose all that no owner has acknowledged."""
+        for number, worker in enumerate(self.workers):
+            worker.crash(worker.born_ms + 1)
+            self._list_worker(number)
+
     def configure(
         self, version: int, tenants: list[dict[str, object]] | None = None, **route: object
     ) -> None:
--- a/redwingplank/rpc/cell_calls.py
+++ b/redwingplank/rpc/cell_calls.py
@@ -20,10 +20,25 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAnswer:
-    """Whether the owner knows the job, and whether the cancellation is stored."""
+    """Whether the job is known, and whether the cancellation is stored.
+
+    Attributes
+    ----------
+    is_known, is_stored : bool
+        What the caller is told.
+    term : int
+        Epoch of the owner that answered, 0 if none did.
+    state : str
+        State of the job at that owner after the cancellation, empty if it does not know the job.
+    revision : int
+        Revision of the store at which a cancellation was written without the owner, else 0.
+    """
 
     is_known: bool
     is_stored: bool
+    term: int = 0
+    state: str = ""
+    revision: int = 0
 
 
 class CellCalls:
@@ -73,7 +88,9 @@
             return peer.cancelFor(job_id, visible_to)
 
         answer = await self._call(address, call_cancel, timeout_s)
-        return CancelAnswer(answer.isKnown, answer.isStored) if answer.isOwner else None
+        if not answer.isOwner:
+            return None
+        return CancelAnswer(answer.isKnown, answer.isStored, answer.term, answer.state)
 
     async def pending(self, address: str, queue: str, timeout_s: float) -> int | None:
         """Return how many jobs of a queue wait; None if the peer does not own the jobs."""
--- a/redwingplank/standin/site_workers.py
+++ b/redwingplank/standin/site_workers.py
@@ -36,6 +36,14 @@
         self.late_s: float | None = None
         """Start commands get no answer and are executed after this many seconds; None to answer."""
 
+    def crash(self, born_ms: int) -> None:
+        """Restart the process: all runs, completions and fencing tokens are lost."""
+        self.born_ms = born_ms
+        self.token = self.lease_until_ms = self.end_count = 0
+        self.runs.clear()
+        self.blocked.clear()
+        self.ends = []
+
     def start(self, body: dict[str, Any], now_s: float) -> tuple[int, str]:
         """Handle a start command and return the status and the reason of the answer."""
         task, attempt = body["task"], body["attempt"]
