--- a/redwingplank/standin/site_workers.py
+++ b/redwingplank/standin/site_workers.py
@@ -24,6 +24,8 @@
     def __init__(self, born_ms: int = 1, run_s: float = 0.05) -> None:
         self.born_ms = born_ms
         self.run_s = run_s
+        self.how = "done"
+        """How the runs end whose time is over: ``"done"`` or ``"failed"``."""
         self.token = 0
         self.lease_until_ms = 0
         self.runs: dict[str, tuple[int, float]] = {}
@@ -77,7 +79,7 @@
         """End the runs whose time is over or whose lease has expired."""
         for task, (_, ends_s) in list(self.runs.items()):
             if now_s >= ends_s:
-                self._end_run(task, "done")
+                self._end_run(task, self.how)
             elif now_s * 1000 > self.lease_until_ms:
                 self._end_run(task, "lapsed")
 
