--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -185,18 +185,18 @@
             self._completions.open_step_if_ready(job, step, now_s)
 
     def cancel(self, job_id: str, now_s: float, reason: str = "cancelled") -> int | None:
-        """Cancel a job, for a reason that is written to the log.
+        """Cancel a job, for a reason that is written to the log; one that has ended stays so.
 
         Returns
         -------
         int or None
-            Version of the job that has to be stored before the cancellation is confirmed, None for
-            a job that is unknown or has ended in another state.
+            Version of the job that has to be stored before the cancellation is confirmed, also if
+            the job had ended otherwise; None for a job that is unknown.
         """
         job = self.state.jobs_by_id.get(job_id)
-        if job is None or (job.state.is_final and job.state is not JobState.CANCELLED):
+        if job is None:
             return None
-        if job.state is not JobState.CANCELLED:
+        if not job.state.is_final:
             self.state.finish_job(job, JobState.CANCELLED, now_s, reason)
         return job.final_version
 
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -280,7 +280,7 @@
         return self.owner.pending_count(queue)
 
     async def cancel(self, job_id: str, visible_to: str | None = None) -> CancelAnswer:
-        """Cancel a job, and wait at most `CANCEL_WAIT_S` until the cancellation is stored.
+        """Cancel a job, and wait at most `CANCEL_WAIT_S` until its final state is stored.
 
         A job that is not visible to the caller, as in `job_state`, is answered as unknown.
         """
@@ -289,7 +289,8 @@
         if job is None or not is_visible(job.spec.organisation, visible_to):
             return CancelAnswer(is_known=False, is_stored=False, term=self._epoch)
         version = self.owner.cancel(job_id, started_s)
-        is_stored = version is None or await self._wait_until_stored(job, version)
+        assert version is not None
+        is_stored = await self._wait_until_stored(job, version)
         self._log_decision(
             "cancel_at_owner",
             job=job_id,
--- a/redwingplank/cell/tests/test_confirmed_answers.py
+++ b/redwingplank/cell/tests/test_confirmed_answers.py
@@ -8,12 +8,16 @@
 
 import pytest
 
+from redwingplank.batch.entities import Job
+from redwingplank.cell.node import Node
 from redwingplank.cell.tests.site_fixture import Site, run_site
 from redwingplank.platform.site.store import StoreRefusedError
 
 STEP = {"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 50}
 JOB = {"spec": "payload", "steps": [STEP]}
 ID = "5c0e7a21d94b36f8"
+LONG_LEASE_S = 10.0
+"""An owner that the store refuses keeps the ownership for longer than it waits for the store."""
 
 
 class RefusingStore:
@@ -35,26 +39,35 @@
 
 def refuse_owner(site: Site) -> None:
     """Let the store refuse the owner and serve the others."""
-    site.contexts[owner_number(site)].store = RefusingStore()
+    site.contexts[owner_number(site)].store = RefusingStore()  # type: ignore[assignment]
+
+
+def owner_node(site: Site) -> Node:
+    """Return the node that owns the jobs; there has to be one."""
+    node = site.owner_node()
+    assert node is not None
+    return node
 
 
 def owner_number(site: Site) -> int:
-    return site.nodes.index(site.owner_node())
+    return site.nodes.index(owner_node(site))
 
 
-def state_in_memory(site: Site) -> str:
-    """Return the state of the job as the owner knows it."""
-    job = site.owner_node()._owner.owner.state.jobs_by_id.get(ID)
-    return "" if job is None else job.state.value
+def job_in_memory(site: Site) -> Job | None:
+    """Return the job as the owner knows it."""
+    runtime = owner_node(site)._owner
+    assert runtime is not None
+    return runtime.owner.state.jobs_by_id.get(ID)
 
 
 def is_ended(site: Site) -> bool:
-    return state_in_memory(site) in ("cancelled", "completed", "failed")
+    job = job_in_memory(site)
+    return job is not None and job.state.is_final
 
 
 def is_all_stored(site: Site) -> bool:
-    job = site.owner_node()._owner.owner.state.jobs_by_id[ID]
-    return job.stored_version == job.version
+    job = job_in_memory(site)
+    return job is not None and job.stored_version == job.version
 
 
 def start_count(site: Site, job_id: str = ID) -> int:
@@ -78,7 +91,7 @@
     """
     survivor = 1 - owner_number(site)
     site.crash_workers()
-    await site.crash(site.owner_node())
+    await site.crash(owner_node(site))
     site.store.is_down = False
     for worker in site.workers:
         worker.run_s, worker.how = 0.05, "done"
@@ -105,4 +118,4 @@
             assert status == 503 or start_count(site) == 1
             assert (await site.call("DELETE", f"/proof/{ID}", node=survivor))[0] == 200
 
-        run_site(scenario, nodes=2)
+        run_site(scenario, store_lease_s=LONG_LEASE_S, nodes=2)
