--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -91,6 +91,7 @@
         "incarnation",
         "is_accepted",
         "is_listed",
+        "is_queued",
         "load",
         "organisation",
         "pace_percent",
@@ -133,6 +134,8 @@
         """Time at which the reported progress last changed."""
         self.percent = 0.0
         self.load = 0.0
+        self.is_queued = False
+        """Whether the start was commanded; it may wait before it is sent."""
         self.is_listed = False
         """Whether a report of the worker has listed the run."""
         self.is_accepted = False
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -262,7 +262,7 @@
             job.stored_version = max(job.stored_version, record.version)
             for run in job.runs():
                 if run.state is RunState.PLANNED and run.version <= job.stored_version:
-                    self.state.commands.starts.append(run)
+                    self.state.queue_start(run)
             is_stored = job.state.is_final and job.stored_version == job.version
             if is_stored and not job.runs() and not self._may_run_unconfirmed(job):
                 job.steps_by_key.clear()
@@ -324,6 +324,11 @@
         """Mark a planned run as starting; return False if its command is no longer to be sent."""
         return self._outcomes.mark_start_sent(run, now_s)
 
+    def withdraw_start(self, run: Run, now_s: float) -> None:
+        """Take back a start command that waited and is not to be sent any more."""
+        if run.state is RunState.PLANNED:
+            self._outcomes.handle_start(run, StartOutcome.NOT_SENT, now_s)
+
     def handle_start_outcome(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
         """Apply the outcome of a start command."""
         self._outcomes.handle_start(run, outcome, now_s)
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -254,7 +254,7 @@
         run.version = job.version
         self._log_planned_run(run, job, now_s - step.opened_s)
         if job.stored_version >= run.version:
-            state.commands.starts.append(run)
+            state.queue_start(run)
 
     def _log_planned_run(self, run: Run, job: Job, waited_s: float) -> None:
         worker = run.worker
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -152,6 +152,12 @@
         self.reopen_step(run.task_id.step_key)
         return task
 
+    def queue_start(self, run: Run) -> None:
+        """Command the start of a planned run that is stored; a second call is ignored."""
+        if not run.is_queued:
+            run.is_queued = True
+            self.commands.starts.append(run)
+
     def move_run(self, run: Run) -> None:
         """Record that a run may exist in the present incarnation of its worker."""
         found = self.find_task(run.task_id)
--- a/redwingplank/cell/tests/test_worker_slots.py
+++ b/redwingplank/cell/tests/test_worker_slots.py
@@ -122,6 +122,19 @@
 
         run_virtual(scenario())
 
+    # Guards against a run that is taken for not started, and started a second time elsewhere.
+    def test_a_run_that_has_started_is_not_given_back(self, monkeypatch):
+        async def scenario() -> None:
+            owner = Owner(monkeypatch)
+            started, *others = owner.starts[: COMMAND_SLOTS + 1]
+            await owner.commands.start(started)
+            owner.workers.silent.add("w0")
+            await asyncio.gather(*(owner.commands.start(run) for run in [*others, started]))
+            assert started.state is RunState.RUNNING
+            assert started in owner.owner.state.jobs_by_id["a"].runs()
+
+        run_virtual(scenario())
+
     def test_other_workers_are_not_delayed(self, monkeypatch):
         async def scenario() -> None:
             owner = Owner(monkeypatch, worker_count=2)
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -85,7 +85,7 @@
             if unanswered_s < queued_s:
                 await self._send_start(run)
                 return
-        self._owner.handle_start_outcome(run, StartOutcome.NOT_SENT, now_s())
+        self._owner.withdraw_start(run, now_s())
         self._wake()
 
     async def _send_start(self, run: Run) -> None:
