Ownership: commands count on a proof of the epoch, not on the renewal of a lease

Cause: the permission counted from the last renewal of the node's lease. A replaced owner keeps that lease, or opens a new one. Class: a decision on an answer that says something else.

Change: the permission counts from when the last call was sent that proved the epoch: the election, a record write (it requires the epoch's revision), or a read of the epoch key if there was none for 0.7 s. A read that finds another epoch ends the ownership at once. An election that was adopted from the view begins without a proof.

Why it works: each of these calls is answered by the store at or after the time that counts, and a successor wins after that, so its 5 s begin later.

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -139,7 +139,7 @@
     def _confirmation_deadline_s(self, now_s: float) -> float:
         """Return the time by which all leases granted by earlier owners have certainly expired.
 
-        An earlier owner may renew leases for `owner_silence_s` after it last renewed its ownership,
+        An earlier owner may renew leases for `owner_silence_s` after it last proved its ownership,
         and the clocks of workers may be slow by `max_clock_drift`.
         """
         settings = self.state.settings
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -23,7 +23,7 @@
         Safety margin after the end of a lease before it counts as expired.
     owner_silence_s : float
         How long an owner that cannot reach the store may still renew workers' leases after it last
-        renewed its ownership.
+        proved its ownership.
     stop_retry_s : float
         Time after which an unconfirmed stop command is repeated.
     failures_to_avoid : int
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -29,6 +29,10 @@
 RENEW_S = 0.35
 """Period of renewals: two may be lost before the lease expires."""
 RENEW_TIMEOUT_S = 0.5
+PROOF_PERIOD_S = 0.7
+"""An owner that has written nothing for this long reads the epoch key to prove its ownership."""
+PROOF_CHECK_S = 0.2
+"""Period of checking whether a proof is due."""
 CALL_TIMEOUT_S = 0.9
 """Time-out of the other store calls; a slow store answers in 0.25 s."""
 CANDIDATE_DELAY_S = 0.015
@@ -129,6 +133,8 @@
         """Faster nodes for which this one has resigned, or tried to; it does so once for each."""
         self.renewed_s = 0.0
         """Time at which the last successful renewal was sent."""
+        self.proven_s = float("-inf")
+        """Time at which the last call was sent that proved this node's present ownership."""
         self._is_changed = asyncio.Event()
         self._follower = PrefixFollower(
             context, SYSTEM_PREFIX, WATCH_WAIT_S, self._handle_read, self._handle_changes
@@ -168,6 +174,37 @@
         if not self._is_registered:
             await self._register()
 
+    async def prove_ownership(self) -> None:
+        """Prove this node's ownership again and again, until cancelled.
+
+        The renewal of a lease proves nothing: another node may own the jobs meanwhile, and the
+        watch that tells of it may miss the change.
+        """
+        while True:
+            try:
+                await self._read_epoch(now_s())
+            except STORE_ERRORS as error:
+                self._context.health.record_failure(error)
+            await asyncio.sleep(PROOF_CHECK_S)
+
+    async def _read_epoch(self, now: float) -> None:
+        """Read the epoch key, unless something else has proven the ownership lately."""
+        ownership = self.ownership
+        if ownership is None or now - self.proven_s < PROOF_PERIOD_S:
+            return
+        item = await self._context.store.get(EPOCH_KEY, RENEW_TIMEOUT_S)
+        if item is None:
+            self.give_up_ownership("no_term")
+        elif item.revision == ownership.epoch_revision:
+            self.record_proof(ownership, now)
+        else:
+            self._handle_changes((item,))
+
+    def record_proof(self, ownership: Ownership, sent_s: float) -> None:
+        """Record that a call sent at `sent_s` has proven an ownership, if it is the present one."""
+        if ownership is self.ownership:
+            self.proven_s = max(self.proven_s, sent_s)
+
     async def _replace_lease(self, started_s: float) -> None:
         if self.lease:
             self._context.log("lease_lost", lease=self.lease, age_s=started_s - self.renewed_s)
@@ -316,6 +353,7 @@
 
     def _become_owner(self, epoch: int, revision: int, started_s: float) -> None:
         self.ownership = Ownership(epoch, revision, revision, started_s)
+        self.proven_s = float("-inf")
         self._context.log("ownership_won", term=epoch, revision=revision)
         self._on_won(self.ownership)
 
@@ -411,6 +449,7 @@
         self.epoch_revision = result.revision
         if self.ownership is None:
             self._become_owner(epoch, result.revision, started_s)
+            self.proven_s = started_s
 
     async def resign(self, reason: str) -> None:
         """Give up the ownership and remove the owner key, so that another node can take over.
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -86,6 +86,7 @@
         self._tasks.start_loop(self._config_watch.run)
         self._tasks.start_loop(self._config_prover.run)
         self._tasks.start_loop(self._membership.keep_lease)
+        self._tasks.start_loop(self._membership.prove_ownership)
         self._tasks.start_loop(self._membership.follow)
         self._tasks.start_loop(self._membership.contend_for_ownership)
         self._tasks.start_loop(self._owner_watch.run)
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -66,7 +66,7 @@
     context : NodeContext
         Settings, clients, log and metrics of this node.
     membership : Membership
-        Provides the time of the last lease renewal and the live nodes; gives up the ownership.
+        Provides the time of the last proof of the ownership and the live nodes; gives it up.
     ownership : Ownership
         Epoch that this node has won, with the revisions that its writes depend on.
     config : CellConfig
@@ -87,7 +87,12 @@
         self.owner = JobOwner(self._settings, ownership.epoch, config, self._log_decision)
         self._epoch = ownership.epoch
         self._writer = RecordWriter(
-            context, ownership, self.owner, self._wake, membership.give_up_ownership
+            context,
+            ownership,
+            self.owner,
+            self._wake,
+            membership.give_up_ownership,
+            membership.record_proof,
         )
         self._orders = WorkerCommands(context, membership, self.owner, self._wake)
         self._poller = WorkerPoller(context, self.owner, self._orders, self._tasks, self._wake)
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -54,6 +54,9 @@
         Called after each transaction with records that was carried out.
     on_superseded : callable
         Called with a reason when a newer owner has written; nothing is written afterwards.
+    on_proven : callable
+        Called with the ownership and the time at which a write was sent that required its epoch and
+        was carried out.
 
     Notes
     -----
@@ -69,12 +72,14 @@
         owner: JobOwner,
         on_stored: Callable[[], None],
         on_superseded: Callable[[str], None],
+        on_proven: Callable[[Ownership, float], None],
     ) -> None:
         self._context = context
         self._ownership = ownership
         self._owner = owner
         self._on_stored = on_stored
         self._on_superseded = on_superseded
+        self._on_proven = on_proven
         self._sequence = 0
         self._sequence_revision = ownership.sequence_revision
         self._is_wanted = asyncio.Event()
@@ -160,6 +165,7 @@
         }
         all_puts = [Put(SEQUENCE_KEY, sequence_value), *puts]
         while True:
+            sent_s = now_s()
             try:
                 result = await self._context.store.transact(expected, all_puts, [], WRITE_TIMEOUT_S)
             except STORE_ERRORS as error:
@@ -174,6 +180,7 @@
                 continue
             self._context.health.record_success()
             if result.outcome is TransactionOutcome.DONE:
+                self._on_proven(self._ownership, sent_s)
                 self._sequence_revision = result.revision
                 return True
             found = {item.key: item for item in result.found}
--- a/redwingplank/cell/tests/link_fixture.py
+++ b/redwingplank/cell/tests/link_fixture.py
@@ -136,6 +136,9 @@
             status, answer = await self._watch(query)
         elif url.path == "/-/kv-range":
             status, answer = 200, self._range(query)
+        elif url.path == "/-/kv-key":
+            is_there = query["key"] in self.model.items
+            status, answer = (200, self.model.show(query["key"])) if is_there else (404, {})
         else:
             raise AssertionError(f"the store does not know {target}")
         return Reply(status, msgspec.json.encode(answer))
--- a/redwingplank/cell/tests/test_membership.py
+++ b/redwingplank/cell/tests/test_membership.py
@@ -11,7 +11,7 @@
 from redwingplank.cell import context, follower, hedged_call, hedged_store, membership
 from redwingplank.cell.context import StoreHealth
 from redwingplank.cell.hedged_store import HedgedStore
-from redwingplank.cell.keys import OWNER_KEY
+from redwingplank.cell.keys import EPOCH_KEY, OWNER_KEY
 from redwingplank.cell.membership import Membership
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.tests.link_fixture import Link, LinkClient
@@ -23,6 +23,8 @@
 OWNED_WITHIN_S = 3.0
 """Time within which a cell has an owner once the store answers again."""
 OUTAGE_S = 4.5
+NOTICED_WITHIN_S = 1.2
+"""Time within which an owner learns that it was replaced, though its watch misses it."""
 SLOW, FAST = 0.4, 1.0
 MODULES_WITH_CLOCK = (context, follower, hedged_call, hedged_store, membership)
 
@@ -45,6 +47,7 @@
         """Number of the first transaction that fails, None for none."""
         self.fault = Answer.REFUSED
         self.is_down = False
+        self.fails_reads_of_keys = False
 
     async def call(self, method: str, address: str, target: str, *args: Any, **values: Any) -> Any:
         if self.is_down:
@@ -56,6 +59,8 @@
         now_s = asyncio.get_running_loop().time()
         self.model.expire(now_s)
         path = target.removeprefix("/-/")
+        if path.startswith("kv-key") and self.fails_reads_of_keys:
+            return Reply(503, b"")
         if path == "kv-txn":
             return await self._transact(target, body)
         if path == "kv-lease":
@@ -112,8 +117,13 @@
         member = Membership(node_context, lambda _: member.wake(), lambda _: member.wake())
         member.may_own = True
         tasks = TaskSet(node_context)
-        for loop in (member.keep_lease, member.follow, member.contend_for_ownership):
-            tasks.start_loop(loop)
+        for run in (
+            member.keep_lease,
+            member.prove_ownership,
+            member.follow,
+            member.contend_for_ownership,
+        ):
+            tasks.start_loop(run)
         self.members.append(member)
         self.clients.append(client)
         self.tasks.append(tasks)
@@ -245,3 +255,89 @@
             await cell.stop()
 
         run_virtual(scenario())
+
+
+class TestReplacedOwner:
+    """Pattern: another node takes over, and the owner's watch does not tell."""
+
+    async def replace(self, cell: Cell) -> Membership:
+        """Let a second node take over from an owner whose watch misses changes."""
+        owner, client = cell.add_node(FAST)
+        await cell.until_owned()
+        client.is_deaf = True
+        successor, _ = cell.add_node(FAST)
+        await asyncio.sleep(1.0)
+        assert successor.owner is not None
+        successor.take_over_from(successor.owner)
+        while successor.ownership is None:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        return owner
+
+    # Guards against an owner that was replaced and goes on commanding workers, as long as its lease
+    # is renewed.
+    def test_gives_up_although_its_lease_is_renewed(self, monkeypatch):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            owner = await self.replace(cell)
+            await asyncio.sleep(NOTICED_WITHIN_S)
+            assert owner.ownership is None
+            await cell.stop()
+
+        run_virtual(scenario())
+
+    # Guards against a permission to command that only the renewal of the lease extends.
+    def test_proves_no_ownership_by_renewals(self, monkeypatch):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            member, client = cell.add_node(FAST)
+            await cell.until_owned()
+            client.fails_reads_of_keys = True
+            await asyncio.sleep(1.0)
+            proven_s, renewed_s = member.proven_s, member.renewed_s
+            await asyncio.sleep(2.0)
+            assert member.renewed_s > renewed_s
+            assert member.proven_s == proven_s
+            await cell.stop()
+
+        run_virtual(scenario())
+
+    def test_proves_an_ownership_that_lasts(self, monkeypatch):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            member, _ = cell.add_node(FAST)
+            await cell.until_owned()
+            for _ in range(20):
+                await asyncio.sleep(0.3)
+                age_s = asyncio.get_running_loop().time() - member.proven_s
+                assert age_s <= NOTICED_WITHIN_S
+            await cell.stop()
+
+        run_virtual(scenario())
+
+    # Guards against a write that proved an earlier ownership and is counted for a later one.
+    def test_counts_no_proof_of_an_earlier_ownership(self, monkeypatch):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            member, _ = cell.add_node(FAST)
+            await cell.until_owned()
+            earlier = member.ownership
+            member.give_up_ownership("fenced_by_worker")
+            await cell.until_owned()
+            assert earlier is not None and member.ownership != earlier
+            proven_s = member.proven_s
+            member.record_proof(earlier, proven_s + 1.0)
+            assert member.proven_s == proven_s
+            await cell.stop()
+
+        run_virtual(scenario())
+
+    def test_the_epoch_of_a_successor_is_taken_over(self, monkeypatch):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            owner = await self.replace(cell)
+            await asyncio.sleep(NOTICED_WITHIN_S)
+            assert owner.latest_epoch is not None and owner.latest_epoch.number == 2
+            assert owner.epoch_revision == cell.model.items[EPOCH_KEY].revision
+            await cell.stop()
+
+        run_virtual(scenario())
--- a/redwingplank/cell/tests/test_worker_commands.py
+++ b/redwingplank/cell/tests/test_worker_commands.py
@@ -12,7 +12,7 @@
 from redwingplank.cell import worker_commands
 from redwingplank.cell.worker_commands import WorkerCommands
 
-RENEWED_S = 100.0
+PROVEN_S = 100.0
 LONG_PAUSE_S = 6.0
 
 
@@ -43,7 +43,7 @@
 
     def make_commands(self, owner: Any, workers: RecordingWorkers) -> WorkerCommands:
         context: Any = SimpleNamespace(workers=workers, log=lambda *_, **__: None)
-        membership: Any = SimpleNamespace(renewed_s=RENEWED_S)
+        membership: Any = SimpleNamespace(proven_s=PROVEN_S)
         return WorkerCommands(context, membership, owner, lambda: None)
 
     @pytest.mark.parametrize(
@@ -53,7 +53,7 @@
         owner, run = self.make_run()
         workers = RecordingWorkers()
         commands = self.make_commands(owner, workers)
-        monkeypatch.setattr(worker_commands, "now_s", lambda: RENEWED_S + pause_s)
+        monkeypatch.setattr(worker_commands, "now_s", lambda: PROVEN_S + pause_s)
         asyncio.run(commands.start(run))
         asyncio.run(commands.stop(run))
         assert workers.sent == sent
@@ -61,8 +61,8 @@
     def test_the_command_that_was_not_sent_leaves_nothing_behind(self, monkeypatch):
         owner, run = self.make_run()
         commands = self.make_commands(owner, RecordingWorkers())
-        monkeypatch.setattr(worker_commands, "now_s", lambda: RENEWED_S + LONG_PAUSE_S)
+        monkeypatch.setattr(worker_commands, "now_s", lambda: PROVEN_S + LONG_PAUSE_S)
         assert run.state is RunState.PLANNED
         asyncio.run(commands.start(run))
         assert owner.state.jobs_by_id["a"].runs() == []
-        assert not owner.next_poll(run.worker, RENEWED_S, may_renew=False).lease_until_ms
+        assert not owner.next_poll(run.worker, PROVEN_S, may_renew=False).lease_until_ms
--- a/redwingplank/cell/tests/test_worker_slots.py
+++ b/redwingplank/cell/tests/test_worker_slots.py
@@ -76,7 +76,7 @@
         self.owner = cell.owner
         self.starts = [*commands.starts, *cell.owner.tick(cell.now_s, cell.now_s).starts]
         context: Any = SimpleNamespace(workers=self.workers, log=lambda *_, **__: None)
-        membership: Any = SimpleNamespace(renewed_s=float("inf"))
+        membership: Any = SimpleNamespace(proven_s=float("inf"))
         self.commands = WorkerCommands(context, membership, cell.owner, lambda: None)
         self.tasks = TaskSet(context)
         self.poller = WorkerPoller(context, cell.owner, self.commands, self.tasks, lambda: None)
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -32,8 +32,8 @@
     context : NodeContext
         Settings, clients, log and metrics of this node.
     membership : Membership
-        Provides the time of the last lease renewal; gives up the ownership when a worker has
-        received a command of a newer owner.
+        Provides the time of the last proof of the ownership; gives it up when a worker has received
+        a command of a newer owner.
     owner : JobOwner
         Makes the decisions and receives the outcomes of commands.
     wake : callable
@@ -64,8 +64,8 @@
         self._is_stopped = True
 
     def may_send_commands(self) -> bool:
-        """Return whether the node's lease was renewed recently enough to send commands."""
-        age_s = now_s() - self._membership.renewed_s
+        """Return whether the ownership was proven recently enough to send commands."""
+        age_s = now_s() - self._membership.proven_s
         limit_s = self._owner.state.settings.owner_silence_s - COMMAND_MARGIN_S
         return not self._is_stopped and age_s < limit_s
 
