Views: a cancelled task is shown once the cancellation is durable

Callers saw: GET of a job with tasks that are `cancelled`, which run under the next owner.

Cause: a final state is hidden until the record on which it depends is durable. The end of a cancelled task has no record of its own, so its position was 0 and the state was shown at once, while the record of the job's cancellation was still waiting for the store. The answer to the DELETE itself waited.

Change: the position of a cancelled task is that of its job's cancellation. Until it is durable the task is shown as `stopping`. The version of the job grows when the record becomes durable, so that callers who wait for a change read the new states.

--- a/redwingplank/scheduling/intake.py
+++ b/redwingplank/scheduling/intake.py
@@ -143,6 +143,7 @@
         job.version += 1
         if not job.is_volatile:
             job.cancel_sequence = self._state.journal.append(JobCancelled(job.job_id))
+            self._lifecycle.announce_when_durable(job, now_s)
         self._state.queue.drop(job)
         self._state.log_decision("job_cancelled", job=job.job_id)
         self.stop_cancelled(job, now_s)
--- a/redwingplank/scheduling/lifecycle.py
+++ b/redwingplank/scheduling/lifecycle.py
@@ -283,10 +283,13 @@
         job.failed_count += state is TaskState.FAILED
         job.unknown_count += state is TaskState.UNKNOWN
         is_recorded = not job.is_volatile and job.service.kind is not WorkloadKind.SERVICE
-        if is_recorded and state is not TaskState.CANCELLED:
+        if is_recorded and state is TaskState.CANCELLED:
+            # The record of the job's cancellation stands for those of its cancelled tasks.
+            task.final_sequence = job.cancel_sequence
+        elif is_recorded:
             record = TaskFinished(task.task_id, state, result, reason)
             task.final_sequence = self._state.journal.append(record)
-            self._state.journal.when_durable(partial(_increment_version, job), now_s)
+            self.announce_when_durable(job, now_s)
         job.version += 1
         if job.service.kind is WorkloadKind.SERVICE:
             self._remove_service_task(task)
@@ -317,10 +320,17 @@
         if not job.is_volatile:
             record = JobFinished(job.job_id, job.state, job.detail)
             job.final_sequence = self._state.journal.append(record)
-            self._state.journal.when_durable(partial(_increment_version, job), now_s)
+            self.announce_when_durable(job, now_s)
         self._state.log_decision("job_finished", job=job.job_id, state=job.state, reason=job.detail)
         self.schedule_removal(job, now_s)
 
+    def announce_when_durable(self, job: Job, now_s: float) -> None:
+        """Increment the version of a job once the records appended so far are durable.
+
+        States that depend on these records are shown from then on.
+        """
+        self._state.journal.when_durable(partial(_increment_version, job), now_s)
+
     def schedule_removal(self, job: Job, now_s: float) -> None:
         """Schedule the removal of a finished job after the retention time."""
         due_s = now_s + self._state.settings.job_retention_s
--- a/redwingplank/scheduling/tests/test_confirmed_answers.py
+++ b/redwingplank/scheduling/tests/test_confirmed_answers.py
@@ -241,6 +241,38 @@
         successor.run(0.5)
         assert successor.state_of() == "running"
 
+    # Guards against tasks that are shown as cancelled and run under the next owner, because the
+    # cancellation of their job was not durable.
+    @pytest.mark.parametrize("make_job", [make_waiting_job, make_running_job])
+    def test_cancelled_tasks_are_shown_once_the_cancellation_is_durable(self, make_job):
+        shard = make_job()
+        committed_count = stop_committing(shard)
+        shard.cancel()
+        shard.run(5.0)
+        shown = {shard.state_of(), *shard.task_states()}
+        successor = kill(shard, committed_count)
+        successor.add_workers(1)
+        successor.run(1.0)
+        assert successor.running_on().keys() == {"job/0"}
+        assert shown.isdisjoint(FINAL_STATES)
+
+    # Guards against callers that wait for a change that is never announced to them.
+    def test_version_grows_when_cancelled_tasks_become_final(self):
+        shard = Shard()
+        shard.add_workers(1)
+        shard.submit(task_count=9, payload=LONG)
+        shard.run(1.0)
+        shard.is_committing = False
+        shard.fault = lambda worker, request: "lost_request"
+        shard.cancel()
+        shard.run(0.5)
+        version, states = shard.scheduler.job_version("job"), shard.task_states()
+        assert "cancelled" not in states
+        commit_all(shard)
+        shard.tick()
+        assert shard.task_states().count("cancelled") == 1
+        assert shard.scheduler.job_version("job") > version
+
 
 def finished_tasks(shard: Shard, committed_count: int) -> set[str]:
     """Return the tasks whose end is among the first `committed_count` records."""
--- a/redwingplank/scheduling/views.py
+++ b/redwingplank/scheduling/views.py
@@ -40,7 +40,9 @@
     def _task_status(self, task: Task, now_s: float) -> TaskStatus:
         state, result, reason = task.state, task.result, task.reason
         if task.final_sequence > self._state.journal.committed_sequence:
-            state, result, reason = TaskState.RUNNING, b"", ""
+            is_cancelled = task.final_state is TaskState.CANCELLED
+            state = TaskState.STOPPING if is_cancelled else TaskState.RUNNING
+            result, reason = b"", ""
         is_waiting = task.phase in (Phase.HELD, Phase.QUEUED, Phase.BACKOFF)
         waited_s = now_s - task.queued_at_s if is_waiting else task.waited_s
         worker = task.worker.name if task.worker else ""
