Cancellations: a recovered task that may still run is not cancelled before it has stopped

Callers saw: state `cancelled`, durable, while a worker still ran the task.

Cause: JobAdmission.stop_cancelled ended every task without a worker. A recovered task has none until an inventory shows it, although a worker that the new owner has not adopted may run it. A non-idempotent one that was about to start ended as `cancelled` instead of `unknown`.

Change: a task that waits for its stop confirmation is left to the recovery, which ends it as cancelled or unknown when all listed workers are adopted or at the fence, and stops it when an inventory shows it. Jobs that were cancelled before the change of owners were already treated so. The answer to the DELETE still waits for its record only; nothing starts after it.

--- a/redwingplank/scheduling/intake.py
+++ b/redwingplank/scheduling/intake.py
@@ -149,9 +149,12 @@
         self.stop_cancelled(job, now_s)
 
     def stop_cancelled(self, job: Job, now_s: float) -> None:
-        """Finish the tasks of a cancelled job that do not run, and stop those that do."""
+        """Finish the tasks of a cancelled job that do not run, and stop those that do.
+
+        A recovered task that a worker may still run ends with its stop confirmation.
+        """
         for task in job.tasks:
-            if task.phase is Phase.DONE:
+            if task.phase is Phase.DONE or task.is_recovering:
                 continue
             if task.worker is None:
                 self._lifecycle.finish(task, TaskState.CANCELLED, now_s, reason="cancelled")
--- a/redwingplank/scheduling/tests/test_confirmed_answers.py
+++ b/redwingplank/scheduling/tests/test_confirmed_answers.py
@@ -273,6 +273,22 @@
         assert shard.task_states().count("cancelled") == 1
         assert shard.scheduler.job_version("job") > version
 
+    # Guards against a job that is shown as cancelled while one of its tasks may still run.
+    def test_job_is_not_final_while_a_worker_may_run_its_task(self):
+        shard = make_running_job()
+        successor = shard.take_over(fence_after_s=30.0)
+        successor.list_vms()
+        successor.cancel()
+        successor.run(2.0)
+        assert cancellations(successor)
+        assert successor.running_on() == {"job/0": ["w0"]}
+        assert successor.state_of() not in FINAL_STATES
+        assert set(successor.task_states()).isdisjoint(FINAL_STATES)
+        successor.adopt("w0")
+        successor.run(5.0)
+        assert successor.running_on() == {}
+        assert successor.state_of() == "cancelled"
+
 
 def finished_tasks(shard: Shard, committed_count: int) -> set[str]:
     """Return the tasks whose end is among the first `committed_count` records."""
