Submissions: the repeat of a volatile job is told that it is volatile

Cause: the first answer for a volatile job has the detail "volatile", a repeat is answered "duplicate" without it, which means a durable job.

Change: both have the detail.

Nothing that callers see changes: by reading, redwing-scheduler accepts no volatile job at present, because it is degraded only after the time until which it may start them.

--- a/redwingplank/scheduling/intake.py
+++ b/redwingplank/scheduling/intake.py
@@ -24,6 +24,9 @@
 
 __all__ = ["JobAdmission", "make_job"]
 
+_VOLATILE = "volatile"
+"""Detail of the answer to a submission whose job is not durable and is lost with its owner."""
+
 
 class JobAdmission:
     """Accepts, rejects and cancels jobs.
@@ -73,7 +76,7 @@
         elif is_volatile:
             job = self._add_job(message.spec, service, now_s)
             job.is_volatile = True
-            self._answer_at_once(message, SubmitOutcome.ACCEPTED, "volatile")
+            self._answer_at_once(message, SubmitOutcome.ACCEPTED, _VOLATILE)
             self._queue_tasks(job, now_s)
         else:
             self._accept(message, service, now_s)
@@ -101,7 +104,8 @@
                 self._lifecycle.queue(task, now_s)
 
     def _answer_duplicate(self, call_id: int, job: Job, now_s: float) -> None:
-        answer = SubmitAnswer(call_id, job.job_id, SubmitOutcome.DUPLICATE)
+        detail = _VOLATILE if job.is_volatile else ""
+        answer = SubmitAnswer(call_id, job.job_id, SubmitOutcome.DUPLICATE, detail)
         if job.accept_sequence <= self._state.journal.committed_sequence:
             self._state.messages.append(answer)
         else:
--- a/redwingplank/scheduling/tests/test_confirmed_answers.py
+++ b/redwingplank/scheduling/tests/test_confirmed_answers.py
@@ -136,6 +136,16 @@
         assert successor.state_of() == ""
         assert successor.starts_by_task() == {}
 
+    # Guards against a volatile job that is called accepted without the word that it is volatile.
+    def test_volatile_job_is_said_to_be_volatile_and_is_lost_with_its_owner(self):
+        shard = Shard(make_declarations(make_service(is_volatile_allowed=True)))
+        shard.own(OwnershipMode.DEGRADED)
+        shard.submit(payload=LONG)
+        shard.submit(payload=LONG)
+        shard.run(0.2)
+        assert [answer.detail for answer in shard.answers()] == ["volatile", "volatile"]
+        assert kill(shard, stop_committing(shard)).state_of() == ""
+
 
 class TestCancellation:
     def cancel_unstored(self, shard: Shard) -> int:
