Submissions with a key: a call that no owner takes does not settle an earlier one

Callers saw: 503 with `ran: no` for a job that runs.

Cause: a submission with an Idempotency-Key goes to one shard only. If that shard has no known owner, its owner cannot be reached or takes no jobs now, the entry answered `ran: no`. But an earlier call with the key, through this entry or another one, may have been accepted without an answer; a refusal settles only the copy that was refused.

Change: such a call raises JobUnsettledError with the job's id and the time of a repeat: 503, Retry-After, Location and `ran: unknown`. It costs the caller nothing, as a repeat with the same key runs the job once. A rejection by the owner stays 422 with `ran: no`, and so does 503 without a key, whose id is new each time.

Measured: 8 cases of TestRepeatWithKey in test_jobs.py and 2 in test_api.py failed before (JobRefusedError, 'no') and pass; tests of redwingplank/api and test_fuzz_http.py pass.

--- a/redwingplank/api/jobs.py
+++ b/redwingplank/api/jobs.py
@@ -75,7 +75,9 @@
             return
         except JobUnsettledError as error:
             resp.set_header("Location", _job_path(organisation, error.job_id))
-            send_problem(resp, ProblemDetails(504, "outcome unknown", str(error), "unknown"))
+            status = 503 if error.retry_after_s else 504
+            problem = ProblemDetails(status, "outcome unknown", str(error), "unknown")
+            send_problem(resp, problem, error.retry_after_s)
             return
         resp.status = falcon.HTTP_202
         resp.set_header("Location", _job_path(organisation, job_id))
--- a/redwingplank/api/tests/test_api.py
+++ b/redwingplank/api/tests/test_api.py
@@ -224,6 +224,16 @@
         assert_problem(result, 504, "unknown")
         assert result.headers["location"].startswith(f"{JOBS}/d1.")
 
+    # Guards against "not run" for a job that runs: an earlier call with its key may be accepted.
+    @pytest.mark.parametrize("refusal", [PeerUnreachableError("gone"), SubmitOutcome.NOT_NOW])
+    def test_a_refused_call_with_a_key_is_unknown_and_may_be_repeated(self, refusal):
+        result = EntryFixture(FakeCalls(refusal)).post(
+            JOBS, b'{"service": "parts"}', Idempotency_Key="a"
+        )
+        assert_problem(result, 503, "unknown")
+        assert result.headers["location"].startswith(f"{JOBS}/d1.k")
+        assert int(result.headers["retry-after"]) >= 1
+
     def test_another_organisations_job_is_not_shown_or_cancelled(self):
         fixture = EntryFixture(FakeCalls(organisation="other"))
         assert_problem(fixture.client.simulate_get(f"{JOBS}/d1.1"), 404, "no")
--- a/redwingplank/runtime/jobs.py
+++ b/redwingplank/runtime/jobs.py
@@ -40,11 +40,16 @@
 
 
 class JobUnsettledError(RedwingError):
-    """The call may have taken effect; read the job's state before repeating the call."""
+    """The call, or an earlier one with its key, may have taken effect.
 
-    def __init__(self, message: str, job_id: str) -> None:
+    Read the job's state before repeating the call. If `retry_after_s` is positive, this call itself
+    had no effect, and a repeat with the same key after that time settles the outcome.
+    """
+
+    def __init__(self, message: str, job_id: str, retry_after_s: float = 0.0) -> None:
         super().__init__(message)
         self.job_id = job_id
+        self.retry_after_s = retry_after_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +99,8 @@
         JobRefusedError
             If the job was certainly not accepted.
         JobUnsettledError
-            If the job may have been accepted.
+            If the job may have been accepted. With a key this includes calls that no owner took,
+            because they do not settle an earlier call with the key, at any entry.
         """
         if request.idempotency_key is not None:
             return await self._submit_with_key(request, request.idempotency_key)
@@ -165,8 +171,11 @@
         job_id = f"{shard}{SHARD_SEPARATOR}k{xxhash.xxh3_128_hexdigest(shard_key.encode())}"
         answer = await self._try_submit(request, job_id)
         if answer is None or answer.outcome is SubmitOutcome.NOT_NOW:
-            message = f"shard {shard}, which keeps this key, takes no jobs now; try again later"
-            raise JobRefusedError(message, RETRY_AFTER_S)
+            message = (
+                f"shard {shard}, which keeps this key, takes no jobs now, and an earlier call with "
+                "the key may have been accepted: repeat the call with the same key"
+            )
+            raise JobUnsettledError(message, job_id, RETRY_AFTER_S)
         return _job_id_or_raise(answer)
 
     async def _try_submit(self, request: JobRequest, job_id: str) -> SubmitAnswer | None:
--- a/redwingplank/runtime/tests/test_jobs.py
+++ b/redwingplank/runtime/tests/test_jobs.py
@@ -1,6 +1,7 @@
 """Jobs of callers whose shard owner fails, without a network."""
 
 import asyncio
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -38,11 +39,13 @@
         raise self._error
 
 
-def make_gateway(owners: Any) -> JobGateway:
+def make_gateway(
+    owners: Any, find_owner: Callable[[str], str | None] = "{}:1".format
+) -> JobGateway:
     directory: Any = SimpleNamespace(
         shards_by_preference=lambda: SHARDS,
         all_shards=lambda: SHARDS,
-        find_owner=lambda shard: f"{shard}:1",
+        find_owner=find_owner,
         discard_owner=lambda shard: None,
     )
     return JobGateway(owners, directory)
@@ -75,3 +78,60 @@
         gateway = make_gateway(Owners(PeerUnreachableError("refused")))
         with pytest.raises(JobRefusedError):
             asyncio.run(gateway.cancel("choir", "ankara-1.0f3c"))
+
+
+class OwnerThatAcceptedBefore:
+    """Owner that accepts the first call for each job, whose answer is lost, and refuses repeats."""
+
+    def __init__(self, repeat: Exception | SubmitOutcome | None) -> None:
+        self._repeat = repeat
+        self._accepted: set[str] = set()
+
+    def find_owner(self, shard: str) -> str | None:
+        is_lost = self._repeat is None and bool(self._accepted)
+        return None if is_lost else f"{shard}:1"
+
+    async def submit(self, address, shard, spec, timeout_s):
+        if spec.job_id not in self._accepted:
+            self._accepted.add(spec.job_id)
+            raise CallOutcomeUnknownError("cut")
+        if isinstance(self._repeat, Exception):
+            raise self._repeat
+        assert self._repeat is not None
+        retry_after_s = 1.0 if self._repeat is SubmitOutcome.NOT_NOW else 0.0
+        return SubmitAnswer(0, spec.job_id, self._repeat, "", retry_after_s)
+
+
+class TestRepeatWithKey:
+    REQUEST = JobRequest("choir", "render", idempotency_key="k")
+
+    # Guards against "not run" for a job that runs: an earlier call with its key, through this entry
+    # or another one, was accepted without an answer, and the repeat reached no owner that knows it.
+    @pytest.mark.parametrize(
+        "repeat",
+        [
+            None,
+            NotOwnerError("ankara-1"),
+            PeerUnreachableError("refused"),
+            SubmitOutcome.NOT_NOW,
+        ],
+    )
+    @pytest.mark.parametrize("is_other_entry", [False, True])
+    def test_is_not_refused_while_an_earlier_call_may_be_accepted(self, repeat, is_other_entry):
+        owner = OwnerThatAcceptedBefore(repeat)
+        entries = [make_gateway(owner, owner.find_owner) for _ in range(2)]
+        with pytest.raises(JobUnsettledError) as first:
+            asyncio.run(entries[0].submit(self.REQUEST))
+        with pytest.raises(JobUnsettledError) as second:
+            asyncio.run(entries[is_other_entry].submit(self.REQUEST))
+        assert second.value.job_id == first.value.job_id
+        assert second.value.retry_after_s > 0
+
+    # Guards against a job that is said to be unknown when its owner decided that it cannot run.
+    def test_is_refused_where_the_owner_rejects_the_job(self):
+        gateway = make_gateway(OwnerThatAcceptedBefore(SubmitOutcome.REJECTED))
+        with pytest.raises(JobUnsettledError):
+            asyncio.run(gateway.submit(self.REQUEST))
+        with pytest.raises(JobRefusedError) as raised:
+            asyncio.run(gateway.submit(self.REQUEST))
+        assert raised.value.retry_after_s == 0.0
