Shards: an owner that may have been replaced does not say that a job does not exist

Callers saw: 404 and `ran: no` for GET and DELETE of a job that had been answered with 202; 422 and `ran: no` for the repeat of a call with a key that another owner had accepted.

Cause: an owner that the store refuses stays in charge of its running tasks, degraded, for up to 15 minutes, while another one takes over. Its answers to status, cancel and submit relied on its own memory, where a job that its successor accepted is missing: a partial view was taken for the whole one.

Change: an answer that relies on the absence of a job (unknown to status or cancel, rejected submission) is given only while the lease is valid, so that no other owner exists. Otherwise the call raises NotOwnerError, which the entry answers with 503 or takes to the next shard. "Not now" of a degraded owner stays; the entry does not take it for "not run" where the call has a key.

Measured: test_confirmed_answers.py of the runtime: two cases of TestReplacedOwner failed before and pass; its four other cases and those of TestKilledOwner passed before. Each of the 8 was seen to fail with a change made by hand (checks left out, always refused, answers sent at once, records left out). test_scheduler.py and test_takeover.py pass.

--- a/redwingplank/runtime/shard_runner.py
+++ b/redwingplank/runtime/shard_runner.py
@@ -139,7 +139,8 @@
         Raises
         ------
         NotOwnerError
-            If this process does not own the shard; the job was certainly not submitted.
+            If this process does not own the shard, or may have been replaced and does not know
+            whether the job exists; this call certainly submitted nothing.
         CallOutcomeUnknownError
             If the ownership ended before the answer; the job may have been accepted.
         """
@@ -149,19 +150,32 @@
             return SubmitAnswer(0, spec.job_id, SubmitOutcome.REJECTED, detail)
         call_id, future = runner.callers.open_call()
         runner.deliver(SubmitJob(call_id, spec))
-        return await future
+        answer: SubmitAnswer = await future
+        if answer.outcome is SubmitOutcome.REJECTED:
+            self._check_only_owner()
+        return answer
 
     async def cancel(self, job_id: str) -> CancelAnswer:
         """Cancel a job; raises the same errors as `submit`."""
         runner = self._require_owner()
         call_id, future = runner.callers.open_call()
         runner.deliver(CancelJob(call_id, job_id))
-        return await future
+        answer: CancelAnswer = await future
+        if not answer.is_known:
+            self._check_only_owner()
+        return answer
 
     async def status(
         self, job_id: str, known_version: int, wait_s: float
     ) -> tuple[JobStatus | None, int]:
-        """Return a job and its version once it differs from the known one, or after `wait_s`."""
+        """Return a job and its version once it differs from the known one, or after `wait_s`.
+
+        Raises
+        ------
+        NotOwnerError
+            If this process does not own the shard, or does not know the job and may have been
+            replaced by an owner that does.
+        """
         runner = self._require_running()
         core = runner.core
         assert core is not None
@@ -170,7 +184,10 @@
             return core.job_version(job_id)
 
         await runner.callers.wait_for_change(version, known_version, wait_s)
-        return core.job_status(job_id, self._context.clock.now_s()), version()
+        status = core.job_status(job_id, self._context.clock.now_s())
+        if status is None:
+            self._check_only_owner()
+        return status, version()
 
     def explain(self, id: str) -> tuple[str, ...]:
         """Return why a job or task waits or where it ran, as lines of text."""
@@ -225,6 +242,14 @@
             raise self._make_not_owner_error()
         return self._require_running()
 
+    def _check_only_owner(self) -> None:
+        """Raise `NotOwnerError` unless it is certain that no other process owns the shard.
+
+        Another owner may know jobs that this one does not know.
+        """
+        if self.ownership.mode(self._context.clock.now_s()) is not OwnershipMode.OWNING:
+            raise self._make_not_owner_error()
+
     def _make_not_owner_error(self) -> NotOwnerError:
         owner = self.ownership.known_owner
         if owner is None or owner.address == self.ownership.address:
