Drain: the command is stored before it is answered, and the next owner knows it

Operators saw: `redwingctl drain VM` said that the worker gets no new tasks; after a change of the shard's owner it got new ones.

Cause: the command was put into the owner's memory only and answered at once, also by an owner that the store refused. Class: an answer that says more than is known.

ShardRunner.drain_vm is a coroutine now.

Measured: the four cases of TestDrainedWorker.

--- a/redwingplank/rpc/scheduler_calls.py
+++ b/redwingplank/rpc/scheduler_calls.py
@@ -87,7 +87,7 @@
         return read_summary(answer.summary)
 
     async def drain(self, address: str, vm: str, is_draining: bool, timeout_s: float) -> None:
-        """Start or end draining a worker's VM.
+        """Start or end draining a worker's VM; the command is durable once this returns.
 
         The owner of any shard in the VM's failure domain accepts this call.
         """
--- a/redwingplank/runtime/callers.py
+++ b/redwingplank/runtime/callers.py
@@ -2,16 +2,25 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TypeVar
 
 from redwingplank.rpc import CallOutcomeUnknownError
 from redwingplank.scheduling.messages import CancelAnswer, SubmitAnswer
 
-__all__ = ["CallerTable"]
+__all__ = ["CallerTable", "DrainAnswer"]
 
 MIN_WAIT_S = 0.001
 
-Answer = TypeVar("Answer", SubmitAnswer, CancelAnswer)
+
+@dataclass(frozen=True, slots=True)
+class DrainAnswer:
+    """An operator's drain command is durable."""
+
+    call_id: int
+
+
+Answer = TypeVar("Answer", SubmitAnswer, CancelAnswer, DrainAnswer)
 
 
 class CallerTable:
@@ -35,7 +44,7 @@
         self._futures_by_call[self._last_call_id] = future
         return self._last_call_id, future
 
-    def resolve_call(self, answer: SubmitAnswer | CancelAnswer) -> None:
+    def resolve_call(self, answer: SubmitAnswer | CancelAnswer | DrainAnswer) -> None:
         """Pass an answer to its caller if the caller still waits."""
         future = self._futures_by_call.pop(answer.call_id, None)
         if future is not None and not future.done():
--- a/redwingplank/runtime/ownership_runner.py
+++ b/redwingplank/runtime/ownership_runner.py
@@ -14,6 +14,7 @@
 )
 from redwingplank.runtime.callers import CallerTable
 from redwingplank.runtime.counters import ProcessCounters
+from redwingplank.runtime.drain_commands import DrainCommands
 from redwingplank.runtime.grants import GrantLoop
 from redwingplank.runtime.journal_writer import FencedError, JournalWriter
 from redwingplank.runtime.scheduler_core import SchedulerCore, SchedulerFactory
@@ -23,6 +24,7 @@
 from redwingplank.scheduling.journal_values import Flush
 from redwingplank.scheduling.messages import (
     DeclarationsChanged,
+    DrainVm,
     GrantWanted,
     InboxMessage,
     JournalCommitted,
@@ -102,6 +104,7 @@
         self.writer: JournalWriter | None = None
         self.exchanges: WorkerExchanges | None = None
         self.grants: GrantLoop | None = None
+        self.drain_commands: DrainCommands | None = None
         self._context = context
         self._settings = context.settings
         self._ownership = ownership
@@ -142,6 +145,14 @@
         if self.grants is not None:
             self.grants.update_quotas(declarations)
 
+    async def drain_vm(self, command: DrainVm) -> None:
+        """Start or end the draining of a VM; return once the command is durable."""
+        assert self.writer is not None and self.drain_commands is not None
+        answer = self.drain_commands.store(command)
+        self.writer.wake()
+        self.deliver(command)
+        await answer
+
     def wake(self) -> None:
         """Run the next tick without waiting for the idle interval."""
         self._wake_event.set()
@@ -224,6 +235,9 @@
             context.counters,
             self._on_committed,
         )
+        self.drain_commands = DrainCommands(buffer, self.callers)
+        for command in self.drain_commands.stored():
+            self.deliver(command)
         self.exchanges = self._make_exchanges(recovered)
         self.grants = GrantLoop(
             context.store,
@@ -335,8 +349,10 @@
             self._decision_logger.info(decision)
 
     def _on_committed(self, flush: Flush) -> None:
+        assert self.drain_commands is not None
         if flush.last_sequence:
             self.deliver(JournalCommitted(flush.last_sequence))
+        self.drain_commands.on_committed(flush)
 
     def _on_superseded(self) -> None:
         self._ownership.superseded()
--- a/redwingplank/runtime/scheduler_service.py
+++ b/redwingplank/runtime/scheduler_service.py
@@ -76,7 +76,7 @@
 
     async def drain(self, vm: str, isDraining: bool, _context: Any, **_: Any) -> Any:  # noqa: N803
         async def handle_call(runner: ShardRunner) -> dict[str, Any]:
-            runner.drain_vm(vm, isDraining)
+            await runner.drain_vm(vm, isDraining)
             return {"done": None}
 
         shard = shard_of_worker(vm, sorted(self._runners_by_shard))
--- a/redwingplank/runtime/shard_runner.py
+++ b/redwingplank/runtime/shard_runner.py
@@ -201,9 +201,12 @@
         assert core is not None
         return core.summary(self._context.clock.now_s())
 
-    def drain_vm(self, worker: str, is_draining: bool) -> None:
-        """Start to drain a VM, or end its draining."""
-        self._require_running().deliver(DrainVm(worker, is_draining))
+    async def drain_vm(self, worker: str, is_draining: bool) -> None:
+        """Start to drain a VM, or end its draining; return once the command is durable.
+
+        Raises the same errors as `submit`.
+        """
+        await self._require_owner().drain_vm(DrainVm(worker, is_draining))
 
     # Ownership
 
--- a/redwingplank/runtime/tests/test_confirmed_answers.py
+++ b/redwingplank/runtime/tests/test_confirmed_answers.py
@@ -1,6 +1,7 @@
 """What a scheduler process confirms holds although it is killed or replaced right after it."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -14,6 +15,7 @@
     until,
 )
 from redwingplank.runtime.tests.scenarios import final_state, submit_until_accepted
+from redwingplank.scheduling.journal_values import JournalSettings
 from redwingplank.scheduling.messages import JobState, OwnershipMode, SubmitOutcome
 from redwingplank.standin.virtual_time import run_virtual
 
@@ -192,3 +194,76 @@
             assert status is not None and status.state is JobState.ACCEPTED
 
         run_virtual(scenario())
+
+
+class TestDrainedWorker:
+    """An operator's drain command was answered, and the owner is killed right after it."""
+
+    async def drain_and_kill(self, cell: Cell, *orders: bool) -> Candidate:
+        """Drain the only worker, or end that, and return the next owner."""
+        owner = await start_owner(cell)
+        for is_draining in orders:
+            await owner.runner.drain_vm("w0", is_draining)
+        await owner.process.abort()
+        return await start_owner(cell, "b")
+
+    # Guards against new tasks on a worker that the operator was told gets none: the next owner did
+    # not know of the command.
+    def test_gets_no_tasks_of_the_next_owner(self):
+        async def scenario():
+            cell = make_cell()
+            successor = await self.drain_and_kill(cell, True)
+            spec = make_spec()
+            await submit_until_accepted([successor], spec)
+            await asyncio.sleep(20.0)
+            assert cell.started_tasks() == []
+            await successor.runner.drain_vm("w0", False)
+            assert await final_state_at(successor, spec.job_id) is JobState.SUCCEEDED
+
+        run_virtual(scenario())
+
+    # Guards against a worker that stays closed although the operator was told that it is open.
+    def test_gets_tasks_of_the_next_owner_once_the_draining_was_ended(self):
+        async def scenario():
+            cell = make_cell()
+            successor = await self.drain_and_kill(cell, True, False)
+            spec = make_spec()
+            await submit_until_accepted([successor], spec)
+            assert await final_state_at(successor, spec.job_id) is JobState.SUCCEEDED
+
+        run_virtual(scenario())
+
+    # Guards against "gets no new tasks" while the store has not taken the command.
+    def test_is_unknown_without_the_store(self):
+        async def scenario():
+            cell = make_cell()
+            owner = await start_owner(cell)
+            owner.store_faults.is_down = True
+            call = asyncio.ensure_future(owner.runner.drain_vm("w0", True))
+            await asyncio.sleep(1.0)
+            assert not call.done()
+            await owner.process.abort()
+            with pytest.raises(CallOutcomeUnknownError):
+                await call
+
+        run_virtual(scenario())
+
+    # Guards against a command that is lost with the log: a snapshot covers it.
+    def test_is_known_after_a_snapshot(self):
+        async def scenario():
+            cell = make_cell()
+            cell.settings = replace(
+                cell.settings, journal=JournalSettings(snapshot_after_flushes=3)
+            )
+            owner = await start_owner(cell)
+            await owner.runner.drain_vm("w0", True)
+            for number in range(5):
+                await submit_until_accepted([owner], make_spec(f"job-{number}"))
+            await until(lambda: owner.process.counters.read().get("journal.snapshots", 0) > 0)
+            await owner.process.abort()
+            successor = await start_owner(cell, "b")
+            await asyncio.sleep(20.0)
+            assert successor.is_ready
+            assert cell.started_tasks() == []
+
+        run_virtual(scenario())
