Cancellations: the answer names the state in which the job ended

Callers saw: DELETE of a job that had succeeded was answered with `"state": "cancelled"`.

Cause: the entry wrote `cancelled` into every answer, while the owner confirms a job that has ended just as one that it cancelled. Class: an answer that says more than is known.

Change: the entry reads the state after the confirmation, when an end in the owner's memory has become durable. A final state is named as it is; a job whose tasks are still being stopped is `cancelled`. If the state cannot be read, the answer has none (it is optional in openapi.json); the cancellation is durable all the same. One more call to the owner for each DELETE.

--- a/redwingplank/api/jobs.py
+++ b/redwingplank/api/jobs.py
@@ -115,10 +115,10 @@
     async def on_delete(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response, organisation: str, job_id: str
     ) -> None:
-        """Cancel the job; answer once the cancellation is durable."""
+        """Cancel the job; answer once the cancellation, or the end of the job, is durable."""
         note_effect(req.scope)
         try:
-            await self._gateway.cancel(organisation, job_id)
+            state = await self._gateway.cancel(organisation, job_id)
         except JobUnknownError as error:
             send_problem(resp, ProblemDetails(404, "no such job", str(error), "no"))
             return
@@ -130,7 +130,7 @@
             send_problem(resp, ProblemDetails(504, "outcome unknown", str(error), "unknown"))
             return
         resp.status = falcon.HTTP_202
-        resp.media = {"job_id": job_id, "state": "cancelled"}
+        resp.media = {"job_id": job_id, **({"state": str(state)} if state else {})}
 
 
 def job_to_dict(status: JobStatus, version: int) -> dict[str, Any]:
--- a/redwingplank/api/tests/test_api.py
+++ b/redwingplank/api/tests/test_api.py
@@ -53,6 +53,7 @@
     outcome: SubmitOutcome | Exception = SubmitOutcome.ACCEPTED
     detail: str = ""
     organisation: str = "bureau"
+    state: JobState = JobState.RUNNING
     specs: list = field(default_factory=list)
 
     async def owners(self, address, timeout_s):
@@ -65,7 +66,7 @@
         return SubmitAnswer(0, spec.job_id, self.outcome, self.detail)
 
     async def status(self, address, shard, job_id, known_version, wait_s, timeout_s):
-        status = JobStatus(job_id, self.organisation, "parts", JobState.RUNNING, "", ())
+        status = JobStatus(job_id, self.organisation, "parts", self.state, "", ())
         return status, known_version + 1
 
     async def cancel(self, address, shard, job_id, timeout_s):
@@ -247,6 +248,16 @@
         assert read.json["state"] == "running"
         assert fixture.client.simulate_delete(f"{JOBS}/d1.1").status_code == 202
 
+    # Guards against "cancelled" for a job that had ended otherwise.
+    @pytest.mark.parametrize(
+        ("state", "told"),
+        [(JobState.RUNNING, "cancelled"), (JobState.SUCCEEDED, "succeeded")],
+    )
+    def test_tells_the_state_of_a_cancelled_job(self, state, told):
+        fixture = EntryFixture(FakeCalls(state=state))
+        result = fixture.client.simulate_delete(f"{JOBS}/d1.1")
+        assert (result.status_code, result.json["state"]) == (202, told)
+
 
 class TestHealth:
     def test_readiness_goes_before_the_entry_and_connections_are_closed(self):
--- a/redwingplank/runtime/jobs.py
+++ b/redwingplank/runtime/jobs.py
@@ -9,7 +9,13 @@
 from redwingplank.rpc import CallFailedError, CallOutcomeUnknownError, RpcError
 from redwingplank.rpc.scheduler_calls import SchedulerCalls
 from redwingplank.runtime.shards import ShardDirectory
-from redwingplank.scheduling.messages import JobSpec, JobStatus, SubmitAnswer, SubmitOutcome
+from redwingplank.scheduling.messages import (
+    JobSpec,
+    JobState,
+    JobStatus,
+    SubmitAnswer,
+    SubmitOutcome,
+)
 
 __all__ = [
     "JobGateway",
@@ -138,8 +144,14 @@
             raise JobUnknownError(f"organisation {organisation} has no job {job_id}")
         return status, found_version
 
-    async def cancel(self, organisation: str, job_id: str) -> None:
-        """Cancel a job; returns once the cancellation is durable.
+    async def cancel(self, organisation: str, job_id: str) -> JobState | None:
+        """Cancel a job; returns once the cancellation, or the end of the job, is durable.
+
+        Returns
+        -------
+        JobState or None
+            The state in which the job ended, CANCELLED while its tasks are being stopped; None if
+            the state cannot be read.
 
         Raises
         ------
@@ -162,6 +174,15 @@
             raise JobRefusedError(str(error), RETRY_AFTER_S) from error
         if not answer.is_known:
             raise JobUnknownError(f"organisation {organisation} has no job {job_id}")
+        return await self._state_after_cancellation(organisation, job_id)
+
+    async def _state_after_cancellation(self, organisation: str, job_id: str) -> JobState | None:
+        try:
+            status, _ = await self.status(organisation, job_id, 0, 0.0)
+        except (JobRefusedError, JobUnknownError):
+            return None
+        is_open = status.state in (JobState.ACCEPTED, JobState.RUNNING)
+        return JobState.CANCELLED if is_open else status.state
 
     async def _submit_with_key(self, request: JobRequest, key: str) -> str:
         shard_key = f"{request.organisation}\0{request.service}\0{key}"
--- a/redwingplank/runtime/tests/test_jobs.py
+++ b/redwingplank/runtime/tests/test_jobs.py
@@ -14,7 +14,12 @@
     PeerUnreachableError,
 )
 from redwingplank.runtime.jobs import JobGateway, JobRefusedError, JobRequest, JobUnsettledError
-from redwingplank.scheduling.messages import SubmitAnswer, SubmitOutcome
+from redwingplank.scheduling.messages import (
+    CancelAnswer,
+    JobState,
+    SubmitAnswer,
+    SubmitOutcome,
+)
 
 SHARDS = ["ankara-1", "ankara-2"]
 
@@ -135,3 +140,39 @@
         with pytest.raises(JobRefusedError) as raised:
             asyncio.run(gateway.submit(self.REQUEST))
         assert raised.value.retry_after_s == 0.0
+
+
+class OwnerOfAnEndingJob:
+    """Owner of a job whose state after its cancellation is `state`, None if it cannot be read."""
+
+    def __init__(self, state: JobState | None) -> None:
+        self._state: JobState | None = JobState.RUNNING
+        self._state_after = state
+
+    async def status(self, address, shard, job_id, version, wait_s, timeout_s):
+        if self._state is None:
+            raise PeerUnreachableError("gone")
+        return SimpleNamespace(organisation="choir", state=self._state), 1
+
+    async def cancel(self, address, shard, job_id, timeout_s):
+        self._state = self._state_after
+        return CancelAnswer(0, job_id, is_known=True)
+
+
+class TestStateAfterCancellation:
+    # Guards against "cancelled" for a job that had ended otherwise before it was cancelled, such
+    # as one whose end became durable together with the call.
+    @pytest.mark.parametrize(
+        ("state", "told"),
+        [
+            (JobState.SUCCEEDED, JobState.SUCCEEDED),
+            (JobState.FAILED, JobState.FAILED),
+            (JobState.UNKNOWN, JobState.UNKNOWN),
+            (JobState.CANCELLED, JobState.CANCELLED),
+            (JobState.RUNNING, JobState.CANCELLED),
+            (None, None),
+        ],
+    )
+    def test_is_the_one_in_which_the_job_ended(self, state, told):
+        gateway = make_gateway(OwnerOfAnEndingJob(state))
+        assert asyncio.run(gateway.cancel("choir", "ankara-1.0f3c")) is told
