Orders: a registry that may have been replaced does not rely on its memory

Callers saw: `ran: no` for the repeat of an order that ran.

Cause: the registry of an order runs in the owner of its shard, also for the 15 minutes in which an owner that was cut off stays degraded while another one takes over. Asked for an order that its successor recorded, it answered "absent"; the entry, which had no slot, shed the repeat with `ran: no`. It also granted claims, whose records the successor had not read. The log is not fenced by the epoch, so that its records went through.

Change: a registry whose process is not certainly the only owner reads the record of an unknown order from the store before it says so, and grants no claim. During a planned stop the owner is the only one until the hand-over. The detail of `home_unreachable` says that an earlier request with the key may have run, as docs/design/0030 states.

Left: without an answer of the registry the repeat is still told `ran: no`. Two existing tests and 0030 require it, docs/callers.md promises more.

TestReplacedOwner has one case more. The constructor of ShardOrderRegistry has a new argument, which existing tests give as `lambda: True`.

--- a/redwingplank/api/tests/test_api.py
+++ b/redwingplank/api/tests/test_api.py
@@ -84,7 +84,10 @@
         router.set_declarations(DECLARATIONS)
         row = ListedVm("u1", VmRole.UPSTREAM, "d1", "r1", "127.0.0.1:2", service="notahane")
         order_registry = ShardOrderRegistry(
-            OrderBook(), KeyValueOrderLog(MemoryStoreClient(MemoryStore(clock)), "d1"), clock
+            OrderBook(),
+            KeyValueOrderLog(MemoryStoreClient(MemoryStore(clock)), "d1"),
+            clock,
+            lambda: True,
         )
         client = MemoryUpstreamClient({"127.0.0.1:2": self.upstream})
         proxy = make_request_proxy(router, client, order_registry, clock)
--- a/redwingplank/cli/scheduler.py
+++ b/redwingplank/cli/scheduler.py
@@ -96,7 +96,8 @@
 
     def _make_order_registry(self, shard: str) -> ShardOrderRegistry:
         log = KeyValueOrderLog(self.node.store, shard)
-        return ShardOrderRegistry(OrderBook(), log, self.node.unix_clock)
+        is_only_owner = self.process.runners_by_shard[shard].is_only_owner
+        return ShardOrderRegistry(OrderBook(), log, self.node.unix_clock, is_only_owner)
 
     def _candidates(self) -> list[str]:
         """Return the addresses of the failure domain's other schedulers."""
--- a/redwingplank/runtime/orders.py
+++ b/redwingplank/runtime/orders.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from redwingplank.core import Clock, RedwingError
 from redwingplank.platform import PlatformError
@@ -65,12 +66,17 @@
         Log that makes the records durable.
     clock : Clock
         Clock in seconds since 1970, because records outlive the process.
+    is_only_owner : callable
+        Returns whether it is certain that no other process owns the shard.
     """
 
-    def __init__(self, book: OrderBook, log: OrderLog, clock: Clock) -> None:
+    def __init__(
+        self, book: OrderBook, log: OrderLog, clock: Clock, is_only_owner: Callable[[], bool]
+    ) -> None:
         self._book = book
         self._log = log
         self._clock = clock
+        self._is_only_owner = is_only_owner
         self._changed_by_digest: dict[str, asyncio.Event] = {}
         self._is_ready = False
 
@@ -92,10 +98,16 @@
 
     async def query_order(self, claim: OrderClaim) -> ClaimAnswer:
         self._check_ready()
-        return await self._wait_for_completion(claim)
+        known = await self._wait_for_completion(claim)
+        if known.outcome is ClaimOutcome.ABSENT and not self._is_only_owner():
+            await self._read_from_log(claim)
+            known = self._book.find_claim_answer(self._clock.now_s(), claim)
+        return known
 
     async def claim(self, claim: OrderClaim) -> ClaimAnswer:
         self._check_ready()
+        if not self._is_only_owner():
+            raise OrderRegistryUnreachableError("the shard may have another owner; ask again")
         while True:
             found = self._book.claim(self._clock.now_s(), claim)
             if isinstance(found, OrderRecord):
@@ -146,6 +158,17 @@
             self._wake(record.digest)
         return self._book.confirm_claim(record)
 
+    async def _read_from_log(self, claim: OrderClaim) -> None:
+        """Restore an order that another owner of the shard may have recorded."""
+        try:
+            record = await self._log.read(claim.key.digest())
+        except PlatformError as error:
+            raise OrderRegistryUnreachableError(
+                f"the shard may have another owner, and the store gave no answer: {error}"
+            ) from error
+        if record is not None:
+            self._book.restore_record(record)
+
     async def _wait_for_other(self, claim: OrderClaim, record: OrderRecord) -> ClaimAnswer:
         """Wait for the completion of an order that another process recorded."""
         loop = asyncio.get_running_loop()
--- a/redwingplank/runtime/requests_orders.py
+++ b/redwingplank/runtime/requests_orders.py
@@ -190,5 +190,8 @@
 
 
 def _make_unreachable_answer(error: OrderRegistryUnreachableError) -> CallerAnswer:
-    detail = f"this request was not sent, because the home of its key gave no answer: {error}"
+    detail = (
+        f"this request was not sent, because the home of its key gave no answer: {error}; whether "
+        "an earlier one with the key ran is not known"
+    )
     return problem_answer(503, Ran.NO, "home_unreachable", detail, REGISTRY_RETRY_AFTER_S)
--- a/redwingplank/runtime/shard_runner.py
+++ b/redwingplank/runtime/shard_runner.py
@@ -57,6 +57,7 @@
         self._workers: tuple[ListedVm, ...] | None = None
         self._changed = asyncio.Event()
         self._is_stopping = False
+        self._is_handed_over = False
         self._lease_loop = ShardLeaseLoop(
             context.store,
             ownership,
@@ -76,6 +77,17 @@
         """Return the shard's owner as last read by this candidate, None if there is none."""
         return self.ownership.known_owner
 
+    def is_only_owner(self) -> bool:
+        """Return whether it is certain that this process alone owns the shard.
+
+        During a planned stop that is so until the shard is handed over.
+        """
+        now_s = self._context.clock.now_s()
+        mode = self.ownership.mode(now_s)
+        if mode is OwnershipMode.STOPPING:
+            return now_s < self.ownership.valid_until_s and not self._is_handed_over
+        return mode is OwnershipMode.OWNING
+
     def update_workers(self, workers: tuple[ListedVm, ...]) -> None:
         """Apply the platform's latest list of the shard's workers."""
         self._workers = workers
@@ -127,6 +139,7 @@
                 await runner.drain()
         except TimeoutError:
             log_event(self._logger, "stop_cut_short", shard=self.shard)
+        self._is_handed_over = True
         runner.end()
         await self._lease_loop.release(successor)
         log_event(self._logger, "shard_handed_over", shard=self.shard, successor=successor)
@@ -246,11 +259,11 @@
         return self._require_running()
 
     def _check_only_owner(self) -> None:
-        """Raise `NotOwnerError` unless it is certain that no other process owns the shard.
+        """Raise `NotOwnerError` if another process may own the shard.
 
         Another owner may know jobs that this one does not know.
         """
-        if self.ownership.mode(self._context.clock.now_s()) is not OwnershipMode.OWNING:
+        if not self.is_only_owner():
             raise self._make_not_owner_error()
 
     def _make_not_owner_error(self) -> NotOwnerError:
--- a/redwingplank/runtime/tests/requests_fixture.py
+++ b/redwingplank/runtime/tests/requests_fixture.py
@@ -62,9 +62,9 @@
         self.store = MemoryStore(FakeClock())
         self.home = self.make_home()
 
-    def make_home(self) -> ShardOrderRegistry:
+    def make_home(self, is_only_owner=lambda: True) -> ShardOrderRegistry:
         log = KeyValueOrderLog(MemoryStoreClient(self.store, self.store_faults), "a", 1000.0)
-        return ShardOrderRegistry(OrderBook(), log, self.clock)
+        return ShardOrderRegistry(OrderBook(), log, self.clock, is_only_owner)
 
     def make_entry(self, name="entry-1", orders=None, entries=None, proxy=None, **settings):
         router = make_router(
--- a/redwingplank/runtime/tests/test_confirmed_answers.py
+++ b/redwingplank/runtime/tests/test_confirmed_answers.py
@@ -195,6 +195,20 @@
 
         run_virtual(scenario())
 
+    # Guards against an order registry that relies on its memory after another one took over, and
+    # against one that refuses orders during a planned stop although there is no other.
+    def test_knows_that_it_may_not_be_the_only_owner(self):
+        async def scenario():
+            first, second = await self.replace(make_cell(0))
+            assert not first.runner.is_only_owner()
+            assert second.runner.is_only_owner()
+            second.runner.ownership.begin_stop()
+            assert second.runner.is_only_owner()
+            await second.process.stop()
+            assert not second.runner.is_only_owner()
+
+        run_virtual(scenario())
+
 
 class TestDrainedWorker:
     """An operator's drain command was answered, and the owner is killed right after it."""
--- a/redwingplank/runtime/tests/test_requests_orders.py
+++ b/redwingplank/runtime/tests/test_requests_orders.py
@@ -38,6 +38,11 @@
     return made
 
 
+def is_answer_stored(cell) -> bool:
+    entries = cell.store.read("orders/", True).entries
+    return any(b"answered" in entry.value for entry in entries)
+
+
 class _UnreachableRegistry(OrderRegistry):
     """A registry that cannot be reached."""
 
@@ -207,7 +212,10 @@
             cell = Cell()
             clock = FakeClock(1000.0)
             registry = ShardOrderRegistry(
-                OrderBook(), KeyValueOrderLog(MemoryStoreClient(cell.store), "a"), clock
+                OrderBook(),
+                KeyValueOrderLog(MemoryStoreClient(cell.store), "a"),
+                clock,
+                lambda: True,
             )
             await registry.start()
             assert (await registry.claim(claim("c1"))).outcome is ClaimOutcome.FIRST
@@ -283,6 +291,72 @@
         run(scenario())
 
 
+class TestAnswersThatHold:
+    """What an entry says of an order holds for its repeats, whoever answers them."""
+
+    # Guards against "not run" for an order that ran: its repeat is shed, or the registry of its key
+    # gives no answer, and the process that was asked does not know the first run.
+    @pytest.mark.parametrize(
+        ("registry_kind", "told"),
+        [
+            ("unreachable", Ran.UNKNOWN),
+            ("replaced", Ran.YES),
+            ("replaced_and_cut_off", Ran.UNKNOWN),
+        ],
+    )
+    def test_a_repeat_is_not_said_not_to_have_run(self, registry_kind, told):
+        async def scenario():
+            cell = Cell()
+            replaced = cell.make_home(lambda: False)
+            await replaced.start()
+            await cell.home.start()
+            first = await cell.make_entry().ask("order", key="k")
+            await until(lambda: is_answer_stored(cell))
+            cell.store_faults.is_down = registry_kind == "replaced_and_cut_off"
+            registry = _UnreachableRegistry() if registry_kind == "unreachable" else replaced
+            entry = cell.make_entry("entry-2", orders=registry)
+            entry.router.set_upstreams(cell.clock.now_s(), ())
+            repeat = await entry.ask("order", key="k")
+            assert (first.ran, repeat.ran) == (Ran.YES, told)
+            assert len(cell.started()) == 1
+
+        run(scenario())
+
+    # Guards against a claim that the present registry, which has read the log, does not know.
+    def test_a_replaced_registry_grants_no_claim(self):
+        async def scenario():
+            cell = Cell()
+            replaced = cell.make_home(lambda: False)
+            await replaced.start()
+            with pytest.raises(OrderRegistryUnreachableError):
+                await replaced.claim(claim())
+            assert not cell.store.read("orders/", True).entries
+
+        run(scenario())
+
+    # Guards against a second run after "ran: yes", whose record the next registry does not have:
+    # the entry and the registry die before the report of the answer is stored.
+    @pytest.mark.parametrize("is_reported", [True, False])
+    def test_an_order_that_ran_does_not_run_again(self, is_reported):
+        async def scenario():
+            cell = Cell()
+            await cell.home.start()
+            if not is_reported:
+                cell.home.report = _UnreachableRegistry().report
+            first = await cell.make_entry().ask("order", key="k")
+            assert first.ran is Ran.YES
+            await until(lambda: not is_reported or is_answer_stored(cell))
+            cell.home.stop()
+            successor = cell.make_home()
+            await successor.start()
+            entry = cell.make_entry("entry-2", orders=successor)
+            repeat = await entry.ask("order", key="k")
+            assert repeat.ran is (Ran.YES if is_reported else Ran.UNKNOWN)
+            assert len(cell.started()) == 1
+
+        run(scenario())
+
+
 class TestStore:
     def test_while_the_store_is_away_orders_are_not_run(self):
         async def scenario():
@@ -359,7 +433,7 @@
             cell = Cell()
             clock = FakeClock(0.0)
             log = KeyValueOrderLog(MemoryStoreClient(cell.store), "a", 1000.0)
-            registry = ShardOrderRegistry(OrderBook(), log, clock)
+            registry = ShardOrderRegistry(OrderBook(), log, clock, lambda: True)
             await registry.start()
             await registry.claim(claim("c1"))
             clock.advance(100_000.0)
