Drain of an upstream: every entry is told, and the answer says who was not

Operators saw: "upstream u gets no new requests", while only one entry knew. If that entry ended before its next heartbeat, or for entries that started more than 10 s later, the upstream got new requests.

Cause: the command went to the first entry that answered, in memory; words are repeated in heartbeats for 10 s only and stored nowhere. Class: an answer that says more than is known.

Change: all entries of the failure domain are told at the same time. The answer covers the entries that run now, names those that were not reached, and says that entries that start later learn it from the platform's list only. Storing the word would need a key that every entry follows; not done.

Measured: two of the three cases of TestDrainOfAnUpstream failed before and pass; the third passed and fails where a command without any entry is confirmed. test_operator.py and redwingplank/cli/tests pass, without those with "stop" in their names, which were not run.

--- a/redwingplank/runtime/operator.py
+++ b/redwingplank/runtime/operator.py
@@ -233,22 +233,33 @@
         return f"worker {vm.name} gets tasks again"
 
     async def _drain_upstream(self, vm: ListedVm) -> str:
-        problems = []
-        for address in self._in_domain(self.addresses.entries, vm.failure_domain):
-            try:
-                await self._membership.mark(address, VmWord(vm.name), self.addresses.timeout_s)
-            except RpcError as error:
-                problems.append(str(error))
-            else:
-                return f"upstream {vm.name} gets no new requests"
-        raise RpcError(
-            f"no entry of {vm.failure_domain} accepted the drain command: "
-            f"{'; '.join(problems) or 'none is known'}"
+        """Tell every entry of the failure domain, each of which tells the others."""
+        addresses_by_name = self._in_domain(self.addresses.entries, vm.failure_domain)
+        calls = [self._mark_leaving(address, vm.name) for address in addresses_by_name.values()]
+        problems = dict(zip(addresses_by_name, await asyncio.gather(*calls), strict=True))
+        not_told = {name: problem for name, problem in problems.items() if problem}
+        if len(not_told) == len(addresses_by_name):
+            raise RpcError(
+                f"no entry of {vm.failure_domain} accepted the drain command: "
+                f"{'; '.join(not_told.values()) or 'none is known'}"
+            )
+        message = (
+            f"upstream {vm.name} gets no new requests of the entries that run now; for those that "
+            "start later mark its VM as leaving in the platform's list"
         )
+        return f"{message}; not told: {', '.join(not_told)}" if not_told else message
+
+    async def _mark_leaving(self, address: str, vm_name: str) -> str:
+        """Tell an entry that a VM is leaving, and return the problem, empty if there is none."""
+        try:
+            await self._membership.mark(address, VmWord(vm_name), self.addresses.timeout_s)
+        except RpcError as error:
+            return str(error)
+        return ""
 
     async def _find_owner(self, failure_domain: str, shard: str = "") -> str:
         problems = []
-        for address in self._in_domain(self.addresses.schedulers, failure_domain):
+        for address in self._in_domain(self.addresses.schedulers, failure_domain).values():
             try:
                 owners = await self._schedulers.owners(address, self.addresses.timeout_s)
             except RpcError as error:
@@ -263,12 +274,12 @@
         )
 
     @staticmethod
-    def _in_domain(addresses_by_name: Mapping[str, str], failure_domain: str) -> list[str]:
-        return [
-            address
+    def _in_domain(addresses_by_name: Mapping[str, str], failure_domain: str) -> dict[str, str]:
+        return {
+            name: address
             for name, address in sorted(addresses_by_name.items())
             if name.partition("/")[0] == failure_domain
-        ]
+        }
 
 
 def open_operator_session(addresses: CellAddresses) -> OperatorSession:
--- a/redwingplank/runtime/tests/test_operator.py
+++ b/redwingplank/runtime/tests/test_operator.py
@@ -1,11 +1,15 @@
+import asyncio
+
+import capnp
 import pytest
 
+from redwingplank.core import FakeClock
 from redwingplank.platform import ListedVm, VmRole
-from redwingplank.rpc import PeerConnections
+from redwingplank.rpc import PeerConnections, PeerUnreachableError, RpcError
 from redwingplank.runtime.operator import CellAddresses, OperatorSession, UnknownTargetError
 from redwingplank.runtime.tests.test_membership import Cell, run, until
-from redwingplank.standin.store import MemoryStoreClient
-from redwingplank.standin.vms import MemoryVmList
+from redwingplank.standin.store import MemoryStore, MemoryStoreClient
+from redwingplank.standin.vms import LaggingVmList, MemoryVmList
 
 
 class FakeSchedulers:
@@ -74,3 +78,52 @@
             await cell.stop("d1/a")
 
         run(scenario())
+
+
+class FakeMembership:
+    """Takes words to entries, except those that cannot be reached."""
+
+    def __init__(self, unreachable):
+        self._unreachable = unreachable
+        self.told = []
+
+    async def mark(self, address, word, timeout_s):
+        if address in self._unreachable:
+            raise PeerUnreachableError(f"cannot reach {address}")
+        self.told.append((address, word.vm))
+
+
+class TestDrainOfAnUpstream:
+    def drain(self, membership) -> str:
+        async def scenario() -> str:
+            vms = LaggingVmList(FakeClock())
+            vms.put(ListedVm("u", VmRole.UPSTREAM, "d1", "r", "u:1"))
+            entries = {"d1/a": "a:1", "d1/b": "b:1", "d2/c": "c:1"}
+            addresses = CellAddresses("", "", entries, {}, 0.5)
+            store = MemoryStoreClient(MemoryStore(FakeClock()))
+            session = OperatorSession(addresses, store, MemoryVmList(vms), PeerConnections())
+            session._membership = membership
+            try:
+                return await session.drain("u", True)
+            finally:
+                await session.close()
+
+        return asyncio.run(capnp.run(scenario()))
+
+    # Guards against an upstream that gets new requests after the drain was confirmed: the only
+    # entry that had been told was killed before it told the others.
+    def test_tells_every_entry_of_the_failure_domain(self):
+        membership = FakeMembership(())
+        self.drain(membership)
+        assert sorted(membership.told) == [("a:1", "u"), ("b:1", "u")]
+
+    # Guards against a confirmation for entries that were not told, now or because they start later.
+    def test_names_the_entries_that_were_not_told(self):
+        message = self.drain(FakeMembership(("a:1",)))
+        assert "no new requests" in message
+        assert "not told: d1/a" in message
+        assert "start later" in message
+
+    def test_without_any_entry_nothing_is_confirmed(self):
+        with pytest.raises(RpcError):
+            self.drain(FakeMembership(("a:1", "b:1")))
