Entries: after a failed call another candidate is asked for the owner

Cause: an entry asks one scheduler of each failure domain who owns its shards, and another one only if that call fails. An owner that was replaced names itself for up to 15 minutes. Since it refuses to speak for jobs that it does not know, callers of this entry would be answered with 503 for as long.

Change: discarding an owner, which every failed call does, moves on to the next candidate. The present owner has the higher epoch, so that the replaced one is not taken again while it is known.

Measured: TestReplacedOwner in test_jobs.py failed before (503 also after the refresh) and passes; test_jobs.py, test_entry_client.py and the tests of redwingplank/api pass.

--- a/redwingplank/runtime/shards.py
+++ b/redwingplank/runtime/shards.py
@@ -84,8 +84,13 @@
         return owner.address if owner else None
 
     def discard_owner(self, shard: str) -> None:
-        """Discard an owner that failed; a later refresh finds the new one."""
-        self._owners_by_shard.pop(shard, None)
+        """Discard an owner that failed; a later refresh finds the new one.
+
+        The refresh asks another candidate, because the one asked last may have been replaced and
+        still name itself.
+        """
+        if self._owners_by_shard.pop(shard, None) is not None:
+            self._ask_next_candidate(domain_of_shard(shard))
 
     def shards_by_preference(self) -> list[str]:
         """Return the shards with a known owner, those of the own domain first.
@@ -122,11 +127,14 @@
         try:
             owners = await self._calls.owners(address, CALL_TIMEOUT_S)
         except RpcError:
-            self._next_candidate_by_domain[domain] = index + 1
+            self._ask_next_candidate(domain)
             return
         for shard, (owner_address, epoch) in owners.items():
             self._record_owner(shard, owner_address, epoch)
 
+    def _ask_next_candidate(self, domain: str) -> None:
+        self._next_candidate_by_domain[domain] = self._next_candidate_by_domain.get(domain, 0) + 1
+
     def _record_owner(self, shard: str, address: str, epoch: int) -> None:
         known = self._owners_by_shard.get(shard)
         if known is not None and known.epoch > epoch:
--- a/redwingplank/runtime/tests/test_jobs.py
+++ b/redwingplank/runtime/tests/test_jobs.py
@@ -14,6 +14,7 @@
     PeerUnreachableError,
 )
 from redwingplank.runtime.jobs import JobGateway, JobRefusedError, JobRequest, JobUnsettledError
+from redwingplank.runtime.shards import ShardDirectory
 from redwingplank.scheduling.messages import (
     CancelAnswer,
     JobState,
@@ -176,3 +177,34 @@
     def test_is_the_one_in_which_the_job_ended(self, state, told):
         gateway = make_gateway(OwnerOfAnEndingJob(state))
         assert asyncio.run(gateway.cancel("choir", "ankara-1.0f3c")) is told
+
+
+class TwoCandidates:
+    """Candidates of one shard: the first was replaced and still calls itself the owner."""
+
+    async def owners(self, address, timeout_s):
+        epochs_by_address = {"a:1": 1, "b:1": 2}
+        return {"ankara-1": (address, epochs_by_address[address])}
+
+    async def status(self, address, shard, job_id, version, wait_s, timeout_s):
+        if address == "a:1":
+            raise NotOwnerError(shard)
+        return SimpleNamespace(organisation="choir"), 1
+
+
+class TestReplacedOwner:
+    # Guards against an entry that asks a replaced owner again and again, and finds no other.
+    def test_is_left_for_the_present_one_by_the_next_refresh(self):
+        async def scenario():
+            calls: Any = TwoCandidates()
+            addresses = {"ankara-1/a": "a:1", "ankara-1/b": "b:1"}
+            directory = ShardDirectory(calls, ["ankara-1"], addresses, "ankara-1")
+            gateway = JobGateway(calls, directory)
+            await directory.refresh()
+            with pytest.raises(JobRefusedError):
+                await gateway.status("choir", "ankara-1.0f3c", 0, 0.0)
+            await directory.refresh()
+            _, version = await gateway.status("choir", "ankara-1.0f3c", 0, 0.0)
+            assert version == 1
+
+        asyncio.run(scenario())
