Views: a job is shown once its acceptance is durable

Callers saw: GET at the Location of a 504 showed the job as `accepted`; after a change of owners it was unknown.

Cause: the status of a job was read from the owner's memory, which has the job from the call on. The answer to the submission waited for the record, the answer to GET did not. "Accepted" is what 202 promises.

Change: the core shows no job whose acceptance is not durable, unless it is volatile; redwingctl explain does, with the reason. The runtime waits up to 2 s for the record, as the job is not unknown either, and then says that the outcome is not known: 503 "state not at hand".

Measured: TestState::test_job_is_shown_once_its_acceptance_is_durable and TestKilledOwner::test_job_without_the_store_is_neither_shown_nor_unknown failed before and pass; the latter fails without the wait, and where the job is called unknown. Tests of redwingplank/scheduling, test_scheduler.py, test_takeover.py and test_jobs.py pass.

--- a/redwingplank/runtime/scheduler_core.py
+++ b/redwingplank/runtime/scheduler_core.py
@@ -18,7 +18,7 @@
         """Handle the messages of an inbox and return the resulting actions."""
 
     def job_status(self, job_id: str, now_s: float) -> JobStatus | None:
-        """Return the status of a job, None if the job is not known."""
+        """Return the status of a job, None if it is not known or not durable."""
 
     def job_version(self, job_id: str) -> int:
         """Return a version number that changes with the job, 0 if the job is not known."""
--- a/redwingplank/runtime/shard_runner.py
+++ b/redwingplank/runtime/shard_runner.py
@@ -6,7 +6,7 @@
 from redwingplank.config import Declarations
 from redwingplank.core import log_event, make_logger
 from redwingplank.platform import ListedVm
-from redwingplank.rpc import NotOwnerError
+from redwingplank.rpc import CallOutcomeUnknownError, NotOwnerError
 from redwingplank.runtime.lease_loop import ShardLeaseLoop
 from redwingplank.runtime.ownership_runner import OwnershipRunner, ShardContext
 from redwingplank.scheduling.messages import (
@@ -25,6 +25,8 @@
 
 __all__ = ["MAX_PAYLOAD_BYTES", "ShardRunner"]
 
+ACCEPTANCE_WAIT_S = 2.0
+"""Longest wait for the record of a job that is asked for; entries wait for 3 s."""
 MAX_PAYLOAD_BYTES = 256_000  # a journal record holds the payload
 
 
@@ -188,6 +190,8 @@
         NotOwnerError
             If this process does not own the shard, or does not know the job and may have been
             replaced by an owner that does.
+        CallOutcomeUnknownError
+            If the store does not take the record of the job's acceptance in time.
         """
         runner = self._require_running()
         core = runner.core
@@ -198,6 +202,11 @@
 
         await runner.callers.wait_for_change(version, known_version, wait_s)
         status = core.job_status(job_id, self._context.clock.now_s())
+        if status is None and version():
+            await runner.callers.wait_for_change(version, version(), ACCEPTANCE_WAIT_S)
+            status = core.job_status(job_id, self._context.clock.now_s())
+        if status is None and version():
+            raise CallOutcomeUnknownError(f"the acceptance of job {job_id} is not durable yet")
         if status is None:
             self._check_only_owner()
         return status, version()
--- a/redwingplank/runtime/tests/test_confirmed_answers.py
+++ b/redwingplank/runtime/tests/test_confirmed_answers.py
@@ -86,6 +86,25 @@
 
         run_virtual(scenario())
 
+    # Guards against a job that is shown as accepted, or as unknown, while its record waits for the
+    # store.
+    def test_job_without_the_store_is_neither_shown_nor_unknown(self):
+        async def scenario():
+            cell = make_cell()
+            owner = await start_owner(cell)
+            owner.store_faults.is_down = True
+            spec = make_spec()
+            submission = asyncio.create_task(owner.runner.submit(spec))
+            await asyncio.sleep(0.1)
+            with pytest.raises(CallOutcomeUnknownError):
+                await owner.runner.status(spec.job_id, 0, 0.0)
+            owner.store_faults.is_down = False
+            status, _ = await owner.runner.status(spec.job_id, 0, 0.0)
+            assert status is not None
+            assert (await submission).outcome is SubmitOutcome.ACCEPTED
+
+        run_virtual(scenario())
+
     # Guards against a job that starts after its cancellation was acknowledged.
     def test_cancelled_job_does_not_start_under_the_next_owner(self):
         async def scenario():
--- a/redwingplank/scheduling/scheduler.py
+++ b/redwingplank/scheduling/scheduler.py
@@ -140,7 +140,11 @@
         return outbox
 
     def job_status(self, job_id: str, now_s: float) -> JobStatus | None:
-        """Return a job's status for its caller, or None if the job is unknown to this shard."""
+        """Return a job's status for its caller.
+
+        None if the job is unknown to this shard, in which case its version is 0, or if its
+        acceptance is not durable yet.
+        """
         return self._views.job_status(job_id, now_s)
 
     def job_version(self, job_id: str) -> int:
--- a/redwingplank/scheduling/tests/test_confirmed_answers.py
+++ b/redwingplank/scheduling/tests/test_confirmed_answers.py
@@ -240,6 +240,15 @@
 
 
 class TestState:
+    # Guards against a job that is shown as accepted and that the next owner does not know.
+    def test_job_is_shown_once_its_acceptance_is_durable(self):
+        shard = Shard(is_committing=False)
+        shard.submit()
+        shard.run(1.0)
+        shown = shard.state_of()
+        assert "acceptance is durable" in shard.scheduler.explain("job", 0.0)[-1]
+        assert kill(shard, 0).state_of() == shown
+
     # Guards against a final state that was shown and that the next owner does not confirm.
     def test_final_states_are_shown_once_they_are_durable(self):
         shard, committed_count = end_in_memory()
--- a/redwingplank/scheduling/views.py
+++ b/redwingplank/scheduling/views.py
@@ -23,11 +23,15 @@
     def job_status(self, job_id: str, now_s: float) -> JobStatus | None:
         """Return a job's status for its caller, or None if the job is unknown.
 
-        A final state is shown only once it is durable.
+        A job is shown only once its acceptance is durable, unless it is volatile, and a final state
+        only once that is durable.
         """
         job = self._state.jobs_by_id.get(job_id)
-        if job is None:
+        if job is None or not (job.is_durable or job.is_volatile):
             return None
+        return self._make_status(job, now_s)
+
+    def _make_status(self, job: Job, now_s: float) -> JobStatus:
         state, reason = job.state, job.detail
         if job.is_final and job.final_sequence > self._state.journal.committed_sequence:
             state, reason = JobState.RUNNING, ""
@@ -35,7 +39,7 @@
             reason = f"volatile {reason}".strip()
         tasks = tuple(self._task_status(task, now_s) for task in job.tasks)
         spec = job.spec
-        return JobStatus(job_id, spec.organisation, spec.service, state, reason, tasks)
+        return JobStatus(job.job_id, spec.organisation, spec.service, state, reason, tasks)
 
     def _task_status(self, task: Task, now_s: float) -> TaskStatus:
         state, result, reason = task.state, task.result, task.reason
@@ -92,8 +96,7 @@
             if job is None or index not in job.tasks_by_index:
                 return (f"{job_or_task_id} is not known to shard {state.settings.shard}",)
             tasks = [job.tasks_by_index[index]]
-        status = self.job_status(job.job_id, now_s)
-        assert status is not None
+        status = self._make_status(job, now_s)
         lines = [f"job {job.job_id} is {status.state} {status.reason}".rstrip()]
         lines.extend(job.history)
         lines.extend(self._explain_task(task, now_s) for task in tasks)
