--- a/redwingplank/api/tests/test_api.py
+++ b/redwingplank/api/tests/test_api.py
@@ -53,6 +53,7 @@
     outcome: SubmitOutcome | Exception = SubmitOutcome.ACCEPTED
     detail: str = ""
     organisation: str = "bureau"
+    state: JobState = JobState.RUNNING
     specs: list = field(default_factory=list)
 
     async def owners(self, address, timeout_s):
@@ -65,7 +66,7 @@
         return SubmitAnswer(0, spec.job_id, self.outcome, self.detail)
 
     async def status(self, address, shard, job_id, known_version, wait_s, timeout_s):
-        status = JobStatus(job_id, self.organisation, "parts", JobState.RUNNING, "", ())
+        status = JobStatus(job_id, self.organisation, "parts", self.state, "", ())
         return status, known_version + 1
 
     async def cancel(self, address, shard, job_id, timeout_s):
@@ -83,7 +84,10 @@
         router.set_declarations(DECLARATIONS)
         row = ListedVm("u1", VmRole.UPSTREAM, "d1", "r1", "127.0.0.1:2", service="notahane")
         order_registry = ShardOrderRegistry(
-            OrderBook(), KeyValueOrderLog(MemoryStoreClient(MemoryStore(clock)), "d1"), clock
+            OrderBook(),
+            KeyValueOrderLog(MemoryStoreClient(MemoryStore(clock)), "d1"),
+            clock,
+            lambda: True,
         )
         client = MemoryUpstreamClient({"127.0.0.1:2": self.upstream})
         proxy = make_request_proxy(router, client, order_registry, clock)
@@ -224,6 +228,16 @@
         assert_problem(result, 504, "unknown")
         assert result.headers["location"].startswith(f"{JOBS}/d1.")
 
+    # Guards against "not run" for a job that runs: an earlier call with its key may be accepted.
+    @pytest.mark.parametrize("refusal", [PeerUnreachableError("gone"), SubmitOutcome.NOT_NOW])
+    def test_a_refused_call_with_a_key_is_unknown_and_may_be_repeated(self, refusal):
+        result = EntryFixture(FakeCalls(refusal)).post(
+            JOBS, b'{"service": "parts"}', Idempotency_Key="a"
+        )
+        assert_problem(result, 503, "unknown")
+        assert result.headers["location"].startswith(f"{JOBS}/d1.k")
+        assert int(result.headers["retry-after"]) >= 1
+
     def test_another_organisations_job_is_not_shown_or_cancelled(self):
         fixture = EntryFixture(FakeCalls(organisation="other"))
         assert_problem(fixture.client.simulate_get(f"{JOBS}/d1.1"), 404, "no")
@@ -237,6 +251,16 @@
         assert read.json["state"] == "running"
         assert fixture.client.simulate_delete(f"{JOBS}/d1.1").status_code == 202
 
+    # Guards against "cancelled" for a job that had ended otherwise.
+    @pytest.mark.parametrize(
+        ("state", "told"),
+        [(JobState.RUNNING, "cancelled"), (JobState.SUCCEEDED, "succeeded")],
+    )
+    def test_tells_the_state_of_a_cancelled_job(self, state, told):
+        fixture = EntryFixture(FakeCalls(state=state))
+        result = fixture.client.simulate_delete(f"{JOBS}/d1.1")
+        assert (result.status_code, result.json["state"]) == (202, told)
+
 
 class TestHealth:
     def test_readiness_goes_before_the_entry_and_connections_are_closed(self):
--- a/redwingplank/runtime/shard_runner.py
+++ b/redwingplank/runtime/shard_runner.py
@@ -6,7 +6,7 @@
 from redwingplank.config import Declarations
 from redwingplank.core import log_event, make_logger
 from redwingplank.platform import ListedVm
-from redwingplank.rpc import NotOwnerError
+from redwingplank.rpc import CallOutcomeUnknownError, NotOwnerError
 from redwingplank.runtime.lease_loop import ShardLeaseLoop
 from redwingplank.runtime.ownership_runner import OwnershipRunner, ShardContext
 from redwingplank.scheduling.messages import (
@@ -25,6 +25,8 @@
 
 __all__ = ["MAX_PAYLOAD_BYTES", "ShardRunner"]
 
+ACCEPTANCE_WAIT_S = 2.0
+"""Longest wait for the record of a job that is asked for; entries wait for 3 s."""
 MAX_PAYLOAD_BYTES = 256_000  # a journal record holds the payload
 
 
@@ -57,6 +59,7 @@
         self._workers: tuple[ListedVm, ...] | None = None
         self._changed = asyncio.Event()
         self._is_stopping = False
+        self._is_handed_over = False
         self._lease_loop = ShardLeaseLoop(
             context.store,
             ownership,
@@ -76,6 +79,17 @@
         """Return the shard's owner as last read by this candidate, None if there is none."""
         return self.ownership.known_owner
 
+    def is_only_owner(self) -> bool:
+        """Return whether it is certain that this process alone owns the shard.
+
+        During a planned stop that is so until the shard is handed over.
+        """
+        now_s = self._context.clock.now_s()
+        mode = self.ownership.mode(now_s)
+        if mode is OwnershipMode.STOPPING:
+            return now_s < self.ownership.valid_until_s and not self._is_handed_over
+        return mode is OwnershipMode.OWNING
+
     def update_workers(self, workers: tuple[ListedVm, ...]) -> None:
         """Apply the platform's latest list of the shard's workers."""
         self._workers = workers
@@ -127,6 +141,7 @@
                 await runner.drain()
         except TimeoutError:
             log_event(self._logger, "stop_cut_short", shard=self.shard)
+        self._is_handed_over = True
         runner.end()
         await self._lease_loop.release(successor)
         log_event(self._logger, "shard_handed_over", shard=self.shard, successor=successor)
@@ -139,7 +154,8 @@
         Raises
         ------
         NotOwnerError
-            If this process does not own the shard; the job was certainly not submitted.
+            If this process does not own the shard, or may have been replaced and does not know
+            whether the job exists; this call certainly submitted nothing.
         CallOutcomeUnknownError
             If the ownership ended before the answer; the job may have been accepted.
         """
@@ -149,19 +165,34 @@
             return SubmitAnswer(0, spec.job_id, SubmitOutcome.REJECTED, detail)
         call_id, future = runner.callers.open_call()
         runner.deliver(SubmitJob(call_id, spec))
-        return await future
+        answer: SubmitAnswer = await future
+        if answer.outcome is SubmitOutcome.REJECTED:
+            self._check_only_owner()
+        return answer
 
     async def cancel(self, job_id: str) -> CancelAnswer:
         """Cancel a job; raises the same errors as `submit`."""
         runner = self._require_owner()
         call_id, future = runner.callers.open_call()
         runner.deliver(CancelJob(call_id, job_id))
-        return await future
+        answer: CancelAnswer = await future
+        if not answer.is_known:
+            self._check_only_owner()
+        return answer
 
     async def status(
         self, job_id: str, known_version: int, wait_s: float
     ) -> tuple[JobStatus | None, int]:
-        """Return a job and its version once it differs from the known one, or after `wait_s`."""
+        """Return a job and its version once it differs from the known one, or after `wait_s`.
+
+        Raises
+        ------
+        NotOwnerError
+            If this process does not own the shard, or does not know the job and may have been
+            replaced by an owner that does.
+        CallOutcomeUnknownError
+            If the store does not take the record of the job's acceptance in time.
+        """
         runner = self._require_running()
         core = runner.core
         assert core is not None
@@ -170,7 +201,15 @@
             return core.job_version(job_id)
 
         await runner.callers.wait_for_change(version, known_version, wait_s)
-        return core.job_status(job_id, self._context.clock.now_s()), version()
+        status = core.job_status(job_id, self._context.clock.now_s())
+        if status is None and version():
+            await runner.callers.wait_for_change(version, version(), ACCEPTANCE_WAIT_S)
+            status = core.job_status(job_id, self._context.clock.now_s())
+        if status is None and version():
+            raise CallOutcomeUnknownError(f"the acceptance of job {job_id} is not durable yet")
+        if status is None:
+            self._check_only_owner()
+        return status, version()
 
     def explain(self, id: str) -> tuple[str, ...]:
         """Return why a job or task waits or where it ran, as lines of text."""
@@ -184,9 +223,12 @@
         assert core is not None
         return core.summary(self._context.clock.now_s())
 
-    def drain_vm(self, worker: str, is_draining: bool) -> None:
-        """Start to drain a VM, or end its draining."""
-        self._require_running().deliver(DrainVm(worker, is_draining))
+    async def drain_vm(self, worker: str, is_draining: bool) -> None:
+        """Start to drain a VM, or end its draining; return once the command is durable.
+
+        Raises the same errors as `submit`.
+        """
+        await self._require_owner().drain_vm(DrainVm(worker, is_draining))
 
     # Ownership
 
@@ -225,6 +267,14 @@
             raise self._make_not_owner_error()
         return self._require_running()
 
+    def _check_only_owner(self) -> None:
+        """Raise `NotOwnerError` if another process may own the shard.
+
+        Another owner may know jobs that this one does not know.
+        """
+        if not self.is_only_owner():
+            raise self._make_not_owner_error()
+
     def _make_not_owner_error(self) -> NotOwnerError:
         owner = self.ownership.known_owner
         if owner is None or owner.address == self.ownership.address:
