--- a/redwingplank/standin/site_workers.py
+++ b/redwingplank/standin/site_workers.py
@@ -26,6 +26,8 @@
         self.run_s = run_s
         self.how = "done"
         """How the runs end whose time is over: ``"done"`` or ``"failed"``."""
+        self.saved = ""
+        """Checkpoint that is listed with each run and each end."""
         self.token = 0
         self.lease_until_ms = 0
         self.runs: dict[str, tuple[int, float]] = {}
@@ -34,6 +36,11 @@
         self.end_count = 0
         self.starts: list[tuple[str, int]] = []
         self.payloads: list[str] = []
+        self.checkpoints: list[str] = []
+        """Checkpoint of each start, empty for none."""
+        self.acknowledged: list[tuple[str, int]] = []
+        """Task and attempt of each end that an owner has acknowledged, in any process."""
+        self.poll_count = 0
         self.lose_answers = 0
         self.late_s: float | None = None
         """Start commands get no answer and are executed after this many seconds; None to answer."""
@@ -63,6 +70,7 @@
         self.runs[task] = (attempt, ends_s)
         self.starts.append((task, attempt))
         self.payloads.append(body["spec"])
+        self.checkpoints.append(body.get("checkpoint", ""))
         return 200, ""
 
     def stop(self, body: dict[str, Any]) -> tuple[int, str]:
@@ -83,11 +91,16 @@
             elif now_s * 1000 > self.lease_until_ms:
                 self._end_run(task, "lapsed")
 
+    def end_all(self, how: str) -> None:
+        """End all runs at once."""
+        for task in list(self.runs):
+            self._end_run(task, how)
+
     def _end_run(self, task: str, how: str) -> None:
         attempt, _ = self.runs.pop(task)
         self.blocked[task] = max(self.blocked.get(task, 0), attempt)
         self.end_count += 1
-        self.ends.append([self.end_count, task, attempt, how, ""])
+        self.ends.append([self.end_count, task, attempt, how, self.saved])
 
     def handle_poll(self, body: dict[str, Any]) -> tuple[int, str]:
         """Renew the lease and discard acknowledged completions; return status and reason."""
@@ -95,12 +108,15 @@
             return 409, "fence"
         self.token = body.get("fencing_token", 0)
         self.lease_until_ms = max(self.lease_until_ms, body.get("deadline_ms", 0))
+        self.poll_count += 1
+        for _, task, attempt, *_ in (end for end in self.ends if end[0] <= body["last_seen"]):
+            self.acknowledged.append((task, attempt))
         self.ends = [end for end in self.ends if end[0] > body["last_seen"]]
         return 200, ""
 
     def report(self, now_s: float) -> dict[str, Any]:
         """Return the report of a poll, with the running tasks and the completions."""
-        running = [[task, attempt, "", 50, 0] for task, (attempt, _) in self.runs.items()]
+        running = [[task, attempt, self.saved, 50, 0] for task, (attempt, _) in self.runs.items()]
         return {
             "clock_ms": round(now_s * 1000),
             "born": self.born_ms,
