Completions: a checkpoint is stored before its completion is acknowledged

What callers saw: work that a stopped or expired run had saved was done again after a change of owner, though its completion, with the checkpoint, had been acknowledged.

Cause: a report lists the checkpoints of runs, and the owner keeps these in memory only. If the completion then carried the same checkpoint, it counted as no change, so that it was acknowledged without waiting for the store. The worker forgot the completion, and the next owner started the task from the beginning. A failed run was not concerned, as its failure is a change.

Change: a completion with a checkpoint is always a change of its task, unless the task is done.

Why it works: a change raises the version of the job, and the completion is acknowledged when that version is stored; the record holds the checkpoint.

--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -78,7 +78,8 @@
             run_s=now_s - run.started_s if run else 0.0,
         )
         is_changed = False
-        if completion.saved and completion.saved != task.saved and not task.is_done:
+        if completion.saved and not task.is_done:
+            # Also if a report has listed the checkpoint before, which alone does not store it.
             task.saved = completion.saved
             is_changed = True
         if completion.kind is CompletionKind.DONE:
--- a/redwingplank/cell/tests/test_acknowledged_completions.py
+++ b/redwingplank/cell/tests/test_acknowledged_completions.py
@@ -12,8 +12,10 @@
     LASTING,
     LONG_LEASE_S,
     PATH,
+    STEP,
     choose_node,
     is_ended,
+    job_in_memory,
     owner_node,
     refuse_all,
     refuse_owner,
@@ -24,6 +26,7 @@
 )
 from redwingplank.cell.tests.site_fixture import run_site
 
+SAVING = {"spec": "last", "steps": [{**STEP, "checkpointing": True}]}
 POLLS = 4
 """Polls after which a completion that may be acknowledged is."""
 
@@ -121,6 +124,41 @@
         run_site(scenario, store_lease_s=LONG_LEASE_S, nodes=2)
 
 
+class TestCheckpoint:
+    # Guards against the completion of a run that has saved a checkpoint, acknowledged before the
+    # store has the checkpoint, so that the next owner starts the task from the beginning.
+    @pytest.mark.parametrize("how", ["stopped", "lapsed", "failed"])
+    @pytest.mark.parametrize("is_known_before", [True, False])
+    def test_of_an_acknowledged_run_is_that_of_the_next_start(self, how, is_known_before):
+        async def scenario(site):
+            set_runs(site, 60.0)
+            await start_job(site, SAVING)
+            if is_known_before:
+                for worker in site.workers:
+                    worker.saved = "half"
+                await site.until(lambda: task_of(site).saved == "half")
+            refuse_owner(site)
+            for worker in site.workers:
+                worker.saved = "half"
+                worker.end_all(how)
+            await until_handled(site)
+            await poll_some_times(site)
+            acknowledged = acknowledged_count(site)
+            for worker in site.workers:
+                worker.saved = ""
+            await replace_owner(site)
+            await site.until(lambda: start_count(site) == 2)
+            checkpoints = [text for worker in site.workers for text in worker.checkpoints]
+            assert acknowledged == 0 or "half" in checkpoints
+
+        run_site(scenario, store_lease_s=LONG_LEASE_S, nodes=2)
+
+
+def task_of(site):
+    (step,) = job_in_memory(site).steps_by_key.values()
+    return step.tasks[0]
+
+
 class TestUnknownJob:
     # Guards against a worker whose completions of removed jobs are listed for ever.
     def test_that_is_not_stored_is_acknowledged(self):
