Submissions: a refusal for the key does not settle an attempt under way

What callers saw: 503, which says that a job never runs, for a repeated POST while the node's view of the keys was too old, although the first attempt was still being stored and was accepted.

Cause: settle_refusal() settled a refusal against attempts that had ended. Every other refusal is also held against those that are under way (UnresolvedSubmissions.end).

Change: a refusal for the key counts as an attempt of its own, which begins and ends at once.

Why it works: end() turns a refusal into an unknown outcome while another attempt is under way or unresolved, and the caller gets 504.

Measured: test_does_not_refuse_a_job_that_is_being_stored: before (503, 200), now (504, 200).

--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -198,8 +198,12 @@
         await asyncio.gather(*self._reports, return_exceptions=True)
 
     def settle_refusal(self, job_id: str) -> SubmitOutcome:
-        """Return the outcome of all attempts to submit a job, the last of which is refused."""
-        return self._unresolved.settle(job_id, SubmitOutcome.NOT_RUN, now_s())
+        """Return the outcome of all attempts to submit a job, the last of which is refused.
+
+        An attempt that is under way may yet store the job.
+        """
+        self._unresolved.begin(job_id)
+        return self._unresolved.end(job_id, SubmitOutcome.NOT_RUN, now_s())
 
     def note_unresolved(self, job_id: str) -> None:
         """Remember that a submission through another node has an unknown outcome."""
--- /dev/null
+++ b/redwingplank/cell/tests/test_refusals_before_storing.py
@@ -0,0 +1,38 @@
+"""Refusals that a node gives before it tries to store a job, on real sockets.
+
+Failure: 503 says that a job never runs, although an earlier attempt may have stored it.
+"""
+
+import asyncio
+
+from redwingplank.cell.clocks import now_s
+from redwingplank.cell.tests.answers_fixture import JOB, PATH
+from redwingplank.cell.tests.site_fixture import run_site
+from redwingplank.cell.tests.test_access import A, configure
+from redwingplank.cell.tests.test_answers import ID
+
+
+class TestKeyThatCannotBeChecked:
+    # Guards against a refusal while another attempt is under way that stores the job.
+    def test_does_not_refuse_a_job_that_is_being_stored(self):
+        async def scenario(site):
+            await configure(site, 2, A)
+            node = site.nodes[0]
+            try_to_store = node.callers._try_to_store
+            may_go_on = asyncio.Event()
+
+            async def store_late(*arguments):
+                await may_go_on.wait()
+                return await try_to_store(*arguments)
+
+            node.callers._try_to_store = store_late
+            first = asyncio.create_task(site.call("POST", PATH, JOB, key="key-a"))
+            await site.until(lambda: node.callers._unresolved.is_known(ID, now_s()))
+            site.store.is_silent = True
+            await site.until(lambda: node._config.age_s(now_s()) > 1.8)
+            repeated, _, _ = await site.call("POST", PATH, JOB, key="key-a")
+            site.store.is_silent = False
+            may_go_on.set()
+            assert (repeated, (await first)[0]) == (504, 200)
+
+        run_site(scenario, revocation_limit_s=2.0, store_lease_s=30.0)
