Submissions: a node that does not know the queue refuses no job that may be stored

What callers saw: 503, which says that a job never runs, from a node without a configuration, or with an old one that lacks the queue, although another node had told it that the job may be stored.

Cause: these two answers are given before the job is looked at, and did not ask for unresolved submissions; the one for a key that cannot be checked did.

Change: all three go through _answer_undecided(), which answers a POST with 504 unless the refusal settles it. The id is the last part of the path, as the prefix of the queue is not known. Other methods and other jobs get 503 as before.

Why it works: the node then says no more than it knows, and the caller submits the job again.

Measured: test_does_not_refuse_a_job_that_may_be_stored: before 503, now 504, for both answers; the tests of access and of repeated attempts pass.

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -82,11 +82,12 @@
         assert resp is not None
         config = self._callers.find_config()
         if config is None:
-            _answer_unavailable(resp, "no configuration has arrived yet")
+            job_id = _guess_job_id(req.path)
+            self._answer_undecided(req, resp, job_id, "no configuration has arrived yet")
             return
         queue = config.find_queue(req.host.lower(), req.path)
         if queue is None:
-            self._answer_unknown_queue(resp)
+            self._answer_unknown_queue(req, resp)
             return
         credentials = Credentials(queue, req.get_header("Authorization"))
         job_id = req.path[len(queue.prefix) :]
@@ -108,9 +109,11 @@
             _answer(resp, HTTPStatus.METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
             resp.set_header("Allow", "POST, GET, DELETE")
 
-    def _answer_unknown_queue(self, resp: falcon.asgi.Response) -> None:
+    def _answer_unknown_queue(self, req: falcon.asgi.Request, resp: falcon.asgi.Response) -> None:
         if self._callers.access.is_view_outdated(now_s()):
-            _answer_unavailable(resp, "this node cannot tell now which queues there are")
+            job_id = _guess_job_id(req.path)
+            problem = "this node cannot tell now which queues there are"
+            self._answer_undecided(req, resp, job_id, problem)
         else:
             _answer(resp, HTTPStatus.NOT_FOUND, "no queue has this host and path")
 
@@ -125,10 +128,18 @@
         if refusal is not AccessRefusal.VIEW_TOO_OLD:
             _answer(resp, HTTPStatus.UNAUTHORIZED, "send a valid key: Authorization: Bearer KEY")
             resp.set_header("WWW-Authenticate", "Bearer")
-        elif req.method == "POST" and not self._is_settled_by_refusal(job_id):
+        else:
+            problem = "this node cannot tell now whether the key is valid"
+            self._answer_undecided(req, resp, job_id, problem)
+
+    def _answer_undecided(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, job_id: str, problem: str
+    ) -> None:
+        """Answer a request of which nothing is carried out; earlier attempts may have been."""
+        if req.method == "POST" and not self._is_settled_by_refusal(job_id):
             _answer(resp, HTTPStatus.GATEWAY_TIMEOUT, MAY_BE_STORED)
         else:
-            _answer_unavailable(resp, "this node cannot tell now whether the key is valid")
+            _answer_unavailable(resp, problem)
 
     def _is_settled_by_refusal(self, job_id: str) -> bool:
         return self._callers.settle_refusal(job_id) is SubmitOutcome.NOT_RUN
@@ -199,6 +210,11 @@
         resp.content_type = falcon.MEDIA_JSON
 
 
+def _guess_job_id(path: str) -> str:
+    """Return the last part of a path: the job id if the prefix of the queue ends with a slash."""
+    return path.rpartition("/")[2]
+
+
 def _answer(resp: falcon.asgi.Response, status: HTTPStatus, problem: str) -> None:
     resp.status = status
     resp.data = _encode_problem(problem)
--- a/redwingplank/cell/tests/test_refusals_before_storing.py
+++ b/redwingplank/cell/tests/test_refusals_before_storing.py
@@ -5,8 +5,10 @@
 
 import asyncio
 
+import pytest
+
 from redwingplank.cell.clocks import now_s
-from redwingplank.cell.tests.answers_fixture import JOB, PATH
+from redwingplank.cell.tests.answers_fixture import JOB, LONG_LEASE_S, PATH
 from redwingplank.cell.tests.site_fixture import run_site
 from redwingplank.cell.tests.test_access import A, configure
 from redwingplank.cell.tests.test_answers import ID
@@ -36,3 +38,24 @@
             assert (repeated, (await first)[0]) == (504, 200)
 
         run_site(scenario, revocation_limit_s=2.0, store_lease_s=30.0)
+
+
+class TestQueueThatIsNotKnown:
+    # Guards against a refusal by a node that has missed the queue of a job which another node may
+    # have stored, or that has no configuration yet.
+    @pytest.mark.parametrize("has_config", [True, False])
+    def test_does_not_refuse_a_job_that_may_be_stored(self, has_config, monkeypatch):
+        async def scenario(site):
+            callers = site.nodes[0].callers
+            callers.note_unresolved(ID)
+            if has_config:
+                monkeypatch.setattr(callers.access, "is_view_outdated", lambda _: True)
+            else:
+                monkeypatch.setattr(callers, "find_config", lambda: None)
+            path = f"/missed/{ID}" if has_config else PATH
+            other = path.replace(ID, "00000000000000aa")
+            assert (await site.call("POST", path, JOB))[0] == 504
+            assert (await site.call("POST", other, JOB))[0] == 503
+            assert (await site.call("GET", path))[0] == 503
+
+        run_site(scenario, store_lease_s=LONG_LEASE_S)
