Takeover: a job whose progress cannot be read is not started anew

What callers saw: a job that had been shown as completed was run from the beginning by the next owner, and shown as queued or running.

Cause: restore_job() added the job to the owner's jobs before it read the record. The error was logged as job_unreadable, but the job stayed, without occurrences, and the next check opened the first one.

Change: if the record cannot be read, the job is taken out again, so that the owner does not know it. A GET is then answered from the store, 503 if the record cannot be read there either.

Why it works: nothing opens the steps of a job that the owner does not know, and its key counts as known to the intake, so that no later read adds it.

Measured: test_is_not_that_of_a_new_job: before, 2 starts in place of 1, and a GET answered 200 in place of 503; now it passes.

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -101,12 +101,16 @@
     def restore_job(
         self, spec: JobSpec, progress: bytes | None, now_s: float, now_unix_s: float
     ) -> None:
-        """Restore a job that was accepted before this epoch."""
+        """Restore a job that was accepted before this epoch.
+
+        Raises
+        ------
+        UndecodableError, ValueError
+            If the progress cannot be read; the job is unknown then, and nothing of it starts.
+        """
         job = self._make_job(spec, now_s, now_unix_s)
         if progress is not None:
-            for _ in range(count_recorded_occurrences(progress)):
-                add_occurrence(job)
-            restore_progress(job, progress)
+            self._restore_progress(job, progress)
         add_due_steps(job, now_unix_s)
         if job.state.is_final:
             job.ended_s = now_s
@@ -126,6 +130,17 @@
             self._log_restored(job, has_record=progress is not None)
             self._open_ready_steps(job, now_s)
 
+    def _restore_progress(self, job: Job, progress: bytes) -> None:
+        try:
+            for _ in range(count_recorded_occurrences(progress)):
+                add_occurrence(job)
+            restore_progress(job, progress)
+        except Exception:
+            # Without its progress the job would run from the beginning.
+            del self.state.jobs_by_id[job.spec.job_id]
+            self.state.organisations.remove_job(job)
+            raise
+
     def _log_restored(self, job: Job, *, has_record: bool) -> None:
         self.state.log_decision(
             "job_restored",
--- a/redwingplank/cell/tests/test_confirmed_states.py
+++ b/redwingplank/cell/tests/test_confirmed_states.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from redwingplank.cell.keys import JOBS_PREFIX
+from redwingplank.cell.keys import JOBS_PREFIX, PROGRESS_PREFIX
 from redwingplank.cell.tests.answers_fixture import (
     FINAL_STATES,
     ID,
@@ -117,6 +117,25 @@
         run_site(scenario, store_lease_s=LONG_LEASE_S, nodes=2)
 
 
+class TestUnreadableProgress:
+    # Guards against a completed job whose record the next owner cannot read, and which it therefore
+    # runs from the beginning.
+    def test_is_not_that_of_a_new_job(self):
+        async def scenario(site):
+            await start_job(site)
+            node = await choose_node(site, asks_owner=False)
+            assert await until_final(site, node) == "completed"
+            site.store.put(PROGRESS_PREFIX + ID, b"{")
+            survivor = await replace_owner(site)
+            other = "00000000000000aa"
+            assert (await site.call("POST", f"/proof/{other}", JOB, node=survivor))[0] == 200
+            await site.until_state(other, "completed", node=survivor)
+            assert (await site.call("GET", PATH, node=survivor))[0] == 503
+            assert start_count(site) == 1
+
+        run_site(scenario, store_lease_s=LONG_LEASE_S, nodes=2)
+
+
 class TestUnknownJob:
     # Guards against 410 from an owner that has not taken the job in and cannot ask the store.
     def test_is_not_said_not_to_exist_by_an_owner_that_the_store_refuses(self):
