Completions: failures of copies are counted in any order

What callers saw: a task whose copies failed was started more often than its queue allows (BUDGET with `speculative`), as the failure of the earlier run was acknowledged and not counted.

Cause: a failure was counted only if its attempt was above the last one that had failed, so that the next owner, which sees a completion again, does not count it twice. Of a task that may be copied the later run can fail first.

Change: for such tasks the counted attempts themselves are kept and stored; they are as many as the queue allows attempts. Other tasks are counted as before. A record of an earlier version has the last failed attempt only, and of an earlier run nothing is known then.

Why it works: each attempt is counted exactly once, in any order and over owners.

Measured: test_are_counted_in_any_order: before (running, 3 starts), now (failed, 2 starts), in 1 of 1 run (the emulation has no randomness here). With the stored attempts left out of the restored record, test_are_counted_once_over_owners fails.

--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -156,10 +156,10 @@
         self._record_worker_failure(worker, task.id, now_s)
         subject = step.tasks[0] if step.spec.is_gang else task
         task.bad_workers.add(worker.id)
-        if attempt <= subject.last_failed_attempt:
+        may_copy = step.spec.may_copy and not step.spec.is_lasting
+        if subject.is_failure_counted(attempt, may_copy=may_copy):
             return False
-        subject.failures += 1
-        subject.last_failed_attempt = attempt
+        subject.count_failure(attempt, may_copy=may_copy)
         delay_s = LASTING_RETRY_S if step.spec.is_lasting else RETRY_AFTER_FAILURE_S
         self._state.delay_task(task, now_s + delay_s)
         self._fail_if_used_up(job, step, subject, now_s)
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -170,6 +170,7 @@
         "attempt",
         "bad_workers",
         "crashes",
+        "failed_attempts",
         "failures",
         "id",
         "is_done",
@@ -190,6 +191,8 @@
         self.attempt = 0
         self.failures = 0
         self.last_failed_attempt = 0
+        self.failed_attempts: set[int] = set()
+        """Counted failed attempts of a task that may be copied; others fail in their order."""
         self.saved = ""
         self.not_before_s = 0.0
         self.last_end_s = 0.0
@@ -203,6 +206,19 @@
         self.isolation_wait_from_s: float | None = None
         """Time since when the task waits for a worker without other starts, None if it does not."""
 
+    def is_failure_counted(self, attempt: int, *, may_copy: bool) -> bool:
+        """Return whether the failure of an attempt was counted, by this owner or an earlier one."""
+        if may_copy:
+            return attempt in self.failed_attempts
+        return attempt <= self.last_failed_attempt
+
+    def count_failure(self, attempt: int, *, may_copy: bool) -> None:
+        """Count the failure of an attempt."""
+        self.failures += 1
+        self.last_failed_attempt = max(attempt, self.last_failed_attempt)
+        if may_copy:
+            self.failed_attempts.add(attempt)
+
     @property
     def is_suspect(self) -> bool:
         """Whether the task may be what crashed a worker, or has just left one unreachable."""
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -28,6 +28,8 @@
     """Last checkpoint of each task that is not done, by task index."""
     crashes: dict[str, tuple[int, int, int]] = {}
     """Numbers of crashes, of proven crashes and of suspicions, by task index."""
+    failed_attempts: dict[str, list[int]] = {}
+    """Counted failed attempts of each task that may be copied, by task index."""
 
 
 class _Progress(msgspec.Struct, omit_defaults=True):
@@ -125,6 +127,8 @@
             record.saved[str(index)] = task.saved
         if task.failures:
             record.failures[str(index)] = (task.failures, task.last_failed_attempt)
+        if task.failed_attempts and not task.is_done:
+            record.failed_attempts[str(index)] = sorted(task.failed_attempts)
         if task.crashes and not task.is_done:
             record.crashes[str(index)] = (
                 task.crashes,
@@ -148,6 +152,10 @@
         failures = record.failures.get(str(index))
         if failures is not None:
             task.failures, task.last_failed_attempt = failures
+            if step.spec.may_copy:
+                # Earlier versions stored the last one only.
+                attempts = record.failed_attempts.get(str(index), [task.last_failed_attempt])
+                task.failed_attempts = set(attempts)
         crashes = record.crashes.get(str(index), (0, 0, 0))
         task.crashes, task.proven_crashes, task.suspicions = crashes
 
