Submissions: a request that fails early refuses no job that may be stored

What callers saw: 503, which says that a job never runs, for a repeated POST whose handler failed or was cancelled before its own call, as at the end of a node's shutdown while the body was arriving, although an earlier attempt had been answered 504 and may have stored the job.

Cause: the guard answers a failed request by whether that request may have had an effect; it does not know of earlier attempts.

--- a/redwingplank/cell/tests/test_refusals_before_storing.py
+++ b/redwingplank/cell/tests/test_refusals_before_storing.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from redwingplank.cell import app
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.tests.answers_fixture import JOB, LONG_LEASE_S, PATH
 from redwingplank.cell.tests.site_fixture import run_site
@@ -59,3 +60,19 @@
             assert (await site.call("GET", path))[0] == 503
 
         run_site(scenario, store_lease_s=LONG_LEASE_S)
+
+
+class TestRequestThatFails:
+    # Guards against a refusal where a request fails before its call, and an earlier attempt may
+    # have stored the job.
+    def test_does_not_refuse_a_job_that_may_be_stored(self, monkeypatch):
+        def fail(*_arguments):
+            raise RuntimeError("unexpected")
+
+        async def scenario(site):
+            monkeypatch.setattr(app, "decode_job", fail)
+            site.nodes[0].callers.note_unresolved(ID)
+            assert (await site.call("POST", PATH, JOB))[0] == 504
+            assert (await site.call("POST", "/proof/00000000000000aa", JOB))[0] == 503
+
+        run_site(scenario, store_lease_s=LONG_LEASE_S)
