Submissions: an early look at earlier attempts settles nothing

Change: a request that is about to begin asks may_be_stored(), which records nothing. It also covers jobs that the node remembers as accepted, as the refusal of an early failure did not.

Without the look both cases of TestRequestThatFails fail.

--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -152,7 +152,7 @@
         job_id: str,
         max_body_bytes: int,
     ) -> None:
-        if not self._is_settled_by_refusal(job_id):
+        if self._callers.may_be_stored(job_id):
             # An earlier attempt may have an effect, whatever becomes of this one.
             note_effect(req.scope)
         deadline_s = now_s() + read_deadline_s(req.get_header)
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -197,6 +197,10 @@
         """Wait until the other nodes have been told of unresolved submissions."""
         await asyncio.gather(*self._reports, return_exceptions=True)
 
+    def may_be_stored(self, job_id: str) -> bool:
+        """Return whether an earlier attempt to submit a job may have stored it."""
+        return self._unresolved.may_be_stored(job_id, now_s())
+
     def settle_refusal(self, job_id: str) -> SubmitOutcome:
         """Return the outcome of all attempts to submit a job, the last of which is refused.
 
--- a/redwingplank/cell/tests/test_refusals_before_storing.py
+++ b/redwingplank/cell/tests/test_refusals_before_storing.py
@@ -65,13 +65,17 @@
 class TestRequestThatFails:
     # Guards against a refusal where a request fails before its call, and an earlier attempt may
     # have stored the job.
-    def test_does_not_refuse_a_job_that_may_be_stored(self, monkeypatch):
+    @pytest.mark.parametrize("is_accepted", [True, False])
+    def test_does_not_refuse_a_job_that_may_be_stored(self, is_accepted, monkeypatch):
         def fail(*_arguments):
             raise RuntimeError("unexpected")
 
         async def scenario(site):
+            if is_accepted:
+                assert (await site.call("POST", PATH, JOB))[0] == 200
+            else:
+                site.nodes[0].callers.note_unresolved(ID)
             monkeypatch.setattr(app, "decode_job", fail)
-            site.nodes[0].callers.note_unresolved(ID)
             assert (await site.call("POST", PATH, JOB))[0] == 504
             assert (await site.call("POST", "/proof/00000000000000aa", JOB))[0] == 503
 
--- a/redwingplank/cell/unresolved_submissions.py
+++ b/redwingplank/cell/unresolved_submissions.py
@@ -77,6 +77,10 @@
         self._forget_old(now_s)
         return job_id in self._since_s_by_job_id or job_id in self._under_way_by_job_id
 
+    def may_be_stored(self, job_id: str, now_s: float) -> bool:
+        """Return whether a refusal of a further attempt would not settle those before it."""
+        return self.is_known(job_id, now_s) or job_id in self._accepted_s_by_job_id
+
     def _forget_old(self, now_s: float) -> None:
         _remove_old(self._since_s_by_job_id, now_s)
         _remove_old(self._accepted_s_by_job_id, now_s)
