--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -197,9 +197,17 @@
         """Wait until the other nodes have been told of unresolved submissions."""
         await asyncio.gather(*self._reports, return_exceptions=True)
 
+    def may_be_stored(self, job_id: str) -> bool:
+        """Return whether an earlier attempt to submit a job may have stored it."""
+        return self._unresolved.may_be_stored(job_id, now_s())
+
     def settle_refusal(self, job_id: str) -> SubmitOutcome:
-        """Return the outcome of all attempts to submit a job, the last of which is refused."""
-        return self._unresolved.settle(job_id, SubmitOutcome.NOT_RUN, now_s())
+        """Return the outcome of all attempts to submit a job, the last of which is refused.
+
+        An attempt that is under way may yet store the job.
+        """
+        self._unresolved.begin(job_id)
+        return self._unresolved.end(job_id, SubmitOutcome.NOT_RUN, now_s())
 
     def note_unresolved(self, job_id: str) -> None:
         """Remember that a submission through another node has an unknown outcome."""
