--- a/redwingplank/standin/site_store.py
+++ b/redwingplank/standin/site_store.py
@@ -45,6 +45,11 @@
         Only transactions that write or remove a key with this prefix lose their answers.
     is_down_after_loss : bool
         Whether the store is down from the next lost answer on.
+    held_prefix : str
+        Transactions that write a key with this prefix get no answer, and are carried out when they
+        are released; empty for none.
+    held : list of dict
+        Bodies of these transactions.
     """
 
     def __init__(self) -> None:
@@ -60,6 +65,8 @@
         self.lose_answers = 0
         self.lost_prefix = ""
         self.is_down_after_loss = False
+        self.held_prefix = ""
+        self.held: list[dict[str, Any]] = []
         self.changed = asyncio.Event()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
@@ -142,6 +149,20 @@
         self.is_down = self.is_down or self.is_down_after_loss
         return True
 
+    def holds(self, body: dict[str, Any]) -> bool:
+        """Return whether a transaction is carried out later, and keep it until then."""
+        keys = [row["key"] for row in body.get("puts", ())]
+        if not self.held_prefix or not any(key.startswith(self.held_prefix) for key in keys):
+            return False
+        self.held.append(body)
+        return True
+
+    def release(self) -> list[int]:
+        """Carry out the transactions that were held, and hold no more; return their statuses."""
+        self.held_prefix = ""
+        bodies, self.held = self.held, []
+        return [self.transact(body)[0] for body in bodies]
+
     def show(self, key: str) -> dict[str, Any]:
         """Return the JSON value of an item."""
         item = self.items[key]
@@ -226,6 +247,8 @@
         model, now_s = self._model, self._now_s()
         if name == "kv-txn":
             body = msgspec.json.decode(await req.stream.read())
+            if model.holds(body):
+                await asyncio.Event().wait()
             status, media = model.transact(body)
             if status == 200 and model.loses_answer(body):
                 await asyncio.Event().wait()
