--- a/redwingplank/cell/authentication.py
+++ b/redwingplank/cell/authentication.py
@@ -16,6 +16,7 @@
     "decide_access",
     "is_record_visible",
     "is_visible",
+    "read_organisation",
 ]
 
 SCHEME = "bearer"
@@ -143,15 +144,25 @@
     organisation: str = ""
 
 
+def read_organisation(value: bytes | None) -> str:
+    """Return the organisation that the stored record of a job names, empty if it names none.
+
+    Raises
+    ------
+    UndecodableError
+        The record cannot be read.
+    """
+    return decode_json(value or b"", _JobOrganisation).organisation
+
+
 def is_record_visible(value: bytes | None, visible_to: str | None) -> bool:
     """Return whether the stored record of a job shows it to be visible to a request."""
     if visible_to is None:
         return True
     try:
-        record = decode_json(value or b"", _JobOrganisation)
+        return is_visible(read_organisation(value), visible_to)
     except UndecodableError:
         return False
-    return is_visible(record.organisation, visible_to)
 
 
 def is_visible(organisation: str, visible_to: str | None) -> bool:
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -20,12 +20,11 @@
 from redwingplank.cell.peer_submission import PeerSubmission
 from redwingplank.cell.submission import MIN_CALL_TIME_S, SubmitOutcome
 from redwingplank.cell.submission_lines import log_interrupted, log_submission
+from redwingplank.cell.submission_store import SubmissionStore
 from redwingplank.cell.submission_trace import DecidingCause, SubmissionTrace
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.unresolved_submissions import UnresolvedSubmissions
 from redwingplank.core import decode_json
-from redwingplank.platform.site.http import NoAnswerError, NotSentError
-from redwingplank.platform.site.store import Put, StoreRefusedError, TransactionOutcome
 from redwingplank.rpc.cell_calls import CancelAnswer
 from redwingplank.rpc.errors import RpcError
 
@@ -96,12 +95,13 @@
     ) -> None:
         self._context = context
         self._membership = membership
+        self._submission_store = SubmissionStore(context)
         self._peer_submission = PeerSubmission(context, membership)
         self._unresolved = UnresolvedSubmissions()
         self._reports: set[asyncio.Task] = set()
         self._owner_breaker = CircuitBreaker(OWNER_OPEN_S)
         self._find_owner = find_owner
-        self._cancellation = Cancellation(context, membership, find_owner, self._unresolved)
+        self._cancellation = Cancellation(context, membership, find_owner)
         self.find_config = find_config
         self.access = access
         self._tasks = tasks
@@ -155,8 +155,8 @@
     ) -> tuple[SubmitOutcome, str]:
         """Store a job from here or through a peer, unless the owner has it already."""
         timeout_s = max(MIN_CALL_TIME_S, min(SUBMIT_TIMEOUT_S, deadline_s - now_s()))
-        outcome, reason = await self._try_to_store(job_id, submission, timeout_s, trace)
-        if outcome is not SubmitOutcome.ACCEPTED:
+        outcome, reason = await self._submission_store.store(job_id, submission, timeout_s, trace)
+        if outcome in (SubmitOutcome.NOT_RUN, SubmitOutcome.UNKNOWN):
             outcome, reason = await self._peer_submission.store(
                 job_id, submission, deadline_s, outcome, trace
             )
@@ -212,7 +212,7 @@
         timeout_s: float,
         trace: SubmissionTrace | None = None,
     ) -> tuple[SubmitOutcome, str]:
-        """Store a job unless it is stored already; return the result and its reason.
+        """Store a job unless it is stored or cancelled; return the result and its reason.
 
         While the store is known to be unreachable, no call is made, so that `NOT_RUN` is certain:
         a call that fails midway may have been carried out. `NOT_RUN` also covers the earlier
@@ -223,42 +223,19 @@
         outcome = SubmitOutcome.UNKNOWN
         self._unresolved.begin(job_id)
         try:
-            outcome, reason = await self._try_to_store(job_id, submission, timeout_s, trace)
+            outcome, reason = await self._submission_store.store(
+                job_id, submission, timeout_s, trace
+            )
         finally:
             settled = self._end(job_id, outcome, trace)
-        return settled, reason if settled is outcome else "earlier_attempt_unknown"
+        return settled, reason if settled is outcome.told else "earlier_attempt_unknown"
 
     def _end(self, job_id: str, outcome: SubmitOutcome, trace: SubmissionTrace) -> SubmitOutcome:
         settled = self._unresolved.end(job_id, outcome, now_s())
-        if settled is not outcome:
+        if settled is not outcome.told:
             trace.decide(DecidingCause.EARLIER_ATTEMPT)
         return settled
 
-    async def _try_to_store(
-        self, job_id: str, submission: bytes, timeout_s: float, trace: SubmissionTrace
-    ) -> tuple[SubmitOutcome, str]:
-        if self._context.health.is_unreachable:
-            trace.decide(DecidingCause.STORE_AWAY)
-            return SubmitOutcome.NOT_RUN, "store_away"
-        key = JOBS_PREFIX + job_id
-        puts = [Put(key, submission)]
-        try:
-            result = await self._context.store.transact(
-                {key: 0}, puts, [], timeout_s, trace.record_call
-            )
-        except NoAnswerError as error:
-            self._context.health.record_failure(error)
-            return SubmitOutcome.UNKNOWN, "no_answer"
-        except (NotSentError, StoreRefusedError) as error:
-            self._context.health.record_failure(error)
-            return SubmitOutcome.NOT_RUN, "refused_by_store"
-        self._context.health.record_success()
-        if result.outcome is TransactionOutcome.LEASE_GONE:
-            # The key has no lease, so this is no answer to the call.
-            return SubmitOutcome.UNKNOWN, "no_answer"
-        is_new = result.outcome is TransactionOutcome.DONE
-        return SubmitOutcome.ACCEPTED, "stored" if is_new else "already_stored"
-
     def _log_submit(
         self, spec: JobSpec, outcome: SubmitOutcome, reason: str, trace: SubmissionTrace
     ) -> None:
--- a/redwingplank/cell/cancellation.py
+++ b/redwingplank/cell/cancellation.py
@@ -10,8 +10,13 @@
 from redwingplank.cell.keys import CANCELS_PREFIX, JOBS_PREFIX
 from redwingplank.cell.membership import Membership
 from redwingplank.cell.owner import OwnerRuntime
-from redwingplank.cell.unresolved_submissions import UnresolvedSubmissions
-from redwingplank.platform.site.store import Put, TransactionOutcome
+from redwingplank.cell.stored_cancellation import (
+    StoredCancellation,
+    decode_cancellation,
+    encode_cancellation,
+)
+from redwingplank.cell.submission import MIN_CALL_TIME_S
+from redwingplank.platform.site.store import Item, Put, TransactionOutcome, TransactionResult
 from redwingplank.rpc.cell_calls import CancelAnswer
 from redwingplank.rpc.errors import RpcError
 
@@ -21,6 +26,10 @@
 """Longer than the time that the owner waits for the store (1.5 s)."""
 STORE_TIMEOUT_S = 0.8
 """A read and a write fit into what is left of the 4 s after the call of the owner."""
+CANCEL_TIME_S = 3.7
+"""Further writes get what is left of this time since the request."""
+MAX_WRITES = 3
+"""Writes of the cancellation of an unknown job, where others cancel or submit it meanwhile."""
 
 
 class Cancellation:
@@ -35,8 +44,6 @@
     find_owner : callable
         Returns the owner that runs in this process, or None if there is none or it has not yet
         read the stored jobs.
-    unresolved : UnresolvedSubmissions
-        Submissions that may yet store their jobs.
     """
 
     def __init__(
@@ -44,18 +51,17 @@
         context: NodeContext,
         membership: Membership,
         find_owner: Callable[[], OwnerRuntime | None],
-        unresolved: UnresolvedSubmissions,
     ) -> None:
         self._context = context
         self._membership = membership
         self._find_owner = find_owner
-        self._unresolved = unresolved
 
     async def cancel(self, job_id: str, visible_to: str | None = None) -> CancelAnswer:
         """Cancel a job.
 
-        A job that is not visible to the caller is answered as unknown. One that the store does not
-        have is known while a submission of it is unresolved.
+        A job that is not visible to the caller is answered as unknown. That the store does not have
+        a job is answered only once its cancellation is stored in its place: a submission may still
+        be under way, at the store or at any node.
 
         Parameters
         ----------
@@ -68,7 +74,8 @@
         by_owner = await self._cancel_at_owner(job_id, visible_to)
         answer = by_owner
         if answer is None or not answer.is_known or not answer.is_stored:
-            answer = await self._cancel_in_store(job_id, visible_to)
+            deadline_s = started_s + CANCEL_TIME_S
+            answer = await self._cancel_in_store(job_id, visible_to, deadline_s)
         self._log(job_id, by_owner, answer, now_s() - started_s)
         return answer
 
@@ -86,23 +93,64 @@
             self._context.log("owner_unreachable", address=address, error=error)
             return None
 
-    async def _cancel_in_store(self, job_id: str, visible_to: str | None) -> CancelAnswer:
-        store = self._context.store
+    async def _cancel_in_store(
+        self, job_id: str, visible_to: str | None, deadline_s: float
+    ) -> CancelAnswer:
         try:
-            job = await store.get(JOBS_PREFIX + job_id, STORE_TIMEOUT_S)
-            if job is None:
-                return CancelAnswer(self._unresolved.is_known(job_id, now_s()), is_stored=False)
-            if not is_record_visible(job.value, visible_to):
-                return CancelAnswer(is_known=False, is_stored=False)
-            puts = [Put(CANCELS_PREFIX + job_id, b"1")]
-            expected = {JOBS_PREFIX + job_id: job.revision}
-            result = await store.transact(expected, puts, [], STORE_TIMEOUT_S)
+            job = await self._context.store.get(JOBS_PREFIX + job_id, STORE_TIMEOUT_S)
+            if job is not None:
+                return await self._cancel_stored(job, job_id, visible_to, deadline_s)
+            return await self._cancel_absent(job_id, visible_to, deadline_s)
         except STORE_ERRORS as error:
             self._context.health.record_failure(error)
             return CancelAnswer(is_known=True, is_stored=False)
+
+    async def _cancel_stored(
+        self, job: Item, job_id: str, visible_to: str | None, deadline_s: float
+    ) -> CancelAnswer:
+        """Cancel a job that the store has."""
+        if not is_record_visible(job.value, visible_to):
+            return CancelAnswer(is_known=False, is_stored=False)
+        expected = {JOBS_PREFIX + job_id: job.revision}
+        result = await self._write(job_id, StoredCancellation(), expected, deadline_s)
         answer = CancelAnswer(True, result.outcome is TransactionOutcome.DONE)
         return replace(answer, revision=result.revision)
 
+    async def _cancel_absent(
+        self, job_id: str, visible_to: str | None, deadline_s: float
+    ) -> CancelAnswer:
+        """Cancel a job that the store does not have, so that no copy of its submission stores it.
+
+        A cancellation that is there already is written again, as it may be about to be removed.
+        """
+        key, job_key = CANCELS_PREFIX + job_id, JOBS_PREFIX + job_id
+        earlier: Item | None = None
+        for _ in range(MAX_WRITES):
+            cancellation = _extend(earlier, visible_to)
+            expected = {job_key: 0, key: earlier.revision if earlier is not None else 0}
+            result = await self._write(job_id, cancellation, expected, deadline_s)
+            job, found = result.find(job_key), result.find(key)
+            if job is not None:
+                return await self._cancel_stored(job, job_id, visible_to, deadline_s)
+            if result.outcome is TransactionOutcome.DONE:
+                return CancelAnswer(False, False, revision=result.revision)
+            if earlier is not None and _is_by(found, visible_to):
+                # Written since the last call, perhaps by an earlier copy of it.
+                return CancelAnswer(False, False)
+            earlier = found
+        return CancelAnswer(is_known=True, is_stored=False)
+
+    async def _write(
+        self,
+        job_id: str,
+        cancellation: StoredCancellation,
+        expected: dict[str, int],
+        deadline_s: float,
+    ) -> TransactionResult:
+        put = Put(CANCELS_PREFIX + job_id, encode_cancellation(cancellation))
+        timeout_s = min(STORE_TIMEOUT_S, max(MIN_CALL_TIME_S, deadline_s - now_s()))
+        return await self._context.store.transact(expected, [put], [], timeout_s)
+
     def _log(
         self, job_id: str, by_owner: CancelAnswer | None, answer: CancelAnswer, age_s: float
     ) -> None:
@@ -121,6 +169,17 @@
         )
 
 
+def _is_by(found: Item | None, visible_to: str | None) -> bool:
+    return found is not None and decode_cancellation(found.value).is_by(visible_to)
+
+
+def _extend(earlier: Item | None, visible_to: str | None) -> StoredCancellation:
+    """Return the cancellation by a caller, besides those by others that are stored."""
+    if earlier is not None:
+        return decode_cancellation(earlier.value).extend(visible_to)
+    return StoredCancellation(frozenset()).extend(visible_to)
+
+
 def cancel_status(answer: CancelAnswer) -> HTTPStatus:
     """Return the status with which a caller is told of a cancellation."""
     if answer.is_stored:
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -50,7 +50,8 @@
 """Upper bound of the pause after a tick, so that a process that was suspended during a tick does
 not pause for as long again."""
 REMOVAL_PERIOD_S = 10.0
-"""Period of removing ended jobs. They are kept for minutes, so a few seconds more do not matter."""
+"""Period of removing ended jobs and old cancellations. They are kept for a minute and more, so a
+few seconds do not matter."""
 CANCEL_WAIT_S = 1.5
 """Longest wait for a cancellation to be stored; after it the node that serves the caller writes
 the cancellation itself."""
@@ -184,6 +185,7 @@
             self._update_gauges()
             removable_ids = self.owner.find_removable_jobs(now_s())
             await self._writer.remove(self._intake.revisions_of(removable_ids))
+            await self._writer.remove_cancellations(self._intake.old_cancellations(now_s()))
 
     def _update_gauges(self) -> None:
         metrics, state = self._context.metrics, self.owner.state
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -30,6 +30,8 @@
 are added to a write of records."""
 JOBS_PER_REMOVAL = 7
 """Each job has three keys, one of which is compared; a transaction has at most 32 entries."""
+CANCELLATIONS_PER_REMOVAL = 10
+"""Each has two keys that are compared, one of which is removed, in the same 32 entries."""
 WRITE_TIMEOUT_S = 1.2
 """A slow store answers in 0.25 s; a transaction with all entries takes longer."""
 RETRY_S = 0.15
@@ -140,15 +142,39 @@
                 for job_id in batch
                 for prefix in (JOBS_PREFIX, PROGRESS_PREFIX, CANCELS_PREFIX)
             ]
-            problem: object = ""
-            try:
-                result = await self._context.store.transact(expected, [], removes, WRITE_TIMEOUT_S)
-                if result.outcome is not TransactionOutcome.DONE:
-                    problem = result.outcome.name.lower()
-            except STORE_ERRORS as error:
-                problem = error
-            if problem:
-                self._context.log("removal_failed", jobs=len(batch), error=problem)
+            await self._remove_keys(expected, removes, jobs=len(batch))
+
+    async def remove_cancellations(self, revisions_by_id: Mapping[str, int]) -> None:
+        """Remove cancellations without a job from the store; those whose job is stored stay.
+
+        A removal that failed is repeated in the next period, as in `remove`.
+
+        Parameters
+        ----------
+        revisions_by_id : mapping of str to int
+            Revision of the cancellation of each job. One with another revision is newer, and stays.
+        """
+        job_ids = list(revisions_by_id)
+        for start in range(0, len(job_ids), CANCELLATIONS_PER_REMOVAL):
+            batch = job_ids[start : start + CANCELLATIONS_PER_REMOVAL]
+            expected = {EPOCH_KEY: self._ownership.epoch_revision}
+            expected.update((JOBS_PREFIX + job_id, 0) for job_id in batch)
+            expected.update((CANCELS_PREFIX + job_id, revisions_by_id[job_id]) for job_id in batch)
+            removes = [CANCELS_PREFIX + job_id for job_id in batch]
+            await self._remove_keys(expected, removes, cancellations=len(batch))
+
+    async def _remove_keys(
+        self, expected: dict[str, int], removes: list[str], **counts: int
+    ) -> None:
+        problem: object = ""
+        try:
+            result = await self._context.store.transact(expected, [], removes, WRITE_TIMEOUT_S)
+            if result.outcome is not TransactionOutcome.DONE:
+                problem = result.outcome.name.lower()
+        except STORE_ERRORS as error:
+            problem = error
+        if problem:
+            self._context.log("removal_failed", **counts, error=problem)
 
     async def _write(self, puts: list[Put], records: list[RecordToStore]) -> bool:
         """Write until carried out and return True; return False if another owner has written."""
--- a/redwingplank/cell/submission.py
+++ b/redwingplank/cell/submission.py
@@ -16,3 +16,12 @@
     """Confirmed not to be stored: the job never runs."""
     UNKNOWN = enum.auto()
     """The job may have been stored."""
+    CANCELLED_BEFORE = enum.auto()
+    """The store has a cancellation in the place of the job, so that no attempt stores it. Callers
+    and peers are told `NOT_RUN`."""
+
+    @property
+    def told(self) -> "SubmitOutcome":
+        """What callers and peers are told."""
+        is_cancelled = self is SubmitOutcome.CANCELLED_BEFORE
+        return SubmitOutcome.NOT_RUN if is_cancelled else self
--- a/redwingplank/cell/submission_trace.py
+++ b/redwingplank/cell/submission_trace.py
@@ -30,6 +30,8 @@
     """An earlier attempt to submit the job was accepted, or has an unknown outcome."""
     KNOWN_TO_OWNER = enum.auto()
     """The owner has the job, so that an earlier attempt has stored it."""
+    CANCELLED_BEFORE = enum.auto()
+    """The store has a cancellation in the place of the job."""
 
 
 _CAUSES_BY_END = {
--- a/redwingplank/cell/tests/test_unresolved_submissions.py
+++ b/redwingplank/cell/tests/test_unresolved_submissions.py
@@ -6,6 +6,7 @@
 from redwingplank.cell.unresolved_submissions import KEPT_S, UnresolvedSubmissions
 
 ACCEPTED, NOT_RUN, UNKNOWN = SubmitOutcome.ACCEPTED, SubmitOutcome.NOT_RUN, SubmitOutcome.UNKNOWN
+CANCELLED_BEFORE = SubmitOutcome.CANCELLED_BEFORE
 
 
 class TestUnresolvedSubmissions:
@@ -64,3 +65,27 @@
         unresolved.settle("b", UNKNOWN, 0.0)
         assert unresolved.is_known("b", KEPT_S - 1)
         assert not unresolved.is_known("b", KEPT_S)
+
+
+class TestCancelledBefore:
+    # Guards against 504 for a job that no attempt can store any more.
+    def test_settles_earlier_attempts_and_those_under_way(self):
+        unresolved = UnresolvedSubmissions()
+        unresolved.settle("a", UNKNOWN, 1.0)
+        unresolved.begin("a")
+        unresolved.begin("a")
+        assert unresolved.end("a", CANCELLED_BEFORE, 1.0) is NOT_RUN
+
+    # Guards against a refusal of a job of one organisation on the word of another one's
+    # cancellation.
+    def test_settles_no_later_refusal(self):
+        unresolved = UnresolvedSubmissions()
+        unresolved.settle("a", UNKNOWN, 1.0)
+        assert unresolved.settle("a", CANCELLED_BEFORE, 1.0) is NOT_RUN
+        assert unresolved.settle("a", NOT_RUN, 1.0) is UNKNOWN
+
+    # Guards against a refusal of a job that has run.
+    def test_does_not_undo_an_acceptance(self):
+        unresolved = UnresolvedSubmissions()
+        unresolved.settle("a", ACCEPTED, 1.0)
+        assert unresolved.settle("a", CANCELLED_BEFORE, 1.0) is ACCEPTED
--- a/redwingplank/cell/unresolved_submissions.py
+++ b/redwingplank/cell/unresolved_submissions.py
@@ -18,7 +18,8 @@
     of them.
 
     A refusal tells callers that their job never runs. That a repeated attempt had no effect says
-    nothing of the attempt before it.
+    nothing of the attempt before it. That the store has a cancellation in the place of the job
+    does, because all attempts store it under the condition that there is none.
     """
 
     def __init__(self) -> None:
@@ -46,12 +47,12 @@
         if not is_another_under_way:
             del self._under_way_by_job_id[job_id]
         settled = self.settle(job_id, outcome, now_s)
-        if settled is SubmitOutcome.NOT_RUN and is_another_under_way:
+        if outcome is SubmitOutcome.NOT_RUN is settled and is_another_under_way:
             return SubmitOutcome.UNKNOWN
         return settled
 
     def settle(self, job_id: str, outcome: SubmitOutcome, now_s: float) -> SubmitOutcome:
-        """Record the outcome of an attempt; return that of all attempts to submit the job.
+        """Record the outcome of an attempt; return what is told of all attempts to submit the job.
 
         Parameters
         ----------
@@ -70,7 +71,10 @@
             return SubmitOutcome.ACCEPTED
         if outcome is SubmitOutcome.UNKNOWN:
             _set_last(self._since_s_by_job_id, job_id, now_s)
-        return SubmitOutcome.UNKNOWN if job_id in self._since_s_by_job_id else outcome
+        is_unresolved = job_id in self._since_s_by_job_id
+        if is_unresolved and outcome is not SubmitOutcome.CANCELLED_BEFORE:
+            return SubmitOutcome.UNKNOWN
+        return outcome.told
 
     def is_known(self, job_id: str, now_s: float) -> bool:
         """Return whether a job may be stored by an attempt that is unresolved or under way."""
--- a/redwingplank/platform/site/store.py
+++ b/redwingplank/platform/site/store.py
@@ -105,6 +105,13 @@
     revision: int = 0
     found: tuple[Item, ...] = ()
 
+    def find(self, key: str) -> Item | None:
+        """Return the item of a compared key after a conflict, None if the key does not exist."""
+        for item in self.found:
+            if item.key == key and item.revision > 0:
+                return item
+        return None
+
 
 class _WireItem(msgspec.Struct):
     key: str = ""
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -4,6 +4,8 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from redwingplank.cell.keys import JOBS_PREFIX
+
 __all__ = ["Attempt", "History", "RunEnd", "RunStart"]
 
 _find_job_id = re.compile(r"/([0-9a-f]{16})$").search
@@ -87,9 +89,12 @@
         self.ends_by_run[end.worker, end.task, end.attempt] = end
 
     def add_stored_key(self, key: str, at_s: float) -> None:
-        """Add a write of a key; the first one that ends with a job id shows the job as stored."""
+        """Add a write of a key; the first one of a job's own key shows the job as stored.
+
+        A cancellation also ends with a job id, and may be written in the place of the job.
+        """
         found = _find_job_id(key)
-        if found is not None:
+        if found is not None and key.startswith(JOBS_PREFIX):
             self.stored_s_by_job.setdefault(found.group(1), at_s)
 
     def submissions_of(self, job_id: str) -> list[Attempt]:
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -12,7 +12,7 @@
 import psutil
 import pytest
 
-from redwingplank.cell.keys import JOBS_PREFIX
+from redwingplank.cell.keys import CANCELS_PREFIX, JOBS_PREFIX
 from redwingplank.standin.site_store import SiteStoreModel, make_site_store_app
 from tools.soak.__main__ import EXIT_COULD_NOT_RUN, main
 from tools.soak.callers import Callers
@@ -119,6 +119,17 @@
         history.final_state_by_job[JOB] = "completed"
         assert rules(history) == ["LOST"]
 
+    # Guards against a soak that takes the cancellation of a job for the job: it would miss that the
+    # job is not stored, and count true refusals as untrue.
+    @pytest.mark.parametrize("status", [200, 503])
+    def test_a_cancellation_is_no_stored_job(self, status):
+        history = History()
+        history.add_attempt(attempt(status))
+        history.add_stored_key(f"{CANCELS_PREFIX}{JOB}", 1.05)
+        assert history.stored_s_by_job == {}
+        assert rules(history) == (["LOST"] if status == 200 else [])
+        assert find_untrue_refusals(history) == []
+
     # Guards against a soak that does not notice an accepted job that never ends.
     @pytest.mark.parametrize("state", ["running", "queued", "410", "None", ""])
     def test_an_accepted_job_that_does_not_end_is_a_violation(self, state):
