Followers: an empty answer of a watch does not prove that nothing has changed

`PrefixFollower` moved its position to the revision of an empty answer.

Change: the position moves on as far as a returned event or a read reaches, and to that of an empty answer only when a call 5 s later, from the position before it, was empty too. No further calls; the position is up to 10 s behind, of a history of 20 s.

Not covered: an answer that holds a later change and leaves out an earlier one. A proof against it costs the events of the last seconds twice.

--- a/redwingplank/cell/follower.py
+++ b/redwingplank/cell/follower.py
@@ -22,6 +22,10 @@
 """Longest wait of a watch call during this time, so that a lost answer is noticed soon."""
 LOSSY_SLACK_S = 0.4
 """Time after the wait within which such a call is answered, also by a slow store."""
+CHECK_AGAIN_S = 5.0
+"""Time after which a watch from the same position shows what an earlier one did not hear. A watch
+hears nothing for about 1 s while the store discards its history; a call waits 2.5 s at most. The
+store's history holds more than twice as long."""
 LOSS_CHECK_S = 0.15
 """Period of checking, during a longer wait, whether answers have begun to be lost."""
 
@@ -113,6 +117,10 @@
 class PrefixFollower(Follower):
     """Follows all keys under a prefix; catches up by reading all of them.
 
+    An empty answer does not prove that nothing has changed: the watch may have heard nothing for a
+    while. Therefore the position moves on to that of an empty answer only when a later call, from
+    the position before it, has found nothing either. This takes no further calls.
+
     Parameters
     ----------
     context : NodeContext
@@ -146,6 +154,9 @@
         self._on_items = on_items
         self._on_events = on_events
         self._is_urgent = is_urgent
+        self._unchecked: WatchPage | None = None
+        """An empty answer that no later call has confirmed."""
+        self._unchecked_since_s = 0.0
 
     async def catch_up(self) -> None:
         """Read the whole prefix, unless the next watch continues from an earlier read."""
@@ -156,11 +167,24 @@
         """Pass changes to `on_events`."""
         if page.events:
             self._on_events(page.events)
-        self.revision = max(self.revision, page.revision)
+            self.revision = max(event.revision for event in page.events)
+        elif page.revision > self.revision:
+            self._check(page, now_s())
+
+    def _check(self, page: WatchPage, now_s: float) -> None:
+        """Move to the position of an earlier empty answer if a later one confirms it."""
+        earlier = self._unchecked
+        if earlier is not None and earlier.revision > self.revision:
+            if now_s - self._unchecked_since_s < CHECK_AGAIN_S:
+                return
+            self.revision = earlier.revision
+        self._unchecked = page
+        self._unchecked_since_s = now_s
 
     def handle_gap(self) -> None:
         """Read the whole prefix next."""
         self.revision = 0
+        self._unchecked = None
 
     def handle_failure(self) -> bool:
         """Back off, unless the next call is urgent."""
