--- a/redwingplank/cell/tests/test_gone_jobs.py
+++ b/redwingplank/cell/tests/test_gone_jobs.py
@@ -345,3 +345,37 @@
             assert CANCEL_KEY in site.store.items
 
         run_site(scenario)
+
+
+class TestRemovedJob:
+    """A cancelled job that was removed, and is submitted again under the same id."""
+
+    @pytest.fixture(autouse=True)
+    def short_period(self, monkeypatch):
+        monkeypatch.setattr(owner_module, "REMOVAL_PERIOD_S", 0.1)
+
+    # Guards against a new job that is refused or cancelled because of an earlier one with its id.
+    @pytest.mark.parametrize("asks_owner", [True, False])
+    def test_runs_again_also_for_the_next_owner(self, asks_owner):
+        async def scenario(site):
+            assert (await site.call("POST", PATH, LASTING))[0] == 200
+            await site.until(lambda: start_count(site) == 1)
+            number = site.nodes.index(site.owner_node())
+            if not asks_owner:
+                site.nodes[1 - number]._membership.owner = None
+            node = number if asks_owner else 1 - number
+            assert (await site.call("DELETE", PATH, node=node))[0] == 200
+            await site.until(lambda: not any(worker.runs for worker in site.workers))
+            object.__setattr__(owner_of(site)._settings, "state_kept_s", 0.0)
+            await site.until(lambda: KEY not in site.store.items)
+            assert CANCEL_KEY not in site.store.items
+            object.__setattr__(owner_of(site)._settings, "state_kept_s", 120.0)
+            assert (await site.call("POST", PATH, LASTING))[0] == 200
+            await site.until(lambda: start_count(site) == 2)
+            await site.crash(site.owner_node())
+            await site.until(lambda: site.owner_node() is not None)
+            await let_owner_act(site, 1 - number)
+            assert await site.state_of(ID, node=1 - number) == "running"
+            assert start_count(site) == 2
+
+        run_site(scenario, nodes=2)
