--- a/redwingplank/cell/tests/test_membership.py
+++ b/redwingplank/cell/tests/test_membership.py
@@ -25,6 +25,10 @@
 OUTAGE_S = 4.5
 NOTICED_WITHIN_S = 1.2
 """Time within which an owner learns that it was replaced, though its watch misses it."""
+SLOW_ANSWER_S = 0.3
+"""Time after which a slow store answers."""
+ELECTION = 2
+"""Number of the transaction by which a node wins: it registers by the one before."""
 SLOW, FAST = 0.4, 1.0
 MODULES_WITH_CLOCK = (context, follower, hedged_call, hedged_store, membership)
 
@@ -341,3 +345,57 @@
             await cell.stop()
 
         run_virtual(scenario())
+
+
+class TestTimeOfProof:
+    """Pattern: answers of the store take long, or the answer to an election is lost."""
+
+    # Guards against a proof that is dated to its answer: another node may own the jobs by then.
+    def test_it_is_that_of_sending_the_call(self, monkeypatch):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            member, client = cell.add_node(FAST)
+            client.latency_s = SLOW_ANSWER_S
+            loop = asyncio.get_running_loop()
+            proofs_s: list[float] = []
+            for _ in range(500):
+                await asyncio.sleep(0.01)
+                if member.proven_s not in (float("-inf"), *proofs_s[-1:]):
+                    proofs_s.append(member.proven_s)
+                    assert loop.time() - member.proven_s >= SLOW_ANSWER_S
+            assert len(proofs_s) >= 4
+            await cell.stop()
+
+        run_virtual(scenario())
+
+    # Guards against a new owner that waits for a read before it may command workers.
+    def test_an_election_that_was_answered_proves_the_ownership(self, monkeypatch):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            member, client = cell.add_node(FAST)
+            client.fails_reads_of_keys = True
+            await cell.until_owned()
+            assert asyncio.get_running_loop().time() - member.proven_s < NOTICED_WITHIN_S
+            await cell.stop()
+
+        run_virtual(scenario())
+
+    # Guards against an election that counts as proven when the view shows it, which may be old.
+    def test_an_election_without_an_answer_proves_nothing(self, monkeypatch):
+        async def scenario() -> None:
+            cell = Cell(monkeypatch)
+            member, client = cell.add_node(FAST)
+            client.fails_reads_of_keys = True
+            await cell.fail(client, Answer.LOST, ELECTION)
+            assert await cell.until_down(client)
+            assert OWNER_KEY in cell.model.items
+            client.is_down = False
+            await cell.until_owned()
+            assert member.latest_epoch is not None and member.latest_epoch.number == 1
+            assert member.proven_s == float("-inf")
+            client.fails_reads_of_keys = False
+            await asyncio.sleep(NOTICED_WITHIN_S)
+            assert asyncio.get_running_loop().time() - member.proven_s < NOTICED_WITHIN_S
+            await cell.stop()
+
+        run_virtual(scenario())
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -20,6 +20,8 @@
 JOB = {"spec": "payload", "steps": [STEP, {**STEP, "after": [0]}]}
 LASTING = {"spec": "last", "steps": [{**STEP, "long_running": True}]}
 ID = "5c0e7a21d94b36f8"
+LONGER_THAN_A_PROOF_S = 4.0
+"""Longer than an owner may command workers after it last proved its ownership."""
 DOCS = Path(__file__).parents[3] / "docs"
 
 
@@ -389,3 +391,15 @@
             assert {name for name in served if not name.endswith("_created")} == set(documented)
 
         run_site(scenario)
+
+
+class TestIdleOwner:
+    # Guards against an owner that writes no records, and so loses the permission to renew leases.
+    def test_it_may_command_workers_for_as_long_as_it_owns(self):
+        async def scenario(site):
+            owner = site.owner_node()
+            assert owner is not None and owner._owner is not None
+            await asyncio.sleep(LONGER_THAN_A_PROOF_S)
+            assert owner._owner._orders.may_send_commands()
+
+        run_site(scenario)
