DELETE: the wait at an owner ends with its ownership; the log names the owner that was asked

Callers saw: a DELETE that waited for 1.5 s at an owner that had lost its ownership meanwhile, whose records the store does not take any more; and a line `cancel` that named the next owner beside the term of the one that had answered.

Change: the wait ends when the runtime of the owner stops; the node answers 503 or writes the cancellation itself, at once. The owner's name is taken before it is asked.

--- a/redwingplank/cell/cancellation.py
+++ b/redwingplank/cell/cancellation.py
@@ -71,14 +71,22 @@
             Organisation whose jobs are visible to the caller, None if all jobs are.
         """
         started_s = now_s()
+        asked = self._owner_name()
         by_owner = await self._cancel_at_owner(job_id, visible_to)
         answer = by_owner
         if answer is None or not answer.is_known or not answer.is_stored:
             deadline_s = started_s + CANCEL_TIME_S
             answer = await self._cancel_in_store(job_id, visible_to, deadline_s)
-        self._log(job_id, by_owner, answer, now_s() - started_s)
+        self._log(job_id, asked, by_owner, answer, now_s() - started_s)
         return answer
 
+    def _owner_name(self) -> str | None:
+        """Return the name of the owner that is asked, None if none is known."""
+        if self._find_owner() is not None:
+            return self._context.settings.name
+        owner = self._membership.owner
+        return owner.owner if owner is not None else None
+
     async def _cancel_at_owner(self, job_id: str, visible_to: str | None) -> CancelAnswer | None:
         """Cancel a job at the owner; return None if no owner answers."""
         owner = self._find_owner()
@@ -152,16 +160,20 @@
         return await self._context.store.transact(expected, [put], [], timeout_s)
 
     def _log(
-        self, job_id: str, by_owner: CancelAnswer | None, answer: CancelAnswer, age_s: float
+        self,
+        job_id: str,
+        asked: str | None,
+        by_owner: CancelAnswer | None,
+        answer: CancelAnswer,
+        age_s: float,
     ) -> None:
         """Log what was answered, on whose word, and what was stored then."""
-        owner = self._membership.owner
         self._context.log_job(
             "cancel",
             job=job_id,
             status=cancel_status(answer).value,
             decided_by="owner" if answer is by_owner else "store",
-            owner=owner.owner if owner is not None else None,
+            owner=asked,
             term=by_owner.term if by_owner is not None else 0,
             state=(by_owner.state if by_owner is not None else "") or None,
             revision=answer.revision,
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -102,13 +102,16 @@
         self._wakeup = asyncio.Event()
         self._stored = asyncio.Event()
         self.is_loaded = False
+        self._is_stopped = False
 
     def start(self) -> None:
         """Start in the background: read the stored jobs, then tick until stopped."""
         self._tasks.start_loop(self._run)
 
     async def stop(self) -> None:
-        """Stop sending commands at once and cancel all background tasks."""
+        """Stop sending commands at once, end all waits, and cancel all background tasks."""
+        self._is_stopped = True
+        self._wake()
         self._orders.stop_sending()
         await self._tasks.stop()
 
@@ -289,6 +292,7 @@
     async def cancel(self, job_id: str, visible_to: str | None = None) -> CancelAnswer:
         """Cancel a job, and wait at most `CANCEL_WAIT_S` until its final state is stored.
 
+        The wait ends with the ownership, as the store takes no record of this owner after that.
         A job that is not visible to the caller, as in `job_state`, is answered as unknown.
         """
         started_s = now_s()
@@ -313,7 +317,7 @@
         """Wait at most `CANCEL_WAIT_S` until a version of a job is stored; return whether it is."""
         self._wake()
         deadline_s = now_s() + CANCEL_WAIT_S
-        while job.stored_version < version and now_s() < deadline_s:
+        while job.stored_version < version and not self._is_stopped and now_s() < deadline_s:
             self._stored.clear()
             try:
                 async with asyncio.timeout(deadline_s - now_s()):
--- a/redwingplank/cell/tests/test_replaced_meanwhile.py
+++ b/redwingplank/cell/tests/test_replaced_meanwhile.py
@@ -4,18 +4,23 @@
 
 import pytest
 
+from redwingplank.cell import owner as owner_module
 from redwingplank.cell.tests.answers_fixture import (
     ID,
     JOB,
+    LASTING,
     LONG_LEASE_S,
     STEP,
     is_all_stored,
+    job_in_memory,
     owner_node,
     refuse_owner,
     start_count,
+    start_job,
 )
 from redwingplank.cell.tests.site_fixture import run_site
 
+LONGER_THAN_THE_TEST_S = 1000.0
 CANCEL_S = 3.0
 """Time after an acknowledged cancellation from which no task of the job may start."""
 
@@ -48,3 +53,18 @@
             assert is_stopped is (status == 200)
 
         run_site(scenario, store_lease_s=LONG_LEASE_S, nodes=2)
+
+    # Guards against callers that wait for a store which takes no record of this owner any more.
+    def test_the_wait_ends_with_the_ownership(self, monkeypatch):
+        monkeypatch.setattr(owner_module, "CANCEL_WAIT_S", LONGER_THAN_THE_TEST_S)
+
+        async def scenario(site):
+            await start_job(site, LASTING)
+            owner = owner_node(site)
+            refuse_owner(site)
+            call = asyncio.ensure_future(site.call("DELETE", f"/proof/{ID}"))
+            await site.until(lambda: job_in_memory(site).state.is_final)
+            owner._membership.give_up_ownership("fenced_by_worker")
+            assert (await call)[0] == 503
+
+        run_site(scenario, store_lease_s=LONG_LEASE_S)
