Emulated cell: cancellations on the path of the real nodes, and the rule UNASKED

The emulated cell remembered each cancellation and repeated it at each later owner, whatever was stored, so that no random history could find a job that was acknowledged as cancelled and ran again. Nothing checked the rule UNASKED.

Change: a cancellation is acknowledged once the version that JobOwner.cancel returned is stored. If the owner does not know the job, does not answer or does not store the version in 1.5 s, the key is written to the store and acknowledged; the owner learns of it after up to 1.5 s, and a new owner reads it. What was not stored is forgotten with the owner. The store may refuse the owner alone; refused writes wait; a stored job may reach the owner with a delay, in the order of the writes. Starts carry the payload and the checkpoint as real commands do, and checkpoints name their task and its work. UnaskedChecks has the four branches of the rule, with its exceptions for owners that are cut off, disruptions and starts that are carried out late.

Changes to existing checks: a task that was not submitted no longer ends PromiseChecks with a KeyError; UnaskedChecks reports it. check_states of the model check asks the new place for the cancellations that were sent.

--- a/redwingplank/batch/emulated_checks.py
+++ b/redwingplank/batch/emulated_checks.py
@@ -1,19 +1,38 @@
 """Checks of what emulated workers are told to do against what an owner promises."""
 
-from collections.abc import Mapping
+import enum
+import math
+from collections.abc import Mapping, Sequence
 
-from redwingplank.batch.emulated_worker import EmulatedRun, EmulatedWorker
+from redwingplank.batch.emulated_worker import EmulatedRun, EmulatedWorker, StartOrder
 from redwingplank.batch.model import (
     Amounts,
     CellConfig,
     CompletionKind,
     JobSpec,
     RunCompletion,
+    StepKey,
     StepSpec,
     TaskId,
 )
 
-__all__ = ["PromiseChecks"]
+__all__ = ["Disruption", "PromiseChecks", "UnaskedChecks"]
+
+CONTACT_S = 3.0
+"""Time after a disruption from which bounds hold again."""
+CANCEL_S = 3.0
+"""Time after an acknowledged cancellation from which nothing of the job may start."""
+STOP_GRACE_S = 0.9
+"""Time that the stop of a run may take."""
+
+
+class Disruption(enum.Enum):
+    """What is disrupted, other than a worker."""
+
+    STORE = enum.auto()
+    OWNER_REFUSED = enum.auto()
+    OWNER_REPLACED = enum.auto()
+    COMMANDS = enum.auto()
 
 
 class PromiseChecks:
@@ -54,10 +73,11 @@
             self.violations.append(f"{task} started after its completion was acknowledged")
         if not spec.may_copy:
             self._note_repeated_ends(task)
-        self._check_earlier_steps(task)
+        job = self._specs_by_id.get(task.job_id)
+        if job is not None and _has_task(job, task):
+            self._check_earlier_steps(task, job.steps)
 
-    def _check_earlier_steps(self, task: TaskId) -> None:
-        steps = self._specs_by_id[task.job_id].steps
+    def _check_earlier_steps(self, task: TaskId, steps: Sequence[StepSpec]) -> None:
         for earlier in steps[task.step].after:
             for position in range(steps[earlier].count):
                 if not self._has_ended(task._replace(step=earlier, position=position)):
@@ -76,6 +96,8 @@
 
     def check_quota(self, task: TaskId, config: CellConfig, now_s: float) -> None:
         """Check a start against the configuration in force when its command was sent."""
+        if task.job_id not in self._specs_by_id:
+            return
         name = self._specs_by_id[task.job_id].organisation
         policy = config.organisations_by_name.get(name)
         if policy is None or len(self._runs_of(name)) == 1:
@@ -111,3 +133,89 @@
 
 def _end_key(worker: EmulatedWorker, completion: RunCompletion) -> tuple[str, int, int]:
     return worker.entry.worker_id, worker.entry.born_ms, completion.number
+
+
+class UnaskedChecks:
+    """Rule UNASKED: nothing runs that was not asked for, or that was cancelled.
+
+    Parameters
+    ----------
+    violations : list of str
+        Gets the broken promises.
+
+    Notes
+    -----
+    What a worker carries out late does not count as a start, but its run has to end like others.
+    A run may go on while something is disrupted, and for `CONTACT_S` after it.
+    """
+
+    def __init__(self, violations: list[str]) -> None:
+        self.violations = violations
+        self._submitted_by_id: dict[str, JobSpec] = {}
+        self._checkpoints: set[tuple[TaskId | StepKey, str]] = set()
+        self.cancelled_s_by_id: dict[str, float] = {}
+        """Time at which the cancellation of a job was first acknowledged."""
+        self._disrupted_s: dict[Disruption | str, float] = {}
+        """Time of the last disruption of each kind, and of the last one of a worker, by its id."""
+
+    def note_submission(self, spec: JobSpec) -> None:
+        """Note a job that a caller has submitted; it stays known when it is removed."""
+        self._submitted_by_id.setdefault(spec.job_id, spec)
+
+    def note_checkpoint(self, run: EmulatedRun) -> None:
+        """Note the checkpoint that a run has written."""
+        self._checkpoints.add((_checkpoint_owner(run.task, run.spec), run.saved))
+
+    def note_cancellation(self, job_id: str, now_s: float) -> None:
+        """Note an acknowledged cancellation."""
+        self.cancelled_s_by_id.setdefault(job_id, now_s)
+
+    def note_disruption(self, what: Disruption | str, now_s: float) -> None:
+        """Note that something, or the worker with an id, is disrupted at present."""
+        self._disrupted_s[what] = now_s
+
+    def check_start(self, order: StartOrder, now_s: float, *, is_late: bool) -> None:
+        """Check a start that a worker has just carried out."""
+        task = order.task
+        job = self._submitted_by_id.get(task.job_id)
+        if job is None or not _has_task(job, task):
+            self.violations.append(f"{task} started, which nobody has submitted")
+            return
+        if (order.payload, order.spec) != (job.payload, job.steps[task.step]):
+            self.violations.append(f"{task} started with another spec")
+        owner = _checkpoint_owner(task, order.spec)
+        if order.saved and (owner, order.saved) not in self._checkpoints:
+            self.violations.append(f"{task} started from {order.saved}, which is not its own")
+        cancelled_s = self.cancelled_s_by_id.get(task.job_id, math.inf)
+        touch_s = self._calm_since_s(Disruption.STORE, Disruption.OWNER_REFUSED) + CONTACT_S
+        if not is_late and now_s > cancelled_s + CANCEL_S and now_s >= touch_s:
+            age_s = now_s - cancelled_s
+            self.violations.append(f"{task} started {age_s:.2f} s after its cancellation")
+
+    def check_run(self, worker: EmulatedWorker, run: EmulatedRun, now_s: float) -> None:
+        """Check whether a run may still go on, if its job was cancelled."""
+        cancelled_s = self.cancelled_s_by_id.get(run.task.job_id)
+        if cancelled_s is None or run.is_overdue:
+            return
+        calm_s = self._calm_since_s(*Disruption, worker.entry.worker_id) + CONTACT_S
+        late_s = run.started_s + CONTACT_S if run.is_late else -math.inf
+        if now_s > max(cancelled_s, calm_s, late_s) + CANCEL_S + STOP_GRACE_S:
+            run.is_overdue = True
+            age_s = now_s - cancelled_s
+            self.violations.append(f"{run.task} runs {age_s:.2f} s after its cancellation")
+
+    def _calm_since_s(self, *kinds: Disruption | str) -> float:
+        return max(self._disrupted_s.get(kind, -math.inf) for kind in kinds)
+
+
+def _has_task(job: JobSpec, task: TaskId) -> bool:
+    return (
+        0 <= task.occurrence < max(1, job.repeat_count)
+        and 0 <= task.step < len(job.steps)
+        and 0 <= task.position < job.steps[task.step].count
+    )
+
+
+def _checkpoint_owner(task: TaskId, spec: StepSpec) -> TaskId | StepKey:
+    """Return whose checkpoint one of a task is: that of any member is valid for its gang."""
+    return task.step_key if spec.is_gang else task
--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -11,7 +11,23 @@
     WorkerEntry,
 )
 
-__all__ = ["EmulatedRun", "EmulatedWorker", "Fault", "make_restarted_entry"]
+__all__ = ["EmulatedRun", "EmulatedWorker", "Fault", "StartOrder", "make_restarted_entry"]
+
+CHECKPOINT_PERIOD_S = 0.5
+"""Work after which a run that saves its progress writes a checkpoint."""
+
+
+@dataclass(frozen=True)
+class StartOrder:
+    """What a start command tells a worker."""
+
+    task: TaskId
+    attempt: int
+    payload: str
+    spec: StepSpec
+    saved: str
+    lease_ms: int
+    token: int
 
 
 @dataclass
@@ -29,6 +45,31 @@
     done_s: float = 0.0
     stopping_at_s: float | None = None
     pace: float = 1.0
+    started_s: float = 0.0
+    saved: str = ""
+    """Last checkpoint."""
+    is_late: bool = False
+    """Whether the worker carried out the start after its time-out."""
+    is_overdue: bool = False
+    """Whether it was reported that the run should have ended."""
+
+    def advance(self, work_s: float) -> bool:
+        """Add work; return whether a checkpoint was written."""
+        count = self.done_s // CHECKPOINT_PERIOD_S
+        self.done_s += work_s
+        is_due = self.spec.saves and self.done_s // CHECKPOINT_PERIOD_S > count
+        if is_due:
+            self.save()
+        return is_due
+
+    def save(self) -> None:
+        """Write a checkpoint, which names the task and the work that is done."""
+        self.saved = f"{self.task}@{self.done_s:.3f}"
+
+    def resume(self, saved: str) -> None:
+        """Go on from a checkpoint, an empty text for none."""
+        self.saved = saved
+        self.done_s = float(saved.rpartition("@")[2] or 0.0)
 
 
 class Fault:
@@ -132,8 +173,7 @@
         self.blocked[run.task] = max(self.blocked.get(run.task, 0), run.attempt)
         if kind is CompletionKind.DONE:
             self.ended_done.add(run.task)
-        saved = "saved" if run.spec.saves and run.done_s > 0.5 else ""
-        self.ends.append(RunCompletion(self.end_count, run.task, run.attempt, kind, saved))
+        self.ends.append(RunCompletion(self.end_count, run.task, run.attempt, kind, run.saved))
 
 
 def make_restarted_entry(entry: WorkerEntry, born_ms: int) -> WorkerEntry:
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -13,11 +13,13 @@
 from typing import Any
 
 from redwingplank.batch.commands import AskAdvice, PaceRun
-from redwingplank.batch.emulated_checks import PromiseChecks
+from redwingplank.batch.emulated_cancellations import EmulatedCancellations
+from redwingplank.batch.emulated_checks import Disruption, PromiseChecks, UnaskedChecks
 from redwingplank.batch.emulated_worker import (
     EmulatedRun,
     EmulatedWorker,
     Fault,
+    StartOrder,
     make_restarted_entry,
 )
 from redwingplank.batch.entities import Run
@@ -80,7 +82,8 @@
     `violations` collects every broken guarantee: a worker over its capacity, two runs of a task at
     the same time, a start of a task after its completion was acknowledged, a start of a task whose
     earlier completion is acknowledged later, a start before the steps that it depends on are done,
-    and a start that brings an organisation above its quota.
+    a start that brings an organisation above its quota, and a start or a run that nobody has asked
+    for or whose job was cancelled.
     """
 
     def __init__(
@@ -105,12 +108,12 @@
         self._event_numbers = itertools.count()
         self.specs_by_id: dict[str, JobSpec] = {}
         self.records_by_id: dict[str, bytes] = {}
-        self.cancelled_ids: set[str] = set()
-        """Jobs whose cancellation is stored apart from their records, as nodes do."""
+        self.cancellations = EmulatedCancellations(self)
         self.stored_speeds = b""
         """Stored run time statistics of the last owner that wrote to the store."""
         self.completed_s_by_id: dict[str, float] = {}
         self.checks = PromiseChecks(self.workers, self.specs_by_id)
+        self.unasked = UnaskedChecks(self.checks.violations)
         self.report_errors: list[Exception] = []
         self.starts = 0
         self.start_listeners: list[Callable[[EmulatedWorker, TaskId], None]] = []
@@ -122,6 +125,14 @@
         self.lost_command_fraction = 0.0
         """Fraction of commands that get no answer; half of such starts are carried out late."""
         self.is_store_unavailable = False
+        self.is_store_refusing_owner = False
+        """Whether the store refuses the present owner and serves all other nodes."""
+        self.watch_delays_s = (0.01, 1.5)
+        """Shortest and longest time until the owner learns of a stored cancellation."""
+        self.longest_submission_delay_s = 0.0
+        """Longest time until the owner learns of a stored job."""
+        self._unseen: list[Callable[[JobOwner], object]] = []
+        """Stored changes that the owner has not seen yet, in the order of their writes."""
         self.lost_write_fraction = 0.0
         """Fraction of writes that get no answer; half of them are carried out late."""
         self.is_store_conditional = True
@@ -141,15 +152,18 @@
             owner.state.speeds.restore(self.stored_speeds)
         for job_id, spec in self.specs_by_id.items():
             owner.restore_job(spec, self.records_by_id.get(job_id), self.now_s, self.now_s)
-        for job_id in self.cancelled_ids:
-            owner.cancel(job_id, self.now_s)
+        for job_id in self.cancellations.stored_ids:
+            owner.cancel(job_id, self.now_s, "cancellation_stored")
         owner.list_workers(self._entries(), self.now_s)
         return owner
 
     def replace_owner(self) -> None:
         """Replace the owner by one with a new epoch; commands of the old one may still arrive."""
         self._is_writing = False
+        self.is_store_refusing_owner = False
+        self._unseen.clear()
         self.owner = self._make_owner()
+        self.unasked.note_disruption(Disruption.OWNER_REPLACED, self.now_s)
 
     def crash(self, worker_id: str) -> None:
         """Restart a worker's process; the poll that was open fails immediately."""
@@ -181,14 +195,36 @@
         self._poll(entry.worker_id)
 
     def submit(self, spec: JobSpec) -> None:
-        """Store a job and submit it to the owner."""
+        """Store a job; the owner learns of it, at once or after a delay, as by a watch."""
         self.specs_by_id[spec.job_id] = spec
-        self.owner.submit(spec, self.now_s, self.now_s)
+        self.unasked.note_submission(spec)
+        delay_s = self.longest_submission_delay_s and self.rng.uniform(
+            0.0, self.longest_submission_delay_s
+        )
+        self.notify_owner(lambda owner: owner.submit(spec, self.now_s, self.now_s), delay_s)
 
     def cancel(self, job_id: str) -> None:
-        """Cancel a job at the owner; each later owner cancels it again when it begins."""
-        self.cancelled_ids.add(job_id)
-        self.owner.cancel(job_id, self.now_s)
+        """Send the cancellation of a job; what is not stored is forgotten with the owner."""
+        self.cancellations.send(job_id)
+
+    def notify_owner(self, change: Callable[[JobOwner], object], delay_s: float) -> None:
+        """Apply a stored change to the owner after a delay, and before it all earlier ones."""
+        self._unseen.append(change)
+        if delay_s:
+            self.after(delay_s, self._deliver_changes)
+        else:
+            self._deliver_changes()
+
+    def _deliver_changes(self) -> None:
+        if self._is_owner_refused():
+            self.after(TICK_S, self._deliver_changes)
+            return
+        changes, self._unseen = self._unseen, []
+        for change in changes:
+            change(self.owner)
+
+    def _is_owner_refused(self) -> bool:
+        return self.is_store_unavailable or self.is_store_refusing_owner
 
     def set_organisations(self, *policies: OrganisationPolicy) -> None:
         """Put a new version of the configuration in force, with these organisations."""
@@ -226,6 +262,23 @@
                 heapq.heappop(self._events)[2]()
             self._advance_all_runs()
             self._tick_owner()
+            self._note_disruptions()
+
+    def _note_disruptions(self) -> None:
+        is_present = {
+            Disruption.STORE: self.is_store_unavailable,
+            Disruption.OWNER_REFUSED: self.is_store_refusing_owner,
+            Disruption.COMMANDS: self.lost_command_fraction > 0,
+        }
+        for kind in (kind for kind, is_disrupted in is_present.items() if is_disrupted):
+            self.unasked.note_disruption(kind, self.now_s)
+        if not self.unasked.cancelled_s_by_id:
+            return
+        for worker in self.workers.values():
+            if not worker.is_reachable:
+                self.unasked.note_disruption(worker.entry.worker_id, self.now_s)
+            for run in worker.runs.values():
+                self.unasked.check_run(worker, run, self.now_s)
 
     def _entries(self) -> list[WorkerEntry]:
         return [
@@ -260,6 +313,9 @@
             return
         if run.stopping_at_s is not None:
             if self.now_s >= run.stopping_at_s:
+                if run.spec.saves:
+                    run.save()
+                    self.unasked.note_checkpoint(run)
                 worker.end(run, CompletionKind.STOPPED)
             return
         if Fault.FAIL_ALL in worker.faults:
@@ -269,7 +325,8 @@
         if Fault.HANG in worker.faults:
             return
         slowness = worker.slowness * (6.0 if Fault.SLOW in worker.faults else 1.0)
-        run.done_s += TICK_S / slowness / self._slowdown(worker, run) * run.pace
+        if run.advance(TICK_S / slowness / self._slowdown(worker, run) * run.pace):
+            self.unasked.note_checkpoint(run)
         if not run.spec.is_lasting and run.done_s >= run.work_s:
             worker.end(run, CompletionKind.DONE)
 
@@ -288,7 +345,7 @@
         self._write_records()
 
     def _write_records(self) -> None:
-        if self._is_writing or self.is_store_unavailable:
+        if self._is_writing or self._is_owner_refused():
             return
         records = self.owner.pop_records(28)
         if not records:
@@ -300,6 +357,9 @@
         self, owner: JobOwner, records: list[RecordToStore], previous: tuple[int, int]
     ) -> None:
         """Send a write that requires `previous` to be the last one; repeat it until answered."""
+        if self._is_owner_refused():
+            self.after(WRITE_RETRY_S, lambda: self._repeat_write(owner, records, previous))
+            return
 
         def carry_out() -> bool:
             written = (owner.state.epoch, previous[1] + 1)
@@ -338,27 +398,26 @@
             if self.owner.job_state(record.job_id) is JobState.COMPLETED:
                 self.completed_s_by_id.setdefault(record.job_id, self.now_s)
 
-    def _is_lost(self) -> bool:
+    def is_command_lost(self) -> bool:
+        """Draw whether a command gets no answer."""
         return self.lost_command_fraction > 0 and self.rng.random() < self.lost_command_fraction
 
     def _send_start(self, owner: JobOwner, run: Run) -> None:
         if not owner.mark_start_sent(run, self.now_s):
             return
         worker = self.workers[run.worker.id]
-        assert run.spec is not None
-        lease_ms = owner.start_lease_ms(run.worker, self.now_s)
-        token, spec = owner.state.epoch, run.spec
+        order = self._make_start_order(owner, run)
         config = self.config
         born_ms = worker.entry.born_ms
 
-        def carry_out() -> StartOutcome:
+        def carry_out(*, is_late: bool = False) -> StartOutcome:
             if worker.entry.born_ms != born_ms or worker.is_down:
                 # The command was sent to a process that no longer exists.
                 return StartOutcome.UNKNOWN
             if Fault.REFUSE in worker.faults:
                 return StartOutcome.UNHEALTHY
             starts = self.starts
-            outcome = self._start(worker, run.task_id, run.attempt, spec, lease_ms, token)
+            outcome = self._start(worker, order, is_late=is_late)
             if self.starts > starts:
                 self.checks.check_quota(run.task_id, config, self.now_s)
             return outcome
@@ -367,9 +426,9 @@
             self.after(
                 0.8, lambda: owner.handle_start_outcome(run, StartOutcome.UNKNOWN, self.now_s)
             )
-        elif self._is_lost():
+        elif self.is_command_lost():
             if self.rng.random() < 0.5:
-                self.after(2 + 10 * self.rng.random(), lambda: _discard(carry_out()))
+                self.after(2 + 10 * self.rng.random(), lambda: _discard(carry_out(is_late=True)))
             self.after(
                 0.8, lambda: owner.handle_start_outcome(run, StartOutcome.UNKNOWN, self.now_s)
             )
@@ -378,28 +437,40 @@
                 COMMAND_LATENCY_S, lambda: owner.handle_start_outcome(run, carry_out(), self.now_s)
             )
 
-    def _start(
-        self,
-        worker: EmulatedWorker,
-        task: TaskId,
-        attempt: int,
-        spec: StepSpec,
-        lease_ms: int,
-        token: int,
-    ) -> StartOutcome:
-        if token < worker.token:
+    def _make_start_order(self, owner: JobOwner, run: Run) -> StartOrder:
+        job = owner.state.jobs_by_id[run.task_id.job_id]
+        task = job.steps_by_key[run.task_id.step_key].tasks[run.task_id.position]
+        assert run.spec is not None
+        lease_ms = owner.start_lease_ms(run.worker, self.now_s)
+        return StartOrder(
+            task.id,
+            run.attempt,
+            job.spec.payload,
+            run.spec,
+            task.saved,
+            lease_ms,
+            owner.state.epoch,
+        )
+
+    def _start(self, worker: EmulatedWorker, order: StartOrder, *, is_late: bool) -> StartOutcome:
+        task, key = order.task, (order.task, order.attempt)
+        if order.token < worker.token:
             return StartOutcome.FENCED
-        worker.token = token
-        if lease_ms / 1000 < self.now_s:
+        worker.token = order.token
+        if order.lease_ms / 1000 < self.now_s:
             return StartOutcome.TOO_LATE
-        worker.lease_until_s = max(worker.lease_until_s, lease_ms / 1000)
-        if (task, attempt) in worker.runs:
+        worker.lease_until_s = max(worker.lease_until_s, order.lease_ms / 1000)
+        if key in worker.runs:
             return StartOutcome.STARTED
-        if attempt <= worker.blocked.get(task, 0):
+        if order.attempt <= worker.blocked.get(task, 0):
             return StartOutcome.OLD_ATTEMPT
-        worker.runs[(task, attempt)] = EmulatedRun(task, attempt, spec, self._work_s(task, spec))
+        run = EmulatedRun(*key, order.spec, self._work_s(task, order.spec), started_s=self.now_s)
+        run.is_late = is_late
+        run.resume(order.saved)
+        worker.runs[key] = run
         self.starts += 1
-        self.checks.check_start(worker, task, spec, self.now_s)
+        self.unasked.check_start(order, self.now_s, is_late=is_late)
+        self.checks.check_start(worker, task, order.spec, self.now_s)
         for listener in self.start_listeners:
             listener(worker, task)
         return StartOutcome.STARTED
@@ -407,7 +478,7 @@
     def _send_stop(self, owner: JobOwner, run: Run) -> None:
         worker = self.workers[run.worker.id]
         token = owner.state.epoch
-        if not worker.is_reachable or self._is_lost():
+        if not worker.is_reachable or self.is_command_lost():
             self.after(
                 0.8, lambda: owner.handle_stop_outcome(run, is_taken=False, now_s=self.now_s)
             )
@@ -453,7 +524,7 @@
         if request.lease_until_ms is not None:
             worker.lease_until_s = max(worker.lease_until_s, request.lease_until_ms / 1000)
         running = tuple(
-            RunReport(run.task, run.attempt, "", round(100 * run.done_s / run.work_s), 0.0)
+            RunReport(run.task, run.attempt, run.saved, round(100 * run.done_s / run.work_s), 0.0)
             for run in worker.runs.values()
         )
         report = PollReport(
--- a/redwingplank/batch/tests/test_promises.py
+++ b/redwingplank/batch/tests/test_promises.py
@@ -125,7 +125,7 @@
         for job_id, state in states.items():
             is_given_up = state is JobState.FAILED and self.has_crashed(job_id)
             is_done = state is JobState.COMPLETED and not job_id.startswith("crashing")
-            is_cancelled = state is JobState.CANCELLED and job_id in cell.cancelled_ids
+            is_cancelled = state is JobState.CANCELLED and job_id in cell.cancellations.sent_ids
             assert is_done or is_given_up or is_cancelled, states
 
     def has_crashed(self, job_id: str) -> bool:
