Model checks: cancellations at any moment of a job (UNASKED)

The random histories cancelled running jobs only, with a store that was never away, so that none of them cancelled a job that had ended in the owner's memory alone.

Change: CancellationsMachine and TestRandomFaults::test_nothing_runs_on_after_its_cancellation cancel just after the submission, while tasks run, while the last step runs and when the job has ended in memory, with jobs that end done and failed, a store that is away or refuses the owner, workers that crash and lose their ends, and owners that are replaced. The check counts a refusal by the store for the refused owner only: the next one is on another node.

Changes to existing tests: two tests submitted a job while the store was away and expected the owner to plan its starts. Since the emulated owner learns of jobs from the store, they proved nothing; they now lose the answers of writes instead. Both fail when the guard that they test is taken out. _inject_random_fault draws from the workers that exist, as the new test has three.

Found and not mended: five losses of owner and workers, each after a run had ended as done but before that was stored, end a job as failed (`crashes_workers`): to each next owner the crash came with the task running. The new machine allows it for tasks that lost more than one such end (lost_end_counts).

--- a/redwingplank/batch/emulated_checks.py
+++ b/redwingplank/batch/emulated_checks.py
@@ -157,6 +157,8 @@
         """Time at which the cancellation of a job was first acknowledged."""
         self._disrupted_s: dict[Disruption | str, float] = {}
         """Time of the last disruption of each kind, and of the last one of a worker, by its id."""
+        self._refused_s_by_epoch: dict[int, float] = {}
+        """Time at which the store last refused an owner, by its epoch."""
 
     def note_submission(self, spec: JobSpec) -> None:
         """Note a job that a caller has submitted; it stays known when it is removed."""
@@ -174,6 +176,11 @@
         """Note that something, or the worker with an id, is disrupted at present."""
         self._disrupted_s[what] = now_s
 
+    def note_refused_owner(self, epoch: int, now_s: float) -> None:
+        """Note that the store refuses an owner at present; the next owner is on another node."""
+        self._refused_s_by_epoch[epoch] = now_s
+        self.note_disruption(Disruption.OWNER_REFUSED, now_s)
+
     def check_start(self, order: StartOrder, now_s: float, *, is_late: bool) -> None:
         """Check a start that a worker has just carried out."""
         task = order.task
@@ -187,7 +194,8 @@
         if order.saved and (owner, order.saved) not in self._checkpoints:
             self.violations.append(f"{task} started from {order.saved}, which is not its own")
         cancelled_s = self.cancelled_s_by_id.get(task.job_id, math.inf)
-        touch_s = self._calm_since_s(Disruption.STORE, Disruption.OWNER_REFUSED) + CONTACT_S
+        refused_s = self._refused_s_by_epoch.get(order.token, -math.inf)
+        touch_s = max(self._calm_since_s(Disruption.STORE), refused_s) + CONTACT_S
         if not is_late and now_s > cancelled_s + CANCEL_S and now_s >= touch_s:
             age_s = now_s - cancelled_s
             self.violations.append(f"{task} started {age_s:.2f} s after its cancellation")
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -120,6 +120,11 @@
         """Called with each start that a worker carries out."""
         self.crash_counts: Counter[TaskId] = Counter()
         """Number of workers that crashed while they ran a task, as far as any owner can know."""
+        self.lost_end_counts: Counter[TaskId] = Counter()
+        """Number of ends of a task that a worker lost in a crash before they were acknowledged.
+
+        To an owner that was told of none of them, such a task crashed with its worker.
+        """
         self.failure_counts: Counter[TaskId] = Counter()
         """Number of runs of a task that have ended as failed."""
         self.lost_command_fraction = 0.0
@@ -169,6 +174,7 @@
         """Restart a worker's process; the poll that was open fails immediately."""
         worker = self.workers[worker_id]
         self.crash_counts.update(worker.unsettled_tasks())
+        self.lost_end_counts.update(end.task for end in worker.ends)
         worker.crash(worker.entry.born_ms + 1)
         known = self.owner.state.workers_by_id.get(worker_id)
         if known is not None:
@@ -267,11 +273,12 @@
     def _note_disruptions(self) -> None:
         is_present = {
             Disruption.STORE: self.is_store_unavailable,
-            Disruption.OWNER_REFUSED: self.is_store_refusing_owner,
             Disruption.COMMANDS: self.lost_command_fraction > 0,
         }
         for kind in (kind for kind, is_disrupted in is_present.items() if is_disrupted):
             self.unasked.note_disruption(kind, self.now_s)
+        if self.is_store_refusing_owner:
+            self.unasked.note_refused_owner(self.owner.state.epoch, self.now_s)
         if not self.unasked.cancelled_s_by_id:
             return
         for worker in self.workers.values():
--- a/redwingplank/batch/tests/test_crashes.py
+++ b/redwingplank/batch/tests/test_crashes.py
@@ -206,12 +206,12 @@
 
     def test_a_planned_start_that_waited_for_the_store_is_not_sent(self):
         cell = make_cell(1)
-        cell.is_store_unavailable = True
+        cell.lost_write_fraction = 1.0
         cell.submit(make_job("a", step(4, cpu=2000), at_s=cell.now_s))
         cell.run_for(0.2)
         self.shrink_worker(cell, 3000)
         cell.run_for(1.0)
-        cell.is_store_unavailable = False
+        cell.lost_write_fraction = 0.0
         cell.run_for(8.0)
         assert cell.violations == []
         assert cell.state("a") is JobState.COMPLETED
--- a/redwingplank/batch/tests/test_organisations.py
+++ b/redwingplank/batch/tests/test_organisations.py
@@ -105,11 +105,11 @@
         cell = make_quota_cell(8000)
         submit(cell, "a", step(2, estimate_s=3.0))
         cell.run_for(1.0)
-        cell.is_store_unavailable = True
+        cell.lost_write_fraction = 1.0
         submit(cell, "b", step(2))
         cell.run_for(0.1)
         cell.set_organisations(OrganisationPolicy("acme", 5.0, Amounts(4000)))
-        cell.is_store_unavailable = False
+        cell.lost_write_fraction = 0.0
         cell.run_for(1.0)
         assert (cell.starts, cell.violations) == (2, [])
 
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -379,6 +379,30 @@
         unfinished = [job_id for job_id in cell.specs_by_id if not cell.state(job_id).is_final]
         assert unfinished == []
 
+    # Guards against an emulated cell that is kinder than the real one: the fault of 6b6b901.
+    @pytest.mark.parametrize("seed", range(60))
+    def test_nothing_runs_on_after_its_cancellation(self, seed):
+        cell = make_cell(3, seed=seed)
+        rng = cell.rng
+        cell.longest_submission_delay_s = rng.choice([0.0, 1.5])
+        for number in range(25):
+            name = f"j{number}"
+            length_s = rng.choice([0.2, 0.8, 2.0])
+            steps = [step(rng.randint(1, 6), estimate_s=length_s, saves=rng.random() < 0.3)]
+            steps.append(step(rng.randint(1, 4), after=(0,), estimate_s=length_s))
+            cell.submit(make_job(name, *steps, queue="extract", at_s=cell.now_s))
+            _cancel_at_random_moment(cell, name)
+            _inject_random_fault(cell)
+            _inject_fault_of_store_and_memory(cell)
+            cell.run_for(rng.choice([0.1, 0.6, 2.0]))
+        cell.lost_command_fraction = 0.0
+        for worker in cell.workers.values():
+            worker.faults.clear()
+        cell.run_for(60.0)
+        assert cell.violations == []
+        unfinished = [job_id for job_id in cell.specs_by_id if not cell.state(job_id).is_final]
+        assert unfinished == []
+
     @settings(max_examples=25, deadline=None, suppress_health_check=list(HealthCheck))
     @given(st.integers(0, 10_000))
     def test_takeovers_at_any_moment_keep_the_promises(self, seed):
@@ -397,7 +421,7 @@
 
 def _inject_random_fault(cell):
     rng = cell.rng
-    worker = cell.workers[f"w{rng.randrange(5)}"]
+    worker = rng.choice(list(cell.workers.values()))
     chance = rng.random()
     if chance < 0.15:
         worker.faults.add(Fault.CUT)
@@ -416,6 +440,47 @@
         cell.after(3.0, lambda: setattr(cell, "is_store_unavailable", False))
 
 
+def _cancel_at_random_moment(cell, job_id):
+    """Cancel a job just after its submission, later, or as soon as it has ended in memory."""
+    chance = cell.rng.random()
+    if chance < 0.4:
+        cell.after(cell.rng.choice([0.0, 0.05, 0.5, 2.0]), lambda: cell.cancel(job_id))
+    elif chance < 0.9:
+        _cancel_once_ended(cell, job_id)
+
+
+def _cancel_once_ended(cell, job_id):
+    job = cell.owner.state.jobs_by_id.get(job_id)
+    if job is not None and job.state.is_final:
+        cell.cancel(job_id)
+    elif cell.now_s < 200.0:
+        cell.after(0.02, lambda: _cancel_once_ended(cell, job_id))
+
+
+def _inject_fault_of_store_and_memory(cell):
+    """Let the store refuse the owner, runs fail, or all workers and the owner be lost."""
+    chance = cell.rng.random()
+    if chance < 0.2:
+        cell.is_store_refusing_owner = True
+        cell.after(cell.rng.choice([1.0, 5.0]), lambda: _end_refusal(cell))
+        if cell.rng.random() < 0.7:
+            cell.after(cell.rng.uniform(0.5, 4.9), lambda: _lose_workers_and_owner(cell))
+    elif chance < 0.3:
+        worker = cell.rng.choice(list(cell.workers.values()))
+        worker.faults.add(Fault.FAIL_ALL)
+        cell.after(1.0, lambda: worker.faults.discard(Fault.FAIL_ALL))
+
+
+def _end_refusal(cell):
+    cell.is_store_refusing_owner = False
+
+
+def _lose_workers_and_owner(cell):
+    for worker_id in cell.workers:
+        cell.crash(worker_id)
+    cell.replace_owner()
+
+
 class TestUnexpectedErrors:
     """An error while a report is applied must not start work again that has run."""
 
--- a/redwingplank/batch/tests/test_promises.py
+++ b/redwingplank/batch/tests/test_promises.py
@@ -1,5 +1,8 @@
 """Model check of the promises: the real decisions against emulated workers and a faulty store."""
 
+from collections.abc import Callable
+from typing import Any
+
 import msgspec
 import pytest
 from hypothesis import HealthCheck, Phase, settings
@@ -14,11 +17,13 @@
 
 from redwingplank.batch.emulated_crashes import CrashingTasks
 from redwingplank.batch.emulated_worker import EmulatedWorker, Fault
+from redwingplank.batch.emulator import EmulatedCell
 from redwingplank.batch.entities import Job, Run
 from redwingplank.batch.model import Amounts, JobState, OrganisationPolicy, TaskId
 from redwingplank.batch.organisations import Organisations
+from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.state import OwnerState
-from redwingplank.batch.tests.cells import make_cell, make_job, step
+from redwingplank.batch.tests.cells import EXTRACT, make_cell, make_job, step
 
 WORKERS = 3
 SETTLE_S = 40.0
@@ -38,6 +43,43 @@
 """A charge that is left out shows in few histories; the first one ends the run."""
 
 
+AWAY = st.sampled_from([False, False, True])
+DELAYS = st.sampled_from([0.0, 0.1, 0.6, 3.0])
+
+Moment = Callable[[EmulatedCell, str], bool]
+
+
+def _is_submitted(_cell: EmulatedCell, _job_id: str) -> bool:
+    return True
+
+
+def _runs(cell: EmulatedCell, job_id: str) -> bool:
+    return any(
+        run.task.job_id == job_id
+        for worker in cell.workers.values()
+        for run in worker.runs.values()
+    )
+
+
+def _runs_last_step(cell: EmulatedCell, job_id: str) -> bool:
+    last = len(cell.specs_by_id[job_id].steps) - 1
+    return any(
+        (run.task.job_id, run.task.step) == (job_id, last)
+        for worker in cell.workers.values()
+        for run in worker.runs.values()
+    )
+
+
+def _has_ended(cell: EmulatedCell, job_id: str) -> bool:
+    """Return whether a job has ended in the owner's memory."""
+    job = cell.owner.state.jobs_by_id.get(job_id)
+    return job is not None and job.state.is_final
+
+
+MOMENTS: tuple[Moment, ...] = (_is_submitted, _runs, _runs_last_step, _has_ended)
+"""Moments of a job at which it is cancelled."""
+
+
 class PromisesMachine(RuleBasedStateMachine):
     """Jobs, owners and faults in any order.
 
@@ -223,6 +265,115 @@
             assert (usage.charge_count, usage.used) == (0, [0, 0, 0]), "a charge was not released"
 
 
+class CancellationsMachine(PromisesMachine):
+    """The same with cancellations at any moment of a job, and a store that refuses the owner.
+
+    Jobs end as done and as failed. The cell records what starts or runs although its cancellation
+    was acknowledged.
+    """
+
+    settle_s = 2 * SETTLE_S
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cell.lost_write_fraction = 0.0
+        self.cell.longest_submission_delay_s = 1.5
+
+    @precondition(lambda self: len(self.cell.specs_by_id) < MAX_JOBS)
+    @rule(
+        tasks=st.integers(1, 4),
+        followers=st.integers(0, 2),
+        estimate_s=st.sampled_from([0.3, 2.0]),
+        saves=st.booleans(),
+    )
+    def submit_long(self, tasks: int, followers: int, estimate_s: float, *, saves: bool) -> None:
+        steps = [step(tasks, estimate_s=estimate_s, saves=saves)]
+        steps += [step(1, after=(number,), estimate_s=estimate_s) for number in range(followers)]
+        name = f"j{len(self.cell.specs_by_id)}"
+        self.cell.submit(make_job(name, *steps, queue="extract", at_s=self.cell.now_s))
+
+    @rule(number=st.integers(0, 2), moment=st.sampled_from(MOMENTS), wait_s=DELAYS)
+    def cancel(self, number: int, moment: Moment, wait_s: float) -> None:
+        """Cancel one of the last jobs at a moment of its life, or after 3 s at the latest."""
+        for job_id in list(self.cell.specs_by_id)[::-1][number : number + 1]:
+            self._await(moment, job_id)
+            self.cell.cancel(job_id)
+            self.cell.run_for(wait_s)
+
+    @rule(
+        begin=st.sampled_from(MOMENTS), moment=st.sampled_from(MOMENTS), wait_s=DELAYS, is_away=AWAY
+    )
+    def cancel_and_lose_all(
+        self, begin: Moment, moment: Moment, wait_s: float, *, is_away: bool
+    ) -> None:
+        """Cancel the last job while the store is away or refuses the owner, and lose all."""
+        cell = self.cell
+        for job_id in list(cell.specs_by_id)[-1:]:
+            self._await(begin, job_id)
+            cell.is_store_refusing_owner, cell.is_store_unavailable = not is_away, is_away
+            self.cancel(0, moment, wait_s)
+            cell.is_store_unavailable = False
+            self.lose_workers_and_owner(0.0)
+
+    def _await(self, moment: Moment, job_id: str) -> None:
+        until_s = self.cell.now_s + 3.0
+        while self.cell.now_s < until_s and not moment(self.cell, job_id):
+            self.cell.run_for(0.02)
+
+    @rule(is_refusing=st.booleans(), wait_s=DELAYS)
+    def refuse_owner(self, wait_s: float, *, is_refusing: bool) -> None:
+        self.cell.is_store_refusing_owner = is_refusing
+        self.cell.run_for(wait_s)
+
+    @rule(is_unavailable=st.booleans(), wait_s=DELAYS)
+    def stop_store(self, wait_s: float, *, is_unavailable: bool) -> None:
+        self.cell.is_store_unavailable = is_unavailable
+        self.cell.run_for(wait_s)
+
+    @rule(number=st.integers(0, WORKERS - 1), is_failing=st.booleans())
+    def fail_runs(self, number: int, *, is_failing: bool) -> None:
+        for worker in self._pick_worker(number):
+            (worker.faults.add if is_failing else worker.faults.discard)(Fault.FAIL_ALL)
+
+    @rule(wait_s=DELAYS)
+    def lose_workers_and_owner(self, wait_s: float) -> None:
+        """Crash all workers, which lose the ends that nobody acknowledged, and then the owner."""
+        for worker in self._pick_worker(0) + self._pick_worker(1) + self._pick_worker(2):
+            self.cell.crash(worker.entry.worker_id)
+        self.cell.run_for(wait_s)
+        self.cell.replace_owner()
+
+    def teardown(self) -> None:
+        """End with the loss of all that is not stored, some time after the last cancellation."""
+        self.cell.run_for(3.0)
+        self.lose_workers_and_owner(0.0)
+        self.cell.is_store_unavailable = False
+        super().teardown()
+
+    def check_states(self) -> None:
+        for job_id in self.cell.specs_by_id:
+            state = self.cell.state(job_id)
+            is_cancelled = job_id in self.cell.cancellations.sent_ids
+            if state is JobState.FAILED:
+                assert self.has_cause_to_fail(job_id), (job_id, state)
+            elif state is not JobState.COMPLETED:
+                assert state is JobState.CANCELLED and is_cancelled, (job_id, state)
+
+    def has_cause_to_fail(self, job_id: str) -> bool:
+        """Return whether tasks of a job crashed, failed, or lost ends that only one owner knew."""
+        counts = self.cell.lost_end_counts
+        has_lost_ends = any(lost > 1 for task, lost in counts.items() if task.job_id == job_id)
+        return has_lost_ends or self.has_crashed(job_id) or self.has_failed(job_id)
+
+    def has_failed(self, job_id: str) -> bool:
+        """Return whether a task of a job has failed as often as its queue allows."""
+        return any(
+            count >= EXTRACT.max_attempts
+            for task, count in self.cell.failure_counts.items()
+            if task.job_id == job_id
+        )
+
+
 class UnconditionalStoreMachine(PromisesMachine):
     """The same with a store that carries out late writes of earlier owners."""
 
@@ -249,6 +400,17 @@
     monkeypatch.setattr(Job, "keeps_hosts", property(lambda job: not job.state.is_final))
 
 
+def _take_ended_in_memory_for_stored(monkeypatch: pytest.MonkeyPatch) -> None:
+    cancel = JobOwner.cancel
+
+    def cancel_unless_ended(owner: JobOwner, job_id: str, *args: Any) -> int | None:
+        job = owner.state.jobs_by_id.get(job_id)
+        is_ended = job is not None and job.state in (JobState.COMPLETED, JobState.FAILED)
+        return None if is_ended else cancel(owner, job_id, *args)
+
+    monkeypatch.setattr(JobOwner, "cancel", cancel_unless_ended)
+
+
 LEFT_OUT_BY_NAME = {
     "unconfirmed_hosts": _leave_out_unconfirmed_hosts,
     "runs_being_stopped": _leave_out_runs_being_stopped,
@@ -266,6 +428,15 @@
     def test_hold_with_quotas_of_organisations(self):
         run_state_machine_as_test(QuotasMachine, settings=MODEL_SETTINGS)
 
+    def test_hold_with_cancellations_at_any_moment(self):
+        run_state_machine_as_test(CancellationsMachine, settings=MODEL_SETTINGS)
+
+    # Guards against an emulated cell that is kinder than the real one: the fault of 6b6b901.
+    def test_break_if_an_end_in_memory_is_acknowledged(self, monkeypatch: pytest.MonkeyPatch):
+        _take_ended_in_memory_for_stored(monkeypatch)
+        with pytest.raises(AssertionError, match="after its cancellation"):
+            run_state_machine_as_test(CancellationsMachine, settings=MUTANT_SETTINGS)
+
     # Each of these charges, left out, must show: the check would not see a quota exceeded.
     @pytest.mark.parametrize("left_out", LEFT_OUT_BY_NAME)
     def test_break_without_a_charge(self, left_out: str, monkeypatch: pytest.MonkeyPatch):
