Stand-ins: pages of the store, cut lists and lapsed leases of workers

The store listed any number of keys in one answer, a worker listed any number of completions, and a run whose lease had expired before its end ended as done.

Change: a range has pages of 500 items, in the tests of nodes of 3, so that they read several; a report has at most 500 completions; a run lapses if its lease expired before its end.

Measured: 181 tests pass: redwingplank/standin/tests and six files of redwingplank/cell/tests (test_job_removal, test_node, test_confirmed_answers, test_follower, test_odd_entries, test_worker_faults). Not run: the other tests of cell.

--- a/redwingplank/cell/tests/site_fixture.py
+++ b/redwingplank/cell/tests/site_fixture.py
@@ -19,6 +19,8 @@
 from redwingplank.standin.site_workers import SiteWorkerModel, make_site_worker_app
 
 HOST = "queue.example"
+PAGE_ITEMS = 3
+"""Items in one page of the store; so few that tests read more than one."""
 
 
 class Site:
@@ -26,6 +28,7 @@
 
     def __init__(self, store_lease_s: float = 1.0, revocation_limit_s: float | None = None) -> None:
         self.store = SiteStoreModel()
+        self.store.page_items = PAGE_ITEMS
         self.store_lease_s = store_lease_s
         self.revocation_limit_s = revocation_limit_s
         self.workers: list[SiteWorkerModel] = []
--- a/redwingplank/standin/site_store.py
+++ b/redwingplank/standin/site_store.py
@@ -14,6 +14,8 @@
 __all__ = ["SiteStoreModel", "make_site_store_app"]
 
 MAX_ENTRIES = 32
+PAGE_ITEMS = 500
+"""Largest number of items in one answer, about as many as the real store lists."""
 FOREIGN_PREFIXES = ("op/", "servers/")
 """Prefixes of keys that nodes may not write."""
 
@@ -33,6 +35,8 @@
     ----------
     is_down : bool
         Whether calls are refused with status 503.
+    page_items : int
+        Largest number of items in one page of a range.
     is_silent : bool
         Whether calls get no answer and have no effect.
     writes_seen : int
@@ -53,6 +57,7 @@
         self.events: list[tuple[int, dict[str, Any]]] = []
         self.forgotten = 0
         self.leases: dict[int, tuple[float, float]] = {}
+        self.page_items = PAGE_ITEMS
         self.is_down = False
         self.is_silent = False
         self.refusal_status = 503
@@ -153,6 +158,13 @@
             "lease_id": item.lease,
         }
 
+    def show_page(self, prefix: str, after: str) -> dict[str, Any]:
+        """Return the page of the keys with a prefix that begins behind a key, empty for none."""
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        items = [self.show(key) for key in keys[: self.page_items]]
+        has_more = len(keys) > self.page_items
+        return {"items": items, "has_more": has_more, "at_rev": self.revision}
+
     def events_after(self, prefix: str, after: int) -> list[dict[str, Any]]:
         """Return the events of keys with a prefix after a revision."""
         first = bisect.bisect_right(self.events, after, key=operator.itemgetter(0))
@@ -194,10 +206,9 @@
             resp.status = 200 if key in model.items else 404
             resp.media = {**model.show(key), "at_rev": model.revision} if key in model.items else {}
         elif name == "kv-range":
-            prefix = req.get_param("prefix") or ""
-            keys = sorted(key for key in model.items if key.startswith(prefix))
-            items = [model.show(key) for key in keys]
-            resp.media = {"items": items, "has_more": False, "at_rev": model.revision}
+            resp.media = model.show_page(
+                req.get_param("prefix") or "", req.get_param("after") or ""
+            )
         elif name == "kv-watch":
             await self._watch(req, resp)
         else:
--- a/redwingplank/standin/site_workers.py
+++ b/redwingplank/standin/site_workers.py
@@ -9,6 +9,9 @@
 
 __all__ = ["SiteWorkerModel", "make_site_worker_app"]
 
+LIST_LIMIT = 500
+"""Largest number of completions in one report."""
+
 
 class SiteWorkerModel:
     """State of a worker; methods that depend on the time get it as an argument.
@@ -32,6 +35,7 @@
         self.blocked: dict[str, int] = {}
         self.ends: list[list[Any]] = []
         self.end_count = 0
+        self.list_limit = LIST_LIMIT
         self.starts: list[tuple[str, int]] = []
         self.payloads: list[str] = []
         self.lose_answers = 0
@@ -78,10 +82,10 @@
     def advance(self, now_s: float) -> None:
         """End the runs whose time is over or whose lease has expired."""
         for task, (_, ends_s) in list(self.runs.items()):
-            if now_s >= ends_s:
-                self._end_run(task, self.how)
-            elif now_s * 1000 > self.lease_until_ms:
+            if min(now_s, ends_s) * 1000 > self.lease_until_ms:
                 self._end_run(task, "lapsed")
+            elif now_s >= ends_s:
+                self._end_run(task, self.how)
 
     def _end_run(self, task: str, how: str) -> None:
         attempt, _ = self.runs.pop(task)
@@ -105,7 +109,7 @@
             "clock_ms": round(now_s * 1000),
             "born": self.born_ms,
             "running": running,
-            "finished": self.ends,
+            "finished": self.ends[: self.list_limit],
         }
 
 
--- a/redwingplank/standin/tests/test_site_store.py
+++ b/redwingplank/standin/tests/test_site_store.py
@@ -34,3 +34,18 @@
         assert model.transact({"puts": [{"key": key, "value": ""}]}) == (403, {})
         assert model.transact({"remove": [key]}) == (403, {})
         assert model.items[key].value == b"1"
+
+
+class TestPages:
+    # Guards against a stand-in that lists any number of keys at once, as the real store does not.
+    def test_a_range_ends_after_the_last_page(self):
+        model = SiteStoreModel()
+        model.page_items = 2
+        for number in range(4):
+            model.put(f"a/{number}", b"")
+        model.put("b/0", b"")
+        first = model.show_page("a/", "")
+        second = model.show_page("a/", "a/1")
+        assert [item["key"] for item in first["items"]] == ["a/0", "a/1"]
+        assert [item["key"] for item in second["items"]] == ["a/2", "a/3"]
+        assert [first["has_more"], second["has_more"]] == [True, False]
