Emulated cell: lost answers, answers that overtake each other, clocks of workers

A start or stop without an answer was never carried out at once, a poll was never lost, an answer arrived as its command was carried out, all workers had the cell's clock, and the list of workers was read while the store refused the owner.

Change: a lost start is carried out at once, late or never, a lost stop or poll at once or never. Answers may take up to 0.25 s more, so that a report may come before the answer to a start. Each worker has a clock with an offset and a rate, which begins anew with its process. The list of workers waits for the store.

--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -107,8 +107,12 @@
     """Whether the process has ended; nothing reaches it and it is not listed."""
     is_listed: bool = True
     """Whether the platform lists the process, which it may not do while it cannot be reached."""
+    clock_offset_s: float = 0.0
+    clock_rate: float = 1.0
+    """Seconds of the worker's clock in a second; not below 1 less `max_clock_drift`."""
     token: int = 0
     lease_until_s: float = 0.0
+    """End of the lease on the worker's clock."""
     runs: dict[tuple[TaskId, int], EmulatedRun] = field(default_factory=dict)
     blocked: dict[TaskId, int] = field(default_factory=dict)
     """Highest attempt of each task that ended or was stopped here.
@@ -127,6 +131,10 @@
     ended_done: set[TaskId] = field(default_factory=set)
     """All tasks that ever completed successfully on this worker; it survives crashes."""
 
+    def clock_s(self, now_s: float) -> float:
+        """Return the time on the worker's clock."""
+        return self.clock_offset_s + self.clock_rate * now_s
+
     @property
     def used(self) -> Amounts:
         """Amounts that all runs reserve, those being stopped included."""
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -52,6 +52,11 @@
 """Time until a write to the store is confirmed."""
 WRITE_RETRY_S = 0.12
 """Time after which a write without an answer is sent again."""
+POLL_TIMEOUT_S = 0.6
+TIMEOUT_S = 0.8
+"""Time after which a start or a stop without an answer counts as not answered."""
+LATE_START_S = (2.0, 12.0)
+"""Shortest and longest time after which a worker may carry out a start that it did not answer."""
 LATE_WRITE_S = (1.0, 6.0)
 """Shortest and longest time after which the store may carry out a write that it did not answer."""
 
@@ -128,7 +133,9 @@
         self.failure_counts: Counter[TaskId] = Counter()
         """Number of runs of a task that have ended as failed."""
         self.lost_command_fraction = 0.0
-        """Fraction of commands that get no answer; half of such starts are carried out late."""
+        """Fraction of commands and polls that get no answer, carried out or not."""
+        self.longest_answer_delay_s = 0.0
+        """Longest time that an answer takes beyond the usual; below the time between two polls."""
         self.is_store_unavailable = False
         self.is_store_refusing_owner = False
         """Whether the store refuses the present owner and serves all other nodes."""
@@ -176,6 +183,7 @@
         self.crash_counts.update(worker.unsettled_tasks())
         self.lost_end_counts.update(end.task for end in worker.ends)
         worker.crash(worker.entry.born_ms + 1)
+        self._restart_clock(worker)
         known = self.owner.state.workers_by_id.get(worker_id)
         if known is not None:
             self.owner.mark_worker_unreachable(known, self.now_s)
@@ -189,12 +197,16 @@
         if known is not None:
             self.owner.mark_worker_unreachable(known, self.now_s)
 
+    def _restart_clock(self, worker: EmulatedWorker) -> None:
+        worker.clock_offset_s = -worker.clock_rate * self.now_s
+
     def bring_back(self, worker: EmulatedWorker, *, keeps_id: bool) -> None:
         """Start a new process at the address of one that has ended."""
         entry = make_restarted_entry(worker.entry, round(self.now_s * 1000))
         if keeps_id:
             worker.entry = entry
             worker.is_down = False
+            self._restart_clock(worker)
             return
         entry = replace(entry, worker_id=f"{entry.address}/{entry.born_ms}")
         self.workers[entry.worker_id] = EmulatedWorker(entry, worker.slowness)
@@ -302,7 +314,8 @@
         self.after(0.5, self._publish_workers)
 
     def _publish_workers(self) -> None:
-        self.owner.list_workers(self._entries(), self.now_s)
+        if not self._is_owner_refused():
+            self.owner.list_workers(self._entries(), self.now_s)
         self.after(0.5, self._publish_workers)
 
     # Progress of the runs.
@@ -311,11 +324,11 @@
         for worker in self.workers.values():
             for run in list(worker.runs.values()):
                 self._advance_run(worker, run)
-            if self.now_s > worker.lease_until_s:
+            if worker.clock_s(self.now_s) > worker.lease_until_s:
                 worker.lapsed_count = worker.end_count
 
     def _advance_run(self, worker: EmulatedWorker, run: EmulatedRun) -> None:
-        if self.now_s > worker.lease_until_s:
+        if worker.clock_s(self.now_s) > worker.lease_until_s:
             worker.end(run, CompletionKind.LAPSED)
             return
         if run.stopping_at_s is not None:
@@ -429,20 +442,35 @@
                 self.checks.check_quota(run.task_id, config, self.now_s)
             return outcome
 
-        if not worker.is_reachable:
-            self.after(
-                0.8, lambda: owner.handle_start_outcome(run, StartOutcome.UNKNOWN, self.now_s)
-            )
-        elif self.is_command_lost():
-            if self.rng.random() < 0.5:
-                self.after(2 + 10 * self.rng.random(), lambda: _discard(carry_out(is_late=True)))
-            self.after(
-                0.8, lambda: owner.handle_start_outcome(run, StartOutcome.UNKNOWN, self.now_s)
-            )
+        def answer() -> None:
+            outcome = carry_out()
+            self._answer(lambda: owner.handle_start_outcome(run, outcome, self.now_s))
+
+        if worker.is_reachable and not self.is_command_lost():
+            self.after(COMMAND_LATENCY_S, answer)
+            return
+        if worker.is_reachable:
+            self._carry_out_unanswered(carry_out)
+        self.after(
+            TIMEOUT_S, lambda: owner.handle_start_outcome(run, StartOutcome.UNKNOWN, self.now_s)
+        )
+
+    def _carry_out_unanswered(self, carry_out: Callable[..., StartOutcome]) -> None:
+        """Carry out a start at once, late or never."""
+        chance = self.rng.random()
+        if chance < 0.4:
+            delay_s = self.rng.uniform(*LATE_START_S)
+            self.after(delay_s, lambda: _discard(carry_out(is_late=True)))
+        elif chance < 0.7:
+            self.after(COMMAND_LATENCY_S, lambda: _discard(carry_out()))
+
+    def _answer(self, action: Callable[[], None]) -> None:
+        """Let an answer arrive, which may be overtaken by another one."""
+        delay_s = self.rng.uniform(0.0, self.longest_answer_delay_s)
+        if delay_s:
+            self.after(delay_s, action)
         else:
-            self.after(
-                COMMAND_LATENCY_S, lambda: owner.handle_start_outcome(run, carry_out(), self.now_s)
-            )
+            action()
 
     def _make_start_order(self, owner: JobOwner, run: Run) -> StartOrder:
         job = owner.state.jobs_by_id[run.task_id.job_id]
@@ -464,7 +492,7 @@
         if order.token < worker.token:
             return StartOutcome.FENCED
         worker.token = order.token
-        if order.lease_ms / 1000 < self.now_s:
+        if order.lease_ms / 1000 < worker.clock_s(self.now_s):
             return StartOutcome.TOO_LATE
         worker.lease_until_s = max(worker.lease_until_s, order.lease_ms / 1000)
         if key in worker.runs:
@@ -485,13 +513,8 @@
     def _send_stop(self, owner: JobOwner, run: Run) -> None:
         worker = self.workers[run.worker.id]
         token = owner.state.epoch
-        if not worker.is_reachable or self.is_command_lost():
-            self.after(
-                0.8, lambda: owner.handle_stop_outcome(run, is_taken=False, now_s=self.now_s)
-            )
-            return
 
-        def carry_out() -> None:
+        def carry_out() -> bool:
             is_taken = token >= worker.token
             if is_taken:
                 worker.token = token
@@ -499,9 +522,22 @@
                 found = worker.runs.get(run.key)
                 if found is not None and found.stopping_at_s is None:
                     found.stopping_at_s = self.now_s + 0.2
-            owner.handle_stop_outcome(run, is_taken=is_taken, now_s=self.now_s)
+            return is_taken
 
-        self.after(COMMAND_LATENCY_S, carry_out)
+        def answer() -> None:
+            is_taken = carry_out()
+            self._answer(
+                lambda: owner.handle_stop_outcome(run, is_taken=is_taken, now_s=self.now_s)
+            )
+
+        if worker.is_reachable and not self.is_command_lost():
+            self.after(COMMAND_LATENCY_S, answer)
+            return
+        if worker.is_reachable and self.rng.random() < 0.5:
+            self.after(COMMAND_LATENCY_S, lambda: _discard(carry_out()))
+        self.after(
+            TIMEOUT_S, lambda: owner.handle_stop_outcome(run, is_taken=False, now_s=self.now_s)
+        )
 
     def _set_pace(self, pace: PaceRun) -> None:
         found = self.workers[pace.run.worker.id].runs.get(pace.run.key)
@@ -521,10 +557,10 @@
             return
         owner, sent_s, token = self.owner, self.now_s, self.owner.state.epoch
         request = owner.next_poll(known, sent_s, may_renew=True)
-        if not worker.is_reachable:
-            self.after(0.6, lambda: owner.mark_worker_unreachable(known, self.now_s))
-            return
-        if token < worker.token:
+        is_lost = self.is_command_lost()
+        if not worker.is_reachable or is_lost:
+            self.after(POLL_TIMEOUT_S, lambda: owner.mark_worker_unreachable(known, self.now_s))
+        if not worker.is_reachable or (is_lost and self.rng.random() < 0.5) or token < worker.token:
             return
         worker.token = token
         self._acknowledge(worker, request.acknowledged_number)
@@ -535,7 +571,7 @@
             for run in worker.runs.values()
         )
         report = PollReport(
-            round(self.now_s * 1000),
+            round(worker.clock_s(self.now_s) * 1000),
             worker.entry.born_ms,
             running,
             tuple(worker.ends[: worker.list_limit]),
@@ -550,7 +586,8 @@
             except Exception as error:  # As in the runtime, the next poll follows.
                 self.report_errors.append(error)
 
-        self.after(COMMAND_LATENCY_S, answer)
+        if not is_lost:
+            self.after(COMMAND_LATENCY_S, lambda: self._answer(answer))
 
     def _acknowledge(self, worker: EmulatedWorker, last_number: int) -> None:
         for completion in worker.ends:
--- a/redwingplank/batch/tests/test_promises.py
+++ b/redwingplank/batch/tests/test_promises.py
@@ -26,6 +26,7 @@
 from redwingplank.batch.tests.cells import EXTRACT, make_cell, make_job, step
 
 WORKERS = 3
+CLOCK_RATES = (1.0, 0.98, 0.99)
 SETTLE_S = 40.0
 """Time after the last fault within which every job has to complete: several leases."""
 MAX_CRASHING_JOBS = 2
@@ -95,6 +96,8 @@
         self.cell = make_cell(WORKERS)
         self.cell.is_store_conditional = self.is_store_conditional
         self.cell.lost_write_fraction = 0.5
+        for worker, rate in zip(self.cell.workers.values(), CLOCK_RATES, strict=True):
+            worker.clock_offset_s, worker.clock_rate = 1000 * (rate - 1) - 50, rate
 
     @rule(tasks=st.integers(1, 6), followers=st.integers(0, 3))
     def submit(self, tasks: int, followers: int) -> None:
@@ -320,6 +323,10 @@
         while self.cell.now_s < until_s and not moment(self.cell, job_id):
             self.cell.run_for(0.02)
 
+    @rule(delay_s=st.sampled_from([0.0, 0.25]))
+    def delay_answers(self, delay_s: float) -> None:
+        self.cell.longest_answer_delay_s = delay_s
+
     @rule(is_refusing=st.booleans(), wait_s=DELAYS)
     def refuse_owner(self, wait_s: float, *, is_refusing: bool) -> None:
         self.cell.is_store_refusing_owner = is_refusing
