--- a/redwingplank/standin/site_workers.py
+++ b/redwingplank/standin/site_workers.py
@@ -9,6 +9,9 @@
 
 __all__ = ["SiteWorkerModel", "make_site_worker_app"]
 
+LIST_LIMIT = 500
+"""Largest number of completions in one report."""
+
 
 class SiteWorkerModel:
     """State of a worker; methods that depend on the time get it as an argument.
@@ -34,6 +37,7 @@
         self.blocked: dict[str, int] = {}
         self.ends: list[list[Any]] = []
         self.end_count = 0
+        self.list_limit = LIST_LIMIT
         self.starts: list[tuple[str, int]] = []
         self.payloads: list[str] = []
         self.checkpoints: list[str] = []
@@ -86,10 +90,10 @@
     def advance(self, now_s: float) -> None:
         """End the runs whose time is over or whose lease has expired."""
         for task, (_, ends_s) in list(self.runs.items()):
-            if now_s >= ends_s:
-                self._end_run(task, self.how)
-            elif now_s * 1000 > self.lease_until_ms:
+            if min(now_s, ends_s) * 1000 > self.lease_until_ms:
                 self._end_run(task, "lapsed")
+            elif now_s >= ends_s:
+                self._end_run(task, self.how)
 
     def end_all(self, how: str) -> None:
         """End all runs at once."""
@@ -121,7 +125,7 @@
             "clock_ms": round(now_s * 1000),
             "born": self.born_ms,
             "running": running,
-            "finished": self.ends,
+            "finished": self.ends[: self.list_limit],
         }
 
 
