--- a/redwingplank/batch/model.py
+++ b/redwingplank/batch/model.py
@@ -429,7 +429,7 @@
         Incarnation of the worker, 0 if the worker did not report it.
     running : tuple of RunReport
         All runs that exist on the worker.
-    ends : tuple of RunCompletion
+    completions : tuple of RunCompletion
         Completions that the owner has not acknowledged yet.
     """
 
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -47,8 +47,9 @@
 class PollRequest:
     """The next poll of a worker.
 
-    `noted` is the number of the last completion that is acknowledged. `lease_until_ms` is the end
-    of the lease on the worker's clock, None to poll without renewing the lease.
+    `acknowledged_number` is the number of the last completion that is acknowledged.
+    `lease_until_ms` is the end of the lease on the worker's clock, None to poll without renewing
+    the lease.
     """
 
     acknowledged_number: int
--- a/redwingplank/cell/cancellation.py
+++ b/redwingplank/cell/cancellation.py
@@ -25,7 +25,7 @@
 OWNER_TIMEOUT_S = 2.0
 """Longer than the time that the owner waits for the store (1.5 s)."""
 STORE_TIMEOUT_S = 0.8
-"""A read and a write fit into what is left of the 4 s after the call of the owner."""
+"""A DELETE is answered within 4 s, of which the owner may take the first 2 s."""
 CANCEL_TIME_S = 3.7
 """Further writes get what is left of this time since the request."""
 MAX_WRITES = 3
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -3,8 +3,6 @@
 import asyncio
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Annotated
 
 import msgspec
 import xxhash
@@ -19,10 +17,17 @@
     SEQUENCE_KEY,
     SYSTEM_PREFIX,
 )
-from redwingplank.core import InvalidValueError, check_address, decode_json
+from redwingplank.cell.system_entries import (
+    EpochEntry,
+    NodeEntry,
+    Ownership,
+    decode_epoch,
+    decode_node,
+)
+from redwingplank.core import InvalidValueError
 from redwingplank.platform.site.store import Item, Put, TransactionOutcome
 
-__all__ = ["EpochEntry", "Membership", "NodeEntry", "Ownership"]
+__all__ = ["Membership"]
 
 LEASE_S = 1.2
 """Lease of a node in the store; bounds the time until a failed owner is detected."""
@@ -49,45 +54,6 @@
 then found at most this much later."""
 
 
-MAX_CORE_SHARE = 1000.0
-MAX_EPOCH = 2**40
-"""Larger numbers are not believed; one epoch a second would reach it after 30,000 years."""
-
-
-class NodeEntry(msgspec.Struct, frozen=True):
-    """A live node: address for peers, failure domain, and the part of a core that a thread gets."""
-
-    address: str
-    failure_domain: str
-    core_share: Annotated[float, msgspec.Meta(ge=0, le=MAX_CORE_SHARE)] = 1.0
-
-
-class EpochEntry(msgspec.Struct, frozen=True):
-    """An epoch of ownership: its number and the owner's name, address and incarnation.
-
-    Value of the owner key and of the epoch key; the latter is stored as "term".
-    """
-
-    number: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
-    owner: str
-    address: str
-    incarnation: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Ownership:
-    """An epoch that this node has won, at `won_s`.
-
-    `epoch_revision` and `sequence_revision` are the store revisions of the two keys that the
-    owner's writes depend on.
-    """
-
-    epoch: int
-    epoch_revision: int
-    sequence_revision: int
-    won_s: float
-
-
 class Membership:
     """Renews the node's lease, follows the other nodes, and contends for a free ownership.
 
@@ -271,16 +237,14 @@
         name = item.key.removeprefix(NODES_PREFIX)
         self.nodes_by_name.pop(name, None)
         if item.value is not None:
-            entry = decode_json(item.value, NodeEntry)
-            check_address(entry.address)
-            self.nodes_by_name[name] = entry
+            self.nodes_by_name[name] = decode_node(item.value)
 
     def _apply_owner(self, item: Item) -> None:
         """Take the owner of the key; one that cannot be read is none, and may be replaced."""
         previous, self.owner = self.owner, None
         self._owner_revision = item.revision if item.value is not None else 0
         try:
-            self.owner = None if item.value is None else _decode_epoch(item.value)
+            self.owner = None if item.value is None else decode_epoch(item.value)
         finally:
             if self.owner != previous:
                 name = self.owner.owner if self.owner else "none"
@@ -298,7 +262,7 @@
         ownership = self.ownership
         if ownership is not None and revision > ownership.epoch_revision:
             self.give_up_ownership("another_term")
-        self.latest_epoch = _decode_epoch(value)
+        self.latest_epoch = decode_epoch(value)
 
     def give_up_ownership(self, reason: str) -> None:
         """Give up this node's ownership, if it has one; nothing is written to the store."""
@@ -445,7 +409,7 @@
             self._context.log("election_lost", term=epoch, end=result.outcome.name.lower())
             await self._follower.read()
             return
-        self.latest_epoch = _decode_epoch(value)
+        self.latest_epoch = decode_epoch(value)
         self.epoch_revision = result.revision
         if self.ownership is None:
             self._become_owner(epoch, result.revision, started_s)
@@ -475,9 +439,3 @@
         """End the lease, which removes this node's keys from the store."""
         if self.lease:
             await self._context.store.end_lease(self.lease, CALL_TIMEOUT_S)
-
-
-def _decode_epoch(value: bytes) -> EpochEntry:
-    entry = decode_json(value, EpochEntry)
-    check_address(entry.address)
-    return entry
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -11,12 +11,13 @@
 from redwingplank.cell.config_reader import ConfigReader
 from redwingplank.cell.config_watch import ConfigWatch
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
-from redwingplank.cell.membership import Membership, Ownership
+from redwingplank.cell.membership import Membership
 from redwingplank.cell.metrics import make_metrics_app
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.owner_watch import OwnerWatch
 from redwingplank.cell.request_log import log_failed_request
 from redwingplank.cell.service import CellService
+from redwingplank.cell.system_entries import Ownership
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.platform.http.server import HttpServer, serve_http
 from redwingplank.rpc.cell_calls import CELL_SERVICE
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -18,8 +18,9 @@
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.job_intake import JobIntake
 from redwingplank.cell.keys import LEARNED_KEY, PROGRESS_PREFIX
-from redwingplank.cell.membership import Membership, Ownership
+from redwingplank.cell.membership import Membership
 from redwingplank.cell.record_writer import RecordWriter
+from redwingplank.cell.system_entries import Ownership
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.worker_commands import WorkerCommands
 from redwingplank.cell.worker_poller import WorkerPoller
--- a/redwingplank/cell/owner_watch.py
+++ b/redwingplank/cell/owner_watch.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from redwingplank.cell.context import NodeContext
-from redwingplank.cell.membership import EpochEntry, Membership, NodeEntry
+from redwingplank.cell.membership import Membership
+from redwingplank.cell.system_entries import EpochEntry, NodeEntry
 from redwingplank.rpc.errors import RpcError
 from redwingplank.rpc.peers import PROBE_TIMEOUT_S, is_refused, split_address
 
--- a/redwingplank/cell/peer_submission.py
+++ b/redwingplank/cell/peer_submission.py
@@ -5,9 +5,10 @@
 from redwingplank.cell.circuit_breaker import CircuitBreaker
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import NodeContext
-from redwingplank.cell.membership import Membership, NodeEntry
+from redwingplank.cell.membership import Membership
 from redwingplank.cell.submission import MIN_CALL_TIME_S, SubmitOutcome
 from redwingplank.cell.submission_trace import PeerRecord, PeerResult, SubmissionTrace
+from redwingplank.cell.system_entries import NodeEntry
 from redwingplank.core import choose_by_rendezvous
 from redwingplank.rpc.errors import PeerUnreachableError, RpcError
 
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -16,7 +16,7 @@
     PROGRESS_PREFIX,
     SEQUENCE_KEY,
 )
-from redwingplank.cell.membership import Ownership
+from redwingplank.cell.system_entries import Ownership
 from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.store import Put, TransactionOutcome
 
--- a/redwingplank/cell/tests/test_advisers.py
+++ b/redwingplank/cell/tests/test_advisers.py
@@ -9,7 +9,7 @@
 from redwingplank.batch.model import StepKey
 from redwingplank.cell import advisers
 from redwingplank.cell.advisers import Advisers
-from redwingplank.cell.membership import NodeEntry
+from redwingplank.cell.system_entries import NodeEntry
 from redwingplank.platform.site.http import NotSentError
 
 
--- a/redwingplank/cell/tests/test_peer_submission.py
+++ b/redwingplank/cell/tests/test_peer_submission.py
@@ -5,9 +5,9 @@
 
 from redwingplank.cell import peer_submission
 from redwingplank.cell.circuit_breaker import CircuitBreaker
-from redwingplank.cell.membership import EpochEntry, NodeEntry
 from redwingplank.cell.peer_submission import DOMAIN_OPEN_S, PeerSubmission
 from redwingplank.cell.submission import SubmitOutcome
+from redwingplank.cell.system_entries import EpochEntry, NodeEntry
 from redwingplank.rpc.errors import CallOutcomeUnknownError
 
 ADDRESSES_BY_DOMAIN = {"a": ("a:1", "a:2"), "b": ("b:1", "b:2"), "c": ("c:1", "c:2")}
--- a/redwingplank/cell/tests/test_record_writer.py
+++ b/redwingplank/cell/tests/test_record_writer.py
@@ -9,8 +9,8 @@
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 from redwingplank.cell import record_writer
 from redwingplank.cell.keys import EPOCH_KEY, SEQUENCE_KEY
-from redwingplank.cell.membership import Ownership
 from redwingplank.cell.record_writer import RecordWriter
+from redwingplank.cell.system_entries import Ownership
 from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.store import Item, Put, TransactionOutcome, TransactionResult
 from redwingplank.standin.virtual_time import run_virtual
--- a/redwingplank/cell/worker_poller.py
+++ b/redwingplank/cell/worker_poller.py
@@ -42,7 +42,7 @@
         Settings, clients, log and metrics of this node.
     owner : JobOwner
         Provides the poll requests and receives the workers' reports.
-    orders : Orders
+    orders : WorkerCommands
         Decides whether leases may be renewed; knows when a start last went unanswered.
     tasks : TaskSet
         Runs the loops in the background.
