Tests: the attempt under way is held where the job is stored now

Change: the test replaces `SubmissionStore.store`. What it checks is unchanged.

Measured: test_refusals_before_storing.py, 5 tests, fails with 1 before and passes.

--- a/redwingplank/cell/tests/test_refusals_before_storing.py
+++ b/redwingplank/cell/tests/test_refusals_before_storing.py
@@ -21,14 +21,15 @@
         async def scenario(site):
             await configure(site, 2, A)
             node = site.nodes[0]
-            try_to_store = node.callers._try_to_store
+            submissions = node.callers._submission_store
+            store = submissions.store
             may_go_on = asyncio.Event()
 
             async def store_late(*arguments):
                 await may_go_on.wait()
-                return await try_to_store(*arguments)
+                return await store(*arguments)
 
-            node.callers._try_to_store = store_late
+            submissions.store = store_late
             first = asyncio.create_task(site.call("POST", PATH, JOB, key="key-a"))
             await site.until(lambda: node.callers._unresolved.is_known(ID, now_s()))
             site.store.is_silent = True
