Log which workers of earlier owners a task waits for, and for how long

A late start of a task that lasts could not be told from the log: owner_loaded counts the unconfirmed workers, but no line named them, the longest wait or the tasks that wait.

host_awaited names each that does not answer or is not listed, with remaining_s and tasks; host_free tells its tasks.

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -296,6 +296,12 @@
         """Apply the list of workers that the platform publishes."""
         self._reports.list_workers(entries, now_s)
 
+    def log_unlisted_hosts(self, now_s: float) -> None:
+        """Log the unconfirmed workers that the platform does not publish, which no poll reaches."""
+        for worker_id in self.state.unconfirmed_hosts:
+            if worker_id not in self.state.workers_by_id:
+                self.state.log_awaited_host(worker_id, now_s)
+
     def next_poll(self, worker: Worker, now_s: float, *, may_renew: bool) -> PollRequest:
         """Return the next poll of a worker.
 
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -230,6 +230,7 @@
         """Mark a worker that did not answer as unreachable."""
         if not worker.is_unreachable:
             self._log_worker(worker, "worker_silent", age_s=now_s - worker.answered_s)
+            self._state.log_awaited_host(worker.id, now_s)
             worker.is_unreachable = True
             worker.awaits_whole_report = True
             worker.silent_s = now_s
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -192,6 +192,26 @@
                 for host, task in [(host, task) for host in hosts for task in step.tasks]:
                     self.forget_host(job, task, host)
 
+    def log_awaited_host(self, worker_id: str, now_s: float) -> None:
+        """Log that the tasks of an unconfirmed worker wait, and for how long at most."""
+        until_s = self.unconfirmed_hosts.get(worker_id)
+        if until_s is None:
+            return
+        tasks = self.count_hosted_tasks(worker_id)
+        self.log_decision(
+            "host_awaited", worker=worker_id, remaining_s=until_s - now_s, tasks=tasks
+        )
+
+    def count_hosted_tasks(self, worker_id: str) -> int:
+        """Return the number of tasks that a worker may have been told to run."""
+        return sum(
+            bits.bit_count()
+            for job in self.jobs_by_id.values()
+            for step in job.steps_by_key.values()
+            for host, bits in step.hosts.items()
+            if host.worker_id == worker_id
+        )
+
     def reopen_step(self, key: StepKey) -> None:
         """Add a step to the open steps again if it still has tasks that are not done."""
         job = self.jobs_by_id.get(key.job_id)
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -35,10 +35,11 @@
         state.organisations.release_expired_hosts(now_s)
         for host, until_s in list(state.unconfirmed_hosts.items()):
             if now_s >= until_s and not self._is_lease_renewed(host, now_s):
+                tasks = state.count_hosted_tasks(host)
                 del state.unconfirmed_hosts[host]
                 state.forget_hosts_of_final_jobs(host)
                 state.needs_pass = True
-                state.log_decision("host_free", worker=host, reason="every_lease_over")
+                state.log_decision("host_free", worker=host, reason="every_lease_over", tasks=tasks)
 
     def _is_lease_renewed(self, worker_id: str, now_s: float) -> bool:
         """Return whether this owner has granted a lease that may not have expired yet."""
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -136,6 +136,7 @@
             unproven=len(self.owner.state.unconfirmed_hosts),
             workers_known=self.owner.state.speeds.workers_known,
         )
+        self.owner.log_unlisted_hosts(now_s())
 
     async def _read_stored_state(self) -> None:
         store = self._context.store
