Leases end a fixed time after the last proof of the ownership, so that the next owner waits less

Cause: a new owner knew nothing of the leases of its predecessors. It waited for the longest lease a worker accepts (10 s), granted at the last moment at which an owner without the store may still send commands (5 s), with drift and margin 15.45 s. An owner may indeed have granted 6.5 s as late as 3.5 s after its last proof, so that no shorter wait was safe.

Change: no lease lasts longer than 7 s after the last proof of the ownership, whenever it is granted. No earlier owner proves its epoch after a takeover, so that 7.4 s later (drift, margin) all leases are over, whatever a paused or replaced owner and late commands do. Proofs come every 0.35 s in place of 0.7 s, so that runs survive outages of the store of 6 s. Owners of earlier versions keep to no bound: epochs name their series of owners that do, and redwing/leases tells that everything before it has expired; otherwise, and for workers that have restarted, the wait is as long as before.

The emulated cell now has owners that lose their proof, and replaced owners that go on sending. One test of cut lists kept an owner without the store for 11 s and had leases renewed all the while, which no owner does; it now loses the answers of writes instead, and still fails without the guard that it is about.

--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -149,6 +149,12 @@
         """Fraction of writes that get no answer; half of them are carried out late."""
         self.is_store_conditional = True
         """Whether the store checks the conditions of writes; False only to test the checks."""
+        self.are_leases_bounded = True
+        """Whether the next owner relies on the bound of its predecessors' leases."""
+        self._proven_s_by_epoch: dict[int, float] = {}
+        """Time at which the owner of each epoch last proved its ownership."""
+        self._replaced_owners: list[JobOwner] = []
+        """Replaced owners that still send commands, also to workers that are cut off."""
         self._sequence: tuple[int, int] = (0, 0)
         """Epoch and number of the last write of records that was carried out."""
         self.epoch = 0
@@ -159,7 +165,10 @@
     def _make_owner(self) -> JobOwner:
         self.epoch += 1
         self._sequence = (self.epoch, 0)
+        self._proven_s_by_epoch[self.epoch] = self.now_s
         owner = JobOwner(self.settings, self.epoch, self.config, _ignore)
+        if self.are_leases_bounded:
+            owner.rely_on_bounded_leases()
         if self.stored_speeds:
             owner.state.speeds.restore(self.stored_speeds)
         for job_id, spec in self.specs_by_id.items():
@@ -169,8 +178,17 @@
         owner.list_workers(self._entries(), self.now_s)
         return owner
 
-    def replace_owner(self) -> None:
-        """Replace the owner by one with a new epoch; commands of the old one may still arrive."""
+    def replace_owner(self, *, keeps_sending: bool = False) -> None:
+        """Replace the owner by one with a new epoch; commands of the old one may still arrive.
+
+        Parameters
+        ----------
+        keeps_sending : bool
+            Whether the old one does not learn of it, and goes on polling for as long as it may. It
+            reaches the workers that are cut off from the new one.
+        """
+        if keeps_sending:
+            self._replaced_owners.append(self.owner)
         self._is_writing = False
         self.is_store_refusing_owner = False
         self._unseen.clear()
@@ -241,6 +259,13 @@
         for change in changes:
             change(self.owner)
 
+    def _leases_until_s(self, owner: JobOwner) -> float | None:
+        """Return the time after which no lease of an owner may last, None if it grants none."""
+        proven_s = self._proven_s_by_epoch[owner.state.epoch]
+        if self.now_s - proven_s >= self.settings.command_silence_s:
+            return None
+        return proven_s + self.settings.proof_lease_s
+
     def _is_owner_refused(self) -> bool:
         return self.is_store_unavailable or self.is_store_refusing_owner
 
@@ -279,6 +304,8 @@
             while self._events and self._events[0][0] <= self.now_s:
                 heapq.heappop(self._events)[2]()
             self._advance_all_runs()
+            if not self._is_owner_refused():
+                self._proven_s_by_epoch[self.epoch] = self.now_s
             self._tick_owner()
             self._note_disruptions()
 
@@ -425,8 +452,12 @@
     def _send_start(self, owner: JobOwner, run: Run) -> None:
         if not owner.mark_start_sent(run, self.now_s):
             return
+        leases_until_s = self._leases_until_s(owner)
+        if leases_until_s is None:
+            owner.handle_start_outcome(run, StartOutcome.NOT_SENT, self.now_s)
+            return
         worker = self.workers[run.worker.id]
-        order = self._make_start_order(owner, run)
+        order = self._make_start_order(owner, run, leases_until_s)
         config = self.config
         born_ms = worker.entry.born_ms
 
@@ -472,11 +503,11 @@
         else:
             action()
 
-    def _make_start_order(self, owner: JobOwner, run: Run) -> StartOrder:
+    def _make_start_order(self, owner: JobOwner, run: Run, leases_until_s: float) -> StartOrder:
         job = owner.state.jobs_by_id[run.task_id.job_id]
         task = job.steps_by_key[run.task_id.step_key].tasks[run.task_id.position]
         assert run.spec is not None
-        lease_ms = owner.start_lease_ms(run.worker, self.now_s)
+        lease_ms = owner.grant_lease(run.worker, self.now_s, leases_until_s)
         return StartOrder(
             task.id,
             run.attempt,
@@ -552,15 +583,20 @@
     def _poll(self, worker_id: str) -> None:
         worker = self.workers[worker_id]
         self.after(POLL_INTERVAL_S, lambda: self._poll(worker_id))
-        known = self.owner.state.workers_by_id.get(worker_id)
+        self._poll_for(self.owner, worker, is_reachable=worker.is_reachable)
+        for owner in self._replaced_owners:
+            self._poll_for(owner, worker, is_reachable=not worker.is_down)
+
+    def _poll_for(self, owner: JobOwner, worker: EmulatedWorker, *, is_reachable: bool) -> None:
+        known = owner.state.workers_by_id.get(worker.entry.worker_id)
         if known is None:
             return
-        owner, sent_s, token = self.owner, self.now_s, self.owner.state.epoch
-        request = owner.next_poll(known, sent_s, may_renew=True)
+        sent_s, token = self.now_s, owner.state.epoch
+        request = owner.next_poll(known, sent_s, leases_until_s=self._leases_until_s(owner))
         is_lost = self.is_command_lost()
-        if not worker.is_reachable or is_lost:
+        if not is_reachable or is_lost:
             self.after(POLL_TIMEOUT_S, lambda: owner.mark_worker_unreachable(known, self.now_s))
-        if not worker.is_reachable or (is_lost and self.rng.random() < 0.5) or token < worker.token:
+        if not is_reachable or (is_lost and self.rng.random() < 0.5) or token < worker.token:
             return
         worker.token = token
         self._acknowledge(worker, request.acknowledged_number)
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -97,6 +97,13 @@
         self._last_check_s = float("-inf")
         self._last_pass_s = float("-inf")
 
+    def rely_on_bounded_leases(self) -> None:
+        """Wait for leases of earlier owners no longer than those that keep the bound may last.
+
+        Call it before the jobs are restored.
+        """
+        self.state.are_leases_bounded = True
+
     # Jobs.
 
     def restore_job(
@@ -118,7 +125,7 @@
             if not job.hosts:
                 job.steps_by_key.clear()
                 return
-        until_s = self._confirmation_deadline_s(now_s)
+        until_s = self.state.inherited_leases_end_s(now_s)
         for step in job.steps_by_key.values():
             for host in step.hosts:
                 self.state.unconfirmed_hosts.setdefault(host.worker_id, until_s)
@@ -152,16 +159,6 @@
             hosts=len(set(job.hosts)),
         )
 
-    def _confirmation_deadline_s(self, now_s: float) -> float:
-        """Return the time by which all leases granted by earlier owners have certainly expired.
-
-        An earlier owner may renew leases for `owner_silence_s` after it last proved its ownership,
-        and the clocks of workers may be slow by `max_clock_drift`.
-        """
-        settings = self.state.settings
-        lease_s = settings.lease_limit_s / (1 - settings.max_clock_drift)
-        return now_s + settings.owner_silence_s + lease_s + settings.lease_margin_s
-
     def _open_ready_steps(self, job: Job, now_s: float) -> None:
         for step in job.steps_by_key.values():
             if step.undone_count:
@@ -302,7 +299,9 @@
             if worker_id not in self.state.workers_by_id:
                 self.state.log_awaited_host(worker_id, now_s)
 
-    def next_poll(self, worker: Worker, now_s: float, *, may_renew: bool) -> PollRequest:
+    def next_poll(
+        self, worker: Worker, now_s: float, *, leases_until_s: float | None
+    ) -> PollRequest:
         """Return the next poll of a worker.
 
         Parameters
@@ -311,22 +310,32 @@
             Worker to poll.
         now_s : float
             Current time in seconds.
-        may_renew : bool
-            Whether the ownership is recent enough to renew leases.
+        leases_until_s : float or None
+            Time in seconds after which no lease may last, None to grant none.
         """
         if worker.is_unreachable:
             # Acknowledge nothing: the worker may have restarted and may number its completions from
             # the beginning again.
             return PollRequest(0, None)
-        if worker.clock_ms is None or not may_renew:
+        if worker.clock_ms is None or leases_until_s is None:
             return PollRequest(worker.acknowledged_completion_number, None)
-        until_ms = worker.clock_now_ms(now_s) + round(self.state.settings.lease_s * 1000)
-        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        until_ms = self.grant_lease(worker, now_s, leases_until_s)
         return PollRequest(worker.acknowledged_completion_number, until_ms)
 
-    def start_lease_ms(self, worker: Worker, now_s: float) -> int:
-        """Return the end of the lease that a start command grants, on the worker's clock."""
-        until_ms = worker.clock_now_ms(now_s) + round(self.state.settings.lease_s * 1000)
+    def grant_lease(self, worker: Worker, now_s: float, leases_until_s: float) -> int:
+        """Return the end of a lease that a command grants now, on the worker's clock.
+
+        Parameters
+        ----------
+        worker : Worker
+            Worker that has told its clock.
+        now_s : float
+            Current time in seconds.
+        leases_until_s : float
+            Time in seconds after which no lease may last.
+        """
+        lease_s = min(self.state.settings.lease_s, leases_until_s - now_s)
+        until_ms = worker.clock_now_ms(now_s) + round(lease_s * 1000)
         worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         return until_ms
 
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -38,6 +38,8 @@
             listed.add(entry.worker_id)
             worker = state.workers_by_id.get(entry.worker_id)
             if worker is None:
+                if state.has_restarted(entry):
+                    state.extend_wait_for_restarted(entry.worker_id, now_s)
                 unconfirmed_until_s = state.unconfirmed_hosts.get(entry.worker_id, now_s)
                 worker = Worker(entry, unconfirmed_until_s)
                 state.workers_by_id[entry.worker_id] = worker
@@ -74,6 +76,7 @@
         self._log_worker(worker, "worker_reborn")
         self._state.needs_pass = True
         self._crashes.count_crash(worker, now_s)
+        self._state.extend_wait_for_restarted(worker.id, now_s)
         worker.born_ms = born_ms
         worker.clock_ms = None
         worker.lease_until_ms = 0
@@ -110,7 +113,8 @@
                 return
             self.handle_restart(worker, report.born_ms, now_s)
         if worker.clock_ms is None:
-            # An earlier owner may have granted a lease of the longest duration just before.
+            # Before the restart of a worker, a lease that its clock takes for the longest one may
+            # have been granted.
             limit_ms = round(self._state.settings.lease_limit_s * 1000)
             worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + limit_ms)
             self._state.needs_pass = True
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -4,6 +4,10 @@
 
 __all__ = ["BatchSettings"]
 
+COMMAND_MARGIN_S = 1.5
+"""The owner stops sending commands this long before the next owner may rely on it, so that commands
+under way have ended by then."""
+
 
 @dataclass(frozen=True, slots=True)
 class BatchSettings:
@@ -14,7 +18,11 @@
     lease_s : float
         Duration of the lease that each poll and each start command grants to a worker.
     lease_limit_s : float
-        Longest lease that any owner may have granted to a worker.
+        Longest lease that a worker accepts.
+    proof_lease_s : float
+        No lease lasts for longer than this after the last proof of its owner's ownership, so that
+        the next owner knows when all of them have expired. All versions of owners that name
+        themselves in one series have to agree on it.
     remote_factor : float
         Factor on the run time of a task that runs in another rack than its data.
     max_clock_drift : float
@@ -22,7 +30,7 @@
     lease_margin_s : float
         Safety margin after the end of a lease before it counts as expired.
     owner_silence_s : float
-        How long an owner that cannot reach the store may still renew workers' leases after it last
+        How long commands of an owner that cannot reach the store may still arrive after it last
         proved its ownership.
     stop_retry_s : float
         Time after which an unconfirmed stop command is repeated.
@@ -41,6 +49,7 @@
 
     lease_s: float = 6.0
     lease_limit_s: float = 6.0
+    proof_lease_s: float = 7.0
     remote_factor: float = 2.0
     max_clock_drift: float = 0.02
     lease_margin_s: float = 0.25
@@ -52,3 +61,26 @@
     stall_s: float = 2.5
     state_kept_s: float = 120.0
     ticket_margin_s: float = 0.12
+
+    @property
+    def command_silence_s(self) -> float:
+        """How long an owner still sends commands after it last proved its ownership."""
+        return self.owner_silence_s - COMMAND_MARGIN_S
+
+    @property
+    def bounded_wait_s(self) -> float:
+        """Time after a change of owners after which all leases granted before have expired."""
+        return self._longest_s(self.proof_lease_s) + self.lease_margin_s
+
+    @property
+    def unbounded_wait_s(self) -> float:
+        """The same if earlier owners may have granted the longest lease with any command.
+
+        It also covers a worker whose process has restarted with a new clock: it takes a lease that
+        was meant for the earlier process for the longest one.
+        """
+        return self.owner_silence_s + self._longest_s(self.lease_limit_s) + self.lease_margin_s
+
+    def _longest_s(self, lease_s: float) -> float:
+        """Return how long a lease lasts at most, as the clocks of workers may be slow."""
+        return lease_s / (1 - self.max_clock_drift)
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -15,6 +15,7 @@
     StepKey,
     StepSpec,
     TaskId,
+    WorkerEntry,
 )
 from redwingplank.batch.organisations import Organisations
 from redwingplank.batch.settings import BatchSettings
@@ -53,6 +54,8 @@
         self.jobs_by_id: dict[str, Job] = {}
         self.workers_by_id: dict[str, Worker] = {}
         self.open_steps: dict[StepKey, Step] = {}
+        self.are_leases_bounded = False
+        """Whether all earlier owners whose leases may last have kept to `proof_lease_s`."""
         self.unconfirmed_hosts: dict[str, float] = {}
         """Ids of unconfirmed workers that may run tasks of earlier owners, with the time in seconds
         when every lease there has expired.
@@ -192,6 +195,24 @@
                 for host, task in [(host, task) for host in hosts for task in step.tasks]:
                     self.forget_host(job, task, host)
 
+    def inherited_leases_end_s(self, now_s: float) -> float:
+        """Return the time by which all leases granted by earlier owners have certainly expired."""
+        if self.are_leases_bounded:
+            return now_s + self.settings.bounded_wait_s
+        return now_s + self.settings.unbounded_wait_s
+
+    def has_restarted(self, entry: WorkerEntry) -> bool:
+        """Return whether a worker is a later process than one that may run tasks."""
+        return any(
+            host.worker_id == entry.worker_id and 0 < host.born_ms < entry.born_ms
+            for host in self.lost_runs_by_incarnation
+        )
+
+    def extend_wait_for_restarted(self, worker_id: str, now_s: float) -> None:
+        """Wait for an unconfirmed worker that has restarted as for leases without a bound."""
+        if worker_id in self.unconfirmed_hosts:
+            self.unconfirmed_hosts[worker_id] = now_s + self.settings.unbounded_wait_s
+
     def log_awaited_host(self, worker_id: str, now_s: float) -> None:
         """Log that the tasks of an unconfirmed worker wait, and for how long at most."""
         until_s = self.unconfirmed_hosts.get(worker_id)
--- a/redwingplank/batch/tests/test_acknowledged_numbers.py
+++ b/redwingplank/batch/tests/test_acknowledged_numbers.py
@@ -33,7 +33,7 @@
 
 def acknowledged(owner, number):
     worker = owner.state.workers_by_id[f"w{number}"]
-    return owner.next_poll(worker, NOW_S, may_renew=True).acknowledged_number
+    return owner.next_poll(worker, NOW_S, leases_until_s=NOW_S).acknowledged_number
 
 
 def store(owner):
--- a/redwingplank/batch/tests/test_awaited_hosts.py
+++ b/redwingplank/batch/tests/test_awaited_hosts.py
@@ -1,7 +1,10 @@
 """Tests of tasks that wait for workers of earlier owners."""
 
+from dataclasses import replace
+
 import pytest
 
+from redwingplank.batch.emulated_worker import Fault
 from redwingplank.batch.model import JobState
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.settings import BatchSettings
@@ -10,6 +13,7 @@
 RESTART_BOUND_S = 8.0
 """A task that lasts has to run again after 7 s without a disruption; a change of owners that is
 noticed late leaves 1 s more."""
+SLOWEST_CLOCK_RATE = 0.98
 LONG_LEASES = BatchSettings(lease_s=6.5, lease_limit_s=10.0)
 
 
@@ -62,7 +66,7 @@
     # Guards against a worker that is listed but does not answer, and is left out of the log.
     def test_names_a_listed_worker_that_does_not_answer(self, monkeypatch):
         cell, host = make_cell_with_lasting_job()
-        host.faults.add("cut")
+        host.faults.add(Fault.CUT)
         decisions = record_decisions(monkeypatch)
         cell.replace_owner()
         cell.run_for(2.0)
@@ -107,3 +111,134 @@
         cell.run_for(RESTART_BOUND_S)
         assert count_running(cell) == 2
         assert cell.violations == []
+
+
+def make_cell_with_cut_host(**values):
+    """Return a cell whose next owner does not reach a worker that runs a lasting task."""
+    cell, host = make_cell_with_lasting_job(settings=LONG_LEASES, **values)
+    set_clock_rate(cell, host, SLOWEST_CLOCK_RATE)
+    cell.run_for(1.0)
+    host.faults.add(Fault.CUT)
+    return cell, host
+
+
+def set_clock_rate(cell, worker, rate):
+    """Let the clock of a worker go on at a rate."""
+    now_s = worker.clock_s(cell.now_s)
+    worker.clock_rate = rate
+    worker.clock_offset_s = now_s - rate * cell.now_s
+
+
+def run_until_lapsed(cell, host):
+    """Run until the runs of a worker have lapsed, and return how long that took."""
+    begin_s = cell.now_s
+    while host.runs:
+        cell.run_for(0.1)
+        assert cell.now_s - begin_s < 30.0
+    return cell.now_s - begin_s
+
+
+class TestOwnerThatWasReplaced:
+    # Guards against a second run of a task whose worker a replaced owner, which did not learn of
+    # its replacement, still reaches.
+    def test_grants_no_lease_that_outlasts_the_wait_of_the_next(self):
+        cell, host = make_cell_with_cut_host()
+        cell.replace_owner(keeps_sending=True)
+        assert run_until_lapsed(cell, host) > LONG_LEASES.lease_s
+        cell.run_for(RESTART_BOUND_S)
+        assert count_running(cell) == 2
+        assert cell.violations == []
+
+    # Guards against the same if the replaced owner had not reached the store for some time.
+    @pytest.mark.parametrize("outage_s", [0.5, 1.5, 3.0, 3.4, 6.0])
+    def test_grants_no_lease_that_outlasts_the_wait_after_an_outage(self, outage_s):
+        cell, host = make_cell_with_cut_host()
+        host.faults.clear()
+        cell.is_store_unavailable = True
+        cell.run_for(outage_s)
+        cell.is_store_unavailable = False
+        host.faults.add(Fault.CUT)
+        cell.replace_owner(keeps_sending=True)
+        run_until_lapsed(cell, host)
+        cell.run_for(RESTART_BOUND_S)
+        assert count_running(cell) == 2
+        assert cell.violations == []
+
+    # Guards against a wait that holds for the last owner but not for the one before it.
+    def test_grants_no_lease_that_outlasts_the_wait_of_the_one_after_next(self):
+        cell, host = make_cell_with_cut_host()
+        cell.replace_owner(keeps_sending=True)
+        cell.run_for(0.1)
+        cell.replace_owner(keeps_sending=True)
+        run_until_lapsed(cell, host)
+        cell.run_for(RESTART_BOUND_S)
+        assert count_running(cell) == 2
+        assert cell.violations == []
+
+
+class TestLeaseOfAnOwnerWithoutTheStore:
+    # Guards against runs that end in an outage of the store that they could have survived.
+    def test_lasts_through_an_outage_of_six_seconds(self):
+        cell, _ = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.is_store_unavailable = True
+        cell.run_for(6.0)
+        cell.is_store_unavailable = False
+        starts = cell.starts
+        cell.run_for(10.0)
+        assert cell.starts == starts
+
+    # Guards against runs of a worker that was cut off in an outage, which ended although its owner
+    # reached it again before its lease was over.
+    def test_is_renewed_after_a_cut_within_an_outage(self):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.is_store_unavailable = True
+        cell.run_for(0.5)
+        host.faults.add(Fault.CUT)
+        cell.run_for(2.5)
+        host.faults.clear()
+        cell.run_for(1.5)
+        cell.is_store_unavailable = False
+        starts = cell.starts
+        cell.run_for(10.0)
+        assert cell.starts == starts
+
+    # Guards against a lease that is counted from the command instead of from the last proof.
+    def test_ends_a_fixed_time_after_the_last_proof(self):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.is_store_unavailable = True
+        proven_s = cell.now_s
+        run_until_lapsed(cell, host)
+        assert cell.now_s - proven_s == pytest.approx(LONG_LEASES.proof_lease_s, abs=0.2)
+
+
+class TestWaitForLeasesWithoutABound:
+    # Guards against a wait that is too short after an owner of an earlier version, whose leases
+    # last for longer.
+    def test_is_as_long_as_the_longest_lease_may_last(self):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.are_leases_bounded = False
+        host.faults.add(Fault.CUT)
+        cell.replace_owner()
+        (until_s,) = [
+            until_s
+            for name, until_s in cell.owner.state.unconfirmed_hosts.items()
+            if name == host.entry.worker_id
+        ]
+        assert until_s - cell.now_s == pytest.approx(LONG_LEASES.unbounded_wait_s)
+        assert LONG_LEASES.unbounded_wait_s > 15.0
+
+    # Guards against a worker whose new process took a lease on the clock of the one before it.
+    @pytest.mark.parametrize("is_seen_at_once", [True, False])
+    def test_holds_for_a_worker_that_has_restarted(self, is_seen_at_once):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        host.faults.add(Fault.CUT)
+        restarted = replace(host.entry, born_ms=host.entry.born_ms + 1)
+        if is_seen_at_once:
+            host.entry = restarted
+        cell.replace_owner()
+        if not is_seen_at_once:
+            cell.run_for(2.0)
+            host.entry = restarted
+            cell.owner.list_workers(cell._entries(), cell.now_s)
+        until_s = cell.owner.state.unconfirmed_hosts[host.entry.worker_id]
+        assert until_s - cell.now_s == pytest.approx(LONG_LEASES.unbounded_wait_s)
--- a/redwingplank/batch/tests/test_cut_lists.py
+++ b/redwingplank/batch/tests/test_cut_lists.py
@@ -170,14 +170,14 @@
         cell.workers["w9"] = make_worker(9, Amounts(20 * SMALL_MILLICORES, 10**9, 0))
         cell._poll("w9")
         reconnect(cell)
-        cell.is_store_unavailable = True
+        cell.lost_write_fraction = 1.0
         cell.replace_owner()
         cell.run_for(9.0)
         for worker in full_workers:
             worker.faults.add(Fault.CUT)
             worker.is_listed = False
         cell.run_for(2.0)
-        cell.is_store_unavailable = False
+        cell.lost_write_fraction = 0.0
         cell.run_for(1.0)
         for worker in full_workers:
             worker.is_listed = True
--- a/redwingplank/batch/tests/test_owner.py
+++ b/redwingplank/batch/tests/test_owner.py
@@ -225,7 +225,10 @@
         worker = cell.owner.state.workers_by_id["w0"]
         assert worker.acknowledged_completion_number == 4
         cell.owner.mark_worker_unreachable(worker, cell.now_s)
-        assert cell.owner.next_poll(worker, cell.now_s, may_renew=True).acknowledged_number == 0
+        assert (
+            cell.owner.next_poll(worker, cell.now_s, leases_until_s=cell.now_s).acknowledged_number
+            == 0
+        )
 
     def test_a_start_that_reached_the_new_process_is_not_repeated(self):
         cell = make_cell(1)
--- a/redwingplank/cell/keys.py
+++ b/redwingplank/cell/keys.py
@@ -6,6 +6,7 @@
     "INTAKE_PREFIX",
     "JOBS_PREFIX",
     "LEARNED_KEY",
+    "LEASES_KEY",
     "NODES_PREFIX",
     "OWNER_KEY",
     "PROGRESS_PREFIX",
@@ -29,5 +30,7 @@
 JOBS_PREFIX = "redwing/intake/jobs/"
 CANCELS_PREFIX = "redwing/intake/cancels/"
 PROGRESS_PREFIX = "redwing/progress/"
+LEASES_KEY = "redwing/leases"
+"""Written once every lease from before a series of owners that bound their leases has expired."""
 LEARNED_KEY = "redwing/learned"
 """Learned speeds of workers and worker kinds and of tasks by image or queue, as last stored."""
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -17,6 +17,7 @@
     SEQUENCE_KEY,
     SYSTEM_PREFIX,
 )
+from redwingplank.cell.lease_bound import make_lease_bound_put
 from redwingplank.cell.system_entries import (
     EpochEntry,
     NodeEntry,
@@ -34,9 +35,9 @@
 RENEW_S = 0.35
 """Period of renewals: two may be lost before the lease expires."""
 RENEW_TIMEOUT_S = 0.5
-PROOF_PERIOD_S = 0.7
+PROOF_PERIOD_S = 0.35
 """An owner that has written nothing for this long reads the epoch key to prove its ownership."""
-PROOF_CHECK_S = 0.2
+PROOF_CHECK_S = 0.1
 """Period of checking whether a proof is due."""
 CALL_TIMEOUT_S = 0.9
 """Time-out of the other store calls; a slow store answers in 0.25 s."""
@@ -79,6 +80,9 @@
         self.nodes_by_name: dict[str, NodeEntry] = {}
         self.latest_epoch: EpochEntry | None = None
         self.epoch_revision = 0
+        self._bounded_since = 0
+        """First epoch of the present series of owners that bound their leases, 0 if the latest
+        epoch is of none or cannot be read."""
         self.owner: EpochEntry | None = None
         self._owner_revision = 0
         self.ownership: Ownership | None = None
@@ -195,17 +199,19 @@
 
     async def _put_owner_key(self, ownership: Ownership) -> None:
         """Write the owner key again under a new lease, if no other node has become owner."""
-        put = Put(OWNER_KEY, self._own_entry(ownership.epoch), self.lease)
+        entry = self._own_entry(ownership.epoch, ownership.bounded_since)
+        put = Put(OWNER_KEY, msgspec.json.encode(entry), self.lease)
         expected = {OWNER_KEY: 0, EPOCH_KEY: ownership.epoch_revision}
         result = await self._context.store.transact(expected, [put], [], CALL_TIMEOUT_S)
         self._context.log(
             "owner_key_renewed", term=ownership.epoch, end=result.outcome.name.lower()
         )
 
-    def _own_entry(self, epoch: int) -> bytes:
+    def _own_entry(self, epoch: int, bounded_since: int) -> EpochEntry:
         settings = self._context.settings
-        entry = EpochEntry(epoch, settings.name, settings.peer_address, self.incarnation)
-        return msgspec.json.encode(entry)
+        return EpochEntry(
+            epoch, settings.name, settings.peer_address, self.incarnation, bounded_since
+        )
 
     # Changes of the system keys.
 
@@ -262,7 +268,9 @@
         ownership = self.ownership
         if ownership is not None and revision > ownership.epoch_revision:
             self.give_up_ownership("another_term")
+        self._bounded_since = 0
         self.latest_epoch = decode_epoch(value)
+        self._bounded_since = self.latest_epoch.bounded_since
 
     def give_up_ownership(self, reason: str) -> None:
         """Give up this node's ownership, if it has one; nothing is written to the store."""
@@ -313,12 +321,12 @@
             or self._context.is_stopping
         ):
             return
-        self._become_owner(owner.number, self.epoch_revision, now_s())
+        self._become_owner(owner, self.epoch_revision, now_s())
 
-    def _become_owner(self, epoch: int, revision: int, started_s: float) -> None:
-        self.ownership = Ownership(epoch, revision, revision, started_s)
+    def _become_owner(self, entry: EpochEntry, revision: int, started_s: float) -> None:
+        self.ownership = Ownership(entry.number, revision, revision, started_s, entry.bounded_since)
         self.proven_s = float("-inf")
-        self._context.log("ownership_won", term=epoch, revision=revision)
+        self._context.log("ownership_won", term=entry.number, revision=revision)
         self._on_won(self.ownership)
 
     def _is_free(self) -> bool:
@@ -396,23 +404,28 @@
 
     async def _try_to_win(self) -> None:
         epoch = (self.latest_epoch.number if self.latest_epoch else 0) + 1
-        value = self._own_entry(epoch)
+        entry = self._own_entry(epoch, self._bounded_since or epoch)
+        value = msgspec.json.encode(entry)
         expected = {OWNER_KEY: self._owner_revision, EPOCH_KEY: self.epoch_revision}
         puts = [
             Put(OWNER_KEY, value, self.lease),
             Put(EPOCH_KEY, value),
             Put(SEQUENCE_KEY, msgspec.json.encode([epoch, 0])),
         ]
+        if self.epoch_revision == 0:
+            # The cell has never had an owner, so that there are no earlier leases.
+            puts.append(make_lease_bound_put(epoch))
         started_s = now_s()
         result = await self._context.store.transact(expected, puts, [], CALL_TIMEOUT_S)
         if result.outcome is not TransactionOutcome.DONE:
             self._context.log("election_lost", term=epoch, end=result.outcome.name.lower())
             await self._follower.read()
             return
-        self.latest_epoch = decode_epoch(value)
+        self.latest_epoch = entry
+        self._bounded_since = entry.bounded_since
         self.epoch_revision = result.revision
         if self.ownership is None:
-            self._become_owner(epoch, result.revision, started_s)
+            self._become_owner(entry, result.revision, started_s)
             self.proven_s = started_s
 
     async def resign(self, reason: str) -> None:
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -17,7 +17,8 @@
 from redwingplank.cell.clocks import now_s, now_unix_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.job_intake import JobIntake
-from redwingplank.cell.keys import LEARNED_KEY, PROGRESS_PREFIX
+from redwingplank.cell.keys import LEARNED_KEY, LEASES_KEY, PROGRESS_PREFIX
+from redwingplank.cell.lease_bound import are_leases_bounded
 from redwingplank.cell.membership import Membership
 from redwingplank.cell.record_writer import RecordWriter
 from redwingplank.cell.system_entries import Ownership
@@ -87,6 +88,7 @@
         self._tasks = TaskSet(context)
         self._settings = _make_settings(context)
         self.owner = JobOwner(self._settings, ownership.epoch, config, self._log_decision)
+        self._ownership = ownership
         self._epoch = ownership.epoch
         self._writer = RecordWriter(
             context,
@@ -125,6 +127,7 @@
             self._tasks.start_loop(self._writer.run)
             self._tasks.start_loop(self._follow_worker_list)
             self._tasks.start_loop(self._remove_ended_jobs)
+            self._tasks.start(self._record_lease_bound())
         await self._tick_for_ever()
 
     def _log_loaded(self) -> None:
@@ -135,6 +138,7 @@
             workers=len(self.owner.state.workers_by_id),
             unproven=len(self.owner.state.unconfirmed_hosts),
             workers_known=self.owner.state.speeds.workers_known,
+            are_leases_bounded=self.owner.state.are_leases_bounded,
         )
         self.owner.log_unlisted_hosts(now_s())
 
@@ -142,10 +146,13 @@
         store = self._context.store
         while True:
             try:
-                progress, learned = await asyncio.gather(
+                progress, learned, leases = await asyncio.gather(
                     store.read_range(PROGRESS_PREFIX, READ_TIMEOUT_S),
                     store.get(LEARNED_KEY, READ_TIMEOUT_S),
+                    store.get(LEASES_KEY, READ_TIMEOUT_S),
                 )
+                if are_leases_bounded(leases, self._ownership):
+                    self.owner.rely_on_bounded_leases()
                 self._restore_learned_speeds(learned)
                 progress_by_id = {
                     item.key.removeprefix(PROGRESS_PREFIX): item.value or b""
@@ -158,6 +165,13 @@
                 self._context.health.record_failure(error)
                 await asyncio.sleep(0.1)
 
+    async def _record_lease_bound(self) -> None:
+        """Tell the next owners, once it is so, that no lease without a bound lasts any more."""
+        if self.owner.state.are_leases_bounded:
+            return
+        await asyncio.sleep(self._settings.unbounded_wait_s)
+        await self._writer.record_lease_bound()
+
     # Stored state: workers and learned speeds.
 
     def _restore_learned_speeds(self, item: Item | None) -> None:
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -16,6 +16,7 @@
     PROGRESS_PREFIX,
     SEQUENCE_KEY,
 )
+from redwingplank.cell.lease_bound import make_lease_bound_put
 from redwingplank.cell.system_entries import Ownership
 from redwingplank.platform.site.http import NoAnswerError
 from redwingplank.platform.site.store import Put, TransactionOutcome
@@ -168,6 +169,23 @@
             removes = [CANCELS_PREFIX + job_id for job_id in batch]
             await self._remove_keys(expected, removes, cancellations=len(batch))
 
+    async def record_lease_bound(self) -> None:
+        """Store that every lease from before the present series of owners has expired.
+
+        Repeated until it is stored; it requires the epoch of this owner.
+        """
+        expected = {EPOCH_KEY: self._ownership.epoch_revision}
+        put = make_lease_bound_put(self._ownership.epoch)
+        while True:
+            try:
+                result = await self._context.store.transact(expected, [put], [], WRITE_TIMEOUT_S)
+            except STORE_ERRORS as error:
+                self._context.health.record_failure(error)
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._context.log("lease_bound", end=result.outcome.name.lower())
+            return
+
     async def _remove_keys(
         self, expected: dict[str, int], removes: list[str], **counts: int
     ) -> None:
--- a/redwingplank/cell/system_entries.py
+++ b/redwingplank/cell/system_entries.py
@@ -25,13 +25,16 @@
 class EpochEntry(msgspec.Struct, frozen=True):
     """An epoch of ownership: its number and the owner's name, address and incarnation.
 
-    Value of the owner key and of the epoch key; the latter is stored as "term".
+    Value of the owner key and of the epoch key; the latter is stored as "term". `bounded_since` is
+    the first epoch of the unbroken series, up to this one, of owners that bound their leases; it is
+    0 for owners of earlier versions, which do not.
     """
 
     number: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
     owner: str
     address: str
     incarnation: str = ""
+    bounded_since: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)] = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,13 +42,14 @@
     """An epoch that this node has won, at `won_s`.
 
     `epoch_revision` and `sequence_revision` are the store revisions of the two keys that the
-    owner's writes depend on.
+    owner's writes depend on, `bounded_since` is that of its entry.
     """
 
     epoch: int
     epoch_revision: int
     sequence_revision: int
     won_s: float
+    bounded_since: int
 
 
 def decode_node(value: bytes) -> NodeEntry:
--- a/redwingplank/cell/tests/test_record_writer.py
+++ b/redwingplank/cell/tests/test_record_writer.py
@@ -17,7 +17,7 @@
 
 ANSWER_S = 0.3
 """Time after which a call is answered."""
-OWNERSHIP = Ownership(1, 5, 5, 0.0)
+OWNERSHIP = Ownership(1, 5, 5, 0.0, 1)
 
 
 class PlannedStore:
--- a/redwingplank/cell/tests/test_worker_commands.py
+++ b/redwingplank/cell/tests/test_worker_commands.py
@@ -65,4 +65,4 @@
         assert run.state is RunState.PLANNED
         asyncio.run(commands.start(run))
         assert owner.state.jobs_by_id["a"].runs() == []
-        assert not owner.next_poll(run.worker, PROVEN_S, may_renew=False).lease_until_ms
+        assert not owner.next_poll(run.worker, PROVEN_S, leases_until_s=None).lease_until_ms
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -19,9 +19,6 @@
 """A command takes 0.005 s; a lost one delays its task by this time-out."""
 STOP_TIMEOUT_S = 0.35
 PACE_TIMEOUT_S = 0.5
-COMMAND_MARGIN_S = 1.5
-"""The owner stops sending commands this long before the next owner may rely on it, so that commands
-under way have ended by then."""
 
 
 class WorkerCommands:
@@ -66,8 +63,13 @@
     def may_send_commands(self) -> bool:
         """Return whether the ownership was proven recently enough to send commands."""
         age_s = now_s() - self._membership.proven_s
-        limit_s = self._owner.state.settings.owner_silence_s - COMMAND_MARGIN_S
-        return not self._is_stopped and age_s < limit_s
+        return not self._is_stopped and age_s < self._owner.state.settings.command_silence_s
+
+    def leases_until_s(self) -> float | None:
+        """Return the time after which no lease may last, None while none may be granted."""
+        if not self.may_send_commands():
+            return None
+        return self._membership.proven_s + self._owner.state.settings.proof_lease_s
 
     def step_down(self) -> None:
         """Give up the ownership because a worker has received a higher fencing token."""
@@ -92,8 +94,9 @@
         if not self._owner.mark_start_sent(run, now_s()):
             return
         outcome = StartOutcome.NOT_SENT
-        if self.may_send_commands() and run.worker.clock_ms is not None:
-            command = self._make_start_command(run)
+        leases_until_s = self.leases_until_s()
+        if leases_until_s is not None and run.worker.clock_ms is not None:
+            command = self._make_start_command(run, leases_until_s)
             outcome = await self._context.workers.start(run.worker.entry, command, START_TIMEOUT_S)
         if outcome is StartOutcome.FENCED:
             self.step_down()
@@ -104,7 +107,7 @@
         self._owner.handle_start_outcome(run, outcome, now_s())
         self._wake()
 
-    def _make_start_command(self, run: Run) -> StartCommand:
+    def _make_start_command(self, run: Run, leases_until_s: float) -> StartCommand:
         state = self._owner.state
         job = state.jobs_by_id[run.task_id.job_id]
         step = job.steps_by_key[run.task_id.step_key]
@@ -114,7 +117,7 @@
             task=run.task_id,
             attempt=run.attempt,
             payload=job.spec.payload,
-            lease_until_ms=self._owner.start_lease_ms(run.worker, now_s()),
+            lease_until_ms=self._owner.grant_lease(run.worker, now_s(), leases_until_s),
             token=self._owner.state.epoch,
             saved=task.saved,
             ticket=ticket.text if ticket else "",
--- a/redwingplank/cell/worker_poller.py
+++ b/redwingplank/cell/worker_poller.py
@@ -112,7 +112,8 @@
     async def _poll(self, worker: Worker, wait_ms: int) -> bool | None:
         """Poll once; return whether the worker listed completions, None if the poll failed."""
         sent_s = now_s()
-        request = self._owner.next_poll(worker, sent_s, may_renew=self._orders.may_send_commands())
+        leases_until_s = self._orders.leases_until_s()
+        request = self._owner.next_poll(worker, sent_s, leases_until_s=leases_until_s)
         try:
             report = await self._context.workers.poll(
                 worker.entry,
