The number of tasks that wait for a worker is counted when the jobs are restored

The log of an awaited worker searched all jobs for it: in a cell of thousands of workers, a third of them cut off as the owner changes, that is one search of all records for each of them within a tick. The counts are added up once now, while the records are read. Found by reading; no play has shown it.

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -131,6 +131,7 @@
                 self.state.unconfirmed_hosts.setdefault(host.worker_id, until_s)
                 task_ids = [task.id for task in step.hosted_tasks(host)]
                 task_count = step.hosts[host].bit_count()
+                self.state.inherited_tasks_by_host[host.worker_id] += task_count
                 self.state.organisations.charge_host(host.worker_id, step, task_count, until_s)
                 self._crashes.remember_inherited_tasks(host, task_ids)
         self._completions.fail_if_attempts_used_up(job, now_s)
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -1,6 +1,7 @@
 """The state that the parts of an owner share."""
 
 import heapq
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -60,6 +61,8 @@
         """Ids of unconfirmed workers that may run tasks of earlier owners, with the time in seconds
         when every lease there has expired.
         """
+        self.inherited_tasks_by_host: Counter[str] = Counter()
+        """Number of tasks that a worker may run for earlier owners, by its id."""
         self.lost_runs_by_incarnation: dict[Incarnation, list[LostRun]] = {}
         """Runs of incarnations of which nothing is known any more: they may have crashed."""
         self.dirty_jobs: dict[str, Job] = {}
@@ -218,21 +221,11 @@
         until_s = self.unconfirmed_hosts.get(worker_id)
         if until_s is None:
             return
-        tasks = self.count_hosted_tasks(worker_id)
+        tasks = self.inherited_tasks_by_host[worker_id]
         self.log_decision(
             "host_awaited", worker=worker_id, remaining_s=until_s - now_s, tasks=tasks
         )
 
-    def count_hosted_tasks(self, worker_id: str) -> int:
-        """Return the number of tasks that a worker may have been told to run."""
-        return sum(
-            bits.bit_count()
-            for job in self.jobs_by_id.values()
-            for step in job.steps_by_key.values()
-            for host, bits in step.hosts.items()
-            if host.worker_id == worker_id
-        )
-
     def reopen_step(self, key: StepKey) -> None:
         """Add a step to the open steps again if it still has tasks that are not done."""
         job = self.jobs_by_id.get(key.job_id)
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -35,7 +35,7 @@
         state.organisations.release_expired_hosts(now_s)
         for host, until_s in list(state.unconfirmed_hosts.items()):
             if now_s >= until_s and not self._is_lease_renewed(host, now_s):
-                tasks = state.count_hosted_tasks(host)
+                tasks = state.inherited_tasks_by_host.pop(host, 0)
                 del state.unconfirmed_hosts[host]
                 state.forget_hosts_of_final_jobs(host)
                 state.needs_pass = True
