Heads, trailers and requests that are sent ahead have limits on every HTTP listener

Clients that sent heads, empty lines or trailers without end, or many requests whose answers they did not read, ended a process, which ran out of memory.

Cause: httptools keeps header lines, paths and trailers of any length, and uvicorn's protocol for it parses every request that has arrived, however many wait. Each answer resumed reading.

Change: the server uses h11, which uvicorn offers as well. It bounds the head, the trailer section and the line of a chunk, and parses the next request once the one before it is answered; a client that is ahead is not read further. On top come limits of the number of header lines, the path, empty lines, unread answers, and the times for a head and a body to arrive and without a request. Refused is with 431, 414, 400 or 408 what has not run; otherwise the connection is closed.

One test changes: bytes that are no request, behind a submission under way, ended its connection without an answer. They are now read after it, so that the submission has its own answer, 504; the test asks for that one and no other.

--- a/redwingplank/cell/tests/test_answers.py
+++ b/redwingplank/cell/tests/test_answers.py
@@ -155,7 +155,9 @@
                 await site.until(lambda: KEY in site.store.items)
                 writer.write(b"nonsense\r\n\r\n")
                 answer = await read_to_end(reader)
-            assert answer == b""
+            # The submission has an answer of its own, which says that it may have been stored.
+            assert answer.startswith(b"HTTP/1.1 504 ")
+            assert answer.count(b"HTTP/1.1 ") == 1
             await until_all_know(site)
             site.store.is_down = False
 
--- a/redwingplank/platform/http/server.py
+++ b/redwingplank/platform/http/server.py
@@ -1,37 +1,26 @@
 """Serves an ASGI application at given addresses, without installing signal handlers."""
 
 import asyncio
+import functools
 import socket
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from typing import Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from redwingplank.platform.http.limits import DEFAULT_LIMITS, HttpLimits
+from redwingplank.platform.http.protocol import LimitedProtocol
 
 __all__ = ["HttpServer", "serve_http"]
 
 LISTEN_BACKLOG = 1024
-KEEP_ALIVE_S = 75
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Buffer of a connection in the kernel, which bounds what arrives while nothing is read."""
 CANCELLED_S = 0.1
 """Longest time for which a cancelled handler is waited for; it only has to send its answer."""
 
 
-class _HttpProtocol(HttpToolsProtocol):
-    def send_400_response(self, msg: str) -> None:
-        """Close the connection, after an answer only if it can be taken for no other request's."""
-        cycle = self.cycle
-        is_handled = (
-            cycle is not None
-            and not cycle.response_complete
-            and (cycle.response_started or not cycle.more_body)
-        )
-        if is_handled or self.pipeline:
-            self.transport.close()
-        else:
-            super().send_400_response(msg)
-
-
 class _Server(uvicorn.Server):
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
@@ -58,19 +47,26 @@
         ``"IP:PORT"`` of each listening socket.
     graceful_s : float
         Seconds that requests in flight may take to finish after `stop` is called.
+    limits : HttpLimits
+        Limits of what clients may send and keep open.
     """
 
     def __init__(
-        self, application: Any, addresses: Sequence[str], graceful_s: float = 30.0
+        self,
+        application: Any,
+        addresses: Sequence[str],
+        graceful_s: float = 30.0,
+        limits: HttpLimits = DEFAULT_LIMITS,
     ) -> None:
+        protocol: Any = functools.partial(LimitedProtocol, limits)
         config = uvicorn.Config(
             application,
-            http=_HttpProtocol,
+            http=protocol,
             ws="none",
             lifespan="off",
             log_config=None,
             access_log=False,
-            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_keep_alive=int(limits.idle_s),
             timeout_graceful_shutdown=int(graceful_s),
             server_header=False,
         )
@@ -108,10 +104,13 @@
 
 
 async def serve_http(
-    application: Any, addresses: Sequence[str], graceful_s: float = 30.0
+    application: Any,
+    addresses: Sequence[str],
+    graceful_s: float = 30.0,
+    limits: HttpLimits = DEFAULT_LIMITS,
 ) -> HttpServer:
     """Start a server and return it; the parameters are those of `HttpServer`."""
-    server = HttpServer(application, addresses, graceful_s)
+    server = HttpServer(application, addresses, graceful_s, limits)
     await server.start()
     return server
 
@@ -121,6 +120,7 @@
     listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     listening.bind((host, int(port)))
     listening.listen(LISTEN_BACKLOG)
     listening.setblocking(False)
