Connections of clients and their unprocessed input have limits

Change: a server has at most half of the machine's descriptors for clients; a further connection takes the place of the one that has been idle for longest. Input that is received and not handled may take a sixteenth of the memory, beyond which the connection with the most of it is closed.

--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -19,6 +19,7 @@
 from redwingplank.cell.service import CellService
 from redwingplank.cell.system_entries import Ownership
 from redwingplank.cell.tasks import TaskSet
+from redwingplank.platform.http.limits import HttpLimits, make_limits
 from redwingplank.platform.http.server import HttpServer, serve_http
 from redwingplank.rpc.cell_calls import CELL_SERVICE
 from redwingplank.rpc.server import NodeServer
@@ -31,6 +32,9 @@
 FINISH_S = 3
 """Longest time in seconds that a submission takes, including attempts through peers."""
 
+METRICS_LIMITS = HttpLimits(connections=16, buffered_bytes=1 << 20)
+"""Limits of the server of the metrics, which few clients read."""
+
 
 class Node:
     """Serves callers, and runs the owner of the cell's jobs while it holds the ownership.
@@ -80,10 +84,13 @@
         await self._peer_server.start(settings.peer_address)
         app = make_app(self.callers, self._find_obstacle, self._context, self._report_failure)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
-        self._http = await serve_http(app, addresses, FINISH_S)
+        limits = make_limits(settings.memory_mb, settings.descriptors)
+        self._http = await serve_http(app, addresses, FINISH_S, limits)
         if settings.metrics_address:
             metrics_app = make_metrics_app(self._context.metrics)
-            self._metrics_server = await serve_http(metrics_app, [settings.metrics_address])
+            self._metrics_server = await serve_http(
+                metrics_app, [settings.metrics_address], limits=METRICS_LIMITS
+            )
         self._tasks.start_loop(self._config_watch.run)
         self._tasks.start_loop(self._config_prover.run)
         self._tasks.start_loop(self._membership.keep_lease)
--- a/redwingplank/cli/entry.py
+++ b/redwingplank/cli/entry.py
@@ -10,7 +10,12 @@
 from redwingplank.cli.settings import EntrySettings
 from redwingplank.config import Declarations
 from redwingplank.platform import ListedVm, VmRole
-from redwingplank.platform.http import HttpServer, HttpUpstreamClient, serve_http
+from redwingplank.platform.http import (
+    HttpServer,
+    HttpUpstreamClient,
+    make_limits,
+    serve_http,
+)
 from redwingplank.routing import RouterSettings, make_router
 from redwingplank.rpc.scheduler_calls import SchedulerCalls
 from redwingplank.runtime.credits import (
@@ -77,7 +82,10 @@
         app = make_entry_app(runtime.parts.proxy, runtime.parts.gateway, runtime)
         settings = self._settings
         self._server = await serve_http(
-            guard_entry_app(app), [settings.http_address], settings.drain_limit_s
+            guard_entry_app(app),
+            [settings.http_address],
+            settings.drain_limit_s,
+            make_limits(settings.memory_mb, settings.descriptors),
         )
 
     async def wait(self) -> None:
--- a/redwingplank/cli/settings.py
+++ b/redwingplank/cli/settings.py
@@ -97,6 +97,17 @@
         "HTTP addresses of all entries, to forward requests: FAILURE_DOMAIN/NAME=IP:PORT.",
         default="",
     )
+    memory_mb: int = setting(
+        parse_integer(64, 1 << 20),
+        "Memory of the process, which bounds what callers may send at a time.",
+        unit="MiB",
+        default="300",
+    )
+    descriptors: int = setting(
+        parse_integer(64, 1 << 20),
+        "Descriptors that the process may open; half of them serve callers.",
+        default="4100",
+    )
     drain_notice_s: float = setting(
         parse_seconds(0.0, 60.0),
         "Time between reporting not ready and closing the listener, for the balancer to react.",
--- a/redwingplank/platform/http/limits.py
+++ b/redwingplank/platform/http/limits.py
@@ -2,9 +2,16 @@
 
 from dataclasses import dataclass
 
-__all__ = ["DEFAULT_LIMITS", "HttpLimits"]
+__all__ = ["DEFAULT_LIMITS", "HttpLimits", "make_limits"]
 
 KIB = 1024
+MIB = 1024 * KIB
+DEFAULT_MEMORY_MB = 300
+DEFAULT_DESCRIPTORS = 4100
+MEMORY_PARTS = 16
+"""Unprocessed input takes at most one of so many equal parts of the memory."""
+CONNECTION_PARTS = 2
+"""Connections of clients take at most one of so many equal parts of the descriptors."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +28,12 @@
         Longest path with its query: 414 beyond it.
     blank_bytes : int
         Most bytes of empty lines before a request: 400 beyond it.
+    connections : int
+        Most open connections. A further one takes the place of the one that has been idle for
+        longest, and is closed if none is idle.
+    buffered_bytes : int
+        Most bytes of all connections that have been received and not been handled. Beyond it, the
+        connection with the most of them is closed.
     answer_bytes : int
         Bytes of answers of a connection that its client has not taken, beyond which none is added.
     head_s, body_s : float
@@ -35,6 +48,8 @@
     header_lines: int = 100
     path_bytes: int = 8 * KIB
     blank_bytes: int = 16
+    connections: int = DEFAULT_DESCRIPTORS // CONNECTION_PARTS
+    buffered_bytes: int = DEFAULT_MEMORY_MB * MIB // MEMORY_PARTS
     answer_bytes: int = 16 * KIB
     head_s: float = 20.0
     body_s: float = 60.0
@@ -43,3 +58,20 @@
 
 
 DEFAULT_LIMITS = HttpLimits()
+
+
+def make_limits(memory_mb: int, descriptors: int) -> HttpLimits:
+    """Return the limits for a machine.
+
+    Parameters
+    ----------
+    memory_mb : int
+        Memory of the process in MiB.
+    descriptors : int
+        Number of descriptors that the process may open.
+    """
+    part_bytes = memory_mb * MIB // MEMORY_PARTS
+    return HttpLimits(
+        connections=max(1, descriptors // CONNECTION_PARTS),
+        buffered_bytes=part_bytes,
+    )
--- a/redwingplank/platform/http/protocol.py
+++ b/redwingplank/platform/http/protocol.py
@@ -10,6 +10,7 @@
 from uvicorn.protocols.http.h11_impl import STATUS_PHRASES, H11Protocol
 from uvicorn.server import ServerState
 
+from redwingplank.platform.http.connections import ConnectionTable, ServerConnection
 from redwingplank.platform.http.limits import HttpLimits
 
 __all__ = ["LimitedProtocol"]
@@ -80,13 +81,15 @@
             super().resume_reading()
 
 
-class LimitedProtocol(H11Protocol):
+class LimitedProtocol(H11Protocol, ServerConnection):
     """An HTTP connection of a client.
 
     Parameters
     ----------
     limits : HttpLimits
         Limits of the server.
+    table : ConnectionTable
+        All connections of the server.
     config, server_state, app_state, _loop
         Those of the base class, which the server gives.
     """
@@ -94,6 +97,7 @@
     def __init__(
         self,
         limits: HttpLimits,
+        table: ConnectionTable,
         config: uvicorn.Config,
         server_state: ServerState,
         app_state: dict[str, Any],
@@ -101,6 +105,7 @@
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
         self._limits = limits
+        self._table = table
         self._parser = self.conn = _LimitedParser(limits)
         self._blank_bytes = 0
         """Number of bytes of empty lines since the last request."""
@@ -112,15 +117,19 @@
     # Interface of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begin to serve a client."""
+        """Begin to serve a client, unless the server has no place for its connection."""
         chosen = cast(asyncio.Transport, transport)
         super().connection_made(chosen)
         self.flow = _LimitedFlow(chosen, self._parser)
         chosen.set_write_buffer_limits(high=self._limits.answer_bytes)
+        if not self._table.add(self):
+            chosen.abort()
+            return
         self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection."""
+        self._table.remove(self)
         self._stop_arrival_timer()
         self._stop_unread_timer()
         self._unset_keepalive_if_required()
@@ -152,6 +161,7 @@
 
     def on_response_complete(self) -> None:
         """Go on with the next request of the client, if it has arrived."""
+        self._table.mark_idle(self)
         super().on_response_complete()
         if self.transport.is_closing():
             return
@@ -212,6 +222,9 @@
         is_handled = self.cycle is not None and not self.cycle.response_complete
         if is_handled:
             self._blank_bytes = 0
+            self._table.mark_busy(self)
+        body_bytes = len(self.cycle.body) if is_handled else 0
+        self._table.set_buffered(self, buffered_bytes + body_bytes)
         if self.transport.is_closing():
             return
         if state is h11.IDLE and buffered_bytes:
--- a/redwingplank/platform/http/server.py
+++ b/redwingplank/platform/http/server.py
@@ -9,6 +9,7 @@
 
 import uvicorn
 
+from redwingplank.platform.http.connections import ConnectionTable
 from redwingplank.platform.http.limits import DEFAULT_LIMITS, HttpLimits
 from redwingplank.platform.http.protocol import LimitedProtocol
 
@@ -58,7 +59,7 @@
         graceful_s: float = 30.0,
         limits: HttpLimits = DEFAULT_LIMITS,
     ) -> None:
-        protocol: Any = functools.partial(LimitedProtocol, limits)
+        protocol: Any = functools.partial(LimitedProtocol, limits, ConnectionTable(limits))
         config = uvicorn.Config(
             application,
             http=protocol,
@@ -71,7 +72,8 @@
             server_header=False,
         )
         self._server = _Server(config)
-        self._sockets = [_listen(address) for address in addresses]
+        backlog = min(LISTEN_BACKLOG, limits.connections)
+        self._sockets = [_listen(address, backlog) for address in addresses]
         self._task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -115,13 +117,13 @@
     return server
 
 
-def _listen(address: str) -> socket.socket:
+def _listen(address: str, backlog: int = LISTEN_BACKLOG) -> socket.socket:
     host, _, port = address.rpartition(":")
     listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     listening.bind((host, int(port)))
-    listening.listen(LISTEN_BACKLOG)
+    listening.listen(backlog)
     listening.setblocking(False)
     return listening
--- a/redwingplank/platform/site/settings.py
+++ b/redwingplank/platform/site/settings.py
@@ -51,6 +51,10 @@
         such limit.
     config_limit_s : float
         Time after which a change of the configuration has to be in force.
+    memory_mb : int
+        Memory of this process in MiB.
+    descriptors : int
+        Number of descriptors that this process may open.
     """
 
     name: str
@@ -70,6 +74,8 @@
     store_lease_s: float
     revocation_limit_s: float | None = None
     config_limit_s: float = 2.0
+    memory_mb: int = 300
+    descriptors: int = 4100
 
     @property
     def peer_address(self) -> str:
@@ -85,6 +91,8 @@
 class _WireLimits(msgspec.Struct):
     # Usable part of each core, not of the whole VM.
     cpu_share: float = 1
+    memory_mb: int = 300
+    max_fds: int = 4100
 
 
 class _WirePlatform(msgspec.Struct):
@@ -189,4 +197,6 @@
         store_lease_s=wire.platform.ttl_min_ms / MS_PER_S,
         revocation_limit_s=bounds.revoke_ms / MS_PER_S if bounds.strict_revoke else None,
         config_limit_s=bounds.config_apply_ms / MS_PER_S,
+        memory_mb=wire.limits.memory_mb,
+        descriptors=wire.limits.max_fds,
     )
--- a/redwingplank/platform/tests/test_client_limits.py
+++ b/redwingplank/platform/tests/test_client_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from redwingplank.platform.http.limits import HttpLimits
+from redwingplank.platform.http.limits import DEFAULT_LIMITS, HttpLimits, make_limits
 from redwingplank.platform.http.server import serve_http
 from redwingplank.standin.loopback import find_free_address
 
@@ -230,3 +230,60 @@
                 await send_without_end(writer, head + body)
 
         run(scenario, replace(LIMITS, unread_answer_s=0.2))
+
+
+class TestConnections:
+    def test_the_one_that_is_idle_for_longest_gives_way(self):
+        async def scenario(_, connect):
+            first, _ = await connect()
+            second, writer = await connect()
+            writer.write(GET % 0)
+            await second.readuntil(b"/0 ")
+            third, writer = await connect()
+            assert await is_ended(first)
+            writer.write(GET % 1)
+            await third.readuntil(b"/1 ")
+            assert not second.at_eof()
+
+        run(scenario, replace(LIMITS, connections=2))
+
+    def test_those_with_a_request_stay(self):
+        async def scenario(application, connect):
+            application.may_answer.clear()
+            reader, writer = await connect()
+            writer.write(GET % 0)
+            await application.until_arrived(1)
+            refused, _ = await connect()
+            assert await is_ended(refused)
+            application.may_answer.set()
+            await reader.readuntil(b"/0 ")
+
+        run(scenario, replace(LIMITS, connections=1))
+
+    # Guards against many connections that each keep within their own limits.
+    def test_the_one_with_most_unprocessed_input_gives_way(self):
+        async def scenario(_, connect):
+            part = b"GET / HTTP/1.1\r\nHost: x\r\na: "
+            large_reader, large = await connect()
+            large.write(part + b"b" * 900)
+            _, small = await connect()
+            small.write(part + b"b" * 200)
+            _, other = await connect()
+            other.write(part + b"b" * 200)
+            assert await is_ended(large_reader)
+            reader, writer = await connect()
+            writer.write(GET % 0)
+            await reader.readuntil(b"/0 ")
+
+        run(scenario, replace(LIMITS, buffered_bytes=1200))
+
+
+class TestMakeLimits:
+    def test_follow_the_machine(self):
+        small, large = make_limits(128, 256), make_limits(1024, 8192)
+        assert small.connections == 128 < large.connections == 4096
+        assert small.buffered_bytes == 8 << 20 < large.buffered_bytes == 64 << 20
+
+    # Guards against defaults for another machine than the one that the pages name.
+    def test_the_defaults_are_those_of_the_smallest_machine(self):
+        assert make_limits(300, 4100) == DEFAULT_LIMITS
