The bodies of all unanswered requests have a limit

Eight clients with bodies of 16 MiB, each within the limit of a request, brought a process of 128 MB over its memory.

Change: the bytes of all bodies are counted until their requests are answered; beyond a sixteenth of the memory a request is refused by the answer of a failed one: 503, or 504 if an earlier attempt may have run. Its body was not whole, so that it has not run. Bodies up to 16 KiB are counted by themselves, and the only body of its kind may have more, so that a single request within the limits is served in calm, and ordinary ones beside large ones.

--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -32,8 +32,8 @@
 FINISH_S = 3
 """Longest time in seconds that a submission takes, including attempts through peers."""
 
-METRICS_LIMITS = HttpLimits(connections=16, buffered_bytes=1 << 20)
-"""Limits of the server of the metrics, which few clients read."""
+METRICS_LIMITS = HttpLimits(connections=16, buffered_bytes=1 << 20, body_bytes=1 << 20)
+"""Limits of the server of the metrics, which few clients read and which takes no bodies."""
 
 
 class Node:
--- a/redwingplank/platform/http/limits.py
+++ b/redwingplank/platform/http/limits.py
@@ -9,7 +9,8 @@
 DEFAULT_MEMORY_MB = 300
 DEFAULT_DESCRIPTORS = 4100
 MEMORY_PARTS = 16
-"""Unprocessed input takes at most one of so many equal parts of the memory."""
+"""Unprocessed input, small bodies and large bodies take at most one of so many equal parts of the
+memory each: a body is held up to three times while it is decoded."""
 CONNECTION_PARTS = 2
 """Connections of clients take at most one of so many equal parts of the descriptors."""
 
@@ -34,6 +35,9 @@
     buffered_bytes : int
         Most bytes of all connections that have been received and not been handled. Beyond it, the
         connection with the most of them is closed.
+    body_bytes : int
+        Most bytes of the bodies of all requests that are not answered yet; bodies up to 16 KiB and
+        larger ones have as much each. A request is refused beyond it, unless it is the only one.
     answer_bytes : int
         Bytes of answers of a connection that its client has not taken, beyond which none is added.
     head_s, body_s : float
@@ -50,6 +54,7 @@
     blank_bytes: int = 16
     connections: int = DEFAULT_DESCRIPTORS // CONNECTION_PARTS
     buffered_bytes: int = DEFAULT_MEMORY_MB * MIB // MEMORY_PARTS
+    body_bytes: int = DEFAULT_MEMORY_MB * MIB // MEMORY_PARTS
     answer_bytes: int = 16 * KIB
     head_s: float = 20.0
     body_s: float = 60.0
@@ -74,4 +79,5 @@
     return HttpLimits(
         connections=max(1, descriptors // CONNECTION_PARTS),
         buffered_bytes=part_bytes,
+        body_bytes=part_bytes,
     )
--- a/redwingplank/platform/http/server.py
+++ b/redwingplank/platform/http/server.py
@@ -9,6 +9,7 @@
 
 import uvicorn
 
+from redwingplank.platform.http.bodies import BodyLimit
 from redwingplank.platform.http.connections import ConnectionTable
 from redwingplank.platform.http.limits import DEFAULT_LIMITS, HttpLimits
 from redwingplank.platform.http.protocol import LimitedProtocol
@@ -61,7 +62,7 @@
     ) -> None:
         protocol: Any = functools.partial(LimitedProtocol, limits, ConnectionTable(limits))
         config = uvicorn.Config(
-            application,
+            BodyLimit(application, limits.body_bytes),
             http=protocol,
             ws="none",
             lifespan="off",
--- a/redwingplank/platform/tests/test_client_limits.py
+++ b/redwingplank/platform/tests/test_client_limits.py
@@ -169,6 +169,19 @@
         request_bytes = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab"
         assert exchange(request_bytes, replace(LIMITS, body_s=0.1)) == b""
 
+    # Guards against large bodies that crowd out small ones.
+    def test_small_ones_are_served_beside_large_ones(self):
+        async def scenario(_, connect):
+            head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+            _, large = await connect()
+            large.write(head % 300_000 + b"a" * 200_000)
+            await large.drain()
+            reader, small = await connect()
+            small.write(head % 5 + b"abcde")
+            assert (await reader.readuntil(b"abcde")).startswith(b"HTTP/1.1 200 ")
+
+        run(scenario, replace(LIMITS, body_bytes=100_000))
+
 
 class TestRequestsAhead:
     # Guards against requests that are lost, or answered in another order, by holding them back.
@@ -282,7 +295,7 @@
     def test_follow_the_machine(self):
         small, large = make_limits(128, 256), make_limits(1024, 8192)
         assert small.connections == 128 < large.connections == 4096
-        assert small.buffered_bytes == 8 << 20 < large.buffered_bytes == 64 << 20
+        assert small.body_bytes == 8 << 20 < large.body_bytes == 64 << 20
 
     # Guards against defaults for another machine than the one that the pages name.
     def test_the_defaults_are_those_of_the_smallest_machine(self):
