--- a/redwingplank/cli/tests/crowd_fixture.py
+++ b/redwingplank/cli/tests/crowd_fixture.py
@@ -56,15 +56,20 @@
     module : str
         Module that is run.
     address : str
-        ``"IP:PORT"`` at which it answers once it serves.
+        ``"IP:PORT"`` at which it answers callers once it serves; empty if it has none.
+    peers : str
+        ``"IP:PORT"`` at which it answers the other processes of the system.
     environment : dict
         Variables of its environment, besides the path.
     log : Path
         File for its output.
     """
 
-    def __init__(self, module: str, address: str, environment: dict[str, str], log: Path) -> None:
+    def __init__(
+        self, module: str, address: str, peers: str, environment: dict[str, str], log: Path
+    ) -> None:
         self.address = address
+        self.peers = peers
         self._log = log
         variables = {"PATH": os.environ.get("PATH", ""), "PYTHONPATH": os.getcwd(), **environment}
         with log.open("wb") as output:
@@ -74,11 +79,18 @@
 
     def wait_until_answering(self, path: str, is_expected=lambda _: True) -> None:
         """Wait until a request to a path is answered with an expected status."""
+        self._wait_until(lambda: is_expected(request(self.address, "GET", path)))
+
+    def wait_until_listening(self) -> None:
+        """Wait until the listener for other processes accepts connections."""
+        self._wait_until(lambda: connect(self.peers).close() is None)
+
+    def _wait_until(self, condition) -> None:
         until_s = time.monotonic() + START_S
         while time.monotonic() < until_s:
             assert self.is_alive, self._log.read_text(errors="replace")[-2000:]
             with contextlib.suppress(OSError):
-                if is_expected(request(self.address, "GET", path)):
+                if condition():
                     return
             time.sleep(0.05)
         raise AssertionError(self._log.read_text(errors="replace")[-2000:])
@@ -111,12 +123,14 @@
         Program that they press.
     stream : Stream
         What each of them sends.
+    address : str
+        ``"IP:PORT"`` that they connect to, by default that for callers.
     """
 
-    def __init__(self, program: ProgramProcess, stream: Stream) -> None:
+    def __init__(self, program: ProgramProcess, stream: Stream, address: str = "") -> None:
         self._program = program
         self._block = stream.block()
-        self.clients = [connect(program.address) for _ in range(CROWD)]
+        self.clients = [connect(address or program.address) for _ in range(CROWD)]
         self._sent = dict.fromkeys(self.clients, 0)
         self._rest = dict.fromkeys(self.clients, stream.beginning)
         self.cut_off = 0
@@ -220,7 +234,7 @@
         path = folder / "settings.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         environment = {"REDWINGPLANK_SETTINGS": str(path)}
-        node = ProgramProcess("redwingplank.cli.cell", callers, environment, folder / "log")
+        node = ProgramProcess("redwingplank.cli.cell", callers, peers, environment, folder / "log")
         try:
             node.wait_until_answering("/-/readyz", lambda status: status == 200)
             yield node
@@ -231,22 +245,41 @@
 @contextlib.contextmanager
 def run_entry(folder: Path) -> Iterator[ProgramProcess]:
     """Run a `redwing-entry` without a platform, on a machine with little memory."""
-    platform_url = f"http://{find_free_address()}"
-    address = find_free_address()
-    environment = {
-        "REDWING_NAME": "e1",
-        "REDWING_FAILURE_DOMAIN": "north",
-        "REDWING_FAILURE_DOMAINS": "north",
-        "REDWING_RPC_ADDRESS": find_free_address(),
+    address, peers = find_free_address(), find_free_address()
+    environment = make_environment("e1", peers) | {
         "REDWING_HTTP_ADDRESS": address,
-        "REDWING_STORE_URL": platform_url,
-        "REDWING_VMS_URL": platform_url,
         "REDWING_MEMORY_MB": str(MEMORY_MB),
-        "REDWING_DESCRIPTORS": str(DESCRIPTORS),
     }
-    entry = ProgramProcess("redwingplank.cli.entry", address, environment, folder / "log")
+    entry = ProgramProcess("redwingplank.cli.entry", address, peers, environment, folder / "log")
     try:
         entry.wait_until_answering("/")
         yield entry
     finally:
         entry.stop()
+
+
+@contextlib.contextmanager
+def run_scheduler(folder: Path) -> Iterator[ProgramProcess]:
+    """Run a `redwing-scheduler` without a platform, on a machine with little memory."""
+    peers = find_free_address()
+    environment = make_environment("s1", peers)
+    scheduler = ProgramProcess("redwingplank.cli.scheduler", "", peers, environment, folder / "log")
+    try:
+        scheduler.wait_until_listening()
+        yield scheduler
+    finally:
+        scheduler.stop()
+
+
+def make_environment(name: str, peers: str) -> dict[str, str]:
+    """Return the variables of a program of our own interface, without a platform."""
+    platform_url = f"http://{find_free_address()}"
+    return {
+        "REDWING_NAME": name,
+        "REDWING_FAILURE_DOMAIN": "north",
+        "REDWING_FAILURE_DOMAINS": "north",
+        "REDWING_RPC_ADDRESS": peers,
+        "REDWING_STORE_URL": platform_url,
+        "REDWING_VMS_URL": platform_url,
+        "REDWING_DESCRIPTORS": str(DESCRIPTORS),
+    }
--- a/redwingplank/cli/tests/test_client_limits.py
+++ b/redwingplank/cli/tests/test_client_limits.py
@@ -4,11 +4,15 @@
 machine, and answers an ordinary request afterwards.
 """
 
+import asyncio
 import contextlib
+import struct
 
+import capnp
 import pytest
 
 from redwingplank.cli.tests.crowd_fixture import (
+    ANSWER_S,
     BYTES_PER_CLIENT,
     DESCRIPTORS,
     HOST,
@@ -19,7 +23,9 @@
     request,
     run_entry,
     run_node,
+    run_scheduler,
 )
+from redwingplank.rpc import PeerConnections, PeerUnreachableError
 
 JOB = b'{"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":100,"estimate_ms":100}]}'
 JOB_PATH = "/proof/5c0e7a21d94b36f8"
@@ -44,6 +50,8 @@
 }
 """Requests whose answers are not read."""
 CONNECTIONS = 2 * DESCRIPTORS
+MESSAGE = Stream(struct.pack("<II", 0, 2 * BYTES_PER_CLIENT // 8), b"\0")
+"""The first half of a message of one segment between processes."""
 
 
 def assert_within_bounds(program):
@@ -52,9 +60,9 @@
     assert program.descriptors() < DESCRIPTORS
 
 
-def press(program, stream):
-    """Let a crowd press a program; return how many of its connections the program ended."""
-    crowd = Crowd(program, stream)
+def press(program, stream, address=""):
+    """Let a crowd press a program, and return the crowd."""
+    crowd = Crowd(program, stream, address)
     try:
         crowd.press()
         assert_within_bounds(program)
@@ -75,15 +83,36 @@
         yield program
 
 
-def open_connections(program):
-    """Open idle connections, as many as the program accepts of `CONNECTIONS`."""
+@pytest.fixture
+def scheduler(tmp_path):
+    with run_scheduler(tmp_path) as program:
+        yield program
+
+
+def open_connections(address):
+    """Open idle connections, as many of `CONNECTIONS` as are accepted."""
     opened = []
     for _ in range(CONNECTIONS):
         with contextlib.suppress(OSError):
-            opened.append(connect(program.address))
+            opened.append(connect(address))
     return opened
 
 
+def serves_peers(program):
+    """Return whether a program answers a call of another process that is not outside the limits."""
+
+    async def call():
+        peers = PeerConnections()
+        try:
+            with pytest.raises(PeerUnreachableError, match="is not offered here"):
+                await peers.call(program.peers, "unknown", None, None, ANSWER_S)
+        finally:
+            peers.close()
+        return True
+
+    return asyncio.run(capnp.run(call()))
+
+
 class TestNode:
     # Guards against a node that runs out of memory on a request without an end.
     @pytest.mark.parametrize("name", ENDLESS)
@@ -105,7 +134,7 @@
 
     # Guards against a node whose descriptors are used up by connections without a request.
     def test_keeps_descriptors_free_for_those_who_send(self, node):
-        opened = open_connections(node)
+        opened = open_connections(node.address)
         assert request(node.address, "POST", JOB_PATH, JOB) == 200
         assert_within_bounds(node)
         for client in opened:
@@ -137,8 +166,38 @@
 
     # Guards against an entry whose descriptors are used up by connections without a request.
     def test_keeps_descriptors_free_for_those_who_send(self, entry):
-        opened = open_connections(entry)
+        opened = open_connections(entry.address)
         assert request(entry.address, "GET", "/") < 500
         assert_within_bounds(entry)
         for client in opened:
             client.close()
+
+
+class TestPeers:
+    """Pattern: clients that are no process of the system reach the listener for those."""
+
+    # Guards against messages that are much longer than any between processes.
+    def test_a_node_takes_no_long_messages(self, node):
+        press(node, MESSAGE, node.peers)
+        assert serves_peers(node)
+        assert request(node.address, "POST", JOB_PATH, JOB) == 200
+
+    def test_a_scheduler_takes_no_long_messages(self, scheduler):
+        press(scheduler, MESSAGE, scheduler.peers)
+        assert serves_peers(scheduler)
+
+    # Guards against a program whose descriptors are used up by connections without a call.
+    def test_a_node_keeps_descriptors_free_for_those_who_call(self, node):
+        opened = open_connections(node.peers)
+        assert serves_peers(node)
+        assert request(node.address, "POST", JOB_PATH, JOB) == 200
+        assert_within_bounds(node)
+        for client in opened:
+            client.close()
+
+    def test_a_scheduler_keeps_descriptors_free_for_those_who_call(self, scheduler):
+        opened = open_connections(scheduler.peers)
+        assert serves_peers(scheduler)
+        assert_within_bounds(scheduler)
+        for client in opened:
+            client.close()
