Answers that our own clients read have a limit

A service that answers without an end, be it the store, a worker, the list of VMs or another entry, filled the memory of the process that had called it: bodies were read to their end, whatever their length.

Change: at most 32 MiB are taken, 4 MiB of a worker; then the connection is closed and the call has had no answer, so that its outcome is unknown, as for a connection that breaks within an answer.

--- a/redwingplank/cell/context.py
+++ b/redwingplank/cell/context.py
@@ -19,6 +19,8 @@
 
 STORE_ERRORS = (NotSentError, NoAnswerError, StoreRefusedError)
 """Errors of a store call that was not sent, not answered, or refused by the store."""
+WORKER_ANSWER_BYTES = 4 * 1024 * 1024
+"""Far more than a worker's lists of runs and of 500 completions."""
 RECENT_ANSWER_S = 0.5
 """A failure within this time after an answer is taken for a single lost call, not for an outage."""
 
@@ -71,7 +73,7 @@
         self.store = HedgedStore(
             SiteStore(self.client, settings.store_address, self.metrics.record_store_call)
         )
-        self.worker_client = SiteClient(CONNECTIONS_PER_OWNER)
+        self.worker_client = SiteClient(CONNECTIONS_PER_OWNER, WORKER_ANSWER_BYTES)
         self.workers = SiteWorkers(self.worker_client)
         self.advice = SiteAdvice(self.client, settings.advice_address)
         self.peers = PeerConnections()
--- a/redwingplank/cli/tests/crowd_fixture.py
+++ b/redwingplank/cli/tests/crowd_fixture.py
@@ -83,7 +83,7 @@
 
     def wait_until_listening(self) -> None:
         """Wait until the listener for other processes accepts connections."""
-        self._wait_until(lambda: connect(self.peers).close() is None)
+        self._wait_until(lambda: is_listening(self.peers))
 
     def _wait_until(self, condition) -> None:
         until_s = time.monotonic() + START_S
@@ -175,6 +175,12 @@
             client.close()
 
 
+def is_listening(address: str) -> bool:
+    """Return True if an address accepts a connection; raise OSError otherwise."""
+    connect(address).close()
+    return True
+
+
 def connect(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     return socket.create_connection((host, int(port)), timeout=ANSWER_S)
--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from redwingplank.platform import OutcomeUnknownError, PlatformError, UnavailableError
+from redwingplank.platform.answers import read_answer
 from redwingplank.platform.site.http import REPEATED_METHODS
 
 __all__ = [
@@ -82,7 +83,8 @@
     UnavailableError
         As from `translate_errors`.
     OutcomeUnknownError
-        The connection broke, a time-out expired, or as from `raise_for_status`.
+        The connection broke, a time-out expired, the answer is too long, or as from
+        `raise_for_status`.
     PlatformError
         As from `raise_for_status`.
     """
@@ -96,7 +98,7 @@
     async with open_call(
         session, method, url, timeout, headers_s, params=params, data=body, headers=headers
     ) as response:
-        answer = await response.read()
+        answer = await read_answer(response)
         raise_for_status(response.status, answer, url)
         return answer
 
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from redwingplank.core import RedwingError
+from redwingplank.platform.answers import ANSWER_LIMIT_BYTES, read_answer
 from redwingplank.platform.site.call_trace import (
     CallFailure,
     CallTrace,
@@ -69,9 +70,16 @@
     ----------
     connections_per_host : int
         Largest number of connections to one address; further calls wait.
+    answer_bytes : int
+        Length of the largest answer that is accepted.
     """
 
-    def __init__(self, connections_per_host: int = CONNECTIONS_PER_HOST) -> None:
+    def __init__(
+        self,
+        connections_per_host: int = CONNECTIONS_PER_HOST,
+        answer_bytes: int = ANSWER_LIMIT_BYTES,
+    ) -> None:
+        self._answer_bytes = answer_bytes
         connector = TracedConnector(
             limit=0,
             limit_per_host=connections_per_host,
@@ -125,7 +133,7 @@
             The connection could not be established. Never raised for the methods in
             `REPEATED_METHODS`: the call may have been sent on an earlier connection.
         NoAnswerError
-            The connection broke, or a time-out expired.
+            The connection broke, a time-out expired, or the answer is too long.
         """
         sent_headers = {"Content-Type": "application/json", **(headers or {})}
         if on_headers is None:
@@ -151,7 +159,7 @@
                     trace.status = response.status
                 if on_headers is not None and _is_answer(response.status):
                     on_headers()
-                return Reply(response.status, await response.read())
+                return Reply(response.status, await read_answer(response, self._answer_bytes))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             _record(trace, CallFailure.NOT_CONNECTED, error)
             if method in REPEATED_METHODS:
--- a/redwingplank/runtime/entry_client.py
+++ b/redwingplank/runtime/entry_client.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from redwingplank.platform import UnavailableError
+from redwingplank.platform.answers import read_answer
 from redwingplank.platform.http.calls import CONNECT_TIMEOUT_S, open_call, reading
 from redwingplank.routing import CallerAnswer, CallerRequest, Problem, Ran
 from redwingplank.runtime.requests_entries import EntryClient
@@ -50,7 +51,7 @@
         async with open_call(
             self._session, "POST", url, timeout, data=body, headers=_make_headers(call)
         ) as response:
-            answer = await response.read()
+            answer = await read_answer(response)
             with reading(url):
                 return _read_answer(response, answer)
 
