The listener for other processes has limits of messages and connections

Half of a message of 32 MiB from each of 8 clients brought redwing-node and redwing-scheduler over 128 MB, and 512 idle connections took up 530 and 526 descriptors of 256.

Change: messages are at most 8 MiB, by the limit that Cap'n Proto has for it; the connections take a quarter of the descriptors, and a further one replaces the oldest, since the other processes open theirs again on demand.

--- a/redwingplank/cli/settings.py
+++ b/redwingplank/cli/settings.py
@@ -85,6 +85,11 @@
     store_timeout_s: float = setting(
         parse_seconds(0.05, 30.0), "Timeout of a call to the store.", unit="seconds", default="1"
     )
+    descriptors: int = setting(
+        parse_integer(64, 1 << 20),
+        "Descriptors that the process may open: half for callers, a quarter for its peers.",
+        default="4100",
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -103,11 +108,6 @@
         unit="MiB",
         default="300",
     )
-    descriptors: int = setting(
-        parse_integer(64, 1 << 20),
-        "Descriptors that the process may open; half of them serve callers.",
-        default="4100",
-    )
     drain_notice_s: float = setting(
         parse_seconds(0.0, 60.0),
         "Time between reporting not ready and closing the listener, for the balancer to react.",
--- a/redwingplank/cli/tests/crowd_fixture.py
+++ b/redwingplank/cli/tests/crowd_fixture.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from redwingplank.platform.http.server import serve_http
+from redwingplank.platform.http.server import HttpServer, serve_http
 from redwingplank.standin.loopback import find_free_address
 from redwingplank.standin.site_store import SiteStoreModel, make_site_store_app
 
@@ -215,13 +215,22 @@
     try:
         yield address
     finally:
-        server.abort()
-        asyncio.run_coroutine_threadsafe(server.stop(), loop).result(START_S)
+        asyncio.run_coroutine_threadsafe(stop_store(server), loop).result(START_S)
         loop.call_soon_threadsafe(loop.stop)
         thread.join()
         loop.close()
 
 
+async def stop_store(server: HttpServer) -> None:
+    """Stop a server, and end the watches that wait there."""
+    server.abort()
+    await server.stop()
+    waiting = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in waiting:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
+
+
 @contextlib.contextmanager
 def run_node(folder: Path) -> Iterator[ProgramProcess]:
     """Run a `redwing-node` that is ready, on a machine with little memory."""
--- a/redwingplank/rpc/server.py
+++ b/redwingplank/rpc/server.py
@@ -12,6 +12,11 @@
 
 __all__ = ["NodeServer", "serve_node"]
 
+MESSAGE_BYTES = 8 * 1024 * 1024
+"""Longest message, eight times the largest value of the store; it also bounds how much of a message
+may be read, where a part that is read again counts again."""
+WORD_BYTES = 8
+DEFAULT_CONNECTIONS = 1024
 
 _NodeServer: Any = load_schema("node").Node.Server
 
@@ -30,11 +35,24 @@
 
 
 class NodeServer:
-    """Accepts connections on one address and serves the named services on each."""
+    """Accepts connections on one address and serves the named services on each.
 
-    def __init__(self, services_by_name: Mapping[str, Any]) -> None:
+    Parameters
+    ----------
+    services_by_name : mapping of str to capnp server
+        Services by the name that callers pass to `PeerConnections.call`.
+    connections : int
+        Most open connections. A further one takes the place of the oldest, as the other processes
+        open theirs again on demand.
+    """
+
+    def __init__(
+        self, services_by_name: Mapping[str, Any], connections: int = DEFAULT_CONNECTIONS
+    ) -> None:
         self._services_by_name = services_by_name
-        self._connections: set[asyncio.Task] = set()
+        self._limit = connections
+        self._connections: dict[asyncio.Task, None] = {}
+        """Tasks that serve the open connections, the oldest first."""
         self._server: Any = None
 
     async def start(self, address: str) -> None:
@@ -53,15 +71,26 @@
     async def _serve(self, stream: Any) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._connections.add(task)
+        self._make_place()
+        self._connections[task] = None
         try:
-            server = capnp.TwoPartyServer(stream, bootstrap=_Node(self._services_by_name))
+            server = capnp.TwoPartyServer(
+                stream,
+                bootstrap=_Node(self._services_by_name),
+                traversal_limit_in_words=MESSAGE_BYTES // WORD_BYTES,
+            )
             await server.on_disconnect()
         except (capnp.KjException, asyncio.CancelledError):
             pass
         finally:
             stream.close()
-            self._connections.discard(task)
+            self._connections.pop(task, None)
+
+    def _make_place(self) -> None:
+        while len(self._connections) >= self._limit:
+            oldest = next(iter(self._connections))
+            del self._connections[oldest]
+            oldest.cancel()
 
 
 async def serve_node(address: str, services_by_name: Mapping[str, Any]) -> NodeServer:
