A worker that had answered a new owner is waited for no longer than its leases may last

A worker that died within some seconds of a change of owners, after its first answer to the new one, kept its tasks for 10.45 s (three cases, at 0.2, 0.5 and 2 s: 1 of 2 tasks ran 8 s after the change). Same class as the wait for workers that never answer: the first report was taken to follow a lease of the longest kind, which no owner grants.

Change: it follows one of 7 s at most, as all earlier owners keep to that bound.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -439,6 +439,7 @@
         "free",
         "guarded_until_s",
         "handled_completion_number",
+        "has_restarted",
         "id",
         "is_confirmed",
         "is_listed",
@@ -464,6 +465,9 @@
         self.awaits_whole_report = True
         """Whether no report has listed all completions since the worker last began to answer."""
         self.unconfirmed_until_s = unconfirmed_until_s
+        self.has_restarted = False
+        """Whether its process has restarted since this owner knows it. The new one takes a lease on
+        the clock of the one before it for the longest one."""
         self.is_unreachable = False
         self.silent_s = 0.0
         """Time at which the worker became unreachable."""
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -38,7 +38,7 @@
             listed.add(entry.worker_id)
             worker = state.workers_by_id.get(entry.worker_id)
             if worker is None:
-                if state.has_restarted(entry):
+                if state.has_restarted(entry.worker_id, entry.born_ms):
                     state.extend_wait_for_restarted(entry.worker_id, now_s)
                 unconfirmed_until_s = state.unconfirmed_hosts.get(entry.worker_id, now_s)
                 worker = Worker(entry, unconfirmed_until_s)
@@ -78,6 +78,7 @@
         self._crashes.count_crash(worker, now_s)
         self._state.extend_wait_for_restarted(worker.id, now_s)
         worker.born_ms = born_ms
+        worker.has_restarted = True
         worker.clock_ms = None
         worker.lease_until_ms = 0
         worker.handled_completion_number = worker.acknowledged_completion_number = 0
@@ -113,10 +114,8 @@
                 return
             self.handle_restart(worker, report.born_ms, now_s)
         if worker.clock_ms is None:
-            # Before the restart of a worker, a lease that its clock takes for the longest one may
-            # have been granted.
-            limit_ms = round(self._state.settings.lease_limit_s * 1000)
-            worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + limit_ms)
+            inherited_ms = self._state.inherited_lease_ms(worker)
+            worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + inherited_ms)
             self._state.needs_pass = True
         worker.clock_ms = report.clock_ms
         worker.clock_at_s = now_s
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -16,7 +16,6 @@
     StepKey,
     StepSpec,
     TaskId,
-    WorkerEntry,
 )
 from redwingplank.batch.organisations import Organisations
 from redwingplank.batch.settings import BatchSettings
@@ -204,13 +203,21 @@
             return now_s + self.settings.bounded_wait_s
         return now_s + self.settings.unbounded_wait_s
 
-    def has_restarted(self, entry: WorkerEntry) -> bool:
+    def has_restarted(self, worker_id: str, born_ms: int) -> bool:
         """Return whether a worker is a later process than one that may run tasks."""
         return any(
-            host.worker_id == entry.worker_id and 0 < host.born_ms < entry.born_ms
+            host.worker_id == worker_id and 0 < host.born_ms < born_ms
             for host in self.lost_runs_by_incarnation
         )
 
+    def inherited_lease_ms(self, worker: Worker) -> int:
+        """Return how long a lease may last that a worker had before its first report."""
+        settings = self.settings
+        is_restarted = worker.has_restarted or self.has_restarted(worker.id, worker.born_ms)
+        is_bounded = self.are_leases_bounded and not is_restarted
+        longest_s = settings.proof_lease_s if is_bounded else settings.lease_limit_s
+        return round(min(longest_s, settings.lease_limit_s) * 1000)
+
     def extend_wait_for_restarted(self, worker_id: str, now_s: float) -> None:
         """Wait for an unconfirmed worker that has restarted as for leases without a bound."""
         if worker_id in self.unconfirmed_hosts:
--- a/redwingplank/batch/tests/test_awaited_hosts.py
+++ b/redwingplank/batch/tests/test_awaited_hosts.py
@@ -43,6 +43,13 @@
     return cell, hosts[0]
 
 
+def lease_left_s(cell, host):
+    """Return how long the owner thinks that a worker which has answered may have a lease."""
+    known = cell.owner.state.workers_by_id[host.entry.worker_id]
+    assert known.clock_ms is not None
+    return (known.lease_until_ms - known.clock_now_ms(cell.now_s)) / 1000
+
+
 def count_running(cell):
     return sum(len(worker.runs) for worker in cell.workers.values() if not worker.is_down)
 
@@ -101,6 +108,17 @@
         assert count_running(cell) == 2
         assert cell.violations == []
 
+    # Guards against a longer wait for a worker that had answered the new owner before it died.
+    @pytest.mark.parametrize("died_after_s", [0.2, 0.5, 2.0])
+    def test_start_again_in_time_if_the_worker_dies_just_after_it(self, died_after_s):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.replace_owner()
+        cell.run_for(died_after_s)
+        cell.take_down(host)
+        cell.run_for(RESTART_BOUND_S)
+        assert count_running(cell) == 2
+        assert cell.violations == []
+
     # Guards against an owner whose wait adds to those of its predecessors.
     def test_start_again_in_time_after_two_changes(self):
         cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
@@ -242,3 +260,27 @@
             cell.owner.list_workers(cell._entries(), cell.now_s)
         until_s = cell.owner.state.unconfirmed_hosts[host.entry.worker_id]
         assert until_s - cell.now_s == pytest.approx(LONG_LEASES.unbounded_wait_s)
+
+    # Guards against the same if the worker answers before it becomes silent.
+    @pytest.mark.parametrize("answered_before_s", [0.0, 1.0])
+    def test_holds_for_a_restarted_worker_that_answers(self, answered_before_s):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.replace_owner()
+        cell.run_for(answered_before_s)
+        cell.crash(host.entry.worker_id)
+        cell.run_for(0.7)
+        assert lease_left_s(cell, host) > LONG_LEASES.lease_limit_s - 1.0
+
+    def test_holds_for_a_worker_that_restarted_before_the_change(self):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.crash(host.entry.worker_id)
+        cell.replace_owner()
+        cell.run_for(0.7)
+        assert lease_left_s(cell, host) > LONG_LEASES.lease_limit_s - 1.0
+
+    def test_holds_for_a_worker_that_answers(self):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.are_leases_bounded = False
+        cell.replace_owner()
+        cell.run_for(0.7)
+        assert lease_left_s(cell, host) > LONG_LEASES.lease_limit_s - 1.0
