A host that an owner has given up is not waited for by the next one

After a change of owners tasks waited again for workers that the owner before had given up: it removed them from the records of ended jobs only, and from those of running jobs when something else changed their tasks. Class: a memory that is not handed on.

Change: hosts that are given up leave the records of all jobs that keep them, all at once and by their bit sets; present runs stay.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -233,6 +233,10 @@
         return self.suspicions > 1
 
 
+HostedTasks = dict[tuple[StepKey, Incarnation], int]
+"""Bit set of the tasks of a step that an incarnation of a worker runs."""
+
+
 class Step:
     """One step of one occurrence of a job."""
 
@@ -307,6 +311,25 @@
             self.hosts.pop(host, None)
         return left != bits
 
+    def keep_hosted(self, worker_ids: set[str], present: HostedTasks) -> bool:
+        """Forget what some workers may run, but for present runs; return whether that was any.
+
+        Parameters
+        ----------
+        worker_ids : set of str
+            Ids of the workers.
+        present : dict
+            Tasks that run in their incarnations.
+        """
+        is_changed = False
+        for host in [each for each in self.hosts if each.worker_id in worker_ids]:
+            bits = self.hosts.pop(host)
+            left = bits & present.get((self.key, host), 0)
+            if left:
+                self.hosts[host] = left
+            is_changed |= left != bits
+        return is_changed
+
     @property
     def waits_for_quota(self) -> bool:
         """Whether the step had to wait for the quota of its organisation in the last pass."""
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from redwingplank.batch.commands import Commands
-from redwingplank.batch.entities import Job, LostRun, Run, RunState, Step, Task, Worker
+from redwingplank.batch.entities import HostedTasks, Job, LostRun, Run, RunState, Step, Task, Worker
 from redwingplank.batch.interference import Interference
 from redwingplank.batch.model import (
     CellConfig,
@@ -184,18 +184,29 @@
         if step.remove_host(host, task.id):
             self.mark_dirty(job)
 
-    def forget_hosts_of_final_jobs(self, worker_id: str) -> None:
-        """Let a next owner know that no task of a final job runs on a worker.
+    def forget_free_hosts(self, worker_ids: set[str]) -> None:
+        """Let a next owner know that nothing of earlier owners runs on some workers.
 
-        Call it when every lease on the worker has expired.
+        Call it when every lease of earlier owners there has expired. Runs of this owner stay.
         """
+        present = self._present_runs(worker_ids)
         for job in self.jobs_by_id.values():
-            if not job.state.is_final:
+            if not job.keeps_hosts:
                 continue
+            is_changed = False
             for step in job.steps_by_key.values():
-                hosts = [host for host in step.hosts if host.worker_id == worker_id]
-                for host, task in [(host, task) for host in hosts for task in step.tasks]:
-                    self.forget_host(job, task, host)
+                is_changed |= step.keep_hosted(worker_ids, present)
+            if is_changed:
+                self.mark_dirty(job)
+
+    def _present_runs(self, worker_ids: set[str]) -> HostedTasks:
+        """Return the tasks that this owner knows to run, or to have started, on some workers."""
+        present: HostedTasks = {}
+        for worker in (self.workers_by_id.get(each) for each in worker_ids):
+            for run in worker.runs_by_key.values() if worker else ():
+                key = (run.task_id.step_key, run.incarnation)
+                present[key] = present.get(key, 0) | 1 << run.task_id.position
+        return present
 
     def inherited_leases_end_s(self, now_s: float) -> float:
         """Return the time by which all leases granted by earlier owners have certainly expired."""
--- a/redwingplank/batch/tests/test_awaited_hosts.py
+++ b/redwingplank/batch/tests/test_awaited_hosts.py
@@ -5,10 +5,11 @@
 import pytest
 
 from redwingplank.batch.emulated_worker import Fault
-from redwingplank.batch.model import JobState
+from redwingplank.batch.emulator import EmulatedCell
+from redwingplank.batch.model import Incarnation, JobState
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.settings import BatchSettings
-from redwingplank.batch.tests.cells import make_cell, make_job, step
+from redwingplank.batch.tests.cells import make_cell, make_config, make_job, make_worker, step
 
 RESTART_BOUND_S = 8.0
 """A task that lasts has to run again after 7 s without a disruption; a change of owners that is
@@ -284,3 +285,58 @@
         cell.replace_owner()
         cell.run_for(0.7)
         assert lease_left_s(cell, host) > LONG_LEASES.lease_limit_s - 1.0
+
+
+class TestHostsThatWereGivenUp:
+    # Guards against owners that wait one after the other for a worker that is known to be gone.
+    def test_are_not_waited_for_by_the_next_owner(self):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.take_down(host)
+        cell.replace_owner()
+        cell.run_for(RESTART_BOUND_S)
+        cell.replace_owner()
+        assert host.entry.worker_id not in cell.owner.state.unconfirmed_hosts
+        assert cell.violations == []
+
+    # Guards against forgetting where a run is that goes on.
+    def test_leave_the_hosts_of_present_runs(self):
+        cell, host = make_cell_with_lasting_job(settings=LONG_LEASES)
+        cell.take_down(host)
+        cell.replace_owner()
+        cell.run_for(RESTART_BOUND_S)
+        cell.replace_owner()
+        running = {name for name, worker in cell.workers.items() if worker.runs}
+        assert set(cell.owner.state.unconfirmed_hosts) == running
+
+    # Guards against a pass over all tasks of all jobs for each worker, which holds up the owner.
+    def test_are_taken_out_at_a_cost_that_does_not_grow_with_the_tasks(self):
+        workers = [make_worker(number) for number in range(40)]
+        cell = EmulatedCell(make_config(), workers, settings=LONG_LEASES)
+        state = cell.owner.state
+        spec = make_job("a", step(1500, 1))
+        cell.owner.submit(spec, cell.now_s, cell.now_s)
+        (wide,) = state.jobs_by_id["a"].steps_by_key.values()
+        hosts = [Incarnation(name, f"{name}:80", 1) for name in cell.workers]
+        for host in hosts:
+            wide.hosts[host] = (1 << 1500) - 1
+            state.unconfirmed_hosts[host.worker_id] = cell.now_s
+        touched = CountingTasks(wide.tasks)
+        wide.tasks = touched
+        cell.owner._watchdog.check(cell.now_s)
+        assert state.unconfirmed_hosts == {} and wide.hosts == {}
+        assert touched.looks == 0
+
+
+class CountingTasks(list):
+    """Tasks of a step that count how often one is looked at."""
+
+    looks = 0
+
+    def __iter__(self):
+        for task in super().__iter__():
+            self.looks += 1
+            yield task
+
+    def __getitem__(self, index):
+        self.looks += 1
+        return super().__getitem__(index)
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -33,13 +33,24 @@
         for worker in list(state.workers_by_id.values()):
             self._reports.release_expired_runs(worker, now_s)
         state.organisations.release_expired_hosts(now_s)
-        for host, until_s in list(state.unconfirmed_hosts.items()):
-            if now_s >= until_s and not self._is_lease_renewed(host, now_s):
-                tasks = state.inherited_tasks_by_host.pop(host, 0)
-                del state.unconfirmed_hosts[host]
-                state.forget_hosts_of_final_jobs(host)
-                state.needs_pass = True
-                state.log_decision("host_free", worker=host, reason="every_lease_over", tasks=tasks)
+        free_ids = {
+            host
+            for host, until_s in state.unconfirmed_hosts.items()
+            if now_s >= until_s and not self._is_lease_renewed(host, now_s)
+        }
+        if free_ids:
+            self._free_hosts(free_ids)
+
+    def _free_hosts(self, worker_ids: set[str]) -> None:
+        state = self._state
+        for worker_id in sorted(worker_ids):
+            del state.unconfirmed_hosts[worker_id]
+            tasks = state.inherited_tasks_by_host.pop(worker_id, 0)
+            state.log_decision(
+                "host_free", worker=worker_id, reason="every_lease_over", tasks=tasks
+            )
+        state.forget_free_hosts(worker_ids)
+        state.needs_pass = True
 
     def _is_lease_renewed(self, worker_id: str, now_s: float) -> bool:
         """Return whether this owner has granted a lease that may not have expired yet."""
