Refusals of clients are counted by reason, and not logged

Nothing told an operator that clients were refused or their connections closed for a limit, and each invalid request wrote a line to standard error, with which clients could fill the log.

Change: redwing_client_refusals_total by reason at redwing-node; the server's warnings of what clients send are off, its errors stay.

--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -13,6 +13,7 @@
 )
 
 from redwingplank.cell.organisation_metrics import OrganisationMetrics
+from redwingplank.platform.http.limits import Refusal
 
 __all__ = ["METRICS_PATH", "NodeMetrics", "make_metrics_app"]
 
@@ -56,6 +57,12 @@
             ["cause"],
             registry=self.registry,
         )
+        self._client_refusals = Counter(
+            "redwing_client_refusals",
+            "Clients that were refused, or whose connections were closed, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
         self._submissions = Counter(
             "redwing_submissions",
             "Submissions by outcome and what decided it",
@@ -106,6 +113,10 @@
         if histogram_and_field is not None and histogram_and_field[1] in fields:
             histogram_and_field[0].observe(fields[histogram_and_field[1]])
 
+    def record_client_refusal(self, reason: Refusal) -> None:
+        """Count a client that was refused, or whose connection was closed."""
+        self._client_refusals.labels(reason.value).inc()
+
     def record_submission(self, outcome: str, cause: str) -> None:
         """Count a submission by its outcome and what decided that."""
         self._submissions.labels(outcome, cause).inc()
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -88,7 +88,9 @@
         app = make_app(self.callers, self._find_obstacle, self._context, self._report_failure)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
         limits = make_limits(settings.memory_mb, settings.descriptors)
-        self._http = await serve_http(app, addresses, FINISH_S, limits)
+        self._http = await serve_http(
+            app, addresses, FINISH_S, limits, self._context.metrics.record_client_refusal
+        )
         if settings.metrics_address:
             metrics_app = make_metrics_app(self._context.metrics)
             self._metrics_server = await serve_http(
--- a/redwingplank/platform/http/bodies.py
+++ b/redwingplank/platform/http/bodies.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from redwingplank.core import RedwingError
+from redwingplank.platform.http.limits import OnRefusal, Refusal
 
 __all__ = ["BodyLimit", "BodyRefusedError"]
 
@@ -60,10 +61,13 @@
     limit_bytes : int
         Most bytes of all small bodies, and of all other ones. The only one of its kind may have
         more, so that each request is served in calm whose size the application allows.
+    on_refusal : callable
+        Called with the reason when a request is refused.
     """
 
-    def __init__(self, application: Any, limit_bytes: int) -> None:
+    def __init__(self, application: Any, limit_bytes: int, on_refusal: OnRefusal) -> None:
         self._application = application
+        self._on_refusal = on_refusal
         self._small = _Pool(limit_bytes)
         self._large = _Pool(limit_bytes)
 
@@ -73,7 +77,11 @@
 
         async def receive_counted() -> _Message:
             message = await receive()
-            body.add(len(message.get("body", b"")))
+            try:
+                body.add(len(message.get("body", b"")))
+            except BodyRefusedError:
+                self._on_refusal(Refusal.BODY)
+                raise
             return message
 
         try:
--- a/redwingplank/platform/http/connections.py
+++ b/redwingplank/platform/http/connections.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from redwingplank.platform.http.limits import HttpLimits
+from redwingplank.platform.http.limits import HttpLimits, OnRefusal, Refusal
 
 __all__ = ["ConnectionTable", "ServerConnection"]
 
@@ -22,10 +22,13 @@
     ----------
     limits : HttpLimits
         Limits of the server.
+    on_refusal : callable
+        Called with the reason for which a client is refused.
     """
 
-    def __init__(self, limits: HttpLimits) -> None:
+    def __init__(self, limits: HttpLimits, on_refusal: OnRefusal) -> None:
         self._limits = limits
+        self.on_refusal = on_refusal
         self._bytes_by_connection: dict[ServerConnection, int] = {}
         """Unprocessed input of each open connection in bytes."""
         self._total_bytes = 0
@@ -36,8 +39,9 @@
         """Add a connection that is idle; return False if there is no place for it."""
         if len(self._bytes_by_connection) >= self._limits.connections:
             if not self._idle:
+                self.on_refusal(Refusal.PLACE)
                 return False
-            self._end(next(iter(self._idle)))
+            self._end(next(iter(self._idle)), Refusal.IDLE)
         self._bytes_by_connection[connection] = 0
         self._idle[connection] = None
         return True
@@ -64,8 +68,9 @@
         self._bytes_by_connection[connection] = size
         if self._total_bytes > self._limits.buffered_bytes:
             sizes = self._bytes_by_connection
-            self._end(max(sizes, key=lambda each: sizes[each]))
+            self._end(max(sizes, key=lambda each: sizes[each]), Refusal.INPUT)
 
-    def _end(self, connection: ServerConnection) -> None:
+    def _end(self, connection: ServerConnection, reason: Refusal) -> None:
+        self.on_refusal(reason)
         self.remove(connection)
         connection.end()
--- a/redwingplank/platform/http/limits.py
+++ b/redwingplank/platform/http/limits.py
@@ -1,8 +1,10 @@
 """Limits of what the clients of an HTTP server may send and keep open."""
 
+import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 
-__all__ = ["DEFAULT_LIMITS", "HttpLimits", "make_limits"]
+__all__ = ["DEFAULT_LIMITS", "HttpLimits", "OnRefusal", "Refusal", "ignore_refusal", "make_limits"]
 
 KIB = 1024
 MIB = 1024 * KIB
@@ -15,6 +17,28 @@
 """Connections of clients take at most one of so many equal parts of the descriptors."""
 
 
+class Refusal(enum.Enum):
+    """Why a client was refused, or its connection closed."""
+
+    REQUEST = "request"
+    """It sent what is no request, or one outside the limits."""
+    LATE = "late"
+    """The rest of its request did not arrive in time."""
+    UNREAD = "unread"
+    """It did not take its answers in time."""
+    BODY = "body"
+    """The bodies of other requests took up the memory."""
+    INPUT = "input"
+    """It had sent most of the input that took up the memory."""
+    IDLE = "idle"
+    """It was idle for longest when a further client came."""
+    PLACE = "place"
+    """All other connections had a request."""
+
+
+OnRefusal = Callable[[Refusal], None]
+
+
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
     """Limits of an HTTP server; times are in seconds.
@@ -65,6 +89,10 @@
 DEFAULT_LIMITS = HttpLimits()
 
 
+def ignore_refusal(_: Refusal) -> None:
+    """Do nothing, where refusals are not counted."""
+
+
 def make_limits(memory_mb: int, descriptors: int) -> HttpLimits:
     """Return the limits for a machine.
 
--- a/redwingplank/platform/http/protocol.py
+++ b/redwingplank/platform/http/protocol.py
@@ -1,6 +1,7 @@
 """Server side of one HTTP connection, with limits of what its client may send and leave unread."""
 
 import asyncio
+import logging
 from typing import Any, cast
 from urllib.parse import urlsplit
 
@@ -11,7 +12,7 @@
 from uvicorn.server import ServerState
 
 from redwingplank.platform.http.connections import ConnectionTable, ServerConnection
-from redwingplank.platform.http.limits import HttpLimits
+from redwingplank.platform.http.limits import HttpLimits, Refusal
 
 __all__ = ["LimitedProtocol"]
 
@@ -20,6 +21,9 @@
 URI_TOO_LONG = 414
 HEADERS_TOO_LARGE = 431
 BLANK = b"\r\n"
+_LOGGER = logging.getLogger("redwingplank.http")
+# What clients send is counted and not logged, as they could fill the log with it.
+_LOGGER.setLevel(logging.ERROR)
 
 
 class _LimitedParser(h11.Connection):
@@ -104,6 +108,7 @@
         _loop: asyncio.AbstractEventLoop | None = None,
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
+        self.logger = _LOGGER
         self._limits = limits
         self._table = table
         self._parser = self.conn = _LimitedParser(limits)
@@ -150,7 +155,7 @@
         """Wait until the client takes an answer, for a limited time."""
         super().pause_writing()
         loop = asyncio.get_running_loop()
-        self._unread_timer = loop.call_later(self._limits.unread_answer_s, self.end)
+        self._unread_timer = loop.call_later(self._limits.unread_answer_s, self._end_unread)
 
     def resume_writing(self) -> None:
         """Go on with the answers."""
@@ -182,6 +187,7 @@
             and (cycle.response_started or not cycle.more_body)
         )
         if is_handled or self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._table.on_refusal(Refusal.REQUEST)
             self.transport.close()
             return
         self._refuse(self._parser.refusal, msg)
@@ -203,7 +209,8 @@
             return b""
         return wanted
 
-    def _refuse(self, status: int, problem: str) -> None:
+    def _refuse(self, status: int, problem: str, reason: Refusal = Refusal.REQUEST) -> None:
+        self._table.on_refusal(reason)
         body = problem.encode("ascii")
         headers = [
             (b"content-type", b"text/plain; charset=utf-8"),
@@ -245,10 +252,15 @@
     def _end_late_request(self) -> None:
         """Refuse a head that has not arrived in time; close a connection whose body has not."""
         if self._awaited is h11.IDLE and self._parser.our_state is h11.IDLE:
-            self._refuse(REQUEST_TIMEOUT, "the request did not arrive in time")
+            self._refuse(REQUEST_TIMEOUT, "the request did not arrive in time", Refusal.LATE)
         else:
+            self._table.on_refusal(Refusal.LATE)
             self.transport.close()
 
+    def _end_unread(self) -> None:
+        self._table.on_refusal(Refusal.UNREAD)
+        self.end()
+
     def _stop_arrival_timer(self) -> None:
         self._awaited = None
         if self._arrival_timer is not None:
--- a/redwingplank/platform/http/server.py
+++ b/redwingplank/platform/http/server.py
@@ -11,7 +11,12 @@
 
 from redwingplank.platform.http.bodies import BodyLimit
 from redwingplank.platform.http.connections import ConnectionTable
-from redwingplank.platform.http.limits import DEFAULT_LIMITS, HttpLimits
+from redwingplank.platform.http.limits import (
+    DEFAULT_LIMITS,
+    HttpLimits,
+    OnRefusal,
+    ignore_refusal,
+)
 from redwingplank.platform.http.protocol import LimitedProtocol
 
 __all__ = ["HttpServer", "serve_http"]
@@ -51,6 +56,8 @@
         Seconds that requests in flight may take to finish after `stop` is called.
     limits : HttpLimits
         Limits of what clients may send and keep open.
+    on_refusal : callable
+        Called with the reason for which a client is refused.
     """
 
     def __init__(
@@ -59,10 +66,12 @@
         addresses: Sequence[str],
         graceful_s: float = 30.0,
         limits: HttpLimits = DEFAULT_LIMITS,
+        on_refusal: OnRefusal = ignore_refusal,
     ) -> None:
-        protocol: Any = functools.partial(LimitedProtocol, limits, ConnectionTable(limits))
+        table = ConnectionTable(limits, on_refusal)
+        protocol: Any = functools.partial(LimitedProtocol, limits, table)
         config = uvicorn.Config(
-            BodyLimit(application, limits.body_bytes),
+            BodyLimit(application, limits.body_bytes, on_refusal),
             http=protocol,
             ws="none",
             lifespan="off",
@@ -111,9 +120,10 @@
     addresses: Sequence[str],
     graceful_s: float = 30.0,
     limits: HttpLimits = DEFAULT_LIMITS,
+    on_refusal: OnRefusal = ignore_refusal,
 ) -> HttpServer:
     """Start a server and return it; the parameters are those of `HttpServer`."""
-    server = HttpServer(application, addresses, graceful_s, limits)
+    server = HttpServer(application, addresses, graceful_s, limits, on_refusal)
     await server.start()
     return server
 
--- a/redwingplank/platform/tests/test_client_limits.py
+++ b/redwingplank/platform/tests/test_client_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from redwingplank.platform.http.limits import DEFAULT_LIMITS, HttpLimits, make_limits
+from redwingplank.platform.http.limits import DEFAULT_LIMITS, HttpLimits, Refusal, make_limits
 from redwingplank.platform.http.server import serve_http
 from redwingplank.standin.loopback import find_free_address
 
@@ -47,9 +47,9 @@
 
 
 @asynccontextmanager
-async def serve(limits):
+async def serve(limits, on_refusal):
     application, address = Application(), find_free_address()
-    server = await serve_http(application, [address], 0, limits)
+    server = await serve_http(application, [address], 0, limits, on_refusal)
     host, _, port = address.rpartition(":")
     opened = []
 
@@ -68,11 +68,15 @@
 
 
 def run(scenario, limits=LIMITS):
+    """Run a scenario against a server, and return the reasons of its refusals."""
+    refusals = []
+
     async def serve_and_run():
-        async with serve(limits) as (application, connect):
+        async with serve(limits, refusals.append) as (application, connect):
             await scenario(application, connect)
 
     asyncio.run(asyncio.wait_for(serve_and_run(), TIMEOUT_S))
+    return refusals
 
 
 def exchange(request, limits=LIMITS):
@@ -150,6 +154,18 @@
         answer = exchange(b"GET / HTTP/1.1\r\nHost:", replace(LIMITS, head_s=0.1))
         assert status_of(answer) == 408
 
+    # Guards against refusals that nobody sees.
+    def test_refusals_are_counted_by_reason(self):
+        async def scenario(_, connect):
+            reader, writer = await connect()
+            writer.write(b"nonsense\r\n\r\n")
+            await reader.read()
+            reader, writer = await connect()
+            writer.write(b"GET /")
+            await reader.read()
+
+        assert run(scenario, replace(LIMITS, head_s=0.1)) == [Refusal.REQUEST, Refusal.LATE]
+
     # Guards against a connection that stray bytes keep open.
     def test_empty_lines_do_not_extend_the_idle_time(self):
         async def scenario(_, connect):
@@ -169,6 +185,22 @@
         request_bytes = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab"
         assert exchange(request_bytes, replace(LIMITS, body_s=0.1)) == b""
 
+    # Guards against bodies that take up the memory together, each within the limit of a request.
+    def test_one_of_two_large_ones_is_refused(self):
+        async def scenario(_, connect):
+            head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n"
+            clients = [await connect() for _ in range(2)]
+            for _, writer in clients:
+                writer.write(head + b"a" * 90_000)
+            answers = [asyncio.ensure_future(reader.read(64)) for reader, _ in clients]
+            done, waiting = await asyncio.wait(answers, return_when=asyncio.FIRST_COMPLETED)
+            # The application of this test leaves the answer to the server.
+            assert [status_of(each.result()) for each in done] == [500]
+            assert len(waiting) == 1
+            waiting.pop().cancel()
+
+        assert run(scenario, replace(LIMITS, body_bytes=100_000)) == [Refusal.BODY]
+
     # Guards against large bodies that crowd out small ones.
     def test_small_ones_are_served_beside_large_ones(self):
         async def scenario(_, connect):
@@ -242,7 +274,7 @@
             with pytest.raises(ConnectionError):
                 await send_without_end(writer, head + body)
 
-        run(scenario, replace(LIMITS, unread_answer_s=0.2))
+        assert Refusal.UNREAD in run(scenario, replace(LIMITS, unread_answer_s=0.2))
 
 
 class TestConnections:
@@ -258,7 +290,7 @@
             await third.readuntil(b"/1 ")
             assert not second.at_eof()
 
-        run(scenario, replace(LIMITS, connections=2))
+        assert run(scenario, replace(LIMITS, connections=2)) == [Refusal.IDLE]
 
     def test_those_with_a_request_stay(self):
         async def scenario(application, connect):
@@ -271,7 +303,7 @@
             application.may_answer.set()
             await reader.readuntil(b"/0 ")
 
-        run(scenario, replace(LIMITS, connections=1))
+        assert run(scenario, replace(LIMITS, connections=1)) == [Refusal.PLACE]
 
     # Guards against many connections that each keep within their own limits.
     def test_the_one_with_most_unprocessed_input_gives_way(self):
@@ -288,7 +320,7 @@
             writer.write(GET % 0)
             await reader.readuntil(b"/0 ")
 
-        run(scenario, replace(LIMITS, buffered_bytes=1200))
+        assert run(scenario, replace(LIMITS, buffered_bytes=1200)) == [Refusal.INPUT]
 
 
 class TestMakeLimits:
