The wait for a restarted worker is extended in both places; one place for the share of peers

Read-through: a worker that restarts while it is waited for kept the earlier end of the wait in its own entry, which decides for runs that this owner had planned there; and the share of the descriptors for other processes was written in two modules.

--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -231,8 +231,12 @@
 
     def extend_wait_for_restarted(self, worker_id: str, now_s: float) -> None:
         """Wait for an unconfirmed worker that has restarted as for leases without a bound."""
-        if worker_id in self.unconfirmed_hosts:
-            self.unconfirmed_hosts[worker_id] = now_s + self.settings.unbounded_wait_s
+        if worker_id not in self.unconfirmed_hosts:
+            return
+        until_s = self.unconfirmed_hosts[worker_id] = now_s + self.settings.unbounded_wait_s
+        worker = self.workers_by_id.get(worker_id)
+        if worker is not None:
+            worker.unconfirmed_until_s = until_s
 
     def log_awaited_host(self, worker_id: str, now_s: float) -> None:
         """Log that the tasks of an unconfirmed worker wait, and for how long at most."""
--- a/redwingplank/batch/tests/test_awaited_hosts.py
+++ b/redwingplank/batch/tests/test_awaited_hosts.py
@@ -261,6 +261,7 @@
             cell.owner.list_workers(cell._entries(), cell.now_s)
         until_s = cell.owner.state.unconfirmed_hosts[host.entry.worker_id]
         assert until_s - cell.now_s == pytest.approx(LONG_LEASES.unbounded_wait_s)
+        assert cell.owner.state.workers_by_id[host.entry.worker_id].unconfirmed_until_s == until_s
 
     # Guards against the same if the worker answers before it becomes silent.
     @pytest.mark.parametrize("answered_before_s", [0.0, 1.0])
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -32,8 +32,6 @@
 FINISH_S = 3
 """Longest time in seconds that a submission takes, including attempts through peers."""
 
-PEER_CONNECTION_PARTS = 4
-"""Connections of other nodes take at most one of so many equal parts of the descriptors."""
 METRICS_LIMITS = HttpLimits(connections=16, buffered_bytes=1 << 20, body_bytes=1 << 20)
 """Limits of the server of the metrics, which few clients read and which takes no bodies."""
 
@@ -82,8 +80,7 @@
             self.callers.store_here,
             self.callers.note_unresolved,
         )
-        peer_connections = settings.descriptors // PEER_CONNECTION_PARTS
-        self._peer_server = NodeServer({CELL_SERVICE: service}, peer_connections)
+        self._peer_server = NodeServer({CELL_SERVICE: service}, settings.descriptors)
         await self._peer_server.start(settings.peer_address)
         app = make_app(self.callers, self._find_obstacle, self._context, self._report_failure)
         addresses = list(dict.fromkeys([settings.callers_address, settings.readiness_address]))
--- a/redwingplank/cli/node.py
+++ b/redwingplank/cli/node.py
@@ -24,8 +24,6 @@
 UPSTREAM_CONNECTIONS = 64
 """HTTP connections that an upstream accepts, divided among the entries of its failure domain."""
 
-PEER_CONNECTION_PARTS = 4
-"""Connections of other processes take at most one of so many equal parts of the descriptors."""
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -79,8 +77,7 @@
             RPC services of this process other than membership.
         """
         services = {MEMBERSHIP_SERVICE: self.membership.server, **services_by_name}
-        peer_connections = self.settings.descriptors // PEER_CONNECTION_PARTS
-        server = NodeServer(services, peer_connections)
+        server = NodeServer(services, self.settings.descriptors)
         await server.start(self.settings.rpc_address)
         self._server = server
         await self.membership.start()
--- a/redwingplank/rpc/server.py
+++ b/redwingplank/rpc/server.py
@@ -16,7 +16,9 @@
 """Longest message, eight times the largest value of the store; it also bounds how much of a message
 may be read, where a part that is read again counts again."""
 WORD_BYTES = 8
-DEFAULT_CONNECTIONS = 1024
+DEFAULT_DESCRIPTORS = 4100
+CONNECTION_PARTS = 4
+"""Connections take at most one of so many equal parts of the descriptors."""
 
 _NodeServer: Any = load_schema("node").Node.Server
 
@@ -41,16 +43,16 @@
     ----------
     services_by_name : mapping of str to capnp server
         Services by the name that callers pass to `PeerConnections.call`.
-    connections : int
-        Most open connections. A further one takes the place of the oldest, as the other processes
-        open theirs again on demand.
+    descriptors : int
+        Number of descriptors that the process may open. A connection beyond a quarter of them takes
+        the place of the oldest, as the other processes open theirs again on demand.
     """
 
     def __init__(
-        self, services_by_name: Mapping[str, Any], connections: int = DEFAULT_CONNECTIONS
+        self, services_by_name: Mapping[str, Any], descriptors: int = DEFAULT_DESCRIPTORS
     ) -> None:
         self._services_by_name = services_by_name
-        self._limit = connections
+        self._limit = descriptors // CONNECTION_PARTS
         self._connections: dict[asyncio.Task, None] = {}
         """Tasks that serve the open connections, the oldest first."""
         self._server: Any = None
