--- a/redwingplank/batch/candidates.py
+++ b/redwingplank/batch/candidates.py
@@ -3,8 +3,9 @@
 import heapq
 from collections.abc import Iterable
 
-from redwingplank.batch.entities import Step, Task, Worker
+from redwingplank.batch.entities import Step, Task
 from redwingplank.batch.placement import Placement
+from redwingplank.batch.worker import Worker
 
 __all__ = ["Candidates"]
 
--- a/redwingplank/batch/commands.py
+++ b/redwingplank/batch/commands.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from redwingplank.batch.entities import Run, Step, Worker
+from redwingplank.batch.entities import Run, Step
+from redwingplank.batch.worker import Worker
 
 __all__ = ["AskAdvice", "Commands", "PaceRun"]
 
--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -1,8 +1,9 @@
 """Applies the completion of a run to its task, its job and its worker."""
 
-from redwingplank.batch.entities import Job, PendingCompletion, Run, RunState, Step, Task, Worker
+from redwingplank.batch.entities import Job, Run, RunState, Step, Task
 from redwingplank.batch.model import CompletionKind, JobState, RunCompletion, TaskId
 from redwingplank.batch.state import OwnerState
+from redwingplank.batch.worker import PendingCompletion, Worker
 
 __all__ = ["Completions"]
 
--- a/redwingplank/batch/crashes.py
+++ b/redwingplank/batch/crashes.py
@@ -5,9 +5,10 @@
 has just started, so that the next crash has only one suspect.
 """
 
-from redwingplank.batch.entities import PROBATION_S, LostRun, Run, RunState, Worker
+from redwingplank.batch.entities import PROBATION_S, LostRun, Run, RunState
 from redwingplank.batch.model import Incarnation, JobState, StepKey, TaskId
 from redwingplank.batch.state import OwnerState
+from redwingplank.batch.worker import Worker
 
 __all__ = ["Crashes"]
 
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -8,7 +8,7 @@
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
-from redwingplank.batch.entities import Job, Run, RunState, Worker
+from redwingplank.batch.entities import Job, Run, RunState
 from redwingplank.batch.model import (
     CellConfig,
     JobSpec,
@@ -33,6 +33,7 @@
 from redwingplank.batch.state import LogDecision, OwnerState
 from redwingplank.batch.tickets import Tickets
 from redwingplank.batch.watchdog import Watchdog
+from redwingplank.batch.worker import Worker
 
 __all__ = ["JobOwner", "PollRequest", "RecordToStore"]
 
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -6,11 +6,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from redwingplank.batch.entities import Step, Worker
+from redwingplank.batch.entities import Step
 from redwingplank.batch.model import Amounts, StepSpec
 from redwingplank.batch.neighbours import processor_share
 from redwingplank.batch.score_cache import ScoreCache
 from redwingplank.batch.state import OwnerState
+from redwingplank.batch.worker import Worker
 
 __all__ = ["EligibleWorkers", "Placement"]
 
--- a/redwingplank/batch/score_cache.py
+++ b/redwingplank/batch/score_cache.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from redwingplank.batch.entities import Step, Worker
+from redwingplank.batch.entities import Step
+from redwingplank.batch.worker import Worker
 
 __all__ = ["ScoreCache"]
 
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from redwingplank.batch.commands import Commands
-from redwingplank.batch.entities import HostedTasks, Job, LostRun, Run, RunState, Step, Task, Worker
+from redwingplank.batch.entities import HostedTasks, Job, LostRun, Run, RunState, Step, Task
 from redwingplank.batch.interference import Interference
 from redwingplank.batch.model import (
     CellConfig,
@@ -20,6 +20,7 @@
 from redwingplank.batch.organisations import Organisations
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.speeds import Speeds
+from redwingplank.batch.worker import Worker
 
 __all__ = ["ATTEMPTS_PER_EPOCH", "LogDecision", "OwnerState"]
 
--- a/redwingplank/batch/tickets.py
+++ b/redwingplank/batch/tickets.py
@@ -1,10 +1,11 @@
 """Manages the tickets of the advice service that starts in advised queues need."""
 
 from redwingplank.batch.commands import AskAdvice
-from redwingplank.batch.entities import Step, Ticket, Worker
+from redwingplank.batch.entities import Step, Ticket
 from redwingplank.batch.model import AdvicePolicy
 from redwingplank.batch.placement import EligibleWorkers, Placement
 from redwingplank.batch.state import OwnerState
+from redwingplank.batch.worker import Worker
 
 __all__ = ["Tickets"]
 
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -1,8 +1,9 @@
 """Time-driven checks of workers and their runs."""
 
-from redwingplank.batch.entities import RunState, Worker
+from redwingplank.batch.entities import RunState
 from redwingplank.batch.reports import Reports
 from redwingplank.batch.state import OwnerState
+from redwingplank.batch.worker import Worker
 
 __all__ = ["Watchdog"]
 
--- /dev/null
+++ b/redwingplank/batch/worker.py
@@ -0,0 +1,171 @@
+"""The mutable state of an owner: workers."""
+
+from collections import deque
+from typing import NamedTuple
+
+from redwingplank.batch.entities import PROBATION_S, Job, Run, Task
+from redwingplank.batch.model import NO_AMOUNTS, Incarnation, StepKey, TaskId, WorkerEntry
+
+__all__ = ["PendingCompletion", "Worker"]
+
+
+class PendingCompletion(NamedTuple):
+    """A completion to acknowledge once `version` of the job is stored.
+
+    Without a job it is acknowledged immediately.
+    """
+
+    number: int
+    job: "Job | None"
+    version: int
+
+
+class Worker:
+    """A worker with its capacity, its lease and the runs that may exist there."""
+
+    __slots__ = (
+        "acknowledged_completion_number",
+        "answered_s",
+        "avoided_until_s",
+        "awaits_whole_report",
+        "born_ms",
+        "clock_at_s",
+        "clock_ms",
+        "entry",
+        "failures_in_row",
+        "filler_percent",
+        "free",
+        "guarded_until_s",
+        "handled_completion_number",
+        "has_restarted",
+        "id",
+        "is_confirmed",
+        "is_listed",
+        "is_unreachable",
+        "last_start_s",
+        "lease_until_ms",
+        "paced_s",
+        "pending_completions",
+        "reserved",
+        "runs_by_key",
+        "silent_s",
+        "step_counts",
+        "unconfirmed_until_s",
+    )
+
+    def __init__(self, entry: WorkerEntry, unconfirmed_until_s: float) -> None:
+        self.entry = entry
+        self.id = entry.worker_id
+        self.born_ms = entry.born_ms
+        self.is_listed = True
+        self.is_confirmed = False
+        """Whether a report has listed all that may have run there for earlier owners."""
+        self.awaits_whole_report = True
+        """Whether no report has listed all completions since the worker last began to answer."""
+        self.unconfirmed_until_s = unconfirmed_until_s
+        self.has_restarted = False
+        """Whether its process has restarted since this owner knows it. The new one takes a lease on
+        the clock of the one before it for the longest one."""
+        self.is_unreachable = False
+        self.silent_s = 0.0
+        """Time at which the worker became unreachable."""
+        self.answered_s = 0.0
+        self.clock_ms: int | None = None
+        """Worker's clock in its last report, received at `clock_at_s`; None before that."""
+        self.clock_at_s = 0.0
+        self.lease_until_ms = 0
+        """Latest end of a lease that may have been granted, on the worker's clock."""
+        self.runs_by_key: dict[tuple[TaskId, int], Run] = {}
+        self.reserved = NO_AMOUNTS
+        self.free = entry.capacity
+        """Capacity that no run reserves."""
+        self.step_counts: dict[StepKey, int] = {}
+        self.handled_completion_number = 0
+        self.acknowledged_completion_number = 0
+        self.pending_completions: deque[PendingCompletion] = deque()
+        self.failures_in_row = 0
+        self.avoided_until_s = 0.0
+        self.last_start_s = float("-inf")
+        self.guarded_until_s = 0.0
+        """Time until which a suspect that has just started should stay without other starts."""
+        self.filler_percent = 100
+        """Speed of the filler tasks on the worker, as a percentage of full speed."""
+        self.paced_s = 0.0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation that the worker is known to have."""
+        return Incarnation(self.id, self.entry.address, self.born_ms)
+
+    @property
+    def is_capacity_known(self) -> bool:
+        """Whether the published entry is that of the present process, or of a later one."""
+        return self.entry.born_ms >= self.born_ms
+
+    def has_replaced(self, earlier: Incarnation) -> bool:
+        """Return whether the worker's incarnation proves that an earlier one has ended."""
+        is_same_place = self.id == earlier.worker_id or self.entry.address == earlier.address
+        return is_same_place and 0 < earlier.born_ms < self.born_ms
+
+    def update_entry(self, entry: WorkerEntry) -> None:
+        """Replace the published entry of the worker and recompute the free capacity."""
+        self.entry = entry
+        self.free = entry.capacity.minus(self.reserved)
+
+    def record_start(self, task: Task, now_s: float) -> None:
+        """Record that a run of a task has been planned or has begun."""
+        self.last_start_s = now_s
+        if task.is_suspect:
+            self.guarded_until_s = now_s + PROBATION_S
+        if task.needs_isolation:
+            self.avoided_until_s = max(self.avoided_until_s, now_s + PROBATION_S)
+
+    def has_young_run(self, now_s: float) -> bool:
+        """Return whether a run on the worker is so young that a crash would make it a suspect."""
+        return now_s - self.last_start_s < PROBATION_S
+
+    def add_run(self, run: Run) -> None:
+        """Add a run and reserve capacity for it."""
+        self.runs_by_key[run.key] = run
+        self.reserved = self.reserved.plus(run.reserved)
+        self.free = self.free.minus(run.reserved)
+        key = run.task_id.step_key
+        self.step_counts[key] = self.step_counts.get(key, 0) + 1
+
+    def remove_run(self, run: Run) -> None:
+        """Remove a run and release its capacity; a run that is not known is ignored."""
+        if self.runs_by_key.pop(run.key, None) is None:
+            return
+        self.reserved = self.reserved.minus(run.reserved)
+        self.free = self.free.plus(run.reserved)
+        key = run.task_id.step_key
+        left = self.step_counts.get(key, 0) - 1
+        if left > 0:
+            self.step_counts[key] = left
+        else:
+            self.step_counts.pop(key, None)
+
+    def acknowledge_stored_completions(self) -> None:
+        """Acknowledge the completions whose effects are stored."""
+        pending = self.pending_completions
+        while pending:
+            number, job, version = pending[0]
+            if job is not None and job.stored_version < version:
+                return
+            self.acknowledged_completion_number = number
+            pending.popleft()
+
+    def clock_now_ms(self, now_s: float) -> int:
+        """Return an estimate of the worker's clock in milliseconds.
+
+        Apart from clock drift, it lags behind by the time that the last report took to arrive.
+        """
+        assert self.clock_ms is not None
+        return self.clock_ms + round((now_s - self.clock_at_s) * 1000)
+
+    def is_lease_expired(self, now_s: float, max_clock_drift: float, margin_ms: float) -> bool:
+        """Return whether every lease that may have been granted has certainly expired."""
+        if self.clock_ms is None:
+            return now_s >= self.unconfirmed_until_s
+        elapsed_ms = (now_s - self.clock_at_s) * 1000 * (1 - max_clock_drift)
+        return self.clock_ms + elapsed_ms > self.lease_until_ms + margin_ms
--- a/redwingplank/cell/worker_poller.py
+++ b/redwingplank/cell/worker_poller.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
-from redwingplank.batch.entities import Worker
 from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.worker import Worker
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.tasks import TaskSet
