Tests of clients outside the limits: the listener of the metrics, and a loopback address for each run

The metrics of a node have a fixed port, so that two runs of these tests at the same time could not both start a node. The node of a run has a loopback address of its own now. Two tests press the listener of the metrics, which has limits of its own.

--- a/redwingplank/cli/tests/crowd_fixture.py
+++ b/redwingplank/cli/tests/crowd_fixture.py
@@ -175,6 +175,16 @@
             client.close()
 
 
+def own_loopback_ip() -> str:
+    """Return a loopback address of this process, as a node's port for metrics is fixed."""
+    number = os.getpid()
+    return f"127.{64 + number // 64_000 % 64}.{number // 250 % 256}.{1 + number % 250}"
+
+
+def find_free_port() -> int:
+    return int(find_free_address().rpartition(":")[2])
+
+
 def is_listening(address: str) -> bool:
     """Return True if an address accepts a connection; raise OSError otherwise."""
     connect(address).close()
@@ -234,12 +244,13 @@
 @contextlib.contextmanager
 def run_node(folder: Path) -> Iterator[ProgramProcess]:
     """Run a `redwing-node` that is ready, on a machine with little memory."""
-    callers, peers = find_free_address(), find_free_address()
-    peer_port = int(peers.rpartition(":")[2])
+    ip = own_loopback_ip()
+    callers_port, peer_port = find_free_port(), find_free_port()
+    callers, peers = f"{ip}:{callers_port}", f"{ip}:{peer_port}"
     with run_store() as store:
         settings = {
             "node_name": "n0",
-            "ip": "127.0.0.1",
+            "ip": ip,
             "zone": "a",
             "listen": {"frontend": callers, "ready": callers},
             "port_range": [peer_port, peer_port],
--- a/redwingplank/cli/tests/test_client_limits.py
+++ b/redwingplank/cli/tests/test_client_limits.py
@@ -11,6 +11,7 @@
 import capnp
 import pytest
 
+from redwingplank.cell.metrics import METRICS_PATH
 from redwingplank.cli.tests.crowd_fixture import (
     ANSWER_S,
     BYTES_PER_CLIENT,
@@ -25,6 +26,7 @@
     run_node,
     run_scheduler,
 )
+from redwingplank.platform.site.settings import METRICS_PORT
 from redwingplank.rpc import PeerConnections, PeerUnreachableError
 
 JOB = b'{"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":100,"estimate_ms":100}]}'
@@ -150,6 +152,17 @@
         assert request(node.address, "GET", "/unknown/x") == 404
 
 
+class TestMetrics:
+    # Guards against a listener for operators that has no limits of its own.
+    @pytest.mark.parametrize("name", ["header-lines", "empty-lines"])
+    def test_cuts_off_what_does_not_end(self, node, name):
+        address = f"{node.address.rpartition(':')[0]}:{METRICS_PORT}"
+        crowd = press(node, ENDLESS[name], address)
+        assert crowd.cut_off == len(crowd.clients)
+        assert request(address, "GET", METRICS_PATH) == 200
+        assert request(node.address, "POST", JOB_PATH, JOB) == 200
+
+
 class TestEntry:
     # Guards against an entry that runs out of memory on a request without an end.
     @pytest.mark.parametrize("name", ENDLESS)
