A client that takes its answer slowly is not cut off

An answer of 16 MiB that was read steadily ended after 7 MiB.

Change: the time begins anew if less is waiting than before.

--- a/redwingplank/platform/http/protocol.py
+++ b/redwingplank/platform/http/protocol.py
@@ -118,6 +118,8 @@
         """State of the parser whose end `_arrival_timer` waits for, None for none."""
         self._arrival_timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
+        self._unread_bytes = 0
+        """Bytes of answers that were waiting when `_unread_timer` was last started."""
 
     # Interface of the transport.
 
@@ -154,8 +156,7 @@
     def pause_writing(self) -> None:
         """Wait until the client takes an answer, for a limited time."""
         super().pause_writing()
-        loop = asyncio.get_running_loop()
-        self._unread_timer = loop.call_later(self._limits.unread_answer_s, self._end_unread)
+        self._start_unread_timer()
 
     def resume_writing(self) -> None:
         """Go on with the answers."""
@@ -257,7 +258,15 @@
             self._table.on_refusal(Refusal.LATE)
             self.transport.close()
 
-    def _end_unread(self) -> None:
+    def _start_unread_timer(self) -> None:
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        loop = asyncio.get_running_loop()
+        self._unread_timer = loop.call_later(self._limits.unread_answer_s, self._end_if_unread)
+
+    def _end_if_unread(self) -> None:
+        if self.transport.get_write_buffer_size() < self._unread_bytes:
+            self._start_unread_timer()
+            return
         self._table.on_refusal(Refusal.UNREAD)
         self.end()
 
--- a/redwingplank/platform/tests/test_client_limits.py
+++ b/redwingplank/platform/tests/test_client_limits.py
@@ -13,6 +13,8 @@
 LIMITS = HttpLimits(head_bytes=1024, header_lines=8, path_bytes=64, blank_bytes=4)
 GET = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
 TIMEOUT_S = 20.0
+SLOW_ANSWER_BYTES = 16 << 20
+"""More than the buffers of a connection hold."""
 
 
 class Application:
@@ -276,6 +278,22 @@
 
         assert Refusal.UNREAD in run(scenario, replace(LIMITS, unread_answer_s=0.2))
 
+    # Guards against a slow client whose answer is cut off although it goes on taking it.
+    def test_that_are_taken_slowly_are_sent_whole(self):
+        async def scenario(_, connect):
+            reader, writer = await connect()
+            body = b"b" * SLOW_ANSWER_BYTES
+            writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n" % len(body))
+            writer.write(b"Connection: close\r\n\r\n" + body)
+            taken = 0
+            while part := await reader.read(SLOW_ANSWER_BYTES // 64):
+                taken += len(part)
+                await asyncio.sleep(0.005)
+            assert taken > SLOW_ANSWER_BYTES
+
+        limits = replace(LIMITS, unread_answer_s=0.1, body_bytes=2 * SLOW_ANSWER_BYTES)
+        assert run(scenario, limits) == []
+
 
 class TestConnections:
     def test_the_one_that_is_idle_for_longest_gives_way(self):
