--- a/review/standins2/site_standins.py
+++ b/review/standins2/site_standins.py
@@ -44,9 +44,9 @@
 class HttpServer:
     """A small HTTP/1.1 server; the handler returns a status and a body, or None for silence."""
 
-    def __init__(self, handle, ip="127.0.0.1", port=0, tells_peer=False):
+    def __init__(self, handle, ip="127.0.0.1", port=0, drops_left=False):
         self._handle = handle
-        self._tells_peer = tells_peer
+        self._drops_left = drops_left
         self._writers = set()
         self._tasks = set()
         self._server = None
@@ -84,9 +84,8 @@
                     if name:
                         headers[name.strip().lower()] = value.strip()
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                if self._tells_peer:
-                    peer = writer.get_extra_info("peername")
-                    answer = await self._handle(method, target, headers, body, peer)
+                if self._drops_left:
+                    answer = await self._until_left(reader, method, target, headers, body)
                 else:
                     answer = await self._handle(method, target, headers, body)
                 if answer is None:
@@ -106,6 +105,16 @@
             self._tasks.discard(task)
             writer.transport.abort()
 
+    async def _until_left(self, reader, *request):
+        """Return the answer to a request, or None if the caller closes its channel before."""
+        handling = asyncio.ensure_future(self._handle(*request))
+        try:
+            while not handling.done() and not reader.at_eof():
+                await asyncio.wait([handling], timeout=0.02)
+            return handling.result() if handling.done() else None
+        finally:
+            handling.cancel()
+
 
 class Store:
     """The platform's metadata store."""
@@ -478,26 +487,21 @@
 
 
 class Advisor:
-    """The advice service: one call at a time for each calling machine, all workers are allowed."""
+    """The advice service, as one machine calls it: one call at a time, all workers are allowed."""
 
-    def __init__(self, record):
-        self._record = record
-        self.decision_s = 0.37
-        self.per_worker_s = 0.005
-        self.calls = 0
-        self.before_answer = None
-        """Awaited with the address of the calling machine before each answer."""
-        self._locks_by_node = {}
-        self.server = HttpServer(self._handle, tells_peer=True)
-
-    async def _handle(self, method, target, headers, body, peer):
+    def __init__(self, decision_s=0.37, per_worker_s=0.005):
+        self.decision_s = decision_s
+        self.per_worker_s = per_worker_s
+        self.called = asyncio.Event()
+        """Set at each call."""
+        self._lock = asyncio.Lock()
+        self.server = HttpServer(self._handle, drops_left=True)
+
+    async def _handle(self, method, target, headers, body):
         media = json.loads(body)
-        self.calls += 1
-        lock = self._locks_by_node.setdefault(peer[0], asyncio.Lock())
-        async with lock:
+        async with self._lock:
+            self.called.set()
             await asyncio.sleep(self.decision_s + self.per_worker_s * len(media["workers"]))
-        if self.before_answer is not None:
-            await self.before_answer(peer[0])
         return 200, {"allowed": [[worker, f"t-{worker}"] for worker in media["workers"]]}
 
 
@@ -544,8 +548,9 @@
                 "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
             },
         }
-        if site.advisor is not None:
-            self.settings["advisor"] = site.advisor.server.address
+        self.advisor = Advisor() if site.has_advisor else None
+        if self.advisor is not None:
+            self.settings["advisor"] = self.advisor.server.address
         self.process = None
 
     async def start(self):
@@ -585,7 +590,7 @@
 
     def __init__(self, record, node_count=3, worker_count=6, has_advisor=False):
         self.record = record
-        self.advisor = Advisor(record) if has_advisor else None
+        self.has_advisor = has_advisor
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = random.randint(20, 250)
         self.zones = ["z1", "z2", "z3"]
@@ -616,8 +621,9 @@
     async def start(self):
         """Start everything, and wait until all nodes are ready and there is an owner."""
         await self.store.server.start()
-        if self.advisor is not None:
-            await self.advisor.server.start()
+        for node in self.nodes:
+            if node.advisor is not None:
+                await node.advisor.server.start()
         self._expiring = asyncio.ensure_future(self.store.run())
         self.write_config()
         for worker in self.workers:
@@ -658,8 +664,9 @@
             if worker.is_up:
                 worker.crash()
         self.store.server.stop()
-        if self.advisor is not None:
-            self.advisor.server.stop()
+        for node in self.nodes:
+            if node.advisor is not None:
+                node.advisor.server.stop()
         for path in self.folder.iterdir():
             path.unlink()
         self.folder.rmdir()
