--- a/review/standins2/site_standins.py
+++ b/review/standins2/site_standins.py
@@ -334,7 +334,9 @@
         self.is_up = True
         self.write_entry()
         self._beat = asyncio.ensure_future(self._run())
-        self._record.write(f"worker {self.worker_id} is up at {self.server.address}, born {self.born_ms}")
+        self._record.write(
+            f"worker {self.worker_id} is up at {self.server.address}, born {self.born_ms}"
+        )
 
     def crash(self):
         """End the process: all runs and all that it knows are gone, and its channels are reset."""
@@ -476,8 +478,10 @@
                 await asyncio.wait_for(self.ended.wait(), until_s - time.monotonic())
             except asyncio.TimeoutError:
                 break
-        running = [[task, run[0], "", 100 if run[1] == float("inf") else 50, 0]
-                   for task, run in self.runs.items()]
+        running = [
+            [task, run[0], "", 100 if run[1] == float("inf") else 50, 0]
+            for task, run in self.runs.items()
+        ]
         return 200, {
             "clock_ms": self.clock_ms(),
             "born": self.born_ms,
@@ -495,13 +499,20 @@
         self.called = asyncio.Event()
         """Set at each call."""
         self._lock = asyncio.Lock()
-        self.server = HttpServer(self._handle, drops_left=True)
+        self._waiting = 0
+        self.server = HttpServer(self._handle)
 
     async def _handle(self, method, target, headers, body):
         media = json.loads(body)
-        async with self._lock:
-            self.called.set()
-            await asyncio.sleep(self.decision_s + self.per_worker_s * len(media["workers"]))
+        if self._waiting >= 32:
+            return 429, {}
+        self._waiting += 1
+        try:
+            async with self._lock:
+                self.called.set()
+                await asyncio.sleep(self.decision_s + self.per_worker_s * len(media["workers"]))
+        finally:
+            self._waiting -= 1
         return 200, {"allowed": [[worker, f"t-{worker}"] for worker in media["workers"]]}
 
 
@@ -537,15 +548,29 @@
             "entry": "vip",
             "heartbeat_ms": 1500,
             "bounds": {
-                "contact_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 6,
-                "config_apply_ms": 2000, "hold_max_ms": HOLD_MAX_MS, "stop_grace_ms": 900,
-                "gang_timeout_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "finish_s": 14,
-                "status_s": 120, "remote_factor": 2,
+                "contact_ms": 3000,
+                "ack_ms": 4000,
+                "drain_ms": 2000,
+                "grace_s": 6,
+                "config_apply_ms": 2000,
+                "hold_max_ms": HOLD_MAX_MS,
+                "stop_grace_ms": 900,
+                "gang_timeout_ms": 3000,
+                "cancel_ms": 3000,
+                "visible_ms": 3000,
+                "finish_s": 14,
+                "status_s": 120,
+                "remote_factor": 2,
             },
             "control_mode": "invoked",
             "platform": {
-                "address": site.store.server.address, "form": "kv", "writes_per_s": 400,
-                "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
+                "address": site.store.server.address,
+                "form": "kv",
+                "writes_per_s": 400,
+                "reads_per_s": 2000,
+                "history_s": 20,
+                "value_bytes": 1048576,
+                "ttl_min_ms": 1000,
             },
         }
         self.advisor = Advisor() if site.has_advisor else None
@@ -567,8 +592,14 @@
             environment["PYTHONFAULTHANDLER"] = "1"
         log = open(self._site.folder / f"{self.name}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
-            "python3", "-m", "redwingplank.cli.cell", cwd=ROOT, env=environment,
-            stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            "python3",
+            "-m",
+            "redwingplank.cli.cell",
+            cwd=ROOT,
+            env=environment,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
         )
         log.close()
         self._record.write(f"node {self.name} starts as process {self.process.pid}")
@@ -616,7 +647,9 @@
             "limits": {"max_body_bytes": 262144},
         }
         self.store.put("op/config", json.dumps(config).encode())
-        self.record.write(f"configuration {self.version}: {[route['name'] for route in self.routes]}")
+        self.record.write(
+            f"configuration {self.version}: {[route['name'] for route in self.routes]}"
+        )
 
     async def start(self):
         """Start everything, and wait until all nodes are ready and there is an owner."""
@@ -632,7 +665,9 @@
             await node.start()
         for node in self.nodes:
             for _ in range(300):
-                status, _ = await call(node.settings["listen"]["ready"], "GET", "/-/readyz", timeout_s=1)
+                status, _ = await call(
+                    node.settings["listen"]["ready"], "GET", "/-/readyz", timeout_s=1
+                )
                 if status == 200:
                     break
                 await asyncio.sleep(0.1)
@@ -677,8 +712,13 @@
     more = {} if advisor is None else {"advisor": advisor}
     return {
         **more,
-        "name": name, "host": "jobs.example", "prefix": prefix, "service": "svc",
-        "priority": priority, "max_attempts": max_attempts, "stretch_factor": 2.0,
+        "name": name,
+        "host": "jobs.example",
+        "prefix": prefix,
+        "service": "svc",
+        "priority": priority,
+        "max_attempts": max_attempts,
+        "stretch_factor": 2.0,
         "target_duration_ms": 500,
     }
 
