Logs tell a lease that was granted from one that a worker may have taken

Change: an owner keeps apart what it granted and what it assumes (the latest of both is what it counted with before). lease_assumed gives the clock of the first report and the assumed lease, run_lost what was left of both, worker_reborn its source and the last lease on the former clock. No decision has changed.

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -338,7 +338,7 @@
         """
         lease_s = min(self.state.settings.lease_s, leases_until_s - now_s)
         until_ms = worker.clock_now_ms(now_s) + round(lease_s * 1000)
-        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        worker.granted_until_ms = max(worker.granted_until_ms, until_ms)
         return until_ms
 
     def apply_report(self, worker: Worker, report: PollReport, sent_s: float, now_s: float) -> None:
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -47,7 +47,7 @@
                 self._log_worker(worker, "worker_new")
                 continue
             if entry.born_ms > worker.born_ms:
-                self.handle_restart(worker, entry.born_ms, now_s)
+                self.handle_restart(worker, entry.born_ms, now_s, source="list")
             if entry.is_draining and not worker.entry.is_draining:
                 self._log_worker(worker, "worker_draining")
             worker.update_entry(entry)
@@ -68,20 +68,27 @@
         )
         state.needs_pass = True
 
-    def handle_restart(self, worker: Worker, born_ms: int, now_s: float) -> None:
-        """Handle the restart of a worker's process.
+    def handle_restart(self, worker: Worker, born_ms: int, now_s: float, *, source: str) -> None:
+        """Handle the restart of a worker's process, of which a list or a report tells.
 
         Runs that the old process had listed no longer exist and are released. The start commands of
         other runs may have reached the new process, so these runs have to be confirmed again.
         """
-        self._log_worker(worker, "worker_reborn")
+        self._log_worker(
+            worker,
+            "worker_reborn",
+            source=source,
+            reborn=born_ms,
+            granted_until_ms=worker.granted_until_ms,
+            is_silent=worker.is_unreachable,
+        )
         self._state.needs_pass = True
         self._crashes.count_crash(worker, now_s)
         self._state.extend_wait_for_restarted(worker.id, now_s)
         worker.born_ms = born_ms
         worker.has_restarted = True
         worker.clock_ms = None
-        worker.lease_until_ms = 0
+        worker.granted_until_ms = worker.assumed_until_ms = 0
         worker.handled_completion_number = worker.acknowledged_completion_number = 0
         worker.pending_completions.clear()
         worker.failures_in_row = 0
@@ -113,11 +120,9 @@
         if report.born_ms and report.born_ms != worker.born_ms:
             if report.born_ms < worker.born_ms:
                 return
-            self.handle_restart(worker, report.born_ms, now_s)
+            self.handle_restart(worker, report.born_ms, now_s, source="report")
         if worker.clock_ms is None:
-            inherited_ms = self._state.inherited_lease_ms(worker)
-            worker.lease_until_ms = max(worker.lease_until_ms, report.clock_ms + inherited_ms)
-            self._state.needs_pass = True
+            self._assume_lease(worker, report)
         worker.clock_ms = report.clock_ms
         worker.clock_at_s = now_s
         if worker.is_unreachable:
@@ -136,6 +141,19 @@
             self._log_worker(worker, "report_cut", completions=len(report.completions))
         worker.acknowledge_stored_completions()
 
+    def _assume_lease(self, worker: Worker, report: PollReport) -> None:
+        """Assume the longest lease that a process may have which reports for the first time."""
+        inherited_ms = self._state.inherited_lease_ms(worker)
+        worker.assumed_until_ms = report.clock_ms + inherited_ms
+        self._state.needs_pass = True
+        self._log_worker(
+            worker,
+            "lease_assumed",
+            clock_ms=report.clock_ms,
+            lease_ms=inherited_ms,
+            has_restarted=worker.has_restarted,
+        )
+
     def _apply_listed_runs(self, worker: Worker, report: PollReport, now_s: float) -> None:
         for row in report.running:
             run = worker.runs_by_key.get((row.task, row.attempt))
@@ -266,9 +284,19 @@
             worker=run.worker.id,
             reason=reason,
             ran_s=run.worker.silent_s - run.started_s if run.worker.is_unreachable else 0.0,
+            **self._describe_lease(run.worker, now_s),
         )
         self._state.remove_run(run, now_s)
 
+    def _describe_lease(self, worker: Worker, now_s: float) -> dict[str, float]:
+        """Return the rest of what was granted to a worker, and of what it may have taken."""
+        if worker.clock_ms is None:
+            return {"waits_left_s": worker.unconfirmed_until_s - now_s}
+        return {
+            "granted_left_s": worker.lease_left_s(worker.granted_until_ms, now_s),
+            "assumed_left_s": worker.lease_left_s(worker.assumed_until_ms, now_s),
+        }
+
     def _mark_run_unconfirmed(self, run: Run, now_s: float) -> None:
         run.resolved_s = None
         run.is_accepted = False
--- a/redwingplank/batch/worker.py
+++ b/redwingplank/batch/worker.py
@@ -26,6 +26,7 @@
     __slots__ = (
         "acknowledged_completion_number",
         "answered_s",
+        "assumed_until_ms",
         "avoided_until_s",
         "awaits_whole_report",
         "born_ms",
@@ -35,6 +36,7 @@
         "failures_in_row",
         "filler_percent",
         "free",
+        "granted_until_ms",
         "guarded_until_s",
         "handled_completion_number",
         "has_restarted",
@@ -43,7 +45,6 @@
         "is_listed",
         "is_unreachable",
         "last_start_s",
-        "lease_until_ms",
         "paced_s",
         "pending_completions",
         "reserved",
@@ -73,8 +74,10 @@
         self.clock_ms: int | None = None
         """Worker's clock in its last report, received at `clock_at_s`; None before that."""
         self.clock_at_s = 0.0
-        self.lease_until_ms = 0
-        """Latest end of a lease that may have been granted, on the worker's clock."""
+        self.granted_until_ms = 0
+        """Latest end of a lease that this owner has granted, on the worker's clock."""
+        self.assumed_until_ms = 0
+        """Latest end of a lease that the worker may have had before its first report."""
         self.runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.reserved = NO_AMOUNTS
         self.free = entry.capacity
@@ -97,6 +100,11 @@
         """The incarnation that the worker is known to have."""
         return Incarnation(self.id, self.entry.address, self.born_ms)
 
+    @property
+    def lease_until_ms(self) -> int:
+        """Latest end of any lease that the worker may have, on its clock; 0 before it reports."""
+        return max(self.granted_until_ms, self.assumed_until_ms)
+
     @property
     def is_capacity_known(self) -> bool:
         """Whether the published entry is that of the present process, or of a later one."""
@@ -163,6 +171,10 @@
         assert self.clock_ms is not None
         return self.clock_ms + round((now_s - self.clock_at_s) * 1000)
 
+    def lease_left_s(self, until_ms: int, now_s: float) -> float:
+        """Return the time until an end of a lease on the worker's clock, negative after it."""
+        return (until_ms - self.clock_now_ms(now_s)) / 1000
+
     def is_lease_expired(self, now_s: float, max_clock_drift: float, margin_ms: float) -> bool:
         """Return whether every lease that may have been granted has certainly expired."""
         if self.clock_ms is None:
