--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -119,6 +119,10 @@
 
     Neither this attempt nor an earlier one may start again.
     """
+    former_token: int = 0
+    """Highest token that any earlier process has received."""
+    former_blocked: dict[TaskId, int] = field(default_factory=dict)
+    """Highest attempt of each task that ended or was stopped in an earlier process."""
     ends: list[RunCompletion] = field(default_factory=list)
     end_count: int = 0
     list_limit: int = 500
@@ -135,6 +139,16 @@
         """Return the time on the worker's clock."""
         return self.clock_offset_s + self.clock_rate * now_s
 
+    def was_refused_before(self, order: StartOrder) -> bool:
+        """Return whether an earlier process would have refused a start for good."""
+        is_fenced = order.token < self.former_token
+        return is_fenced or order.attempt <= self.former_blocked.get(order.task, 0)
+
+    def take_lease(self, until_ms: int, now_s: float, longest_s: float) -> None:
+        """Take a lease until a time of the worker's clock, shortened to the longest one."""
+        until_s = min(until_ms / 1000, self.clock_s(now_s) + longest_s)
+        self.lease_until_s = max(self.lease_until_s, until_s)
+
     @property
     def used(self) -> Amounts:
         """Amounts that all runs reserve, those being stopped included."""
@@ -150,6 +164,9 @@
 
     def lose_memory(self) -> None:
         """Forget all runs and all that was reported, as the end of the process does."""
+        self.former_token = max(self.former_token, self.token)
+        for task, attempt in self.blocked.items():
+            self.former_blocked[task] = max(attempt, self.former_blocked.get(task, 0))
         self.runs.clear()
         self.blocked.clear()
         self.ends.clear()
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -12,7 +12,8 @@
 from dataclasses import replace
 from typing import Any
 
-from redwingplank.batch.commands import AskAdvice, PaceRun
+from redwingplank.batch.commands import AskAdvice
+from redwingplank.batch.emulated_calls import EmulatedCalls
 from redwingplank.batch.emulated_cancellations import EmulatedCancellations
 from redwingplank.batch.emulated_checks import Disruption, PromiseChecks, UnaskedChecks
 from redwingplank.batch.emulated_worker import (
@@ -22,16 +23,13 @@
     StartOrder,
     make_restarted_entry,
 )
-from redwingplank.batch.entities import Run
 from redwingplank.batch.model import (
     CellConfig,
     CompletionKind,
     JobSpec,
     JobState,
     OrganisationPolicy,
-    PollReport,
     QueuePolicy,
-    RunReport,
     StartOutcome,
     StepKey,
     StepSpec,
@@ -46,17 +44,10 @@
 TICK_S = 0.02
 POLL_INTERVAL_S = 0.3
 """Time between two polls of a worker."""
-COMMAND_LATENCY_S = 0.004
-"""Time until a command or a report arrives."""
 STORE_LATENCY_S = 0.008
 """Time until a write to the store is confirmed."""
 WRITE_RETRY_S = 0.12
 """Time after which a write without an answer is sent again."""
-POLL_TIMEOUT_S = 0.6
-TIMEOUT_S = 0.8
-"""Time after which a start or a stop without an answer counts as not answered."""
-LATE_START_S = (2.0, 12.0)
-"""Shortest and longest time after which a worker may carry out a start that it did not answer."""
 LATE_WRITE_S = (1.0, 6.0)
 """Shortest and longest time after which the store may carry out a write that it did not answer."""
 
@@ -106,7 +97,7 @@
         self.rng = random.Random(seed)
         self.now_s = 100.0
         self.settings = settings or BatchSettings()
-        self._work_s = work_s or (lambda _, spec: spec.estimate_s)
+        self.work_s = work_s or (lambda _, spec: spec.estimate_s)
         self._is_allowed = is_allowed or (lambda _key, _worker_id: True)
         self._slowdown = slowdown or (lambda _worker, _run: 1.0)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -114,6 +105,7 @@
         self.specs_by_id: dict[str, JobSpec] = {}
         self.records_by_id: dict[str, bytes] = {}
         self.cancellations = EmulatedCancellations(self)
+        self.calls = EmulatedCalls(self)
         self.stored_speeds = b""
         """Stored run time statistics of the last owner that wrote to the store."""
         self.completed_s_by_id: dict[str, float] = {}
@@ -259,7 +251,7 @@
         for change in changes:
             change(self.owner)
 
-    def _leases_until_s(self, owner: JobOwner) -> float | None:
+    def leases_until_s(self, owner: JobOwner) -> float | None:
         """Return the time after which no lease of an owner may last, None if it grants none."""
         proven_s = self._proven_s_by_epoch[owner.state.epoch]
         if self.now_s - proven_s >= self.settings.command_silence_s:
@@ -382,11 +374,11 @@
     def _tick_owner(self) -> None:
         commands = self.owner.tick(self.now_s, self.now_s)
         for run in commands.starts:
-            self._send_start(self.owner, run)
+            self.calls.send_start(self.owner, run)
         for run in commands.stops:
-            self._send_stop(self.owner, run)
+            self.calls.send_stop(self.owner, run)
         for pace in commands.paces:
-            self._set_pace(pace)
+            self.calls.set_pace(pace)
         for call in commands.advice:
             self._answer_advice(self.owner, call)
         self._write_records()
@@ -445,135 +437,17 @@
             if self.owner.job_state(record.job_id) is JobState.COMPLETED:
                 self.completed_s_by_id.setdefault(record.job_id, self.now_s)
 
-    def is_command_lost(self) -> bool:
-        """Draw whether a command gets no answer."""
-        return self.lost_command_fraction > 0 and self.rng.random() < self.lost_command_fraction
-
-    def _send_start(self, owner: JobOwner, run: Run) -> None:
-        if not owner.mark_start_sent(run, self.now_s):
-            return
-        leases_until_s = self._leases_until_s(owner)
-        if leases_until_s is None:
-            owner.handle_start_outcome(run, StartOutcome.NOT_SENT, self.now_s)
-            return
-        worker = self.workers[run.worker.id]
-        order = self._make_start_order(owner, run, leases_until_s)
-        config = self.config
-        born_ms = worker.entry.born_ms
-
-        def carry_out(*, is_late: bool = False) -> StartOutcome:
-            if worker.entry.born_ms != born_ms or worker.is_down:
-                # The command was sent to a process that no longer exists.
-                return StartOutcome.UNKNOWN
-            if Fault.REFUSE in worker.faults:
-                return StartOutcome.UNHEALTHY
-            starts = self.starts
-            outcome = self._start(worker, order, is_late=is_late)
-            if self.starts > starts:
-                self.checks.check_quota(run.task_id, config, self.now_s)
-            return outcome
-
-        def answer() -> None:
-            outcome = carry_out()
-            self._answer(lambda: owner.handle_start_outcome(run, outcome, self.now_s))
-
-        if worker.is_reachable and not self.is_command_lost():
-            self.after(COMMAND_LATENCY_S, answer)
-            return
-        if worker.is_reachable:
-            self._carry_out_unanswered(carry_out)
-        self.after(
-            TIMEOUT_S, lambda: owner.handle_start_outcome(run, StartOutcome.UNKNOWN, self.now_s)
-        )
-
-    def _carry_out_unanswered(self, carry_out: Callable[..., StartOutcome]) -> None:
-        """Carry out a start at once, late or never."""
-        chance = self.rng.random()
-        if chance < 0.4:
-            delay_s = self.rng.uniform(*LATE_START_S)
-            self.after(delay_s, lambda: _discard(carry_out(is_late=True)))
-        elif chance < 0.7:
-            self.after(COMMAND_LATENCY_S, lambda: _discard(carry_out()))
-
-    def _answer(self, action: Callable[[], None]) -> None:
-        """Let an answer arrive, which may be overtaken by another one."""
-        delay_s = self.rng.uniform(0.0, self.longest_answer_delay_s)
-        if delay_s:
-            self.after(delay_s, action)
-        else:
-            action()
-
-    def _make_start_order(self, owner: JobOwner, run: Run, leases_until_s: float) -> StartOrder:
-        job = owner.state.jobs_by_id[run.task_id.job_id]
-        task = job.steps_by_key[run.task_id.step_key].tasks[run.task_id.position]
-        assert run.spec is not None
-        lease_ms = owner.grant_lease(run.worker, self.now_s, leases_until_s)
-        return StartOrder(
-            task.id,
-            run.attempt,
-            job.spec.payload,
-            run.spec,
-            task.saved,
-            lease_ms,
-            owner.state.epoch,
-        )
-
-    def _start(self, worker: EmulatedWorker, order: StartOrder, *, is_late: bool) -> StartOutcome:
-        task, key = order.task, (order.task, order.attempt)
-        if order.token < worker.token:
-            return StartOutcome.FENCED
-        worker.token = order.token
-        if order.lease_ms / 1000 < worker.clock_s(self.now_s):
-            return StartOutcome.TOO_LATE
-        worker.lease_until_s = max(worker.lease_until_s, order.lease_ms / 1000)
-        if key in worker.runs:
-            return StartOutcome.STARTED
-        if order.attempt <= worker.blocked.get(task, 0):
-            return StartOutcome.OLD_ATTEMPT
-        run = EmulatedRun(*key, order.spec, self._work_s(task, order.spec), started_s=self.now_s)
-        run.is_late = is_late
-        run.resume(order.saved)
-        worker.runs[key] = run
+    def record_start(self, worker: EmulatedWorker, order: StartOrder, *, is_late: bool) -> None:
+        """Check a run that a worker has just begun, and tell of it."""
         self.starts += 1
         self.unasked.check_start(order, self.now_s, is_late=is_late)
-        self.checks.check_start(worker, task, order.spec, self.now_s)
+        self.checks.check_start(worker, order.task, order.spec, self.now_s)
         for listener in self.start_listeners:
-            listener(worker, task)
-        return StartOutcome.STARTED
-
-    def _send_stop(self, owner: JobOwner, run: Run) -> None:
-        worker = self.workers[run.worker.id]
-        token = owner.state.epoch
-
-        def carry_out() -> bool:
-            is_taken = token >= worker.token
-            if is_taken:
-                worker.token = token
-                worker.blocked[run.task_id] = max(worker.blocked.get(run.task_id, 0), run.attempt)
-                found = worker.runs.get(run.key)
-                if found is not None and found.stopping_at_s is None:
-                    found.stopping_at_s = self.now_s + 0.2
-            return is_taken
+            listener(worker, order.task)
 
-        def answer() -> None:
-            is_taken = carry_out()
-            self._answer(
-                lambda: owner.handle_stop_outcome(run, is_taken=is_taken, now_s=self.now_s)
-            )
-
-        if worker.is_reachable and not self.is_command_lost():
-            self.after(COMMAND_LATENCY_S, answer)
-            return
-        if worker.is_reachable and self.rng.random() < 0.5:
-            self.after(COMMAND_LATENCY_S, lambda: _discard(carry_out()))
-        self.after(
-            TIMEOUT_S, lambda: owner.handle_stop_outcome(run, is_taken=False, now_s=self.now_s)
-        )
-
-    def _set_pace(self, pace: PaceRun) -> None:
-        found = self.workers[pace.run.worker.id].runs.get(pace.run.key)
-        if found is not None:
-            found.pace = pace.percent / 100
+    def is_command_lost(self) -> bool:
+        """Draw whether a command gets no answer."""
+        return self.lost_command_fraction > 0 and self.rng.random() < self.lost_command_fraction
 
     def _answer_advice(self, owner: JobOwner, call: AskAdvice) -> None:
         allowed = [name for name in call.workers if self._is_allowed(call.step.key, name)]
@@ -583,53 +457,9 @@
     def _poll(self, worker_id: str) -> None:
         worker = self.workers[worker_id]
         self.after(POLL_INTERVAL_S, lambda: self._poll(worker_id))
-        self._poll_for(self.owner, worker, is_reachable=worker.is_reachable)
+        self.calls.poll(self.owner, worker, is_reachable=worker.is_reachable)
         for owner in self._replaced_owners:
-            self._poll_for(owner, worker, is_reachable=not worker.is_down)
-
-    def _poll_for(self, owner: JobOwner, worker: EmulatedWorker, *, is_reachable: bool) -> None:
-        known = owner.state.workers_by_id.get(worker.entry.worker_id)
-        if known is None:
-            return
-        sent_s, token = self.now_s, owner.state.epoch
-        request = owner.next_poll(known, sent_s, leases_until_s=self._leases_until_s(owner))
-        is_lost = self.is_command_lost()
-        if not is_reachable or is_lost:
-            self.after(POLL_TIMEOUT_S, lambda: owner.mark_worker_unreachable(known, self.now_s))
-        if not is_reachable or (is_lost and self.rng.random() < 0.5) or token < worker.token:
-            return
-        worker.token = token
-        self._acknowledge(worker, request.acknowledged_number)
-        if request.lease_until_ms is not None:
-            worker.lease_until_s = max(worker.lease_until_s, request.lease_until_ms / 1000)
-        running = tuple(
-            RunReport(run.task, run.attempt, run.saved, round(100 * run.done_s / run.work_s), 0.0)
-            for run in worker.runs.values()
-        )
-        report = PollReport(
-            round(worker.clock_s(self.now_s) * 1000),
-            worker.entry.born_ms,
-            running,
-            tuple(worker.ends[: worker.list_limit]),
-        )
-
-        def answer() -> None:
-            if worker.entry.born_ms != report.born_ms or worker.is_down:
-                return
-            worker.reported_count = max((end.number for end in report.completions), default=0)
-            try:
-                owner.apply_report(known, report, sent_s, self.now_s)
-            except Exception as error:  # As in the runtime, the next poll follows.
-                self.report_errors.append(error)
-
-        if not is_lost:
-            self.after(COMMAND_LATENCY_S, lambda: self._answer(answer))
-
-    def _acknowledge(self, worker: EmulatedWorker, last_number: int) -> None:
-        for completion in worker.ends:
-            if completion.number <= last_number:
-                self.checks.check_acknowledged(worker, completion)
-        worker.ends = [completion for completion in worker.ends if completion.number > last_number]
+            self.calls.poll(owner, worker, is_reachable=not worker.is_down)
 
 
 def _ignore(event: str, **fields: Any) -> None:
--- /dev/null
+++ b/redwingplank/batch/tests/test_restart_promises.py
@@ -0,0 +1,84 @@
+"""Model check of the promises with workers that restart and carry out calls of former processes."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import rule, run_state_machine_as_test
+
+from redwingplank.batch.emulated_worker import Fault
+from redwingplank.batch.settings import BatchSettings
+from redwingplank.batch.tests.cells import make_cell, make_job, step
+from redwingplank.batch.tests.test_promises import (
+    CLOCK_RATES,
+    MODEL_SETTINGS,
+    WORKERS,
+    PromisesMachine,
+)
+
+LONG_LEASES = BatchSettings(lease_s=6.5, lease_limit_s=10.0)
+LONG_TASK_S = 14.0
+"""Run time that outlasts every lease."""
+RESTART_SETTINGS = settings(MODEL_SETTINGS, max_examples=200, stateful_step_count=25)
+SHORT_WAITS = st.sampled_from([0.1, 0.4, 1.0])
+
+
+class RestartsMachine(PromisesMachine):
+    """Workers restart while calls to them are under way, and are cut off soon after."""
+
+    settle_s = 150.0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cell = make_cell(WORKERS, settings=LONG_LEASES)
+        self.cell.lost_write_fraction = 0.2
+        for worker, rate in zip(self.cell.workers.values(), CLOCK_RATES, strict=True):
+            worker.clock_offset_s, worker.clock_rate = 1000 * (rate - 1) - 50, rate
+
+    @rule(tasks=st.integers(1, 3))
+    def submit_long(self, tasks: int) -> None:
+        if len(self.cell.specs_by_id) < WORKERS:
+            name = f"j{len(self.cell.specs_by_id)}"
+            self.cell.submit(
+                make_job(name, step(tasks, estimate_s=LONG_TASK_S), at_s=self.cell.now_s)
+            )
+
+    @rule(late_s=st.sampled_from([0.4, 2.0, 6.0]))
+    def delay_calls(self, late_s: float) -> None:
+        self.cell.calls.late_s = late_s
+        self.cell.run_for(0.32)
+        self.cell.calls.late_s = None
+
+    @rule(
+        number=st.integers(0, WORKERS - 1),
+        late_s=st.sampled_from([0.1, 0.4, 2.0, 6.0]),
+        is_replaced=st.booleans(),
+        restarted_s=SHORT_WAITS,
+        replaced_s=SHORT_WAITS,
+        cut_s=st.sampled_from([5.0, 9.0, 16.0]),
+    )
+    def restart_and_cut(
+        self,
+        number: int,
+        late_s: float,
+        restarted_s: float,
+        replaced_s: float,
+        cut_s: float,
+        *,
+        is_replaced: bool,
+    ) -> None:
+        """Restart a worker to which calls are under way, and cut it off from the next owner."""
+        self.delay_calls(late_s)
+        self.crash_worker(number)
+        self.cell.run_for(restarted_s)
+        if is_replaced:
+            self.replace_owner()
+        self.cell.run_for(replaced_s)
+        for worker in self._pick_worker(number):
+            worker.faults.add(Fault.CUT)
+        self.cell.run_for(cut_s)
+        for worker in self._pick_worker(number):
+            worker.faults.discard(Fault.CUT)
+
+
+class TestPromisesOfRestartedWorkers:
+    def test_hold_with_calls_of_former_processes(self):
+        run_state_machine_as_test(RestartsMachine, settings=RESTART_SETTINGS)
--- /dev/null
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -0,0 +1,220 @@
+"""Tests of workers that restart under their ids and carry out calls of their former processes."""
+
+import pytest
+
+from redwingplank.batch.emulated_worker import Fault
+from redwingplank.batch.settings import BatchSettings
+from redwingplank.batch.tests.cells import make_cell, make_job, step
+
+LONG_LEASES = BatchSettings(lease_s=6.5, lease_limit_s=10.0)
+RESTART_BOUND_S = 9.0
+"""A task that lasts has to run again so long after its last run, with a margin of 0.5 s."""
+
+
+class RestartingCell:
+    """A cell of two workers, of which only the first starts tasks until `open_other` is called."""
+
+    def __init__(self, settings=LONG_LEASES):
+        self.cell = make_cell(2, settings=settings)
+        self.host, self.other = self.cell.workers.values()
+        self.other.faults.add(Fault.REFUSE)
+
+    def submit_lasting(self, name="a"):
+        self.cell.submit(make_job(name, step(1, 8000, is_lasting=True), queue="watch"))
+
+    def start_lasting(self, name="a"):
+        """Submit a job with one task that lasts, and wait until it runs on the first worker."""
+        self.submit_lasting(name)
+        self.wait_for_run()
+
+    def wait_for_run(self, longest_s=6.0):
+        """Wait until a task runs on the first worker."""
+        until_s = self.cell.now_s + longest_s
+        while not self.host.runs and self.cell.now_s < until_s:
+            self.cell.run_for(0.1)
+        assert self.host.runs
+
+    def delay_calls(self, late_s, during_s=0.32):
+        """Let the calls of a period go unanswered, and be carried out late."""
+        self.cell.calls.late_s = late_s
+        self.cell.run_for(during_s)
+        self.cell.calls.late_s = None
+
+    def crash_host(self):
+        self.cell.crash(self.host.entry.worker_id)
+
+    def cut_host(self):
+        self.host.faults.add(Fault.CUT)
+
+    def open_other(self):
+        self.other.faults.discard(Fault.REFUSE)
+
+    def replace_owner(self, **values):
+        self.cell.replace_owner(**values)
+
+
+class TestLeaseOfAFormerProcess:
+    # Guards against a next owner that takes the lease of a restarted worker for a granted one.
+    def test_is_waited_for_by_the_next_owner(self):
+        world = RestartingCell()
+        world.start_lasting()
+        world.delay_calls(0.4)
+        world.crash_host()
+        world.cell.run_for(0.5)
+        world.wait_for_run()
+        world.replace_owner()
+        world.cell.run_for(0.5)
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(RESTART_BOUND_S)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+    # Guards against a next owner that never reached the worker, and counts from its own beginning.
+    def test_is_waited_for_by_a_next_owner_that_does_not_reach_the_worker(self):
+        world = RestartingCell()
+        world.start_lasting()
+        world.delay_calls(0.4)
+        world.crash_host()
+        world.cell.run_for(0.5)
+        world.wait_for_run()
+        world.cut_host()
+        world.replace_owner()
+        world.open_other()
+        world.cell.run_for(RESTART_BOUND_S)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+    # Guards against a poll of the former process that renews the lease of the next one.
+    @pytest.mark.parametrize("late_s", [1.5, 4.0, 8.0])
+    def test_is_not_taken_after_the_first_report(self, late_s):
+        world = RestartingCell()
+        world.start_lasting()
+        world.delay_calls(late_s)
+        world.crash_host()
+        world.wait_for_run()
+        world.cell.run_for(late_s)
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(20.0)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+    # Guards against a second change of owners, after which nobody knows of the restart.
+    def test_is_waited_for_after_a_restart_between_two_owners(self):
+        world = RestartingCell()
+        world.delay_calls(0.33)
+        world.crash_host()
+        world.cell.run_for(0.34)
+        world.replace_owner()
+        world.start_lasting()
+        world.replace_owner()
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(RESTART_BOUND_S)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+
+class TestStartOfAFormerProcess:
+    # Guards against a restart that the list shows, after which an unanswered start counts as lost.
+    @pytest.mark.parametrize("late_s", [2.0, 4.0, 12.0])
+    def test_is_waited_for_while_the_worker_is_cut_off(self, late_s):
+        world = RestartingCell()
+        world.cell.calls.late_s = late_s
+        world.submit_lasting()
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+        world.cut_host()
+        world.cell.run_for(0.8)
+        world.crash_host()
+        world.open_other()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+        assert world.other.runs or world.host.runs
+
+    # Guards against the same where the worker is reached again before the start is carried out.
+    @pytest.mark.parametrize("late_s", [2.0, 4.0, 12.0])
+    def test_is_refused_once_the_next_process_has_reported(self, late_s):
+        world = RestartingCell()
+        world.cell.calls.late_s = late_s
+        world.submit_lasting()
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+        world.crash_host()
+        world.open_other()
+        world.cell.run_for(late_s + 3.0)
+        assert world.cell.violations == []
+        assert len(world.other.runs) + len(world.host.runs) == 1
+
+
+class TestAcknowledgementOfAFormerProcess:
+    # Guards against ends that a late poll forgets before anybody has read them.
+    def test_does_not_forget_ends_of_the_next_process(self):
+        world = RestartingCell()
+        world.cell.submit(make_job("short", step(8, 1000, 0.2)))
+        world.cell.run_for(3.0)
+        world.delay_calls(5.5)
+        world.crash_host()
+        world.cell.run_for(4.0)
+        world.cell.submit(make_job("a", step(1, 8000, 0.6)))
+        world.cell.run_for(0.4)
+        world.cut_host()
+        world.cell.run_for(3.0)
+        world.host.faults.discard(Fault.CUT)
+        world.cell.run_for(5.0)
+        assert world.cell.violations == []
+        assert world.host.ended_done
+
+
+class TestRunFoundInARestartedProcess:
+    def delay_start(self, world, late_s):
+        """Submit a task that lasts, whose start is carried out late."""
+        world.cell.calls.late_s = late_s
+        world.submit_lasting()
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+
+    # Guards against a next owner that knows neither of the restart nor of the unanswered start.
+    @pytest.mark.parametrize("late_s", [3.0, 12.0])
+    def test_is_waited_for_by_a_next_owner_that_is_not_told_of_the_restart(self, late_s):
+        world = RestartingCell()
+        self.delay_start(world, late_s)
+        world.cut_host()
+        world.cell.run_for(0.8)
+        world.crash_host()
+        world.cell.run_for(0.8)
+        world.host.is_listed = False
+        world.replace_owner()
+        world.open_other()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+    # Guards against a next owner that takes a run found by the last one for a granted lease.
+    def test_is_waited_for_by_the_next_owner_after_it_was_found(self):
+        world = RestartingCell()
+        self.delay_start(world, 0.3)
+        world.crash_host()
+        world.cell.run_for(0.7)
+        assert world.host.runs
+        world.cut_host()
+        world.replace_owner()
+        world.open_other()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+    # Guards against a wait for the longest lease that goes on long after that lease has ended.
+    def test_is_waited_for_no_longer_once_its_lease_is_over(self):
+        world = RestartingCell()
+        self.delay_start(world, 0.3)
+        world.crash_host()
+        world.wait_for_run()
+        world.cell.run_for(12.0)
+        world.cell.take_down(world.host)
+        world.replace_owner()
+        world.open_other()
+        world.cell.run_for(RESTART_BOUND_S)
+        assert world.cell.violations == []
+        assert world.other.runs
