A restarted worker refuses calls that were meant for its former process

Seen by callers: a task ran twice (TWICE), as a poll of the former process renewed the lease of the new one after its owner had counted it, or acknowledged ends that nobody had read. Cause: a worker keeps the highest fencing token, but forgets it when it restarts, and its owner used one token for the whole epoch. The header that names the instance holds the id, which stays. Change: an epoch has a range of 256 tokens, and its number is the last one. An owner that sees a worker restart uses the next token there, and applies only reports to polls sent with it. A refusal of an earlier token of its own does not end the ownership. An earlier version that follows takes the next number, above the whole range.

--- a/redwingplank/batch/emulated_calls.py
+++ b/redwingplank/batch/emulated_calls.py
@@ -105,7 +105,8 @@
             spec=run.spec,
             saved=task.saved,
             lease_ms=owner.grant_lease(run.worker, self._cell.now_s, leases_until_s),
-            token=owner.state.epoch,
+            token=owner.state.token_of(run.worker),
+            epoch=owner.state.epoch,
         )
 
     def _start(self, worker: EmulatedWorker, order: StartOrder, *, is_late: bool) -> StartOutcome:
@@ -136,7 +137,7 @@
         """Send the command to stop a run."""
         cell = self._cell
         worker = cell.workers[run.worker.id]
-        token = owner.state.epoch
+        token = owner.state.token_of(run.worker)
 
         def carry_out(_is_late: bool) -> bool:
             if token < worker.token:
@@ -206,11 +207,11 @@
         known = owner.state.workers_by_id.get(worker.entry.worker_id)
         if known is None:
             return
-        sent_s, token = cell.now_s, owner.state.epoch
+        sent_s = cell.now_s
         request = owner.next_poll(known, sent_s, leases_until_s=cell.leases_until_s(owner))
 
         def carry_out(_is_late: bool) -> PollReport | None:
-            return self._report(worker, request, token)
+            return self._report(worker, request)
 
         def answer(report: PollReport | None) -> None:
             if report is None or worker.entry.born_ms != report.born_ms or worker.is_down:
@@ -231,14 +232,12 @@
         else:
             self._leave_unanswered(call, is_reachable=is_reachable)
 
-    def _report(
-        self, worker: EmulatedWorker, request: PollRequest, token: int
-    ) -> PollReport | None:
+    def _report(self, worker: EmulatedWorker, request: PollRequest) -> PollReport | None:
         """Carry out a poll; return None if the worker refuses it."""
         cell = self._cell
-        if token < worker.token:
+        if request.token < worker.token:
             return None
-        worker.token = token
+        worker.token = request.token
         self._acknowledge(worker, request.acknowledged_number)
         if request.lease_until_ms is not None:
             worker.take_lease(request.lease_until_ms, cell.now_s, cell.settings.lease_limit_s)
--- a/redwingplank/batch/emulated_checks.py
+++ b/redwingplank/batch/emulated_checks.py
@@ -194,7 +194,7 @@
         if order.saved and (owner, order.saved) not in self._checkpoints:
             self.violations.append(f"{task} started from {order.saved}, which is not its own")
         cancelled_s = self.cancelled_s_by_id.get(task.job_id, math.inf)
-        refused_s = self._refused_s_by_epoch.get(order.token, -math.inf)
+        refused_s = self._refused_s_by_epoch.get(order.epoch, -math.inf)
         touch_s = max(self._calm_since_s(Disruption.STORE), refused_s) + CONTACT_S
         if not is_late and now_s > cancelled_s + CANCEL_S and now_s >= touch_s:
             age_s = now_s - cancelled_s
--- a/redwingplank/batch/emulated_worker.py
+++ b/redwingplank/batch/emulated_worker.py
@@ -28,6 +28,8 @@
     saved: str
     lease_ms: int
     token: int
+    epoch: int
+    """First token of the owner's epoch."""
 
 
 @dataclass
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -23,6 +23,7 @@
     StartOrder,
     make_restarted_entry,
 )
+from redwingplank.batch.fencing import TOKENS_PER_EPOCH, first_token
 from redwingplank.batch.model import (
     CellConfig,
     CompletionKind,
@@ -149,13 +150,14 @@
         """Replaced owners that still send commands, also to workers that are cut off."""
         self._sequence: tuple[int, int] = (0, 0)
         """Epoch and number of the last write of records that was carried out."""
-        self.epoch = 0
+        self.epoch = first_token(0)
+        """First fencing token of the present owner."""
         self.owner = self._make_owner()
         self._is_writing = False
         self._schedule_polls()
 
     def _make_owner(self) -> JobOwner:
-        self.epoch += 1
+        self.epoch += TOKENS_PER_EPOCH
         self._sequence = (self.epoch, 0)
         self._proven_s_by_epoch[self.epoch] = self.now_s
         owner = JobOwner(self.settings, self.epoch, self.config, _ignore)
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -48,11 +48,13 @@
 class PollRequest:
     """The next poll of a worker.
 
-    `acknowledged_number` is the number of the last completion that is acknowledged.
+    `token` is the fencing token, and `acknowledged_number` the number of the last completion that
+    is acknowledged.
     `lease_until_ms` is the end of the lease on the worker's clock, None to poll without renewing
     the lease.
     """
 
+    token: int
     acknowledged_number: int
     lease_until_ms: int | None
 
@@ -74,7 +76,7 @@
     settings : BatchSettings
         Settings of the scheduling decisions.
     epoch : int
-        Epoch of the ownership, the fencing token of all commands.
+        First fencing token of the epoch of the ownership.
     config : CellConfig
         Current configuration.
     log_decision : callable
@@ -315,14 +317,15 @@
         leases_until_s : float or None
             Time in seconds after which no lease may last, None to grant none.
         """
+        token = self.state.token_of(worker)
         if worker.is_unreachable:
             # Acknowledge nothing: the worker may have restarted and may number its completions from
             # the beginning again.
-            return PollRequest(0, None)
+            return PollRequest(token, 0, None)
         if worker.clock_ms is None or leases_until_s is None:
-            return PollRequest(worker.acknowledged_completion_number, None)
+            return PollRequest(token, worker.acknowledged_completion_number, None)
         until_ms = self.grant_lease(worker, now_s, leases_until_s)
-        return PollRequest(worker.acknowledged_completion_number, until_ms)
+        return PollRequest(token, worker.acknowledged_completion_number, until_ms)
 
     def grant_lease(self, worker: Worker, now_s: float, leases_until_s: float) -> int:
         """Return the end of a lease that a command grants now, on the worker's clock.
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -3,6 +3,7 @@
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import Run, RunState, Step, Task
+from redwingplank.batch.fencing import TOKENS_PER_EPOCH
 from redwingplank.batch.model import Amounts, PollReport, RunReport, WorkerEntry
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
@@ -85,14 +86,9 @@
         self._state.needs_pass = True
         self._crashes.count_crash(worker, now_s)
         self._state.extend_wait_for_restarted(worker.id, now_s)
-        worker.born_ms = born_ms
-        worker.has_restarted = True
-        worker.clock_ms = None
-        worker.granted_until_ms = worker.assumed_until_ms = 0
-        worker.handled_completion_number = worker.acknowledged_completion_number = 0
-        worker.pending_completions.clear()
-        worker.failures_in_row = 0
-        worker.avoided_until_s = 0.0
+        worker.note_restart(born_ms, now_s)
+        if worker.restart_count >= TOKENS_PER_EPOCH - 1:
+            self._state.are_tokens_used_up = True
         for run in list(worker.runs_by_key.values()):
             if run.is_listed:
                 self._release_run(run, now_s, "worker_reborn")
@@ -121,6 +117,10 @@
             if report.born_ms < worker.born_ms:
                 return
             self.handle_restart(worker, report.born_ms, now_s, source="report")
+        if sent_s <= worker.restarted_s:
+            # The process may still carry out calls to the one before it, which change this answer.
+            self._state.commands.polls.append(worker)
+            return
         if worker.clock_ms is None:
             self._assume_lease(worker, report)
         worker.clock_ms = report.clock_ms
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -38,7 +38,7 @@
     settings : BatchSettings
         Settings of the scheduling decisions.
     epoch : int
-        Epoch of the ownership, the fencing token of all commands.
+        First fencing token of the epoch of the ownership.
     config : CellConfig
         Current configuration.
     log_decision : callable
@@ -70,10 +70,16 @@
         self.organisations = Organisations(config, log_decision)
         self.interference = Interference(log_decision)
         self.speeds = Speeds(settings.remote_factor, self.interference)
+        self.are_tokens_used_up = False
+        """Whether some worker has restarted so often that the next token is of another epoch."""
         self.needs_pass = True
         """Whether something has changed since the last pass, so that more tasks may start."""
         self._pass_times_s: list[float] = []
 
+    def token_of(self, worker: Worker) -> int:
+        """Return the fencing token of commands to a worker, which rises when it restarts."""
+        return self.epoch + worker.restart_count
+
     def request_pass_at(self, due_s: float) -> None:
         """Request a pass at a time at which a task or a worker may be used again."""
         heapq.heappush(self._pass_times_s, due_s)
--- a/redwingplank/batch/worker.py
+++ b/redwingplank/batch/worker.py
@@ -39,7 +39,6 @@
         "granted_until_ms",
         "guarded_until_s",
         "handled_completion_number",
-        "has_restarted",
         "id",
         "is_confirmed",
         "is_listed",
@@ -48,6 +47,8 @@
         "paced_s",
         "pending_completions",
         "reserved",
+        "restart_count",
+        "restarted_s",
         "runs_by_key",
         "silent_s",
         "step_counts",
@@ -64,15 +65,17 @@
         self.awaits_whole_report = True
         """Whether no report has listed all completions since the worker last began to answer."""
         self.unconfirmed_until_s = unconfirmed_until_s
-        self.has_restarted = False
-        """Whether its process has restarted since this owner knows it. The new one takes a lease on
-        the clock of the one before it for the longest one."""
+        self.restart_count = 0
+        """Number of restarts of its process that this owner has seen."""
+        self.restarted_s = float("-inf")
+        """Time at which the last restart was seen. Polls sent after it fence the process."""
         self.is_unreachable = False
         self.silent_s = 0.0
         """Time at which the worker became unreachable."""
         self.answered_s = 0.0
         self.clock_ms: int | None = None
-        """Worker's clock in its last report, received at `clock_at_s`; None before that."""
+        """Worker's clock in its last report, received at `clock_at_s`; None before the present
+        process has reported to a poll that fences it."""
         self.clock_at_s = 0.0
         self.granted_until_ms = 0
         """Latest end of a lease that this owner has granted, on the worker's clock."""
@@ -100,6 +103,26 @@
         """The incarnation that the worker is known to have."""
         return Incarnation(self.id, self.entry.address, self.born_ms)
 
+    @property
+    def has_restarted(self) -> bool:
+        """Whether its process has restarted since this owner knows it.
+
+        The new one takes a lease on the clock of the one before it for the longest one.
+        """
+        return self.restart_count > 0
+
+    def note_restart(self, born_ms: int, now_s: float) -> None:
+        """Forget what the former process has told, and fence it off from the new one."""
+        self.born_ms = born_ms
+        self.restart_count += 1
+        self.restarted_s = now_s
+        self.clock_ms = None
+        self.granted_until_ms = self.assumed_until_ms = 0
+        self.handled_completion_number = self.acknowledged_completion_number = 0
+        self.pending_completions.clear()
+        self.failures_in_row = 0
+        self.avoided_until_s = 0.0
+
     @property
     def lease_until_ms(self) -> int:
         """Latest end of any lease that the worker may have, on its clock; 0 before it reports."""
--- a/redwingplank/cell/membership.py
+++ b/redwingplank/cell/membership.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from redwingplank.batch.fencing import next_epoch
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.follower import PrefixFollower
@@ -260,7 +261,7 @@
     def _apply_epoch(self, value: bytes, revision: int) -> None:
         """Take the newest epoch; one that cannot be read ends the ownership but keeps the number.
 
-        The workers refuse an owner whose number is too low, so that it takes the next one.
+        The workers refuse an owner whose tokens are too low, so that it takes the next number.
         """
         if revision <= self.epoch_revision:
             return
@@ -403,7 +404,7 @@
             await self.resign("faster_node")
 
     async def _try_to_win(self) -> None:
-        epoch = (self.latest_epoch.number if self.latest_epoch else 0) + 1
+        epoch = next_epoch(self.latest_epoch.number if self.latest_epoch else 0)
         entry = self._own_entry(epoch, self._bounded_since or epoch)
         value = msgspec.json.encode(entry)
         expected = {OWNER_KEY: self._owner_revision, EPOCH_KEY: self.epoch_revision}
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -9,6 +9,7 @@
 
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.entities import Job
+from redwingplank.batch.fencing import first_token
 from redwingplank.batch.model import CellConfig, JobState, WorkerEntry
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.settings import BatchSettings
@@ -87,7 +88,9 @@
         self._membership = membership
         self._tasks = TaskSet(context)
         self._settings = _make_settings(context)
-        self.owner = JobOwner(self._settings, ownership.epoch, config, self._log_decision)
+        self.owner = JobOwner(
+            self._settings, first_token(ownership.epoch), config, self._log_decision
+        )
         self._ownership = ownership
         self._epoch = ownership.epoch
         self._writer = RecordWriter(
@@ -256,6 +259,9 @@
             self._wakeup.clear()
             started_s = now_s()
             commands = self.owner.tick(started_s, now_unix_s())
+            if self.owner.state.are_tokens_used_up:
+                self._membership.give_up_ownership("tokens_used_up")
+                return
             if self.owner.state.dirty_jobs:
                 self._writer.wake()
             self._execute(commands)
--- a/redwingplank/cell/system_entries.py
+++ b/redwingplank/cell/system_entries.py
@@ -11,7 +11,7 @@
 
 MAX_CORE_SHARE = 1000.0
 MAX_EPOCH = 2**40
-"""Larger numbers are not believed; one epoch a second would reach it after 30,000 years."""
+"""Larger numbers are not believed; one epoch a second would reach it after 130 years."""
 
 
 class NodeEntry(msgspec.Struct, frozen=True):
@@ -27,7 +27,8 @@
 
     Value of the owner key and of the epoch key; the latter is stored as "term". `bounded_since` is
     the first epoch of the unbroken series, up to this one, of owners that bound their leases; it is
-    0 for owners of earlier versions, which do not.
+    0 for owners of earlier versions, which do not. The number is the last one of the fencing tokens
+    that the owner may use.
     """
 
     number: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
--- a/redwingplank/cell/tests/test_worker_commands.py
+++ b/redwingplank/cell/tests/test_worker_commands.py
@@ -1,6 +1,7 @@
 """Tests of the commands to workers, against a client that records them."""
 
 import asyncio
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -11,6 +12,7 @@
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 from redwingplank.cell import worker_commands
 from redwingplank.cell.worker_commands import WorkerCommands
+from redwingplank.platform.site.workers import FencedError
 
 PROVEN_S = 100.0
 LONG_PAUSE_S = 6.0
@@ -31,6 +33,21 @@
         return True
 
 
+class FencingWorkers:
+    """Refuses every command as fenced, after an event."""
+
+    def __init__(self, before: Callable[[], None]) -> None:
+        self._before = before
+
+    async def start(self, *_: Any) -> StartOutcome:
+        self._before()
+        return StartOutcome.FENCED
+
+    async def stop(self, *_: Any) -> bool:
+        self._before()
+        raise FencedError("w0")
+
+
 class TestPausedOwner:
     """Pattern: a process is paused for seconds, and goes on with a command it was about to send."""
 
@@ -66,3 +83,43 @@
         asyncio.run(commands.start(run))
         assert owner.state.jobs_by_id["a"].runs() == []
         assert not owner.next_poll(run.worker, PROVEN_S, leases_until_s=None).lease_until_ms
+
+
+class TestFencedCommand:
+    """A worker that has received a higher token than that of a command refuses it."""
+
+    def send(self, monkeypatch, name: str, *, has_restarted: bool) -> tuple[Any, Run, list[str]]:
+        """Send a start or a stop, and return the reasons for which the ownership was given up."""
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(1), at_s=cell.now_s))
+        cell.owner.tick(cell.now_s, cell.now_s)
+        (run,) = cell.owner.state.jobs_by_id["a"].runs()
+
+        def restart() -> None:
+            if has_restarted:
+                run.worker.note_restart(run.worker.born_ms + 1, PROVEN_S)
+
+        reasons: list[str] = []
+        context: Any = SimpleNamespace(workers=FencingWorkers(restart), log=lambda *_, **__: None)
+        membership: Any = SimpleNamespace(proven_s=PROVEN_S, give_up_ownership=reasons.append)
+        commands = WorkerCommands(context, membership, cell.owner, lambda: None)
+        monkeypatch.setattr(worker_commands, "now_s", lambda: PROVEN_S)
+        asyncio.run(getattr(commands, name)(run))
+        return cell.owner, run, reasons
+
+    # Guards against an owner that goes on although the worker has heard of another one.
+    @pytest.mark.parametrize("name", ["start", "stop"])
+    def test_ends_the_ownership(self, monkeypatch, name):
+        _, _, reasons = self.send(monkeypatch, name, has_restarted=False)
+        assert reasons == ["fenced_by_worker"]
+
+    # Guards against an owner that gives up as its own later token reached a restarted worker first.
+    @pytest.mark.parametrize("name", ["start", "stop"])
+    def test_of_a_former_process_does_not(self, monkeypatch, name):
+        _, _, reasons = self.send(monkeypatch, name, has_restarted=True)
+        assert reasons == []
+
+    # Guards against a run that stays for ever after its start was refused to a former process.
+    def test_of_a_former_process_was_not_carried_out(self, monkeypatch):
+        owner, _, _ = self.send(monkeypatch, "start", has_restarted=True)
+        assert owner.state.jobs_by_id["a"].runs() == []
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -6,6 +6,7 @@
 from redwingplank.batch.entities import Run
 from redwingplank.batch.model import StartOutcome
 from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.worker import Worker
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.membership import Membership
@@ -71,9 +72,18 @@
             return None
         return self._membership.proven_s + self._owner.state.settings.proof_lease_s
 
-    def step_down(self) -> None:
-        """Give up the ownership because a worker has received a higher fencing token."""
+    def step_down_if_replaced(self, worker: Worker, token: int) -> bool:
+        """Give up the ownership if the worker that refused a token has received one of a new owner.
+
+        Returns
+        -------
+        bool
+            False if this owner itself has used a higher one since, as it saw the worker restart.
+        """
+        if token < self._owner.state.token_of(worker):
+            return False
         self._membership.give_up_ownership("fenced_by_worker")
+        return True
 
     async def start(self, run: Run) -> None:
         """Send the command to start a planned run, unless the run was dropped meanwhile.
@@ -94,12 +104,12 @@
         if not self._owner.mark_start_sent(run, now_s()):
             return
         outcome = StartOutcome.NOT_SENT
+        token = self._owner.state.token_of(run.worker)
         leases_until_s = self.leases_until_s()
         if leases_until_s is not None and run.worker.clock_ms is not None:
             command = self._make_start_command(run, leases_until_s)
             outcome = await self._context.workers.start(run.worker.entry, command, START_TIMEOUT_S)
-        if outcome is StartOutcome.FENCED:
-            self.step_down()
+        if outcome is StartOutcome.FENCED and self.step_down_if_replaced(run.worker, token):
             return
         if outcome is StartOutcome.UNKNOWN:
             self.last_unanswered_start_s = now_s()
@@ -118,7 +128,7 @@
             attempt=run.attempt,
             payload=job.spec.payload,
             lease_until_ms=self._owner.grant_lease(run.worker, now_s(), leases_until_s),
-            token=self._owner.state.epoch,
+            token=self._owner.state.token_of(run.worker),
             saved=task.saved,
             ticket=ticket.text if ticket else "",
         )
@@ -138,13 +148,14 @@
         if not self.may_send_commands():
             return
         is_accepted = False
+        token = self._owner.state.token_of(run.worker)
         try:
             is_accepted = await self._context.workers.stop(
-                run.worker.entry, run.task_id, run.attempt, self._owner.state.epoch, STOP_TIMEOUT_S
+                run.worker.entry, run.task_id, run.attempt, token, STOP_TIMEOUT_S
             )
         except FencedError:
-            self.step_down()
-            return
+            if self.step_down_if_replaced(run.worker, token):
+                return
         except SiteError as error:
             self._context.log("stop_failed", task=run.task_id, worker=run.worker.id, error=error)
         self._owner.handle_stop_outcome(run, is_taken=is_accepted, now_s=now_s())
@@ -165,7 +176,7 @@
                 run.task_id,
                 run.attempt,
                 pace.percent,
-                self._owner.state.epoch,
+                self._owner.state.token_of(run.worker),
                 PACE_TIMEOUT_S,
             )
         except SiteError as error:
--- a/redwingplank/cell/worker_poller.py
+++ b/redwingplank/cell/worker_poller.py
@@ -117,13 +117,13 @@
         try:
             report = await self._context.workers.poll(
                 worker.entry,
-                self._owner.state.epoch,
+                request.token,
                 request.acknowledged_number,
                 request.lease_until_ms,
                 wait_ms,
             )
         except FencedError:
-            self._orders.step_down()
+            self._orders.step_down_if_replaced(worker, request.token)
             return None
         except SiteError as error:
             self._context.log("hold_failed", worker=worker.id, error=error)
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -64,8 +64,8 @@
         Times at which the run began and at which the command arrived, in seconds.
     spec, checkpoint : str
         What the command carried.
-    epoch : int
-        Fencing token of the command, the epoch of the owner that sent it.
+    token : int
+        Fencing token of the command.
     """
 
     task: str
@@ -75,12 +75,12 @@
     arrived_s: float
     spec: str
     checkpoint: str = ""
-    epoch: int = 0
+    token: int = 0
 
     def __str__(self) -> str:
         late = f" arrived {self.arrived_s:.3f}" if self.arrived_s != self.at_s else ""
         text = f"start {self.task} attempt {self.attempt} at {self.at_s:.3f} on {self.worker}"
-        return f"{text} epoch {self.epoch}{late}"
+        return f"{text} token {self.token}{late}"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/soak/unasked.py
+++ b/tools/soak/unasked.py
@@ -52,8 +52,12 @@
 
 
 def _sender(history: History, start: RunStart) -> str:
-    """Return the node that sent the command: the owner of the epoch that is its fencing token."""
-    return history.owner_by_epoch.get(start.epoch, "")
+    """Return the node that sent the command, empty if none did.
+
+    The number of an epoch is the last one of its fencing tokens.
+    """
+    numbers = [number for number in history.owner_by_epoch if number >= start.token]
+    return history.owner_by_epoch[min(numbers)] if numbers else ""
 
 
 def _find_unsent(history: History, job_id: str, start: RunStart) -> str:
--- a/tools/soak/workers.py
+++ b/tools/soak/workers.py
@@ -84,7 +84,7 @@
             arrived_s=_arrived_s.get(now_s),
             spec=body["spec"],
             checkpoint=body.get("checkpoint", ""),
-            epoch=body.get("fencing_token", 0),
+            token=body.get("fencing_token", 0),
         )
 
     def _set_run_time(self, body: dict[str, Any], now_s: float) -> None:
