Nothing starts on a restarted worker while its lease may outlast what the next owner waits for

Cause: a process that restarts takes a lease on the clock of the one before it, from a call that was meant for that one, for the longest one (10 s). Only the owner of that time knew. It started tasks there, and stored the new process as their host, so that the next owner counted with the 7 s that owners keep to. Change: an owner keeps the end of the lease that a process may have taken by itself, from its first fenced report. It plans nothing there for the difference (3.6 s, nothing where the longest lease is below 7 s), and sends no start while that lease outlasts what it may grant. A process that no earlier owner has used counts as restarted if it began less than 27 s ago and calls of earlier owners may have been carried out since. Why it works: whatever ends the owner, each run that it started lies under leases that end within 7 s of its last proof, which is what the next owner waits for.

--- a/redwingplank/batch/emulated_calls.py
+++ b/redwingplank/batch/emulated_calls.py
@@ -73,7 +73,9 @@
         if not owner.mark_start_sent(run, cell.now_s):
             return
         leases_until_s = cell.leases_until_s(owner)
-        if leases_until_s is None:
+        if leases_until_s is None or owner.may_lease_outlast(
+            run.worker, cell.now_s, leases_until_s
+        ):
             owner.handle_start_outcome(run, StartOutcome.NOT_SENT, cell.now_s)
             return
         worker = cell.workers[run.worker.id]
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -194,7 +194,7 @@
         worker = self.workers[worker_id]
         self.crash_counts.update(worker.unsettled_tasks())
         self.lost_end_counts.update(end.task for end in worker.ends)
-        worker.crash(worker.entry.born_ms + 1)
+        worker.crash(max(worker.entry.born_ms + 1, round(self.now_s * 1000)))
         self._restart_clock(worker)
         known = self.owner.state.workers_by_id.get(worker_id)
         if known is not None:
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -344,6 +344,11 @@
         worker.granted_until_ms = max(worker.granted_until_ms, until_ms)
         return until_ms
 
+    def may_lease_outlast(self, worker: Worker, now_s: float, leases_until_s: float) -> bool:
+        """Return whether a worker may keep a lease by itself for longer than a next owner waits."""
+        left_s = worker.lease_left_s(worker.taken_until_ms, now_s)
+        return left_s > leases_until_s - now_s
+
     def apply_report(self, worker: Worker, report: PollReport, sent_s: float, now_s: float) -> None:
         """Apply a worker's answer to a poll that was sent at `sent_s`."""
         self._reports.apply_report(worker, report, sent_s, now_s)
@@ -409,6 +414,7 @@
 
     def tick(self, now_s: float, now_unix_s: float) -> Commands:
         """Make all decisions that are due, and return the commands to carry out."""
+        self.state.unix_offset_s = now_unix_s - now_s
         if now_s - self._last_check_s >= CHECK_PERIOD_S:
             self._last_check_s = now_s
             self._check(now_s, now_unix_s)
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -35,6 +35,7 @@
     def list_workers(self, entries: list[WorkerEntry], now_s: float) -> None:
         """Apply the list of workers that the platform publishes."""
         state = self._state
+        state.first_listed_s = min(state.first_listed_s, now_s)
         listed = set()
         for entry in entries:
             listed.add(entry.worker_id)
@@ -122,7 +123,7 @@
             self._state.commands.polls.append(worker)
             return
         if worker.clock_ms is None:
-            self._assume_lease(worker, report)
+            self._assume_lease(worker, report, now_s)
         worker.clock_ms = report.clock_ms
         worker.clock_at_s = now_s
         if worker.is_unreachable:
@@ -141,17 +142,24 @@
             self._log_worker(worker, "report_cut", completions=len(report.completions))
         worker.acknowledge_stored_completions()
 
-    def _assume_lease(self, worker: Worker, report: PollReport) -> None:
+    def _assume_lease(self, worker: Worker, report: PollReport, now_s: float) -> None:
         """Assume the longest lease that a process may have which reports for the first time."""
-        inherited_ms = self._state.inherited_lease_ms(worker)
+        state = self._state
+        is_restarted = state.may_have_restarted(worker, now_s)
+        inherited_ms = state.inherited_lease_ms(is_restarted=is_restarted)
         worker.assumed_until_ms = report.clock_ms + inherited_ms
-        self._state.needs_pass = True
+        state.needs_pass = True
+        if is_restarted:
+            worker.taken_until_ms = worker.assumed_until_ms
+            excess_s = state.settings.unexpected_lease_s
+            state.avoid_worker(worker, now_s + excess_s)
         self._log_worker(
             worker,
             "lease_assumed",
             clock_ms=report.clock_ms,
             lease_ms=inherited_ms,
             has_restarted=worker.has_restarted,
+            is_restarted=is_restarted,
         )
 
     def _apply_listed_runs(self, worker: Worker, report: PollReport, now_s: float) -> None:
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -9,6 +9,10 @@
 under way have ended by then."""
 
 
+PROOF_AGE_S = 0.5
+"""Time since the last proof of the ownership that is usual at most."""
+
+
 @dataclass(frozen=True, slots=True)
 class BatchSettings:
     """Settings of the scheduling decisions; times are in seconds.
@@ -32,6 +36,8 @@
     owner_silence_s : float
         How long commands of an owner that cannot reach the store may still arrive after it last
         proved its ownership.
+    call_lateness_s : float
+        Longest time after which a worker may carry out a call that it did not answer.
     stop_retry_s : float
         Time after which an unconfirmed stop command is repeated.
     failures_to_avoid : int
@@ -54,6 +60,7 @@
     max_clock_drift: float = 0.02
     lease_margin_s: float = 0.25
     owner_silence_s: float = 5.0
+    call_lateness_s: float = 12.0
     stop_retry_s: float = 0.25
     failures_to_avoid: int = 2
     avoid_s: float = 1.5
@@ -81,6 +88,15 @@
         """
         return self.owner_silence_s + self._longest_s(self.lease_limit_s) + self.lease_margin_s
 
+    @property
+    def unexpected_lease_s(self) -> float:
+        """Time for which a lease that a process took by itself outlasts what a next owner expects.
+
+        Nothing starts on the worker meanwhile, lest the run outlast the wait of that owner.
+        """
+        excess_s = self.lease_limit_s - self.proof_lease_s
+        return max(0.0, self._longest_s(excess_s) + PROOF_AGE_S) if excess_s > 0 else 0.0
+
     def _longest_s(self, lease_s: float) -> float:
         """Return how long a lease lasts at most, as the clocks of workers may be slow."""
         return lease_s / (1 - self.max_clock_drift)
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -27,6 +27,9 @@
 ATTEMPTS_PER_EPOCH = 4096
 """Attempt numbers of an epoch start at the epoch times this, so that they rise across owners."""
 
+MAX_CLOCK_ERROR_S = 10.0
+"""Largest difference between the Unix time of this node and that of a worker."""
+
 LogDecision = Callable[..., None]
 
 
@@ -55,6 +58,10 @@
         self.jobs_by_id: dict[str, Job] = {}
         self.workers_by_id: dict[str, Worker] = {}
         self.open_steps: dict[StepKey, Step] = {}
+        self.unix_offset_s = 0.0
+        """Unix time at time 0, by the clock of this node."""
+        self.first_listed_s = float("inf")
+        """Time at which the first list of workers was applied."""
         self.are_leases_bounded = False
         """Whether all earlier owners whose leases may last have kept to `proof_lease_s`."""
         self.unconfirmed_hosts: dict[str, float] = {}
@@ -228,14 +235,29 @@
             for host in self.lost_runs_by_incarnation
         )
 
-    def inherited_lease_ms(self, worker: Worker) -> int:
+    def inherited_lease_ms(self, *, is_restarted: bool) -> int:
         """Return how long a lease may last that a worker had before its first report."""
         settings = self.settings
-        is_restarted = worker.has_restarted or self.has_restarted(worker.id, worker.born_ms)
         is_bounded = self.are_leases_bounded and not is_restarted
         longest_s = settings.proof_lease_s if is_bounded else settings.lease_limit_s
         return round(min(longest_s, settings.lease_limit_s) * 1000)
 
+    def may_have_restarted(self, worker: Worker, now_s: float) -> bool:
+        """Return whether a process that reports first may have carried out calls to one before it.
+
+        One that no earlier owner has used counts as restarted if calls of earlier owners to its
+        worker may have been carried out since its start.
+        """
+        if worker.has_restarted or self.has_restarted(worker.id, worker.born_ms):
+            return True
+        if worker.incarnation in self.lost_runs_by_incarnation:
+            # An earlier owner has fenced the process before it started tasks there.
+            return False
+        lateness_s = self.settings.owner_silence_s + self.settings.call_lateness_s
+        age_s = now_s + self.unix_offset_s - worker.born_ms / 1000
+        is_old = age_s > lateness_s + MAX_CLOCK_ERROR_S
+        return not is_old and now_s - self.first_listed_s < lateness_s
+
     def extend_wait_for_restarted(self, worker_id: str, now_s: float) -> None:
         """Wait for an unconfirmed worker that has restarted as for leases without a bound."""
         if worker_id not in self.unconfirmed_hosts:
--- a/redwingplank/batch/worker.py
+++ b/redwingplank/batch/worker.py
@@ -52,6 +52,7 @@
         "runs_by_key",
         "silent_s",
         "step_counts",
+        "taken_until_ms",
         "unconfirmed_until_s",
     )
 
@@ -81,6 +82,9 @@
         """Latest end of a lease that this owner has granted, on the worker's clock."""
         self.assumed_until_ms = 0
         """Latest end of a lease that the worker may have had before its first report."""
+        self.taken_until_ms = 0
+        """Latest end of a lease that the process may have taken from a command to the one before
+        it, 0 if there was none. A next owner does not expect it."""
         self.runs_by_key: dict[tuple[TaskId, int], Run] = {}
         self.reserved = NO_AMOUNTS
         self.free = entry.capacity
@@ -117,7 +121,7 @@
         self.restart_count += 1
         self.restarted_s = now_s
         self.clock_ms = None
-        self.granted_until_ms = self.assumed_until_ms = 0
+        self.granted_until_ms = self.assumed_until_ms = self.taken_until_ms = 0
         self.handled_completion_number = self.acknowledged_completion_number = 0
         self.pending_completions.clear()
         self.failures_in_row = 0
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -106,7 +106,7 @@
         outcome = StartOutcome.NOT_SENT
         token = self._owner.state.token_of(run.worker)
         leases_until_s = self.leases_until_s()
-        if leases_until_s is not None and run.worker.clock_ms is not None:
+        if leases_until_s is not None and self._may_start_on(run.worker, leases_until_s):
             command = self._make_start_command(run, leases_until_s)
             outcome = await self._context.workers.start(run.worker.entry, command, START_TIMEOUT_S)
         if outcome is StartOutcome.FENCED and self.step_down_if_replaced(run.worker, token):
@@ -117,6 +117,11 @@
         self._owner.handle_start_outcome(run, outcome, now_s())
         self._wake()
 
+    def _may_start_on(self, worker: Worker, leases_until_s: float) -> bool:
+        if worker.clock_ms is None:
+            return False
+        return not self._owner.may_lease_outlast(worker, now_s(), leases_until_s)
+
     def _make_start_command(self, run: Run, leases_until_s: float) -> StartCommand:
         state = self._owner.state
         job = state.jobs_by_id[run.task_id.job_id]
