An unanswered start is waited for after its worker has restarted out of reach

Cause: a decision on a value that is absent. A restart that the list of workers shows sets the clock of the worker to none, and without a clock the wait ended at a time that was long past: the run was given up in the millisecond in which the restart was seen. Where a next owner waited, it counted with 5 s of late calls; they may be 12 s late. Change: at each restart the wait begins anew, for the latest call and the longest lease together.

--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -88,6 +88,7 @@
         self._crashes.count_crash(worker, now_s)
         self._state.extend_wait_for_restarted(worker.id, now_s)
         worker.note_restart(born_ms, now_s)
+        worker.unconfirmed_until_s = now_s + self._state.settings.restarted_wait_s
         if worker.restart_count >= TOKENS_PER_EPOCH - 1:
             self._state.are_tokens_used_up = True
         for run in list(worker.runs_by_key.values()):
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -81,12 +81,17 @@
 
     @property
     def unbounded_wait_s(self) -> float:
-        """The same if earlier owners may have granted the longest lease with any command.
+        """The same if earlier owners may have granted the longest lease with any command."""
+        return self.owner_silence_s + self._longest_s(self.lease_limit_s) + self.lease_margin_s
+
+    @property
+    def restarted_wait_s(self) -> float:
+        """Time after the restart of a worker after which its process has no run that nobody knows.
 
-        It also covers a worker whose process has restarted with a new clock: it takes a lease that
-        was meant for the earlier process for the longest one.
+        The process carries out a call to the one before it, however late that comes, and takes its
+        lease, which ends on the former clock, for the longest one.
         """
-        return self.owner_silence_s + self._longest_s(self.lease_limit_s) + self.lease_margin_s
+        return self.call_lateness_s + self._longest_s(self.lease_limit_s) + self.lease_margin_s
 
     @property
     def unexpected_lease_s(self) -> float:
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -259,10 +259,10 @@
         return not is_old and now_s - self.first_listed_s < lateness_s
 
     def extend_wait_for_restarted(self, worker_id: str, now_s: float) -> None:
-        """Wait for an unconfirmed worker that has restarted as for leases without a bound."""
+        """Wait for an unconfirmed worker that has restarted until its process can run nothing."""
         if worker_id not in self.unconfirmed_hosts:
             return
-        until_s = self.unconfirmed_hosts[worker_id] = now_s + self.settings.unbounded_wait_s
+        until_s = self.unconfirmed_hosts[worker_id] = now_s + self.settings.restarted_wait_s
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
             worker.unconfirmed_until_s = until_s
