The record of a job marks hosts whose processes may have a lease that no owner granted

Seen by callers: two runs of one task, in tests only: a start goes unanswered, its worker restarts, its owner is told of that and is then replaced, and the worker is silent to the next owner. Cause: knowledge of a restart that dies with the owner. The record moved the run to the new process, so that the next owner saw a host whose process had not changed, and waited for 7.4 s; the start may come 12 s late and brings the longest lease with it. The same for a run that the predecessor found in a process which had just restarted. Change: the record names such hosts besides, and the next owner waits for them as for a restart that it sees itself. The mark goes with the run, or when the lease is over, so that later owners do not wait longer. Two planted mistakes (one token for an epoch; no wait for what a process took by itself) each fail the model check.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -238,6 +238,7 @@
         "opened_s",
         "quota_release",
         "refused_workers",
+        "restarted_hosts",
         "spec",
         "tasks",
         "tickets_by_worker",
@@ -254,6 +255,9 @@
         self.opened_s = 0.0
         self.hosts: dict[Incarnation, int] = {}
         """Bit set, by incarnation of a worker, of the tasks that it may have been told to run."""
+        self.restarted_hosts: set[Incarnation] = set()
+        """Hosts whose processes may have a lease that they took by themselves, so that it may last
+        for longer than those which owners grant."""
         self.tickets_by_worker: dict[str, Ticket] = {}
         self.refused_workers: set[str] = set()
         """Workers for which the advice service issued no ticket."""
@@ -297,6 +301,7 @@
             self.hosts[host] = left
         else:
             self.hosts.pop(host, None)
+            self.restarted_hosts.discard(host)
         return left != bits
 
     def keep_hosted(self, worker_ids: set[str], present: HostedTasks) -> bool:
@@ -315,6 +320,8 @@
             left = bits & present.get((self.key, host), 0)
             if left:
                 self.hosts[host] = left
+            else:
+                self.restarted_hosts.discard(host)
             is_changed |= left != bits
         return is_changed
 
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -8,9 +8,10 @@
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
-from redwingplank.batch.entities import Job, Run, RunState
+from redwingplank.batch.entities import Job, Run, RunState, Step
 from redwingplank.batch.model import (
     CellConfig,
+    Incarnation,
     JobSpec,
     JobState,
     PollReport,
@@ -128,20 +129,30 @@
             if not job.hosts:
                 job.steps_by_key.clear()
                 return
-        until_s = self.state.inherited_leases_end_s(now_s)
         for step in job.steps_by_key.values():
             for host in step.hosts:
-                self.state.unconfirmed_hosts.setdefault(host.worker_id, until_s)
-                task_ids = [task.id for task in step.hosted_tasks(host)]
-                task_count = step.hosts[host].bit_count()
-                self.state.inherited_tasks_by_host[host.worker_id] += task_count
-                self.state.organisations.charge_host(host.worker_id, step, task_count, until_s)
-                self._crashes.remember_inherited_tasks(host, task_ids)
+                self._restore_host(step, host, now_s)
         self._completions.fail_if_attempts_used_up(job, now_s)
         if not job.state.is_final:
             self._log_restored(job, has_record=progress is not None)
             self._open_ready_steps(job, now_s)
 
+    def _restore_host(self, step: Step, host: Incarnation, now_s: float) -> None:
+        """Let the tasks that a host may run for earlier owners wait for it."""
+        state, worker_id = self.state, host.worker_id
+        until_s = state.inherited_leases_end_s(now_s)
+        if host in step.restarted_hosts:
+            state.restarted_hosts.add(host)
+            until_s = now_s + state.settings.restarted_wait_s
+        state.unconfirmed_hosts[worker_id] = max(
+            until_s, state.unconfirmed_hosts.get(worker_id, until_s)
+        )
+        task_count = step.hosts[host].bit_count()
+        state.inherited_tasks_by_host[worker_id] += task_count
+        state.organisations.charge_host(worker_id, step, task_count, until_s)
+        task_ids = [task.id for task in step.hosted_tasks(host)]
+        self._crashes.remember_inherited_tasks(host, task_ids)
+
     def _restore_progress(self, job: Job, progress: bytes) -> None:
         try:
             for _ in range(count_recorded_occurrences(progress)):
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -30,6 +30,8 @@
     """Numbers of crashes, of proven crashes and of suspicions, by task index."""
     failed_attempts: dict[str, list[int]] = {}
     """Counted failed attempts of each task that may be copied, by task index."""
+    restarted_hosts: list[str] = []
+    """Hosts whose processes may have a lease that they took by themselves, as in `hosts`."""
 
 
 class _Progress(msgspec.Struct, omit_defaults=True):
@@ -136,6 +138,7 @@
                 task.suspicions,
             )
     record.done = f"{bits:x}"
+    record.restarted_hosts.extend(_encode_host(host) for host in step.restarted_hosts)
     return record
 
 
@@ -144,6 +147,7 @@
     step.hosts.update(
         (_decode_host(host), int(hosted, 16)) for host, hosted in record.hosts.items()
     )
+    step.restarted_hosts.update(_decode_host(host) for host in record.restarted_hosts)
     for index, task in enumerate(step.tasks):
         if bits >> index & 1:
             task.is_done = True
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -230,7 +230,11 @@
         job.has_begun = True
         step = job.steps_by_key[row.task.step_key]
         state.add_run(task, run)
-        if step.add_host(worker.incarnation, row.task):
+        is_changed = step.add_host(worker.incarnation, row.task)
+        if worker.taken_until_ms and worker.incarnation not in step.restarted_hosts:
+            step.restarted_hosts.add(worker.incarnation)
+            is_changed = True
+        if is_changed:
             state.mark_dirty(job)
         if row.saved:
             task.saved = row.saved
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -68,6 +68,8 @@
         """Ids of unconfirmed workers that may run tasks of earlier owners, with the time in seconds
         when every lease there has expired.
         """
+        self.restarted_hosts: set[Incarnation] = set()
+        """Processes that may have taken a lease by themselves, as far as earlier owners knew."""
         self.inherited_tasks_by_host: Counter[str] = Counter()
         """Number of tasks that a worker may run for earlier owners, by its id."""
         self.lost_runs_by_incarnation: dict[Incarnation, list[LostRun]] = {}
@@ -187,8 +189,19 @@
         step = job.steps_by_key[run.task_id.step_key]
         step.remove_host(earlier, run.task_id)
         step.add_host(run.incarnation, run.task_id)
+        step.restarted_hosts.add(run.incarnation)
         self.mark_dirty(job)
 
+    def settle_taken_lease(self, worker: Worker) -> None:
+        """Let a next owner know that a lease which a process took by itself is over."""
+        worker.taken_until_ms = 0
+        for run in worker.runs_by_key.values():
+            job = self.jobs_by_id.get(run.task_id.job_id)
+            step = job.steps_by_key.get(run.task_id.step_key) if job else None
+            if job is not None and step is not None and run.incarnation in step.restarted_hosts:
+                step.restarted_hosts.remove(run.incarnation)
+                self.mark_dirty(job)
+
     def forget_host(self, job: Job, task: Task, host: Incarnation) -> None:
         """Let a next owner know that a task no longer waits for what its host may run."""
         is_host = any(run.incarnation == host for run in task.runs)
@@ -250,6 +263,8 @@
         """
         if worker.has_restarted or self.has_restarted(worker.id, worker.born_ms):
             return True
+        if worker.incarnation in self.restarted_hosts:
+            return True
         if worker.incarnation in self.lost_runs_by_incarnation:
             # An earlier owner has fenced the process before it started tasks there.
             return False
--- a/redwingplank/batch/tests/test_restart_promises.py
+++ b/redwingplank/batch/tests/test_restart_promises.py
@@ -1,11 +1,13 @@
 """Model check of the promises with workers that restart and carry out calls of former processes."""
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import rule, run_state_machine_as_test
 
 from redwingplank.batch.emulated_worker import Fault
 from redwingplank.batch.settings import BatchSettings
+from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 from redwingplank.batch.tests.test_promises import (
     CLOCK_RATES,
@@ -18,6 +20,7 @@
 LONG_TASK_S = 14.0
 """Run time that outlasts every lease."""
 RESTART_SETTINGS = settings(MODEL_SETTINGS, max_examples=200, stateful_step_count=25)
+MUTANT_SETTINGS = settings(RESTART_SETTINGS, max_examples=600)
 SHORT_WAITS = st.sampled_from([0.1, 0.4, 1.0])
 
 
@@ -79,6 +82,27 @@
             worker.faults.discard(Fault.CUT)
 
 
+def _use_one_token(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(OwnerState, "token_of", lambda self, worker: self.epoch)
+
+
+def _start_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(OwnerState, "may_have_restarted", lambda self, worker, now_s: False)
+
+
+MISTAKES_BY_NAME = {
+    "former_calls_are_not_fenced": _use_one_token,
+    "leases_of_restarted_workers_are_not_waited_for": _start_at_once,
+}
+
+
 class TestPromisesOfRestartedWorkers:
     def test_hold_with_calls_of_former_processes(self):
         run_state_machine_as_test(RestartsMachine, settings=RESTART_SETTINGS)
+
+    # Each of these mistakes must show: the fault of the incident came from both.
+    @pytest.mark.parametrize("mistake", MISTAKES_BY_NAME)
+    def test_break_with_a_mistake(self, mistake: str, monkeypatch: pytest.MonkeyPatch):
+        MISTAKES_BY_NAME[mistake](monkeypatch)
+        with pytest.raises(AssertionError, match=r"runs in 2 places|acknowledged|started again"):
+            run_state_machine_as_test(RestartsMachine, settings=MUTANT_SETTINGS)
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -33,6 +33,8 @@
         state = self._state
         for worker in list(state.workers_by_id.values()):
             self._reports.release_expired_runs(worker, now_s)
+            if worker.taken_until_ms and worker.lease_left_s(worker.taken_until_ms, now_s) < 0:
+                state.settle_taken_lease(worker)
         state.organisations.release_expired_hosts(now_s)
         free_ids = {
             host
