A worker that returns after it was forgotten counts as restarted

Seen by callers: two runs of one task, in a test only: a worker without runs ends, is no longer listed, and starts again under its id; a poll from before that renews the lease of the new process. Cause: a memory that forgets before the call does. An owner drops a worker that is silent, not listed and empty, and with it the number of its restarts, so that the worker came back with the token that its former process had been sent. Change: the owner keeps the count by id, one higher, for as long as it owns. Evidence: the test failed before ("a.0.0.0 runs in 2 places at 115.72") and passes; tests of restarted workers, fencing, crashes and random faults pass.

--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -3,7 +3,6 @@
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import Run, RunState, Step, Task
-from redwingplank.batch.fencing import TOKENS_PER_EPOCH
 from redwingplank.batch.model import Amounts, PollReport, RunReport, WorkerEntry
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
@@ -44,8 +43,7 @@
                 if state.has_restarted(entry.worker_id, entry.born_ms):
                     state.extend_wait_for_restarted(entry.worker_id, now_s)
                 unconfirmed_until_s = state.unconfirmed_hosts.get(entry.worker_id, now_s)
-                worker = Worker(entry, unconfirmed_until_s)
-                state.workers_by_id[entry.worker_id] = worker
+                worker = state.add_worker(entry, unconfirmed_until_s)
                 self._log_worker(worker, "worker_new")
                 continue
             if entry.born_ms > worker.born_ms:
@@ -64,7 +62,7 @@
             worker.is_listed = False
             is_awaited = worker.id in state.unconfirmed_hosts
             if worker.is_unreachable and not worker.runs_by_key and not is_awaited:
-                del state.workers_by_id[worker.id]
+                state.forget_worker(worker)
         state.organisations.set_capacity(
             worker.entry.capacity for worker in state.workers_by_id.values()
         )
@@ -87,10 +85,7 @@
         self._state.needs_pass = True
         self._crashes.count_crash(worker, now_s)
         self._state.extend_wait_for_restarted(worker.id, now_s)
-        worker.note_restart(born_ms, now_s)
-        worker.unconfirmed_until_s = now_s + self._state.settings.restarted_wait_s
-        if worker.restart_count >= TOKENS_PER_EPOCH - 1:
-            self._state.are_tokens_used_up = True
+        self._state.note_restart(worker, born_ms, now_s)
         for run in list(worker.runs_by_key.values()):
             if run.is_listed:
                 self._release_run(run, now_s, "worker_reborn")
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -7,6 +7,7 @@
 
 from redwingplank.batch.commands import Commands
 from redwingplank.batch.entities import HostedTasks, Job, LostRun, Run, RunState, Step, Task
+from redwingplank.batch.fencing import TOKENS_PER_EPOCH
 from redwingplank.batch.interference import Interference
 from redwingplank.batch.model import (
     CellConfig,
@@ -16,6 +17,7 @@
     StepKey,
     StepSpec,
     TaskId,
+    WorkerEntry,
 )
 from redwingplank.batch.organisations import Organisations
 from redwingplank.batch.settings import BatchSettings
@@ -57,6 +59,8 @@
         self.log_decision = log_decision
         self.jobs_by_id: dict[str, Job] = {}
         self.workers_by_id: dict[str, Worker] = {}
+        self.restart_counts_by_id: dict[str, int] = {}
+        """Restart counts with which workers that are not known any more go on if they return."""
         self.open_steps: dict[StepKey, Step] = {}
         self.unix_offset_s = 0.0
         """Unix time at time 0, by the clock of this node."""
@@ -89,6 +93,29 @@
         """Return the fencing token of commands to a worker, which rises when it restarts."""
         return self.epoch + worker.restart_count
 
+    def note_restart(self, worker: Worker, born_ms: int, now_s: float) -> None:
+        """Begin with a new process of a worker, of which nothing is known yet."""
+        worker.note_restart(born_ms, now_s)
+        worker.unconfirmed_until_s = now_s + self.settings.restarted_wait_s
+        self._check_tokens(worker)
+
+    def add_worker(self, entry: WorkerEntry, unconfirmed_until_s: float) -> Worker:
+        """Add a worker that is listed; one that was known before counts as restarted."""
+        worker = Worker(entry, unconfirmed_until_s)
+        worker.restart_count = self.restart_counts_by_id.pop(worker.id, 0)
+        self.workers_by_id[worker.id] = worker
+        self._check_tokens(worker)
+        return worker
+
+    def forget_worker(self, worker: Worker) -> None:
+        """Forget a worker on which nothing runs; it may return with another process."""
+        del self.workers_by_id[worker.id]
+        self.restart_counts_by_id[worker.id] = worker.restart_count + 1
+
+    def _check_tokens(self, worker: Worker) -> None:
+        if worker.restart_count >= TOKENS_PER_EPOCH - 1:
+            self.are_tokens_used_up = True
+
     def request_pass_at(self, due_s: float) -> None:
         """Request a pass at a time at which a task or a worker may be used again."""
         heapq.heappush(self._pass_times_s, due_s)
--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -218,3 +218,22 @@
         world.cell.run_for(RESTART_BOUND_S)
         assert world.cell.violations == []
         assert world.other.runs
+
+
+class TestWorkerThatWasForgotten:
+    # Guards against a worker that is listed again after a while, and takes calls from before that.
+    def test_refuses_calls_of_its_former_process(self):
+        world = RestartingCell()
+        world.delay_calls(6.0)
+        world.cell.take_down(world.host)
+        world.cell.run_for(2.0)
+        assert world.host.entry.worker_id not in world.cell.owner.state.workers_by_id
+        world.cell.bring_back(world.host, keeps_id=True)
+        world.cell.run_for(0.5)
+        world.start_lasting()
+        world.cell.run_for(1.0)
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(20.0)
+        assert world.cell.violations == []
+        assert world.other.runs
