--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from redwingplank.batch.fencing import first_token, next_epoch
 from redwingplank.cell import membership, owner_watch, record_writer
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.keys import JOBS_PREFIX, LEARNED_KEY
@@ -16,6 +17,8 @@
 from redwingplank.rpc.peers import is_refused
 from redwingplank.standin.loopback import find_free_address
 
+SECOND_TOKEN = first_token(next_epoch(next_epoch(0)))
+"""First token of the second owner of a cell."""
 STEP = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 50}
 JOB = {"spec": "payload", "steps": [STEP, {**STEP, "after": [0]}]}
 LASTING = {"spec": "last", "steps": [{**STEP, "long_running": True}]}
@@ -266,7 +269,7 @@
             await old.stop()
             site.nodes.remove(old)
             await site.until(lambda: site.owner_node() is not None)
-            await site.until(lambda: all(worker.token == 2 for worker in site.workers))
+            await site.until(lambda: all(worker.token == SECOND_TOKEN for worker in site.workers))
             assert await site.state_of(ID, node=other) == "running"
             assert sum(len(worker.starts) for worker in site.workers) == 2
 
@@ -304,7 +307,7 @@
             await site.until(lambda: sum(len(worker.runs) for worker in site.workers) == 2)
             fast = await site.add_node(7, core_share=2.0)
             await site.until(lambda: fast.owns_jobs)
-            await site.until(lambda: all(worker.token == 2 for worker in site.workers))
+            await site.until(lambda: all(worker.token == SECOND_TOKEN for worker in site.workers))
             assert sum(len(worker.starts) for worker in site.workers) == 2
 
         run_site(scenario)
@@ -331,7 +334,7 @@
             await site.until(lambda: sum(len(worker.runs) for worker in site.workers) == 2)
             await site.crash(site.owner_node())
             await site.until(lambda: site.owner_node() is not None)
-            await site.until(lambda: all(worker.token == 2 for worker in site.workers))
+            await site.until(lambda: all(worker.token == SECOND_TOKEN for worker in site.workers))
             assert any("event=owner_gone" in line for line in site.events())
             assert sum(len(worker.starts) for worker in site.workers) == 2
 
