Accepted jobs are added to an owner's state in a module of their own

Change: batch/accepted_jobs.py restores and adds jobs; the owner passes calls on. No decision changed.

--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -4,29 +4,26 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from redwingplank.batch.accepted_jobs import AcceptedJobs
 from redwingplank.batch.command_outcomes import CommandOutcomes
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
-from redwingplank.batch.entities import Job, Run, RunState, Step
+from redwingplank.batch.entities import Job, Run, RunState
 from redwingplank.batch.model import (
     CellConfig,
-    Incarnation,
     JobSpec,
     JobState,
     PollReport,
     StartOutcome,
     WorkerEntry,
 )
-from redwingplank.batch.occurrences import add_due_steps, add_occurrence
 from redwingplank.batch.overload import Overload
 from redwingplank.batch.pacing import Pacing
 from redwingplank.batch.placement import Placement
 from redwingplank.batch.ranking import set_objective
 from redwingplank.batch.records import (
-    count_recorded_occurrences,
     encode_progress,
-    restore_progress,
 )
 from redwingplank.batch.reports import Reports
 from redwingplank.batch.settings import BatchSettings
@@ -95,6 +92,7 @@
         self._placement = Placement(self.state)
         self._tickets = Tickets(self.state, self._placement)
         self._overload = Overload(self.state)
+        self._accepted = AcceptedJobs(self.state, self._completions, self._crashes, self._overload)
         self._starter = Starter(self.state, self._placement, self._tickets, self._overload)
         self._pacing = Pacing(self.state)
         self._watchdog = Watchdog(self.state, self._reports)
@@ -120,97 +118,11 @@
         UndecodableError, ValueError
             If the progress cannot be read; the job is unknown then, and nothing of it starts.
         """
-        job = self._make_job(spec, now_s, now_unix_s)
-        if progress is not None:
-            self._restore_progress(job, progress)
-        add_due_steps(job, now_unix_s)
-        if job.state.is_final:
-            job.ended_s = now_s
-            if not job.hosts:
-                job.steps_by_key.clear()
-                return
-        for step in job.steps_by_key.values():
-            for host in step.hosts:
-                self._restore_host(step, host, now_s)
-        self._completions.fail_if_attempts_used_up(job, now_s)
-        if not job.state.is_final:
-            self._log_restored(job, has_record=progress is not None)
-            self._open_ready_steps(job, now_s)
-
-    def _restore_host(self, step: Step, host: Incarnation, now_s: float) -> None:
-        """Let the tasks that a host may run for earlier owners wait for it."""
-        state, worker_id = self.state, host.worker_id
-        until_s = state.inherited_leases_end_s(now_s)
-        if host in step.restarted_hosts:
-            state.restarted_hosts.add(host)
-            until_s = now_s + state.settings.restarted_wait_s
-        state.unconfirmed_hosts[worker_id] = max(
-            until_s, state.unconfirmed_hosts.get(worker_id, until_s)
-        )
-        task_count = step.hosts[host].bit_count()
-        state.inherited_tasks_by_host[worker_id] += task_count
-        state.organisations.charge_host(worker_id, step, task_count, until_s)
-        task_ids = [task.id for task in step.hosted_tasks(host)]
-        self._crashes.remember_inherited_tasks(host, task_ids)
-
-    def _restore_progress(self, job: Job, progress: bytes) -> None:
-        try:
-            for _ in range(count_recorded_occurrences(progress)):
-                add_occurrence(job)
-            restore_progress(job, progress)
-        except Exception:
-            # Without its progress the job would run from the beginning.
-            del self.state.jobs_by_id[job.spec.job_id]
-            self.state.organisations.remove_job(job)
-            raise
-
-    def _log_restored(self, job: Job, *, has_record: bool) -> None:
-        self.state.log_decision(
-            "job_restored",
-            job=job.spec.job_id,
-            state=job.state,
-            has_record=has_record,
-            done=sum(len(step.tasks) - step.undone_count for step in job.steps_by_key.values()),
-            hosts=len(set(job.hosts)),
-        )
-
-    def _open_ready_steps(self, job: Job, now_s: float) -> None:
-        for step in job.steps_by_key.values():
-            if step.undone_count:
-                self._completions.open_step_if_ready(job, step, now_s)
-        is_done = all(step.undone_count == 0 for step in job.steps_by_key.values())
-        if is_done and job.due_count == job.occurrence_count:
-            self.state.finish_job(job, JobState.COMPLETED, now_s, "all_done")
+        self._accepted.restore(spec, progress, now_s, now_unix_s)
 
     def submit(self, spec: JobSpec, now_s: float, now_unix_s: float) -> None:
         """Add a newly submitted job that is already stored; a known job is ignored."""
-        if spec.job_id in self.state.jobs_by_id:
-            return
-        job = self._make_job(spec, now_s, now_unix_s)
-        self._open_due_steps(job, now_s, now_unix_s)
-        self.state.log_decision(
-            "job_taken",
-            job=spec.job_id,
-            queue=spec.queue,
-            steps=len(spec.steps),
-            tasks=sum(step.count for step in spec.steps),
-            age_s=now_s - job.submitted_s,
-        )
-        if self.state.queue_of(job) is None:
-            self.state.log_decision("queue_not_configured", job=spec.job_id, queue=spec.queue)
-
-    def _make_job(self, spec: JobSpec, now_s: float, now_unix_s: float) -> Job:
-        age_s = max(0.0, now_unix_s - spec.submitted_unix_s) if spec.submitted_unix_s else 0.0
-        job = Job(spec, now_s - age_s)
-        set_objective(job, self.state.queue_of(job), self.state.speeds)
-        self._overload.record_job(job)
-        self.state.jobs_by_id[spec.job_id] = job
-        self.state.organisations.add_job(job)
-        return job
-
-    def _open_due_steps(self, job: Job, now_s: float, now_unix_s: float) -> None:
-        for step in add_due_steps(job, now_unix_s):
-            self._completions.open_step_if_ready(job, step, now_s)
+        self._accepted.add(spec, now_s, now_unix_s)
 
     def cancel(self, job_id: str, now_s: float, reason: str = "cancelled") -> int | None:
         """Cancel a job, for a reason that is written to the log; one that has ended stays so.
@@ -444,7 +356,7 @@
         self._watchdog.check(now_s)
         for job in list(self.state.jobs_by_id.values()):
             if job.due_count < job.occurrence_count and not job.state.is_final:
-                self._open_due_steps(job, now_s, now_unix_s)
+                self._accepted.open_due_steps(job, now_s, now_unix_s)
 
     def find_removable_jobs(self, now_s: float) -> list[str]:
         """Return the ids of jobs that ended long ago, to be removed from the store.
