An answered start is not waited for after its worker has restarted

Cause: waits for every run that no report has listed yet, also for one whose start was answered. A call that was answered is not carried out late. And a next owner that sees a restart waited 22.5 s too, where it was 15.5 s before. Change: the answer to a start tells the clock of the worker. If that is the clock of the process that has reported, the run ended with that process. If not, the next one may have it, as before. A next owner waits 15.5 s again for a restart that it sees itself, and 22.5 s for marked hosts only. Tests: two more of restarted workers. Measured: tests of owner, pass cost, unasked, restarted workers, awaited hosts, commands pass.

--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -48,19 +48,22 @@
         run.sent_s = now_s
         return True
 
-    def handle_start(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
-        """Apply the outcome of a start command."""
+    def handle_start(
+        self, run: Run, outcome: StartOutcome, now_s: float, clock_ms: int | None = None
+    ) -> None:
+        """Apply the outcome of a start command, and the worker's clock if its answer tells it."""
         if run.worker.runs_by_key.get(run.key) is not run:
             return
         self._log_start(run, outcome, now_s)
         if outcome is StartOutcome.STARTED:
-            self._handle_accepted_start(run, now_s)
+            self._handle_accepted_start(run, now_s, clock_ms)
         elif outcome is StartOutcome.UNKNOWN:
             self._handle_unanswered_start(run, now_s)
         else:
             self._handle_refused_start(run, outcome, now_s)
 
-    def _handle_accepted_start(self, run: Run, now_s: float) -> None:
+    def _handle_accepted_start(self, run: Run, now_s: float, clock_ms: int | None) -> None:
+        run.is_in_known_process |= run.worker.shows_clock(clock_ms, now_s)
         if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
             run.state = RunState.RUNNING
             run.is_accepted = True
--- a/redwingplank/batch/emulated_calls.py
+++ b/redwingplank/batch/emulated_calls.py
@@ -9,7 +9,7 @@
 from redwingplank.batch.commands import PaceRun
 from redwingplank.batch.emulated_worker import EmulatedRun, EmulatedWorker, Fault, StartOrder
 from redwingplank.batch.entities import Run
-from redwingplank.batch.model import PollReport, RunReport, StartOutcome
+from redwingplank.batch.model import PollReport, RunReport, StartAnswer, StartOutcome
 from redwingplank.batch.owner import JobOwner, PollRequest
 
 if TYPE_CHECKING:
@@ -82,17 +82,18 @@
         order = self._make_start_order(owner, run, leases_until_s)
         config = cell.config
 
-        def carry_out(is_late: bool) -> StartOutcome:
+        def carry_out(is_late: bool) -> StartAnswer:
             if Fault.REFUSE in worker.faults:
-                return StartOutcome.UNHEALTHY
+                return StartAnswer(StartOutcome.UNHEALTHY)
             starts = cell.starts
             outcome = self._start(worker, order, is_late=is_late)
             if cell.starts > starts:
                 cell.checks.check_quota(run.task_id, config, cell.now_s)
-            return outcome
+            return StartAnswer(outcome, round(worker.clock_s(cell.now_s) * 1000))
 
-        def answer(outcome: StartOutcome | None) -> None:
-            owner.handle_start_outcome(run, outcome or StartOutcome.UNKNOWN, cell.now_s)
+        def answer(answered: StartAnswer | None) -> None:
+            given = answered or StartAnswer(StartOutcome.UNKNOWN)
+            owner.handle_start_outcome(run, given.outcome, cell.now_s, given.clock_ms)
 
         self._send(_Call(worker, TIMEOUT_S, carry_out, answer, lambda: answer(None)))
 
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -78,6 +78,7 @@
         "attempt",
         "incarnation",
         "is_accepted",
+        "is_in_known_process",
         "is_listed",
         "is_queued",
         "load",
@@ -126,6 +127,8 @@
         """Whether the start was commanded; it may wait before it is sent."""
         self.is_listed = False
         """Whether a report of the worker has listed the run."""
+        self.is_in_known_process = False
+        """Whether the process of its incarnation has answered the start: it ends with that one."""
         self.is_accepted = False
         """Whether the worker has accepted the start command."""
         self.pace_percent = 100
--- a/redwingplank/batch/model.py
+++ b/redwingplank/batch/model.py
@@ -18,6 +18,7 @@
     "QueuePolicy",
     "RunCompletion",
     "RunReport",
+    "StartAnswer",
     "StartOutcome",
     "StepKey",
     "StepSpec",
@@ -456,3 +457,11 @@
     NOT_SENT = enum.auto()
     OTHER_INCARNATION = enum.auto()
     UNKNOWN = enum.auto()
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """Outcome of a start command, with the clock of the worker in milliseconds if it told it."""
+
+    outcome: StartOutcome
+    clock_ms: int | None = None
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -293,9 +293,11 @@
         if run.state is RunState.PLANNED:
             self._outcomes.handle_start(run, StartOutcome.NOT_SENT, now_s)
 
-    def handle_start_outcome(self, run: Run, outcome: StartOutcome, now_s: float) -> None:
-        """Apply the outcome of a start command."""
-        self._outcomes.handle_start(run, outcome, now_s)
+    def handle_start_outcome(
+        self, run: Run, outcome: StartOutcome, now_s: float, clock_ms: int | None = None
+    ) -> None:
+        """Apply the outcome of a start command, and the worker's clock if its answer tells it."""
+        self._outcomes.handle_start(run, outcome, now_s, clock_ms)
 
     def handle_stop_outcome(self, run: Run, *, is_taken: bool, now_s: float) -> None:
         """Apply the outcome of a stop command; `is_taken` is whether the worker accepted it."""
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -71,8 +71,8 @@
     def handle_restart(self, worker: Worker, born_ms: int, now_s: float, *, source: str) -> None:
         """Handle the restart of a worker's process, of which a list or a report tells.
 
-        Runs that the old process had listed no longer exist and are released. The start commands of
-        other runs may have reached the new process, so these runs have to be confirmed again.
+        Runs that the old process had listed or answered no longer exist and are released. The start
+        commands of others may reach the new process, so these runs have to be confirmed again.
         """
         self._log_worker(
             worker,
@@ -87,7 +87,7 @@
         self._state.extend_wait_for_restarted(worker.id, now_s)
         self._state.note_restart(worker, born_ms, now_s)
         for run in list(worker.runs_by_key.values()):
-            if run.is_listed:
+            if run.is_listed or run.is_in_known_process:
                 self._release_run(run, now_s, "worker_reborn")
             else:
                 self._mark_run_unconfirmed(run, now_s)
@@ -308,6 +308,7 @@
     def _mark_run_unconfirmed(self, run: Run, now_s: float) -> None:
         run.resolved_s = None
         run.is_accepted = False
+        run.is_in_known_process = False
         self._state.move_run(run)
         if run.state is RunState.RUNNING:
             run.state = RunState.UNCONFIRMED
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -81,7 +81,10 @@
 
     @property
     def unbounded_wait_s(self) -> float:
-        """The same if earlier owners may have granted the longest lease with any command."""
+        """The same if earlier owners may have granted the longest lease with any command.
+
+        It is also the wait of a next owner that sees a restart, unless a host is marked.
+        """
         return self.owner_silence_s + self._longest_s(self.lease_limit_s) + self.lease_margin_s
 
     @property
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -96,7 +96,8 @@
     def note_restart(self, worker: Worker, born_ms: int, now_s: float) -> None:
         """Begin with a new process of a worker, of which nothing is known yet."""
         worker.note_restart(born_ms, now_s)
-        worker.unconfirmed_until_s = now_s + self.settings.restarted_wait_s
+        if worker.is_confirmed:
+            worker.unconfirmed_until_s = now_s + self.settings.restarted_wait_s
         self._check_tokens(worker)
 
     def add_worker(self, entry: WorkerEntry, unconfirmed_until_s: float) -> Worker:
@@ -301,10 +302,12 @@
         return not is_old and now_s - self.first_listed_s < lateness_s
 
     def extend_wait_for_restarted(self, worker_id: str, now_s: float) -> None:
-        """Wait for an unconfirmed worker that has restarted until its process can run nothing."""
-        if worker_id not in self.unconfirmed_hosts:
+        """Wait for an unconfirmed worker that has restarted as for leases without a bound."""
+        until_s = self.unconfirmed_hosts.get(worker_id)
+        if until_s is None:
             return
-        until_s = self.unconfirmed_hosts[worker_id] = now_s + self.settings.restarted_wait_s
+        until_s = max(until_s, now_s + self.settings.unbounded_wait_s)
+        self.unconfirmed_hosts[worker_id] = until_s
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
             worker.unconfirmed_until_s = until_s
--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -148,6 +148,51 @@
         assert len(world.other.runs) + len(world.host.runs) == 1
 
 
+class TestAnsweredStart:
+    def restart_silently(self, world):
+        """Restart the first worker between two polls, without one that fails at once."""
+        host = world.host
+        known = world.cell.owner.state.workers_by_id[host.entry.worker_id]
+        while world.cell.now_s - known.answered_s > 0.03:
+            world.cell.run_for(0.02)
+        host.crash(round(world.cell.now_s * 1000))
+        host.clock_offset_s = -host.clock_rate * world.cell.now_s
+
+    def start_unlisted(self, world):
+        """Start a task that lasts, and return before any poll has listed it."""
+        world.submit_lasting()
+        while not world.host.runs:
+            world.cell.run_for(0.02)
+        (run,) = world.cell.owner.state.jobs_by_id["a"].runs()
+        assert not run.is_listed
+        return run
+
+    # Guards against a task that lasts and waits for a late start although its start was answered.
+    def test_of_the_former_process_is_not_waited_for(self):
+        world = RestartingCell()
+        run = self.start_unlisted(world)
+        assert run.is_in_known_process
+        world.crash_host()
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(RESTART_BOUND_S)
+        assert world.other.runs
+        assert world.cell.violations == []
+
+    # Guards against an answer of the next process that is taken for one of the former one.
+    def test_of_the_next_process_is_waited_for(self):
+        world = RestartingCell()
+        self.restart_silently(world)
+        run = self.start_unlisted(world)
+        assert run.worker.restart_count == 0
+        assert not run.is_in_known_process
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+
 class TestAcknowledgementOfAFormerProcess:
     # Guards against ends that a late poll forgets before anybody has read them.
     def test_does_not_forget_ends_of_the_next_process(self):
--- a/redwingplank/batch/worker.py
+++ b/redwingplank/batch/worker.py
@@ -9,6 +9,11 @@
 __all__ = ["PendingCompletion", "Worker"]
 
 
+CLOCK_TOLERANCE_MS = 500
+"""The clock of a process is known to this, as it may be slow and answers take time. The clock of a
+process that has restarted begins at another value."""
+
+
 class PendingCompletion(NamedTuple):
     """A completion to acknowledge once `version` of the job is stored.
 
@@ -198,6 +203,12 @@
         assert self.clock_ms is not None
         return self.clock_ms + round((now_s - self.clock_at_s) * 1000)
 
+    def shows_clock(self, clock_ms: int | None, now_s: float) -> bool:
+        """Return whether an answer with a clock is one of the process that has reported."""
+        if clock_ms is None or self.clock_ms is None:
+            return False
+        return abs(clock_ms - self.clock_now_ms(now_s)) <= CLOCK_TOLERANCE_MS
+
     def lease_left_s(self, until_ms: int, now_s: float) -> float:
         """Return the time until an end of a lease on the worker's clock, negative after it."""
         return (until_ms - self.clock_now_ms(now_s)) / 1000
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -4,7 +4,7 @@
 
 from redwingplank.batch.commands import PaceRun
 from redwingplank.batch.entities import Run
-from redwingplank.batch.model import StartOutcome
+from redwingplank.batch.model import StartAnswer, StartOutcome
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.worker import Worker
 from redwingplank.cell.clocks import now_s
@@ -103,18 +103,19 @@
     async def _send_start(self, run: Run) -> None:
         if not self._owner.mark_start_sent(run, now_s()):
             return
-        outcome = StartOutcome.NOT_SENT
+        answer = StartAnswer(StartOutcome.NOT_SENT)
         token = self._owner.state.token_of(run.worker)
         leases_until_s = self.leases_until_s()
         if leases_until_s is not None and self._may_start_on(run.worker, leases_until_s):
             command = self._make_start_command(run, leases_until_s)
-            outcome = await self._context.workers.start(run.worker.entry, command, START_TIMEOUT_S)
+            answer = await self._context.workers.start(run.worker.entry, command, START_TIMEOUT_S)
+        outcome = answer.outcome
         if outcome is StartOutcome.FENCED and self.step_down_if_replaced(run.worker, token):
             return
         if outcome is StartOutcome.UNKNOWN:
             self.last_unanswered_start_s = now_s()
             self._unanswered_s_by_worker[run.worker.id] = now_s()
-        self._owner.handle_start_outcome(run, outcome, now_s())
+        self._owner.handle_start_outcome(run, outcome, now_s(), answer.clock_ms)
         self._wake()
 
     def _may_start_on(self, worker: Worker, leases_until_s: float) -> bool:
--- a/redwingplank/platform/site/workers.py
+++ b/redwingplank/platform/site/workers.py
@@ -13,6 +13,7 @@
     PollReport,
     RunCompletion,
     RunReport,
+    StartAnswer,
     StartOutcome,
     TaskId,
     WorkerEntry,
@@ -54,6 +55,12 @@
     "room": StartOutcome.NO_ROOM,
     "ticket": StartOutcome.BAD_TICKET,
 }
+_REFUSALS_BY_STATUS = {
+    400: StartOutcome.INVALID,
+    421: StartOutcome.OTHER_INCARNATION,
+    429: StartOutcome.UNHEALTHY,
+    503: StartOutcome.UNHEALTHY,
+}
 
 
 class FencedError(Exception):
@@ -110,6 +117,10 @@
     finished: list[list[str | float | int | None]] = []
 
 
+class _WireStart(msgspec.Struct):
+    clock_ms: float | None = None
+
+
 class _WireRefusal(msgspec.Struct):
     reason: str = ""
 
@@ -129,13 +140,13 @@
 
     async def start(
         self, worker: WorkerEntry, command: StartCommand, timeout_s: float
-    ) -> StartOutcome:
+    ) -> StartAnswer:
         """Send the command to start a task.
 
         Returns
         -------
-        StartOutcome
-            `UNKNOWN` if the command may have been received but got no usable answer.
+        StartAnswer
+            Its outcome is `UNKNOWN` if the command may have been received but got no usable answer.
         """
         body: dict[str, object] = {
             "task": format_task(command.task),
@@ -159,18 +170,14 @@
                 headers,
             )
         except NotSentError:
-            return StartOutcome.NOT_SENT
+            return StartAnswer(StartOutcome.NOT_SENT)
         except NoAnswerError:
-            return StartOutcome.UNKNOWN
+            return StartAnswer(StartOutcome.UNKNOWN)
         if reply.is_ok:
-            return StartOutcome.STARTED
+            return StartAnswer(StartOutcome.STARTED, _read_clock(reply.body))
         if reply.status == 409:
-            return _REFUSALS.get(_read_reason(reply.body), StartOutcome.UNKNOWN)
-        if reply.status in (429, 503):
-            return StartOutcome.UNHEALTHY
-        if reply.status == 421:
-            return StartOutcome.OTHER_INCARNATION
-        return StartOutcome.INVALID if reply.status == 400 else StartOutcome.UNKNOWN
+            return StartAnswer(_REFUSALS.get(_read_reason(reply.body), StartOutcome.UNKNOWN))
+        return StartAnswer(_REFUSALS_BY_STATUS.get(reply.status, StartOutcome.UNKNOWN))
 
     async def stop(
         self, worker: WorkerEntry, task: TaskId, attempt: int, token: int, timeout_s: float
@@ -313,6 +320,15 @@
     return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+def _read_clock(body: bytes) -> int | None:
+    """Return the clock in an answer, None if it tells none."""
+    try:
+        clock_ms = decode_json(body, _WireStart).clock_ms
+        return None if clock_ms is None else int(clock_ms)
+    except (InvalidValueError, ValueError, OverflowError):
+        return None
+
+
 def _read_reason(body: bytes) -> str:
     try:
         return decode_json(body, _WireRefusal).reason
