The quota of an organisation is charged for as long as a restarted host is waited for

Cause: a next owner charges what a silent host may run until the leases that owners grant are over. A restart that it sees makes the tasks wait longer, but not the charge. Change: the charge is extended with the wait, and lasts for the longest of several waits of a host. Measured: the test failed before ("o over its quota by b.0.0.0") and passes; tests of organisations pass.

--- a/redwingplank/batch/organisations.py
+++ b/redwingplank/batch/organisations.py
@@ -162,10 +162,17 @@
         if not organisation:
             return
         host = self._charges_by_host.setdefault(worker_id, _HostCharge(until_s))
+        host.until_s = max(host.until_s, until_s)
         for _ in range(count):
             host.charges.append((organisation, step.spec.amounts))
             self._charge(organisation, step.spec.amounts, 1)
 
+    def extend_host(self, worker_id: str, until_s: float) -> None:
+        """Charge what a worker may run until a later time."""
+        host = self._charges_by_host.get(worker_id)
+        if host is not None:
+            host.until_s = max(host.until_s, until_s)
+
     def release_host(self, worker_id: str) -> None:
         """Release what a worker may have run; call it after the runs it listed were charged."""
         host = self._charges_by_host.pop(worker_id, None)
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -308,6 +308,7 @@
             return
         until_s = max(until_s, now_s + self.settings.unbounded_wait_s)
         self.unconfirmed_hosts[worker_id] = until_s
+        self.organisations.extend_host(worker_id, until_s)
         worker = self.workers_by_id.get(worker_id)
         if worker is not None:
             worker.unconfirmed_until_s = until_s
--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from redwingplank.batch.emulated_worker import Fault
+from redwingplank.batch.model import Amounts, OrganisationPolicy
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 
@@ -282,3 +283,24 @@
         world.cell.run_for(20.0)
         assert world.cell.violations == []
         assert world.other.runs
+
+
+class TestQuotaOfARestartedHost:
+    # Guards against a charge that ends with granted leases while the tasks wait for longer ones.
+    def test_is_charged_for_as_long_as_its_tasks_are_waited_for(self):
+        world = RestartingCell()
+        world.cell.set_organisations(OrganisationPolicy("o", 1.0, Amounts(3000, 9000, 0)))
+        world.cell.calls.late_s = 12.0
+        world.cell.submit(make_job("a", step(1, 2000, 20.0), organisation="o"))
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+        world.cut_host()
+        world.cell.run_for(0.8)
+        world.replace_owner()
+        world.cell.run_for(0.3)
+        world.crash_host()
+        world.cell.run_for(0.8)
+        world.open_other()
+        world.cell.submit(make_job("b", step(1, 2000, 20.0), organisation="o"))
+        world.cell.run_for(14.0)
+        assert world.cell.violations == []
