Repeated restarts of a worker that nobody reaches do not lengthen the wait for it

Cause: each restart began the wait for the latest call anew. No call that could begin a run or lengthen a lease is sent to a worker between two restarts without a report. Change: the wait begins anew only if a process has reported since the last restart. Measured: the test failed before and passes; tests of restarted workers and awaited hosts pass.

--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -95,8 +95,9 @@
 
     def note_restart(self, worker: Worker, born_ms: int, now_s: float) -> None:
         """Begin with a new process of a worker, of which nothing is known yet."""
+        was_reached = worker.clock_ms is not None
         worker.note_restart(born_ms, now_s)
-        if worker.is_confirmed:
+        if worker.is_confirmed and was_reached:
             worker.unconfirmed_until_s = now_s + self.settings.restarted_wait_s
         self._check_tokens(worker)
 
--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -149,6 +149,25 @@
         assert len(world.other.runs) + len(world.host.runs) == 1
 
 
+class TestRepeatedRestart:
+    # Guards against a wait that begins anew with each restart of a worker that nobody reaches: no
+    # call has been sent there since the first one.
+    def test_does_not_lengthen_the_wait(self):
+        world = RestartingCell()
+        world.cell.calls.late_s = 2.0
+        world.submit_lasting()
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(0.8)
+        for _ in range(3):
+            world.crash_host()
+            world.cell.run_for(8.0)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+
 class TestAnsweredStart:
     def restart_silently(self, world):
         """Restart the first worker between two polls, without one that fails at once."""
