A next owner reckons with restarts for as long as a lease from before them may outlast its grants

Cause: the time for which an unknown young process counts as restarted ended with the latest call, not with the lease that this call brings. Change: it is longer by the part of that lease that a next owner does not expect (3.6 s). Measured: the test failed before ("a.0.0.0 runs in 2 places at 126.02") and passes.

--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -189,6 +189,10 @@
         self.owner = self._make_owner()
         self.unasked.note_disruption(Disruption.OWNER_REPLACED, self.now_s)
 
+    def stop_replaced_owners(self) -> None:
+        """End the replaced owners that still send commands."""
+        self._replaced_owners.clear()
+
     def crash(self, worker_id: str) -> None:
         """Restart a worker's process; the poll that was open fails immediately."""
         worker = self.workers[worker_id]
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -297,7 +297,9 @@
         if worker.incarnation in self.lost_runs_by_incarnation:
             # An earlier owner has fenced the process before it started tasks there.
             return False
-        lateness_s = self.settings.owner_silence_s + self.settings.call_lateness_s
+        settings = self.settings
+        lateness_s = settings.owner_silence_s + settings.call_lateness_s
+        lateness_s += settings.unexpected_lease_s
         age_s = now_s + self.unix_offset_s - worker.born_ms / 1000
         is_old = age_s > lateness_s + MAX_CLOCK_ERROR_S
         return not is_old and now_s - self.first_listed_s < lateness_s
--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -168,6 +168,27 @@
         assert world.other.runs
 
 
+class TestFirstReportToANextOwner:
+    # Guards against a lease taken shortly before the time up to which restarts are reckoned with.
+    def test_is_that_of_a_restarted_process_while_a_lease_of_the_former_may_last(self):
+        world = RestartingCell()
+        world.host.is_listed = False
+        world.replace_owner(keeps_sending=True)
+        world.cut_host()
+        world.cell.run_for(3.0)
+        world.delay_calls(12.0, during_s=0.4)
+        world.cell.stop_replaced_owners()
+        world.crash_host()
+        world.cell.run_for(13.7)
+        world.host.is_listed = True
+        world.host.faults.discard(Fault.CUT)
+        world.start_lasting()
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(12.0)
+        assert world.cell.violations == []
+
+
 class TestAnsweredStart:
     def restart_silently(self, world):
         """Restart the first worker between two polls, without one that fails at once."""
