Owners that also bound the leases of restarted workers begin a series of their own

Cause: the stored series named owners that keep to the bound; owners before do not for workers that have restarted. Change: the series is stored under another name ("fenced_since"), so that an owner of this version after one of an earlier version waits for leases without a bound (15.5 s), once. An earlier version after this one begins its own series. Measured: a test with an entry of the earlier version, bounded since 1, failed before and passes. No cell of two versions was played.

--- a/redwingplank/cell/system_entries.py
+++ b/redwingplank/cell/system_entries.py
@@ -26,16 +26,19 @@
     """An epoch of ownership: its number and the owner's name, address and incarnation.
 
     Value of the owner key and of the epoch key; the latter is stored as "term". `bounded_since` is
-    the first epoch of the unbroken series, up to this one, of owners that bound their leases; it is
-    0 for owners of earlier versions, which do not. The number is the last one of the fencing tokens
-    that the owner may use.
+    the first epoch of the unbroken series, up to this one, of owners that bound the leases of all
+    workers, restarted ones too; it is 0 for owners of earlier versions, which do not. The number is
+    the last one of the fencing tokens that the owner may use.
     """
 
     number: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
     owner: str
     address: str
     incarnation: str = ""
-    bounded_since: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)] = 0
+    # Earlier versions bound only the leases of workers that have not restarted ("bounded_since").
+    bounded_since: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)] = msgspec.field(
+        name="fenced_since", default=0
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/redwingplank/cell/tests/test_lease_bound.py
+++ b/redwingplank/cell/tests/test_lease_bound.py
@@ -97,8 +97,12 @@
     # Guards against a short wait after an owner that bounds no lease, or that is not known.
     @pytest.mark.parametrize(
         "between",
-        [b'{"number":2,"owner":"old","address":"127.0.0.1:1","incarnation":"x"}', b"{"],
-        ids=["earlier-version", "unreadable"],
+        [
+            b'{"number":257,"owner":"old","address":"127.0.0.1:1","incarnation":"x"}',
+            b'{"number":257,"owner":"old","address":"127.0.0.1:1","bounded_since":1}',
+            b"{",
+        ],
+        ids=["earlier-version", "bounded-but-for-restarts", "unreadable"],
     )
     def test_an_owner_of_another_kind_ends_the_series(self, monkeypatch, between):
         async def scenario() -> None:
@@ -122,7 +126,7 @@
             cell.model.remove(OWNER_KEY)
             await owner._put_owner_key(owner.ownership)
             items = cell.model.items
-            assert msgspec.json.decode(items[OWNER_KEY].value)["bounded_since"] == FIRST_EPOCH
+            assert msgspec.json.decode(items[OWNER_KEY].value)["fenced_since"] == FIRST_EPOCH
             assert items[OWNER_KEY].value == items[EPOCH_KEY].value
             await cell.stop()
 
