A job does not fail for crashes before which its runs had ended

Cause: a record says on which hosts a task may run. Once a process proved to have ended, a new owner counted a crash against each task that the record named there (`_judge_inherited`), and five crashes ended the job without a proven one.

Change: an owner stores which tasks had just begun on a worker that broke off a poll (not one that timed out), so that the next owner counts a proven crash if the process has ended. Crashes that no owner saw are counted apart, and fail a job only beside two proven ones, from five in all.

--- a/redwingplank/batch/crashes.py
+++ b/redwingplank/batch/crashes.py
@@ -5,7 +5,7 @@
 has just started, so that the next crash has only one suspect.
 """
 
-from redwingplank.batch.entities import PROBATION_S, LostRun, Run, RunState
+from redwingplank.batch.entities import PROBATION_S, LostRun, Run, RunState, Task
 from redwingplank.batch.model import Incarnation, JobState, StepKey, TaskId
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
@@ -14,6 +14,8 @@
 
 CRASH_LIMIT = 5
 """Number of crashed workers after which a task is given up even if others may be the cause."""
+PROVEN_LIMIT = 2
+"""Number of them under which the task certainly ran, if it may have ended before some of them."""
 GROUP_SIZE = 3
 """This many workers that end at the same time have a cause in common, such as a rack."""
 SAME_TIME_S = 0.1
@@ -55,9 +57,48 @@
         if not worker.entry.is_draining:
             self._lost_runs_of(worker.incarnation).extend(self._judge_runs(worker, now_s))
 
+    def remember_broken_off(self, worker: Worker) -> None:
+        """Let a next owner know what had just begun on a worker that broke off a poll.
+
+        Should its process prove to have ended, it crashed under these tasks: the poll would have
+        told of an end before.
+        """
+        if worker.entry.is_draining:
+            return
+        for run in worker.runs_by_key.values():
+            if _is_certain(run) and run.is_lost_at_start:
+                self._record_begun(run)
+
+    def _record_begun(self, run: Run) -> None:
+        found = self._state.find_task(run.task_id)
+        if found is None or found[0].state.is_final:
+            return
+        job = found[0]
+        if job.steps_by_key[run.task_id.step_key].add_begun(run.incarnation, run.task_id):
+            self._state.mark_dirty(job)
+
+    def _forget_broken_off(self, worker: Worker) -> None:
+        """Forget what had begun on a worker that broke off a poll, as its process goes on."""
+        for run in worker.runs_by_key.values():
+            found = self._state.find_task(run.task_id)
+            if found is None:
+                continue
+            job = found[0]
+            step = job.steps_by_key[run.task_id.step_key]
+            if step.begun_by_broken_host.pop(worker.incarnation, 0):
+                self._state.mark_dirty(job)
+
     def remember_inherited_tasks(self, host: Incarnation, task_ids: list[TaskId]) -> None:
         """Remember tasks that a host may have started for an earlier owner."""
-        self._lost_runs_of(host).extend(LostRun(task_id) for task_id in task_ids)
+        self._lost_runs_of(host).extend(
+            LostRun(task_id, is_certain=self._had_begun(host, task_id)) for task_id in task_ids
+        )
+
+    def _had_begun(self, host: Incarnation, task_id: TaskId) -> bool:
+        found = self._state.find_task(task_id)
+        return found is not None and found[0].steps_by_key[task_id.step_key].had_begun(
+            host, task_id
+        )
 
     def _lost_runs_of(self, incarnation: Incarnation) -> list[LostRun]:
         return self._state.lost_runs_by_incarnation.setdefault(incarnation, [])
@@ -68,6 +109,7 @@
         Call it when the present incarnation of the worker is known to run.
         """
         by_incarnation = self._state.lost_runs_by_incarnation
+        self._forget_broken_off(worker)
         self._forget_hosts(worker.incarnation, by_incarnation.pop(worker.incarnation, []))
         for earlier in [other for other in by_incarnation if worker.has_replaced(other)]:
             lost_runs = by_incarnation.pop(earlier)
@@ -98,7 +140,7 @@
             LostRun(
                 run.task_id,
                 max(0.0, ended_s - run.begun_s),
-                is_certain=run.is_accepted or run.is_listed,
+                is_certain=_is_certain(run),
                 is_suspect=_subject(run) in suspects,
                 is_alone=is_alone,
             )
@@ -114,11 +156,14 @@
     def _judge_inherited(self, lost_runs: list[LostRun]) -> list[LostRun]:
         """Suspect, among runs of unknown age, those whose tasks were suspected before, or all.
 
-        None of them is the only suspect: it may have ended before the crash.
+        Those that had just begun come first. None of them is the only suspect: others may have
+        begun unseen.
         """
         inherited = [lost for lost in lost_runs if lost.run_s is None]
-        suspects = [lost for lost in inherited if self._is_suspected(lost.task_id)] or inherited
-        judged = [LostRun(lost.task_id, 0.0, is_suspect=lost in suspects) for lost in inherited]
+        begun = [lost for lost in inherited if lost.is_certain]
+        suspected = [lost for lost in inherited if self._is_suspected(lost.task_id)]
+        suspects = begun or suspected or inherited
+        judged = [lost._replace(is_suspect=lost in suspects) for lost in inherited]
         return judged + [lost for lost in lost_runs if lost.run_s is not None]
 
     def _is_suspected(self, task_id: TaskId) -> bool:
@@ -139,9 +184,10 @@
         job, task = found
         run_s = lost.run_s or 0.0
         if job.steps_by_key[lost.task_id.step_key].spec.is_lasting and run_s >= PROVEN_S:
-            task.crashes = task.proven_crashes = task.suspicions = 0
+            task.crashes = task.proven_crashes = task.unseen_crashes = task.suspicions = 0
         task.crashes += 1
         task.proven_crashes += lost.is_certain
+        task.unseen_crashes += lost.is_unseen
         task.suspicions += lost.is_suspect
         self._state.mark_dirty(job)
         self._state.log_decision(
@@ -151,17 +197,33 @@
             worker=worker_id,
             crashes=task.crashes,
             proven=task.proven_crashes,
+            unseen=task.unseen_crashes,
             suspicions=task.suspicions,
             ran_s=run_s,
             is_suspect=lost.is_suspect,
             is_alone=lost.is_alone,
         )
         is_only_suspect = lost.is_suspect and lost.is_alone and task.suspicions > 1
-        is_cause = is_only_suspect and task.proven_crashes > 1
-        if is_cause or task.crashes >= CRASH_LIMIT:
+        is_cause = is_only_suspect and task.proven_crashes >= PROVEN_LIMIT
+        if is_cause or _has_reached_limit(task):
             self._state.finish_job(job, JobState.FAILED, now_s, "crashes_workers")
 
 
+def _is_certain(run: Run) -> bool:
+    """Return whether the worker is known to have begun with a run."""
+    return run.is_accepted or run.is_listed
+
+
+def _has_reached_limit(task: Task) -> bool:
+    """Return whether a task is given up although others may be the cause of the crashes.
+
+    Crashes that nobody saw, before which it may have ended, do not suffice.
+    """
+    if task.crashes - task.unseen_crashes >= CRASH_LIMIT:
+        return True
+    return task.crashes >= CRASH_LIMIT and task.proven_crashes >= PROVEN_LIMIT
+
+
 def _subject(run: Run) -> TaskId | StepKey:
     """Return what is suspected as one: a whole gang, or a task."""
     is_gang = run.spec is not None and run.spec.is_gang
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -202,7 +202,8 @@
         self._restart_clock(worker)
         known = self.owner.state.workers_by_id.get(worker_id)
         if known is not None:
-            self.owner.mark_worker_unreachable(known, self.now_s)
+            is_broken_off = Fault.CUT not in worker.faults
+            self.owner.mark_worker_unreachable(known, self.now_s, is_broken_off=is_broken_off)
 
     def take_down(self, worker: EmulatedWorker) -> None:
         """End a worker's process; the poll that was open fails immediately."""
@@ -211,7 +212,8 @@
         worker.is_down = True
         known = self.owner.state.workers_by_id.get(worker.entry.worker_id)
         if known is not None:
-            self.owner.mark_worker_unreachable(known, self.now_s)
+            is_broken_off = Fault.CUT not in worker.faults
+            self.owner.mark_worker_unreachable(known, self.now_s, is_broken_off=is_broken_off)
 
     def _restart_clock(self, worker: EmulatedWorker) -> None:
         worker.clock_offset_s = -worker.clock_rate * self.now_s
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -70,6 +70,11 @@
     is_suspect: bool = False
     is_alone: bool = False
 
+    @property
+    def is_unseen(self) -> bool:
+        """Whether no owner saw it run there at the end, so that it may have ended before."""
+        return self.run_s is None and not self.is_certain
+
 
 class Run:
     """One attempt of a task on a worker; it reserves capacity until its completion is known."""
@@ -176,6 +181,7 @@
         "runs",
         "saved",
         "suspicions",
+        "unseen_crashes",
     )
 
     def __init__(self, task_id: TaskId) -> None:
@@ -195,6 +201,8 @@
         """Number of workers that crashed while they may have run the task."""
         self.proven_crashes = 0
         """Number of workers that crashed while they certainly ran the task."""
+        self.unseen_crashes = 0
+        """Number of workers that crashed when the task may have ended there, as nobody heard."""
         self.suspicions = 0
         """Number of these crashes that followed a start of the task."""
         self.isolation_wait_from_s: float | None = None
@@ -233,6 +241,7 @@
 
     __slots__ = (
         "advice_sent_s",
+        "begun_by_broken_host",
         "hosts",
         "is_advice_open",
         "is_open",
@@ -261,6 +270,8 @@
         self.restarted_hosts: set[Incarnation] = set()
         """Hosts whose processes may have a lease that they took by themselves, so that it may last
         for longer than those which owners grant."""
+        self.begun_by_broken_host: dict[Incarnation, int] = {}
+        """Bit set, by incarnation that broke off a poll, of the tasks that had just begun there."""
         self.tickets_by_worker: dict[str, Ticket] = {}
         self.refused_workers: set[str] = set()
         """Workers for which the advice service issued no ticket."""
@@ -305,8 +316,30 @@
         else:
             self.hosts.pop(host, None)
             self.restarted_hosts.discard(host)
+        self._keep_begun(host, left)
         return left != bits
 
+    def _keep_begun(self, host: Incarnation, bits: int) -> None:
+        left = self.begun_by_broken_host.pop(host, 0) & bits
+        if left:
+            self.begun_by_broken_host[host] = left
+
+    def add_begun(self, host: Incarnation, task_id: TaskId) -> bool:
+        """Record that a task had just begun on a host that broke off a poll.
+
+        Returns
+        -------
+        bool
+            Whether this was not recorded before.
+        """
+        bits = self.begun_by_broken_host.get(host, 0)
+        self.begun_by_broken_host[host] = bits | 1 << task_id.position
+        return self.begun_by_broken_host[host] != bits
+
+    def had_begun(self, host: Incarnation, task_id: TaskId) -> bool:
+        """Return whether a task had just begun on a host when it broke off a poll."""
+        return bool(self.begun_by_broken_host.get(host, 0) >> task_id.position & 1)
+
     def keep_hosted(self, worker_ids: set[str], present: HostedTasks) -> bool:
         """Forget what some workers may run, but for present runs; return whether that was any.
 
@@ -325,6 +358,7 @@
                 self.hosts[host] = left
             else:
                 self.restarted_hosts.discard(host)
+            self._keep_begun(host, left)
             is_changed |= left != bits
         return is_changed
 
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -278,9 +278,22 @@
         self._watchdog.stop_stalled(worker, now_s)
         self._pacing.adjust(worker, now_s)
 
-    def mark_worker_unreachable(self, worker: Worker, now_s: float) -> None:
-        """Mark a worker that did not answer a poll as unreachable."""
-        self._reports.mark_unreachable(worker, now_s)
+    def mark_worker_unreachable(
+        self, worker: Worker, now_s: float, *, is_broken_off: bool = False
+    ) -> None:
+        """Mark a worker that did not answer a poll as unreachable.
+
+        Parameters
+        ----------
+        worker : Worker
+            Worker that was polled.
+        now_s : float
+            Current time in seconds.
+        is_broken_off : bool, optional
+            Whether the connection ended while the poll waited for its answer, as it does when the
+            worker's process ends.
+        """
+        self._reports.mark_unreachable(worker, now_s, is_broken_off=is_broken_off)
 
     # Start and stop commands.
 
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -32,6 +32,11 @@
     """Counted failed attempts of each task that may be copied, by task index."""
     restarted_hosts: list[str] = []
     """Hosts whose processes may have a lease that they took by themselves, as in `hosts`."""
+    unseen_crashes: dict[str, int] = {}
+    """Number of the crashes that no owner saw, by task index."""
+    begun: dict[str, str] = {}
+    """Bit set of the tasks that had just begun on an incarnation when it broke off a poll, as in
+    `hosts`."""
 
 
 class _Progress(msgspec.Struct, omit_defaults=True):
@@ -75,7 +80,7 @@
         }
     elif job.keeps_hosts:
         progress.steps = {
-            f"{key.occurrence}.{key.step}": _StepRecord("", _encode_hosts(step))
+            f"{key.occurrence}.{key.step}": _StepRecord("", _encode_bits(step.hosts))
             for key, step in job.steps_by_key.items()
             if step.hosts
         }
@@ -121,7 +126,7 @@
 
 def _encode_step(step: Step) -> _StepRecord:
     bits = 0
-    record = _StepRecord("", _encode_hosts(step))
+    record = _StepRecord("", _encode_bits(step.hosts))
     for index, task in enumerate(step.tasks):
         if task.is_done:
             bits |= 1 << index
@@ -137,6 +142,9 @@
                 task.proven_crashes,
                 task.suspicions,
             )
+            if task.unseen_crashes:
+                record.unseen_crashes[str(index)] = task.unseen_crashes
+    record.begun = _encode_bits(step.begun_by_broken_host)
     record.done = f"{bits:x}"
     record.restarted_hosts.extend(_encode_host(host) for host in step.restarted_hosts)
     return record
@@ -144,9 +152,8 @@
 
 def _restore_step(step: Step, record: _StepRecord) -> None:
     bits = int(record.done or "0", 16)
-    step.hosts.update(
-        (_decode_host(host), int(hosted, 16)) for host, hosted in record.hosts.items()
-    )
+    step.hosts.update(_decode_bits(record.hosts))
+    step.begun_by_broken_host.update(_decode_bits(record.begun))
     step.restarted_hosts.update(_decode_host(host) for host in record.restarted_hosts)
     for index, task in enumerate(step.tasks):
         if bits >> index & 1:
@@ -162,10 +169,15 @@
                 task.failed_attempts = set(attempts)
         crashes = record.crashes.get(str(index), (0, 0, 0))
         task.crashes, task.proven_crashes, task.suspicions = crashes
+        task.unseen_crashes = record.unseen_crashes.get(str(index), 0)
 
 
-def _encode_hosts(step: Step) -> dict[str, str]:
-    return {_encode_host(host): f"{bits:x}" for host, bits in step.hosts.items()}
+def _encode_bits(bits_by_host: dict[Incarnation, int]) -> dict[str, str]:
+    return {_encode_host(host): f"{bits:x}" for host, bits in bits_by_host.items()}
+
+
+def _decode_bits(texts_by_host: dict[str, str]) -> dict[Incarnation, int]:
+    return {_decode_host(host): int(bits, 16) for host, bits in texts_by_host.items()}
 
 
 def _encode_host(host: Incarnation) -> str:
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -256,14 +256,18 @@
             return "runs_elsewhere"
         return ""
 
-    def mark_unreachable(self, worker: Worker, now_s: float) -> None:
-        """Mark a worker that did not answer as unreachable."""
+    def mark_unreachable(
+        self, worker: Worker, now_s: float, *, is_broken_off: bool = False
+    ) -> None:
+        """Mark a worker that did not answer, or broke off a poll, as unreachable."""
         if not worker.is_unreachable:
             self._log_worker(worker, "worker_silent", age_s=now_s - worker.answered_s)
             self._state.log_awaited_host(worker.id, now_s)
             worker.is_unreachable = True
             worker.awaits_whole_report = True
             worker.silent_s = now_s
+            if is_broken_off:
+                self._crashes.remember_broken_off(worker)
             for task_id, _ in worker.runs_by_key:
                 self._state.reopen_step(task_id.step_key)
 
--- a/redwingplank/cell/worker_poller.py
+++ b/redwingplank/cell/worker_poller.py
@@ -9,7 +9,7 @@
 from redwingplank.cell.context import NodeContext
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.worker_commands import WorkerCommands
-from redwingplank.platform.site.http import SiteError
+from redwingplank.platform.site.http import BrokenOffError, SiteError
 from redwingplank.platform.site.workers import FencedError
 
 __all__ = ["WorkerPoller"]
@@ -127,7 +127,8 @@
             return None
         except SiteError as error:
             self._context.log("hold_failed", worker=worker.id, error=error)
-            self._owner.mark_worker_unreachable(worker, now_s())
+            is_broken_off = isinstance(error, BrokenOffError)
+            self._owner.mark_worker_unreachable(worker, now_s(), is_broken_off=is_broken_off)
             self._wake()
             return None
         try:
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -50,6 +50,10 @@
     """The call was sent without a usable answer: it may have taken effect, or may do so later."""
 
 
+class BrokenOffError(NoAnswerError):
+    """The connection ended before the answer: the process has ended, or the channel was reset."""
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """Status and body of an HTTP response."""
@@ -166,8 +170,10 @@
                 raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
             raise NotSentError(f"cannot reach {address}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            _record(trace, _kind_of(error), error)
-            raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
+            kind = _kind_of(error)
+            _record(trace, kind, error)
+            error_type = BrokenOffError if kind is CallFailure.BROKEN else NoAnswerError
+            raise error_type(f"no answer from {address}{target}: {error!r}") from error
 
     async def close(self) -> None:
         """Close all connections."""
--- a/redwingplank/platform/site/tests/test_http.py
+++ b/redwingplank/platform/site/tests/test_http.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from redwingplank.platform.site.http import NoAnswerError, Reply, SiteClient
+from redwingplank.platform.site.http import BrokenOffError, NoAnswerError, Reply, SiteClient
 
 PARTS = 9
 PART_INTERVAL_S = 0.25
@@ -16,7 +16,11 @@
 
 
 async def call(
-    send_body: Callable[[Writer], Awaitable[None]], timeout_s: float, on_headers, status: int = 200
+    send_body: Callable[[Writer], Awaitable[None]],
+    timeout_s: float,
+    on_headers,
+    status: int = 200,
+    method: str = "GET",
 ) -> Reply:
     """Call a server that sends its headers at once and then the body as `send_body` does."""
 
@@ -32,7 +36,7 @@
     host, port = server.sockets[0].getsockname()
     client = SiteClient()
     try:
-        return await client.call("GET", f"{host}:{port}", "/", timeout_s, on_headers=on_headers)
+        return await client.call(method, f"{host}:{port}", "/", timeout_s, on_headers=on_headers)
     finally:
         await client.close()
         server.close()
@@ -53,6 +57,10 @@
     await asyncio.sleep(30.0)
 
 
+async def send_and_close(writer: Writer) -> None:
+    writer.write(b"x" * (PARTS // 2))
+
+
 class TestTransfer:
     # Guards against a time-out that cuts off an answer which a slow link is still transferring.
     def test_an_answer_that_makes_progress_is_received_whole(self):
@@ -73,6 +81,17 @@
             asyncio.run(call(send_slowly, 0.4, None))
 
 
+class TestConnectionThatEnds:
+    # Guards against the end of a process that is taken for a time-out, or the reverse.
+    @pytest.mark.parametrize("method", ["GET", "POST"])
+    def test_is_told_from_a_time_out(self, method):
+        with pytest.raises(BrokenOffError):
+            asyncio.run(call(send_and_close, TIMEOUT_S, None, method=method))
+        with pytest.raises(NoAnswerError) as caught:
+            asyncio.run(call(send_half, 0.2, None, method=method))
+        assert caught.type is NoAnswerError
+
+
 class TestBeginOfAnAnswer:
     # Guards against a refusal that ends the wait for the answers to other copies of the call.
     @pytest.mark.parametrize("status", [400, 403, 429, 500, 503])
