A crash behind a cut is not counted as one that an owner saw

A job is failed (crashes_workers) with one owner that stays, if its worker is cut off, its run ends `done` behind the cut, and the worker crashes there: five times, or twice for runs below 0.5 s.

Cause: the owner took the moment in which a worker fell silent for that of its crash, and a run that it had heard of for one that was there (`_judge_runs`): two proven crashes under a task that had ended.

Change: a crash counts as seen if the worker broke off a poll, which would have told of an end before, or if the owner had heard of the run within 0.1 s. Others count as unseen, as those of earlier owners.

--- a/redwingplank/batch/crashes.py
+++ b/redwingplank/batch/crashes.py
@@ -20,6 +20,9 @@
 """This many workers that end at the same time have a cause in common, such as a rack."""
 SAME_TIME_S = 0.1
 """Workers that become unreachable within this time of each other ended at the same time."""
+UNHEARD_S = 0.1
+"""A run that was known to exist within this time before the end of its worker has not ended before:
+longer than an owner pauses between two polls."""
 PROVEN_S = 10.0
 """A run of a lasting task that is older than this did not crash its worker by starting there."""
 
@@ -90,9 +93,10 @@
 
     def remember_inherited_tasks(self, host: Incarnation, task_ids: list[TaskId]) -> None:
         """Remember tasks that a host may have started for an earlier owner."""
-        self._lost_runs_of(host).extend(
-            LostRun(task_id, is_certain=self._had_begun(host, task_id)) for task_id in task_ids
-        )
+        lost_runs = self._lost_runs_of(host)
+        for task_id in task_ids:
+            had_begun = self._had_begun(host, task_id)
+            lost_runs.append(LostRun(task_id, is_certain=had_begun, is_unseen=not had_begun))
 
     def _had_begun(self, host: Incarnation, task_id: TaskId) -> bool:
         found = self._state.find_task(task_id)
@@ -136,16 +140,20 @@
         runs = [run for run in worker.runs_by_key.values() if run.state is not RunState.PLANNED]
         suspects = {_subject(run) for run in runs if ended_s - run.begun_s < PROBATION_S}
         is_alone = len(suspects) == 1 and self._count_silent_at(ended_s) < GROUP_SIZE
-        return [
-            LostRun(
-                run.task_id,
-                max(0.0, ended_s - run.begun_s),
-                is_certain=_is_certain(run),
-                is_suspect=_subject(run) in suspects,
-                is_alone=is_alone,
+        lost_runs = []
+        for run in runs:
+            is_unseen = _is_end_unheard(run, ended_s)
+            lost_runs.append(
+                LostRun(
+                    run.task_id,
+                    max(0.0, ended_s - run.begun_s),
+                    is_certain=_is_certain(run) and not is_unseen,
+                    is_unseen=is_unseen,
+                    is_suspect=_subject(run) in suspects,
+                    is_alone=is_alone,
+                )
             )
-            for run in runs
-        ]
+        return lost_runs
 
     def _count_silent_at(self, ended_s: float) -> int:
         return sum(
@@ -214,6 +222,14 @@
     return run.is_accepted or run.is_listed
 
 
+def _is_end_unheard(run: Run, ended_s: float) -> bool:
+    """Return whether a run may have ended before its worker's process did, as nobody heard."""
+    worker = run.worker
+    if worker.is_unreachable and worker.is_broken_off:
+        return False
+    return ended_s - max(worker.answered_s, run.started_s) >= UNHEARD_S
+
+
 def _has_reached_limit(task: Task) -> bool:
     """Return whether a task is given up although others may be the cause of the crashes.
 
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -60,21 +60,17 @@
     """A run whose worker crashed, or may have.
 
     `run_s` is its age then, None if an earlier owner had started it. `is_certain` is whether it
-    certainly ran then, `is_suspect` whether it may have been the cause, and `is_alone` whether
-    there was no other suspect.
+    certainly ran then, `is_unseen` whether it may have ended before, as nobody heard, `is_suspect`
+    whether it may have been the cause, and `is_alone` whether there was no other suspect.
     """
 
     task_id: TaskId
     run_s: float | None = None
     is_certain: bool = False
+    is_unseen: bool = False
     is_suspect: bool = False
     is_alone: bool = False
 
-    @property
-    def is_unseen(self) -> bool:
-        """Whether no owner saw it run there at the end, so that it may have ended before."""
-        return self.run_s is None and not self.is_certain
-
 
 class Run:
     """One attempt of a task on a worker; it reserves capacity until its completion is known."""
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -266,6 +266,7 @@
             worker.is_unreachable = True
             worker.awaits_whole_report = True
             worker.silent_s = now_s
+            worker.is_broken_off = is_broken_off
             if is_broken_off:
                 self._crashes.remember_broken_off(worker)
             for task_id, _ in worker.runs_by_key:
--- a/redwingplank/batch/tests/test_ended_before_crashes.py
+++ b/redwingplank/batch/tests/test_ended_before_crashes.py
@@ -51,6 +51,14 @@
     cell.replace_owner()
 
 
+def end_behind_a_cut(cell, host):
+    """Let a run end while its worker is cut off from an owner that stays."""
+    cell.run_for(0.1)
+    host.faults.add(Fault.CUT)
+    await_end(cell, host)
+    cell.run_for(1.0)
+
+
 def lose(cell, host, *, keeps_id):
     """Let a worker crash and come back."""
     cell.take_down(host)
@@ -68,7 +76,7 @@
 
 class TestRunsThatEndedBeforeTheirWorkersCrashed:
     # Guards against a job that is shown as failed although no worker crashed under its task.
-    @pytest.mark.parametrize("end", [end_unheard, end_unstored])
+    @pytest.mark.parametrize("end", [end_unheard, end_unstored, end_behind_a_cut])
     @pytest.mark.parametrize("estimate_s", [0.3, 0.6, 1.5])
     @pytest.mark.parametrize("keeps_id", [False, True], ids=["new id", "same id"])
     @pytest.mark.parametrize("values", [{}, {"saves": True}, {"is_gang": True}])
--- a/redwingplank/batch/worker.py
+++ b/redwingplank/batch/worker.py
@@ -45,6 +45,7 @@
         "guarded_until_s",
         "handled_completion_number",
         "id",
+        "is_broken_off",
         "is_confirmed",
         "is_listed",
         "is_unreachable",
@@ -76,6 +77,8 @@
         self.restarted_s = float("-inf")
         """Time at which the last restart was seen. Polls sent after it fence the process."""
         self.is_unreachable = False
+        self.is_broken_off = False
+        """Whether it became unreachable as it broke off a poll, which would have told of an end."""
         self.silent_s = 0.0
         """Time at which the worker became unreachable."""
         self.answered_s = 0.0
