A report with a lower start time is that of a later process if its poll was sent later

Cause: of two start times the higher one was taken for the later process, always. Change: a report to a poll that was sent after the last report, or after the last restart was seen, comes from the present process, whatever its start time. A published start time tells of a restart only when it changes. Measured: the test failed before for a time 1 s lower, and passes; tests of the owner pass.

--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -46,7 +46,8 @@
                 worker = state.add_worker(entry, unconfirmed_until_s)
                 self._log_worker(worker, "worker_new")
                 continue
-            if entry.born_ms > worker.born_ms:
+            is_new = entry.born_ms != worker.entry.born_ms
+            if is_new and entry.born_ms > worker.born_ms:
                 self.handle_restart(worker, entry.born_ms, now_s, source="list")
             if entry.is_draining and not worker.entry.is_draining:
                 self._log_worker(worker, "worker_draining")
@@ -111,7 +112,8 @@
             Current time in seconds.
         """
         if report.born_ms and report.born_ms != worker.born_ms:
-            if report.born_ms < worker.born_ms:
+            is_earlier = report.born_ms < worker.born_ms
+            if is_earlier and sent_s <= max(worker.answered_s, worker.restarted_s):
                 return
             self.handle_restart(worker, report.born_ms, now_s, source="report")
         if sent_s <= worker.restarted_s:
--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -344,3 +344,19 @@
         world.cell.submit(make_job("b", step(1, 2000, 20.0), organisation="o"))
         world.cell.run_for(14.0)
         assert world.cell.violations == []
+
+
+class TestProcessWithALowerBirth:
+    # Guards against a worker of which nothing is believed any more after its clock was set back.
+    @pytest.mark.parametrize("change_ms", [0, -1000])
+    def test_takes_tasks_again(self, change_ms):
+        world = RestartingCell()
+        world.crash_host()
+        world.cell.run_for(6.0)
+        world.start_lasting()
+        world.host.crash(world.host.entry.born_ms + change_ms)
+        world.cell._restart_clock(world.host)
+        world.open_other()
+        world.cell.run_for(20.0)
+        assert world.cell.violations == []
+        assert world.host.runs or world.other.runs
