--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from redwingplank.batch.emulated_worker import Fault
-from redwingplank.batch.model import Amounts, OrganisationPolicy
+from redwingplank.batch.model import Amounts, OrganisationPolicy, PollReport
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 
@@ -324,6 +324,19 @@
         assert world.cell.violations == []
         assert world.other.runs
 
+    # Guards against a token below the one that the process knows: it would refuse all commands.
+    def test_takes_tasks_again_if_its_process_has_gone_on(self):
+        world = RestartingCell()
+        world.crash_host()
+        world.cell.run_for(5.0)
+        world.cut_host()
+        world.host.is_listed = False
+        world.cell.run_for(3.0)
+        assert world.host.entry.worker_id not in world.cell.owner.state.workers_by_id
+        world.host.is_listed = True
+        world.host.faults.discard(Fault.CUT)
+        world.start_lasting()
+
 
 class TestQuotaOfARestartedHost:
     # Guards against a charge that ends with granted leases while the tasks wait for longer ones.
@@ -346,6 +359,94 @@
         assert world.cell.violations == []
 
 
+class TestLateCallAfterTheFirstReport:
+    # Guards against a poll of the former process that renews the lease just before a cut: with one
+    # token for an epoch, the run outlasts what the owner has granted.
+    @pytest.mark.parametrize("late_s", [8.0, 10.0, 12.0])
+    def test_does_not_renew_the_lease(self, late_s):
+        world = RestartingCell()
+        world.start_lasting()
+        world.delay_calls(late_s)
+        end_s = world.cell.now_s + late_s
+        world.crash_host()
+        world.wait_for_run()
+        world.cell.run_for(end_s + 0.05 - world.cell.now_s)
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(12.0)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+
+class TestPollOfARestartedWorker:
+    # Guards against a first report that is believed although earlier calls may still change it.
+    def test_is_applied_only_if_it_was_sent_after_the_restart_was_seen(self):
+        world = RestartingCell()
+        owner = world.cell.owner
+        worker = owner.state.workers_by_id[world.host.entry.worker_id]
+        sent_s = world.cell.now_s
+        report = PollReport(50, worker.born_ms + 1, (), ())
+        owner.apply_report(worker, report, sent_s, sent_s + 0.1)
+        owner.apply_report(worker, report, sent_s, sent_s + 0.2)
+        assert worker.clock_ms is None
+        owner.apply_report(worker, report, sent_s + 0.15, sent_s + 0.2)
+        assert worker.clock_ms == 50
+
+    # Guards against an acknowledgement that forgets ends of the next process.
+    def test_acknowledges_nothing_of_before(self):
+        world = RestartingCell()
+        world.cell.submit(make_job("short", step(8, 1000, 0.2)))
+        world.cell.run_for(3.0)
+        owner, now_s = world.cell.owner, world.cell.now_s
+        worker = owner.state.workers_by_id[world.host.entry.worker_id]
+        assert owner.next_poll(worker, now_s, leases_until_s=None).acknowledged_number == 8
+        report = PollReport(50, worker.born_ms + 1, (), ())
+        owner.apply_report(worker, report, now_s, now_s)
+        assert owner.next_poll(worker, now_s, leases_until_s=None).acknowledged_number == 0
+
+
+class TestRunFoundByANextOwner:
+    # Guards against a run that the next owner finds first, and whose lease the one after it takes
+    # for a granted one.
+    def test_is_waited_for_by_the_owner_after_it(self):
+        world = RestartingCell()
+        world.cell.calls.late_s = 0.3
+        world.submit_lasting()
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+        world.crash_host()
+        world.cut_host()
+        world.replace_owner()
+        world.cell.run_for(0.4)
+        assert world.host.runs
+        world.host.faults.discard(Fault.CUT)
+        world.cell.run_for(0.5)
+        world.cut_host()
+        world.replace_owner()
+        world.open_other()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+    # Guards against a mark that the next owner doesn't heed once the process has reported.
+    def test_is_waited_for_by_an_owner_that_was_told_of_it(self):
+        world = RestartingCell()
+        world.cell.calls.late_s = 0.3
+        world.submit_lasting()
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+        world.crash_host()
+        world.cell.run_for(0.7)
+        assert world.host.runs
+        world.replace_owner()
+        world.cell.run_for(0.4)
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+        assert world.other.runs
+
+
 class TestProcessWithALowerBirth:
     # Guards against a worker of which nothing is believed any more after its clock was set back.
     @pytest.mark.parametrize("change_ms", [0, -1000])
@@ -360,3 +461,71 @@
         world.cell.run_for(20.0)
         assert world.cell.violations == []
         assert world.host.runs or world.other.runs
+
+
+class TestUnansweredStart:
+    def delay_start(self, world, late_s):
+        world.cell.calls.late_s = late_s
+        world.submit_lasting()
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+
+    # Guards against an unanswered start that counts as lost with the lease of the process that it
+    # was sent to, although the next process may still carry it out.
+    @pytest.mark.parametrize("late_s", [10.0, 12.0])
+    def test_is_waited_for_if_the_worker_restarts_after_its_lease(self, late_s):
+        world = RestartingCell()
+        self.delay_start(world, late_s)
+        world.cut_host()
+        world.open_other()
+        world.cell.run_for(8.5)
+        world.crash_host()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+
+    # Guards against the same with a restart that the list of workers does not show.
+    @pytest.mark.parametrize("late_s", [4.0, 12.0])
+    def test_is_waited_for_if_nobody_sees_the_restart(self, late_s):
+        world = RestartingCell()
+        self.delay_start(world, late_s)
+        world.cut_host()
+        world.open_other()
+        world.host.is_listed = False
+        world.cell.run_for(1.0)
+        world.crash_host()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+
+    # Guards against the same where the owner is replaced before anybody sees the restart.
+    @pytest.mark.parametrize("late_s", [4.0, 12.0])
+    def test_is_waited_for_by_a_next_owner_if_nobody_sees_the_restart(self, late_s):
+        world = RestartingCell()
+        self.delay_start(world, late_s)
+        world.cut_host()
+        world.open_other()
+        world.host.is_listed = False
+        world.cell.run_for(0.5)
+        world.replace_owner()
+        world.cell.run_for(0.5)
+        world.crash_host()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+
+
+class TestWaitForAMarkedHost:
+    # Guards against a wait for late calls to a process that the last owner has fenced.
+    def test_is_no_longer_than_the_lease_that_its_process_took(self):
+        world = RestartingCell()
+        world.cell.calls.late_s = 0.3
+        world.submit_lasting()
+        world.cell.run_for(0.1)
+        world.cell.calls.late_s = None
+        world.crash_host()
+        world.wait_for_run()
+        world.cell.run_for(1.5)
+        world.cell.take_down(world.host)
+        world.replace_owner()
+        world.open_other()
+        world.cell.run_for(10.0 / 0.98 + 1.0)
+        assert world.cell.violations == []
+        assert world.other.runs
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -406,3 +406,14 @@
             assert owner._owner._orders.may_send_commands()
 
         run_site(scenario)
+
+
+class TestTokensUsedUp:
+    # Guards against an owner that goes on with the tokens of the next epoch.
+    def test_begin_a_new_epoch(self):
+        async def scenario(site):
+            owner = site.owner_node()
+            owner._owner.owner.state.are_tokens_used_up = True
+            await site.until(lambda: all(worker.token == SECOND_TOKEN for worker in site.workers))
+
+        run_site(scenario)
--- a/redwingplank/cell/tests/test_worker_commands.py
+++ b/redwingplank/cell/tests/test_worker_commands.py
@@ -85,6 +85,25 @@
         assert not owner.next_poll(run.worker, PROVEN_S, leases_until_s=None).lease_until_ms
 
 
+class TestLeaseThatAProcessTook:
+    # Guards against a start whose run may outlast the wait of a next owner.
+    @pytest.mark.parametrize(("lease_s", "sent"), [(6.0, ["start"]), (8.0, [])])
+    def test_holds_up_starts_while_it_outlasts_those_of_the_owner(self, monkeypatch, lease_s, sent):
+        cell = make_cell(1)
+        cell.submit(make_job("a", step(1), at_s=cell.now_s))
+        cell.owner.tick(cell.now_s, cell.now_s)
+        (run,) = cell.owner.state.jobs_by_id["a"].runs()
+        now_s = cell.now_s
+        run.worker.taken_until_ms = run.worker.clock_now_ms(now_s) + round(lease_s * 1000)
+        workers = RecordingWorkers()
+        context: Any = SimpleNamespace(workers=workers, log=lambda *_, **__: None)
+        membership: Any = SimpleNamespace(proven_s=now_s)
+        commands = WorkerCommands(context, membership, cell.owner, lambda: None)
+        monkeypatch.setattr(worker_commands, "now_s", lambda: now_s)
+        asyncio.run(commands.start(run))
+        assert workers.sent == sent
+
+
 class TestFencedCommand:
     """A worker that has received a higher token than that of a command refuses it."""
 
