Handlers of RPC calls no longer touch the memory of calls that are gone

Cause: pycapnp tells a handler that its call is gone by cancelling its task, and frees the call's parameters and results. The cancellation is lost in aiohttp: its time-out of a whole call, due in the same pass of the loop as the cancellation, is taken back by each of two nested contexts, so that the outer one raises TimeoutError. A process that wakes finds both due. The order in which the server drops connections isn't the cause.

Change: a handler runs in a task of its own on a copy of the parameters. The task that pycapnp cancels only waits for it, and never returns once it was cancelled. A server that stops ends its handlers, and waits 1 s for them at most.

--- a/redwingplank/rpc/server.py
+++ b/redwingplank/rpc/server.py
@@ -9,6 +9,7 @@
 from redwingplank.rpc.errors import RpcError
 from redwingplank.rpc.peers import split_address
 from redwingplank.rpc.schema import MESSAGE_VERSION, load_schema
+from redwingplank.rpc.served_calls import ServedCalls
 
 __all__ = ["NodeServer", "serve_node"]
 
@@ -19,21 +20,24 @@
 DEFAULT_DESCRIPTORS = 4100
 CONNECTION_PARTS = 4
 """Connections take at most one of so many equal parts of the descriptors."""
+END_TIMEOUT_S = 1.0
+"""For handlers that are cancelled as the server stops."""
 
 _NodeServer: Any = load_schema("node").Node.Server
 
 
 class _Node(_NodeServer):
-    def __init__(self, services_by_name: Mapping[str, Any]) -> None:
+    def __init__(self, services_by_name: Mapping[str, Any], calls: ServedCalls) -> None:
         self._services_by_name = services_by_name
+        self._calls = calls
 
     async def open(self, version: int, service: str, _context: Any, **_: Any) -> tuple[int, Any]:
         if version != MESSAGE_VERSION:
             raise RpcError(f"message version {version} is not spoken here, use {MESSAGE_VERSION}")
-        capability = self._services_by_name.get(service)
-        if capability is None:
+        offered = self._services_by_name.get(service)
+        if offered is None:
             raise RpcError(f"service {service!r} is not offered here")
-        return MESSAGE_VERSION, capability
+        return MESSAGE_VERSION, self._calls.wrap(offered)
 
 
 class NodeServer:
@@ -55,6 +59,7 @@
         self._limit = descriptors // CONNECTION_PARTS
         self._connections: dict[asyncio.Task, None] = {}
         """Tasks that serve the open connections, the oldest first."""
+        self._calls = ServedCalls()
         self._server: Any = None
 
     async def start(self, address: str) -> None:
@@ -63,12 +68,13 @@
         self._server = await capnp.AsyncIoStream.create_server(self._serve, host, port)
 
     async def stop(self) -> None:
-        """Stop listening and close the open connections."""
+        """Stop listening, close the open connections, and end the handlers of their calls."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
             connection.cancel()
         await asyncio.gather(*self._connections, return_exceptions=True)
+        await self._calls.end(END_TIMEOUT_S)
 
     async def _serve(self, stream: Any) -> None:
         task = asyncio.current_task()
@@ -78,7 +84,7 @@
         try:
             server = capnp.TwoPartyServer(
                 stream,
-                bootstrap=_Node(self._services_by_name),
+                bootstrap=_Node(self._services_by_name, self._calls),
                 traversal_limit_in_words=MESSAGE_BYTES // WORD_BYTES,
             )
             await server.on_disconnect()
