A cancellation that comes with the time-out of an HTTP call is not lost

Cause: aiohttp's `total` cancels the task, in two contexts of one timer that are nested. Where the task is cancelled by another one too before it runs, the inner context takes one cancellation back and passes the other on, and the outer one takes that back as well and raises TimeoutError. A process that wakes from a pause finds both due. A loop that polls then goes on although it was cancelled, and whoever waits for its end waits for ever.

Change: the whole of a call is bounded by asyncio.timeout, in the client of the site's services and in the calls between entries.

--- a/redwingplank/platform/http/calls.py
+++ b/redwingplank/platform/http/calls.py
@@ -110,6 +110,7 @@
     url: str,
     timeout: aiohttp.ClientTimeout,
     headers_s: float | None = None,
+    whole_s: float | None = None,
     **options: Any,
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """Send a request and yield the response, whose body may be read within the context.
@@ -124,9 +125,11 @@
     method, url : str
         HTTP method and address.
     timeout : aiohttp.ClientTimeout
-        Time-outs of the call.
-    headers_s : float or None
-        Time-out in seconds until the headers of the response have arrived; None for no limit.
+        Time-outs of the call, without a `total`, which would lose a cancellation of the task that
+        comes with the time-out.
+    headers_s, whole_s : float or None
+        Time-outs in seconds until the headers of the response have arrived, and until the context
+        ends; None for no limit.
     **options
         Passed to `aiohttp.ClientSession.request`.
 
@@ -137,6 +140,7 @@
     """
     async with (
         translate_errors(method, url),
+        asyncio.timeout(whole_s),
         asyncio.timeout(headers_s) as until_headers,
         session.request(method, url, timeout=timeout, allow_redirects=False, **options) as response,
     ):
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -1,5 +1,6 @@
 """HTTP client for all services of the platform; each kind of failure has an exception type."""
 
+import asyncio
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -136,9 +137,10 @@
             The connection broke, a time-out expired, or the answer is too long.
         """
         sent_headers = {"Content-Type": "application/json", **(headers or {})}
-        if on_headers is None:
-            timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        else:
+        # The `total` of aiohttp would lose a cancellation of the task that comes with the time-out.
+        whole_s = timeout_s if on_headers is None else None
+        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+        if on_headers is not None:
             timeout = aiohttp.ClientTimeout(
                 connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=timeout_s
             )
@@ -146,15 +148,18 @@
         trace = current_trace()
         session = self._session if trace is None else self._traced_session
         try:
-            async with session.request(
-                method,
-                url,
-                data=body,
-                headers=sent_headers,
-                timeout=timeout,
-                allow_redirects=False,
-                trace_request_ctx=trace,
-            ) as response:
+            async with (
+                asyncio.timeout(whole_s),
+                session.request(
+                    method,
+                    url,
+                    data=body,
+                    headers=sent_headers,
+                    timeout=timeout,
+                    allow_redirects=False,
+                    trace_request_ctx=trace,
+                ) as response,
+            ):
                 if trace is not None:
                     trace.status = response.status
                 if on_headers is not None and _is_answer(response.status):
--- a/redwingplank/platform/site/tests/test_http.py
+++ b/redwingplank/platform/site/tests/test_http.py
@@ -6,11 +6,13 @@
 import pytest
 
 from redwingplank.platform.site.http import NoAnswerError, Reply, SiteClient
+from redwingplank.platform.tests.cancelled_call import cancel_beside_time_out
 
 PARTS = 9
 PART_INTERVAL_S = 0.25
 TIMEOUT_S = 2.0
 """Shorter than the transfer of all parts, and much longer than the interval between two."""
+LATE_S = 60.0
 
 Writer = asyncio.StreamWriter
 
@@ -87,3 +89,26 @@
         begun = []
         asyncio.run(call(send_at_once, TIMEOUT_S, lambda: begun.append(True), status))
         assert begun == [True]
+
+
+async def call_and_cancel(delay_s: float) -> str:
+    async def make_call(address: str, timeout_s: float) -> None:
+        client = SiteClient()
+        try:
+            await client.call("POST", address, "/", timeout_s, b"{}")
+        finally:
+            await client.close()
+
+    return await cancel_beside_time_out(make_call, delay_s)
+
+
+class TestCancellation:
+    # Guards against a task that goes on for ever after it was cancelled, as a paused process that
+    # wakes finds the time-out of the task's call due as well.
+    @pytest.mark.parametrize("delay_s", [-0.05, 0.0, 0.05])
+    def test_beside_the_time_out_of_the_call_is_not_lost(self, delay_s):
+        assert asyncio.run(call_and_cancel(delay_s)) == "cancelled"
+
+    # Guards against a time-out that ends the task of its call.
+    def test_is_not_what_a_time_out_looks_like(self):
+        assert asyncio.run(call_and_cancel(LATE_S)) == "NoAnswerError"
--- a/redwingplank/runtime/entry_client.py
+++ b/redwingplank/runtime/entry_client.py
@@ -47,9 +47,10 @@
             raise UnavailableError(f"no address of entry {entry} is known; serve it locally")
         path = f"/v1/organisations/{call.organisation}/services/{call.service}/requests"
         url = f"http://{address}{path}"
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+        headers = _make_headers(call)
         async with open_call(
-            self._session, "POST", url, timeout, data=body, headers=_make_headers(call)
+            self._session, "POST", url, timeout, whole_s=timeout_s, data=body, headers=headers
         ) as response:
             answer = await read_answer(response)
             with reading(url):
--- a/redwingplank/runtime/tests/test_entry_client.py
+++ b/redwingplank/runtime/tests/test_entry_client.py
@@ -6,6 +6,7 @@
 
 from redwingplank.platform import OutcomeUnknownError
 from redwingplank.platform.http import open_session
+from redwingplank.platform.tests.cancelled_call import cancel_beside_time_out
 from redwingplank.platform.tests.service_fixture import (
     REDIRECTS,
     make_answer,
@@ -57,3 +58,19 @@
                     await client.forward_request("e2", call, b"{}", 2.0)
 
         asyncio.run(scenario())
+
+
+class TestCancellation:
+    # Guards against a request that goes on after it was cancelled, as a paused process that wakes
+    # finds the time-out of the call to the other entry due as well.
+    @pytest.mark.parametrize(
+        ("delay_s", "expected"),
+        [(-0.05, "cancelled"), (0.05, "cancelled"), (60.0, "OutcomeUnknownError")],
+    )
+    def test_beside_the_time_out_of_the_call_is_not_lost(self, delay_s, expected):
+        async def forward(address: str, timeout_s: float) -> None:
+            async with open_session() as session:
+                client = HttpEntryClient(session, {"e2": address})
+                await client.forward_request("e2", CallerRequest("o", "s", "r1"), b"{}", timeout_s)
+
+        assert asyncio.run(cancel_beside_time_out(forward, delay_s)) == expected
