Commands and polls take turns on the connection that a crowded worker has left

Cause: a worker accepts 64 connections and counts those of owners that are gone. With 20 such owners it resets new ones.

Change: a command whose connection is refused or broken marks its worker as crowded for 10 s. Meanwhile commands and polls take turns on one connection, and polls wait for 0.2 s at most. The poll that waits always holds the turn, so that the first command waits for its end.

The stand-ins of test_worker_commands.py and test_worker_slots.py got the counter that commands read.

--- a/redwingplank/cell/tests/test_worker_commands.py
+++ b/redwingplank/cell/tests/test_worker_commands.py
@@ -1,6 +1,7 @@
 """Tests of the commands to workers, against a client that records them."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -23,6 +24,7 @@
 
     def __init__(self) -> None:
         self.sent: list[str] = []
+        self.broken_by_worker: Counter[str] = Counter()
 
     async def start(self, *_: Any) -> StartOutcome:
         self.sent.append("start")
@@ -38,6 +40,7 @@
 
     def __init__(self, before: Callable[[], None]) -> None:
         self._before = before
+        self.broken_by_worker: Counter[str] = Counter()
 
     async def start(self, *_: Any) -> StartOutcome:
         self._before()
--- a/redwingplank/cell/tests/test_worker_slots.py
+++ b/redwingplank/cell/tests/test_worker_slots.py
@@ -36,6 +36,7 @@
         self.under_way: Counter[str] = Counter()
         self.most_under_way: Counter[str] = Counter()
         self.calls: Counter[str] = Counter()
+        self.broken_by_worker: Counter[str] = Counter()
 
     async def start(self, worker, command, timeout_s) -> StartOutcome:
         is_answered = await self._call(worker, "start")
@@ -63,11 +64,11 @@
 class Owner:
     """An owner with planned starts, and the calls that it makes to its workers."""
 
-    def __init__(self, monkeypatch, worker_count: int = 1) -> None:
+    def __init__(self, monkeypatch, worker_count: int = 1, workers: Workers | None = None) -> None:
         loop = asyncio.get_running_loop()
         for module in (worker_commands, worker_poller):
             monkeypatch.setattr(module, "now_s", lambda: 101.0 + loop.time())
-        self.workers = Workers()
+        self.workers = workers or Workers()
         cell = make_cell(worker_count)
         cell.submit(make_job("a", step(TASKS * worker_count, cpu=500), at_s=cell.now_s))
         commands = cell.owner.tick(cell.now_s, cell.now_s)
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -1,6 +1,7 @@
 """Sends an owner's commands to workers and reports their outcomes to the owner."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 from redwingplank.batch.commands import PaceRun
 from redwingplank.batch.entities import Run
@@ -85,6 +86,16 @@
         self._membership.give_up_ownership("fenced_by_worker")
         return True
 
+    @asynccontextmanager
+    async def hold_connection(self, worker_id: str) -> AsyncIterator[None]:
+        """Hold one of the connections to a worker during a call that it answers at once."""
+        broken = self._context.workers.broken_by_worker
+        async with self.slots.for_command(worker_id, now_s):
+            broken_before = broken[worker_id]
+            yield
+            if broken[worker_id] > broken_before:
+                self.slots.mark_broken(worker_id, now_s())
+
     async def start(self, run: Run) -> None:
         """Send the command to start a planned run, unless the run was dropped meanwhile.
 
@@ -92,7 +103,7 @@
         better planned elsewhere.
         """
         queued_s = now_s()
-        async with self.slots.of_worker(run.worker.id):
+        async with self.hold_connection(run.worker.id):
             unanswered_s = self._unanswered_s_by_worker.get(run.worker.id, float("-inf"))
             if unanswered_s < queued_s:
                 await self._send_start(run)
@@ -139,7 +150,7 @@
             return
         self._stops_under_way.add(run)
         try:
-            async with self.slots.of_worker(run.worker.id):
+            async with self.hold_connection(run.worker.id):
                 await self._send_stop(run)
         finally:
             self._stops_under_way.discard(run)
@@ -163,7 +174,7 @@
 
     async def pace(self, pace: PaceRun) -> None:
         """Send the command to run at a percentage of full speed."""
-        async with self.slots.of_worker(pace.run.worker.id):
+        async with self.hold_connection(pace.run.worker.id):
             await self._send_pace(pace)
 
     async def _send_pace(self, pace: PaceRun) -> None:
--- a/redwingplank/cell/worker_poller.py
+++ b/redwingplank/cell/worker_poller.py
@@ -22,6 +22,8 @@
 LOSSY_POLL_WAIT_MS = 400
 """The same shortly after an unanswered start: a lost poll delays the owner's view of the worker by
 this time."""
+CROWDED_POLL_WAIT_MS = 200
+"""The same while commands wait for the connection of the poll."""
 LOSSY_S = 3.0
 """After an unanswered start, further messages are likely to be lost for this long."""
 FIRST_POLL_WAIT_MS = 0
@@ -80,7 +82,7 @@
             self._tasks.start(self._poll_at_once(worker))
 
     async def _poll_at_once(self, worker: Worker) -> None:
-        async with self._orders.slots.of_worker(worker.id):
+        async with self._orders.hold_connection(worker.id):
             self._queued_ids.discard(worker.id)
             await self._poll(worker, FIRST_POLL_WAIT_MS)
 
@@ -89,7 +91,8 @@
         state = self._owner.state
         try:
             while state.workers_by_id.get(worker.id) is worker:
-                had_completions = await self._poll(worker, wait_ms)
+                async with self._orders.slots.for_waiting_poll(worker.id):
+                    had_completions = await self._poll(worker, wait_ms)
                 if had_completions is None:
                     if wait_ms == FIRST_POLL_WAIT_MS:
                         await asyncio.sleep(UNREACHABLE_BACKOFF_S)
@@ -104,6 +107,8 @@
             self._polled_ids.discard(worker.id)
 
     def _choose_wait_ms(self, worker: Worker) -> int:
+        if self._orders.slots.is_crowded(worker.id, now_s()):
+            return CROWDED_POLL_WAIT_MS
         if not worker.runs_by_key:
             return IDLE_POLL_WAIT_MS
         is_lossy = now_s() - self._orders.last_unanswered_start_s < LOSSY_S
@@ -127,6 +132,7 @@
             return None
         except SiteError as error:
             self._context.log("hold_failed", worker=worker.id, error=error)
+            self._orders.slots.mark_unreachable(worker.id)
             self._owner.mark_worker_unreachable(worker, now_s())
             self._wake()
             return None
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -40,7 +40,19 @@
 
 
 class SiteError(RedwingError):
-    """A call to the platform was not answered."""
+    """A call to the platform was not answered.
+
+    Parameters
+    ----------
+    reason : str
+        What happened.
+    is_broken : bool
+        Whether the service refused or broke the connection, rather than stayed silent.
+    """
+
+    def __init__(self, reason: str, is_broken: bool = False) -> None:
+        self.is_broken = is_broken
+        super().__init__(reason)
 
 
 class NotSentError(SiteError):
@@ -169,10 +181,13 @@
             _record(trace, CallFailure.NOT_CONNECTED, error)
             if method in REPEATED_METHODS:
                 raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
-            raise NotSentError(f"cannot reach {address}: {error}") from error
+            is_refused = isinstance(error, aiohttp.ClientConnectorError)
+            raise NotSentError(f"cannot reach {address}: {error}", is_refused) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            _record(trace, _kind_of(error), error)
-            raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
+            kind = _kind_of(error)
+            _record(trace, kind, error)
+            reason = f"no answer from {address}{target}: {error!r}"
+            raise NoAnswerError(reason, kind is CallFailure.BROKEN) from error
 
     async def close(self) -> None:
         """Close all connections."""
--- a/redwingplank/platform/site/workers.py
+++ b/redwingplank/platform/site/workers.py
@@ -1,5 +1,7 @@
 """Client of the workers: commands, polls, and the entries that workers publish in the store."""
 
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Annotated
@@ -18,7 +20,13 @@
     WorkerEntry,
 )
 from redwingplank.core import InvalidValueError, UndecodableError, check_address, decode_json
-from redwingplank.platform.site.http import NoAnswerError, NotSentError, SiteClient
+from redwingplank.platform.site.http import (
+    NoAnswerError,
+    NotSentError,
+    Reply,
+    SiteClient,
+    SiteError,
+)
 
 __all__ = [
     "WORKER_ENTRIES_PREFIX",
@@ -126,6 +134,8 @@
     def __init__(self, client: SiteClient) -> None:
         self._client = client
         self.poll_count = 0
+        self.broken_by_worker: Counter[str] = Counter()
+        """Number of commands whose connection the worker refused or broke, by its id."""
 
     async def start(
         self, worker: WorkerEntry, command: StartCommand, timeout_s: float
@@ -150,14 +160,7 @@
             body["ticket"] = command.ticket
         headers = {"X-Redwingplank-Expect-Instance": worker.worker_id}
         try:
-            reply = await self._client.call(
-                "POST",
-                worker.address,
-                "/-/run-start",
-                timeout_s,
-                msgspec.json.encode(body),
-                headers,
-            )
+            reply = await self._command(worker, "/-/run-start", timeout_s, body, headers)
         except NotSentError:
             return StartOutcome.NOT_SENT
         except NoAnswerError:
@@ -183,9 +186,7 @@
         """
         body = {"task": format_task(task), "attempt": attempt, "fencing_token": token}
         headers = {"X-Redwingplank-Expect-Instance": worker.worker_id}
-        reply = await self._client.call(
-            "POST", worker.address, "/-/run-stop", timeout_s, msgspec.json.encode(body), headers
-        )
+        reply = await self._command(worker, "/-/run-stop", timeout_s, body, headers)
         if reply.status == 409 and _read_reason(reply.body) == "fence":
             raise FencedError(worker.worker_id)
         return reply.is_ok
@@ -211,11 +212,26 @@
             "percent": percent,
             "fencing_token": token,
         }
-        reply = await self._client.call(
-            "POST", worker.address, "/-/pace", timeout_s, msgspec.json.encode(body)
-        )
+        reply = await self._command(worker, "/-/pace", timeout_s, body)
         return reply.is_ok
 
+    async def _command(
+        self,
+        worker: WorkerEntry,
+        target: str,
+        timeout_s: float,
+        body: Mapping[str, object],
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply:
+        content = msgspec.json.encode(body)
+        try:
+            return await self._client.call(
+                "POST", worker.address, target, timeout_s, content, headers
+            )
+        except SiteError as error:
+            self.broken_by_worker[worker.worker_id] += error.is_broken
+            raise
+
     async def poll(
         self,
         worker: WorkerEntry,
