--- a/redwingplank/cell/tests/test_broken_off_polls.py
+++ b/redwingplank/cell/tests/test_broken_off_polls.py
@@ -5,7 +5,7 @@
 import pytest
 
 from redwingplank.cell.tests.test_worker_slots import Owner
-from redwingplank.platform.site.http import BrokenOffError, NoAnswerError, NotSentError
+from redwingplank.platform.site.http import NoAnswerError, NotSentError
 from redwingplank.standin.virtual_time import run_virtual
 
 
@@ -36,7 +36,7 @@
 class TestPollsAfterAStart:
     # Guards against a crash under a task that the next owner can't tell from one after its end.
     def test_that_are_broken_off_store_the_begin(self, monkeypatch):
-        found = run_virtual(poll_after_start(monkeypatch, BrokenOffError("reset")))
+        found = run_virtual(poll_after_start(monkeypatch, NoAnswerError("reset", is_broken=True)))
         assert found == (True, True)
 
     # Guards against a worker that is only cut off being taken for one that crashed.
--- a/redwingplank/platform/site/http.py
+++ b/redwingplank/platform/site/http.py
@@ -1,5 +1,6 @@
 """HTTP client for all services of the platform; each kind of failure has an exception type."""
 
+import asyncio
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -39,7 +40,19 @@
 
 
 class SiteError(RedwingError):
-    """A call to the platform was not answered."""
+    """A call to the platform was not answered.
+
+    Parameters
+    ----------
+    reason : str
+        What happened.
+    is_broken : bool
+        Whether the service refused or broke the connection, rather than stayed silent.
+    """
+
+    def __init__(self, reason: str, is_broken: bool = False) -> None:
+        self.is_broken = is_broken
+        super().__init__(reason)
 
 
 class NotSentError(SiteError):
@@ -50,10 +63,6 @@
     """The call was sent without a usable answer: it may have taken effect, or may do so later."""
 
 
-class BrokenOffError(NoAnswerError):
-    """The connection ended before the answer: the process has ended, or the channel was reset."""
-
-
 @dataclass(frozen=True, slots=True)
 class Reply:
     """Status and body of an HTTP response."""
@@ -140,9 +149,10 @@
             The connection broke, a time-out expired, or the answer is too long.
         """
         sent_headers = {"Content-Type": "application/json", **(headers or {})}
-        if on_headers is None:
-            timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        else:
+        # The `total` of aiohttp would lose a cancellation of the task that comes with the time-out.
+        whole_s = timeout_s if on_headers is None else None
+        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+        if on_headers is not None:
             timeout = aiohttp.ClientTimeout(
                 connect=timeout_s, sock_connect=CONNECT_TIMEOUT_S, sock_read=timeout_s
             )
@@ -150,15 +160,18 @@
         trace = current_trace()
         session = self._session if trace is None else self._traced_session
         try:
-            async with session.request(
-                method,
-                url,
-                data=body,
-                headers=sent_headers,
-                timeout=timeout,
-                allow_redirects=False,
-                trace_request_ctx=trace,
-            ) as response:
+            async with (
+                asyncio.timeout(whole_s),
+                session.request(
+                    method,
+                    url,
+                    data=body,
+                    headers=sent_headers,
+                    timeout=timeout,
+                    allow_redirects=False,
+                    trace_request_ctx=trace,
+                ) as response,
+            ):
                 if trace is not None:
                     trace.status = response.status
                 if on_headers is not None and _is_answer(response.status):
@@ -168,12 +181,13 @@
             _record(trace, CallFailure.NOT_CONNECTED, error)
             if method in REPEATED_METHODS:
                 raise NoAnswerError(f"no answer from {address}{target}: {error!r}") from error
-            raise NotSentError(f"cannot reach {address}: {error}") from error
+            is_refused = isinstance(error, aiohttp.ClientConnectorError)
+            raise NotSentError(f"cannot reach {address}: {error}", is_refused) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             kind = _kind_of(error)
             _record(trace, kind, error)
-            error_type = BrokenOffError if kind is CallFailure.BROKEN else NoAnswerError
-            raise error_type(f"no answer from {address}{target}: {error!r}") from error
+            reason = f"no answer from {address}{target}: {error!r}"
+            raise NoAnswerError(reason, kind is CallFailure.BROKEN) from error
 
     async def close(self) -> None:
         """Close all connections."""
--- a/redwingplank/platform/site/tests/test_http.py
+++ b/redwingplank/platform/site/tests/test_http.py
@@ -5,12 +5,14 @@
 
 import pytest
 
-from redwingplank.platform.site.http import BrokenOffError, NoAnswerError, Reply, SiteClient
+from redwingplank.platform.site.http import NoAnswerError, Reply, SiteClient
+from redwingplank.platform.tests.cancelled_call import cancel_beside_time_out
 
 PARTS = 9
 PART_INTERVAL_S = 0.25
 TIMEOUT_S = 2.0
 """Shorter than the transfer of all parts, and much longer than the interval between two."""
+LATE_S = 60.0
 
 Writer = asyncio.StreamWriter
 
@@ -85,11 +87,12 @@
     # Guards against the end of a process that is taken for a time-out, or the reverse.
     @pytest.mark.parametrize("method", ["GET", "POST"])
     def test_is_told_from_a_time_out(self, method):
-        with pytest.raises(BrokenOffError):
+        with pytest.raises(NoAnswerError) as broken:
             asyncio.run(call(send_and_close, TIMEOUT_S, None, method=method))
-        with pytest.raises(NoAnswerError) as caught:
+        with pytest.raises(NoAnswerError) as timed_out:
             asyncio.run(call(send_half, 0.2, None, method=method))
-        assert caught.type is NoAnswerError
+        assert broken.value.is_broken
+        assert not timed_out.value.is_broken
 
 
 class TestBeginOfAnAnswer:
@@ -106,3 +109,26 @@
         begun = []
         asyncio.run(call(send_at_once, TIMEOUT_S, lambda: begun.append(True), status))
         assert begun == [True]
+
+
+async def call_and_cancel(delay_s: float) -> str:
+    async def make_call(address: str, timeout_s: float) -> None:
+        client = SiteClient()
+        try:
+            await client.call("POST", address, "/", timeout_s, b"{}")
+        finally:
+            await client.close()
+
+    return await cancel_beside_time_out(make_call, delay_s)
+
+
+class TestCancellation:
+    # Guards against a task that goes on for ever after it was cancelled, as a paused process that
+    # wakes finds the time-out of the task's call due as well.
+    @pytest.mark.parametrize("delay_s", [-0.05, 0.0, 0.05])
+    def test_beside_the_time_out_of_the_call_is_not_lost(self, delay_s):
+        assert asyncio.run(call_and_cancel(delay_s)) == "cancelled"
+
+    # Guards against a time-out that ends the task of its call.
+    def test_is_not_what_a_time_out_looks_like(self):
+        assert asyncio.run(call_and_cancel(LATE_S)) == "NoAnswerError"
