--- a/redwingplank/cell/tests/test_crowded_workers.py
+++ b/redwingplank/cell/tests/test_crowded_workers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from redwingplank.batch.model import PollReport, StartAnswer
+from redwingplank.batch.model import PollReport, StartAnswer, StartOutcome
 from redwingplank.cell.tests.test_worker_slots import ANSWER_S, TASKS, Owner, Workers
 from redwingplank.cell.worker_slots import COMMAND_SLOTS, CROWDED_S
 from redwingplank.platform.site.http import NoAnswerError
@@ -23,7 +23,7 @@
 
     async def start(self, worker, command, timeout_s) -> StartAnswer:
         if self._is_full(worker):
-            return StartAnswer.UNKNOWN
+            return StartAnswer(StartOutcome.UNKNOWN)
         return await super().start(worker, command, timeout_s)
 
     async def stop(self, worker, task, attempt, token, timeout_s) -> bool:
