--- a/redwingplank/cell/worker_slots.py
+++ b/redwingplank/cell/worker_slots.py
@@ -8,12 +8,14 @@
 
 WORKER_CONNECTIONS = 64
 """Connections that a worker accepts from all nodes. Those of a VM that lost power count too."""
-LOST_OWNERS = 31
+LOST_OWNERS = 15
 """Number of owners that may be lost without closing their connections."""
 CONNECTIONS_PER_OWNER = WORKER_CONNECTIONS // (LOST_OWNERS + 1)
 COMMAND_SLOTS = CONNECTIONS_PER_OWNER - 1
-"""One connection is that of the poll that waits at the worker. The rest is for calls that are
-answered at once, within 5 ms."""
+"""The last connection is that of the poll that waits at the worker, and the others are kept for
+calls that are answered at once."""
+
+
 CROWDED_S = 10.0
 """For so long after a command found no connection, calls to the worker share one."""
 
