--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -23,6 +23,13 @@
     def submit_lasting(self, name="a"):
         self.cell.submit(make_job(name, step(1, 8000, is_lasting=True), queue="watch"))
 
+    def submit_late(self, late_s):
+        """Submit a job with one task that lasts, whose start is carried out late."""
+        self.cell.calls.late_s = late_s
+        self.submit_lasting()
+        self.cell.run_for(0.1)
+        self.cell.calls.late_s = None
+
     def start_lasting(self, name="a"):
         """Submit a job with one task that lasts, and wait until it runs on the first worker."""
         self.submit_lasting(name)
@@ -122,10 +129,7 @@
     @pytest.mark.parametrize("late_s", [2.0, 4.0, 12.0])
     def test_is_waited_for_while_the_worker_is_cut_off(self, late_s):
         world = RestartingCell()
-        world.cell.calls.late_s = late_s
-        world.submit_lasting()
-        world.cell.run_for(0.1)
-        world.cell.calls.late_s = None
+        world.submit_late(late_s)
         world.cut_host()
         world.cell.run_for(0.8)
         world.crash_host()
@@ -138,10 +142,7 @@
     @pytest.mark.parametrize("late_s", [2.0, 4.0, 12.0])
     def test_is_refused_once_the_next_process_has_reported(self, late_s):
         world = RestartingCell()
-        world.cell.calls.late_s = late_s
-        world.submit_lasting()
-        world.cell.run_for(0.1)
-        world.cell.calls.late_s = None
+        world.submit_late(late_s)
         world.crash_host()
         world.open_other()
         world.cell.run_for(late_s + 3.0)
@@ -154,10 +155,7 @@
     # call has been sent there since the first one.
     def test_does_not_lengthen_the_wait(self):
         world = RestartingCell()
-        world.cell.calls.late_s = 2.0
-        world.submit_lasting()
-        world.cell.run_for(0.1)
-        world.cell.calls.late_s = None
+        world.submit_late(2.0)
         world.cut_host()
         world.open_other()
         world.cell.run_for(0.8)
@@ -254,18 +252,11 @@
 
 
 class TestRunFoundInARestartedProcess:
-    def delay_start(self, world, late_s):
-        """Submit a task that lasts, whose start is carried out late."""
-        world.cell.calls.late_s = late_s
-        world.submit_lasting()
-        world.cell.run_for(0.1)
-        world.cell.calls.late_s = None
-
     # Guards against a next owner that knows neither of the restart nor of the unanswered start.
     @pytest.mark.parametrize("late_s", [3.0, 12.0])
     def test_is_waited_for_by_a_next_owner_that_is_not_told_of_the_restart(self, late_s):
         world = RestartingCell()
-        self.delay_start(world, late_s)
+        world.submit_late(late_s)
         world.cut_host()
         world.cell.run_for(0.8)
         world.crash_host()
@@ -280,7 +271,7 @@
     # Guards against a next owner that takes a run found by the last one for a granted lease.
     def test_is_waited_for_by_the_next_owner_after_it_was_found(self):
         world = RestartingCell()
-        self.delay_start(world, 0.3)
+        world.submit_late(0.3)
         world.crash_host()
         world.cell.run_for(0.7)
         assert world.host.runs
@@ -294,7 +285,7 @@
     # Guards against a wait for the longest lease that goes on long after that lease has ended.
     def test_is_waited_for_no_longer_once_its_lease_is_over(self):
         world = RestartingCell()
-        self.delay_start(world, 0.3)
+        world.submit_late(0.3)
         world.crash_host()
         world.wait_for_run()
         world.cell.run_for(12.0)
@@ -410,10 +401,7 @@
     # for a granted one.
     def test_is_waited_for_by_the_owner_after_it(self):
         world = RestartingCell()
-        world.cell.calls.late_s = 0.3
-        world.submit_lasting()
-        world.cell.run_for(0.1)
-        world.cell.calls.late_s = None
+        world.submit_late(0.3)
         world.crash_host()
         world.cut_host()
         world.replace_owner()
@@ -431,10 +419,7 @@
     # Guards against a mark that the next owner doesn't heed once the process has reported.
     def test_is_waited_for_by_an_owner_that_was_told_of_it(self):
         world = RestartingCell()
-        world.cell.calls.late_s = 0.3
-        world.submit_lasting()
-        world.cell.run_for(0.1)
-        world.cell.calls.late_s = None
+        world.submit_late(0.3)
         world.crash_host()
         world.cell.run_for(0.7)
         assert world.host.runs
@@ -464,18 +449,12 @@
 
 
 class TestUnansweredStart:
-    def delay_start(self, world, late_s):
-        world.cell.calls.late_s = late_s
-        world.submit_lasting()
-        world.cell.run_for(0.1)
-        world.cell.calls.late_s = None
-
     # Guards against an unanswered start that counts as lost with the lease of the process that it
     # was sent to, although the next process may still carry it out.
     @pytest.mark.parametrize("late_s", [10.0, 12.0])
     def test_is_waited_for_if_the_worker_restarts_after_its_lease(self, late_s):
         world = RestartingCell()
-        self.delay_start(world, late_s)
+        world.submit_late(late_s)
         world.cut_host()
         world.open_other()
         world.cell.run_for(8.5)
@@ -487,7 +466,7 @@
     @pytest.mark.parametrize("late_s", [4.0, 12.0])
     def test_is_waited_for_if_nobody_sees_the_restart(self, late_s):
         world = RestartingCell()
-        self.delay_start(world, late_s)
+        world.submit_late(late_s)
         world.cut_host()
         world.open_other()
         world.host.is_listed = False
@@ -500,7 +479,7 @@
     @pytest.mark.parametrize("late_s", [4.0, 12.0])
     def test_is_waited_for_by_a_next_owner_if_nobody_sees_the_restart(self, late_s):
         world = RestartingCell()
-        self.delay_start(world, late_s)
+        world.submit_late(late_s)
         world.cut_host()
         world.open_other()
         world.host.is_listed = False
@@ -516,10 +495,7 @@
     # Guards against a wait for late calls to a process that the last owner has fenced.
     def test_is_no_longer_than_the_lease_that_its_process_took(self):
         world = RestartingCell()
-        world.cell.calls.late_s = 0.3
-        world.submit_lasting()
-        world.cell.run_for(0.1)
-        world.cell.calls.late_s = None
+        world.submit_late(0.3)
         world.crash_host()
         world.wait_for_run()
         world.cell.run_for(1.5)
