--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -1011,8 +1011,8 @@
     # Guards against refused jobs that run, second runs, lost jobs and runs that nobody asked for,
     # with real processes.
     # The plans of these seeds have all kinds of faults of workers near refusals to the owner, and
-    # workers that are cut off soon after a restart. That of 1683 has lost answers of the store, busy
-    # refusals, pauses and changes of the configuration.
+    # workers that are cut off soon after a restart. That of 1683 has lost answers and refusals of
+    # the store, pauses and changes of the configuration.
     @pytest.mark.parametrize("seed", [1259, 1683, 2337])
     def test_no_rule_is_broken(self, tmp_path, seed):
         options = SoakOptions(seed=seed, length_s=12.0, nodes=3, tree=ROOT, folder=tmp_path)
