--- a/review/standins3/cell.py
+++ b/review/standins3/cell.py
@@ -77,6 +77,7 @@
     """A node, and the address at which clients reach it."""
 
     def __init__(self, cell: "Cell", number: int) -> None:
+        self.cell = cell
         self.name = f"edge-{ZONES[number % 3]}-{number + 1}"
         self.ip = f"127.{cell.net[0]}.{cell.net[1]}.{number + 1}"
         front, ready, control, peers = free_ports(self.ip, 4)
@@ -107,7 +108,9 @@
         self.settings.write_text(json.dumps(settings), encoding="utf-8")
 
     def start(self) -> None:
-        """Start its process with the command of the deploy file."""
+        """Start its process with the command of the deploy file, unless the script ends."""
+        if self.cell.is_stopped:
+            return
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
         command = deploy["roles"]["node"]["run"].split()
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -135,6 +138,85 @@
         return 0.0
 
 
+class Link:
+    """What nodes send to a worker passes here: it can be cut, and it can hold back a start.
+
+    Parameters
+    ----------
+    cell : Cell
+        The deployment.
+    worker, target : str
+        The worker and its own address.
+    address : str
+        Address that the worker publishes.
+    """
+
+    def __init__(self, cell: "Cell", worker: str, target: str, address: str) -> None:
+        self.cell, self.worker, self.target, self.address = cell, worker, target, address
+        self.is_cut = False
+        self.holds_starts_of = ""
+        """Payload of the job of which the first start is held back, empty for none."""
+        self.held: tuple[wire.Request, float] | None = None
+        self.started: list[tuple[str, float]] = []
+        """Tasks of the starts that the worker has accepted, with their times."""
+        self.broken = asyncio.Event()
+        """Set while the link resets what it carries."""
+        self.never = asyncio.Event()
+        """Never set: what waits for it gets no answer."""
+
+    async def serve(self) -> None:
+        """Serve until the script ends."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await wire.serve(self._pass_on, host, int(port))
+
+    async def _pass_on(self, request: wire.Request) -> tuple[int, dict[str, Any]]:
+        is_start = request.path == "/-/run-start"
+        is_held = any(link.held is not None for link in (self.cell.links or {}).values())
+        if is_start and request.body["spec"] == self.holds_starts_of and not is_held:
+            self.held = request, time.monotonic()
+            self.cell.note(f"{self.worker} leaves the start {request.body} unanswered")
+            await self.never.wait()
+        await self._pass_cut()
+        passing = asyncio.ensure_future(self.carry_out(request))
+        breaking = asyncio.ensure_future(self.broken.wait())
+        await asyncio.wait([passing, breaking], return_when=asyncio.FIRST_COMPLETED)
+        breaking.cancel()
+        await self._pass_cut()
+        status, body = await passing
+        await self._pass_cut()
+        if status is None:
+            await self.never.wait()
+        if is_start and status == 200:
+            self.started.append((request.body["task"], time.monotonic()))
+        return status or 503, body or {}
+
+    async def _pass_cut(self) -> None:
+        """Go on if the link is not cut; else reset the connection, or wait for ever."""
+        if self.is_cut and self.broken.is_set():
+            raise wire.BrokenLinkError
+        if self.is_cut:
+            await self.never.wait()
+
+    def cut(self, is_reset: bool = False) -> None:
+        """Cut the link; connections and calls are reset, or left without an answer."""
+        self.is_cut = True
+        if is_reset:
+            self.broken.set()
+
+    def heal(self) -> None:
+        """Let calls pass again."""
+        self.is_cut = False
+        self.broken.clear()
+
+    async def carry_out(self, request: wire.Request) -> tuple[int | None, Any]:
+        """Let the worker carry out a request, whoever waits for the answer."""
+        name = "x-redwingplank-expect-instance"
+        headers = {name: request.headers[name]} if name in request.headers else {}
+        return await wire.call(
+            self.target, request.method, request.path, request.body, "", 5.0, headers
+        )
+
+
 class Cell:
     """A small deployment and its clients."""
 
@@ -154,6 +236,10 @@
         self.routes: list[dict[str, Any]] = []
         self._tasks: list[asyncio.Task] = []
         self._server: asyncio.Server | None = None
+        self.links: dict[str, Link] | None = None
+        """The links to the workers, by their names; None if nodes reach them directly."""
+        self.is_stopped = False
+        """Whether the script ends, so that nothing is started any more."""
         self.is_killing_large = False
         """Whether a node over its memory limit is killed, and started again."""
 
@@ -173,6 +259,8 @@
         self.put_config()
         for name, entry in workers.items():
             self.add_worker(name, entry)
+        for link in (self.links or {}).values():
+            await link.serve()
         for node in self.nodes:
             node.start()
         until_s = time.monotonic() + 25
@@ -221,6 +309,10 @@
     def add_worker(self, name: str, entry: dict[str, Any]) -> None:
         """Start a worker for the first time."""
         address = f"{self.ip}:{free_ports(self.ip, 1)[0]}"
+        if self.links is not None:
+            link = Link(self, name, address, f"{self.ip}:{free_ports(self.ip, 1)[0]}")
+            self.links[name] = link
+            entry = {**entry, "address": link.address}
         number = len(self._worker_arguments)
         full = {
             "service": SERVICE, "zone": ZONES[number % 3],
@@ -234,6 +326,8 @@
 
     def start_worker(self, name: str) -> None:
         """Start a process of a worker, at the address that it has."""
+        if self.is_stopped:
+            return
         command = [sys.executable, str(HERE / "worker.py"), *self._worker_arguments[name]]
         self.workers[name] = subprocess.Popen(command, cwd=HERE, stdin=subprocess.DEVNULL)
 
@@ -317,7 +411,8 @@
         path.write_text("\n".join([*lines, verdict, ""]), encoding="utf-8")
 
     def stop(self) -> None:
-        """End every process that was started."""
+        """End every process that was started, and start no further one."""
+        self.is_stopped = True
         for task in self._tasks:
             task.cancel()
         if self._server is not None:
--- a/review/standins3/wire.py
+++ b/review/standins3/wire.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -11,6 +13,10 @@
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 409: "Conflict"}
 
 
+class BrokenLinkError(Exception):
+    """The connection of a request is to be reset."""
+
+
 @dataclass
 class Request:
     """One request: its method, path, query, headers (lower case) and JSON body."""
@@ -51,6 +57,10 @@
                 + data
             )
             await writer.drain()
+    except BrokenLinkError:
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
     except (asyncio.CancelledError, asyncio.IncompleteReadError, OSError):
         # The client has gone, or the script ends.
         pass
@@ -75,6 +85,7 @@
     body: Any = None,
     host: str = "",
     timeout_s: float = 3.0,
+    headers: dict[str, str] | None = None,
 ) -> tuple[int | None, Any]:
     """Send one request on a connection of its own; return (None, None) without an answer."""
     data = json.dumps(body, separators=(",", ":")).encode() if body is not None else b""
@@ -85,6 +96,7 @@
         f"Content-Length: {len(data)}",
         f"X-Redwingplank-Deadline-Ms: {round(timeout_s * 1000)}",
         "Connection: close",
+        *(f"{name}: {value}" for name, value in (headers or {}).items()),
     ]
     ip, _, port = address.rpartition(":")
     writer = None
