An unanswered start is waited for until no process can carry it out

Cause: a run on a silent worker was given up as soon as the lease granted to its process was over (6.8 s). A lease bounds what that process may do. A process that restarts behind the cut carries the start out up to 12 s late, and takes the longest lease.

Change: a run whose start no known process has answered stays until 12 s of lateness and the longest lease are over (18.4 s with leases of 6 s, 22.5 s with 10 s), or until a call reaches the worker. For a worker that is not listed the wait ends after 14 s, as a process that began within the 12 s would be listed by then. The record of a job tells which starts have no answer, so that the next owner waits for these. Tasks that last wait so for listed workers only: one that is gone for good is silent and not listed, and its tasks have to run again within 9 s. Steps that may be copied wait as before.

--- a/redwingplank/batch/accepted_jobs.py
+++ b/redwingplank/batch/accepted_jobs.py
@@ -2,7 +2,7 @@
 
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
-from redwingplank.batch.entities import Job, Step
+from redwingplank.batch.entities import InheritedStarts, Job, Step
 from redwingplank.batch.model import Incarnation, JobSpec, JobState
 from redwingplank.batch.occurrences import add_due_steps, add_occurrence
 from redwingplank.batch.overload import Overload
@@ -73,12 +73,23 @@
         state.unconfirmed_hosts[worker_id] = max(
             until_s, state.unconfirmed_hosts.get(worker_id, until_s)
         )
+        charged_until_s = until_s
+        if host in step.unanswered:
+            charged_until_s = max(until_s, self._inherit_starts(InheritedStarts(step, host), now_s))
         task_count = step.hosts[host].bit_count()
         state.inherited_tasks_by_host[worker_id] += task_count
-        state.organisations.charge_host(worker_id, step, task_count, until_s)
+        state.organisations.charge_host(worker_id, step, task_count, charged_until_s)
         task_ids = [task.id for task in step.hosted_tasks(host)]
         self._crashes.remember_inherited_tasks(host, task_ids)
 
+    def _inherit_starts(self, starts: InheritedStarts, now_s: float) -> float:
+        """Remember unanswered starts; return the time after which nothing of them runs."""
+        state = self._state
+        state.inherited_starts_by_host.setdefault(starts.host.worker_id, []).append(starts)
+        sent_s = now_s + state.settings.command_silence_s
+        state.latest_inherited_start_s = max(state.latest_inherited_start_s, sent_s)
+        return sent_s + state.settings.restarted_wait_s
+
     def _restore_progress(self, job: Job, progress: bytes) -> None:
         try:
             for _ in range(count_recorded_occurrences(progress)):
--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -67,6 +67,8 @@
         if run.state in (RunState.STARTING, RunState.UNCONFIRMED):
             run.state = RunState.RUNNING
             run.is_accepted = True
+            if run.is_in_known_process:
+                self._state.note_begun(run)
             run.resolved_s = now_s
             run.started_s = run.progressed_s = now_s
             self._state.interference.neighbours.mark_started(run, now_s)
--- a/redwingplank/batch/crashes.py
+++ b/redwingplank/batch/crashes.py
@@ -55,10 +55,17 @@
         for lost in self._judge_runs(worker, now_s):
             self._count(lost, worker.id, now_s)
 
-    def remember_lost_runs(self, worker: Worker, now_s: float) -> None:
-        """Remember the runs of an unreachable worker, in case that its process has crashed."""
-        if not worker.entry.is_draining:
-            self._lost_runs_of(worker.incarnation).extend(self._judge_runs(worker, now_s))
+    def remember_lost_runs(self, worker: Worker, runs: list[Run], now_s: float) -> None:
+        """Remember runs of an unreachable worker, in case that its process has crashed.
+
+        Call it before these runs are released.
+        """
+        if worker.entry.is_draining or not runs:
+            return
+        task_ids = {run.task_id for run in runs}
+        judged = self._judge_runs(worker, now_s)
+        lost_runs = self._lost_runs_of(worker.incarnation)
+        lost_runs.extend(lost for lost in judged if lost.task_id in task_ids)
 
     def remember_broken_off(self, worker: Worker) -> None:
         """Let a next owner know what had just begun on a worker that broke off a poll.
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -18,6 +18,8 @@
 
 __all__ = [
     "PROBATION_S",
+    "HostedTasks",
+    "InheritedStarts",
     "Job",
     "LostRun",
     "Run",
@@ -250,6 +252,7 @@
         "spec",
         "tasks",
         "tickets_by_worker",
+        "unanswered",
         "undone_count",
     )
 
@@ -266,6 +269,8 @@
         self.restarted_hosts: set[Incarnation] = set()
         """Hosts whose processes may have a lease that they took by themselves, so that it may last
         for longer than those which owners grant."""
+        self.unanswered: dict[Incarnation, int] = {}
+        """Bit set, by host, of the tasks whose starts there have not been answered."""
         self.begun_by_broken_host: dict[Incarnation, int] = {}
         """Bit set, by incarnation that broke off a poll, of the tasks that had just begun there."""
         self.tickets_by_worker: dict[str, Ticket] = {}
@@ -312,13 +317,29 @@
         else:
             self.hosts.pop(host, None)
             self.restarted_hosts.discard(host)
-        self._keep_begun(host, left)
+        self._keep_details(host, left)
         return left != bits
 
-    def _keep_begun(self, host: Incarnation, bits: int) -> None:
-        left = self.begun_by_broken_host.pop(host, 0) & bits
+    def _keep_details(self, host: Incarnation, bits: int) -> None:
+        """Forget what is known of a host beyond the tasks that it may still run."""
+        for bits_by_host in (self.begun_by_broken_host, self.unanswered):
+            left = bits_by_host.pop(host, 0) & bits
+            if left:
+                bits_by_host[host] = left
+
+    def add_unanswered(self, host: Incarnation, task_id: TaskId) -> bool:
+        """Record a start on a host before it is sent; return whether it was not recorded."""
+        bits = self.unanswered.get(host, 0)
+        self.unanswered[host] = bits | 1 << task_id.position
+        return self.unanswered[host] != bits
+
+    def note_answered(self, host: Incarnation, task_id: TaskId) -> bool:
+        """Record that a process has begun with a task; return whether this was not recorded."""
+        bits = self.unanswered.pop(host, 0)
+        left = bits & ~(1 << task_id.position)
         if left:
-            self.begun_by_broken_host[host] = left
+            self.unanswered[host] = left
+        return left != bits
 
     def add_begun(self, host: Incarnation, task_id: TaskId) -> bool:
         """Record that a task had just begun on a host that broke off a poll.
@@ -354,7 +375,7 @@
                 self.hosts[host] = left
             else:
                 self.restarted_hosts.discard(host)
-            self._keep_begun(host, left)
+            self._keep_details(host, left)
             is_changed |= left != bits
         return is_changed
 
@@ -382,6 +403,13 @@
         )
 
 
+class InheritedStarts(NamedTuple):
+    """Starts of tasks of a step that an earlier owner sent to a host, and that had no answer."""
+
+    step: Step
+    host: Incarnation
+
+
 class Job:
     """A job and its progress."""
 
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -10,6 +10,7 @@
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import Job, Run, RunState
+from redwingplank.batch.late_starts import LateStarts
 from redwingplank.batch.model import (
     CellConfig,
     JobSpec,
@@ -88,14 +89,15 @@
         self._completions = Completions(self.state)
         self._crashes = Crashes(self.state)
         self._outcomes = CommandOutcomes(self.state)
-        self._reports = Reports(self.state, self._completions, self._crashes)
+        late_starts = LateStarts(self.state)
+        self._reports = Reports(self.state, self._completions, self._crashes, late_starts)
         self._placement = Placement(self.state)
         self._tickets = Tickets(self.state, self._placement)
         self._overload = Overload(self.state)
         self._accepted = AcceptedJobs(self.state, self._completions, self._crashes, self._overload)
         self._starter = Starter(self.state, self._placement, self._tickets, self._overload)
         self._pacing = Pacing(self.state)
-        self._watchdog = Watchdog(self.state, self._reports)
+        self._watchdog = Watchdog(self.state, self._reports, late_starts)
         self._last_check_s = float("-inf")
         self._last_pass_s = float("-inf")
 
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -37,6 +37,9 @@
     begun: dict[str, str] = {}
     """Bit set of the tasks that had just begun on an incarnation when it broke off a poll, as in
     `hosts`."""
+    unanswered: dict[str, str] = {}
+    """Bit set of the tasks whose starts on an incarnation have not been answered, as in
+    `hosts`."""
 
 
 class _Progress(msgspec.Struct, omit_defaults=True):
@@ -80,7 +83,7 @@
         }
     elif job.keeps_hosts:
         progress.steps = {
-            f"{key.occurrence}.{key.step}": _StepRecord("", _encode_bits(step.hosts))
+            f"{key.occurrence}.{key.step}": _encode_hosts(step)
             for key, step in job.steps_by_key.items()
             if step.hosts
         }
@@ -145,15 +148,23 @@
             if task.unseen_crashes:
                 record.unseen_crashes[str(index)] = task.unseen_crashes
     record.begun = _encode_bits(step.begun_by_broken_host)
+    record.unanswered = _encode_bits(step.unanswered)
     record.done = f"{bits:x}"
     record.restarted_hosts.extend(_encode_host(host) for host in step.restarted_hosts)
     return record
 
 
+def _encode_hosts(step: Step) -> _StepRecord:
+    """Return the record of a step of a final job."""
+    hosts = _encode_bits(step.hosts)
+    return _StepRecord("", hosts, unanswered=_encode_bits(step.unanswered))
+
+
 def _restore_step(step: Step, record: _StepRecord) -> None:
     bits = int(record.done or "0", 16)
     step.hosts.update(_decode_bits(record.hosts))
     step.begun_by_broken_host.update(_decode_bits(record.begun))
+    step.unanswered.update(_decode_bits(record.unanswered))
     step.restarted_hosts.update(_decode_host(host) for host in record.restarted_hosts)
     for index, task in enumerate(step.tasks):
         if bits >> index & 1:
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -3,6 +3,7 @@
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import Run, RunState, Step, Task
+from redwingplank.batch.late_starts import LateStarts
 from redwingplank.batch.model import Amounts, PollReport, RunReport, WorkerEntry
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
@@ -24,10 +25,19 @@
         Applies the reported completions.
     crashes : Crashes
         Counts the crashes of workers against their tasks.
+    late_starts : LateStarts
+        Tells which starts without an answer may still be carried out.
     """
 
-    def __init__(self, state: OwnerState, completions: Completions, crashes: Crashes) -> None:
+    def __init__(
+        self,
+        state: OwnerState,
+        completions: Completions,
+        crashes: Crashes,
+        late_starts: LateStarts,
+    ) -> None:
         self._state = state
+        self._late_starts = late_starts
         self._crashes = crashes
         self._completions = completions
 
@@ -35,6 +45,7 @@
         """Apply the list of workers that the platform publishes."""
         state = self._state
         state.first_listed_s = min(state.first_listed_s, now_s)
+        state.last_listed_s = now_s
         listed = set()
         for entry in entries:
             listed.add(entry.worker_id)
@@ -181,7 +192,9 @@
             self._confirm_worker(worker, now_s)
 
     def _update_run(self, run: Run, row: RunReport, now_s: float) -> None:
-        run.is_listed = True
+        if not run.is_listed:
+            run.is_listed = True
+            self._state.note_begun(run)
         if row.percent != run.percent:
             run.percent = row.percent
             run.progressed_s = now_s
@@ -228,6 +241,7 @@
         step = job.steps_by_key[row.task.step_key]
         state.add_run(task, run)
         is_changed = step.add_host(worker.incarnation, row.task)
+        is_changed |= step.note_answered(worker.incarnation, row.task)
         if worker.taken_until_ms and worker.incarnation not in step.restarted_hosts:
             step.restarted_hosts.add(worker.incarnation)
             is_changed = True
@@ -275,16 +289,23 @@
                 self._state.reopen_step(task_id.step_key)
 
     def release_expired_runs(self, worker: Worker, now_s: float) -> None:
-        """Release the runs on an unreachable worker once its lease has certainly expired."""
+        """Release the runs on an unreachable worker once its lease has certainly expired.
+
+        Those whose starts may still be carried out by a next process stay for longer.
+        """
         settings = self._state.settings
         margin_ms = settings.lease_margin_s * 1000
         if not worker.is_unreachable or not worker.runs_by_key:
             return
         if not worker.is_confirmed and now_s < worker.unconfirmed_until_s:
             return
-        if worker.is_lease_expired(now_s, settings.max_clock_drift, margin_ms):
-            self._crashes.remember_lost_runs(worker, now_s)
-            self._release_all_runs(worker, now_s, "lease_over")
+        if not worker.is_lease_expired(now_s, settings.max_clock_drift, margin_ms):
+            return
+        runs = list(worker.runs_by_key.values())
+        over = [run for run in runs if not self._late_starts.may_begin(run, now_s)]
+        self._crashes.remember_lost_runs(worker, over, now_s)
+        for run in over:
+            self._release_run(run, now_s, "lease_over")
 
     def _release_all_runs(self, worker: Worker, now_s: float, reason: str) -> None:
         for run in list(worker.runs_by_key.values()):
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -38,6 +38,8 @@
         proved its ownership.
     call_lateness_s : float
         Longest time after which a worker may carry out a call that it did not answer.
+    listing_delay_s : float
+        Time after its start within which a worker is listed, as stated by the platform.
     stop_retry_s : float
         Time after which an unconfirmed stop command is repeated.
     failures_to_avoid : int
@@ -61,6 +63,7 @@
     lease_margin_s: float = 0.25
     owner_silence_s: float = 5.0
     call_lateness_s: float = 12.0
+    listing_delay_s: float = 2.0
     stop_retry_s: float = 0.25
     failures_to_avoid: int = 2
     avoid_s: float = 1.5
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -250,7 +250,9 @@
         state.add_run(task, run)
         self._placement.scores.forget_worker(worker)
         job = step.job
-        if step.add_host(worker.incarnation, task.id) or not job.is_started:
+        is_changed = step.add_host(worker.incarnation, task.id)
+        is_changed |= step.add_unanswered(worker.incarnation, task.id)
+        if is_changed or not job.is_started:
             job.is_started = True
             if not job.state.is_final:
                 job.state = JobState.RUNNING
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -6,7 +6,16 @@
 from typing import Any
 
 from redwingplank.batch.commands import Commands
-from redwingplank.batch.entities import HostedTasks, Job, LostRun, Run, RunState, Step, Task
+from redwingplank.batch.entities import (
+    HostedTasks,
+    InheritedStarts,
+    Job,
+    LostRun,
+    Run,
+    RunState,
+    Step,
+    Task,
+)
 from redwingplank.batch.fencing import TOKENS_PER_EPOCH
 from redwingplank.batch.interference import Interference
 from redwingplank.batch.model import (
@@ -66,6 +75,12 @@
         """Unix time at time 0, by the clock of this node."""
         self.first_listed_s = float("inf")
         """Time at which the first list of workers was applied."""
+        self.last_listed_s = float("-inf")
+        """Time at which the latest list of workers was applied."""
+        self.latest_inherited_start_s = float("-inf")
+        """Time until which earlier owners may have sent starts."""
+        self.inherited_starts_by_host: dict[str, list[InheritedStarts]] = {}
+        """Unanswered starts of earlier owners on a worker, by its id."""
         self.are_leases_bounded = False
         """Whether all earlier owners whose leases may last have kept to `proof_lease_s`."""
         self.unconfirmed_hosts: dict[str, float] = {}
@@ -231,6 +246,20 @@
                 step.restarted_hosts.remove(run.incarnation)
                 self.mark_dirty(job)
 
+    def note_begun(self, run: Run) -> None:
+        """Record that a known process has begun with a run.
+
+        A next owner is told of it at once only for tasks that last, which have to start again soon
+        after their worker is lost.
+        """
+        found = self.find_task(run.task_id)
+        if found is None:
+            return
+        job = found[0]
+        step = job.steps_by_key[run.task_id.step_key]
+        if step.note_answered(run.incarnation, run.task_id) and step.spec.is_lasting:
+            self.mark_dirty(job)
+
     def forget_host(self, job: Job, task: Task, host: Incarnation) -> None:
         """Let a next owner know that a task no longer waits for what its host may run."""
         is_host = any(run.incarnation == host for run in task.runs)
@@ -240,12 +269,21 @@
         if step.remove_host(host, task.id):
             self.mark_dirty(job)
 
-    def forget_free_hosts(self, worker_ids: set[str]) -> None:
+    def forget_free_hosts(self, worker_ids: set[str], awaited: HostedTasks | None = None) -> None:
         """Let a next owner know that nothing of earlier owners runs on some workers.
 
         Call it when every lease of earlier owners there has expired. Runs of this owner stay.
+
+        Parameters
+        ----------
+        worker_ids : set of str
+            Ids of the workers.
+        awaited : dict, optional
+            Tasks that may still run there nevertheless.
         """
         present = self._present_runs(worker_ids)
+        for key, bits in (awaited or {}).items():
+            present[key] = present.get(key, 0) | bits
         for job in self.jobs_by_id.values():
             if not job.keeps_hosts:
                 continue
--- a/redwingplank/batch/tests/test_restarted_workers.py
+++ b/redwingplank/batch/tests/test_restarted_workers.py
@@ -23,6 +23,17 @@
     def submit_lasting(self, name="a"):
         self.cell.submit(make_job(name, step(1, 8000, is_lasting=True), queue="watch"))
 
+    def submit_plain(self):
+        """Submit a job with one long task that does not last."""
+        self.cell.submit(make_job("a", step(1, 8000, 20.0)))
+
+    def submit_plain_late(self, late_s):
+        """Submit such a job, whose start is carried out late, or with None not at all."""
+        self.cell.calls.late_s = 1000.0 if late_s is None else late_s
+        self.submit_plain()
+        self.cell.run_for(0.1)
+        self.cell.calls.late_s = None
+
     def submit_late(self, late_s):
         """Submit a job with one task that lasts, whose start is carried out late."""
         self.cell.calls.late_s = late_s
@@ -491,6 +502,93 @@
         assert world.cell.violations == []
 
 
+class TestUnansweredStartOfAPlainTask:
+    def begin(self, late_s):
+        """Return a cell whose first worker is cut off with a start that it carries out late."""
+        world = RestartingCell()
+        world.submit_plain_late(late_s)
+        world.cut_host()
+        world.open_other()
+        return world
+
+    # Guards against a start that is given up with its lease, and that the next process carries out
+    # although the cut goes on.
+    @pytest.mark.parametrize("late_s", [9.0, 10.0, 12.0])
+    def test_is_waited_for_if_the_worker_restarts_after_its_lease(self, late_s):
+        world = self.begin(late_s)
+        world.cell.run_for(8.5)
+        world.crash_host()
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+        assert world.other.runs or world.other.ended_done
+
+    # Guards against the same where the owner is replaced before the restart.
+    @pytest.mark.parametrize("replaced_after_s", [0.05, 0.5, 6.0])
+    @pytest.mark.parametrize("late_s", [9.0, 12.0])
+    def test_is_waited_for_by_a_next_owner(self, late_s, replaced_after_s):
+        world = self.begin(late_s)
+        world.cell.run_for(replaced_after_s)
+        world.replace_owner()
+        world.cell.run_for(8.5 - replaced_after_s)
+        world.crash_host()
+        world.cell.run_for(35.0)
+        assert world.cell.violations == []
+        assert world.other.runs or world.other.ended_done
+
+    # Guards against a worker that counts as gone as it is not listed, and is back behind the cut.
+    @pytest.mark.parametrize("back_after_s", [5.0, 8.0, 11.0])
+    def test_is_waited_for_if_the_worker_is_not_listed_for_a_while(self, back_after_s):
+        world = self.begin(11.5)
+        world.cell.run_for(0.5)
+        world.cell.take_down(world.host)
+        world.cell.run_for(back_after_s - 0.5)
+        world.cell.bring_back(world.host, keeps_id=True)
+        world.cell.run_for(30.0)
+        assert world.cell.violations == []
+        assert world.other.runs or world.other.ended_done
+
+    # Guards against a wait that leaves a job without a run after the end of the traffic: it has to
+    # start again within 17 s if its worker is gone.
+    def test_is_given_up_in_time_if_the_worker_is_gone(self):
+        world = self.begin(None)
+        world.cell.take_down(world.host)
+        world.cell.run_for(16.5)
+        assert world.other.runs
+
+    # Guards against a wait that goes on although the worker has told that nothing runs there.
+    def test_is_waited_for_no_longer_once_the_worker_is_reached(self):
+        world = self.begin(12.0)
+        world.cell.run_for(5.0)
+        world.host.faults.discard(Fault.CUT)
+        world.host.faults.add(Fault.REFUSE)
+        world.cell.run_for(1.5)
+        assert world.other.runs
+        world.cell.run_for(20.0)
+        assert world.cell.violations == []
+
+
+class TestAnsweredStartOfAPlainTask:
+    # Guards against a wait for late starts of tasks that are known to have begun.
+    @pytest.mark.parametrize("is_replaced", [False, True])
+    def test_is_waited_for_no_longer_than_its_lease(self, is_replaced):
+        world = RestartingCell()
+        world.submit_plain()
+        world.wait_for_run()
+        world.cell.submit(make_job("b", step(1, 100, 0.1)))
+        world.cell.run_for(1.0)
+        if is_replaced:
+            # The record of a plain task tells of the answer with its next change.
+            world.cell.owner.state.mark_dirty(world.cell.owner.state.jobs_by_id["a"])
+            world.cell.run_for(0.1)
+        world.cell.take_down(world.host)
+        world.open_other()
+        if is_replaced:
+            world.replace_owner()
+        world.cell.run_for(RESTART_BOUND_S)
+        assert world.other.runs
+        assert world.cell.violations == []
+
+
 class TestWaitForAMarkedHost:
     # Guards against a wait for late calls to a process that the last owner has fenced.
     def test_is_no_longer_than_the_lease_that_its_process_took(self):
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -1,6 +1,7 @@
 """Time-driven checks of workers and their runs."""
 
-from redwingplank.batch.entities import RunState
+from redwingplank.batch.entities import HostedTasks, RunState
+from redwingplank.batch.late_starts import LateStarts
 from redwingplank.batch.reports import Reports
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
@@ -17,11 +18,16 @@
         Jobs and workers of the owner.
     reports : Reports
         Releases the runs of workers whose leases have expired.
+    late_starts : LateStarts
+        Tells which workers may still carry out starts of earlier owners.
     """
 
-    def __init__(self, state: OwnerState, reports: Reports) -> None:
+    def __init__(self, state: OwnerState, reports: Reports, late_starts: LateStarts) -> None:
         self._state = state
         self._reports = reports
+        self._late_starts = late_starts
+        self._awaited_by_host: dict[str, HostedTasks] = {}
+        """Tasks that wait for late starts on an unconfirmed worker, by its id."""
 
     def check(self, now_s: float) -> None:
         """Check all workers."""
@@ -36,18 +42,36 @@
             if worker.taken_until_ms and worker.lease_left_s(worker.taken_until_ms, now_s) < 0:
                 state.settle_taken_lease(worker)
         state.organisations.release_expired_hosts(now_s)
-        free_ids = {
+        expired_ids = {
             host
             for host, until_s in state.unconfirmed_hosts.items()
             if now_s >= until_s and not self._is_lease_renewed(host, now_s)
         }
+        awaited_by_id = {
+            host: tasks
+            for host in expired_ids
+            if (tasks := self._late_starts.find_inherited(host, now_s))
+        }
+        for host, tasks in awaited_by_id.items():
+            self._free_answered_tasks(host, tasks)
+        free_ids = expired_ids - awaited_by_id.keys()
         if free_ids:
             self._free_hosts(free_ids)
 
+    def _free_answered_tasks(self, worker_id: str, awaited: HostedTasks) -> None:
+        """Let all tasks but the awaited ones no longer wait for a worker."""
+        if self._awaited_by_host.get(worker_id) != awaited:
+            self._awaited_by_host[worker_id] = awaited
+            self._state.forget_free_hosts({worker_id}, awaited)
+            self._state.needs_pass = True
+
     def _free_hosts(self, worker_ids: set[str]) -> None:
         state = self._state
         for worker_id in sorted(worker_ids):
             del state.unconfirmed_hosts[worker_id]
+            state.inherited_starts_by_host.pop(worker_id, None)
+            self._awaited_by_host.pop(worker_id, None)
+            state.organisations.release_host(worker_id)
             tasks = state.inherited_tasks_by_host.pop(worker_id, 0)
             state.log_decision(
                 "host_free", worker=worker_id, reason="every_lease_over", tasks=tasks
