What waits takes no memory: tasks are objects while they run

Cause: a step made an object for each of its tasks when it was added, at intake, as occurrences came due, and all at once at the load of a next owner. The factors were bounded, their product and the sum over jobs were not.

Change: a task is an object from its first use until it is done and has no runs (TaskTable); passes take startable tasks one by one. The steps of all jobs together are bounded by opening occurrences as room comes. A node publishes its resident memory and logs when it nears its limit.

The counting test of passes counts the new name beside the old one.

--- a/redwingplank/batch/accepted_jobs.py
+++ b/redwingplank/batch/accepted_jobs.py
@@ -49,7 +49,7 @@
         job = self._make_job(spec, now_s, now_unix_s)
         if progress is not None:
             self._restore_progress(job, progress)
-        add_due_steps(job, now_unix_s)
+        add_due_steps(job, now_unix_s, self._state.count_steps())
         if job.state.is_final:
             job.ended_s = now_s
             if not job.hosts:
@@ -107,7 +107,7 @@
             job=job.spec.job_id,
             state=job.state,
             has_record=has_record,
-            done=sum(len(step.tasks) - step.undone_count for step in job.steps_by_key.values()),
+            done=sum(step.spec.count - step.undone_count for step in job.steps_by_key.values()),
             hosts=len(set(job.hosts)),
         )
 
@@ -124,7 +124,7 @@
         if spec.job_id in self._state.jobs_by_id:
             return
         job = self._make_job(spec, now_s, now_unix_s)
-        self.open_due_steps(job, now_s, now_unix_s)
+        self._open_due_steps(job, now_s, now_unix_s)
         self._state.log_decision(
             "job_taken",
             job=spec.job_id,
@@ -145,7 +145,13 @@
         self._state.organisations.add_job(job)
         return job
 
-    def open_due_steps(self, job: Job, now_s: float, now_unix_s: float) -> None:
+    def open_due_occurrences(self, now_s: float, now_unix_s: float) -> None:
+        """Open the occurrences of all jobs that are due, as far as there is room for them."""
+        for job in list(self._state.jobs_by_id.values()):
+            if job.due_count < job.occurrence_count and not job.state.is_final:
+                self._open_due_steps(job, now_s, now_unix_s)
+
+    def _open_due_steps(self, job: Job, now_s: float, now_unix_s: float) -> None:
         """Add the steps of occurrences that are due, and open those that are ready."""
-        for step in add_due_steps(job, now_unix_s):
+        for step in add_due_steps(job, now_unix_s, self._state.count_steps()):
             self._completions.open_step_if_ready(job, step, now_s)
--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -100,7 +100,7 @@
             step.tickets_by_worker.pop(worker.id, None)
         self._state.delay_task(task, now_s + REFUSED_RETRY_S)
         if step.spec.is_gang:
-            for member in step.tasks:
+            for member in list(step.tasks.used()):
                 for other in list(member.runs):
                     self._state.order_stop(other, now_s, "gang_member_refused")
 
--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -46,6 +46,8 @@
             version = self._apply_to_task(job, step, task, worker, run, completion, now_s)
         if run is not None:
             self._state.remove_run(run, now_s)
+        if found is not None:
+            step.tasks.release(task)
         worker.handled_completion_number = completion.number
         worker.pending_completions.append(PendingCompletion(completion.number, job, version))
 
@@ -99,7 +101,7 @@
             return False
         if run is not None and run.state is not RunState.STOPPING and not task.saved:
             self._record_run_time(job, step, run, now_s)
-        finished = step.tasks if step.spec.is_gang else [task]
+        finished = list(step.tasks) if step.spec.is_gang else [task]
         for completed in finished:
             if not completed.is_done:
                 completed.is_done = True
@@ -107,6 +109,7 @@
             for other in list(completed.runs):
                 if other is not run and not step.spec.is_gang:
                     self._state.order_stop(other, now_s, "already_done")
+            step.tasks.release(completed)
         if step.undone_count == 0:
             self._complete_step(job, step, now_s)
         return True
@@ -169,7 +172,7 @@
     def fail_if_attempts_used_up(self, job: Job, now_s: float) -> None:
         """Fail a job if a task of it has failed as often as its queue allows now."""
         for step in job.steps_by_key.values():
-            for task in step.tasks:
+            for task in list(step.tasks.used()):
                 if task.failures:
                     self._fail_if_used_up(job, step, task, now_s)
 
@@ -205,7 +208,7 @@
         )
 
     def _break_gang(self, step: Step, attempt: int, now_s: float) -> None:
-        for task in step.tasks:
+        for task in list(step.tasks.used()):
             for run in list(task.runs):
                 if run.attempt == attempt:
                     self._state.order_stop(run, now_s, "gang_broken")
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -1,6 +1,7 @@
 """The mutable state of an owner: jobs with their steps and tasks, and runs."""
 
 import enum
+from collections.abc import Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingplank.batch.model import (
@@ -12,6 +13,7 @@
     StepSpec,
     TaskId,
 )
+from redwingplank.batch.tasks import Task, TaskTable, iterate_bits
 
 if TYPE_CHECKING:
     from redwingplank.batch.worker import Worker
@@ -160,76 +162,6 @@
         return max(self.sent_s, self.started_s)
 
 
-class Task:
-    """One task with its history and the runs of it that may exist."""
-
-    __slots__ = (
-        "attempt",
-        "bad_workers",
-        "crashes",
-        "failed_attempts",
-        "failures",
-        "id",
-        "is_done",
-        "isolation_wait_from_s",
-        "last_end_s",
-        "last_failed_attempt",
-        "not_before_s",
-        "proven_crashes",
-        "runs",
-        "saved",
-        "suspicions",
-        "unseen_crashes",
-    )
-
-    def __init__(self, task_id: TaskId) -> None:
-        self.id = task_id
-        self.is_done = False
-        self.runs: list[Run] = []
-        self.attempt = 0
-        self.failures = 0
-        self.last_failed_attempt = 0
-        self.failed_attempts: set[int] = set()
-        """Counted failed attempts of a task that may be copied; others fail in their order."""
-        self.saved = ""
-        self.not_before_s = 0.0
-        self.last_end_s = 0.0
-        self.bad_workers: set[str] = set()
-        self.crashes = 0
-        """Number of workers that crashed while they may have run the task."""
-        self.proven_crashes = 0
-        """Number of workers that crashed while they certainly ran the task."""
-        self.unseen_crashes = 0
-        """Number of workers that crashed when the task may have ended there, as nobody heard."""
-        self.suspicions = 0
-        """Number of these crashes that followed a start of the task."""
-        self.isolation_wait_from_s: float | None = None
-        """Time since when the task waits for a worker without other starts, None if it does not."""
-
-    def is_failure_counted(self, attempt: int, *, may_copy: bool) -> bool:
-        """Return whether the failure of an attempt was counted, by this owner or an earlier one."""
-        if may_copy:
-            return attempt in self.failed_attempts
-        return attempt <= self.last_failed_attempt
-
-    def count_failure(self, attempt: int, *, may_copy: bool) -> None:
-        """Count the failure of an attempt."""
-        self.failures += 1
-        self.last_failed_attempt = max(attempt, self.last_failed_attempt)
-        if may_copy:
-            self.failed_attempts.add(attempt)
-
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the task may be what crashed a worker, or has just left one unreachable."""
-        return self.suspicions > 0 or any(run.is_lost_at_start for run in self.runs)
-
-    @property
-    def needs_isolation(self) -> bool:
-        """Whether the task has to start where nothing else has just started."""
-        return self.suspicions > 1
-
-
 HostedTasks = dict[tuple[StepKey, Incarnation], int]
 """Bit set of the tasks of a step that an incarnation of a worker runs."""
 
@@ -260,7 +192,7 @@
         self.job = job
         self.key = key
         self.spec = spec
-        self.tasks = [Task(TaskId(*key, index)) for index in range(spec.count)]
+        self.tasks = TaskTable(key, spec.count)
         self.undone_count = spec.count
         self.is_open = False
         self.opened_s = 0.0
@@ -284,16 +216,49 @@
         It is -1 while the step does not wait.
         """
 
-    def find_startable_tasks(self, now_s: float) -> list[Task]:
-        """Return the tasks that could start now.
+    def find_startable_tasks(self, now_s: float, awaited: int = 0) -> Iterator[Task]:
+        """Return the tasks that could start now, one by one as the pass plans them.
 
         If the step allows copies, tasks that run only on unreachable workers are included.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time in seconds.
+        awaited : int
+            Bit set of the tasks that a worker may run for an earlier owner. They are left out,
+            unless the step allows copies and the task is not suspected of having crashed it.
         """
-        return [
-            task
-            for task in self.tasks
-            if not task.is_done and task.not_before_s <= now_s and self._may_start(task)
-        ]
+        for task in list(self.tasks.used()):
+            if self._may_start_now(task, now_s, awaited):
+                yield task
+        yield from self.tasks.iterate_unused(0 if self.spec.may_copy else awaited)
+
+    def has_startable_task(self, now_s: float) -> bool:
+        """Return whether any task could start now."""
+        if any(self._may_start_now(task, now_s, 0) for task in self.tasks.used()):
+            return True
+        return self.tasks.count_unused() > 0
+
+    def count_startable_tasks(self, now_s: float, awaited: int = 0) -> int:
+        """Return the number of all tasks that could start now."""
+        used = self.tasks.used()
+        startable = sum(self._may_start_now(task, now_s, awaited) for task in used)
+        left_out = 0 if self.spec.may_copy else awaited
+        return startable + self.tasks.count_unused(left_out)
+
+    @property
+    def is_under_way(self) -> bool:
+        """Whether each task is done or has a run."""
+        if self.tasks.count_unused():
+            return False
+        return all(task.is_done or task.runs for task in self.tasks.used())
+
+    def _may_start_now(self, task: Task, now_s: float, awaited: int) -> bool:
+        if task.is_done or task.not_before_s > now_s or not self._may_start(task):
+            return False
+        is_awaited = awaited >> task.id.position & 1
+        return not is_awaited or (self.spec.may_copy and not task.is_suspect)
 
     def _may_start(self, task: Task) -> bool:
         if not task.runs:
@@ -393,13 +358,14 @@
     def hosted_tasks(self, host: Incarnation) -> list[Task]:
         """Return the tasks that are not done and that a host may have been told to run."""
         bits = self.hosts.get(host, 0)
-        return [task for task in self.tasks if bits >> task.id.position & 1 and not task.is_done]
+        undone = bits & ~self.tasks.done_bits()
+        return [self.tasks[position] for position in iterate_bits(undone)]
 
     @property
     def has_progress(self) -> bool:
         """Whether a new owner needs to know anything of the step beyond its specification."""
-        return bool(self.hosts) or any(
-            task.is_done or task.failures or task.crashes or task.saved for task in self.tasks
+        return bool(self.hosts or self.tasks.done_bits()) or any(
+            task.failures or task.crashes or task.saved for task in self.tasks.used()
         )
 
 
@@ -497,5 +463,8 @@
     def runs(self) -> list[Run]:
         """Return all runs of the job that may exist."""
         return [
-            run for step in self.steps_by_key.values() for task in step.tasks for run in task.runs
+            run
+            for step in self.steps_by_key.values()
+            for task in step.tasks.used()
+            for run in task.runs
         ]
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -371,9 +371,7 @@
     def _check(self, now_s: float, now_unix_s: float) -> None:
         """Run the time-driven checks of all workers and open the occurrences that are due."""
         self._watchdog.check(now_s)
-        for job in list(self.state.jobs_by_id.values()):
-            if job.due_count < job.occurrence_count and not job.state.is_final:
-                self._accepted.open_due_steps(job, now_s, now_unix_s)
+        self._accepted.open_due_occurrences(now_s, now_unix_s)
 
     def find_removable_jobs(self, now_s: float) -> list[str]:
         """Return the ids of jobs that ended long ago, to be removed from the store.
--- a/redwingplank/batch/placement.py
+++ b/redwingplank/batch/placement.py
@@ -169,7 +169,7 @@
         if step.spec.is_lasting:
             return ""
         domains = Counter(
-            run.worker.entry.failure_domain for task in step.tasks for run in task.runs
+            run.worker.entry.failure_domain for task in step.tasks.used() for run in task.runs
         )
         if domains:
             return domains.most_common(1)[0][0]
@@ -200,7 +200,7 @@
         """Return a worker for each task of a gang, None if not all tasks fit."""
         spec = step.spec
         fitting = [worker for worker in workers if self.fits(worker, step, now_s)]
-        is_suspect = any(task.is_suspect for task in step.tasks)
+        is_suspect = any(task.is_suspect for task in step.tasks.used())
         score = self.scores.scorer(step)
         fitting.sort(
             key=lambda worker: (
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from redwingplank.batch.entities import Job, Step
+from redwingplank.batch.entities import Job, Step, Task
 from redwingplank.batch.job_limits import check_job_limits
 from redwingplank.batch.model import Incarnation, JobSpec, JobState, StepKey
 from redwingplank.core import decode_json
@@ -124,16 +124,15 @@
         step = job.steps_by_key.get(key)
         if step is not None:
             _restore_step(step, record)
-            job.has_begun |= any(task.is_done or task.failures or task.saved for task in step.tasks)
+            job.has_begun |= bool(step.tasks.done_bits())
+            job.has_begun |= any(task.failures or task.saved for task in step.tasks.used())
 
 
 def _encode_step(step: Step) -> _StepRecord:
-    bits = 0
-    record = _StepRecord("", _encode_bits(step.hosts))
-    for index, task in enumerate(step.tasks):
-        if task.is_done:
-            bits |= 1 << index
-        elif task.saved:
+    record = _StepRecord(f"{step.tasks.done_bits():x}", _encode_bits(step.hosts))
+    for task in step.tasks.used():
+        index = task.id.position
+        if task.saved and not task.is_done:
             record.saved[str(index)] = task.saved
         if task.failures:
             record.failures[str(index)] = (task.failures, task.last_failed_attempt)
@@ -149,7 +148,6 @@
                 record.unseen_crashes[str(index)] = task.unseen_crashes
     record.begun = _encode_bits(step.begun_by_broken_host)
     record.unanswered = _encode_bits(step.unanswered)
-    record.done = f"{bits:x}"
     record.restarted_hosts.extend(_encode_host(host) for host in step.restarted_hosts)
     return record
 
@@ -161,26 +159,30 @@
 
 
 def _restore_step(step: Step, record: _StepRecord) -> None:
-    bits = int(record.done or "0", 16)
+    step.undone_count -= step.tasks.mark_done(int(record.done or "0", 16))
     step.hosts.update(_decode_bits(record.hosts))
     step.begun_by_broken_host.update(_decode_bits(record.begun))
     step.unanswered.update(_decode_bits(record.unanswered))
     step.restarted_hosts.update(_decode_host(host) for host in record.restarted_hosts)
-    for index, task in enumerate(step.tasks):
-        if bits >> index & 1:
-            task.is_done = True
-            step.undone_count -= 1
-        task.saved = record.saved.get(str(index), "")
-        failures = record.failures.get(str(index))
-        if failures is not None:
-            task.failures, task.last_failed_attempt = failures
-            if step.spec.may_copy:
-                # Earlier versions stored the last one only.
-                attempts = record.failed_attempts.get(str(index), [task.last_failed_attempt])
-                task.failed_attempts = set(attempts)
-        crashes = record.crashes.get(str(index), (0, 0, 0))
-        task.crashes, task.proven_crashes, task.suspicions = crashes
-        task.unseen_crashes = record.unseen_crashes.get(str(index), 0)
+    for index in record.saved.keys() | record.failures.keys() | record.crashes.keys():
+        if int(index) < len(step.tasks):
+            _restore_task(step, step.tasks[int(index)], record)
+
+
+def _restore_task(step: Step, task: Task, record: _StepRecord) -> None:
+    index = str(task.id.position)
+    task.saved = record.saved.get(index, "")
+    failures = record.failures.get(index)
+    if failures is not None:
+        task.failures, task.last_failed_attempt = failures
+        if step.spec.may_copy:
+            # Earlier versions stored the last one only.
+            attempts = record.failed_attempts.get(index, [task.last_failed_attempt])
+            task.failed_attempts = set(attempts)
+    crashes = record.crashes.get(index, (0, 0, 0))
+    task.crashes, task.proven_crashes, task.suspicions = crashes
+    task.unseen_crashes = record.unseen_crashes.get(index, 0)
+    step.tasks.release(task)
 
 
 def _encode_bits(bits_by_host: dict[Incarnation, int]) -> dict[str, str]:
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -106,10 +106,10 @@
         if not self._can_progress(step, queue, eligible, now_s, may_fit=may_fit):
             self._note_capacity(step, queue, now_s, may_fit=may_fit)
             return None
-        if step.find_startable_tasks(now_s):
+        if step.has_startable_task(now_s):
             rank = self._rank(step, now_s)
             return _OpenStep(rank, step.key, step, queue, eligible, may_fit)
-        if all(task.is_done or task.runs for task in step.tasks):
+        if step.is_under_way:
             # The step is reopened when a run is removed or its worker becomes unreachable.
             del self._state.open_steps[step.key]
         return None
@@ -146,25 +146,16 @@
         rank = self._overload.rank(step, now_s)
         return self._state.organisations.order(step.job, rank)
 
-    def _select_confirmed(self, step: Step, startable: list[Task]) -> list[Task]:
-        """Return the startable tasks that certainly do not run for an earlier owner.
-
-        A task is left out if a worker that this owner has not confirmed yet may run it, unless the
-        step allows copies and the task is not suspected of having crashed that worker.
-        """
+    def _find_awaited(self, step: Step) -> int:
+        """Return the bit set of the tasks that an unconfirmed worker may run."""
         unconfirmed = self._state.unconfirmed_hosts
+        awaited = 0
         if not unconfirmed:
-            return startable
-        unconfirmed_tasks = 0
+            return awaited
         for host, hosted in step.hosts.items():
             if host.worker_id in unconfirmed:
-                unconfirmed_tasks |= hosted
-        return [
-            task
-            for task in startable
-            if (step.spec.may_copy and not task.is_suspect)
-            or not unconfirmed_tasks >> task.id.position & 1
-        ]
+                awaited |= hosted
+        return awaited & ~step.tasks.done_bits()
 
     def _note_capacity(
         self, step: Step, queue: QueuePolicy, now_s: float, *, may_fit: bool
@@ -175,7 +166,7 @@
             return
         if may_fit and queue.advice is not None and not step.tickets_by_worker:
             return
-        organisations.is_capacity_short = bool(step.find_startable_tasks(now_s))
+        organisations.is_capacity_short = step.has_startable_task(now_s)
 
     def _plan_step_or_ask_advice(self, open_step: _OpenStep, now_s: float) -> None:
         step, advice = open_step.step, open_step.queue.advice
@@ -190,25 +181,24 @@
     def _plan_step(self, open_step: _OpenStep, now_s: float) -> bool:
         """Plan the runs of one step; return False if a startable task found no worker."""
         step = open_step.step
-        all_startable = step.find_startable_tasks(now_s)
-        startable = self._select_confirmed(step, all_startable)
-        if len(startable) < len(all_startable):
+        awaited = self._find_awaited(step)
+        if awaited:
             # Once no worker has room, the step may request tickets although its tasks wait.
             self._state.needs_pass = True
         workers = open_step.eligible.select_with_free_cpu(step.spec.reserved)
         if open_step.queue.advice is not None:
             workers = self._tickets.select_workers_with_ticket(step, workers, now_s)
         if step.spec.is_gang:
-            return self._plan_gang(step, startable, workers, now_s)
-        return self._plan_tasks(step, startable, workers, now_s)
+            return self._plan_gang(step, awaited, workers, now_s)
+        return self._plan_tasks(step, awaited, workers, now_s)
 
-    def _plan_tasks(
-        self, step: Step, startable: list[Task], workers: list[Worker], now_s: float
-    ) -> bool:
-        if not startable or not self._state.organisations.may_start(step):
+    def _plan_tasks(self, step: Step, awaited: int, workers: list[Worker], now_s: float) -> bool:
+        if not step.count_startable_tasks(now_s, awaited):
+            return True
+        if not self._state.organisations.may_start(step):
             return True
         candidates = Candidates(self._placement, workers, step, now_s)
-        for task in startable:
+        for task in step.find_startable_tasks(now_s, awaited):
             worker = candidates.pop_best(task)
             if worker is None and candidates.are_left:
                 # The task waits for a worker without other starts, at most for a fixed time.
@@ -224,10 +214,8 @@
             candidates.reinsert(worker)
         return True
 
-    def _plan_gang(
-        self, step: Step, startable: list[Task], workers: list[Worker], now_s: float
-    ) -> bool:
-        if len(startable) < step.spec.count:
+    def _plan_gang(self, step: Step, awaited: int, workers: list[Worker], now_s: float) -> bool:
+        if step.count_startable_tasks(now_s, awaited) < step.spec.count:
             self._state.needs_pass = True
             return True
         if not self._state.organisations.may_start(step, step.spec.count):
@@ -236,7 +224,7 @@
         if chosen is None:
             return False
         attempt = max(self._state.next_attempt(task) for task in step.tasks)
-        saved = next((task.saved for task in step.tasks if task.saved), "")
+        saved = next((task.saved for task in step.tasks.used() if task.saved), "")
         for task, worker in zip(step.tasks, chosen, strict=True):
             # The checkpoint of any member is valid for all, and all have to carry the same one.
             task.saved = saved
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -159,6 +159,10 @@
         if task.needs_isolation:
             self.request_pass_at(worker.avoided_until_s)
 
+    def count_steps(self) -> int:
+        """Return the number of steps that are held for all jobs."""
+        return sum(len(job.steps_by_key) for job in self.jobs_by_id.values())
+
     def queue_of(self, job: Job) -> QueuePolicy | None:
         """Return the current configuration of the queue of a job, None if it has none."""
         return self.config.queues_by_name.get(job.spec.queue)
@@ -213,6 +217,7 @@
         if run in task.runs:
             task.runs.remove(run)
             task.last_end_s = now_s
+            job.steps_by_key[run.task_id.step_key].tasks.release(task)
         self.forget_host(job, task, run.incarnation)
         self.reopen_step(run.task_id.step_key)
         return task
--- a/redwingplank/batch/tests/test_pass_cost.py
+++ b/redwingplank/batch/tests/test_pass_cost.py
@@ -38,7 +38,7 @@
     ranked = []
     for each in starter._state.open_steps.values():
         queue = starter._state.queue_of(each.job)
-        if queue is None or not each.find_startable_tasks(now_s):
+        if queue is None or not each.has_startable_task(now_s):
             continue
         eligible = starter._placement.find_eligible_workers(queue.service, now_s)
         rank = starter._rank(each, now_s)
@@ -229,6 +229,7 @@
         count(Placement, "score")
         count(Placement, "fits")
         count(Step, "find_startable_tasks")
+        count(Step, "has_startable_task")
         count(Starter, "plan_starts")
         cell.owner.tick(cell.now_s, cell.now_s)
         return calls
--- a/redwingplank/cell/metrics.py
+++ b/redwingplank/cell/metrics.py
@@ -46,6 +46,9 @@
         self.log_lines_lost = Gauge(
             "redwing_log_lines_lost", "Lines that nobody read in time", registry=self.registry
         )
+        self.resident_mib = Gauge(
+            "redwing_resident_mib", "Resident memory of the process", registry=self.registry
+        )
         self.is_config_rejected = Gauge(
             "redwing_config_rejected",
             "1 while the newest configuration is not in force because it is invalid",
--- a/redwingplank/cell/node.py
+++ b/redwingplank/cell/node.py
@@ -12,6 +12,7 @@
 from redwingplank.cell.config_watch import ConfigWatch
 from redwingplank.cell.context import STORE_ERRORS, NodeContext
 from redwingplank.cell.membership import Membership
+from redwingplank.cell.memory_watch import MemoryWatch
 from redwingplank.cell.metrics import make_metrics_app
 from redwingplank.cell.owner import OwnerRuntime
 from redwingplank.cell.owner_watch import OwnerWatch
@@ -93,6 +94,7 @@
             self._metrics_server = await serve_http(
                 metrics_app, [settings.metrics_address], limits=METRICS_LIMITS
             )
+        self._tasks.start_loop(MemoryWatch(self._context).run)
         self._tasks.start_loop(self._config_watch.run)
         self._tasks.start_loop(self._config_prover.run)
         self._tasks.start_loop(self._membership.keep_lease)
