A record that the store refuses no longer holds up all others

Cause: the record of the job held every checkpoint and was longer than value_bytes. The store refused it with 400, and the writer repeated it unchanged every 0.15 s, with the records, starts and acknowledgements of the cell behind it: it took a refusal that no wait ends for one that ends by itself.

Change: checkpoints in a record have a bound, hosts of wide steps are stored as ranges, occurrences that are done leave record and memory, and the records of one write have a bound together. A write that is refused as invalid is made record by record; a job whose record cannot be stored fails, so that it runs nothing that cannot be remembered. Learned speeds leave out long names. A job too long for the store is refused with 400 in place of 503. The stand-in of the store refuses long values, and the emulated cell counts them as broken promises.

A test of occurrences used a function that is gone and calls its successor.

--- a/redwingplank/batch/accepted_jobs.py
+++ b/redwingplank/batch/accepted_jobs.py
@@ -4,10 +4,10 @@
 from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import InheritedStarts, Job, Step
 from redwingplank.batch.model import Incarnation, JobSpec, JobState
-from redwingplank.batch.occurrences import add_due_steps, add_occurrence
+from redwingplank.batch.occurrences import add_due_steps
 from redwingplank.batch.overload import Overload
 from redwingplank.batch.ranking import set_objective
-from redwingplank.batch.records import count_recorded_occurrences, restore_progress
+from redwingplank.batch.records import restore_occurrences, restore_progress
 from redwingplank.batch.state import OwnerState
 
 __all__ = ["AcceptedJobs"]
@@ -92,8 +92,7 @@
 
     def _restore_progress(self, job: Job, progress: bytes) -> None:
         try:
-            for _ in range(count_recorded_occurrences(progress)):
-                add_occurrence(job)
+            restore_occurrences(job, progress)
             restore_progress(job, progress)
         except Exception:
             # Without its progress the job would run from the beginning.
--- a/redwingplank/batch/emulated_checks.py
+++ b/redwingplank/batch/emulated_checks.py
@@ -15,6 +15,7 @@
     StepSpec,
     TaskId,
 )
+from redwingplank.batch.owner import RecordToStore
 
 __all__ = ["Disruption", "PromiseChecks", "UnaskedChecks"]
 
@@ -56,6 +57,14 @@
         self.acknowledged_done: set[TaskId] = set()
         self.violations: list[str] = []
 
+    def check_records(self, records: list[RecordToStore], value_bytes: int) -> None:
+        """Check the sizes of records that are written, each of which the store has to take."""
+        for record in records:
+            if len(record.value) > value_bytes:
+                self.violations.append(
+                    f"the record of {record.job_id} has {len(record.value)} bytes"
+                )
+
     def check_start(
         self, worker: EmulatedWorker, task: TaskId, spec: StepSpec, now_s: float
     ) -> None:
--- a/redwingplank/batch/emulator.py
+++ b/redwingplank/batch/emulator.py
@@ -413,6 +413,7 @@
             if self.is_store_conditional and self._sequence != previous:
                 return self._sequence == written
             self._sequence = written
+            self.checks.check_records(records, self.settings.record_bytes)
             self.records_by_id.update((record.job_id, record.value) for record in records)
             return True
 
--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingplank.batch.bit_sets import iterate_bits
 from redwingplank.batch.model import (
     NO_AMOUNTS,
     Incarnation,
@@ -13,7 +14,8 @@
     StepSpec,
     TaskId,
 )
-from redwingplank.batch.tasks import Task, TaskTable, iterate_bits
+from redwingplank.batch.occurrence_ranges import OccurrenceRanges
+from redwingplank.batch.tasks import Task, TaskTable
 
 if TYPE_CHECKING:
     from redwingplank.batch.worker import Worker
@@ -344,6 +346,13 @@
             is_changed |= left != bits
         return is_changed
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether all tasks are done, and no worker may run one of them."""
+        if self.undone_count or self.hosts:
+            return False
+        return not any(task.runs for task in self.tasks.used())
+
     @property
     def waits_for_quota(self) -> bool:
         """Whether the step had to wait for the quota of its organisation in the last pass."""
@@ -380,6 +389,7 @@
     """A job and its progress."""
 
     __slots__ = (
+        "completed_occurrences",
         "core_s",
         "due_count",
         "ended_s",
@@ -387,6 +397,7 @@
         "has_begun",
         "has_planned_start",
         "is_beyond_rate",
+        "is_record_cut",
         "is_started",
         "latest_end_s",
         "objective_s",
@@ -410,6 +421,8 @@
         """Whether the present owner has planned a start of a task."""
         self.due_count = 0
         """Number of occurrences whose steps were added."""
+        self.completed_occurrences = OccurrenceRanges()
+        """Occurrences whose steps are done and were removed again."""
         self.steps_by_key: dict[StepKey, Step] = {}
         self.version = 0
         self.stored_version = 0
@@ -418,6 +431,8 @@
         """Version that has to be stored before the final state is reported."""
         self.is_beyond_rate = False
         """Whether the job was submitted beyond the rate of its organisation."""
+        self.is_record_cut = False
+        """Whether the last record left checkpoints out."""
         self.objective_s = 0.0
         """Time by which the job is to complete."""
         self.latest_end_s = 0.0
@@ -430,6 +445,22 @@
         """Number of times that the steps run."""
         return max(1, self.spec.repeat_count)
 
+    def remove_completed_occurrences(self) -> None:
+        """Forget the steps of occurrences that are done; call it when that is stored.
+
+        Occurrences of which a worker may still run a task stay.
+        """
+        if self.occurrence_count == 1:
+            return
+        steps_by_occurrence: dict[int, list[Step]] = {}
+        for step in self.steps_by_key.values():
+            steps_by_occurrence.setdefault(step.key.occurrence, []).append(step)
+        for occurrence, steps in steps_by_occurrence.items():
+            if all(step.is_settled for step in steps):
+                self.completed_occurrences.add(occurrence)
+                for step in steps:
+                    del self.steps_by_key[step.key]
+
     def count_open_occurrences(self) -> int:
         """Return the number of occurrences with tasks that are not done."""
         return len({key.occurrence for key, step in self.steps_by_key.items() if step.undone_count})
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -23,9 +23,7 @@
 from redwingplank.batch.pacing import Pacing
 from redwingplank.batch.placement import Placement
 from redwingplank.batch.ranking import set_objective
-from redwingplank.batch.records import (
-    encode_progress,
-)
+from redwingplank.batch.records import encode_bounded_progress
 from redwingplank.batch.reports import Reports
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.starter import Starter
@@ -98,6 +96,8 @@
         self._starter = Starter(self.state, self._placement, self._tickets, self._overload)
         self._pacing = Pacing(self.state)
         self._watchdog = Watchdog(self.state, self._reports, late_starts)
+        self._refused_jobs: list[Job] = []
+        """Jobs whose records cannot be stored."""
         self._last_check_s = float("-inf")
         self._last_pass_s = float("-inf")
 
@@ -173,13 +173,54 @@
     # Records of job progress.
 
     def pop_records(self, limit: int) -> list[RecordToStore]:
-        """Remove at most `limit` jobs from the changed jobs and return their records to store."""
-        records = []
-        for job_id in list(self.state.dirty_jobs)[:limit]:
-            job = self.state.dirty_jobs.pop(job_id)
-            records.append(RecordToStore(job_id, job.version, encode_progress(job)))
+        """Remove changed jobs and return their records to store.
+
+        They are at most `limit` records, and no more than `record_bytes` together. A job whose
+        record alone is longer cannot be stored and is given up at the next tick.
+        """
+        records: list[RecordToStore] = []
+        room = self.state.settings.record_bytes
+        for job_id, job in list(self.state.dirty_jobs.items())[:limit]:
+            record = self._make_record(job)
+            if len(record.value) > self.state.settings.record_bytes:
+                del self.state.dirty_jobs[job_id]
+                self.refuse_record(record)
+                continue
+            if len(record.value) > room:
+                break
+            del self.state.dirty_jobs[job_id]
+            room -= len(record.value)
+            records.append(record)
         return records
 
+    def _make_record(self, job: Job) -> RecordToStore:
+        progress = encode_bounded_progress(job)
+        if progress.left_out and not job.is_record_cut:
+            self.state.log_decision(
+                "checkpoints_left_out",
+                job=job.spec.job_id,
+                checkpoints=progress.left_out,
+                value_bytes=len(progress.value),
+            )
+        job.is_record_cut = bool(progress.left_out)
+        return RecordToStore(job.spec.job_id, job.version, progress.value)
+
+    def refuse_record(self, record: RecordToStore) -> None:
+        """Give up a job whose record the store will not take, so that others go on.
+
+        A job must not run what cannot be remembered. It fails at the next tick, which leaves a
+        short record.
+        """
+        job = self.state.jobs_by_id.get(record.job_id)
+        self.state.log_decision(
+            "record_refused",
+            job=record.job_id,
+            value_bytes=len(record.value),
+            is_final=job is not None and job.state.is_final,
+        )
+        if job is not None and not job.state.is_final:
+            self._refused_jobs.append(job)
+
     def return_records(self, records: Iterable[RecordToStore]) -> None:
         """Mark the jobs of records that were not stored as changed again."""
         for record in records:
@@ -208,6 +249,8 @@
             is_stored = job.state.is_final and job.stored_version == job.version
             if is_stored and not job.runs() and not self._may_run_unconfirmed(job):
                 job.steps_by_key.clear()
+            elif job.stored_version == job.version:
+                job.remove_completed_occurrences()
         for worker in self.state.workers_by_id.values():
             worker.acknowledge_stored_completions()
 
@@ -355,6 +398,7 @@
     def tick(self, now_s: float, now_unix_s: float) -> Commands:
         """Make all decisions that are due, and return the commands to carry out."""
         self.state.unix_offset_s = now_unix_s - now_s
+        self._fail_refused_jobs(now_s)
         if now_s - self._last_check_s >= CHECK_PERIOD_S:
             self._last_check_s = now_s
             self._check(now_s, now_unix_s)
@@ -368,6 +412,12 @@
         self.state.commands = Commands()
         return commands
 
+    def _fail_refused_jobs(self, now_s: float) -> None:
+        jobs, self._refused_jobs = self._refused_jobs, []
+        for job in jobs:
+            if not job.state.is_final:
+                self.state.finish_job(job, JobState.FAILED, now_s, "record_refused")
+
     def _check(self, now_s: float, now_unix_s: float) -> None:
         """Run the time-driven checks of all workers and open the occurrences that are due."""
         self._watchdog.check(now_s)
--- a/redwingplank/batch/records.py
+++ b/redwingplank/batch/records.py
@@ -1,20 +1,31 @@
 """Encodes and decodes the stored records of a job: its submission and its progress."""
 
+from dataclasses import dataclass
+
 import msgspec
 
+from redwingplank.batch.bit_sets import decode_bits, encode_bits
 from redwingplank.batch.entities import Job, Step, Task
 from redwingplank.batch.job_limits import check_job_limits
 from redwingplank.batch.model import Incarnation, JobSpec, JobState, StepKey
+from redwingplank.batch.occurrence_ranges import OccurrenceRanges
+from redwingplank.batch.occurrences import add_occurrence
 from redwingplank.core import decode_json
 
 __all__ = [
-    "count_recorded_occurrences",
+    "MAX_CHECKPOINT_BYTES",
+    "BoundedProgress",
     "decode_submission",
+    "encode_bounded_progress",
     "encode_progress",
     "encode_submission",
+    "restore_occurrences",
     "restore_progress",
 ]
 
+MAX_CHECKPOINT_BYTES = 262_144
+"""Largest size of the checkpoints in a record. A worker tells those of its runs by itself."""
+
 
 class _StepRecord(msgspec.Struct, array_like=True):
     done: str
@@ -47,6 +58,16 @@
     is_started: bool = False
     steps: dict[str, _StepRecord] = {}
     """Steps by occurrence and step number, joined by a dot."""
+    completed: list[tuple[int, int]] = []
+    """First and last numbers of ranges of occurrences that are done and have no steps here."""
+
+
+@dataclass(frozen=True, slots=True)
+class BoundedProgress:
+    """The progress of a job in its stored form, and the number of checkpoints left out of it."""
+
+    value: bytes
+    left_out: int = 0
 
 
 def encode_submission(spec: JobSpec) -> bytes:
@@ -74,8 +95,24 @@
 
     Of a final job only its state is kept, and the hosts if the job belongs to an organisation.
     """
+    return msgspec.json.encode(_make_progress(job))
+
+
+def encode_bounded_progress(job: Job) -> BoundedProgress:
+    """Return the progress of a job with no more checkpoints than `MAX_CHECKPOINT_BYTES`.
+
+    Those of tasks that run are left out first. A task without its checkpoint begins anew if its
+    worker and its owner are lost.
+    """
+    progress = _make_progress(job)
+    left_out = _leave_out_checkpoints(job, progress)
+    return BoundedProgress(msgspec.json.encode(progress), left_out)
+
+
+def _make_progress(job: Job) -> _Progress:
     progress = _Progress(state=job.state if job.state.is_final else "", is_started=job.is_started)
     if not job.state.is_final:
+        progress.completed = job.completed_occurrences.to_list()
         progress.steps = {
             f"{key.occurrence}.{key.step}": _encode_step(step)
             for key, step in job.steps_by_key.items()
@@ -87,19 +124,59 @@
             for key, step in job.steps_by_key.items()
             if step.hosts
         }
-    return msgspec.json.encode(progress)
+    return progress
+
+
+def _leave_out_checkpoints(job: Job, progress: _Progress) -> int:
+    """Leave checkpoints out of a record until the rest is short enough; return their number."""
+    records = progress.steps.items()
+    sizes = [len(text) for _, record in records for text in record.saved.values()]
+    excess = sum(sizes) - MAX_CHECKPOINT_BYTES
+    if excess <= 0:
+        return 0
+    left_out = 0
+    for name, index in _order_checkpoints(job, progress):
+        excess -= len(progress.steps[name].saved.pop(index))
+        left_out += 1
+        if excess <= 0:
+            break
+    return left_out
+
+
+def _order_checkpoints(job: Job, progress: _Progress) -> list[tuple[str, str]]:
+    """Return the names of steps and the indices of tasks, those of tasks that run first."""
+    of_running: list[tuple[str, str]] = []
+    of_others: list[tuple[str, str]] = []
+    for name, record in progress.steps.items():
+        step = job.steps_by_key[_read_step_key(job, name)]
+        for index in record.saved:
+            is_running = bool(step.tasks[int(index)].runs)
+            (of_running if is_running else of_others).append((name, index))
+    return of_running + of_others
 
 
-def count_recorded_occurrences(value: bytes) -> int:
-    """Return the number of occurrences up to the last one that a record tells of.
+def _read_step_key(job: Job, name: str) -> StepKey:
+    occurrence, _, number = name.partition(".")
+    return StepKey(job.spec.job_id, int(occurrence), int(number))
+
+
+def restore_occurrences(job: Job, value: bytes) -> None:
+    """Add the occurrences of a new job up to the last one that a record tells of.
 
     Raises
     ------
     UndecodableError
         If the value is not a progress record.
     """
-    names = decode_json(value, _Progress).steps
-    return max((int(name.partition(".")[0]) + 1 for name in names), default=0)
+    progress = decode_json(value, _Progress)
+    job.completed_occurrences = OccurrenceRanges(progress.completed)
+    counts = [int(name.partition(".")[0]) + 1 for name in progress.steps]
+    counts += [last + 1 for _, last in progress.completed]
+    for occurrence in range(max(counts, default=0)):
+        if occurrence in job.completed_occurrences:
+            job.due_count += 1
+        else:
+            add_occurrence(job)
 
 
 def restore_progress(job: Job, value: bytes) -> None:
@@ -119,9 +196,7 @@
     elif job.is_started:
         job.state = JobState.RUNNING
     for name, record in progress.steps.items():
-        occurrence, _, number = name.partition(".")
-        key = StepKey(job.spec.job_id, int(occurrence), int(number))
-        step = job.steps_by_key.get(key)
+        step = job.steps_by_key.get(_read_step_key(job, name))
         if step is not None:
             _restore_step(step, record)
             job.has_begun |= bool(step.tasks.done_bits())
@@ -129,7 +204,7 @@
 
 
 def _encode_step(step: Step) -> _StepRecord:
-    record = _StepRecord(f"{step.tasks.done_bits():x}", _encode_bits(step.hosts))
+    record = _StepRecord(encode_bits(step.tasks.done_bits()), _encode_bits(step.hosts))
     for task in step.tasks.used():
         index = task.id.position
         if task.saved and not task.is_done:
@@ -159,7 +234,7 @@
 
 
 def _restore_step(step: Step, record: _StepRecord) -> None:
-    step.undone_count -= step.tasks.mark_done(int(record.done or "0", 16))
+    step.undone_count -= step.tasks.mark_done(decode_bits(record.done))
     step.hosts.update(_decode_bits(record.hosts))
     step.begun_by_broken_host.update(_decode_bits(record.begun))
     step.unanswered.update(_decode_bits(record.unanswered))
@@ -186,11 +261,11 @@
 
 
 def _encode_bits(bits_by_host: dict[Incarnation, int]) -> dict[str, str]:
-    return {_encode_host(host): f"{bits:x}" for host, bits in bits_by_host.items()}
+    return {_encode_host(host): encode_bits(bits) for host, bits in bits_by_host.items()}
 
 
 def _decode_bits(texts_by_host: dict[str, str]) -> dict[Incarnation, int]:
-    return {_decode_host(host): int(bits, 16) for host, bits in texts_by_host.items()}
+    return {_decode_host(host): decode_bits(bits) for host, bits in texts_by_host.items()}
 
 
 def _encode_host(host: Incarnation) -> str:
--- a/redwingplank/batch/settings.py
+++ b/redwingplank/batch/settings.py
@@ -51,6 +51,8 @@
         A run that is overdue and has made no progress for this long is stopped.
     state_kept_s : float
         How long the state of an ended job can still be queried.
+    record_bytes : int
+        Largest size in bytes of a value that the store takes, and of the records of one write.
     ticket_margin_s : float
         A ticket with less remaining validity than this is not used.
     """
@@ -71,6 +73,7 @@
     stall_s: float = 2.5
     state_kept_s: float = 120.0
     ticket_margin_s: float = 0.12
+    record_bytes: int = 1_048_576
 
     @property
     def command_silence_s(self) -> float:
--- a/redwingplank/batch/speeds.py
+++ b/redwingplank/batch/speeds.py
@@ -27,6 +27,8 @@
 
 All tables together take some 15 kB in the store.
 """
+MAX_NAME_LENGTH = 200
+"""Means of images with longer names are not stored: callers choose them."""
 
 
 class _Learned(msgspec.Struct):
@@ -170,8 +172,9 @@
 
 
 def _encode_means(means: dict[str, _Mean]) -> dict[str, tuple[float, int]]:
-    """Return the means to store: those of the names that were added last."""
-    names = list(means)[-MAX_STORED_MEANS:]
+    """Return the means to store: those of the names that were added last and are not long."""
+    short = [name for name in means if len(name) <= MAX_NAME_LENGTH]
+    names = short[-MAX_STORED_MEANS:]
     return {name: (round(means[name].value, 4), means[name].count) for name in names}
 
 
--- a/redwingplank/batch/tasks.py
+++ b/redwingplank/batch/tasks.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from redwingplank.batch.entities import Run
 
-__all__ = ["Task", "TaskTable", "iterate_bits"]
+__all__ = ["Task", "TaskTable"]
 
 
 class Task:
@@ -168,11 +168,3 @@
 
     def _is_used(self, position: int) -> bool:
         return position in self._used_by_position or bool(self._released_bits >> position & 1)
-
-
-def iterate_bits(bits: int) -> Iterator[int]:
-    """Return the positions of the bits that are set, in ascending order."""
-    while bits:
-        lowest = bits & -bits
-        yield lowest.bit_length() - 1
-        bits ^= lowest
--- a/redwingplank/batch/tests/test_organisations.py
+++ b/redwingplank/batch/tests/test_organisations.py
@@ -11,7 +11,6 @@
 from redwingplank.batch.emulator import EmulatedCell
 from redwingplank.batch.entities import Job
 from redwingplank.batch.model import Amounts, JobState, OrganisationPolicy, StepSpec
-from redwingplank.batch.occurrences import add_occurrence
 from redwingplank.batch.submission_rates import SubmissionRates
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 
@@ -158,8 +157,7 @@
         value = records.encode_progress(cell.owner.state.jobs_by_id["a"])
         value = value if has_hosts else b'{"state":"cancelled","is_started":true}'
         job = Job(cell.specs_by_id["a"], 0.0)
-        for _ in range(records.count_recorded_occurrences(value)):
-            add_occurrence(job)
+        records.restore_occurrences(job, value)
         records.restore_progress(job, value)
         assert job.state is JobState.CANCELLED
         assert len(job.hosts) == (2 if has_hosts else 0)
--- a/redwingplank/cell/app.py
+++ b/redwingplank/cell/app.py
@@ -163,6 +163,7 @@
             return
         try:
             spec = decode_job(body, job_id, credentials.queue.name, now_unix_s())
+            self._callers.check_length(spec)
         except InvalidValueError as error:
             _answer(resp, HTTPStatus.BAD_REQUEST, str(error))
             return
--- a/redwingplank/cell/callers.py
+++ b/redwingplank/cell/callers.py
@@ -24,7 +24,7 @@
 from redwingplank.cell.submission_trace import DecidingCause, SubmissionTrace
 from redwingplank.cell.tasks import TaskSet
 from redwingplank.cell.unresolved_submissions import UnresolvedSubmissions
-from redwingplank.core import decode_json
+from redwingplank.core import InvalidValueError, decode_json
 from redwingplank.rpc.cell_calls import CancelAnswer
 from redwingplank.rpc.errors import RpcError
 
@@ -106,6 +106,19 @@
         self.access = access
         self._tasks = tasks
 
+    def check_length(self, spec: JobSpec) -> None:
+        """Check that the store can take a job.
+
+        Raises
+        ------
+        InvalidValueError
+            Its stored form is longer than a value may be.
+        """
+        size = len(encode_submission(spec))
+        longest = self._context.settings.value_bytes
+        if size > longest:
+            raise InvalidValueError(f"the job takes {size} bytes in the store: at most {longest}")
+
     async def submit(
         self, spec: JobSpec, credentials: Credentials, deadline_s: float
     ) -> SubmitAnswer:
--- a/redwingplank/cell/owner.py
+++ b/redwingplank/cell/owner.py
@@ -356,4 +356,5 @@
         lease_limit_s=site.lease_limit_s,
         remote_factor=site.remote_factor,
         state_kept_s=site.state_kept_s + 30.0,
+        record_bytes=site.value_bytes,
     )
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -1,6 +1,7 @@
 """Writes the progress of jobs to the store, one transaction at a time."""
 
 import asyncio
+import enum
 from collections.abc import Callable, Mapping
 
 import msgspec
@@ -19,7 +20,7 @@
 from redwingplank.cell.lease_bound import make_lease_bound_put
 from redwingplank.cell.system_entries import Ownership
 from redwingplank.platform.site.http import NoAnswerError
-from redwingplank.platform.site.store import Put, TransactionOutcome
+from redwingplank.platform.site.store import Put, StoreInvalidCallError, TransactionOutcome
 
 __all__ = ["RecordWriter"]
 
@@ -38,10 +39,23 @@
 RETRY_S = 0.15
 """Pause after a failed write: the owner, the only node that writes records, tries at most seven
 times a second."""
+INVALID_CALLS = 3
+"""Number of times that the store refuses a record by itself as invalid until it is given up. A
+single refusal may have another cause."""
 GATHER_S = 0.05
 """Completions that arrive within this time are stored in one transaction."""
 
 
+class WriteEnd(enum.Enum):
+    """How a write of records ended."""
+
+    DONE = enum.auto()
+    INVALID = enum.auto()
+    """The store refused it as invalid; nothing was written."""
+    SUPERSEDED = enum.auto()
+    """Another owner has written."""
+
+
 class RecordWriter:
     """Writes records under the epoch of the owner.
 
@@ -109,20 +123,58 @@
                     raise
                 if not is_written:
                     return
-                self._owner.confirm_stored_records(records, now_s())
-                self._on_stored()
 
     async def _write_records(self, records: list[RecordToStore]) -> bool:
+        """Write records, and what the store refuses as invalid one by one.
+
+        Returns
+        -------
+        bool
+            False if another owner has written.
+        """
+        end = await self._write(self._make_puts(records), records)
+        if end is WriteEnd.DONE:
+            self._confirm(records)
+        if end is not WriteEnd.INVALID:
+            return end is WriteEnd.DONE
+        for record in records:
+            end = await self._write_by_itself(record)
+            if end is WriteEnd.SUPERSEDED:
+                return False
+            if end is WriteEnd.INVALID:
+                self._owner.refuse_record(record)
+            else:
+                self._confirm([record])
+        return True
+
+    def _confirm(self, records: list[RecordToStore]) -> None:
+        self._owner.confirm_stored_records(records, now_s())
+        self._on_stored()
+
+    async def _write_by_itself(self, record: RecordToStore) -> WriteEnd:
+        put = Put(PROGRESS_PREFIX + record.job_id, record.value)
+        end = WriteEnd.INVALID
+        for _ in range(INVALID_CALLS):
+            end = await self._write([put], [record])
+            if end is not WriteEnd.INVALID:
+                return end
+            await asyncio.sleep(RETRY_S)
+        return end
+
+    def _make_puts(self, records: list[RecordToStore]) -> list[Put]:
         puts = [Put(PROGRESS_PREFIX + record.job_id, record.value) for record in records]
-        puts += self._make_learned_speeds_put(now_s())
-        return await self._write(puts, records)
+        return puts + self._make_learned_speeds_put(now_s())
 
     def _make_learned_speeds_put(self, now: float) -> list[Put]:
         """Return the write of the learned speeds for the next owner, if one is due."""
         if now - self._learned_written_s < LEARNED_PERIOD_S:
             return []
         self._learned_written_s = now
-        return [Put(LEARNED_KEY, self._owner.state.speeds.encode())]
+        value = self._owner.state.speeds.encode()
+        if len(value) > self._owner.state.settings.record_bytes:
+            self._context.log("learned_too_long", value_bytes=len(value))
+            return []
+        return [Put(LEARNED_KEY, value)]
 
     async def remove(self, revisions_by_id: Mapping[str, int]) -> None:
         """Remove all keys of jobs from the store.
@@ -199,8 +251,8 @@
         if problem:
             self._context.log("removal_failed", **counts, error=problem)
 
-    async def _write(self, puts: list[Put], records: list[RecordToStore]) -> bool:
-        """Write until carried out and return True; return False if another owner has written."""
+    async def _write(self, puts: list[Put], records: list[RecordToStore]) -> WriteEnd:
+        """Write until it is carried out, refused as invalid, or another owner has written."""
         self._sequence += 1
         sequence_value = msgspec.json.encode([self._ownership.epoch, self._sequence])
         expected = {
@@ -212,6 +264,11 @@
             sent_s = now_s()
             try:
                 result = await self._context.store.transact(expected, all_puts, [], WRITE_TIMEOUT_S)
+            except StoreInvalidCallError:
+                # Repeated unchanged it would be refused again, and all other records would wait.
+                self._context.health.record_success()
+                self._context.log("write_invalid", records=len(records))
+                return WriteEnd.INVALID
             except STORE_ERRORS as error:
                 self._context.health.record_failure(error)
                 self._context.log(
@@ -226,11 +283,11 @@
             if result.outcome is TransactionOutcome.DONE:
                 self._on_proven(self._ownership, sent_s)
                 self._sequence_revision = result.revision
-                return True
+                return WriteEnd.DONE
             found = {item.key: item for item in result.found}
             sequence = found.get(SEQUENCE_KEY)
             if sequence is not None and sequence.value == sequence_value:
                 self._sequence_revision = sequence.revision
-                return True
+                return WriteEnd.DONE
             self._on_superseded("another_owner_wrote")
-            return False
+            return WriteEnd.SUPERSEDED
--- a/redwingplank/cell/tests/test_node.py
+++ b/redwingplank/cell/tests/test_node.py
@@ -83,6 +83,8 @@
                 ({"spec": "x", "steps": [{**STEP, "after": [0]}]}, 400),
                 ({"spec": "x", "steps": [{**STEP, "count": "many"}]}, 400),
                 ({"spec": "x", "steps": [{**STEP, "count": 10_000}, STEP]}, 400),
+                # Longer in the store than a value may be.
+                (b'{"spec":"x","steps":[' + b"{}," * 5999 + b"{}]}", 400),
                 (b" " * 20_001, 413),
             ]
             for body, expected in cases:
--- a/redwingplank/platform/site/settings.py
+++ b/redwingplank/platform/site/settings.py
@@ -51,6 +51,8 @@
         such limit.
     config_limit_s : float
         Time after which a change of the configuration has to be in force.
+    value_bytes : int
+        Largest size in bytes of a value in the store.
     memory_mb : int
         Memory of this process in MiB.
     descriptors : int
@@ -76,6 +78,7 @@
     config_limit_s: float = 2.0
     memory_mb: int = 300
     descriptors: int = 4100
+    value_bytes: int = 1_048_576
 
     @property
     def peer_address(self) -> str:
@@ -98,6 +101,7 @@
 class _WirePlatform(msgspec.Struct):
     address: str
     ttl_min_ms: float = 1000
+    value_bytes: int = 1_048_576
 
 
 class _WireBounds(msgspec.Struct):
@@ -199,4 +203,5 @@
         config_limit_s=bounds.config_apply_ms / MS_PER_S,
         memory_mb=wire.limits.memory_mb,
         descriptors=wire.limits.max_fds,
+        value_bytes=wire.platform.value_bytes,
     )
--- a/redwingplank/standin/site_store.py
+++ b/redwingplank/standin/site_store.py
@@ -14,6 +14,8 @@
 __all__ = ["SiteStoreModel", "make_site_store_app"]
 
 MAX_ENTRIES = 32
+VALUE_BYTES = 1_048_576
+"""Largest size of a value by default."""
 PAGE_ITEMS = 500
 """Largest number of items in one answer, about as many as the real store lists."""
 FOREIGN_PREFIXES = ("op/", "servers/")
@@ -37,6 +39,8 @@
         Whether calls are refused with status 503.
     page_items : int
         Largest number of items in one page of a range.
+    value_bytes : int
+        Largest size of a value; a transaction with a longer one is refused as invalid.
     is_silent : bool
         Whether calls get no answer and have no effect.
     writes_seen : int
@@ -63,6 +67,7 @@
         self.forgotten = 0
         self.leases: dict[int, tuple[float, float]] = {}
         self.page_items = PAGE_ITEMS
+        self.value_bytes = VALUE_BYTES
         self.is_down = False
         self.is_silent = False
         self.refusal_status = 503
@@ -125,6 +130,9 @@
         entries = [*body.get("expect", ()), *body.get("puts", ()), *body.get("remove", ())]
         if len(entries) > MAX_ENTRIES:
             return 400, {}
+        puts = body.get("puts", ())
+        if any(len(base64.b64decode(row["value"])) > self.value_bytes for row in puts):
+            return 400, {}
         written = [row["key"] for row in body.get("puts", ())] + body.get("remove", [])
         if any(key.startswith(FOREIGN_PREFIXES) for key in written):
             return 403, {}
