A pass costs in proportion to the open steps

Cause: ranking a step went over all steps of its job for the longest chain, and in an overload for the work that is left, so that a pass cost the square of the steps and lasted for longer than the node's lease.

Change: both are computed once for a job in a pass and in a measurement of the load.

--- a/redwingplank/batch/overload.py
+++ b/redwingplank/batch/overload.py
@@ -110,8 +110,17 @@
         """Mean work of the jobs of each queue, with the number of jobs."""
         self._density_by_step: dict[StepKey, float] = {}
         """Benefit density of the steps that waited when an overload was last measured."""
+        self._chains_by_job: dict[str, list[float]] = {}
+        """Expected times of the longest chains that start with the steps of a job, in this pass."""
+        self._undone_by_occurrence: dict[tuple[str, int], float] = {}
+        """Core-seconds of the tasks of an occurrence that are not done, in this pass."""
         self._updated_s = float("-inf")
 
+    def begin_pass(self) -> None:
+        """Forget what was computed for whole jobs: it is the same for all their steps in a pass."""
+        self._chains_by_job.clear()
+        self._undone_by_occurrence.clear()
+
     def record_job(self, job: Job) -> None:
         """Determine the work of a job, and add it to the mean of its queue."""
         job.core_s = sum(spec.count * _task_core_s(spec) for spec in job.spec.steps)
@@ -148,14 +157,26 @@
         step, job = waiting.step, waiting.step.job
         mean, _ = self._mean_core_s_by_queue[job.spec.queue]
         # A task that is lost with its worker may start again although it still counts as hosted.
-        remaining = max(1, waiting.waiting_count) * _task_core_s(step.spec)
-        for number, spec in enumerate(job.spec.steps):
-            other = job.steps_by_key[step.key._replace(step=number)]
-            if other is not step:
-                remaining += other.undone_count * _task_core_s(spec)
+        own_count = max(1, waiting.waiting_count)
+        remaining = own_count * _task_core_s(step.spec)
+        of_others = self._undone_core_s(step) - step.undone_count * _task_core_s(step.spec)
+        remaining += max(0.0, of_others)
         benefit = BASE_BENEFIT + (1 - BASE_BENEFIT) * job.core_s / mean
         return benefit * mean / remaining
 
+    def _undone_core_s(self, step: Step) -> float:
+        """Return the core-seconds of the tasks that are not done in the occurrence of a step."""
+        key = step.key.job_id, step.key.occurrence
+        found = self._undone_by_occurrence.get(key)
+        if found is None:
+            steps = step.job.steps_by_key
+            found = sum(
+                steps[step.key._replace(step=number)].undone_count * _task_core_s(spec)
+                for number, spec in enumerate(step.job.spec.steps)
+            )
+            self._undone_by_occurrence[key] = found
+        return found
+
     def update(self, now_s: float) -> None:
         """Measure the load of the services whose queues have different priorities, if it is due."""
         if self._state.config is not self._config:
@@ -163,6 +184,7 @@
         if not self._services or now_s - self._updated_s < UPDATE_PERIOD_S:
             return
         self._updated_s = now_s
+        self.begin_pass()
         self._density_by_step.clear()
         waiting_by_service: dict[str, list[_WaitingStep]] = {name: [] for name in self._services}
         for step in self._state.open_steps.values():
@@ -176,8 +198,11 @@
 
     def _make_waiting_step(self, step: Step) -> _WaitingStep:
         spec = step.job.spec
-        remaining_s = chain_s(spec, self._state.speeds, spec.queue)[step.key.step]
-        return _WaitingStep(step, step.waiting_count, remaining_s)
+        chains = self._chains_by_job.get(spec.job_id)
+        if chains is None:
+            chains = chain_s(spec, self._state.speeds, spec.queue)
+            self._chains_by_job[spec.job_id] = chains
+        return _WaitingStep(step, step.waiting_count, chains[step.key.step])
 
     def _apply_config(self, config: CellConfig) -> None:
         self._config = config
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -61,6 +61,7 @@
     def plan_starts(self, now_s: float) -> None:
         """Plan a run for each task that can start now, in one pass over the open steps."""
         self._placement.scores.begin_pass()
+        self._overload.begin_pass()
         ranked = self._rank_open_steps(now_s)
         for open_step in self._state.organisations.take_turns(ranked):
             try:
--- a/redwingplank/batch/tests/test_pass_cost.py
+++ b/redwingplank/batch/tests/test_pass_cost.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from redwingplank.batch import emulator, owner
+from redwingplank.batch import emulator, overload, owner
 from redwingplank.batch.emulated_worker import Fault
 from redwingplank.batch.emulator import EmulatedCell
 from redwingplank.batch.entities import Step
@@ -25,6 +25,7 @@
 from redwingplank.batch.owner import JobOwner
 from redwingplank.batch.placement import EligibleWorkers, Placement
 from redwingplank.batch.score_cache import ScoreCache
+from redwingplank.batch.speeds import Speeds
 from redwingplank.batch.starter import Starter, _OpenStep, _sort_key
 from redwingplank.batch.tests.cells import make_config, make_job, make_worker, step
 from redwingplank.batch.tickets import MAX_OPEN_CALLS, Tickets
@@ -256,6 +257,47 @@
         assert self.count_calls(cell, monkeypatch) == {}
 
 
+class TestJobOfManySteps:
+    STEPS = 500
+
+    def count_looks(self, patch: pytest.MonkeyPatch, step_count: int) -> int:
+        """Return how often the first pass over a job looks at one of its steps as a whole job."""
+        looks = 0
+
+        def count_expected(self: Speeds, *arguments: Any, wrapped=Speeds.expected_s) -> float:
+            nonlocal looks
+            looks += 1
+            return wrapped(self, *arguments)
+
+        def count_core_s(spec: StepSpec, wrapped=overload._task_core_s) -> float:
+            nonlocal looks
+            looks += 1
+            return wrapped(spec)
+
+        cell = EmulatedCell(make_config(), [make_worker(number) for number in range(2)])
+        cell.run_for(1.0)
+        cell.owner.submit(make_job("fill", step(32, 1000, 60.0)), cell.now_s, cell.now_s)
+        cell.run_for(1.0)
+        many = make_job("many", *[step(1, 1000, 0.9)] * step_count, queue="extract")
+        cell.owner.submit(many, cell.now_s, cell.now_s)
+        with patch.context() as patched:
+            patched.setattr(Speeds, "expected_s", count_expected)
+            patched.setattr(overload, "_task_core_s", count_core_s)
+            cell.owner.state.needs_pass = True
+            cell.owner._overload._updated_s = float("-inf")
+            cell.owner._overload._overloaded.add("render")
+            cell.owner.tick(cell.now_s, cell.now_s)
+        return looks
+
+    # Guards against an owner whose pass over one job costs the square of its steps, and lasts for
+    # longer than its lease; so does that of each next owner.
+    def test_costs_a_pass_in_proportion_to_its_steps(self, monkeypatch: pytest.MonkeyPatch):
+        few = self.count_looks(monkeypatch, self.STEPS)
+        many = self.count_looks(monkeypatch, 4 * self.STEPS)
+        assert few > self.STEPS
+        assert many < 5 * few
+
+
 class TestRequestsOfPasses:
     """Tasks must not wait for the next change when a worker or a task can be used again."""
 
