The steps held for all jobs end a pass in time

Cause: the bound on the steps of all jobs, 20,000, was one of memory; a pass goes over all of them.

Change: 3,000 steps, one pass of which takes some 0.1 s in the emulated cell.

--- a/redwingplank/batch/occurrences.py
+++ b/redwingplank/batch/occurrences.py
@@ -7,9 +7,9 @@
 
 MAX_OPEN_OCCURRENCES = 100
 """Largest number of occurrences of one job that are open at a time; further ones wait."""
-MAX_HELD_STEPS = 20_000
+MAX_HELD_STEPS = 3000
 """Number of steps that an owner holds for all jobs together, above which a job opens no occurrence
-beside an open one. A step takes 1 kB."""
+beside an open one. A pass goes over them, and has to end well within the lease of a node."""
 
 
 def add_due_steps(job: Job, now_unix_s: float, held_steps: int = 0) -> list[Step]:
--- a/redwingplank/batch/tests/test_restart_promises.py
+++ b/redwingplank/batch/tests/test_restart_promises.py
@@ -81,6 +81,30 @@
         for worker in self._pick_worker(number):
             worker.faults.discard(Fault.CUT)
 
+    @rule(
+        number=st.integers(0, WORKERS - 1),
+        late_s=st.sampled_from([8.5, 10.0, 12.0]),
+        restarted_s=st.sampled_from([0.5, 7.5, 8.5]),
+        is_replaced=st.booleans(),
+    )
+    def cut_and_restart(
+        self, number: int, late_s: float, restarted_s: float, *, is_replaced: bool
+    ) -> None:
+        """Cut a worker off from which starts had no answer, and restart it behind the cut."""
+        self.submit_long(WORKERS)
+        self.delay_calls(late_s)
+        cut = self._pick_worker(number)
+        for worker in cut:
+            worker.faults.add(Fault.CUT)
+        if is_replaced:
+            self.replace_owner()
+        self.cell.run_for(restarted_s)
+        for worker in cut:
+            self.cell.crash(worker.entry.worker_id)
+        self.cell.run_for(late_s)
+        for worker in cut:
+            worker.faults.discard(Fault.CUT)
+
 
 def _use_one_token(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(OwnerState, "token_of", lambda self, worker: self.epoch)
