Runs have a module of their own

Change: runs, their states and lost runs move to batch/runs.py unchanged, and their importers follow. Nothing else changes.

--- a/redwingplank/batch/command_outcomes.py
+++ b/redwingplank/batch/command_outcomes.py
@@ -1,7 +1,7 @@
 """Applies the outcomes of start and stop commands to their runs."""
 
-from redwingplank.batch.entities import Run, RunState
 from redwingplank.batch.model import NO_AMOUNTS, StartOutcome
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.state import OwnerState
 
 __all__ = ["CommandOutcomes"]
--- a/redwingplank/batch/commands.py
+++ b/redwingplank/batch/commands.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from redwingplank.batch.entities import Run, Step
+from redwingplank.batch.entities import Step
+from redwingplank.batch.runs import Run
 from redwingplank.batch.worker import Worker
 
 __all__ = ["AskAdvice", "Commands", "PaceRun"]
--- a/redwingplank/batch/completions.py
+++ b/redwingplank/batch/completions.py
@@ -1,7 +1,8 @@
 """Applies the completion of a run to its task, its job and its worker."""
 
-from redwingplank.batch.entities import Job, Run, RunState, Step, Task
+from redwingplank.batch.entities import Job, Step, Task
 from redwingplank.batch.model import CompletionKind, JobState, RunCompletion, TaskId
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import PendingCompletion, Worker
 
--- a/redwingplank/batch/crashes.py
+++ b/redwingplank/batch/crashes.py
@@ -5,8 +5,9 @@
 has just started, so that the next crash has only one suspect.
 """
 
-from redwingplank.batch.entities import PROBATION_S, LostRun, Run, RunState, Task
+from redwingplank.batch.entities import Task
 from redwingplank.batch.model import Incarnation, JobState, StepKey, TaskId
+from redwingplank.batch.runs import PROBATION_S, LostRun, Run, RunState
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
 
--- a/redwingplank/batch/emulated_calls.py
+++ b/redwingplank/batch/emulated_calls.py
@@ -8,9 +8,9 @@
 
 from redwingplank.batch.commands import PaceRun
 from redwingplank.batch.emulated_worker import EmulatedRun, EmulatedWorker, Fault, StartOrder
-from redwingplank.batch.entities import Run
 from redwingplank.batch.model import PollReport, RunReport, StartAnswer, StartOutcome
 from redwingplank.batch.owner import JobOwner, PollRequest
+from redwingplank.batch.runs import Run
 
 if TYPE_CHECKING:
     from redwingplank.batch.emulator import EmulatedCell
--- a/redwingplank/batch/interference.py
+++ b/redwingplank/batch/interference.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from redwingplank.batch.entities import Run
 from redwingplank.batch.model import StepKey
 from redwingplank.batch.neighbours import Exposure, Neighbours, share_of
+from redwingplank.batch.runs import Run
 from redwingplank.batch.slowdown import (
     LoadEffect,
     NeighbourEstimate,
--- a/redwingplank/batch/late_starts.py
+++ b/redwingplank/batch/late_starts.py
@@ -5,8 +5,9 @@
 longest lease. Only a call of a later owner, or of the same one with a higher token, prevents it.
 """
 
-from redwingplank.batch.entities import HostedTasks, Run, RunState
+from redwingplank.batch.entities import HostedTasks
 from redwingplank.batch.model import StepSpec
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.state import OwnerState
 
 __all__ = ["LateStarts"]
--- a/redwingplank/batch/neighbours.py
+++ b/redwingplank/batch/neighbours.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from redwingplank.batch.entities import Run
+from redwingplank.batch.runs import Run
 
 __all__ = ["Exposure", "Neighbours", "processor_share", "share_of"]
 
--- a/redwingplank/batch/organisations.py
+++ b/redwingplank/batch/organisations.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
 
-from redwingplank.batch.entities import Job, Run, Step
+from redwingplank.batch.entities import Job, Step
 from redwingplank.batch.model import NO_AMOUNTS, Amounts, CellConfig
 from redwingplank.batch.ranking import BEYOND_RATE_TIER, LAST_TIER, Rank
+from redwingplank.batch.runs import Run
 from redwingplank.batch.submission_rates import SubmissionRates
 from redwingplank.core.shares import OrganisationUsage, UsageTable
 
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -9,7 +9,7 @@
 from redwingplank.batch.commands import AskAdvice, Commands
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
-from redwingplank.batch.entities import Job, Run, RunState
+from redwingplank.batch.entities import Job
 from redwingplank.batch.late_starts import LateStarts
 from redwingplank.batch.model import (
     CellConfig,
@@ -25,6 +25,7 @@
 from redwingplank.batch.ranking import set_objective
 from redwingplank.batch.records import encode_bounded_progress
 from redwingplank.batch.reports import Reports
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.starter import Starter
 from redwingplank.batch.state import LogDecision, OwnerState
--- a/redwingplank/batch/pacing.py
+++ b/redwingplank/batch/pacing.py
@@ -4,7 +4,7 @@
 """
 
 from redwingplank.batch.commands import PaceRun
-from redwingplank.batch.entities import Run, RunState
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
 
--- a/redwingplank/batch/reports.py
+++ b/redwingplank/batch/reports.py
@@ -2,9 +2,10 @@
 
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
-from redwingplank.batch.entities import Run, RunState, Step, Task
+from redwingplank.batch.entities import Step, Task
 from redwingplank.batch.late_starts import LateStarts
 from redwingplank.batch.model import Amounts, PollReport, RunReport, WorkerEntry
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
 
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -4,11 +4,12 @@
 from typing import Any
 
 from redwingplank.batch.candidates import Candidates
-from redwingplank.batch.entities import Job, Run, RunState, Step, Task
+from redwingplank.batch.entities import Job, Step, Task
 from redwingplank.batch.model import JobState, QueuePolicy, StepKey
 from redwingplank.batch.overload import Overload
 from redwingplank.batch.placement import EligibleWorkers, Placement
 from redwingplank.batch.ranking import Rank
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tickets import Tickets
 from redwingplank.batch.worker import Worker
--- a/redwingplank/batch/state.py
+++ b/redwingplank/batch/state.py
@@ -6,16 +6,7 @@
 from typing import Any
 
 from redwingplank.batch.commands import Commands
-from redwingplank.batch.entities import (
-    HostedTasks,
-    InheritedStarts,
-    Job,
-    LostRun,
-    Run,
-    RunState,
-    Step,
-    Task,
-)
+from redwingplank.batch.entities import HostedTasks, InheritedStarts, Job, Step, Task
 from redwingplank.batch.fencing import TOKENS_PER_EPOCH
 from redwingplank.batch.interference import Interference
 from redwingplank.batch.model import (
@@ -29,6 +20,7 @@
     WorkerEntry,
 )
 from redwingplank.batch.organisations import Organisations
+from redwingplank.batch.runs import LostRun, Run, RunState
 from redwingplank.batch.settings import BatchSettings
 from redwingplank.batch.speeds import Speeds
 from redwingplank.batch.worker import Worker
--- a/redwingplank/batch/tasks.py
+++ b/redwingplank/batch/tasks.py
@@ -1,12 +1,9 @@
 """The tasks of a step. Memory is taken by those that run, or of which something is remembered."""
 
 from collections.abc import Collection, Iterator
-from typing import TYPE_CHECKING
 
 from redwingplank.batch.model import StepKey, TaskId
-
-if TYPE_CHECKING:
-    from redwingplank.batch.entities import Run
+from redwingplank.batch.runs import Run
 
 __all__ = ["Task", "TaskTable"]
 
--- a/redwingplank/batch/tests/histories.py
+++ b/redwingplank/batch/tests/histories.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from redwingplank.batch.entities import Run, RunState
 from redwingplank.batch.interference import Interference
 from redwingplank.batch.model import Amounts, StepSpec, TaskId
 from redwingplank.batch.neighbours import Exposure
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.speeds import Speeds
 from redwingplank.batch.tests.cells import make_worker
 from redwingplank.batch.worker import Worker
--- a/redwingplank/batch/tests/test_promises.py
+++ b/redwingplank/batch/tests/test_promises.py
@@ -18,10 +18,11 @@
 from redwingplank.batch.emulated_crashes import CrashingTasks
 from redwingplank.batch.emulated_worker import EmulatedWorker, Fault
 from redwingplank.batch.emulator import EmulatedCell
-from redwingplank.batch.entities import Job, Run
+from redwingplank.batch.entities import Job
 from redwingplank.batch.model import Amounts, JobState, OrganisationPolicy, TaskId
 from redwingplank.batch.organisations import Organisations
 from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.runs import Run
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.tests.cells import EXTRACT, make_cell, make_job, step
 
--- a/redwingplank/batch/tests/test_queued_starts.py
+++ b/redwingplank/batch/tests/test_queued_starts.py
@@ -1,7 +1,7 @@
 """Starts that wait to be sent, in the decisions of an owner."""
 
-from redwingplank.batch.entities import Run, RunState
 from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 
 NOW_S = 200.0
--- a/redwingplank/batch/watchdog.py
+++ b/redwingplank/batch/watchdog.py
@@ -1,8 +1,9 @@
 """Time-driven checks of workers and their runs."""
 
-from redwingplank.batch.entities import HostedTasks, RunState
+from redwingplank.batch.entities import HostedTasks
 from redwingplank.batch.late_starts import LateStarts
 from redwingplank.batch.reports import Reports
+from redwingplank.batch.runs import RunState
 from redwingplank.batch.state import OwnerState
 from redwingplank.batch.worker import Worker
 
--- a/redwingplank/batch/worker.py
+++ b/redwingplank/batch/worker.py
@@ -3,8 +3,9 @@
 from collections import deque
 from typing import NamedTuple
 
-from redwingplank.batch.entities import PROBATION_S, Job, Run, Task
+from redwingplank.batch.entities import Job, Task
 from redwingplank.batch.model import NO_AMOUNTS, Incarnation, StepKey, TaskId, WorkerEntry
+from redwingplank.batch.runs import PROBATION_S, Run
 
 __all__ = ["PendingCompletion", "Worker"]
 
--- a/redwingplank/cell/tests/test_worker_commands.py
+++ b/redwingplank/cell/tests/test_worker_commands.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from redwingplank.batch.entities import Run, RunState
 from redwingplank.batch.model import StartAnswer, StartOutcome
+from redwingplank.batch.runs import Run, RunState
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 from redwingplank.cell import worker_commands
 from redwingplank.cell.worker_commands import WorkerCommands
--- a/redwingplank/cell/tests/test_worker_slots.py
+++ b/redwingplank/cell/tests/test_worker_slots.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from redwingplank.batch.entities import RunState
 from redwingplank.batch.model import StartAnswer, StartOutcome
+from redwingplank.batch.runs import RunState
 from redwingplank.batch.tests.cells import make_cell, make_job, step
 from redwingplank.cell import worker_commands, worker_poller
 from redwingplank.cell.tasks import TaskSet
--- a/redwingplank/cell/worker_commands.py
+++ b/redwingplank/cell/worker_commands.py
@@ -4,9 +4,9 @@
 from contextlib import asynccontextmanager
 
 from redwingplank.batch.commands import PaceRun
-from redwingplank.batch.entities import Run
 from redwingplank.batch.model import StartAnswer, StartOutcome
 from redwingplank.batch.owner import JobOwner
+from redwingplank.batch.runs import Run
 from redwingplank.batch.worker import Worker
 from redwingplank.cell.clocks import now_s
 from redwingplank.cell.context import NodeContext
