A job whose record is refused waits and is no longer dropped

Cause: since a job whose record is too long, or is refused as invalid three times by itself, failed. It was accepted: a bound may let it wait, and not drop it.

Change: the job is held. Starts that wait for the record are withdrawn, nothing more of it is planned, what runs goes on, and the record is written again each 5 s; other jobs go on, and it can be cancelled.

--- a/redwingplank/batch/entities.py
+++ b/redwingplank/batch/entities.py
@@ -269,6 +269,7 @@
         "has_begun",
         "has_planned_start",
         "is_beyond_rate",
+        "is_held",
         "is_record_cut",
         "is_started",
         "latest_end_s",
@@ -303,6 +304,8 @@
         """Version that has to be stored before the final state is reported."""
         self.is_beyond_rate = False
         """Whether the job was submitted beyond the rate of its organisation."""
+        self.is_held = False
+        """Whether the store did not take the last record, so that nothing of the job may start."""
         self.is_record_cut = False
         """Whether the last record left checkpoints out."""
         self.objective_s = 0.0
--- a/redwingplank/batch/owner.py
+++ b/redwingplank/batch/owner.py
@@ -10,6 +10,7 @@
 from redwingplank.batch.completions import Completions
 from redwingplank.batch.crashes import Crashes
 from redwingplank.batch.entities import Job
+from redwingplank.batch.held_jobs import HeldJobs
 from redwingplank.batch.late_starts import LateStarts
 from redwingplank.batch.model import (
     CellConfig,
@@ -97,8 +98,7 @@
         self._starter = Starter(self.state, self._placement, self._tickets, self._overload)
         self._pacing = Pacing(self.state)
         self._watchdog = Watchdog(self.state, self._reports, late_starts)
-        self._refused_jobs: list[Job] = []
-        """Jobs whose records cannot be stored."""
+        self._held = HeldJobs(self.state)
         self._last_check_s = float("-inf")
         self._last_pass_s = float("-inf")
 
@@ -177,7 +177,7 @@
         """Remove changed jobs and return their records to store.
 
         They are at most `limit` records, and no more than `record_bytes` together. A job whose
-        record alone is longer cannot be stored and is given up at the next tick.
+        record alone is longer is held until it is shorter.
         """
         records: list[RecordToStore] = []
         room = self.state.settings.record_bytes
@@ -207,20 +207,8 @@
         return RecordToStore(job.spec.job_id, job.version, progress.value)
 
     def refuse_record(self, record: RecordToStore) -> None:
-        """Give up a job whose record the store will not take, so that others go on.
-
-        A job must not run what cannot be remembered. It fails at the next tick, which leaves a
-        short record.
-        """
-        job = self.state.jobs_by_id.get(record.job_id)
-        self.state.log_decision(
-            "record_refused",
-            job=record.job_id,
-            value_bytes=len(record.value),
-            is_final=job is not None and job.state.is_final,
-        )
-        if job is not None and not job.state.is_final:
-            self._refused_jobs.append(job)
+        """Hold a job whose record the store does not take, so that others go on."""
+        self._held.refuse(record.job_id, len(record.value))
 
     def return_records(self, records: Iterable[RecordToStore]) -> None:
         """Mark the jobs of records that were not stored as changed again."""
@@ -399,7 +387,7 @@
     def tick(self, now_s: float, now_unix_s: float) -> Commands:
         """Make all decisions that are due, and return the commands to carry out."""
         self.state.unix_offset_s = now_unix_s - now_s
-        self._fail_refused_jobs(now_s)
+        self._held.update(now_s)
         if now_s - self._last_check_s >= CHECK_PERIOD_S:
             self._last_check_s = now_s
             self._check(now_s, now_unix_s)
@@ -413,12 +401,6 @@
         self.state.commands = Commands()
         return commands
 
-    def _fail_refused_jobs(self, now_s: float) -> None:
-        jobs, self._refused_jobs = self._refused_jobs, []
-        for job in jobs:
-            if not job.state.is_final:
-                self.state.finish_job(job, JobState.FAILED, now_s, "record_refused")
-
     def _check(self, now_s: float, now_unix_s: float) -> None:
         """Run the time-driven checks of all workers and open the occurrences that are due."""
         self._watchdog.check(now_s)
--- a/redwingplank/batch/starter.py
+++ b/redwingplank/batch/starter.py
@@ -98,7 +98,7 @@
         The eligible workers of a service are added to `eligible_by_service` when first needed.
         """
         queue = self._state.queue_of(step.job)
-        if queue is None or self._state.organisations.is_waiting(step):
+        if queue is None or step.job.is_held or self._state.organisations.is_waiting(step):
             return None
         eligible = eligible_by_service.get(queue.service)
         if eligible is None:
--- a/redwingplank/cell/record_writer.py
+++ b/redwingplank/cell/record_writer.py
@@ -40,7 +40,7 @@
 """Pause after a failed write: the owner, the only node that writes records, tries at most seven
 times a second."""
 INVALID_CALLS = 3
-"""Number of times that the store refuses a record by itself as invalid until it is given up. A
+"""Number of times that the store refuses a record by itself as invalid until its job is held. A
 single refusal may have another cause."""
 GATHER_S = 0.05
 """Completions that arrive within this time are stored in one transaction."""
